--- /dev/null
+++ b/internal/topology/position.go
@@ -0,0 +1,50 @@
+package topology
+
+import (
+	"cmp"
+	"fmt"
+)
+
+// Position is a place in a group's log: the term in which the entry was
+// written, then its offset. Positions are ordered by term first.
+type Position struct {
+	Term   uint64 `json:"term"`
+	Offset uint64 `json:"offset"`
+}
+
+// Compare returns -1, 0 or 1 as p is before, at or past q.
+func (p Position) Compare(q Position) int {
+	if c := cmp.Compare(p.Term, q.Term); c != 0 {
+		return c
+	}
+	return cmp.Compare(p.Offset, q.Offset)
+}
+
+// AtLeast tells whether p is at or past q.
+func (p Position) AtLeast(q Position) bool { return p.Compare(q) >= 0 }
+
+// IsZero tells whether p is the position before every entry.
+func (p Position) IsZero() bool { return p == Position{} }
+
+// String returns the form that ParsePosition reads.
+func (p Position) String() string { return fmt.Sprintf("%d/%d", p.Term, p.Offset) }
+
+// ParsePosition reads the form that String writes.
+func ParsePosition(s string) (Position, error) {
+	var p Position
+	if _, err := fmt.Sscanf(s, "%d/%d", &p.Term, &p.Offset); err != nil {
+		return Position{}, fmt.Errorf("position %q: want TERM/OFFSET", s)
+	}
+	if p.String() != s {
+		return Position{}, fmt.Errorf("position %q: want TERM/OFFSET", s)
+	}
+	return p, nil
+}
+
+// Later returns the later of two positions.
+func Later(p, q Position) Position {
+	if p.AtLeast(q) {
+		return p
+	}
+	return q
+}
