--- a/internal/topology/position_test.go
+++ b/internal/topology/position_test.go
@@ -11,8 +11,9 @@
 	rapid.Check(t, func(t *rapid.T) {
 		p := Position{Term: rapid.Uint64().Draw(t, "term"), Offset: rapid.Uint64().Draw(t, "offset")}
 		got, err := ParsePosition(p.String())
-		qt.Assert(t, err, qt.IsNil)
-		qt.Assert(t, got, qt.Equals, p)
+		if err != nil || got != p {
+			t.Fatalf("%v became %v, %v", p, got, err)
+		}
 	})
 }
 
--- a/warm_test.go
+++ b/warm_test.go
@@ -1,3 +1,4 @@
+// Package nettlewalk is the root of the module.
 package nettlewalk
 
 import (
@@ -10,7 +11,7 @@
 	_ "github.com/cockroachdb/errors"
 	_ "github.com/frankban/quicktest"
 	_ "github.com/go-logr/logr"
-	_ "github.com/go-logr/logr/slogr"
+	_ "github.com/go-logr/logr/funcr"
 	_ "github.com/integrii/flaggy"
 	_ "github.com/jackc/pgx/v5/pgproto3"
 	_ "github.com/jackc/pgx/v5/pgxpool"
