--- a/internal/pool/message.go
+++ b/internal/pool/message.go
@@ -53,6 +53,7 @@
 	ServeStale   bool              // past MaxStaleness serve instead of refusing
 	TimeLeft     time.Duration     // to the caller's deadline
 	Idempotent   bool              // may run again if the outcome is unknown
+	MayCommit    bool              // the batch may commit a write; false inside a transaction that stays open
 	Messages     []byte            // frontend messages in wire format
 	Statements   []Statement       // definitions of the statements that Messages name
 }
--- a/internal/routing/conn.go
+++ b/internal/routing/conn.go
@@ -15,6 +15,7 @@
 type Call struct {
 	Class      pool.Class
 	Idempotent bool
+	MayCommit  bool // false: the batch surely commits nothing, for example inside a transaction
 	Deadline   time.Time
 	Floor      FloorSource
 	// Staleness of reads at replicas.
