--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -47,6 +47,7 @@
 	Canceled           Code = 217 // the caller canceled before anything was sent
 	DeadlinePassed     Code = 218 // the deadline passed before anything was sent
 	VersionConflict    Code = 219 // a conditional edit lost against another one
+	PlatformDown       Code = 220 // the platform can't be reached, nothing was changed
 
 	UnknownOutcome    Code = 300 // the connection broke after the request was sent
 	UnconfirmedCommit Code = 301 // committed at the primary, no majority confirmed it in time
