--- a/internal/customer/customer.go
+++ b/internal/customer/customer.go
@@ -1,5 +1,3 @@
-// Package customer keeps the customers' configuration: templates, customers,
-// their versions, and what follows from both for one customer.
 package customer
 
 import (
@@ -42,17 +40,18 @@
 
 // Customer is what a template and a customer's own parameters give together.
 type Customer struct {
-	ID           topology.CustomerID         `json:"id"`
-	Template     string                      `json:"template"`
-	Version      uint64                      `json:"version"`
-	Databases    map[string]topology.GroupID `json:"databases"` // name in a connection string to group
-	Users        []User                      `json:"users"`
-	ReadKeywords bool                        `json:"read_keywords"` // statements that begin as reads may go to replicas
-	MaxStaleness time.Duration               `json:"max_staleness"` // 0: any age
-	WhenCutOff   WhenCutOff                  `json:"when_cut_off"`
-	Acknowledge  Acknowledge                 `json:"acknowledge"`
-	Limits       Limits                      `json:"limits"`
-	CostShare    float64                     `json:"cost_share"`
+	ID              topology.CustomerID         `json:"id"`
+	Template        string                      `json:"template"`
+	Version         uint64                      `json:"version"` // of the customer's own object
+	TemplateVersion uint64                      `json:"template_version"`
+	Databases       map[string]topology.GroupID `json:"databases"` // name in a connection string to group
+	Users           []User                      `json:"users"`
+	ReadKeywords    bool                        `json:"read_keywords"` // statements that begin as reads may go to replicas
+	MaxStaleness    time.Duration               `json:"max_staleness"` // 0: any age
+	WhenCutOff      WhenCutOff                  `json:"when_cut_off"`
+	Acknowledge     Acknowledge                 `json:"acknowledge"`
+	Limits          Limits                      `json:"limits"`
+	CostShare       float64                     `json:"cost_share"`
 }
 
 // View is the configuration in force at this host. Safe for concurrent use;
