--- /dev/null
+++ b/internal/settings/generate.go
@@ -0,0 +1,3 @@
+package settings
+
+//go:generate go run ./page ../../docs/SETTINGS.md
--- /dev/null
+++ b/internal/settings/keys.go
@@ -0,0 +1,41 @@
+package settings
+
+import "time"
+
+const (
+	minKeyBytes     = 16               // shorter shared keys can be guessed
+	minMessageBytes = 64 << 10         // bytes; smaller ones refuse ordinary statements
+	maxMessageBytes = 1 << 30          // bytes; the protocol's own limit
+	maxDeadline     = time.Hour        // longer requests would outlive a host
+	maxDrain        = 10 * time.Minute // longer drains outlast a roll-out step
+)
+
+// keys lists every fixed setting in the order of the documentation.
+var keys = []key{
+	{"host", "id", "", true, "a name", "names this process among live hosts", text(func(s *Settings) *string { return (*string)(&s.Host.ID) }, isName)},
+	{"host", "domain", "", true, "a name", "failure domain of this host", text(func(s *Settings) *string { return (*string)(&s.Host.Domain) }, isName)},
+	{"host", "caller_listen", "127.0.0.1:6432", false, "IP:PORT", "listener for callers (PostgreSQL protocol)", text(func(s *Settings) *string { return &s.Host.CallerListen }, isAddress)},
+	{"host", "peer_listen", "127.0.0.1:6433", false, "IP:PORT", "listener for other hosts", text(func(s *Settings) *string { return &s.Host.PeerListen }, isAddress)},
+	{"host", "admin_listen", "127.0.0.1:6434", false, "IP:PORT", "listener for operators (HTTP)", text(func(s *Settings) *string { return &s.Host.AdminListen }, isAddress)},
+	{"host", "caller_advertise", "", false, "IP:PORT, empty: caller_listen", "address that callers dial", text(func(s *Settings) *string { return &s.Host.CallerAdvertise }, isOptionalAddress)},
+	{"host", "peer_advertise", "", false, "IP:PORT, empty: peer_listen", "address that other hosts dial", text(func(s *Settings) *string { return &s.Host.PeerAdvertise }, isOptionalAddress)},
+	{"host", "admin_advertise", "", false, "IP:PORT, empty: admin_listen", "address that operators dial", text(func(s *Settings) *string { return &s.Host.AdminAdvertise }, isOptionalAddress)},
+	{"host", "drain_timeout", "30s", false, "0s to 10m", "longest wait for requests in flight at a planned stop", duration(func(s *Settings) *time.Duration { return &s.Host.DrainTimeout }, 0, maxDrain)},
+
+	{"platform", "url", "", true, "http(s)://HOST:PORT", "the platform's object API", text(func(s *Settings) *string { return &s.Platform.URL }, isURL)},
+	{"platform", "calls_per_second", "5", false, "0.1 to 1000", "this process's budget of platform calls, waiting watches included", rate(func(s *Settings) *float64 { return &s.Platform.CallsPerSecond }, 0.1, 1000)},
+
+	{"peers", "key", "", true, "16 bytes or more", "secret that all hosts share", text(func(s *Settings) *string { return &s.Peers.Key }, longerThan(minKeyBytes))},
+	{"peers", "seeds", "", false, "IP:PORT, ...", "hosts asked for the configuration while the platform is down", addresses(func(s *Settings) *[]string { return &s.Peers.Seeds })},
+
+	{"targets", "user", "nettlewalk", false, "text", "login of hosts at targets", text(func(s *Settings) *string { return &s.Targets.User }, anyText)},
+	{"targets", "password", "", false, "text", "password of that login", text(func(s *Settings) *string { return &s.Targets.Password }, anyText)},
+	{"targets", "database", "nettlewalk", false, "text", "database at targets", text(func(s *Settings) *string { return &s.Targets.Database }, anyText)},
+
+	{"callers", "allow_trust", "false", false, "true or false", "whether users without a verifier need no password", flag(func(s *Settings) *bool { return &s.Callers.AllowTrust })},
+	{"callers", "token_key", "", true, "16 bytes or more", "secret that signs session tokens, the same on all hosts", text(func(s *Settings) *string { return &s.Callers.TokenKey }, longerThan(minKeyBytes))},
+	{"callers", "deadline", "10s", false, "10ms to 1h", "deadline of a request that names none", duration(func(s *Settings) *time.Duration { return &s.Callers.Deadline }, 10*time.Millisecond, maxDeadline)},
+	{"callers", "max_message_bytes", "16777216", false, "65536 to 1073741824", "largest request in bytes", number(func(s *Settings) *int { return &s.Callers.MaxMessageBytes }, minMessageBytes, maxMessageBytes)},
+
+	{"log", "level", "0", false, "0 to 2", "0: what operators need, 1: each refusal, 2: each request", number(func(s *Settings) *int { return &s.Log.Level }, 0, 2)},
+}
