Peer: net/rpc calls between hosts over connections that proved a shared key

result: the error's text holds RetryAfter and is read back by Parse, since net/rpc carries only texts.

--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,123 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// IdleLimit is how long a server keeps a connection on which nothing arrives.
+// A message that was delayed for longer never reaches a service.
+const IdleLimit = 60 * time.Second
+
+// Server answers the calls of other hosts. It implements Registrar.
+type Server struct {
+	key  []byte
+	self topology.HostID
+	log  logr.Logger
+	rpc  *rpc.Server
+
+	mu     sync.Mutex
+	conns  map[net.Conn]struct{}
+	closed bool
+	wg     sync.WaitGroup
+}
+
+// NewServer returns a server without services.
+func NewServer(key []byte, self topology.HostID, log logr.Logger) *Server {
+	s := &Server{key: key, self: self, log: log, rpc: rpc.NewServer(), conns: map[net.Conn]struct{}{}}
+	if err := s.rpc.RegisterName(heartbeatService, &heartbeat{}); err != nil {
+		panic(err) // the type is fixed, its methods fit
+	}
+	return s
+}
+
+// Register implements Registrar. Register before Serve.
+func (s *Server) Register(name string, service any) error {
+	return errors.Wrapf(s.rpc.RegisterName(name, service), "peer service %s", name)
+}
+
+// Serve accepts connections until ctx ends, Close is called or the listener
+// fails; it closes the listener.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	stop := context.AfterFunc(ctx, s.Close)
+	defer stop()
+	stopListener := context.AfterFunc(ctx, func() { _ = l.Close() })
+	defer stopListener()
+	defer l.Close()
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return s.acceptError(ctx, err)
+		}
+		if !s.add(conn) {
+			_ = conn.Close()
+			return nil
+		}
+		go s.serveConn(conn)
+	}
+}
+
+func (s *Server) acceptError(ctx context.Context, err error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || ctx.Err() != nil {
+		return nil
+	}
+	return errors.Wrap(err, "accept peer")
+}
+
+// Close ends every connection and waits for the handshakes and calls under way.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+}
+
+func (s *Server) add(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	s.wg.Add(1)
+	return true
+}
+
+func (s *Server) remove(conn net.Conn) {
+	_ = conn.Close()
+	s.mu.Lock()
+	delete(s.conns, conn)
+	s.mu.Unlock()
+	s.wg.Done()
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	defer s.remove(conn)
+	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return
+	}
+	id, err := welcome(conn, s.key)
+	if err != nil {
+		handshakesRefused.Inc()
+		s.log.Info("peer handshake refused", "remote", conn.RemoteAddr().String(), "error", err.Error())
+		return
+	}
+	if err := conn.SetDeadline(time.Time{}); err != nil {
+		return
+	}
+	s.log.V(1).Info("peer connected", "host", id)
+	s.rpc.ServeConn(newCountedConn(conn, IdleLimit))
+}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -103,8 +103,11 @@
 	return &c
 }
 
-// Error implements error.
+// Error implements error. Parse reads the text back.
 func (e *Error) Error() string {
+	if e.RetryAfter > 0 {
+		return fmt.Sprintf("nettlewalk %d (%s, retry after %s): %s", e.Code, e.Code.Group(), e.RetryAfter, e.Detail)
+	}
 	return fmt.Sprintf("nettlewalk %d (%s): %s", e.Code, e.Code.Group(), e.Detail)
 }
 
