--- /dev/null
+++ b/cmd/nettlewalk/check.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/integrii/flaggy"
+
+	"nettlewalk.example/nettlewalk/internal/settings"
+)
+
+// exitCode returns the process's exit code for an error.
+func exitCode(err error) int {
+	var faults *settings.Faults
+	if errors.As(err, &faults) {
+		return exitBadInput
+	}
+	return exitFailure
+}
+
+func checkCommand() command {
+	var path string
+	var asJSON bool
+	cmd := flaggy.NewSubcommand("check")
+	cmd.Description = "Check a settings file and list every fault"
+	cmd.String(&path, "c", "config", "settings file")
+	cmd.Bool(&asJSON, "j", "json", "print faults as JSON")
+	return command{cmd, func() error { return check(path, asJSON) }}
+}
+
+func check(path string, asJSON bool) error {
+	_, err := settings.Load(path)
+	if err == nil {
+		fmt.Println("no faults")
+		return nil
+	}
+	var faults *settings.Faults
+	if asJSON && errors.As(err, &faults) {
+		if err := json.NewEncoder(os.Stdout).Encode(faults.List); err != nil {
+			return err
+		}
+	}
+	return err
+}
+
+func exampleCommand() command {
+	cmd := flaggy.NewSubcommand("example")
+	cmd.Description = "Print a commented settings file"
+	return command{cmd, func() error {
+		_, err := fmt.Print(settings.Example)
+		return err
+	}}
+}
+
+func versionCommand() command {
+	cmd := flaggy.NewSubcommand("version")
+	cmd.Description = "Print the version"
+	return command{cmd, func() error {
+		_, err := fmt.Println(version)
+		return err
+	}}
+}
--- /dev/null
+++ b/test/integration/leaving_test.go
@@ -0,0 +1,98 @@
+package integration
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"nettlewalk.example/nettlewalk/test/history"
+	"nettlewalk.example/nettlewalk/test/load"
+	"nettlewalk.example/nettlewalk/test/testbed"
+)
+
+// Every host is stopped and started in turn under load. No statement in flight
+// is cut: no outcome is unknown, and every stop ends well within its bound.
+func TestRollingRestartCutsNothing(t *testing.T) {
+	plan := testbed.Association()
+	plan.Groups = plan.Groups[:1]
+	bed, ctx := start(t, plan)
+	run := load.Start(bed, mixedLoad(bed))
+	waitWrites(t, ctx, bed, run, 50)
+	for _, h := range bed.Hosts {
+		qt.Assert(t, h.MarkLeaving(ctx), qt.IsNil)
+		qt.Assert(t, h.Stop(ctx), qt.IsNil, qt.Commentf("%s", h.Log()))
+		qt.Assert(t, h.MarkGone(ctx), qt.IsNil)
+		qt.Assert(t, h.Restart(ctx), qt.IsNil)
+		qt.Assert(t, h.WaitReady(ctx), qt.IsNil)
+		waitWrites(t, ctx, bed, run, 20)
+	}
+	run.Stop()
+	for _, w := range run.Log.Writes() {
+		qt.Check(t, w.Outcome, qt.Not(qt.Equals), history.Unknown, qt.Commentf("%+v", w))
+	}
+	check(t, ctx, run)
+}
+
+// A transaction that is open when its host is stopped is finished, its holder's
+// stop included.
+func TestOpenTransactionOutlivesTheStop(t *testing.T) {
+	bed, ctx := start(t, testbed.Small())
+	for i, h := range bed.Hosts {
+		conn := connect(t, ctx, bed, (i+1)%len(bed.Hosts))
+		tx, err := conn.Begin(ctx)
+		qt.Assert(t, err, qt.IsNil)
+		id := "open-during-stop-of-" + h.Name
+		_, err = tx.Exec(ctx, "INSERT INTO bookings (id) VALUES ($1)", id)
+		qt.Assert(t, err, qt.IsNil)
+		stopped := make(chan error, 1)
+		go func() { stopped <- h.Stop(ctx) }()
+		err = testbed.Until(ctx, h.Name+" is not ready", func() bool { return !h.Ready(ctx) })
+		qt.Assert(t, err, qt.IsNil)
+		_, err = tx.Exec(ctx, "UPDATE bookings SET crew = 'crew-2' WHERE id = $1", id)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, tx.Commit(ctx), qt.IsNil)
+		qt.Assert(t, <-stopped, qt.IsNil)
+		qt.Check(t, countAtPrimary(t, ctx, bed, id), qt.Equals, 1)
+		qt.Assert(t, h.Start(), qt.IsNil)
+		qt.Assert(t, h.WaitReady(ctx), qt.IsNil)
+	}
+}
+
+// A target that is marked leaving gets no new work after a few seconds; if it
+// is the primary, another one takes over and nothing is lost.
+func TestLeavingTargetGetsNoNewWork(t *testing.T) {
+	plan := testbed.Association()
+	plan.Groups = plan.Groups[:1]
+	bed, ctx := start(t, plan)
+	run := load.Start(bed, mixedLoad(bed))
+	waitWrites(t, ctx, bed, run, 50)
+	for _, id := range bed.Plan.TargetIDs(bed.Plan.Groups[0])[:2] {
+		at := time.Now()
+		qt.Assert(t, bed.MarkTargetLeaving(ctx, id, true), qt.IsNil)
+		err := testbed.Until(ctx, string(id)+" gets no new work", func() bool { return idle(ctx, bed.Targets[id], 300*time.Millisecond) })
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, time.Since(at) < handoverBound, qt.IsTrue, qt.Commentf("%v", time.Since(at)))
+		waitWrites(t, ctx, bed, run, 20)
+		qt.Assert(t, bed.MarkTargetLeaving(ctx, id, false), qt.IsNil)
+	}
+	check(t, ctx, run)
+}
+
+// idle tells whether the target ran no caller's statement for that long.
+func idle(ctx context.Context, target *testbed.Target, length time.Duration) bool {
+	before, err := target.State(ctx)
+	if err != nil {
+		return false
+	}
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+	}
+	after, err := target.State(ctx)
+	return err == nil && after.Statements == before.Statements
+}
--- /dev/null
+++ b/test/load/session.go
@@ -0,0 +1,176 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"nettlewalk.example/nettlewalk/internal/topology"
+	"nettlewalk.example/nettlewalk/test/history"
+	"nettlewalk.example/nettlewalk/test/testbed"
+)
+
+const (
+	statementTimeout = 8 * time.Second // of a caller; under the promise that a change of primary is over within 10 s
+	roamEvery        = 8               // statements on one connection before a token session moves
+	connectPause     = 20 * time.Millisecond
+)
+
+// session is one caller that writes rows of its own and reads them back.
+type session struct {
+	id      string
+	mode    Mode
+	db      topology.GroupID
+	cfg     *Config
+	bed     *testbed.Bed
+	rng     *rand.Rand
+	log     *history.Log
+	timings *Timings
+
+	conns      []*pgx.Conn // one, or two for ModeIdentity
+	token      string
+	statements int
+	seq        int // last used
+	acked      int // last acknowledged
+}
+
+func (s *session) run(ctx context.Context) {
+	defer s.closeAll()
+	for ctx.Err() == nil {
+		if !s.ready(ctx) {
+			pause(ctx, connectPause)
+			continue
+		}
+		s.step(ctx)
+		s.statements++
+		pause(ctx, s.thinkTime())
+	}
+}
+
+func (s *session) thinkTime() time.Duration {
+	return time.Duration(s.rng.ExpFloat64() * float64(s.cfg.Pause))
+}
+
+// ready opens the connections that the session's mode wants.
+func (s *session) ready(ctx context.Context) bool {
+	if s.mode == ModeToken && s.statements%roamEvery == 0 {
+		s.closeAll()
+	}
+	want := 1
+	if s.mode == ModeIdentity {
+		want = 2
+	}
+	for len(s.conns) < want {
+		conn, err := s.connect(ctx)
+		if err != nil {
+			return false
+		}
+		s.conns = append(s.conns, conn)
+	}
+	return true
+}
+
+func (s *session) connect(ctx context.Context) (*pgx.Conn, error) {
+	host := s.bed.Hosts[s.rng.Intn(len(s.bed.Hosts))]
+	var params []string
+	switch {
+	case s.mode == ModeIdentity:
+		params = append(params, "nettlewalk.session="+s.id)
+	case s.mode == ModeToken && s.token != "":
+		params = append(params, "nettlewalk.token="+s.token)
+	}
+	conn, err := host.Connect(ctx, s.cfg.Customer, string(s.db), params...)
+	if err == nil && s.mode == ModePlain && s.acked > 0 {
+		s.forget()
+	}
+	return conn, err
+}
+
+// forget starts a new session: a plain connection that was lost carries no
+// floor over to the next one.
+func (s *session) forget() {
+	s.id += "'"
+	s.seq, s.acked = 0, 0
+}
+
+func (s *session) closeAll() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	for _, c := range s.conns {
+		_ = c.Close(ctx)
+	}
+	s.conns = nil
+}
+
+func (s *session) step(ctx context.Context) {
+	i := s.rng.Intn(len(s.conns))
+	if s.rng.Float64() < s.cfg.WriteShare {
+		s.write(ctx, i)
+	} else {
+		s.read(ctx, i)
+	}
+}
+
+func (s *session) write(ctx context.Context, i int) {
+	s.seq++
+	w := history.Write{ID: fmt.Sprintf("%s-%d", s.id, s.seq), Session: s.id, Seq: s.seq, Start: time.Now()}
+	ctx, cancel := withTimeout(ctx)
+	defer cancel()
+	conn := s.conns[i]
+	_, err := conn.Exec(ctx, "INSERT INTO bookings (id, crew, session, seq) VALUES ($1, 'crew-1', $2, $3)", w.ID, s.id, s.seq)
+	w.End = time.Now()
+	w.Outcome = Outcome(err)
+	if err == nil {
+		s.acked = s.seq
+		s.token = conn.PgConn().ParameterStatus("nettlewalk.token")
+		s.timings.addWrite(s.db, w.Start, w.End)
+	} else {
+		w.Detail = err.Error()
+		s.timings.addError("write", err)
+	}
+	s.log.AddWrite(w)
+	s.drop(i)
+}
+
+func (s *session) read(ctx context.Context, i int) {
+	r := history.Read{Session: s.id, Floor: s.acked, Start: time.Now()}
+	ctx, cancel := withTimeout(ctx)
+	defer cancel()
+	err := s.conns[i].QueryRow(ctx, "SELECT coalesce(max(seq), 0) FROM bookings WHERE session = $1", s.id).Scan(&r.Seen)
+	r.End = time.Now()
+	if err == nil {
+		s.timings.addRead(r.Start, r.End)
+		r.Detail = s.where(i)
+		s.log.AddRead(r)
+	} else {
+		s.timings.addError("read", err)
+	}
+	s.drop(i)
+}
+
+func (s *session) where(i int) string {
+	return fmt.Sprintf("%s via %s", s.mode, s.conns[i].Config().Host)
+}
+
+// drop forgets a connection that has ended.
+func (s *session) drop(i int) {
+	if s.conns[i].IsClosed() {
+		s.conns = append(s.conns[:i], s.conns[i+1:]...)
+	}
+}
+
+// withTimeout bounds one statement; it outlives the end of the run, so that
+// what is under way is answered.
+func withTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.WithoutCancel(ctx), statementTimeout)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/test/measure/main.go
@@ -0,0 +1,79 @@
+// Command measure runs scenarios on the brief's deployments and prints one
+// JSON object for each.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"nettlewalk.example/nettlewalk/test/testbed"
+)
+
+const (
+	defaultSeconds = 10
+	startTimeout   = 60 * time.Second // of all processes of a deployment
+)
+
+func main() {
+	options := options{Scenario: "all", Deployment: "both", Seed: 1, Seconds: defaultSeconds}
+	flaggy.SetName("measure")
+	flaggy.SetDescription("Measure the proxy under load and faults")
+	flaggy.String(&options.Scenario, "s", "scenario", "all or one of: "+strings.Join(scenarioNames(), ", "))
+	flaggy.String(&options.Deployment, "d", "deployment", "association, caderno or both")
+	flaggy.Int64(&options.Seed, "", "seed", "seed of the load and the faults")
+	flaggy.Int(&options.Seconds, "", "seconds", "length of the load of each scenario")
+	flaggy.Parse()
+	defer testbed.RemovePrograms()
+	if err := runAll(options); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		testbed.RemovePrograms()
+		os.Exit(1)
+	}
+}
+
+// options are the command line's.
+type options struct {
+	Scenario   string
+	Deployment string
+	Seed       int64
+	Seconds    int
+}
+
+func runAll(o options) error {
+	found := false
+	for _, s := range scenarios {
+		if o.Scenario != "all" && o.Scenario != s.name {
+			continue
+		}
+		found = true
+		if err := runOn(s, o); err != nil {
+			return err
+		}
+	}
+	if !found {
+		return fmt.Errorf("no scenario %q: %s", o.Scenario, strings.Join(scenarioNames(), ", "))
+	}
+	return nil
+}
+
+func runOn(s scenario, o options) error {
+	for _, plan := range []testbed.Plan{testbed.Association(), testbed.Caderno()} {
+		if o.Deployment != "both" && o.Deployment != plan.Name {
+			continue
+		}
+		report, err := measure(context.Background(), s, plan, o)
+		if err != nil {
+			return fmt.Errorf("%s on %s: %w", s.name, plan.Name, err)
+		}
+		if err := json.NewEncoder(os.Stdout).Encode(report); err != nil {
+			return err
+		}
+	}
+	return nil
+}
