--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -66,6 +66,7 @@
 	BadConfiguration   Code = 508 // a settings file, template or customer with faults
 	Forbidden          Code = 509 // the operator may not see or edit this object
 	NotFound           Code = 510 // no such object
+	ReadOnlySession    Code = 511 // a write from a user or session declared read-only
 )
 
 // Group returns the code's group.
