Fleet: holders by rendezvous hashing, members, suspicion, announcements

Each pair of a target's slots shares one order of the domain's hosts: the even slot takes the first, the odd slot the last. One host's death then moves no slot but its own. Two orders give distinct hosts for every set of live hosts only if one reverses the other, so a greedy choice per slot cannot have both properties.

--- /dev/null
+++ b/internal/fleet/members_test.go
@@ -0,0 +1,111 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func stateOf(m *Members, id topology.HostID) topology.HostState {
+	for _, h := range m.Hosts() {
+		if h.ID == id {
+			return h.State
+		}
+	}
+	return ""
+}
+
+func twoMembers() (*Members, topology.HostID) {
+	hosts := fleetOf(2, 1)
+	m := NewMembers(hosts[0])
+	m.Apply(hosts, start)
+	return m, hosts[1].ID
+}
+
+func TestSuspicionNeedsARunOfFailures(t *testing.T) {
+	m, id := twoMembers()
+	for d := time.Duration(0); d < suspectAfter; d += 250 * time.Millisecond {
+		m.Report(id, false, at(d))
+		qt.Assert(t, stateOf(m, id), qt.Equals, topology.HostLive)
+	}
+	qt.Assert(t, m.Report(id, false, at(suspectAfter)), qt.IsTrue)
+	qt.Assert(t, stateOf(m, id), qt.Equals, topology.HostGone)
+}
+
+func TestFailuresFarApartAreNoRun(t *testing.T) {
+	m, id := twoMembers()
+	for i := range 10 {
+		m.Report(id, false, at(time.Duration(i)*2*runGap))
+	}
+	qt.Assert(t, stateOf(m, id), qt.Equals, topology.HostLive)
+}
+
+func TestAccusationNeedsAnOwnFailure(t *testing.T) {
+	m, id := twoMembers()
+	qt.Assert(t, m.Accuse(id, start), qt.IsTrue)
+	qt.Assert(t, stateOf(m, id), qt.Equals, topology.HostLive)
+	qt.Assert(t, m.Failing(), qt.DeepEquals, []topology.HostID{id})
+	qt.Assert(t, m.Report(id, false, at(time.Second)), qt.IsFalse)
+	qt.Assert(t, stateOf(m, id), qt.Equals, topology.HostGone)
+}
+
+func TestTrustReturnsSlowerAfterEachRelapse(t *testing.T) {
+	m, id := twoMembers()
+	now := start
+	for relapse := range 3 {
+		for !m.Suspected(id) {
+			m.Report(id, false, now)
+			now = now.Add(recheckEvery)
+		}
+		from := now
+		for m.Suspected(id) {
+			m.Report(id, true, now)
+			now = now.Add(recheckEvery)
+		}
+		want := clearAfter << relapse
+		qt.Assert(t, now.Sub(from) >= want, qt.IsTrue, qt.Commentf("relapse %d: trusted after %v", relapse, now.Sub(from)))
+	}
+}
+
+func TestAnnouncementsOutrunTheList(t *testing.T) {
+	m, id := twoMembers()
+	m.Leaving(id)
+	m.Apply(fleetOf(2, 1), at(time.Second))
+	qt.Assert(t, stateOf(m, id), qt.Equals, topology.HostLeaving)
+
+	fresh := topology.Host{ID: "fresh", Domain: "domain-0", State: topology.HostLive}
+	m.Hello(fresh, at(time.Second))
+	m.Apply(fleetOf(1, 1), at(2*time.Second))
+	qt.Assert(t, stateOf(m, "fresh"), qt.Equals, topology.HostLive)
+	qt.Assert(t, stateOf(m, id), qt.Equals, topology.HostState(""))
+	m.Apply(fleetOf(1, 1), at(time.Minute))
+	qt.Assert(t, stateOf(m, "fresh"), qt.Equals, topology.HostState(""))
+}
+
+func TestStateFlipsAtMostOncePerSuspicionTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m, id := twoMembers()
+		now := start
+		last, changed := topology.HostLive, time.Time{}
+		for range 200 {
+			now = now.Add(time.Duration(rapid.IntRange(1, 1000).Draw(t, "ms")) * time.Millisecond)
+			m.Report(id, rapid.Bool().Draw(t, "reachable"), now)
+			state := stateOf(m, id)
+			if state == last {
+				continue
+			}
+			if !changed.IsZero() && now.Sub(changed) < clearAfter {
+				t.Fatalf("flipped to %s %v after the last flip", state, now.Sub(changed))
+			}
+			last, changed = state, now
+		}
+	})
+}
--- /dev/null
+++ b/internal/fleet/rendezvous_test.go
@@ -0,0 +1,169 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+func fleetOf(n, domains int) []topology.Host {
+	hosts := make([]topology.Host, n)
+	for i := range hosts {
+		hosts[i] = topology.Host{
+			ID:     topology.HostID(fmt.Sprintf("host-%d", i)),
+			Domain: topology.Domain(fmt.Sprintf("domain-%d", i%domains)),
+			State:  topology.HostLive,
+		}
+	}
+	return hosts
+}
+
+func drawFleet(t *rapid.T) []topology.Host {
+	hosts := fleetOf(rapid.IntRange(1, 12).Draw(t, "hosts"), rapid.IntRange(1, 3).Draw(t, "domains"))
+	for i := range hosts {
+		hosts[i].State = rapid.SampledFrom([]topology.HostState{topology.HostLive, topology.HostLive, topology.HostLeaving, topology.HostGone}).Draw(t, "state")
+	}
+	return hosts
+}
+
+func drawTarget(t *rapid.T, slots int) topology.Target {
+	return topology.Target{
+		ID:     topology.TargetID(fmt.Sprintf("target-%d", rapid.IntRange(0, 999).Draw(t, "target"))),
+		Domain: topology.Domain(fmt.Sprintf("domain-%d", rapid.IntRange(0, 2).Draw(t, "target domain"))),
+		Slots:  slots,
+	}
+}
+
+func TestHoldersAreDistinctLiveHostsOfTheDomain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := drawFleet(t)
+		target := drawTarget(t, rapid.IntRange(1, 4).Draw(t, "slots"))
+		var near, all []topology.HostID
+		for _, h := range hosts {
+			if h.State != topology.HostLive {
+				continue
+			}
+			all = append(all, h.ID)
+			if h.Domain == target.Domain {
+				near = append(near, h.ID)
+			}
+		}
+		allowed := near
+		if len(near) == 0 {
+			allowed = all
+		}
+		holders := Holders(target, hosts)
+		if len(allowed) == 0 {
+			if holders != nil {
+				t.Fatalf("holders %v of a fleet without live hosts", holders)
+			}
+			return
+		}
+		if len(holders) != target.Slots {
+			t.Fatalf("%d holders of %d slots", len(holders), target.Slots)
+		}
+		distinct := map[topology.HostID]bool{}
+		for _, h := range holders {
+			if !slices.Contains(allowed, h) {
+				t.Fatalf("holder %s isn't one of %v", h, allowed)
+			}
+			distinct[h] = true
+		}
+		if want := min(target.Slots, len(allowed)); len(distinct) < want {
+			t.Fatalf("holders %v, want %d distinct ones", holders, want)
+		}
+	})
+}
+
+func TestLossOfAHostMovesOnlyItsSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := drawFleet(t)
+		target := drawTarget(t, 2)
+		before := Holders(target, hosts)
+		lost := rapid.IntRange(0, len(hosts)-1).Draw(t, "lost")
+		after := Holders(target, slices.Delete(slices.Clone(hosts), lost, lost+1))
+		for slot := range after {
+			if before[slot] != hosts[lost].ID && after[slot] != before[slot] {
+				t.Fatalf("slot %d moved from %s to %s when %s died", slot, before[slot], after[slot], hosts[lost].ID)
+			}
+		}
+	})
+}
+
+func TestHeldByAgreesWithHolders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := drawFleet(t)
+		index := NewIndex(hosts)
+		target := drawTarget(t, 2)
+		var slots int
+		for _, h := range hosts {
+			slots += len(index.HeldBy(h, []topology.Target{target}))
+		}
+		if want := len(index.Holders(target)); slots != want {
+			t.Fatalf("%d slots held, want %d", slots, want)
+		}
+	})
+}
+
+func TestSlotsSpreadEvenly(t *testing.T) {
+	index := NewIndex(fleetOf(10, 1))
+	counts := map[topology.HostID]int{}
+	const targets = 10000
+	for i := range targets {
+		for _, h := range index.Holders(topology.Target{ID: topology.TargetID(fmt.Sprint(i)), Domain: "domain-0", Slots: 2}) {
+			counts[h]++
+		}
+	}
+	for h, n := range counts {
+		qt.Check(t, n > 1800 && n < 2200, qt.IsTrue, qt.Commentf("%s holds %d, the mean is 2000", h, n))
+	}
+}
+
+// The sizes that the design is for: 4,500 hosts in 10 failure domains.
+const (
+	planHosts   = 4500
+	planDomains = 10
+	planTargets = 42000
+)
+
+func planTarget(i int) topology.Target {
+	return topology.Target{
+		ID:     topology.TargetID(fmt.Sprintf("target-%d", i)),
+		Domain: topology.Domain(fmt.Sprintf("domain-%d", i%planDomains)),
+		Slots:  2,
+	}
+}
+
+func BenchmarkHolders(b *testing.B) {
+	index := NewIndex(fleetOf(planHosts, planDomains))
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		index.Holders(planTarget(i % planTargets))
+	}
+}
+
+func BenchmarkNewIndex(b *testing.B) {
+	hosts := fleetOf(planHosts, planDomains)
+	b.ReportAllocs()
+	for b.Loop() {
+		NewIndex(hosts)
+	}
+}
+
+func BenchmarkHeldBy(b *testing.B) {
+	hosts := fleetOf(planHosts, planDomains)
+	index := NewIndex(hosts)
+	targets := make([]topology.Target, planTargets)
+	for i := range targets {
+		targets[i] = planTarget(i)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		index.HeldBy(hosts[0], targets)
+	}
+}
