--- /dev/null
+++ b/internal/floor/client.go
@@ -0,0 +1,173 @@
+package floor
+
+import (
+	"context"
+	"sync"
+
+	"nettlewalk.example/nettlewalk/internal/fleet"
+	"nettlewalk.example/nettlewalk/internal/peer"
+	"nettlewalk.example/nettlewalk/internal/result"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// Primaries tells who is primary of a group as far as this host knows.
+type Primaries interface {
+	State(group topology.GroupID) (term uint64, primary topology.TargetID, ok bool)
+}
+
+// ClientConfig is what a Client is made of.
+type ClientConfig struct {
+	Self      topology.HostID
+	Keeper    *Keeper // of this host
+	Caller    peer.Caller
+	Fleet     fleet.View
+	Groups    Groups
+	Primaries Primaries
+	Rounds    Rounds
+}
+
+// Client finds floors for the callers of this host. It implements routing's
+// Floors. Safe for concurrent use.
+type Client struct {
+	cfg   ClientConfig
+	stats *stats
+
+	mu      sync.Mutex // guards the fields below
+	batches map[place]*coalescer[floorsBySession]
+	rounds  map[topology.GroupID]*coalescer[topology.Position]
+}
+
+type floorsBySession map[string]topology.Position
+
+// place is where the keeper of some sessions is.
+type place struct {
+	group  topology.GroupID
+	target topology.TargetID
+	slot   int
+	host   topology.HostID
+}
+
+// NewClient returns a client.
+func NewClient(cfg ClientConfig) *Client {
+	return &Client{
+		cfg:     cfg,
+		stats:   newStats(),
+		batches: make(map[place]*coalescer[floorsBySession]),
+		rounds:  make(map[topology.GroupID]*coalescer[topology.Position]),
+	}
+}
+
+// Session returns a position at or past every write of the session that was
+// acknowledged before the call: its keeper's answer, else the group's
+// confirmed position.
+func (c *Client) Session(ctx context.Context, group topology.GroupID, session string) (topology.Position, error) {
+	at, ok := c.keeperOf(group, session)
+	if !ok {
+		return c.Confirmed(ctx, group)
+	}
+	floors, err := c.batch(at).do(ctx, session)
+	if err != nil {
+		c.stats.fallbacks.Inc()
+		return c.Confirmed(ctx, group)
+	}
+	c.stats.answers.Inc()
+	return floors[session], nil
+}
+
+func (c *Client) batch(at place) *coalescer[floorsBySession] {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b, ok := c.batches[at]
+	if !ok {
+		b = newCoalescer(func(sessions []string) (floorsBySession, error) { return c.ask(at, sessions) })
+		c.batches[at] = b
+	}
+	return b
+}
+
+func (c *Client) keeperOf(id topology.GroupID, session string) (place, bool) {
+	_, primary, ok := c.cfg.Primaries.State(id)
+	if !ok {
+		return place{}, false
+	}
+	g, ok := c.cfg.Groups.Group(id)
+	if !ok {
+		return place{}, false
+	}
+	t, ok := g.Target(primary)
+	if !ok {
+		return place{}, false
+	}
+	slot := SlotOf(session, t.Slots)
+	holders := c.cfg.Fleet.Holders(t)
+	if slot >= len(holders) {
+		return place{}, false
+	}
+	return place{group: id, target: primary, slot: slot, host: holders[slot]}, true
+}
+
+// Confirmed returns the group's confirmed position, by a round that began
+// after the call.
+func (c *Client) Confirmed(ctx context.Context, group topology.GroupID) (topology.Position, error) {
+	return c.round(group).do(ctx, "")
+}
+
+func (c *Client) round(id topology.GroupID) *coalescer[topology.Position] {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r, ok := c.rounds[id]
+	if !ok {
+		r = newCoalescer(func([]string) (topology.Position, error) { return c.confirm(id) })
+		c.rounds[id] = r
+	}
+	return r
+}
+
+func (c *Client) confirm(id topology.GroupID) (topology.Position, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	defer cancel()
+	g, ok := c.cfg.Groups.Group(id)
+	if !ok {
+		return topology.Position{}, result.New(result.NoConfiguration, "group %s isn't configured", id)
+	}
+	r, err := c.cfg.Rounds.Round(ctx, id)
+	if err != nil {
+		return topology.Position{}, err
+	}
+	pos, ok := Confirmed(len(g.Targets), r)
+	if !ok {
+		return topology.Position{}, result.New(result.NoMajority, "group %s: %d of %d targets answered", id, len(r.Statuses), len(g.Targets))
+	}
+	return pos, nil
+}
+
+// ask asks the keeper at a place for the floors of sessions.
+func (c *Client) ask(at place, sessions []string) (floorsBySession, error) {
+	floors, err := c.call(at, sessions)
+	if err != nil {
+		return nil, err
+	}
+	bySession := make(floorsBySession, len(sessions))
+	for i, session := range sessions {
+		bySession[session] = floors[i]
+	}
+	return bySession, nil
+}
+
+func (c *Client) call(at place, sessions []string) ([]topology.Position, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	defer cancel()
+	c.stats.calls.Inc()
+	if at.host == c.cfg.Self {
+		return c.cfg.Keeper.Floors(ctx, at.group, at.target, at.slot, sessions)
+	}
+	q := Question{Group: at.group, Target: at.target, Slot: at.slot, Sessions: sessions}
+	var a Answer
+	if err := c.cfg.Caller.Call(ctx, at.host, ServiceName+".Ask", q, &a); err != nil {
+		return nil, err
+	}
+	if len(a.Floors) != len(sessions) {
+		return nil, result.New(result.HolderLost, "%d floors for %d sessions", len(a.Floors), len(sessions))
+	}
+	return a.Floors, nil
+}
--- /dev/null
+++ b/internal/routing/attempt.go
@@ -0,0 +1,152 @@
+package routing
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"nettlewalk.example/nettlewalk/internal/floor"
+	"nettlewalk.example/nettlewalk/internal/pool"
+	"nettlewalk.example/nettlewalk/internal/result"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// attempt takes one batch through its tries.
+type attempt struct {
+	conn    *conn
+	call    *Call
+	emit    func([]byte) error
+	floor   topology.Position
+	began   time.Time
+	emitted bool
+	rounds  int
+	reason  Reason // why the batch went on to the primary
+	failure *result.Error
+}
+
+func (a *attempt) run(ctx context.Context) (Outcome, error) {
+	for {
+		ask, d := a.choose()
+		out, step := a.tryAll(ctx, ask, d)
+		if step == nil {
+			return out, nil
+		}
+		if step.Action == GiveUp {
+			return Outcome{}, step.Err
+		}
+		a.rounds++
+		if !sleep(ctx, step.Wait) {
+			return Outcome{}, a.overdue(ctx)
+		}
+	}
+}
+
+func (a *attempt) choose() (Ask, Decision) {
+	view := a.conn.router.view(a.conn.group)
+	ask := a.ask(view)
+	d := Choose(ask, view)
+	if d.Reason != "" {
+		a.reason = d.Reason
+	}
+	return ask, d
+}
+
+func (a *attempt) ask(view GroupView) Ask {
+	return Ask{
+		Class:        a.call.Class,
+		Floor:        a.floor,
+		MaxStaleness: a.call.MaxStaleness,
+		ServeStale:   a.call.ServeStale,
+		Slot:         a.slot(view),
+		Draw:         rand.Uint64(),
+	}
+}
+
+// slot returns the primary's slot that must run the batch: the one whose
+// holder keeps the session's floor.
+func (a *attempt) slot(view GroupView) int {
+	if a.call.Class != pool.Write || a.call.Floor.Session == "" {
+		return anySlot
+	}
+	for _, c := range view.Candidates {
+		if c.Target.ID == view.Primary {
+			return floor.SlotOf(a.call.Floor.Session, c.Target.Slots)
+		}
+	}
+	return anySlot
+}
+
+// tryAll returns a nil step when the batch was answered whole.
+func (a *attempt) tryAll(ctx context.Context, ask Ask, d Decision) (Outcome, *Step) {
+	if len(d.Tries) == 0 {
+		step := After(a.progress(0, false), noTarget(ask))
+		return Outcome{}, &step
+	}
+	for i, try := range d.Tries {
+		if ctx.Err() != nil {
+			return Outcome{}, &Step{Action: GiveUp, Err: a.overdue(ctx)}
+		}
+		out, err := a.exec(ctx, a.newStream(try))
+		if err == nil {
+			return out, nil
+		}
+		a.failure = err
+		a.noteFailure(try, err)
+		step := After(a.progress(len(d.Tries)-i-1, false), err)
+		if step.Spend {
+			a.conn.router.spend()
+		}
+		if step.Action != TryNext {
+			return Outcome{}, &step
+		}
+	}
+	return Outcome{}, &Step{Action: GiveUp, Err: a.failure}
+}
+
+func (a *attempt) newStream(try Try) *stream {
+	r := a.conn.router
+	return &stream{
+		id:    r.newStream(),
+		try:   try,
+		exec:  r.cfg.Executor(try.Host),
+		floor: a.floor,
+	}
+}
+
+func (a *attempt) noteFailure(try Try, err *result.Error) {
+	r := a.conn.router
+	a.conn.group.learnFailure(try.Target, err.Code)
+	if a.call.Class == pool.Read && try.Replica {
+		a.reason = reasonFor(err.Code)
+	}
+	if err.Code == result.HostUnreachable || err.Code == result.HolderLost {
+		r.cfg.Fleet.Report(try.Host, false)
+	}
+}
+
+func (a *attempt) progress(triesLeft int, inTransaction bool) Progress {
+	return Progress{
+		Class:         a.call.Class,
+		Idempotent:    a.call.Idempotent,
+		MayCommit:     a.call.MayCommit,
+		InTransaction: inTransaction,
+		Emitted:       a.emitted,
+		TriesLeft:     triesLeft,
+		Rounds:        a.rounds,
+		Elapsed:       time.Since(a.began),
+		TimeLeft:      time.Until(a.call.Deadline),
+		Budget:        a.conn.router.budgetAllows(),
+	}
+}
+
+// overdue is the answer when ctx ended before another try was sent.
+func (a *attempt) overdue(ctx context.Context) *result.Error {
+	err := canceled(ctx)
+	if a.failure == nil {
+		return err
+	}
+	if a.failure.Code.Group() == result.GroupUnknown {
+		return unknown(a.progress(0, false), a.failure)
+	}
+	return err.After(comeBackAfter)
+}
--- /dev/null
+++ b/internal/routing/choose.go
@@ -0,0 +1,125 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"nettlewalk.example/nettlewalk/internal/pool"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+const (
+	anySlot = -1
+
+	minRecheck   = 20 * time.Millisecond // a target behind is asked again after its lag, but no sooner
+	maxRecheck   = 1 * time.Second       // nor later
+	localBenefit = 4                     // requests under way that outweigh the hop to another holder
+)
+
+// Ask is the part of a batch that decides where it may run.
+type Ask struct {
+	Class        pool.Class
+	Floor        topology.Position
+	MaxStaleness time.Duration // 0: any age
+	ServeStale   bool          // past MaxStaleness serve when the primary can't
+	Slot         int           // of the primary, for writes; anySlot if none is set
+	Draw         uint64        // random number that spreads requests among equals
+}
+
+// Candidate is one target as far as it is known.
+type Candidate struct {
+	Target  topology.Target
+	Holders []Holder // by slot number
+	Near    bool     // in this host's domain
+	Down    bool     // failed lately
+	Known   bool     // Applied, Lag and SeenAgo are set
+	Applied topology.Position
+	Lag     time.Duration // upper bound on the data's age when last seen
+	SeenAgo time.Duration
+}
+
+// Holder is the host of one slot.
+type Holder struct {
+	Host  topology.HostID
+	Local bool // this host
+	Load  int  // requests of this host under way on the slot
+}
+
+// GroupView is one group as far as it is known.
+type GroupView struct {
+	Term       uint64
+	Primary    topology.TargetID // empty if not known
+	Candidates []Candidate
+}
+
+// Try is one place at which a batch may run.
+type Try struct {
+	Target     topology.TargetID
+	Slot       int
+	Host       topology.HostID
+	Replica    bool
+	ServeStale bool // the target's age doesn't matter
+}
+
+// Decision is the places at which a batch may run, best first.
+type Decision struct {
+	Tries  []Try
+	Reason Reason // why a read goes to the primary first, empty if it doesn't
+}
+
+// Choose returns where the batch may run. It has no tries when nothing is
+// known that could run it.
+func Choose(ask Ask, view GroupView) Decision {
+	if ask.Class == pool.Write {
+		return Decision{Tries: primaryTries(ask, view)}
+	}
+	return chooseRead(ask, view)
+}
+
+func primaryTries(ask Ask, view GroupView) []Try {
+	for _, c := range view.Candidates {
+		if c.Target.ID == view.Primary {
+			return slotTries(c, ask, false, false)
+		}
+	}
+	return nil
+}
+
+// slotTries returns the candidate's slots, best first.
+func slotTries(c Candidate, ask Ask, replica, serveStale bool) []Try {
+	var tries []Try
+	for _, slot := range slotOrder(c.Holders, ask) {
+		tries = append(tries, Try{
+			Target:     c.Target.ID,
+			Slot:       slot,
+			Host:       c.Holders[slot].Host,
+			Replica:    replica,
+			ServeStale: serveStale,
+		})
+	}
+	return tries
+}
+
+func slotOrder(holders []Holder, ask Ask) []int {
+	if ask.Class == pool.Write && ask.Slot != anySlot {
+		if ask.Slot >= len(holders) {
+			return nil
+		}
+		return []int{ask.Slot}
+	}
+	order := make([]int, len(holders))
+	for i := range order {
+		order[i] = (i + int(ask.Draw%uint64(len(holders)))) % len(holders)
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(cost(holders[a]), cost(holders[b])) })
+	return order
+}
+
+// cost counts the requests under way; a hop to another host counts as several.
+func cost(h Holder) int {
+	if h.Local {
+		return h.Load
+	}
+	return h.Load + localBenefit
+}
--- /dev/null
+++ b/internal/routing/choose_read.go
@@ -0,0 +1,156 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// fitness is how a replica suits a read, best first.
+type fitness int
+
+const (
+	fits       fitness = iota // what is known satisfies the read
+	mayFit                    // what is known is old, so its holder decides
+	behind                    // has surely not applied the floor
+	stale                     // surely older than the read allows
+	outOfOrder                // failed lately
+	leaving
+)
+
+type ranked struct {
+	Candidate
+	fitness fitness
+}
+
+func chooseRead(ask Ask, view GroupView) Decision {
+	replicas := rankReplicas(ask, view)
+	var d Decision
+	for _, r := range replicas {
+		if r.fitness <= mayFit {
+			d.Tries = append(d.Tries, slotTries(r.Candidate, ask, true, false)...)
+		}
+	}
+	if len(d.Tries) == 0 {
+		d.Reason = reasonOf(replicas)
+	}
+	primary, last := primaryTries(ask, view), lastResorts(ask, replicas)
+	if primaryDown(view) {
+		primary, last = last, primary
+	}
+	d.Tries = append(append(d.Tries, primary...), last...)
+	return d
+}
+
+func primaryDown(view GroupView) bool {
+	for _, c := range view.Candidates {
+		if c.Target.ID == view.Primary {
+			return c.Down
+		}
+	}
+	return true
+}
+
+// lastResorts returns the replicas that serve when the primary can't: the
+// stale ones if the read allows that, and those that failed lately.
+func lastResorts(ask Ask, replicas []ranked) []Try {
+	var tries []Try
+	for _, r := range replicas {
+		if r.fitness == leaving || r.fitness == behind {
+			continue
+		}
+		if ask.ServeStale || r.fitness == outOfOrder {
+			tries = append(tries, slotTries(r.Candidate, ask, true, ask.ServeStale)...)
+		}
+	}
+	return tries
+}
+
+func rankReplicas(ask Ask, view GroupView) []ranked {
+	var replicas []ranked
+	for _, c := range view.Candidates {
+		if c.Target.ID != view.Primary && len(c.Holders) > 0 {
+			replicas = append(replicas, ranked{Candidate: c, fitness: fitnessOf(ask, c)})
+		}
+	}
+	if len(replicas) == 0 {
+		return nil
+	}
+	shift := int(ask.Draw % uint64(len(replicas)))
+	replicas = slices.Concat(replicas[shift:], replicas[:shift])
+	slices.SortStableFunc(replicas, func(a, b ranked) int {
+		return cmp.Or(
+			cmp.Compare(a.fitness, b.fitness),
+			cmp.Compare(distance(a.Candidate), distance(b.Candidate)),
+			cmp.Compare(lightest(a.Holders), lightest(b.Holders)),
+		)
+	})
+	return replicas
+}
+
+func distance(c Candidate) int {
+	if c.Near {
+		return 0
+	}
+	return 1
+}
+
+func lightest(holders []Holder) int {
+	least := holders[0].Load
+	for _, h := range holders {
+		least = min(least, h.Load)
+	}
+	return least
+}
+
+func fitnessOf(ask Ask, c Candidate) fitness {
+	switch {
+	case c.Target.Leaving:
+		return leaving
+	case c.Down:
+		return outOfOrder
+	case !c.Known:
+		return mayFit
+	}
+	return max(floorFitness(ask.Floor, c), ageFitness(ask.MaxStaleness, c))
+}
+
+// floorFitness expects that a replica has applied the floor once its lag has
+// passed since it was last seen behind.
+func floorFitness(floor topology.Position, c Candidate) fitness {
+	if c.Applied.AtLeast(floor) {
+		return fits
+	}
+	if c.SeenAgo >= min(max(c.Lag, minRecheck), maxRecheck) {
+		return mayFit
+	}
+	return behind
+}
+
+func ageFitness(bound time.Duration, c Candidate) fitness {
+	if bound == 0 || c.Lag+c.SeenAgo <= bound {
+		return fits
+	}
+	if c.Lag <= bound || c.SeenAgo >= maxRecheck {
+		return mayFit
+	}
+	return stale
+}
+
+// reasonOf tells why none of the replicas is tried before the primary: what
+// the most suitable one lacks.
+func reasonOf(replicas []ranked) Reason {
+	if len(replicas) == 0 {
+		return NoReplica
+	}
+	switch replicas[0].fitness {
+	case behind:
+		return BehindFloor
+	case stale:
+		return TooStale
+	default:
+		return Unhealthy
+	}
+}
--- /dev/null
+++ b/internal/routing/knowledge.go
@@ -0,0 +1,72 @@
+package routing
+
+import (
+	"time"
+
+	"nettlewalk.example/nettlewalk/internal/pool"
+	"nettlewalk.example/nettlewalk/internal/result"
+	"nettlewalk.example/nettlewalk/internal/target"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+const downFor = 250 * time.Millisecond // a target that failed gets no reads for this long
+
+// Knowledge is what this host learned of one group from answers. It never goes
+// back to a lower term. Not safe for concurrent use.
+type Knowledge struct {
+	Term    uint64
+	Primary topology.TargetID
+	Targets map[topology.TargetID]Seen
+}
+
+// Seen is the latest that is known of one target.
+type Seen struct {
+	Known   bool // an answer of the target is known
+	Applied topology.Position
+	Lag     time.Duration // upper bound on the data's age at At
+	At      time.Time     // when the answer came
+	Failed  time.Time     // when a request last failed for the target's health, zero if an answer came since
+}
+
+// NewKnowledge returns the knowledge of a group of which nothing was heard.
+func NewKnowledge() *Knowledge {
+	return &Knowledge{Targets: make(map[topology.TargetID]Seen)}
+}
+
+// LearnPrimary takes who is primary at a term.
+func (k *Knowledge) LearnPrimary(term uint64, primary topology.TargetID) {
+	if term > k.Term || (term == k.Term && k.Primary == "") {
+		k.Term = term
+		k.Primary = primary
+	}
+}
+
+// Learn takes what came with an answer.
+func (k *Knowledge) Learn(hint pool.Hint, now time.Time) {
+	if hint.Primary != "" {
+		k.LearnPrimary(hint.Term, hint.Primary)
+	}
+	s := hint.Status
+	if s.Target == "" {
+		return
+	}
+	if s.Role == target.Primary {
+		k.LearnPrimary(s.Term, s.Target)
+	}
+	k.Targets[s.Target] = Seen{Known: true, Applied: s.Applied, Lag: hint.Age, At: now}
+}
+
+// LearnFailure takes a refusal of the target's holder.
+func (k *Knowledge) LearnFailure(id topology.TargetID, code result.Code, now time.Time) {
+	switch code {
+	case result.TargetDown, result.UnknownOutcome:
+		seen := k.Targets[id]
+		seen.Failed = now
+		k.Targets[id] = seen
+	}
+}
+
+// down tells whether the target failed lately.
+func (s Seen) down(now time.Time) bool {
+	return !s.Failed.IsZero() && now.Sub(s.Failed) < downFor
+}
--- /dev/null
+++ b/internal/routing/stats.go
@@ -0,0 +1,68 @@
+package routing
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"nettlewalk.example/nettlewalk/internal/pool"
+)
+
+// stats counts where batches ran.
+type stats struct {
+	replicaReads *metrics.Counter
+	primaryReads map[Reason]*metrics.Counter
+	writes       *metrics.Counter
+	retries      *metrics.Counter
+}
+
+func newStats() *stats {
+	s := &stats{
+		replicaReads: metrics.GetOrCreateCounter(`nettlewalk_reads_total{at="replica"}`),
+		primaryReads: make(map[Reason]*metrics.Counter),
+		writes:       metrics.GetOrCreateCounter(`nettlewalk_writes_total`),
+		retries:      metrics.GetOrCreateCounter(`nettlewalk_retries_total`),
+	}
+	for _, r := range reasons {
+		name := fmt.Sprintf(`nettlewalk_reads_total{at="primary",reason=%q}`, r)
+		s.primaryReads[r] = metrics.GetOrCreateCounter(name)
+	}
+	return s
+}
+
+// count notes a batch that was answered. One that was sent as a write but
+// wrote nothing and left no transaction open is a read that wasn't declared.
+func (s *stats) count(class pool.Class, out Outcome, reason Reason) {
+	switch {
+	case out.Replica:
+		s.replicaReads.Inc()
+	case class == pool.Read:
+		s.countPrimary(reason)
+	case out.Position.IsZero() && out.TxStatus == 'I':
+		s.countPrimary(NotDeclared)
+	default:
+		s.writes.Inc()
+	}
+}
+
+func (s *stats) countPrimary(reason Reason) {
+	if c, ok := s.primaryReads[reason]; ok {
+		c.Inc()
+		return
+	}
+	s.primaryReads[Unhealthy].Inc()
+}
+
+// ReadCounts tells where reads ran since the process began.
+type ReadCounts struct {
+	Replica uint64            `json:"replica"`
+	Primary map[Reason]uint64 `json:"primary"` // by reason
+}
+
+func (s *stats) reads() ReadCounts {
+	c := ReadCounts{Replica: s.replicaReads.Get(), Primary: make(map[Reason]uint64)}
+	for r, counter := range s.primaryReads {
+		c.Primary[r] = counter.Get()
+	}
+	return c
+}
