--- a/internal/settings/key.go
+++ b/internal/settings/key.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net"
-	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -60,14 +59,6 @@
 	return isAddress(value)
 }
 
-func isURL(value string) error {
-	u, err := url.Parse(value)
-	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
-		return fmt.Errorf("want http://HOST:PORT or https://HOST:PORT")
-	}
-	return nil
-}
-
 func longerThan(bytes int) func(string) error {
 	return func(value string) error {
 		if len(value) < bytes {
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -22,7 +22,7 @@
 	{"host", "admin_advertise", "", false, "IP:PORT, empty: admin_listen", "address that operators dial", text(func(s *Settings) *string { return &s.Host.AdminAdvertise }, isOptionalAddress)},
 	{"host", "drain_timeout", "30s", false, "0s to 10m", "longest wait for requests in flight at a planned stop", duration(func(s *Settings) *time.Duration { return &s.Host.DrainTimeout }, 0, maxDrain)},
 
-	{"platform", "url", "", true, "http(s)://HOST:PORT", "the platform's object API", text(func(s *Settings) *string { return &s.Platform.URL }, isURL)},
+	{"platform", "address", "", true, "IP:PORT", "the platform's object API (HTTP)", text(func(s *Settings) *string { return &s.Platform.Addr }, isAddress)},
 	{"platform", "calls_per_second", "5", false, "0.1 to 1000", "this process's budget of platform calls, waiting watches included", rate(func(s *Settings) *float64 { return &s.Platform.CallsPerSecond }, 0.1, 1000)},
 
 	{"peers", "key", "", true, "16 bytes or more", "secret that all hosts share", text(func(s *Settings) *string { return &s.Peers.Key }, longerThan(minKeyBytes))},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -33,7 +33,7 @@
 
 // Platform tells how the platform's object API is reached.
 type Platform struct {
-	URL            string
+	Addr           string  // host:port
 	CallsPerSecond float64 // this process's budget
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -24,7 +24,7 @@
 		{"domain = bne-north", "", "host", "domain"},
 		{"127.0.0.1:6432", "localhost:6432", "host", "caller_listen"},
 		{"drain_timeout = 30s", "drain_timeout = 30", "host", "drain_timeout"},
-		{"http://127.0.0.1:7000", "127.0.0.1", "platform", "url"},
+		{"address = 127.0.0.1:7000", "address = 127.0.0.1", "platform", "address"},
 		{"calls_per_second = 5", "calls_per_second = NaN", "platform", "calls_per_second"},
 		{"replace-this-shared-key", "short", "peers", "key"},
 		{"seeds = 127.0.0.1:6443", "seeds = x", "peers", "seeds"},
--- a/test/integration/atmostonce_test.go
+++ b/test/integration/atmostonce_test.go
@@ -125,4 +125,3 @@
 		t.Error(f)
 	}
 }
-
--- a/test/testbed/host.go
+++ b/test/testbed/host.go
@@ -106,7 +106,7 @@
 admin_listen = %s
 
 [platform]
-url = http://%s
+address = %s
 calls_per_second = 20
 
 [peers]
