--- /dev/null
+++ b/internal/result/page_test.go
@@ -0,0 +1,53 @@
+package result
+
+import (
+	"flag"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const pagePath = "../../docs/ERRORS.md"
+
+var update = flag.Bool("update", false, "write "+pagePath)
+
+func TestErrorsPage(t *testing.T) {
+	if *update {
+		qt.Assert(t, os.WriteFile(pagePath, []byte(Page()), 0o644), qt.IsNil)
+	}
+	got, err := os.ReadFile(pagePath)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(got), qt.Equals, Page())
+}
+
+// Each constant of type Code has one row, under its own name.
+func TestTableIsWhole(t *testing.T) {
+	file, err := parser.ParseFile(token.NewFileSet(), "result.go", nil, 0)
+	qt.Assert(t, err, qt.IsNil)
+	var constants []string
+	ast.Inspect(file, func(n ast.Node) bool {
+		if spec, ok := n.(*ast.ValueSpec); ok {
+			if kind, ok := spec.Type.(*ast.Ident); ok && kind.Name == "Code" {
+				constants = append(constants, spec.Names[0].Name)
+			}
+		}
+		return true
+	})
+	var rows []string
+	last := Code(0)
+	for _, i := range Table {
+		rows = append(rows, i.Name)
+		qt.Check(t, i.SQLState, qt.Matches, "[0-9A-Z]{5}")
+		qt.Check(t, i.Meaning != "" && i.Retry != "" && !strings.Contains(i.Meaning, "|"), qt.IsTrue, qt.Commentf("%s", i.Name))
+		qt.Check(t, i.Code > last, qt.IsTrue, qt.Commentf("%s is out of order", i.Name))
+		qt.Check(t, Describe(i.Code), qt.Equals, i)
+		last = i.Code
+	}
+	qt.Assert(t, rows, qt.DeepEquals, constants)
+	qt.Assert(t, Describe(999).SQLState, qt.Equals, "XX000")
+}
--- a/internal/routing/conn.go
+++ b/internal/routing/conn.go
@@ -15,6 +15,7 @@
 type Call struct {
 	Class      pool.Class
 	Idempotent bool
+	ReadOnly   bool // declared to write nothing: what a replica refuses to write must not go on to the primary
 	MayCommit  bool // false: the batch surely commits nothing, for example inside a transaction
 	Deadline   time.Time
 	Floor      FloorSource
--- a/internal/session/assembler.go
+++ b/internal/session/assembler.go
@@ -13,6 +13,10 @@
 	maxOps        = 65536
 )
 
+// errOutOfPlace refuses a message that has no meaning within a session. The
+// connection ends, as both sides no longer agree on its state.
+var errOutOfPlace error = result.New(result.BadProtocol, "a message that has no place here")
+
 // assembler makes batches of a caller's messages and keeps the session's
 // prepared statements by the caller's names.
 type assembler struct {
@@ -75,7 +79,7 @@
 func (a *assembler) refuse(err error) *batch {
 	a.current = nil
 	a.skipping = true
-	return &batch{refusal: result.As(err, result.BadProtocol)}
+	return &batch{refusal: result.As(err, result.BadProtocol), fatal: errors.Is(err, errOutOfPlace)}
 }
 
 func (a *assembler) tooLarge() error {
@@ -156,7 +160,7 @@
 	case *pgproto3.Close:
 		return a.close(m)
 	default:
-		return result.New(result.BadProtocol, "unexpected message %T", msg)
+		return errOutOfPlace
 	}
 }
 
@@ -166,6 +170,7 @@
 		return errors.Wrap(err, "message")
 	}
 	a.current.messages = messages
+	o.end = len(messages)
 	a.current.ops = append(a.current.ops, o)
 	return nil
 }
--- a/internal/session/batch.go
+++ b/internal/session/batch.go
@@ -53,6 +53,7 @@
 	kind       opKind
 	portal     bool        // Describe, Close: of a portal
 	definition *definition // nil when it isn't known
+	end        int         // of its message in the batch's messages
 }
 
 // batch is what a caller sent up to a Query, Sync or Flush.
@@ -74,3 +75,28 @@
 	}
 	b.statements = append(b.statements, d.target)
 }
+
+// splitBegin cuts a batch of the extended protocol after a BEGIN that is its
+// first statement, so that the BEGIN can be answered by the session. It returns
+// nil and the batch itself when there is no such BEGIN or nothing follows it.
+func (b *batch) splitBegin() (begin, rest *batch) {
+	for i, o := range b.ops {
+		if o.definition == nil || !o.definition.is(kindBegin) {
+			return nil, b
+		}
+		if o.kind != opExecute {
+			continue
+		}
+		if i+1 == len(b.ops) {
+			return nil, b
+		}
+		rest = &batch{ops: b.ops[i+1:], messages: b.messages[o.end:], statements: b.statements, ready: b.ready}
+		return &batch{ops: b.ops[:i+1]}, rest
+	}
+	return nil, b
+}
+
+// is tells whether the definition is one statement of that kind.
+func (d *definition) is(k kind) bool {
+	return len(d.statements) == 1 && d.statements[0].kind == k
+}
--- a/internal/session/classify.go
+++ b/internal/session/classify.go
@@ -7,8 +7,8 @@
 	if len(head) == 0 {
 		return statement{}
 	}
-	if seen.boundCall != "" {
-		return statement{kind: kindRefused, name: seen.boundCall}
+	if seen.bound != "" {
+		return statement{kind: kindRefused, name: seen.bound}
 	}
 	first := skipParens(head)
 	if first.kind != word {
@@ -18,7 +18,7 @@
 	case "begin", "start":
 		return classifyBegin(head)
 	case "commit", "end":
-		return statement{kind: kindCommit, chained: hasWords(head, "and", "chain"), name: first.text}.preparedToo(head)
+		return statement{kind: kindCommit, chained: hasWords(head, "and", "chain")}.preparedToo(head)
 	case "rollback", "abort":
 		return classifyRollback(head)
 	case "set":
@@ -45,7 +45,7 @@
 	if readWords[first.text] && !seen.writes && !seen.intoOrLocks {
 		return statement{kind: kindRead, repeatable: !seen.calls}
 	}
-	return statement{writes: writingWords[first.text] || (readWords[first.text] && seen.writes)}
+	return statement{writes: writingWords[first.text] || seen.writes}
 }
 
 // skipParens returns the first piece that isn't an opening parenthesis.
@@ -130,10 +130,14 @@
 }
 
 func classifyCreate(head []sqlToken) statement {
-	for _, t := range head[1:min(len(head), 4)] {
-		if t.kind == word && (t.text == "temp" || t.text == "temporary") {
+	for _, t := range head[1:] {
+		switch t.text {
+		case "or", "replace", "global", "local":
+			continue
+		case "temp", "temporary":
 			return statement{kind: kindRefused, name: "CREATE TEMPORARY"}
 		}
+		break
 	}
 	return statement{writes: true}
 }
--- a/internal/session/conn.go
+++ b/internal/session/conn.go
@@ -23,6 +23,8 @@
 	configurationPause = time.Second     // until a host may have its configuration
 )
 
+var errDraining = result.New(result.Draining, "this host is leaving; connect again")
+
 // conn is one caller's connection. All but abort, cancelRunning and state
 // belongs to the goroutine of serve; the reading goroutine has the backend
 // once the handshake is over.
@@ -107,9 +109,11 @@
 // waits for no session outside one.
 func (c *conn) nextBatch(batches <-chan *batch) (*batch, error) {
 	draining := c.srv.draining
+	if c.tx == txBegun || c.tx.pinned() {
+		draining = nil
+	}
 	var idle <-chan time.Time
 	if c.tx != txIdle {
-		draining = nil
 		timer := time.NewTimer(c.srv.opts.IdleTransaction)
 		defer timer.Stop()
 		idle = timer.C
@@ -118,7 +122,7 @@
 	case b := <-batches:
 		return b, nil
 	case <-draining:
-		return nil, result.New(result.Draining, "this host is leaving; connect again")
+		return nil, errDraining
 	case <-idle:
 		return nil, result.New(result.TransactionLost, "no statement for %v within a transaction", c.srv.opts.IdleTransaction)
 	}
@@ -239,6 +243,21 @@
 
 // note renews what the state dump shows.
 func (c *conn) note(running bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.snapshot.Transaction = c.tx.String()
+	c.snapshot.Running = running
+	c.snapshot.FloorKnown = c.floor.source().Known
+	c.snapshot.Floor = c.floor.position
+	c.snapshot.Session = c.settings.session
+	if running {
+		c.snapshot.Batches++
+	}
+	c.since = time.Now()
+}
+
+// introduce fills in what the state dump shows of a session from its start.
+func (c *conn) introduce() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.snapshot = SessionState{
@@ -246,17 +265,8 @@
 		User:        c.user.Name,
 		Customer:    c.scope.customer,
 		Group:       c.scope.group,
-		Transaction: c.tx.String(),
-		Running:     running,
-		Batches:     c.snapshot.Batches,
-		FloorKnown:  c.floor.source().Known,
-		Floor:       c.floor.position,
-		Session:     c.floor.session,
+		Transaction: txIdle.String(),
 	}
-	if running {
-		c.snapshot.Batches++
-	}
-	c.since = time.Now()
 }
 
 func (c *conn) state(now time.Time) SessionState {
--- a/internal/session/fake_test.go
+++ b/internal/session/fake_test.go
@@ -31,7 +31,7 @@
 	// block, when not nil, holds a batch until it is closed or ctx ends.
 	block    func(sql string) <-chan struct{}
 	canceled chan struct{}
-	known    map[string]string // prepared statements of the target
+	known    sync.Map // prepared statements of the target: name to SQL
 }
 
 func (f *fakeRouter) Open(topology.CustomerID, topology.GroupID) routing.Conn {
@@ -60,13 +60,10 @@
 	f := c.router
 	f.mu.Lock()
 	f.calls = append(f.calls, *call)
-	if f.known == nil {
-		f.known = map[string]string{}
-	}
+	f.mu.Unlock()
 	for _, s := range call.Statements {
-		f.known[s.Name] = s.SQL
+		f.known.Store(s.Name, s.SQL)
 	}
-	f.mu.Unlock()
 	first := c.firstSQL(call.Messages)
 	if f.block != nil {
 		if gate := f.block(first); gate != nil {
@@ -121,7 +118,7 @@
 		case *pgproto3.Parse:
 			sql = m.Query
 		case *pgproto3.Bind:
-			sql = c.router.known[m.PreparedStatement]
+			sql = c.router.statement(m.PreparedStatement)
 		}
 	})
 	return sql
@@ -140,7 +137,7 @@
 		case *pgproto3.Parse:
 			c.send(&pgproto3.ParseComplete{})
 		case *pgproto3.Bind:
-			bound = c.router.known[m.PreparedStatement]
+			bound = c.router.statement(m.PreparedStatement)
 			c.send(&pgproto3.BindComplete{})
 		case *pgproto3.Describe:
 			c.describe(m, bound)
@@ -155,7 +152,7 @@
 func (c *fakeConn) describe(m *pgproto3.Describe, bound string) {
 	sql := bound
 	if m.ObjectType == 'S' {
-		sql = c.router.known[m.Name]
+		sql = c.router.statement(m.Name)
 		oids := make([]uint32, strings.Count(sql, "$"))
 		for i := range oids {
 			oids[i] = textOID
@@ -204,6 +201,12 @@
 	}
 }
 
+func (f *fakeRouter) statement(name string) string {
+	sql, _ := f.known.Load(name)
+	text, _ := sql.(string)
+	return text
+}
+
 func (f *fakeRouter) statements() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/session/handle.go
+++ b/internal/session/handle.go
@@ -25,6 +25,13 @@
 	if err := c.refresh(); err != nil {
 		return err
 	}
+	if c.tx == txIdle {
+		begin, rest := b.splitBegin()
+		if begin != nil {
+			_ = c.answerOps(begin) // a BEGIN alone can't fail here
+		}
+		b = rest
+	}
 	f := b.facts()
 	switch {
 	case f.refused != "":
@@ -95,7 +102,7 @@
 
 func (c *conn) plan(r reader, f batchFacts) (plan, error) {
 	if c.tx.pinned() {
-		return r.planInside(c.txClass, f), nil
+		return r.planInside(c.txClass, f)
 	}
 	return r.planAlone(f)
 }
@@ -136,9 +143,11 @@
 	deadline := time.Now().Add(c.batchDeadline())
 	ctx, cancel := context.WithDeadline(c.ctx, deadline.Add(answerGrace))
 	defer cancel()
+	defer batchSeconds(p.class).UpdateDuration(time.Now())
 	return c.currentRouting().Run(ctx, &routing.Call{
 		Class:        p.class,
 		Idempotent:   p.idempotent,
+		ReadOnly:     p.readOnly,
 		MayCommit:    p.mayCommit,
 		Deadline:     deadline,
 		Floor:        c.floor.source(),
--- a/internal/session/handshake.go
+++ b/internal/session/handshake.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/binary"
+	"io"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"nettlewalk.example/nettlewalk/internal/customer"
@@ -52,6 +54,10 @@
 	if err := c.applySettings(asked.settings); err != nil {
 		return err
 	}
+	if c.srv.leaving() {
+		return errDraining
+	}
+	c.introduce()
 	c.greet()
 	if err := c.out.flush(); err != nil {
 		return err
@@ -84,7 +90,7 @@
 
 // startupError tells unreadable start-up messages from broken connections.
 func startupError(err error) error {
-	if isNetworkError(err) {
+	if isNetworkError(err) && !errors.Is(err, io.ErrUnexpectedEOF) {
 		return err
 	}
 	return result.New(result.BadStartup, "%s", clip(err.Error()))
@@ -154,10 +160,19 @@
 	if err := c.settings.set(name, value); err != nil {
 		return err
 	}
-	c.floor.session = c.settings.session
+	c.identifyFloor()
 	return nil
 }
 
+// identifyFloor names the session to the floor's keeper, apart from other
+// customers' sessions of the same name.
+func (c *conn) identifyFloor() {
+	c.floor.session = ""
+	if c.settings.session != "" {
+		c.floor.session = string(c.scope.customer) + "/" + c.settings.session
+	}
+}
+
 // greet accepts the session.
 func (c *conn) greet() {
 	c.out.send(&pgproto3.AuthenticationOk{})
--- a/internal/session/lexer.go
+++ b/internal/session/lexer.go
@@ -95,6 +95,23 @@
 
 // quoted reads text between quotes; a doubled quote stands for one.
 func (l *lexer) quoted(quote byte, backslash bool) string {
+	end := strings.IndexByte(l.rest[1:], quote) + 1
+	if end == 0 {
+		text := l.rest[1:]
+		l.rest = ""
+		return text
+	}
+	plain := !backslash && (end+1 == len(l.rest) || l.rest[end+1] != quote)
+	if !plain {
+		return l.escaped(quote, backslash)
+	}
+	text := l.rest[1:end]
+	l.rest = l.rest[end+1:]
+	return text
+}
+
+// escaped reads quoted text that may hold its own quote.
+func (l *lexer) escaped(quote byte, backslash bool) string {
 	var text strings.Builder
 	for i := 1; i < len(l.rest); i++ {
 		c := l.rest[i]
--- a/internal/session/local.go
+++ b/internal/session/local.go
@@ -51,13 +51,20 @@
 
 // answerLocally runs a batch that needs no target.
 func (c *conn) answerLocally(b *batch) error {
+	if err := c.answerOps(b); err != nil {
+		return c.failLocally(b, err)
+	}
+	return c.finish(b)
+}
+
+func (c *conn) answerOps(b *batch) error {
 	batchesLocal.Inc()
 	for _, o := range b.ops {
 		if err := c.answerOp(o); err != nil {
-			return c.failLocally(b, err)
+			return err
 		}
 	}
-	return c.finish(b)
+	return nil
 }
 
 // failLocally answers an error of a statement that the session ran itself.
@@ -176,7 +183,7 @@
 func (c *conn) assign(s statement) error {
 	if s.unset {
 		err := c.settings.reset(s.name)
-		c.floor.session = c.settings.session
+		c.identifyFloor()
 		return err
 	}
 	if err := c.set(s.name, s.value); err != nil {
--- a/internal/session/metrics.go
+++ b/internal/session/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"nettlewalk.example/nettlewalk/internal/pool"
 	"nettlewalk.example/nettlewalk/internal/result"
 )
 
@@ -20,6 +21,19 @@
 	cancelsTotal     = metrics.GetOrCreateCounter("nettlewalk_cancel_requests_total")
 )
 
+// batchSeconds measures routed batches, waiting included.
+func batchSeconds(class pool.Class) *metrics.Histogram {
+	if class == pool.Read {
+		return readSeconds
+	}
+	return writeSeconds
+}
+
+var (
+	readSeconds  = metrics.GetOrCreateHistogram(`nettlewalk_batch_duration_seconds{class="read"}`)
+	writeSeconds = metrics.GetOrCreateHistogram(`nettlewalk_batch_duration_seconds{class="write"}`)
+)
+
 // countRefusal counts an error that a caller was given.
 func countRefusal(code result.Code) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`nettlewalk_refusals_total{code="%d"}`, code)).Inc()
--- a/internal/session/plan.go
+++ b/internal/session/plan.go
@@ -8,11 +8,14 @@
 	"nettlewalk.example/nettlewalk/internal/result"
 )
 
+var errReadOnly = result.New(result.ReadOnlySession, "the user or session is declared read-only")
+
 // plan is how a batch is to be routed.
 type plan struct {
 	class        pool.Class
 	idempotent   bool
 	mayCommit    bool
+	readOnly     bool // nothing of it may write
 	maxStaleness time.Duration
 	serveStale   bool
 }
@@ -38,6 +41,7 @@
 // base fills in what depends on the session only.
 func (r reader) base() plan {
 	p := plan{
+		readOnly:     r.readOnly(),
 		maxStaleness: r.customer.MaxStaleness,
 		serveStale:   r.customer.WhenCutOff == customer.Serve,
 	}
@@ -52,7 +56,7 @@
 	p := r.base()
 	p.mayCommit = true
 	if r.readOnly() && f.writes {
-		return p, result.New(result.ReadOnlySession, "the user or session is read-only")
+		return p, errReadOnly
 	}
 	if (f.reads || r.readOnly()) && r.replicasAllowed() && !f.begins {
 		p.class = pool.Read
@@ -67,7 +71,7 @@
 	p := r.base()
 	p.idempotent = true
 	if begin.readWrite && r.user.ReadOnly {
-		return p, result.New(result.ReadOnlySession, "the user is read-only")
+		return p, errReadOnly
 	}
 	if r.beginsReadOnly(begin) && (r.settings.maxStaleness == nil || *r.settings.maxStaleness > 0) {
 		p.class = pool.Read
@@ -89,9 +93,12 @@
 }
 
 // planInside decides on a batch of a transaction, which stays where it began.
-func (r reader) planInside(class pool.Class, f batchFacts) plan {
+func (r reader) planInside(class pool.Class, f batchFacts) (plan, error) {
 	p := r.base()
+	if r.user.ReadOnly && f.writes {
+		return p, errReadOnly
+	}
 	p.class = class
 	p.mayCommit = f.mayEnd
-	return p
+	return p, nil
 }
--- a/internal/session/server.go
+++ b/internal/session/server.go
@@ -183,6 +183,13 @@
 	}
 }
 
+// leaving tells whether Drain was called.
+func (s *Server) leaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.drained
+}
+
 // enter gives a session its cancel secret.
 func (s *Server) enter(c *conn) uint32 {
 	s.mu.Lock()
--- a/internal/session/statement.go
+++ b/internal/session/statement.go
@@ -95,7 +95,7 @@
 	previous    sqlToken
 	writes      bool   // holds a word that only writes have
 	calls       bool   // calls a function that isn't known to be harmless
-	boundCall   string // function whose effect outlives its transaction
+	bound       string // function or clause whose effect outlives its transaction
 	withHold    bool   // WITH HOLD
 	intoOrLocks bool   // SELECT INTO, FOR UPDATE
 }
@@ -132,27 +132,29 @@
 }
 
 func (t *traits) addWord(previous sqlToken, text string) {
-	if writeWords[text] {
+	switch {
+	case writeWords[text]:
 		t.writes = true
+	case text == "into":
+		t.intoOrLocks = true
 	}
 	if previous.kind != word {
 		return
 	}
 	switch {
+	case previous.text == "into" && (text == "temp" || text == "temporary"):
+		t.bound = "SELECT INTO TEMPORARY"
 	case previous.text == "with" && text == "hold":
 		t.withHold = true
 	case previous.text == "for" && (text == "update" || text == "share" || text == "no" || text == "key"):
 		t.intoOrLocks = true
 	}
-	if text == "into" {
-		t.intoOrLocks = true
-	}
 }
 
 func (t *traits) addCall(name string, quoted bool) {
 	bare := name[strings.LastIndexByte(name, '.')+1:]
 	if reason := boundFunction(bare); reason {
-		t.boundCall = bare
+		t.bound = bare
 	}
 	if quoted || !harmlessBeforeParen[name] {
 		t.calls = true
