--- a/internal/session/conn.go
+++ b/internal/session/conn.go
@@ -23,7 +23,9 @@
 	configurationPause = time.Second     // until a host may have its configuration
 )
 
-// conn is one caller's connection. All but abort, cancelRunning and state
+var errDraining = result.New(result.Draining, "this host is leaving; connect again")
+
+// conn is one caller's connection. All but abort, stopRequests, cancelRunning and state
 // belongs to the goroutine of serve; the reading goroutine has the backend
 // once the handshake is over.
 type conn struct {
@@ -33,6 +35,8 @@
 	out     output
 	ctx     context.Context // ends with the connection
 	end     context.CancelFunc
+	runs    context.Context // ends when requests are given up, at the latest with ctx
+	stopRun context.CancelFunc
 
 	customer *customer.Customer
 	user     customer.User
@@ -56,6 +60,7 @@
 func newConn(ctx context.Context, s *Server, nc net.Conn) *conn {
 	c := &conn{srv: s, net: nc, since: time.Now()}
 	c.ctx, c.end = context.WithCancel(ctx)
+	c.runs, c.stopRun = context.WithCancel(c.ctx)
 	c.out.conn = nc
 	c.backend = pgproto3.NewBackend(countingReader{nc}, nil)
 	return c
@@ -67,6 +72,9 @@
 	_ = c.net.Close()
 }
 
+// stopRequests gives up what runs; its caller gets an answer that tells so.
+func (c *conn) stopRequests() { c.stopRun() }
+
 // serve runs the connection to its end.
 func (c *conn) serve(full bool) {
 	defer c.abort()
@@ -107,9 +115,11 @@
 // waits for no session outside one.
 func (c *conn) nextBatch(batches <-chan *batch) (*batch, error) {
 	draining := c.srv.draining
+	if c.tx == txBegun || c.tx.pinned() {
+		draining = nil
+	}
 	var idle <-chan time.Time
 	if c.tx != txIdle {
-		draining = nil
 		timer := time.NewTimer(c.srv.opts.IdleTransaction)
 		defer timer.Stop()
 		idle = timer.C
@@ -118,7 +128,12 @@
 	case b := <-batches:
 		return b, nil
 	case <-draining:
-		return nil, result.New(result.Draining, "this host is leaving; connect again")
+		return nil, errDraining
+	case <-c.runs.Done():
+		if c.ctx.Err() != nil {
+			return nil, nil
+		}
+		return nil, errDraining
 	case <-idle:
 		return nil, result.New(result.TransactionLost, "no statement for %v within a transaction", c.srv.opts.IdleTransaction)
 	}
@@ -239,6 +254,21 @@
 
 // note renews what the state dump shows.
 func (c *conn) note(running bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.snapshot.Transaction = c.tx.String()
+	c.snapshot.Running = running
+	c.snapshot.FloorKnown = c.floor.source().Known
+	c.snapshot.Floor = c.floor.position
+	c.snapshot.Session = c.settings.session
+	if running {
+		c.snapshot.Batches++
+	}
+	c.since = time.Now()
+}
+
+// introduce fills in what the state dump shows of a session from its start.
+func (c *conn) introduce() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.snapshot = SessionState{
@@ -246,17 +276,8 @@
 		User:        c.user.Name,
 		Customer:    c.scope.customer,
 		Group:       c.scope.group,
-		Transaction: c.tx.String(),
-		Running:     running,
-		Batches:     c.snapshot.Batches,
-		FloorKnown:  c.floor.source().Known,
-		Floor:       c.floor.position,
-		Session:     c.floor.session,
+		Transaction: txIdle.String(),
 	}
-	if running {
-		c.snapshot.Batches++
-	}
-	c.since = time.Now()
 }
 
 func (c *conn) state(now time.Time) SessionState {
--- a/internal/session/handle.go
+++ b/internal/session/handle.go
@@ -25,6 +25,13 @@
 	if err := c.refresh(); err != nil {
 		return err
 	}
+	if c.tx == txIdle {
+		begin, rest := b.splitBegin()
+		if begin != nil {
+			_ = c.answerOps(begin) // a BEGIN alone can't fail here
+		}
+		b = rest
+	}
 	f := b.facts()
 	switch {
 	case f.refused != "":
@@ -95,7 +102,7 @@
 
 func (c *conn) plan(r reader, f batchFacts) (plan, error) {
 	if c.tx.pinned() {
-		return r.planInside(c.txClass, f), nil
+		return r.planInside(c.txClass, f)
 	}
 	return r.planAlone(f)
 }
@@ -134,11 +141,13 @@
 // runBatch hands a batch to routing.
 func (c *conn) runBatch(p plan, b *batch, emit func([]byte) error) (routing.Outcome, error) {
 	deadline := time.Now().Add(c.batchDeadline())
-	ctx, cancel := context.WithDeadline(c.ctx, deadline.Add(answerGrace))
+	ctx, cancel := context.WithDeadline(c.runs, deadline.Add(answerGrace))
 	defer cancel()
+	defer batchSeconds(p.class).UpdateDuration(time.Now())
 	return c.currentRouting().Run(ctx, &routing.Call{
 		Class:        p.class,
 		Idempotent:   p.idempotent,
+		ReadOnly:     p.readOnly,
 		MayCommit:    p.mayCommit,
 		Deadline:     deadline,
 		Floor:        c.floor.source(),
