--- a/internal/session/handle.go
+++ b/internal/session/handle.go
@@ -167,6 +167,7 @@
 
 // settle takes up what an answered batch tells.
 func (c *conn) settle(p plan, outcome routing.Outcome) {
+	c.settings.servedBy = servedBy(outcome)
 	if outcome.Replica {
 		batchesReplica.Inc()
 	} else {
@@ -185,6 +186,14 @@
 	c.out.send(&pgproto3.ParameterStatus{Name: setToken, Value: c.settings.token})
 }
 
+// servedBy names the target that answered and its role.
+func servedBy(outcome routing.Outcome) string {
+	if outcome.Replica {
+		return string(outcome.Target) + " (replica)"
+	}
+	return string(outcome.Target) + " (primary)"
+}
+
 // finish ends the answer to a batch that ran.
 func (c *conn) finish(b *batch) error {
 	if !b.ready {
--- a/internal/session/settings.go
+++ b/internal/session/settings.go
@@ -18,6 +18,7 @@
 	setReadOnly   = "default_transaction_read_only"
 	setTxReadOnly = "transaction_read_only"
 	setTimeout    = "statement_timeout"
+	showServedBy  = "nettlewalk.served_by" // can be shown, not set
 
 	settingPrefix = "nettlewalk."
 )
@@ -37,6 +38,7 @@
 	idempotent   bool
 	readOnly     bool
 	driver       map[string]string // what drivers set for themselves, by lower-case name
+	servedBy     string            // target and role of the last answer, as in "booking1-t1 (primary)"
 }
 
 // driverSettings are sent by drivers at start-up. Targets have one fixed value
@@ -189,6 +191,8 @@
 		return s.session, nil
 	case setToken:
 		return s.token, nil
+	case showServedBy:
+		return s.servedBy, nil
 	case setDeadline, setTimeout:
 		return s.deadline.String(), nil
 	case setIdempotent:
