--- /dev/null
+++ b/internal/pool/statements.go
@@ -0,0 +1,49 @@
+package pool
+
+import "container/list"
+
+const statementLimit = 200 // prepared statements kept on one connection
+
+// statementCache knows which prepared statements exist on one connection, the
+// most recently used first.
+type statementCache struct {
+	order  *list.List
+	byName map[string]*list.Element
+}
+
+func newStatementCache() *statementCache {
+	return &statementCache{order: list.New(), byName: map[string]*list.Element{}}
+}
+
+func (c *statementCache) len() int { return c.order.Len() }
+
+func (c *statementCache) has(name string) bool {
+	_, ok := c.byName[name]
+	return ok
+}
+
+// use adds the statement or marks it as just used.
+func (c *statementCache) use(name string) {
+	if e, ok := c.byName[name]; ok {
+		c.order.MoveToFront(e)
+		return
+	}
+	c.byName[name] = c.order.PushFront(name)
+}
+
+func (c *statementCache) remove(name string) {
+	if e, ok := c.byName[name]; ok {
+		c.order.Remove(e)
+		delete(c.byName, name)
+	}
+}
+
+// oldest returns the least recently used statement that keep doesn't hold.
+func (c *statementCache) oldest(keep map[string]bool) (string, bool) {
+	for e := c.order.Back(); e != nil; e = e.Prev() {
+		if name := e.Value.(string); !keep[name] {
+			return name, true
+		}
+	}
+	return "", false
+}
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -63,8 +63,12 @@
 	return pgconn.ConnectConfig(ctx, cfg)
 }
 
-// Close ends the connection.
-func (c *Conn) Close(ctx context.Context) error { return c.pg.Close(ctx) }
+// Close ends the connection once no statement runs on it.
+func (c *Conn) Close(ctx context.Context) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pg.Close(ctx)
+}
 
 // Done is closed when the connection is over.
 func (c *Conn) Done() <-chan struct{} { return c.pg.CleanupDone() }
