--- a/internal/floor/client.go
+++ b/internal/floor/client.go
@@ -33,10 +33,22 @@
 	stats *stats
 
 	mu      sync.Mutex // guards the fields below
-	batches map[place]*coalescer[floorsBySession]
+	batches map[keptBy]batch
 	rounds  map[topology.GroupID]*coalescer[topology.Position]
 }
 
+// keptBy names one of a group's keepers.
+type keptBy struct {
+	group topology.GroupID
+	slot  int
+}
+
+// batch gathers the questions to one place.
+type batch struct {
+	at    place
+	calls *coalescer[floorsBySession]
+}
+
 type floorsBySession map[string]topology.Position
 
 // place is where the keeper of some sessions is.
@@ -52,7 +64,7 @@
 	return &Client{
 		cfg:     cfg,
 		stats:   newStats(),
-		batches: make(map[place]*coalescer[floorsBySession]),
+		batches: make(map[keptBy]batch),
 		rounds:  make(map[topology.GroupID]*coalescer[topology.Position]),
 	}
 }
@@ -74,15 +86,19 @@
 	return floors[session], nil
 }
 
+// batch returns the questions to the place. Those to a former place of the
+// same keeper are answered as they are.
 func (c *Client) batch(at place) *coalescer[floorsBySession] {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	b, ok := c.batches[at]
-	if !ok {
-		b = newCoalescer(func(sessions []string) (floorsBySession, error) { return c.ask(at, sessions) })
-		c.batches[at] = b
-	}
-	return b
+	key := keptBy{group: at.group, slot: at.slot}
+	b, ok := c.batches[key]
+	if !ok || b.at != at {
+		calls := newCoalescer(func(sessions []string) (floorsBySession, error) { return c.ask(at, sessions) })
+		b = batch{at: at, calls: calls}
+		c.batches[key] = b
+	}
+	return b.calls
 }
 
 func (c *Client) keeperOf(id topology.GroupID, session string) (place, bool) {
--- a/internal/floor/keeper.go
+++ b/internal/floor/keeper.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"nettlewalk.example/nettlewalk/internal/fleet"
 	"nettlewalk.example/nettlewalk/internal/result"
 	"nettlewalk.example/nettlewalk/internal/target"
 	"nettlewalk.example/nettlewalk/internal/topology"
@@ -112,6 +113,22 @@
 	return s.floors(sessions), nil
 }
 
+// Retain forgets the tables of slots that this host doesn't hold any more. A
+// table that is begun anew takes a later base, so this loses no floor.
+func (k *Keeper) Retain(held []fleet.Held) {
+	keep := make(map[slotKey]bool, len(held))
+	for _, h := range held {
+		keep[slotKey{target: h.Target.ID, slot: h.Slot}] = true
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for key := range k.tables {
+		if !keep[key] {
+			delete(k.tables, key)
+		}
+	}
+}
+
 func (s *keptSlot) record(session string, pos topology.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
