--- /dev/null
+++ b/cmd/nettlewalk/host.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+
+	"nettlewalk.example/nettlewalk/internal/admin"
+	"nettlewalk.example/nettlewalk/internal/customer"
+	"nettlewalk.example/nettlewalk/internal/failover"
+	"nettlewalk.example/nettlewalk/internal/fleet"
+	"nettlewalk.example/nettlewalk/internal/floor"
+	"nettlewalk.example/nettlewalk/internal/freshness"
+	"nettlewalk.example/nettlewalk/internal/peer"
+	"nettlewalk.example/nettlewalk/internal/platform"
+	"nettlewalk.example/nettlewalk/internal/pool"
+	"nettlewalk.example/nettlewalk/internal/routing"
+	"nettlewalk.example/nettlewalk/internal/session"
+	"nettlewalk.example/nettlewalk/internal/settings"
+	"nettlewalk.example/nettlewalk/internal/target"
+)
+
+// host is one process: every slice, joined.
+type host struct {
+	settings *settings.Settings
+	log      logr.Logger
+	boot     uint64 // tells this process from earlier ones of the same host
+	dial     target.DialFunc
+	login    target.Login
+
+	platform  *platform.Client
+	store     *customer.Store
+	spreader  *customer.Spreader
+	fleet     *fleet.Tracker
+	server    *peer.Server
+	peers     *peer.Client
+	pool      *pool.Manager
+	locks     *lockCounts
+	directory *pool.Directory
+	failover  *failover.Monitor
+	keeper    *floor.Keeper
+	floors    *floor.Client
+	freshness *freshness.Poller
+	router    *routing.PlainRouter
+	sessions  *session.Server
+	admin     *admin.Server
+}
+
+// newHost joins the slices. It opens nothing yet.
+func newHost(s *settings.Settings, log logr.Logger) *host {
+	h := &host{
+		settings: s,
+		log:      log,
+		boot:     uint64(time.Now().UnixNano()),
+		dial:     mappedDial(s.Addresses),
+		login:    target.Login{User: s.Targets.User, Password: s.Targets.Password, Database: s.Targets.Database},
+		locks:    newLockCounts(),
+	}
+	h.joinConfiguration()
+	h.joinPeers()
+	h.joinTargets()
+	h.joinCallers()
+	h.joinOperators()
+	return h
+}
+
+func (h *host) joinConfiguration() {
+	h.store = customer.NewStore(h.log.WithName("customer"), metrics.GetDefaultSet())
+	h.platform = platform.New(platform.Options{
+		Addr:    h.settings.Platform.Addr,
+		Caller:  string(h.settings.Host.ID),
+		Budget:  h.settings.Platform.CallsPerSecond,
+		Dial:    h.dial,
+		Metrics: metrics.GetDefaultSet(),
+		Log:     h.log.WithName("platform"),
+	})
+}
+
+func (h *host) joinPeers() {
+	key := []byte(h.settings.Peers.Key)
+	h.fleet = fleet.NewTracker(h.settings.HostInfo(), h.log.WithName("fleet"))
+	h.server = peer.NewServer(key, h.settings.Host.ID, h.log.WithName("peer"))
+	h.peers = peer.NewClient(key, h.settings.Host.ID, h.fleet.PeerAddr, h.dial)
+	h.spreader = customer.NewSpreader(customer.SpreaderOptions{
+		Self:       h.settings.HostInfo(),
+		Store:      h.store,
+		Client:     h.platform,
+		Peers:      h.peers,
+		Seeds:      h.settings.Peers.Seeds,
+		SeedCaller: seedCaller{key: key, self: h.settings.Host.ID, dial: h.dial},
+		Metrics:    metrics.GetDefaultSet(),
+		Log:        h.log.WithName("customer"),
+	})
+}
+
+func (h *host) joinCallers() {
+	h.router = routing.New(routing.Config{
+		Self:      h.settings.Host.ID,
+		Boot:      h.boot,
+		Domain:    h.settings.Host.Domain,
+		Customers: h.store,
+		Fleet:     h.fleet,
+		Executor:  h.executor,
+		State:     h.failover,
+		Floors:    h.floors,
+		Log:       h.log.WithName("routing"),
+	})
+	h.sessions = session.NewServer(session.Options{
+		Customers:       h.store,
+		Router:          h.router,
+		Log:             h.log.WithName("session"),
+		Host:            h.settings.Host.ID,
+		TokenKey:        []byte(h.settings.Callers.TokenKey),
+		Fleet:           h.fleet,
+		Peers:           h.peers,
+		AllowTrust:      h.settings.Callers.AllowTrust,
+		DefaultDeadline: h.settings.Callers.Deadline,
+		MaxMessageBytes: h.settings.Callers.MaxMessageBytes,
+	})
+}
+
+// mappedDial dials the address that the settings give in place of a published one.
+func mappedDial(addresses map[string]string) target.DialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if mapped, ok := addresses[addr]; ok {
+			addr = mapped
+		}
+		return (&net.Dialer{}).DialContext(ctx, network, addr)
+	}
+}
--- /dev/null
+++ b/cmd/nettlewalk/targets.go
@@ -0,0 +1,161 @@
+package main
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"nettlewalk.example/nettlewalk/internal/failover"
+	"nettlewalk.example/nettlewalk/internal/floor"
+	"nettlewalk.example/nettlewalk/internal/freshness"
+	"nettlewalk.example/nettlewalk/internal/pool"
+	"nettlewalk.example/nettlewalk/internal/result"
+	"nettlewalk.example/nettlewalk/internal/target"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// stalenessBound is the smallest bound that ages are kept fine enough for.
+const stalenessBound = time.Second
+
+// joinTargets joins the slices that talk to targets. The pool asks failover
+// for confirmation and failover asks the pool's targets for their status, so
+// the pool reaches the later ones through h.
+func (h *host) joinTargets() {
+	h.freshness = freshness.New(freshness.Config{
+		Source: primarySource{h},
+		Bound:  func(topology.GroupID) time.Duration { return stalenessBound },
+		Log:    h.log.WithName("freshness"),
+	})
+	h.pool = pool.NewManager(pool.Options{
+		Self:      h.settings.HostInfo(),
+		Boot:      h.boot,
+		Login:     h.login,
+		Dial:      h.dial,
+		Confirm:   confirmer{h},
+		Freshness: h.freshness,
+		Groups:    h.store.Group,
+		Log:       h.log.WithName("pool"),
+		OnCommit: func(group topology.GroupID, id topology.TargetID, slot int, session string, position topology.Position) {
+			h.keeper.Record(group, id, slot, session, position)
+		},
+		OnLock: h.locks.taken,
+		OnStatus: func(st target.Status, err error, sentAt time.Time) {
+			h.failover.Observe(st, err, sentAt)
+		},
+	})
+	h.directory = pool.NewDirectory(pool.DirectoryOptions{
+		Manager: h.pool,
+		Caller:  h.peers,
+		Fleet:   h.fleet,
+		Target:  h.target,
+		Login:   h.login,
+		Dial:    h.dial,
+	})
+	h.joinFailover()
+	h.keeper = floor.NewKeeper(slots{h}, rounds{h}, h.store)
+	h.floors = floor.NewClient(floor.ClientConfig{
+		Self:      h.settings.Host.ID,
+		Keeper:    h.keeper,
+		Caller:    h.peers,
+		Fleet:     h.fleet,
+		Groups:    h.store,
+		Primaries: h.failover,
+		Rounds:    rounds{h},
+	})
+}
+
+// target finds a target of any group.
+func (h *host) target(id topology.TargetID) (topology.Target, bool) {
+	for _, g := range h.store.Groups() {
+		if t, ok := g.Target(id); ok {
+			return t, true
+		}
+	}
+	return topology.Target{}, false
+}
+
+// executor runs requests at a host: this one's pool or another's.
+func (h *host) executor(id topology.HostID) pool.Executor {
+	if id == h.settings.Host.ID {
+		return h.pool
+	}
+	return pool.Remote{Caller: h.peers, Host: id}
+}
+
+// confirmer passes the pool's questions on to failover.
+type confirmer struct{ *host }
+
+func (c confirmer) Confirm(ctx context.Context, group topology.GroupID, pos topology.Position) error {
+	return c.failover.Confirm(ctx, group, pos)
+}
+
+func (c confirmer) CanConfirm(group topology.GroupID) error { return c.failover.CanConfirm(group) }
+
+// rounds passes the floors' questions on to failover.
+type rounds struct{ *host }
+
+func (r rounds) Round(ctx context.Context, group topology.GroupID) (floor.Round, error) {
+	round, err := r.failover.Round(ctx, group)
+	return floor.Round(round), err
+}
+
+// primarySource answers with the primary's part of a majority round.
+type primarySource struct{ *host }
+
+func (p primarySource) Primary(ctx context.Context, group topology.GroupID) (target.Status, error) {
+	round, err := p.failover.Round(ctx, group)
+	if err != nil {
+		return target.Status{}, err
+	}
+	return primaryStatus(round)
+}
+
+func primaryStatus(round failover.Round) (target.Status, error) {
+	for _, s := range round.Statuses {
+		if s.Target == round.Primary {
+			return s, nil
+		}
+	}
+	return target.Status{}, result.New(result.NoMajority, "the primary of term %d didn't answer", round.Term)
+}
+
+// lockCounts numbers the times that each slot's lock was taken.
+type lockCounts struct {
+	mu     sync.Mutex
+	counts map[lockKey]uint64
+}
+
+type lockKey struct {
+	target topology.TargetID
+	slot   int
+}
+
+func newLockCounts() *lockCounts { return &lockCounts{counts: map[lockKey]uint64{}} }
+
+func (l *lockCounts) taken(id topology.TargetID, slot int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counts[lockKey{id, slot}]++
+}
+
+func (l *lockCounts) count(id topology.TargetID, slot int) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.counts[lockKey{id, slot}]
+}
+
+// slots verifies the pool's locks for the floors' keeper.
+type slots struct{ *host }
+
+// VerifySlot implements floor.Slots. A lock that was taken anew meanwhile
+// counts as not held.
+func (s slots) VerifySlot(ctx context.Context, id topology.TargetID, slot int) (uint64, error) {
+	before := s.locks.count(id, slot)
+	if _, err := s.pool.VerifySlot(ctx, id, slot); err != nil {
+		return 0, err
+	}
+	if s.locks.count(id, slot) != before {
+		return 0, result.New(result.NotHolder, "slot %d of %s changed hands", slot, id)
+	}
+	return before, nil
+}
