--- a/internal/floor/doc.go
+++ b/internal/floor/doc.go
@@ -10,8 +10,8 @@
 //   - the slot's lock at the primary is still this host's, and
 //   - a majority of the group's targets know no higher term than the primary's.
 //
-// A keeper records a write, and then checks the lock once more, before the
-// write is acknowledged. So each write that was acknowledged by an earlier
+// The lock is checked once more after a commit, and the keeper records it, before
+// the write is acknowledged. So each write that was acknowledged by an earlier
 // keeper lies before the moment at which the present one got the lock. The
 // table begins with the primary's position at a later moment as its base: the
 // answer for a session that it doesn't know.
--- a/internal/floor/keeper_test.go
+++ b/internal/floor/keeper_test.go
@@ -25,8 +25,8 @@
 
 func TestFloorIsNeverBelowTheLastAcknowledgedWrite(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		moves := rapid.SliceOfN(rapid.IntRange(0, 5), 0, 60).Draw(t, "moves")
-		steps := rapid.SliceOfN(rapid.IntRange(0, 9), 1, 30).Draw(t, "steps")
+		moves := rapid.SliceOfN(rapid.IntRange(0, 6), 0, 60).Draw(t, "moves")
+		steps := rapid.SliceOfN(rapid.IntRange(0, 11), 1, 30).Draw(t, "steps")
 		if failure := play(newWorld(moves), steps); failure != "" {
 			t.Fatalf("%s", failure)
 		}
@@ -39,9 +39,9 @@
 	random := rand.New(rand.NewPCG(1, 2))
 	broken := 0
 	for range n {
-		w := newWorld(drawMoves(random, 60, 6))
+		w := newWorld(drawMoves(random, 60, 7))
 		change(w)
-		if play(w, drawMoves(random, 30, 10)) != "" {
+		if play(w, drawMoves(random, 30, 12)) != "" {
 			broken++
 		}
 	}
--- a/internal/floor/table.go
+++ b/internal/floor/table.go
@@ -23,6 +23,7 @@
 // or past every write that another keeper, or a primary of an earlier term,
 // acknowledged. Entries outlive a tenure: a floor is never lowered.
 type Table struct {
+	begun    bool
 	identity Identity
 	base     topology.Position
 	entries  map[string]topology.Position
@@ -68,11 +69,12 @@
 }
 
 // InTenure tells whether the tenure of that identity has begun.
-func (t *Table) InTenure(id Identity) bool { return t.identity == id }
+func (t *Table) InTenure(id Identity) bool { return t.begun && t.identity == id }
 
 // Begin begins a tenure. primary is a position that the group's primary had
 // after the slot's lock was taken and at the identity's term.
 func (t *Table) Begin(id Identity, primary topology.Position) {
+	t.begun = true
 	t.identity = id
 	t.base = topology.Later(t.base, primary)
 }
--- a/internal/floor/world_test.go
+++ b/internal/floor/world_test.go
@@ -19,8 +19,7 @@
 	term     uint64
 	primary  int
 	received [3]topology.Position
-	lockedBy [3]int // host that has each target's slot
-	locks    [3]uint64
+	lockedBy [3]int            // host that has each target's slot
 	acked    topology.Position // last write acknowledged to the session
 	acting   int               // host whose turn it is; the other one moves while it waits
 	failure  string            // first floor below an acknowledged write
@@ -41,7 +40,6 @@
 	w := &world{moves: moves, term: 1}
 	for i := range w.received {
 		w.received[i] = pos(0)
-		w.locks[i] = 1
 	}
 	for i := range w.hosts {
 		h := &worldHost{world: w, id: i}
@@ -64,7 +62,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.lockedBy[w.primary] = host
-	w.locks[w.primary]++
+	w.hosts[host].keeper.OnLock(name(w.primary), 0)
 }
 
 // failOver promotes the most advanced of the other two targets, a majority.
@@ -92,8 +90,12 @@
 	w.mu.Unlock()
 	h.let()
 	kept := func() bool {
-		err := h.keeper.OnCommit(context.Background(), "g", name(at), 0, "s", committed)
-		return err == nil || w.uncheckedCommits
+		_, err := h.VerifySlot(context.Background(), name(at), 0)
+		if err != nil && !w.uncheckedCommits {
+			return false
+		}
+		h.keeper.OnCommit(name(at), 0, "s", committed)
+		return true
 	}
 	confirmed := func() bool { return w.confirm(at, term, committed) }
 	first, second := kept, confirmed
@@ -174,21 +176,23 @@
 		w.takeLock(1 - h.id)
 	case 5:
 		w.failOver()
+	case 6:
+		h.keeper.Retain(nil)
 	}
 }
 
 // VerifySlot implements Slots.
-func (h *worldHost) VerifySlot(_ context.Context, id topology.TargetID, _ int) (uint64, error) {
+func (h *worldHost) VerifySlot(_ context.Context, id topology.TargetID, _ int) (target.Status, error) {
 	h.let()
 	defer h.let()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for i := range h.lockedBy {
 		if name(i) == id && (h.lockedBy[i] == h.id || h.uncheckedAnswers) {
-			return h.locks[i], nil
+			return target.Status{}, nil
 		}
 	}
-	return 0, result.New(result.NotHolder, "%s's slot is another host's", id)
+	return target.Status{}, result.New(result.NotHolder, "%s's slot is another host's", id)
 }
 
 // Round implements Rounds.
--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -128,6 +128,7 @@
 	return Progress{
 		Class:         a.call.Class,
 		Idempotent:    a.call.Idempotent,
+		ReadOnly:      a.call.ReadOnly,
 		MayCommit:     a.call.MayCommit,
 		InTransaction: inTransaction,
 		Emitted:       a.emitted,
--- a/internal/routing/retry.go
+++ b/internal/routing/retry.go
@@ -20,6 +20,7 @@
 type Progress struct {
 	Class         pool.Class
 	Idempotent    bool
+	ReadOnly      bool // must not go on to the primary when a replica refuses to write
 	MayCommit     bool
 	InTransaction bool // earlier batches of the transaction ran
 	Emitted       bool // a part of the answer reached the caller
@@ -101,6 +102,9 @@
 }
 
 func afterNotRun(p Progress, err *result.Error) Step {
+	if err.Code == result.ReadOnlyTarget && p.ReadOnly {
+		return giveUp(err)
+	}
 	switch err.Code {
 	case result.NotHolder, result.Draining, result.HostUnreachable,
 		result.BehindFloor, result.TooStale, result.ReadOnlyTarget:
