--- a/cmd/nettlewalk/host.go
+++ b/cmd/nettlewalk/host.go
@@ -38,7 +38,6 @@
 	server    *peer.Server
 	peers     *peer.Client
 	pool      *pool.Manager
-	locks     *lockCounts
 	directory *pool.Directory
 	failover  *failover.Monitor
 	keeper    *floor.Keeper
@@ -57,7 +56,6 @@
 		boot:     uint64(time.Now().UnixNano()),
 		dial:     mappedDial(s.Addresses),
 		login:    target.Login{User: s.Targets.User, Password: s.Targets.Password, Database: s.Targets.Database},
-		locks:    newLockCounts(),
 	}
 	h.joinConfiguration()
 	h.joinPeers()
--- a/cmd/nettlewalk/targets.go
+++ b/cmd/nettlewalk/targets.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"nettlewalk.example/nettlewalk/internal/failover"
@@ -35,10 +34,10 @@
 		Freshness: h.freshness,
 		Groups:    h.store.Group,
 		Log:       h.log.WithName("pool"),
-		OnCommit: func(group topology.GroupID, id topology.TargetID, slot int, session string, position topology.Position) {
-			h.keeper.Record(group, id, slot, session, position)
+		OnCommit: func(id topology.TargetID, slot int, session string, position topology.Position) {
+			h.keeper.OnCommit(id, slot, session, position)
 		},
-		OnLock: h.locks.taken,
+		OnLock: func(id topology.TargetID, slot int) { h.keeper.OnLock(id, slot) },
 		OnStatus: func(st target.Status, err error, sentAt time.Time) {
 			h.failover.Observe(st, err, sentAt)
 		},
@@ -52,7 +51,7 @@
 		Dial:    h.dial,
 	})
 	h.joinFailover()
-	h.keeper = floor.NewKeeper(slots{h}, rounds{h}, h.store)
+	h.keeper = floor.NewKeeper(h.pool, rounds{h}, h.store)
 	h.floors = floor.NewClient(floor.ClientConfig{
 		Self:      h.settings.Host.ID,
 		Keeper:    h.keeper,
@@ -118,44 +117,3 @@
 	}
 	return target.Status{}, result.New(result.NoMajority, "the primary of term %d didn't answer", round.Term)
 }
-
-// lockCounts numbers the times that each slot's lock was taken.
-type lockCounts struct {
-	mu     sync.Mutex
-	counts map[lockKey]uint64
-}
-
-type lockKey struct {
-	target topology.TargetID
-	slot   int
-}
-
-func newLockCounts() *lockCounts { return &lockCounts{counts: map[lockKey]uint64{}} }
-
-func (l *lockCounts) taken(id topology.TargetID, slot int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.counts[lockKey{id, slot}]++
-}
-
-func (l *lockCounts) count(id topology.TargetID, slot int) uint64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.counts[lockKey{id, slot}]
-}
-
-// slots verifies the pool's locks for the floors' keeper.
-type slots struct{ *host }
-
-// VerifySlot implements floor.Slots. A lock that was taken anew meanwhile
-// counts as not held.
-func (s slots) VerifySlot(ctx context.Context, id topology.TargetID, slot int) (uint64, error) {
-	before := s.locks.count(id, slot)
-	if _, err := s.pool.VerifySlot(ctx, id, slot); err != nil {
-		return 0, err
-	}
-	if s.locks.count(id, slot) != before {
-		return 0, result.New(result.NotHolder, "slot %d of %s changed hands", slot, id)
-	}
-	return before, nil
-}
--- a/internal/floor/keeper.go
+++ b/internal/floor/keeper.go
@@ -96,13 +96,6 @@
 	}
 }
 
-// Record notes a write of an identified session that committed at the target
-// through the slot. The caller acknowledges the write only after Record, and
-// only if the slot's lock was this host's after the commit.
-func (k *Keeper) Record(group topology.GroupID, id topology.TargetID, slot int, session string, pos topology.Position) {
-	k.slot(group, id, slot).record(session, pos)
-}
-
 // Floors returns the floors of the sessions, or an error if this host isn't
 // surely their keeper.
 func (k *Keeper) Floors(ctx context.Context, group topology.GroupID, id topology.TargetID, slot int, sessions []string) ([]topology.Position, error) {
--- a/internal/pool/complete.go
+++ b/internal/pool/complete.go
@@ -89,7 +89,7 @@
 		return result.New(result.UnconfirmedCommit, "commit at %s: %s", position, detail(err))
 	}
 	if keeps {
-		m.opts.OnCommit(s.req.Group, sl.id, sl.number, s.req.Session, position)
+		m.opts.OnCommit(sl.id, sl.number, s.req.Session, position)
 	}
 	return nil
 }
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -30,7 +30,7 @@
 
 	// OnCommit is called before a commit is answered whose request names a
 	// session; the slot's lock was held after the commit.
-	OnCommit func(group topology.GroupID, id topology.TargetID, slot int, session string, position topology.Position)
+	OnCommit func(id topology.TargetID, slot int, session string, position topology.Position)
 	// OnLock is called when a slot's lock was taken, before any request runs
 	// there: what was known of its sessions may be outdated.
 	OnLock func(id topology.TargetID, slot int)
