--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -67,6 +67,7 @@
 	BadConfiguration   Code = 508 // a settings file, template or customer with faults
 	Forbidden          Code = 509 // the operator may not see or edit this object
 	NotFound           Code = 510 // no such object
+	ReadOnlySession    Code = 511 // a write from a user or session declared read-only
 )
 
 // Group returns the code's group.
@@ -104,8 +105,11 @@
 	return &c
 }
 
-// Error implements error.
+// Error implements error. Parse reads the text back.
 func (e *Error) Error() string {
+	if e.RetryAfter > 0 {
+		return fmt.Sprintf("nettlewalk %d (%s, retry after %s): %s", e.Code, e.Code.Group(), e.RetryAfter, e.Detail)
+	}
 	return fmt.Sprintf("nettlewalk %d (%s): %s", e.Code, e.Code.Group(), e.Detail)
 }
 
