Administration API: objects on condition of versions, status, health, metrics, dump

Edits are checked like every host checks them, one fault for each bad field, and what a customer names must exist. An accepted edit is in force at the answering host at once.

A user's verifier may be empty: such users need no password where the settings allow it.

--- a/internal/customer/customer.go
+++ b/internal/customer/customer.go
@@ -28,7 +28,7 @@
 type User struct {
 	Name     string `json:"name"`
 	ReadOnly bool   `json:"read_only,omitempty"`
-	Verifier string `json:"verifier"` // SCRAM-SHA-256 verifier in PostgreSQL's form
+	Verifier string `json:"verifier"` // SCRAM-SHA-256 verifier in PostgreSQL's form; empty: no password
 }
 
 // Limits bound what a customer may have under way per group.
--- a/internal/customer/spec.go
+++ b/internal/customer/spec.go
@@ -95,9 +95,9 @@
 	if readOnly := field(f, "read_only", "true or false", anyValue[bool]); readOnly != nil {
 		user.ReadOnly = *readOnly
 	}
-	f.required("verifier", allowedVerifier)
 	if raw, ok := f.take("verifier"); ok {
-		if json.Unmarshal(raw, &user.Verifier) != nil || !ValidVerifier(user.Verifier) {
+		bad := json.Unmarshal(raw, &user.Verifier) != nil
+		if bad || user.Verifier != "" && !ValidVerifier(user.Verifier) {
 			faults.add(path+"verifier", "(hidden)", allowedVerifier)
 		}
 	}
--- a/internal/customer/store.go
+++ b/internal/customer/store.go
@@ -90,6 +90,13 @@
 	s.update(d.Kind, current, func(c *Collection) []Update { return c.Merge(d) })
 }
 
+// Learn takes in one object that this host knows to be written, before the
+// change arrives on the usual way.
+func (s *Store) Learn(object platform.Object) {
+	item := Item{Name: object.Name, Version: object.Version, Value: object.Value}
+	s.Merge(Delta{Kind: object.Kind, Items: []Item{item}}, time.Time{})
+}
+
 // update changes one kind, interprets what changed and tells the listeners.
 func (s *Store) update(kind string, current time.Time, change func(*Collection) []Update) {
 	s.mu.Lock()
--- a/internal/customer/view.go
+++ b/internal/customer/view.go
@@ -1,7 +1,9 @@
 package customer
 
 import (
+	"fmt"
 	"sort"
+	"time"
 
 	"nettlewalk.example/nettlewalk/internal/platform"
 	"nettlewalk.example/nettlewalk/internal/topology"
@@ -11,6 +13,9 @@
 // are resolved anew when they are asked for.
 const maxResolved = 4096
 
+// outOfTouchAfter is longer than any chain of pulls takes to bring news.
+const outOfTouchAfter = 20 * time.Second
+
 // Customer implements View. Only customers that are asked for are resolved.
 func (s *Store) Customer(id topology.CustomerID) (*Customer, bool) {
 	s.mu.RLock()
@@ -170,3 +175,13 @@
 	}
 	return list
 }
+
+// OutOfTouch tells since when the store has no news of the platform's state,
+// empty while it is in touch.
+func OutOfTouch(s *Store) string {
+	age := s.Age(time.Now())
+	if !s.Ready() || age <= outOfTouchAfter {
+		return ""
+	}
+	return fmt.Sprintf("neither the platform nor a peer in touch with it answered for %s", age.Round(time.Second))
+}
--- a/internal/platform/edit.go
+++ b/internal/platform/edit.go
@@ -15,7 +15,7 @@
 
 // Edited is the outcome of an edit that took effect.
 type Edited struct {
-	Version    uint64 // of the object as last seen
+	Object     Object // as last seen
 	Superseded bool   // a later edit already came on top
 }
 
@@ -80,7 +80,8 @@
 		var written Object
 		err := c.once(ctx, putRequest(object, &written))
 		if err == nil {
-			return Edited{Version: written.Version}, nil
+			object.Version = written.Version
+			return Edited{Object: object}, nil
 		}
 		var conflict *ErrConflict
 		if errors.As(err, &conflict) {
@@ -103,7 +104,7 @@
 	}
 	switch Judge(edit, *conflict.Current) {
 	case TookEffect:
-		return Edited{Version: conflict.Current.Version, Superseded: !isLast(edit, conflict.Current)}, nil
+		return Edited{Object: *conflict.Current, Superseded: !isLast(edit, conflict.Current)}, nil
 	case Lost:
 		return Edited{}, conflict
 	default:
