Sessions: a read that calls a function of the caller's own isn't a read by keyword

Cause: routing may repeat a batch of class Read after an unknown outcome, and a SELECT that calls a writing function would then run twice. It now goes to the primary as a write unless the caller declared it harmless. A cancel that comes after the answer hits nothing: running ends before the answer does (found by TestCancel, which failed in one run of several). SHOW nettlewalk.served_by.

--- a/internal/session/conn.go
+++ b/internal/session/conn.go
@@ -102,12 +102,10 @@
 		if err != nil || b == nil {
 			return err
 		}
-		c.note(true)
-		err = c.handle(b)
-		c.note(false)
-		if err != nil {
+		if err := c.handle(b); err != nil {
 			return err
 		}
+		c.note()
 	}
 }
 
@@ -252,18 +250,24 @@
 	}
 }
 
-// note renews what the state dump shows.
-func (c *conn) note(running bool) {
+// setRunning marks when routing has a batch. It is over before the caller
+// gets the end of the answer, so that a late cancel hits nothing else.
+func (c *conn) setRunning(running bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.snapshot.Transaction = c.tx.String()
 	c.snapshot.Running = running
+	c.since = time.Now()
+}
+
+// note renews what the state dump shows, after a batch.
+func (c *conn) note() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.snapshot.Transaction = c.tx.String()
 	c.snapshot.FloorKnown = c.floor.source().Known
 	c.snapshot.Floor = c.floor.position
 	c.snapshot.Session = c.settings.session
-	if running {
-		c.snapshot.Batches++
-	}
+	c.snapshot.Batches++
 	c.since = time.Now()
 }
 
--- a/internal/session/handle.go
+++ b/internal/session/handle.go
@@ -143,6 +143,8 @@
 	deadline := time.Now().Add(c.batchDeadline())
 	ctx, cancel := context.WithDeadline(c.runs, deadline.Add(answerGrace))
 	defer cancel()
+	c.setRunning(true)
+	defer c.setRunning(false)
 	defer batchSeconds(p.class).UpdateDuration(time.Now())
 	return c.currentRouting().Run(ctx, &routing.Call{
 		Class:        p.class,
@@ -167,11 +169,7 @@
 
 // settle takes up what an answered batch tells.
 func (c *conn) settle(p plan, outcome routing.Outcome) {
-	if outcome.Replica {
-		batchesReplica.Inc()
-	} else {
-		batchesPrimary.Inc()
-	}
+	c.noteTarget(outcome)
 	if !c.tx.pinned() {
 		c.txClass = p.class
 	}
@@ -185,6 +183,17 @@
 	c.out.send(&pgproto3.ParameterStatus{Name: setToken, Value: c.settings.token})
 }
 
+// noteTarget keeps which target answered.
+func (c *conn) noteTarget(outcome routing.Outcome) {
+	if outcome.Replica {
+		batchesReplica.Inc()
+		c.settings.servedBy = string(outcome.Target) + " (replica)"
+		return
+	}
+	batchesPrimary.Inc()
+	c.settings.servedBy = string(outcome.Target) + " (primary)"
+}
+
 // finish ends the answer to a batch that ran.
 func (c *conn) finish(b *batch) error {
 	if !b.ready {
--- a/internal/session/plan.go
+++ b/internal/session/plan.go
@@ -58,13 +58,20 @@
 	if r.readOnly() && f.writes {
 		return p, errReadOnly
 	}
-	if (f.reads || r.readOnly()) && r.replicasAllowed() && !f.begins {
+	if r.replicasAllowed() && !f.begins && r.changesNothing(f) {
 		p.class = pool.Read
 	}
-	p.idempotent = r.settings.idempotent || (p.class == pool.Read && f.repeatable)
+	p.idempotent = r.settings.idempotent || p.class == pool.Read
 	return p, nil
 }
 
+// changesNothing tells whether a batch may be run twice and at replicas. A read
+// that calls a function of the caller's own may write, so that it counts only
+// if the caller declared it harmless.
+func (r reader) changesNothing(f batchFacts) bool {
+	return r.readOnly() || (f.reads && (f.repeatable || r.settings.idempotent))
+}
+
 // planBegin decides on the BEGIN that opens a transaction. It may run twice, as
 // nothing hangs on it yet.
 func (r reader) planBegin(begin statement) (plan, error) {
--- a/internal/session/settings.go
+++ b/internal/session/settings.go
@@ -18,6 +18,7 @@
 	setReadOnly   = "default_transaction_read_only"
 	setTxReadOnly = "transaction_read_only"
 	setTimeout    = "statement_timeout"
+	setServedBy   = "nettlewalk.served_by" // shown only
 
 	settingPrefix = "nettlewalk."
 )
@@ -36,6 +37,7 @@
 	deadline     time.Duration // of a batch, 0: the host's default
 	idempotent   bool
 	readOnly     bool
+	servedBy     string            // target of the last batch, and its role
 	driver       map[string]string // what drivers set for themselves, by lower-case name
 }
 
@@ -189,6 +191,8 @@
 		return s.session, nil
 	case setToken:
 		return s.token, nil
+	case setServedBy:
+		return s.servedBy, nil
 	case setDeadline, setTimeout:
 		return s.deadline.String(), nil
 	case setIdempotent:
--- a/internal/session/statement.go
+++ b/internal/session/statement.go
@@ -110,7 +110,16 @@
 	"limit offset having distinct array row cast " +
 	"count sum min max avg coalesce nullif greatest least lower upper length trim substr substring abs round floor ceil " +
 	"now date_trunc extract to_char row_number rank dense_rank lag lead first_value last_value string_agg array_agg " +
-	"json_agg jsonb_agg json_build_object jsonb_build_object numeric decimal varchar char float timestamp date_part concat replace")
+	"json_agg jsonb_agg json_build_object jsonb_build_object numeric decimal varchar char float timestamp date_part concat replace " +
+	"left right split_part position overlay ltrim rtrim btrim lpad rpad reverse repeat initcap md5 strpos starts_with translate " +
+	"concat_ws format regexp_match regexp_matches regexp_replace regexp_split_to_array quote_literal octet_length char_length " +
+	"ceiling trunc mod power sqrt exp ln log sign random width_bucket age make_date make_time make_interval make_timestamp " +
+	"to_date to_timestamp to_number date time interval at current_date current_timestamp clock_timestamp statement_timestamp " +
+	"bool_and bool_or every variance stddev var_pop var_samp stddev_pop stddev_samp corr mode percentile_cont percentile_disc " +
+	"ntile nth_value cume_dist percent_rank generate_series unnest array_length array_to_string string_to_array cardinality " +
+	"array_append array_position json_array_length jsonb_array_length json_array_elements jsonb_array_elements jsonb_each " +
+	"json_extract_path jsonb_extract_path to_json to_jsonb row_to_json json_object_agg jsonb_object_agg jsonb_path_query " +
+	"version current_database current_schema pg_typeof total ifnull json_extract date strftime julianday typeof group_concat")
 
 func wordSet(words string) map[string]bool {
 	set := map[string]bool{}
