--- a/internal/pool/cancel.go
+++ b/internal/pool/cancel.go
@@ -61,12 +61,14 @@
 	defer m.wg.Done()
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
+	hosts := newEntryHosts()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 			m.endIdle(time.Now())
+			m.endOrphans(ctx, hosts)
 		}
 	}
 }
--- a/internal/pool/complete.go
+++ b/internal/pool/complete.go
@@ -12,6 +12,8 @@
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
+const recordTimeout = 2 * time.Second // a lost lock is taken again sooner, or by another host
+
 // complete ends a batch whose answer was read whole. The connection goes back
 // before the commit is confirmed, so that the wait costs none.
 func (m *Manager) complete(ctx context.Context, s *stream) (*Reply, error) {
@@ -19,7 +21,7 @@
 	targetSeconds.UpdateDuration(s.sentAt)
 	if err := m.refusedByTarget(ctx, s); err != nil {
 		m.end(s, true)
-		return m.refusal(sl, err)
+		return m.refusal(sl, req, err)
 	}
 	reply := m.lastChunk(s)
 	s.unclean = s.unclean || a.unclean
@@ -32,10 +34,10 @@
 		sl.committed(a.position)
 		if err := m.confirm(ctx, s, sl, a.position); err != nil {
 			m.end(s, false)
-			return m.refusal(sl, err)
+			return m.refusal(sl, req, err)
 		}
 	}
-	reply.Hint = m.hint(sl)
+	reply.Hint = m.hint(sl, req.Class)
 	if m.opts.OnUsage != nil {
 		m.opts.OnUsage(req.Customer, req.Group, reply.Usage)
 	}
@@ -71,9 +73,8 @@
 	return result.New(result.NotPrimary, "%s takes no writes", s.slot.id)
 }
 
-// confirm waits until the commit can't be lost. For a request with a session
-// the slot's lock must have been held after the commit, so that no successor
-// has answered for the session without it.
+// confirm waits until the commit can't be lost, and until its session's keeper
+// has recorded it.
 func (m *Manager) confirm(ctx context.Context, s *stream, sl *slot, position topology.Position) error {
 	ctx, cancel := context.WithDeadline(ctx, s.deadline)
 	defer cancel()
@@ -81,19 +82,28 @@
 	if m.opts.Confirm != nil {
 		g.Go(func() error { return m.opts.Confirm.Confirm(ctx, s.req.Group, position) })
 	}
-	keeps := s.req.Session != "" && m.opts.OnCommit != nil
-	if keeps {
-		g.Go(func() error { return sl.control.verifyUntil(ctx) })
+	if s.req.Session != "" && m.opts.OnCommit != nil {
+		g.Go(func() error { return m.record(ctx, s.req, sl, position) })
 	}
 	if err := g.Wait(); err != nil {
 		return result.New(result.UnconfirmedCommit, "commit at %s: %s", position, detail(err))
 	}
-	if keeps {
-		m.opts.OnCommit(sl.id, sl.number, s.req.Session, position)
-	}
 	return nil
 }
 
+// record tries again while the slot's lock is lost and may be taken again.
+func (m *Manager) record(ctx context.Context, req *Request, sl *slot, position topology.Position) error {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	for {
+		err := m.opts.OnCommit(ctx, req.Group, sl.id, sl.number, req.Session, position)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		pause(ctx, lockRetry)
+	}
+}
+
 // detail returns an error's text without its code.
 func detail(err error) string {
 	var e *result.Error
@@ -112,9 +122,9 @@
 	b := m.brokenState(s, sent)
 	m.end(s, false)
 	if errors.Is(err, errCopy) {
-		return m.refusal(sl, result.New(result.UnsupportedFeature, "%s", err))
+		return m.refusal(sl, s.req, result.New(result.UnsupportedFeature, "%s", err))
 	}
-	return m.refusal(sl, result.New(b.code(), "%s: %s", sl.id, err))
+	return m.refusal(sl, s.req, result.New(b.code(), "%s: %s", sl.id, err))
 }
 
 func (m *Manager) brokenState(s *stream, sent bool) broken {
--- a/internal/pool/control.go
+++ b/internal/pool/control.go
@@ -21,7 +21,6 @@
 	controlConnect = 400 * time.Millisecond // connecting costs up to 30 ms
 	lockRetry      = 20 * time.Millisecond  // between attempts at a slot's lock
 	takeoverAfter  = time.Second            // of refused locks until a silent predecessor is ended
-	relockTimeout  = 2 * time.Second        // for a lost lock to be taken again before a commit is answered
 	reconnectMin   = 20 * time.Millisecond
 	reconnectMax   = 500 * time.Millisecond
 )
@@ -30,8 +29,6 @@
 type controlHooks struct {
 	answered func(st target.Status, sentAt time.Time) // each status
 	failed   func(err *HealthError, sentAt time.Time) // each failed connect or status
-	locked   func()                                   // the slot's lock was taken; before anybody may use it
-	unlocked func()                                   // the lock is gone
 }
 
 // control keeps the control connection of one slot: connecting, then waiting
@@ -52,6 +49,7 @@
 	conn    *target.Conn
 	over    chan struct{} // closed when conn failed
 	locked  bool
+	locks   uint64       // how often the lock was taken
 	refused bool         // another connection has the lock
 	failure *HealthError // why there is no connection
 	forgot  bool         // the last connection went silent: the target may still keep its lock
@@ -171,9 +169,9 @@
 }
 
 func (c *control) setLocked(conn *target.Conn) {
-	c.hooks.locked()
 	c.mu.Lock()
 	c.locked = c.conn == conn
+	c.locks++
 	c.forgot, c.refused = false, false
 	c.mu.Unlock()
 	c.ready()
@@ -235,7 +233,6 @@
 	failure := roundTripFailure(err)
 	c.mu.Lock()
 	current := c.conn == conn
-	wasLocked := current && c.locked
 	if current {
 		c.conn, c.locked, c.failure = nil, false, failure
 		close(c.over)
@@ -248,9 +245,6 @@
 	controlFailures(failure.Kind).Inc()
 	c.log.Info("control connection failed", "target", c.target.ID, "slot", c.slot, "kind", string(failure.Kind), "error", err.Error())
 	go closeControl(conn)
-	if wasLocked {
-		c.hooks.unlocked()
-	}
 	c.hooks.failed(failure, sentAt)
 }
 
@@ -258,7 +252,6 @@
 func (c *control) drop(conn *target.Conn) {
 	c.mu.Lock()
 	current := c.conn == conn
-	wasLocked := current && c.locked
 	if current {
 		c.conn, c.locked = nil, false
 	}
@@ -267,9 +260,6 @@
 		return
 	}
 	closeControl(conn)
-	if wasLocked {
-		c.hooks.unlocked()
-	}
 }
 
 func closeControl(conn *target.Conn) {
--- a/internal/pool/exec.go
+++ b/internal/pool/exec.go
@@ -14,7 +14,7 @@
 func (m *Manager) Exec(ctx context.Context, req *Request) (*Reply, error) {
 	s, call, err := m.streams.begin(req.Stream, req.Batch, time.Now())
 	if err != nil {
-		return m.refusal(nil, err)
+		return m.refusal(nil, req, err)
 	}
 	if s == nil {
 		storedAnswers.Inc()
@@ -40,12 +40,12 @@
 }
 
 // refusal returns an error beside what is known of the slot's target.
-func (m *Manager) refusal(s *slot, err error) (*Reply, error) {
+func (m *Manager) refusal(s *slot, req *Request, err error) (*Reply, error) {
 	e := result.As(err, result.TargetDown)
 	countRefusal(e.Code)
 	reply := &Reply{}
 	if s != nil {
-		reply.Hint = m.hint(s)
+		reply.Hint = m.hint(s, req.Class)
 	}
 	return reply, e
 }
@@ -56,14 +56,24 @@
 	s.req = req
 	s.deadline = time.Now().Add(req.TimeLeft)
 	s.passedOn = false
-	if s.slot == nil {
-		if sl, err := m.start(ctx, s); err != nil {
-			return m.refusal(sl, err)
-		}
-	} else if err := m.checkCommit(req); err != nil {
-		sl := s.slot
+	if req.Batch > 1 {
+		return m.goOn(ctx, s)
+	}
+	if sl, err := m.start(ctx, s); err != nil {
+		return m.refusal(sl, req, err)
+	}
+	return m.runBatch(ctx, s)
+}
+
+// goOn runs a further batch of a transaction.
+func (m *Manager) goOn(ctx context.Context, s *stream) (*Reply, error) {
+	sl := s.slot
+	if sl == nil {
+		return m.refusal(nil, s.req, result.New(result.TransactionLost, "the transaction is over at its holder"))
+	}
+	if err := m.checkCommit(s.req); err != nil {
 		m.end(s, false)
-		return m.refusal(sl, result.New(result.TransactionLost, "rolled back before its commit: %s", err))
+		return m.refusal(sl, s.req, result.New(result.TransactionLost, "rolled back before its commit: %s", err))
 	}
 	return m.runBatch(ctx, s)
 }
@@ -117,7 +127,7 @@
 	if err != nil {
 		sl := s.slot
 		m.end(s, !s.open)
-		return m.refusal(sl, err)
+		return m.refusal(sl, s.req, err)
 	}
 	s.answer = newAnswer(p, c.statements)
 	s.bytes = uint64(len(s.req.Messages))
@@ -142,7 +152,7 @@
 func (m *Manager) Next(ctx context.Context, id StreamID) (*Reply, error) {
 	s := m.streams.get(id)
 	if s == nil {
-		return m.refusal(nil, result.New(result.UnknownOutcome, "the holder doesn't know the answer any more"))
+		return m.refusal(nil, nil, result.New(result.UnknownOutcome, "the holder doesn't know the answer any more"))
 	}
 	s.enter(time.Now())
 	defer func() { s.leave(time.Now()) }()
@@ -150,7 +160,7 @@
 	defer s.run.Unlock()
 	c := s.connection()
 	if s.answer == nil || c == nil {
-		return m.refusal(s.slot, result.New(result.UnknownOutcome, "no further chunk of the answer"))
+		return m.refusal(s.slot, s.req, result.New(result.UnknownOutcome, "no further chunk of the answer"))
 	}
 	s.deadline = later(s.deadline, time.Now().Add(nextTimeout))
 	if err := c.net.SetDeadline(s.deadline); err != nil {
@@ -193,14 +203,15 @@
 	return reply, nil
 }
 
-// hint returns what is known of the slot's target.
-func (m *Manager) hint(s *slot) Hint {
+// hint returns what is known of the slot's target. Only reads ask for its age:
+// that keeps the group's ages known.
+func (m *Manager) hint(s *slot, class Class) Hint {
 	seen := s.observed().status
 	hint := Hint{Term: seen.Term, Primary: seen.Primary, Status: seen}
-	if m.opts.Freshness != nil {
+	if m.opts.Freshness != nil && class == Read {
 		hint.Age, _ = m.opts.Freshness.Age(s.group, seen.Applied)
 	}
-	if seen.Role == target.Primary && m.canConfirm(s.group) == nil {
+	if seen.Role == target.Primary {
 		hint.Age = 0
 	}
 	return hint
--- a/internal/pool/message.go
+++ b/internal/pool/message.go
@@ -63,7 +63,7 @@
 	Term    uint64
 	Primary topology.TargetID
 	Status  target.Status // latest answer of the target
-	Age     time.Duration // upper bound on how stale the target's data is
+	Age     time.Duration // upper bound on how stale the target's data is, 0 also if none is known
 }
 
 // Usage is what a batch consumed.
--- a/internal/pool/silentread.go
+++ b/internal/pool/silentread.go
@@ -49,7 +49,7 @@
 	m.end(s, false)
 	s.retried = true
 	if err := m.connect(ctx, s, sl, true); err != nil {
-		return m.refusal(sl, err)
+		return m.refusal(sl, s.req, err)
 	}
 	return m.runBatch(ctx, s)
 }
--- a/internal/pool/slot.go
+++ b/internal/pool/slot.go
@@ -63,8 +63,6 @@
 		hooks: controlHooks{
 			answered: s.onStatus,
 			failed:   s.onFailure,
-			locked:   s.onLocked,
-			unlocked: func() {},
 		},
 	}
 	s.control.ready = s.dispatch
@@ -133,12 +131,6 @@
 	}
 }
 
-func (s *slot) onLocked() {
-	if s.opts.OnLock != nil {
-		s.opts.OnLock(s.id, s.number)
-	}
-}
-
 // committed notes that the target has applied a position.
 func (s *slot) committed(position topology.Position) {
 	s.mu.Lock()
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -24,8 +24,13 @@
 	return &batchCall{batch: batch, done: make(chan struct{})}
 }
 
-// size returns the bytes that the call's answer keeps; it must be done.
+// size returns the bytes that the call's answer keeps, 0 before it is done.
 func (c *batchCall) size() int {
+	select {
+	case <-c.done:
+	default:
+		return 0
+	}
 	if c.reply == nil {
 		return 0
 	}
@@ -62,7 +67,7 @@
 	return nil
 }
 
-// put keeps a call that is done.
+// put keeps a call.
 func (a *answerStore) put(id StreamID, call *batchCall, now time.Time) {
 	if a.calls[id] != nil {
 		return
