--- a/cmd/nettlewalk/targets.go
+++ b/cmd/nettlewalk/targets.go
@@ -33,6 +33,7 @@
 		Confirm:   confirmer{h},
 		Freshness: h.freshness,
 		Groups:    h.store.Group,
+		Peers:     h.peers,
 		Log:       h.log.WithName("pool"),
 		OnCommit: func(id topology.TargetID, slot int, session string, position topology.Position) {
 			h.keeper.OnCommit(id, slot, session, position)
--- a/internal/pool/complete.go
+++ b/internal/pool/complete.go
@@ -12,8 +12,6 @@
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
-const recordTimeout = 2 * time.Second // a lost lock is taken again sooner, or by another host
-
 // complete ends a batch whose answer was read whole. The connection goes back
 // before the commit is confirmed, so that the wait costs none.
 func (m *Manager) complete(ctx context.Context, s *stream) (*Reply, error) {
@@ -73,8 +71,9 @@
 	return result.New(result.NotPrimary, "%s takes no writes", s.slot.id)
 }
 
-// confirm waits until the commit can't be lost, and until its session's keeper
-// has recorded it.
+// confirm waits until the commit can't be lost. For a request with a session
+// the slot's lock must have been held after the commit, so that no successor
+// has answered for the session without it.
 func (m *Manager) confirm(ctx context.Context, s *stream, sl *slot, position topology.Position) error {
 	ctx, cancel := context.WithDeadline(ctx, s.deadline)
 	defer cancel()
@@ -82,26 +81,17 @@
 	if m.opts.Confirm != nil {
 		g.Go(func() error { return m.opts.Confirm.Confirm(ctx, s.req.Group, position) })
 	}
-	if s.req.Session != "" && m.opts.OnCommit != nil {
-		g.Go(func() error { return m.record(ctx, s.req, sl, position) })
+	keeps := s.req.Session != "" && m.opts.OnCommit != nil
+	if keeps {
+		g.Go(func() error { return sl.control.verifyUntil(ctx) })
 	}
 	if err := g.Wait(); err != nil {
 		return result.New(result.UnconfirmedCommit, "commit at %s: %s", position, detail(err))
 	}
-	return nil
-}
-
-// record tries again while the slot's lock is lost and may be taken again.
-func (m *Manager) record(ctx context.Context, req *Request, sl *slot, position topology.Position) error {
-	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
-	defer cancel()
-	for {
-		err := m.opts.OnCommit(ctx, req.Group, sl.id, sl.number, req.Session, position)
-		if err == nil || ctx.Err() != nil {
-			return err
-		}
-		pause(ctx, lockRetry)
+	if keeps {
+		m.opts.OnCommit(sl.id, sl.number, s.req.Session, position)
 	}
+	return nil
 }
 
 // detail returns an error's text without its code.
--- a/internal/pool/control.go
+++ b/internal/pool/control.go
@@ -21,6 +21,7 @@
 	controlConnect = 400 * time.Millisecond // connecting costs up to 30 ms
 	lockRetry      = 20 * time.Millisecond  // between attempts at a slot's lock
 	takeoverAfter  = time.Second            // of refused locks until a silent predecessor is ended
+	relockTimeout  = 2 * time.Second        // a lost lock is taken again sooner, or by another host
 	reconnectMin   = 20 * time.Millisecond
 	reconnectMax   = 500 * time.Millisecond
 )
@@ -29,6 +30,7 @@
 type controlHooks struct {
 	answered func(st target.Status, sentAt time.Time) // each status
 	failed   func(err *HealthError, sentAt time.Time) // each failed connect or status
+	locked   func()                                   // the slot's lock was taken; before anybody may use it
 }
 
 // control keeps the control connection of one slot: connecting, then waiting
@@ -169,6 +171,7 @@
 }
 
 func (c *control) setLocked(conn *target.Conn) {
+	c.hooks.locked()
 	c.mu.Lock()
 	c.locked = c.conn == conn
 	c.locks++
--- a/internal/pool/manager.go
+++ b/internal/pool/manager.go
@@ -190,24 +190,12 @@
 // VerifySlot returns an answer that the target gave after the call began on
 // the connection that holds the slot's lock. NotHolder if this host has no lock.
 func (m *Manager) VerifySlot(ctx context.Context, id topology.TargetID, slot int) (target.Status, error) {
-	st, _, err := m.verify(ctx, id, slot)
-	return st, err
-}
-
-// VerifyLock is VerifySlot for those who must notice that the lock was lost and
-// taken again meanwhile: the number grows each time.
-func (m *Manager) VerifyLock(ctx context.Context, id topology.TargetID, slot int) (uint64, error) {
-	_, lock, err := m.verify(ctx, id, slot)
-	return lock, err
-}
-
-func (m *Manager) verify(ctx context.Context, id topology.TargetID, slot int) (target.Status, uint64, error) {
 	s := m.held(slotKey{id, slot})
 	if s == nil {
-		return target.Status{}, 0, m.notHolder(id)
+		return target.Status{}, m.notHolder(id)
 	}
-	st, lock, err := s.control.verify(ctx)
-	return st, lock, asResult(err, id)
+	st, err := s.control.verify(ctx)
+	return st, asResult(err, id)
 }
 
 // held returns a slot that is held or still finishing its streams.
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"context"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -32,9 +31,11 @@
 	Log       logr.Logger
 
 	// OnCommit is called before a commit is answered whose request names a
-	// session. It records the position and then checks that the slot's lock is
-	// still this host's; while it fails the commit isn't answered as done.
-	OnCommit func(ctx context.Context, group topology.GroupID, id topology.TargetID, slot int, session string, position topology.Position) error
+	// session; the slot's lock was held after the commit.
+	OnCommit func(id topology.TargetID, slot int, session string, position topology.Position)
+	// OnLock is called when a slot's lock was taken, before VerifySlot succeeds
+	// and any request runs there: what was known of its sessions may be outdated.
+	OnLock func(id topology.TargetID, slot int)
 	// OnStatus is called for each status of a held target, and with an error of
 	// type *HealthError and a Status that names only the target for each
 	// failed connect or status.
--- a/internal/pool/orders.go
+++ b/internal/pool/orders.go
@@ -36,24 +36,37 @@
 }
 
 // verify answers with a status that the connection with the slot's lock gave
-// after the call began, and with how often the lock was taken until then.
-func (c *control) verify(ctx context.Context) (target.Status, uint64, error) {
+// after the call began.
+func (c *control) verify(ctx context.Context) (target.Status, error) {
 	c.mu.Lock()
 	locked, locks := c.locked, c.locks
 	c.mu.Unlock()
 	if !locked {
-		return target.Status{}, 0, c.notLocked()
+		return target.Status{}, c.notLocked()
 	}
 	st, err := c.rounds.ask(ctx)
 	if err != nil {
-		return target.Status{}, 0, err
+		return target.Status{}, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.locked || c.locks != locks {
-		return target.Status{}, 0, c.notLocked()
+		return target.Status{}, c.notLocked()
+	}
+	return st, nil
+}
+
+// verifyUntil verifies the lock; a lost one may be taken again meanwhile.
+func (c *control) verifyUntil(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, relockTimeout)
+	defer cancel()
+	for {
+		_, err := c.verify(ctx)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		pause(ctx, lockRetry)
 	}
-	return st, locks, nil
 }
 
 func (c *control) notLocked() error {
--- a/internal/pool/slot.go
+++ b/internal/pool/slot.go
@@ -63,6 +63,7 @@
 		hooks: controlHooks{
 			answered: s.onStatus,
 			failed:   s.onFailure,
+			locked:   s.onLocked,
 		},
 	}
 	s.control.ready = s.dispatch
@@ -131,6 +132,12 @@
 	}
 }
 
+func (s *slot) onLocked() {
+	if s.opts.OnLock != nil {
+		s.opts.OnLock(s.id, s.number)
+	}
+}
+
 // committed notes that the target has applied a position.
 func (s *slot) committed(position topology.Position) {
 	s.mu.Lock()
