--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -64,7 +64,7 @@
 		s.mu.Unlock()
 		return c, nil
 	}
-	t, evicted, refusal := s.queue.push(time.Now(), a, s.limit())
+	t, evicted, refusal := s.queue.push(time.Now(), a, s.limit(), s.streams)
 	if evicted != nil {
 		evicted.grant <- grant{err: s.queue.full(time.Now(), s.limit())}
 	}
--- a/internal/pool/admission.go
+++ b/internal/pool/admission.go
@@ -65,13 +65,15 @@
 
 func (q *admission) len() int { return len(q.tickets) }
 
-// push lets an arrival wait for one of so many connections. It refuses one that
-// would wait past its deadline, and one that finds the queue full unless
-// another ticket gives way; that one is returned and no longer waits.
-func (q *admission) push(now time.Time, a arrival, connections int) (t, evicted *ticket, refusal *result.Error) {
+// push lets an arrival wait for one of so many connections, of which some are
+// busy. It refuses one that would wait past its deadline, unless a connection
+// is free for it, and one that finds the queue full unless another ticket gives
+// way; that one is returned and no longer waits.
+func (q *admission) push(now time.Time, a arrival, connections, busy int) (t, evicted *ticket, refusal *result.Error) {
 	weight := max(a.weight, minWeight)
 	t = &ticket{customer: a.customer, weight: weight, finish: q.tag(a.customer, weight), grant: make(chan grant, 1)}
-	if wait := q.times.wait(q.ahead(t), connections); wait > a.timeLeft {
+	free := len(q.tickets)+busy < connections
+	if wait := q.times.wait(q.ahead(t), connections); wait > a.timeLeft && !free {
 		e := result.New(result.DeadlineTooClose, "a wait of %s is expected, %s are left", wait.Round(time.Millisecond), a.timeLeft.Round(time.Millisecond))
 		return nil, nil, e.After(q.comeBack(now, wait-a.timeLeft, connections))
 	}
--- a/internal/pool/control.go
+++ b/internal/pool/control.go
@@ -37,15 +37,16 @@
 // for the slot's lock, then holding it. Any failure leads back to connecting.
 // It implements target.Control.
 type control struct {
-	target   topology.Target
-	slot     int
-	login    target.Login
-	dial     target.DialFunc
-	log      logr.Logger
-	hooks    controlHooks
-	rounds   rounds
-	takeover func() bool // the predecessor is known to be silent
-	ready    func()      // called once the lock may be used
+	target topology.Target
+	slot   int
+	login  target.Login
+	dial   target.DialFunc
+	log    logr.Logger
+	hooks  controlHooks
+	rounds rounds
+	mayEnd func(refusedFor time.Duration) bool // the lock's other owner may be ended
+	wanted func() bool                         // the lock is to be taken
+	ready  func()                              // called once the lock may be used
 
 	mu      sync.Mutex
 	conn    *target.Conn
@@ -76,7 +77,7 @@
 func (c *control) run(ctx context.Context) {
 	defer close(c.stopped)
 	wait := reconnectMin
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && c.wanted() {
 		conn, err := c.connect(ctx)
 		if err != nil {
 			pause(ctx, wait/2+rand.N(wait/2))
@@ -122,7 +123,7 @@
 // lock waits for the slot's lock; false when the connection failed.
 func (c *control) lock(ctx context.Context, conn *target.Conn) bool {
 	began := time.Now()
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && c.wanted() {
 		ok, err := c.tryLock(conn)
 		if err != nil {
 			c.reportRoundTrip(conn, err, began)
@@ -133,7 +134,7 @@
 			return true
 		}
 		c.setRefused()
-		if c.mayEnd(time.Since(began)) {
+		if c.ownLock() || c.mayEnd(time.Since(began)) {
 			c.log.Info("ending the silent predecessor of a slot", "target", c.target.ID, "slot", c.slot)
 			takeovers.Inc()
 			if err := c.endSlot(conn); err != nil {
@@ -151,11 +152,12 @@
 	return false
 }
 
-func (c *control) mayEnd(refusedFor time.Duration) bool {
+// ownLock tells whether the lock's owner is probably this control's own last
+// connection, which went silent.
+func (c *control) ownLock() bool {
 	c.mu.Lock()
-	forgot := c.forgot
-	c.mu.Unlock()
-	return forgot || c.takeover() || refusedFor >= takeoverAfter
+	defer c.mu.Unlock()
+	return c.forgot
 }
 
 func (c *control) tryLock(conn *target.Conn) (bool, error) {
--- a/internal/pool/fake_test.go
+++ b/internal/pool/fake_test.go
@@ -21,6 +21,7 @@
 //	INSERT    commits and reports a position, 25006 unless primary
 //	BEGIN, COMMIT, ROLLBACK
 //	ROWS n s  answers n rows of s bytes
+//	ECHO x    answers x, sometimes late
 //	HOLD      answers once the test lets it
 //	FAIL      fails with 22012
 //	COPY      starts a copy
@@ -240,6 +241,9 @@
 		s.tx, s.wrote = 'I', false
 	case "ROWS":
 		s.rows(rest)
+	case "ECHO":
+		time.Sleep(time.Duration(len(rest)%4) * time.Millisecond)
+		s.b.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(rest)}})
 	case "HOLD":
 		<-s.hold
 	case "FAIL":
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -30,6 +30,10 @@
 	Peers     peer.Caller // nil: streams of entry hosts that died end only after their idle time
 	Log       logr.Logger
 
+	// Handovers tells whether a host is leaving: its slots' locks are then
+	// refused for as long as its streams take to end. nil: none is.
+	Handovers func() bool
+
 	// OnCommit is called before a commit is answered whose request names a
 	// session; the slot's lock was held after the commit.
 	OnCommit func(id topology.TargetID, slot int, session string, position topology.Position)
--- a/internal/pool/remote.go
+++ b/internal/pool/remote.go
@@ -13,8 +13,11 @@
 )
 
 const (
-	recallTimeout  = 2 * time.Second // for the stored answer, past the request's own deadline
+	execGrace      = 500 * time.Millisecond // past the deadline, at which the holder itself answers
+	recallTimeout  = 2 * time.Second        // for the stored answer, past the request's own deadline
 	releaseTimeout = time.Second
+	releaseRetry   = 500 * time.Millisecond
+	releaseTries   = 10 // then the holder's own limit for idle streams counts
 )
 
 // Remote runs batches at another host. It implements Executor.
@@ -28,7 +31,7 @@
 func (r Remote) Exec(ctx context.Context, req *Request) (*Reply, error) {
 	sentAt := time.Now()
 	var reply ExecReply
-	err := r.call(ctx, "Exec", req, &reply)
+	err := r.callExec(ctx, req, &reply)
 	if err == nil {
 		return reply.get()
 	}
@@ -38,19 +41,33 @@
 	recalled, recallErr := r.recall(ctx, req, sentAt)
 	switch {
 	case recallErr != nil:
-		return &Reply{}, lost(req, err)
 	case recalled.Arrived:
 		return recalled.Exec.get()
 	case recalled.neverRan(time.Since(sentAt)):
 		return &Reply{}, neverArrived(req, err)
-	default:
-		return &Reply{}, lost(req, err)
 	}
+	go r.releaseLater(req.Stream)
+	return &Reply{}, lost(req, err)
+}
+
+// callExec leaves the holder the time to answer at the deadline itself; only a
+// caller that cancels ends the call.
+func (r Remote) callExec(ctx context.Context, req *Request, reply *ExecReply) error {
+	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), req.TimeLeft+execGrace)
+	defer cancel()
+	defer context.AfterFunc(ctx, func() {
+		if errors.Is(ctx.Err(), context.Canceled) {
+			cancel()
+		}
+	})()
+	return r.call(callCtx, "Exec", req, reply)
 }
 
 func (r Remote) recall(ctx context.Context, req *Request, sentAt time.Time) (*RecallReply, error) {
-	ctx = context.WithoutCancel(ctx)
-	ctx, cancel := context.WithTimeout(ctx, max(req.TimeLeft-time.Since(sentAt), 0)+recallTimeout)
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return nil, ctx.Err()
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), max(req.TimeLeft-time.Since(sentAt), 0)+recallTimeout)
 	defer cancel()
 	var reply RecallReply
 	err := r.call(ctx, "Recall", &RecallArgs{Stream: req.Stream, Batch: req.Batch}, &reply)
@@ -81,6 +98,7 @@
 func (r Remote) Next(ctx context.Context, stream StreamID) (*Reply, error) {
 	var reply ExecReply
 	if err := r.call(ctx, "Next", &NextArgs{Stream: stream}, &reply); err != nil {
+		go r.releaseLater(stream)
 		return &Reply{}, err
 	}
 	return reply.get()
@@ -91,15 +109,30 @@
 	return r.call(ctx, "Cancel", &StreamArgs{Stream: stream}, &Empty{})
 }
 
-// Release implements Executor. It is idempotent, so a lost call is repeated.
+// Release implements Executor. A call that failed is repeated in the background.
 func (r Remote) Release(ctx context.Context, stream StreamID) error {
+	err := r.release(ctx, stream)
+	if err != nil {
+		go r.releaseLater(stream)
+	}
+	return err
+}
+
+func (r Remote) release(ctx context.Context, stream StreamID) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 	defer cancel()
-	err := r.call(ctx, "Release", &StreamArgs{Stream: stream}, &Empty{})
-	if codeOf(err) == result.HolderLost && ctx.Err() == nil {
-		err = r.call(ctx, "Release", &StreamArgs{Stream: stream}, &Empty{})
+	return r.call(ctx, "Release", &StreamArgs{Stream: stream}, &Empty{})
+}
+
+// releaseLater ends a stream at a holder that can't be reached now, so that it
+// doesn't keep a connection for nobody.
+func (r Remote) releaseLater(stream StreamID) {
+	for range releaseTries {
+		if r.release(context.Background(), stream) == nil {
+			return
+		}
+		time.Sleep(releaseRetry)
 	}
-	return err
 }
 
 // Status asks the host for the status of a target that it holds.
--- a/internal/pool/slot.go
+++ b/internal/pool/slot.go
@@ -54,12 +54,13 @@
 		drained: make(chan struct{}),
 	}
 	s.control = &control{
-		target:   held.Target,
-		slot:     held.Slot,
-		login:    opts.Login,
-		dial:     opts.Dial,
-		log:      opts.Log,
-		takeover: s.mayTakeOver,
+		target: held.Target,
+		slot:   held.Slot,
+		login:  opts.Login,
+		dial:   opts.Dial,
+		log:    opts.Log,
+		mayEnd: s.mayEnd,
+		wanted: s.wanted,
 		hooks: controlHooks{
 			answered: s.onStatus,
 			failed:   s.onFailure,
@@ -78,10 +79,24 @@
 	return s.held.Target
 }
 
-func (s *slot) mayTakeOver() bool {
+// mayEnd tells whether a predecessor that has kept the lock for so long is
+// taken for silent.
+func (s *slot) mayEnd(refusedFor time.Duration) bool {
+	s.mu.Lock()
+	takeover := s.held.Takeover
+	s.mu.Unlock()
+	patience := takeoverAfter
+	if s.opts.Handovers != nil && s.opts.Handovers() {
+		patience = drainTimeout + takeoverAfter
+	}
+	return takeover || refusedFor >= patience
+}
+
+// wanted tells whether the slot's lock is to be taken.
+func (s *slot) wanted() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.held.Takeover && !s.draining
+	return !s.draining
 }
 
 // update takes new values of the same slot.
