Routing: undeclared reads count as writes at the primary; properties of choice and retry

A read that nobody declared to write nothing may write at the primary: there it goes to the session's slot, is confirmed like a write, and isn't repeated after an unknown outcome. A replica that is both behind the floor and too old was tried as a last resort; the property of the choices found it.

Seen to fail without their mechanism: TestOnlyWhatMayRunAgainIsTriedAgain, TestFinalCodes and TestWriteWithUnknownOutcomeRunsOnce when unknown outcomes are repeated; TestTransactionStaysOnItsStream without the pin; TestSessionWritesUseTheKeepersSlot when the session's slot is ignored; TestLostHolderEndsTheTransactionAndThePin when a transaction is tried again; TestChoicesKeepTheirBounds when undeclared reads stay reads at the primary.

--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -54,6 +54,7 @@
 func (a *attempt) ask(view GroupView) Ask {
 	return Ask{
 		Class:        a.call.Class,
+		ReadOnly:     a.call.ReadOnly,
 		Floor:        a.floor,
 		MaxStaleness: a.call.MaxStaleness,
 		ServeStale:   a.call.ServeStale,
@@ -62,10 +63,10 @@
 	}
 }
 
-// slot returns the primary's slot that must run the batch: the one whose
+// slot returns the primary's slot that must run what may write: the one whose
 // holder keeps the session's floor.
 func (a *attempt) slot(view GroupView) int {
-	if a.call.Class != pool.Write || a.call.Floor.Session == "" {
+	if a.call.Floor.Session == "" {
 		return anySlot
 	}
 	for _, c := range view.Candidates {
@@ -79,7 +80,7 @@
 // tryAll returns a nil step when the batch was answered whole.
 func (a *attempt) tryAll(ctx context.Context, ask Ask, d Decision) (Outcome, *Step) {
 	if len(d.Tries) == 0 {
-		step := After(a.progress(0, false), noTarget(ask))
+		step := After(a.progress(Try{}, 0, false), noTarget(ask))
 		return Outcome{}, &step
 	}
 	for i, try := range d.Tries {
@@ -92,7 +93,7 @@
 		}
 		a.failure = err
 		a.noteFailure(try, err)
-		step := After(a.progress(len(d.Tries)-i-1, false), err)
+		step := After(a.progress(try, len(d.Tries)-i-1, false), err)
 		if step.Spend {
 			a.conn.router.spend()
 		}
@@ -124,12 +125,12 @@
 	}
 }
 
-func (a *attempt) progress(triesLeft int, inTransaction bool) Progress {
+func (a *attempt) progress(try Try, triesLeft int, inTransaction bool) Progress {
 	return Progress{
 		Class:         a.call.Class,
-		Idempotent:    a.call.Idempotent,
+		Repeatable:    a.repeatable(try),
 		ReadOnly:      a.call.ReadOnly,
-		MayCommit:     a.call.MayCommit,
+		MayCommit:     a.mayCommit(try),
 		InTransaction: inTransaction,
 		Emitted:       a.emitted,
 		TriesLeft:     triesLeft,
@@ -140,6 +141,18 @@
 	}
 }
 
+// repeatable tells whether the batch may run again after a try of which the
+// outcome isn't known. A read that nobody declared harmless may have written at
+// the primary.
+func (a *attempt) repeatable(try Try) bool {
+	harmless := a.call.Class == pool.Read && (try.Replica || a.call.ReadOnly)
+	return a.call.Idempotent || harmless
+}
+
+func (a *attempt) mayCommit(try Try) bool {
+	return a.call.MayCommit && try.Class == pool.Write
+}
+
 // overdue is the answer when ctx ended before another try was sent.
 func (a *attempt) overdue(ctx context.Context) *result.Error {
 	err := canceled(ctx)
@@ -147,7 +160,7 @@
 		return err
 	}
 	if a.failure.Code.Group() == result.GroupUnknown {
-		return unknown(a.progress(0, false), a.failure)
+		return a.failure
 	}
 	return err.After(comeBackAfter)
 }
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -20,10 +20,11 @@
 // Ask is the part of a batch that decides where it may run.
 type Ask struct {
 	Class        pool.Class
+	ReadOnly     bool // a read that was declared to write nothing
 	Floor        topology.Position
 	MaxStaleness time.Duration // 0: any age
 	ServeStale   bool          // past MaxStaleness serve when the primary can't
-	Slot         int           // of the primary, for writes; anySlot if none is set
+	Slot         int           // of the primary, for what may write; anySlot if none is set
 	Draw         uint64        // random number that spreads requests among equals
 }
 
@@ -58,6 +59,7 @@
 	Target     topology.TargetID
 	Slot       int
 	Host       topology.HostID
+	Class      pool.Class // a read that wasn't declared may write at the primary
 	Replica    bool
 	ServeStale bool // the target's age doesn't matter
 }
@@ -72,41 +74,38 @@
 // known that could run it.
 func Choose(ask Ask, view GroupView) Decision {
 	if ask.Class == pool.Write {
-		return Decision{Tries: primaryTries(ask, view)}
+		return Decision{Tries: primaryTries(ask, view, pool.Write)}
 	}
 	return chooseRead(ask, view)
 }
 
-func primaryTries(ask Ask, view GroupView) []Try {
+func primaryTries(ask Ask, view GroupView, class pool.Class) []Try {
 	for _, c := range view.Candidates {
 		if c.Target.ID == view.Primary {
-			return slotTries(c, ask, false, false)
+			return slotTries(c, ask, Try{Class: class})
 		}
 	}
 	return nil
 }
 
-// slotTries returns the candidate's slots, best first.
-func slotTries(c Candidate, ask Ask, replica, serveStale bool) []Try {
+// slotTries returns a copy of try for each of the candidate's slots, best first.
+func slotTries(c Candidate, ask Ask, try Try) []Try {
 	var tries []Try
-	for _, slot := range slotOrder(c.Holders, ask) {
-		tries = append(tries, Try{
-			Target:     c.Target.ID,
-			Slot:       slot,
-			Host:       c.Holders[slot].Host,
-			Replica:    replica,
-			ServeStale: serveStale,
-		})
+	for _, slot := range slotOrder(c.Holders, ask, try.Class) {
+		try.Target = c.Target.ID
+		try.Slot = slot
+		try.Host = c.Holders[slot].Host
+		tries = append(tries, try)
 	}
 	return tries
 }
 
-func slotOrder(holders []Holder, ask Ask) []int {
-	if ask.Class == pool.Write && ask.Slot != anySlot {
-		if ask.Slot >= len(holders) {
-			return nil
-		}
-		return []int{ask.Slot}
+func slotOrder(holders []Holder, ask Ask, class pool.Class) []int {
+	if len(holders) == 0 {
+		return nil
+	}
+	if class == pool.Write && ask.Slot != anySlot {
+		return onlySlot(ask.Slot, len(holders))
 	}
 	order := make([]int, len(holders))
 	for i := range order {
@@ -116,6 +115,13 @@
 	return order
 }
 
+func onlySlot(slot, slots int) []int {
+	if slot >= slots {
+		return nil
+	}
+	return []int{slot}
+}
+
 // cost counts the requests under way; a hop to another host counts as several.
 func cost(h Holder) int {
 	if h.Local {
--- a/internal/routing/choose_read.go
+++ b/internal/routing/choose_read.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"nettlewalk.example/nettlewalk/internal/pool"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
@@ -30,20 +31,32 @@
 	var d Decision
 	for _, r := range replicas {
 		if r.fitness <= mayFit {
-			d.Tries = append(d.Tries, slotTries(r.Candidate, ask, true, false)...)
+			d.Tries = append(d.Tries, slotTries(r.Candidate, ask, Try{Class: pool.Read, Replica: true})...)
 		}
 	}
 	if len(d.Tries) == 0 {
 		d.Reason = reasonOf(replicas)
 	}
-	primary, last := primaryTries(ask, view), lastResorts(ask, replicas)
+	primary, last := primaryTries(ask, view, primaryClass(ask)), lastResorts(ask, replicas)
 	if primaryDown(view) {
 		primary, last = last, primary
 	}
 	d.Tries = append(append(d.Tries, primary...), last...)
+	if ask.ServeStale && !ask.ReadOnly {
+		d.Tries = append(d.Tries, primaryTries(ask, view, pool.Read)...) // a primary without a majority serves reads only
+	}
 	return d
 }
 
+// primaryClass returns how a read is sent to the primary. What wasn't declared
+// to write nothing may write there, so it is treated as a write.
+func primaryClass(ask Ask) pool.Class {
+	if ask.ReadOnly {
+		return pool.Read
+	}
+	return pool.Write
+}
+
 func primaryDown(view GroupView) bool {
 	for _, c := range view.Candidates {
 		if c.Target.ID == view.Primary {
@@ -58,11 +71,11 @@
 func lastResorts(ask Ask, replicas []ranked) []Try {
 	var tries []Try
 	for _, r := range replicas {
-		if r.fitness == leaving || r.fitness == behind {
+		if r.fitness == leaving || (r.Known && floorFitness(ask.Floor, r.Candidate) == behind) {
 			continue
 		}
 		if ask.ServeStale || r.fitness == outOfOrder {
-			tries = append(tries, slotTries(r.Candidate, ask, true, ask.ServeStale)...)
+			tries = append(tries, slotTries(r.Candidate, ask, Try{Class: pool.Read, Replica: true, ServeStale: ask.ServeStale})...)
 		}
 	}
 	return tries
--- /dev/null
+++ b/internal/routing/choose_test.go
@@ -0,0 +1,125 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"nettlewalk.example/nettlewalk/internal/pool"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+func at(offset uint64) topology.Position { return topology.Position{Term: 1, Offset: offset} }
+
+// threeTargets is a group whose primary is t0. The replicas have applied 10
+// and were 100 ms behind when seen 5 ms ago; t1 is near.
+func threeTargets() GroupView {
+	v := GroupView{Term: 1, Primary: "t0"}
+	for i := range 3 {
+		id := topology.TargetID(fmt.Sprintf("t%d", i))
+		v.Candidates = append(v.Candidates, Candidate{
+			Target:  topology.Target{ID: id, Slots: 2},
+			Holders: []Holder{{Host: topology.HostID(id + "-a")}, {Host: topology.HostID(id + "-b")}},
+			Near:    i == 1,
+			Known:   true,
+			Applied: at(10),
+			Lag:     100 * time.Millisecond,
+			SeenAgo: 5 * time.Millisecond,
+		})
+	}
+	return v
+}
+
+func TestReadGoesToAReplicaUnlessThereIsAReason(t *testing.T) {
+	read := Ask{Class: pool.Read, Floor: at(10), Slot: anySlot}
+	for _, c := range []struct {
+		name   string
+		change func(*Ask, *Candidate)
+		first  topology.TargetID
+		reason Reason
+	}{
+		{"near replica first", func(*Ask, *Candidate) {}, "t1", ""},
+		{"behind the floor", func(a *Ask, _ *Candidate) { a.Floor = at(11) }, "t0", BehindFloor},
+		{"behind the floor a lag ago", func(a *Ask, c *Candidate) { a.Floor = at(11); c.SeenAgo = c.Lag }, "t1", ""},
+		{"too old", func(a *Ask, _ *Candidate) { a.MaxStaleness = 50 * time.Millisecond }, "t0", TooStale},
+		{"perhaps too old by now", func(a *Ask, _ *Candidate) { a.MaxStaleness = 101 * time.Millisecond }, "t1", ""},
+		{"failed", func(_ *Ask, c *Candidate) { c.Down = true }, "t0", Unhealthy},
+		{"leaving", func(_ *Ask, c *Candidate) { c.Target.Leaving = true }, "t0", Unhealthy},
+		{"never seen", func(_ *Ask, c *Candidate) { *c = Candidate{Target: c.Target, Holders: c.Holders, Near: c.Near} }, "t1", ""},
+		{"no holder", func(_ *Ask, c *Candidate) { c.Holders = nil }, "t0", NoReplica},
+	} {
+		ask, view := read, threeTargets()
+		for i := range view.Candidates[1:] {
+			c.change(&ask, &view.Candidates[1+i])
+		}
+		d := Choose(ask, view)
+		qt.Check(t, d.Tries[0].Target, qt.Equals, c.first, qt.Commentf(c.name))
+		qt.Check(t, d.Reason, qt.Equals, c.reason, qt.Commentf(c.name))
+	}
+}
+
+func TestStaleReplicasServeOnlyWhereAllowedAndLast(t *testing.T) {
+	ask := Ask{Class: pool.Read, Slot: anySlot, MaxStaleness: time.Millisecond}
+	qt.Assert(t, Choose(ask, threeTargets()).Tries, qt.HasLen, 2)
+	ask.ServeStale = true
+	tries := Choose(ask, threeTargets()).Tries
+	qt.Assert(t, tries[0].Target, qt.Equals, topology.TargetID("t0"))
+	qt.Assert(t, tries[2].ServeStale, qt.IsTrue)
+	view := threeTargets()
+	view.Candidates[0].Down = true
+	qt.Assert(t, Choose(ask, view).Tries[0].Replica, qt.IsTrue)
+}
+
+func TestChoicesKeepTheirBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ask := Ask{
+			Class:        rapid.SampledFrom([]pool.Class{pool.Write, pool.Read}).Draw(t, "class"),
+			ReadOnly:     rapid.Bool().Draw(t, "read only"),
+			Floor:        at(rapid.Uint64Range(0, 20).Draw(t, "floor")),
+			MaxStaleness: time.Duration(rapid.IntRange(0, 300).Draw(t, "bound")) * time.Millisecond,
+			ServeStale:   rapid.Bool().Draw(t, "serve"),
+			Slot:         rapid.IntRange(anySlot, 1).Draw(t, "slot"),
+			Draw:         rapid.Uint64().Draw(t, "draw"),
+		}
+		view := threeTargets()
+		for i := range view.Candidates {
+			c := &view.Candidates[i]
+			c.Applied = at(rapid.Uint64Range(0, 20).Draw(t, "applied"))
+			c.SeenAgo = time.Duration(rapid.IntRange(0, 300).Draw(t, "seen")) * time.Millisecond
+			c.Down = rapid.Bool().Draw(t, "down")
+			c.Target.Leaving = rapid.Bool().Draw(t, "leaving")
+		}
+		for _, try := range Choose(ask, view).Tries {
+			checkTry(t, ask, view, try)
+		}
+	})
+}
+
+func checkTry(t *rapid.T, ask Ask, view GroupView, try Try) {
+	if try.Replica == (try.Target == view.Primary) {
+		t.Fatalf("%+v: wrong role", try)
+	}
+	if try.Replica && try.Class == pool.Write {
+		t.Fatalf("%+v: a write at a replica", try)
+	}
+	if try.Class == pool.Write && ask.Slot != anySlot && try.Slot != ask.Slot {
+		t.Fatalf("%+v: a write outside the session's slot %d", try, ask.Slot)
+	}
+	if try.ServeStale && !ask.ServeStale {
+		t.Fatalf("%+v: staleness waived", try)
+	}
+	if ask.Class == pool.Read && !ask.ReadOnly && !ask.ServeStale && !try.Replica && try.Class != pool.Write {
+		t.Fatalf("%+v: an undeclared read at the primary that isn't treated as a write", try)
+	}
+	for _, c := range view.Candidates {
+		if c.Target.ID != try.Target || !try.Replica {
+			continue
+		}
+		if c.Target.Leaving || floorFitness(ask.Floor, c) == behind {
+			t.Fatalf("%+v: a replica that leaves or is behind", try)
+		}
+	}
+}
--- /dev/null
+++ b/internal/routing/conn_test.go
@@ -0,0 +1,249 @@
+package routing
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"nettlewalk.example/nettlewalk/internal/customer"
+	"nettlewalk.example/nettlewalk/internal/floor"
+	"nettlewalk.example/nettlewalk/internal/pool"
+	"nettlewalk.example/nettlewalk/internal/result"
+	"nettlewalk.example/nettlewalk/internal/target"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// fakeGroup is a group of three targets, each with two slots on hosts of their
+// own. It implements what a router needs beside itself.
+type fakeGroup struct {
+	customer.View
+	mu       sync.Mutex
+	term     uint64
+	primary  topology.TargetID
+	floor    topology.Position
+	floorErr error
+	requests []pool.Request
+	reports  []topology.HostID
+	released []pool.StreamID
+	// answer decides on each request; nil answers it whole.
+	answer func(*pool.Request) (*pool.Reply, error)
+	more   []*pool.Reply // further chunks
+}
+
+func (f *fakeGroup) Customer(topology.CustomerID) (*customer.Customer, bool) { return nil, false }
+
+func (f *fakeGroup) Group(id topology.GroupID) (*topology.Group, bool) {
+	g := &topology.Group{ID: id}
+	for _, c := range threeTargets().Candidates {
+		g.Targets = append(g.Targets, c.Target)
+	}
+	return g, true
+}
+
+func (f *fakeGroup) Self() topology.Host                                { return topology.Host{ID: "self"} }
+func (f *fakeGroup) Hosts() []topology.Host                             { return nil }
+func (f *fakeGroup) Host(topology.HostID) (h topology.Host, known bool) { return h, false }
+
+func (f *fakeGroup) Holders(t topology.Target) []topology.HostID {
+	return []topology.HostID{topology.HostID(t.ID + "-a"), topology.HostID(t.ID + "-b")}
+}
+
+func (f *fakeGroup) Report(id topology.HostID, _ bool) { f.reports = append(f.reports, id) }
+
+func (f *fakeGroup) State(topology.GroupID) (uint64, topology.TargetID, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.term, f.primary, true
+}
+
+func (f *fakeGroup) Learn(_ topology.GroupID, term uint64, primary topology.TargetID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.term, f.primary = term, primary
+}
+
+func (f *fakeGroup) Session(context.Context, topology.GroupID, string) (topology.Position, error) {
+	return f.floor, f.floorErr
+}
+
+func (f *fakeGroup) Confirmed(context.Context, topology.GroupID) (topology.Position, error) {
+	return f.floor, f.floorErr
+}
+
+// Exec implements pool.Executor.
+func (f *fakeGroup) Exec(_ context.Context, req *pool.Request) (*pool.Reply, error) {
+	f.requests = append(f.requests, *req)
+	if f.answer == nil {
+		return &pool.Reply{Messages: []byte("row"), TxStatus: 'I'}, nil
+	}
+	return f.answer(req)
+}
+
+func (f *fakeGroup) Next(context.Context, pool.StreamID) (*pool.Reply, error) {
+	if len(f.more) == 0 {
+		return &pool.Reply{}, result.New(result.HolderLost, "gone")
+	}
+	r := f.more[0]
+	f.more = f.more[1:]
+	return r, nil
+}
+
+func (f *fakeGroup) Cancel(context.Context, pool.StreamID) error { return nil }
+
+func (f *fakeGroup) Release(_ context.Context, id pool.StreamID) error {
+	f.released = append(f.released, id)
+	return nil
+}
+
+func (f *fakeGroup) open() Conn {
+	return New(Config{
+		Self:      "self",
+		Customers: f,
+		Fleet:     f,
+		Executor:  func(topology.HostID) pool.Executor { return f },
+		State:     f,
+		Floors:    f,
+		Log:       logr.Discard(),
+	}).Open("c", "g")
+}
+
+func newFakeGroup() *fakeGroup { return &fakeGroup{term: 1, primary: "t0"} }
+
+func run(c Conn, call Call) (Outcome, error) {
+	call.Deadline = time.Now().Add(3 * time.Second)
+	return c.Run(context.Background(), &call, func([]byte) error { return nil })
+}
+
+func code(err error) result.Code {
+	if err == nil {
+		return result.OK
+	}
+	return result.As(err, 0).Code
+}
+
+func refuse(code result.Code) (*pool.Reply, error) {
+	return &pool.Reply{}, result.New(code, "refused")
+}
+
+func TestTransactionStaysOnItsStream(t *testing.T) {
+	f := newFakeGroup()
+	c := f.open()
+	f.answer = func(*pool.Request) (*pool.Reply, error) { return &pool.Reply{TxStatus: 'T'}, nil }
+	for range 2 {
+		_, err := run(c, Call{Class: pool.Write})
+		qt.Assert(t, err, qt.IsNil)
+	}
+	f.answer = nil
+	_, err := run(c, Call{Class: pool.Write, MayCommit: true})
+	qt.Assert(t, err, qt.IsNil)
+	for i, r := range f.requests {
+		qt.Assert(t, r.Stream, qt.Equals, f.requests[0].Stream)
+		qt.Assert(t, r.Slot, qt.Equals, f.requests[0].Slot)
+		qt.Assert(t, r.Batch, qt.Equals, uint32(i+1))
+	}
+	_, _ = run(c, Call{Class: pool.Write, MayCommit: true})
+	qt.Assert(t, f.requests[3].Stream, qt.Not(qt.Equals), f.requests[0].Stream)
+}
+
+func TestLostHolderEndsTheTransactionAndThePin(t *testing.T) {
+	for mayCommit, want := range map[bool]result.Code{false: result.TransactionLost, true: result.UnknownOutcome} {
+		f := newFakeGroup()
+		c := f.open()
+		f.answer = func(*pool.Request) (*pool.Reply, error) { return &pool.Reply{TxStatus: 'T'}, nil }
+		_, _ = run(c, Call{Class: pool.Write})
+		f.answer = func(*pool.Request) (*pool.Reply, error) { return refuse(result.HolderLost) }
+		_, err := run(c, Call{Class: pool.Write, MayCommit: mayCommit})
+		qt.Assert(t, code(err), qt.Equals, want)
+		c.Close()
+		qt.Assert(t, f.released, qt.HasLen, 0)
+		f.answer = nil
+		_, err = run(c, Call{Class: pool.Write})
+		qt.Assert(t, err, qt.IsNil)
+	}
+}
+
+func TestCloseReleasesAnOpenTransaction(t *testing.T) {
+	f := newFakeGroup()
+	c := f.open()
+	f.answer = func(*pool.Request) (*pool.Reply, error) { return &pool.Reply{TxStatus: 'E'}, nil }
+	_, _ = run(c, Call{Class: pool.Write})
+	c.Close()
+	qt.Assert(t, f.released, qt.DeepEquals, []pool.StreamID{f.requests[0].Stream})
+}
+
+func TestWriteWithUnknownOutcomeRunsOnce(t *testing.T) {
+	f := newFakeGroup()
+	f.answer = func(*pool.Request) (*pool.Reply, error) { return refuse(result.HolderLost) }
+	_, err := run(f.open(), Call{Class: pool.Write, MayCommit: true})
+	qt.Assert(t, code(err), qt.Equals, result.UnknownOutcome)
+	qt.Assert(t, f.requests, qt.HasLen, 1)
+	qt.Assert(t, f.reports, qt.HasLen, 1)
+}
+
+func TestWriteIsHeldThroughAFailover(t *testing.T) {
+	f := newFakeGroup()
+	f.answer = func(r *pool.Request) (*pool.Reply, error) {
+		switch {
+		case r.Target == "t2":
+			return &pool.Reply{TxStatus: 'I', Position: at(11)}, nil
+		case len(f.requests) < 4:
+			return refuse(result.FailoverUnderway)
+		}
+		hint := pool.Hint{Term: 2, Primary: "t2", Status: target.Status{Target: "t0", Role: target.Replica, Term: 2}}
+		return &pool.Reply{Hint: hint}, result.New(result.NotPrimary, "replaced")
+	}
+	out, err := run(f.open(), Call{Class: pool.Write, MayCommit: true})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, out.Target, qt.Equals, topology.TargetID("t2"))
+	qt.Assert(t, f.term, qt.Equals, uint64(2))
+}
+
+func TestSessionWritesUseTheKeepersSlot(t *testing.T) {
+	f := newFakeGroup()
+	for _, session := range []string{"a", "b", "c", "d"} {
+		_, err := run(f.open(), Call{Class: pool.Write, Floor: FloorSource{Session: session}})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, f.requests[len(f.requests)-1].Slot, qt.Equals, floor.SlotOf(session, 2))
+	}
+}
+
+func TestReadTakesTheLaterFloorAndFallsBackToThePrimary(t *testing.T) {
+	f := newFakeGroup()
+	f.floor = at(7)
+	f.answer = func(r *pool.Request) (*pool.Reply, error) {
+		if r.Target != "t0" {
+			return refuse(result.BehindFloor)
+		}
+		return &pool.Reply{TxStatus: 'I'}, nil
+	}
+	out, err := run(f.open(), Call{Class: pool.Read, ReadOnly: true, Floor: FloorSource{Known: true, Position: at(5), Session: "s"}})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, out.ReadAt, qt.Equals, at(7))
+	qt.Assert(t, out.Replica, qt.IsFalse)
+	for _, r := range f.requests {
+		qt.Assert(t, r.Floor, qt.Equals, at(7))
+	}
+}
+
+func TestReadWithoutAFloorIsRefused(t *testing.T) {
+	f := newFakeGroup()
+	f.floorErr = errors.New("no majority")
+	_, err := run(f.open(), Call{Class: pool.Read})
+	qt.Assert(t, code(err), qt.Equals, result.NoReadableTarget)
+	_, err = run(f.open(), Call{Class: pool.Read, Floor: FloorSource{Known: true}})
+	qt.Assert(t, err, qt.IsNil)
+}
+
+func TestNothingIsTriedAgainOnceAPartWasPassedOn(t *testing.T) {
+	f := newFakeGroup()
+	f.answer = func(*pool.Request) (*pool.Reply, error) { return &pool.Reply{Messages: []byte("row"), More: true}, nil }
+	f.more = []*pool.Reply{{Messages: []byte("row"), More: true}}
+	_, err := run(f.open(), Call{Class: pool.Read, ReadOnly: true, Floor: FloorSource{Known: true}})
+	qt.Assert(t, code(err), qt.Equals, result.HolderLost)
+	qt.Assert(t, f.requests, qt.HasLen, 1)
+}
--- a/internal/routing/exec.go
+++ b/internal/routing/exec.go
@@ -40,7 +40,7 @@
 
 func (a *attempt) request(s *stream) *pool.Request {
 	r := a.conn.router
-	req := &pool.Request{
+	return &pool.Request{
 		Stream:       s.id,
 		Batch:        s.batch,
 		Customer:     a.conn.customer,
@@ -48,20 +48,17 @@
 		Group:        a.conn.group.id,
 		Target:       s.try.Target,
 		Slot:         s.try.Slot,
-		Class:        a.call.Class,
+		Class:        s.try.Class,
 		Session:      a.call.Floor.Session,
+		Floor:        a.floor,
 		MaxStaleness: a.call.MaxStaleness,
 		ServeStale:   s.try.ServeStale,
 		TimeLeft:     time.Until(a.call.Deadline),
-		Idempotent:   a.call.Idempotent,
-		MayCommit:    a.call.MayCommit,
+		Idempotent:   a.repeatable(s.try),
+		MayCommit:    a.mayCommit(s.try),
 		Messages:     a.call.Messages,
 		Statements:   a.call.Statements,
 	}
-	if a.call.Class == pool.Read {
-		req.Floor = a.floor
-	}
-	return req
 }
 
 // failed learns from a refusal.
--- a/internal/routing/plain_conn.go
+++ b/internal/routing/plain_conn.go
@@ -53,11 +53,12 @@
 
 func (c *conn) runPinned(ctx context.Context, call *Call, emit func([]byte) error) (Outcome, error) {
 	a := &attempt{conn: c, call: call, emit: emit, floor: c.pinned.floor, began: time.Now()}
-	out, err := a.exec(ctx, c.pinned)
+	s := c.pinned
+	out, err := a.exec(ctx, s)
 	if err == nil {
 		return out, nil
 	}
-	step := After(a.progress(0, true), err)
+	step := After(a.progress(s.try, 0, true), err)
 	return Outcome{}, step.Err
 }
 
--- a/internal/routing/retry.go
+++ b/internal/routing/retry.go
@@ -18,14 +18,14 @@
 
 // Progress is how far a batch has come when a try of it ends in an error.
 type Progress struct {
-	Class         pool.Class
-	Idempotent    bool
-	ReadOnly      bool // must not go on to the primary when a replica refuses to write
-	MayCommit     bool
-	InTransaction bool // earlier batches of the transaction ran
-	Emitted       bool // a part of the answer reached the caller
-	TriesLeft     int  // of the current decision
-	Rounds        int  // decisions used up
+	Class         pool.Class // of the batch
+	Repeatable    bool       // it may have run and may run again
+	ReadOnly      bool       // must not go on to the primary when a replica refuses to write
+	MayCommit     bool       // the try may have committed a write
+	InTransaction bool       // earlier batches of the transaction ran
+	Emitted       bool       // a part of the answer reached the caller
+	TriesLeft     int        // of the current decision
+	Rounds        int        // decisions used up
 	Elapsed       time.Duration
 	TimeLeft      time.Duration
 	Budget        bool // the retry budget allows one more
@@ -74,7 +74,7 @@
 		if err.Code == result.UnconfirmedCommit {
 			return err
 		}
-		if p.MayCommit && p.Class == pool.Write {
+		if p.MayCommit {
 			return result.New(result.UnknownOutcome, "%s", err.Detail)
 		}
 		return result.New(result.TransactionLost, "transaction rolled back: %s", err.Detail)
@@ -84,18 +84,14 @@
 
 // afterUnknown retries only what may run twice.
 func afterUnknown(p Progress, err *result.Error) Step {
-	repeatable := p.Class == pool.Read || p.Idempotent
-	if err.Code == result.UnconfirmedCommit || !repeatable || p.Emitted {
-		return giveUp(unknown(p, err))
-	}
-	if !p.Budget {
+	if err.Code == result.UnconfirmedCommit || !p.Repeatable || p.Emitted || !p.Budget {
 		return giveUp(unknown(p, err))
 	}
 	return again(p, err, true)
 }
 
 func unknown(p Progress, err *result.Error) *result.Error {
-	if p.Class == pool.Write && err.Code == result.HolderLost {
+	if p.MayCommit && err.Code == result.HolderLost {
 		return result.New(result.UnknownOutcome, "%s", err.Detail)
 	}
 	return err
--- a/internal/routing/stats.go
+++ b/internal/routing/stats.go
@@ -36,7 +36,7 @@
 	switch {
 	case out.Replica:
 		s.replicaReads.Inc()
-	case class == pool.Read:
+	case class == pool.Read && out.Position.IsZero():
 		s.countPrimary(reason)
 	case out.Position.IsZero() && out.TxStatus == 'I':
 		s.countPrimary(NotDeclared)
