--- a/internal/pool/complete.go
+++ b/internal/pool/complete.go
@@ -19,7 +19,7 @@
 	targetSeconds.UpdateDuration(s.sentAt)
 	if err := m.refusedByTarget(ctx, s); err != nil {
 		m.end(s, true)
-		return m.refusal(sl, err)
+		return m.refusal(sl, req, err)
 	}
 	reply := m.lastChunk(s)
 	s.unclean = s.unclean || a.unclean
@@ -32,10 +32,10 @@
 		sl.committed(a.position)
 		if err := m.confirm(ctx, s, sl, a.position); err != nil {
 			m.end(s, false)
-			return m.refusal(sl, err)
+			return m.refusal(sl, req, err)
 		}
 	}
-	reply.Hint = m.hint(sl)
+	reply.Hint = m.hint(sl, req.Class)
 	if m.opts.OnUsage != nil {
 		m.opts.OnUsage(req.Customer, req.Group, reply.Usage)
 	}
@@ -112,9 +112,9 @@
 	b := m.brokenState(s, sent)
 	m.end(s, false)
 	if errors.Is(err, errCopy) {
-		return m.refusal(sl, result.New(result.UnsupportedFeature, "%s", err))
+		return m.refusal(sl, s.req, result.New(result.UnsupportedFeature, "%s", err))
 	}
-	return m.refusal(sl, result.New(b.code(), "%s: %s", sl.id, err))
+	return m.refusal(sl, s.req, result.New(b.code(), "%s: %s", sl.id, err))
 }
 
 func (m *Manager) brokenState(s *stream, sent bool) broken {
--- a/internal/pool/control.go
+++ b/internal/pool/control.go
@@ -21,7 +21,7 @@
 	controlConnect = 400 * time.Millisecond // connecting costs up to 30 ms
 	lockRetry      = 20 * time.Millisecond  // between attempts at a slot's lock
 	takeoverAfter  = time.Second            // of refused locks until a silent predecessor is ended
-	relockTimeout  = 2 * time.Second        // for a lost lock to be taken again before a commit is answered
+	relockTimeout  = 2 * time.Second        // a lost lock is taken again sooner, or by another host
 	reconnectMin   = 20 * time.Millisecond
 	reconnectMax   = 500 * time.Millisecond
 )
@@ -31,27 +31,28 @@
 	answered func(st target.Status, sentAt time.Time) // each status
 	failed   func(err *HealthError, sentAt time.Time) // each failed connect or status
 	locked   func()                                   // the slot's lock was taken; before anybody may use it
-	unlocked func()                                   // the lock is gone
 }
 
 // control keeps the control connection of one slot: connecting, then waiting
 // for the slot's lock, then holding it. Any failure leads back to connecting.
 // It implements target.Control.
 type control struct {
-	target   topology.Target
-	slot     int
-	login    target.Login
-	dial     target.DialFunc
-	log      logr.Logger
-	hooks    controlHooks
-	rounds   rounds
-	takeover func() bool // the predecessor is known to be silent
-	ready    func()      // called once the lock may be used
+	target topology.Target
+	slot   int
+	login  target.Login
+	dial   target.DialFunc
+	log    logr.Logger
+	hooks  controlHooks
+	rounds rounds
+	mayEnd func(refusedFor time.Duration) bool // the lock's other owner may be ended
+	wanted func() bool                         // the lock is to be taken
+	ready  func()                              // called once the lock may be used
 
 	mu      sync.Mutex
 	conn    *target.Conn
 	over    chan struct{} // closed when conn failed
 	locked  bool
+	locks   uint64       // how often the lock was taken
 	refused bool         // another connection has the lock
 	failure *HealthError // why there is no connection
 	forgot  bool         // the last connection went silent: the target may still keep its lock
@@ -76,7 +77,7 @@
 func (c *control) run(ctx context.Context) {
 	defer close(c.stopped)
 	wait := reconnectMin
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && c.wanted() {
 		conn, err := c.connect(ctx)
 		if err != nil {
 			pause(ctx, wait/2+rand.N(wait/2))
@@ -122,7 +123,7 @@
 // lock waits for the slot's lock; false when the connection failed.
 func (c *control) lock(ctx context.Context, conn *target.Conn) bool {
 	began := time.Now()
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && c.wanted() {
 		ok, err := c.tryLock(conn)
 		if err != nil {
 			c.reportRoundTrip(conn, err, began)
@@ -133,7 +134,7 @@
 			return true
 		}
 		c.setRefused()
-		if c.mayEnd(time.Since(began)) {
+		if c.ownLock() || c.mayEnd(time.Since(began)) {
 			c.log.Info("ending the silent predecessor of a slot", "target", c.target.ID, "slot", c.slot)
 			takeovers.Inc()
 			if err := c.endSlot(conn); err != nil {
@@ -151,11 +152,12 @@
 	return false
 }
 
-func (c *control) mayEnd(refusedFor time.Duration) bool {
+// ownLock tells whether the lock's owner is probably this control's own last
+// connection, which went silent.
+func (c *control) ownLock() bool {
 	c.mu.Lock()
-	forgot := c.forgot
-	c.mu.Unlock()
-	return forgot || c.takeover() || refusedFor >= takeoverAfter
+	defer c.mu.Unlock()
+	return c.forgot
 }
 
 func (c *control) tryLock(conn *target.Conn) (bool, error) {
@@ -174,6 +176,7 @@
 	c.hooks.locked()
 	c.mu.Lock()
 	c.locked = c.conn == conn
+	c.locks++
 	c.forgot, c.refused = false, false
 	c.mu.Unlock()
 	c.ready()
@@ -235,7 +238,6 @@
 	failure := roundTripFailure(err)
 	c.mu.Lock()
 	current := c.conn == conn
-	wasLocked := current && c.locked
 	if current {
 		c.conn, c.locked, c.failure = nil, false, failure
 		close(c.over)
@@ -248,9 +250,6 @@
 	controlFailures(failure.Kind).Inc()
 	c.log.Info("control connection failed", "target", c.target.ID, "slot", c.slot, "kind", string(failure.Kind), "error", err.Error())
 	go closeControl(conn)
-	if wasLocked {
-		c.hooks.unlocked()
-	}
 	c.hooks.failed(failure, sentAt)
 }
 
@@ -258,7 +257,6 @@
 func (c *control) drop(conn *target.Conn) {
 	c.mu.Lock()
 	current := c.conn == conn
-	wasLocked := current && c.locked
 	if current {
 		c.conn, c.locked = nil, false
 	}
@@ -267,9 +265,6 @@
 		return
 	}
 	closeControl(conn)
-	if wasLocked {
-		c.hooks.unlocked()
-	}
 }
 
 func closeControl(conn *target.Conn) {
