--- a/internal/session/lexer.go
+++ b/internal/session/lexer.go
@@ -47,13 +47,14 @@
 	case isWordByte(c):
 		return sqlToken{word, l.word()}
 	}
+	text := l.rest[:1]
 	l.rest = l.rest[1:]
-	return sqlToken{symbol, string(rune(c))}
+	return sqlToken{symbol, text}
 }
 
 func (l *lexer) skipBlank() {
 	for {
-		l.rest = strings.TrimLeft(l.rest, " \t\r\n\f\v")
+		l.skipSpace()
 		switch {
 		case strings.HasPrefix(l.rest, "--"):
 			l.skipLine()
@@ -65,6 +66,14 @@
 	}
 }
 
+func (l *lexer) skipSpace() {
+	i := 0
+	for i < len(l.rest) && (l.rest[i] == ' ' || (l.rest[i] >= '\t' && l.rest[i] <= '\r')) {
+		i++
+	}
+	l.rest = l.rest[i:]
+}
+
 func (l *lexer) skipLine() {
 	end := strings.IndexAny(l.rest, "\r\n")
 	if end < 0 {
@@ -167,7 +176,14 @@
 
 func isDigit(c byte) bool { return c >= '0' && c <= '9' }
 
-func isWordByte(c byte) bool {
-	return c == '_' || c == '.' || c >= 0x80 || isDigit(c) ||
-		(c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z')
-}
+func isWordByte(c byte) bool { return wordBytes[c] }
+
+// wordBytes are the bytes of names, numbers and their dots.
+var wordBytes = func() (set [256]bool) {
+	for i := range set {
+		c := byte(i)
+		set[i] = c == '_' || c == '.' || c >= 0x80 || isDigit(c) ||
+			(c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z')
+	}
+	return set
+}()
--- a/internal/session/statement.go
+++ b/internal/session/statement.go
@@ -70,7 +70,7 @@
 	lex.skipBlank()
 	start := lex.rest
 	var (
-		head  []sqlToken
+		head  = make([]sqlToken, 0, headSize)
 		seen  traits
 		count int
 	)
