Routing: a status that a holder repeats keeps no replica behind; leaving hosts lose their slots on a refusal

A holder answers with the target's status of its last heartbeat, up to half a second old. Each answer restarted the time after which a replica that lacked a floor is tried again, so under steady reads it never was. The time now counts from when the position was first heard of or last found too low, and doesn't depend on the lag's bound, which grows with the poll interval.

A host once heard of as leaving is live again when the platform still calls it so after a minute.

--- a/internal/fleet/announce.go
+++ b/internal/fleet/announce.go
@@ -42,7 +42,7 @@
 // Leaving takes the announcement of a host that leaves.
 func (s *Service) Leaving(id topology.HostID, reply *Empty) error {
 	reply.Done = true
-	s.tracker.update(func(m *Members) { m.Leaving(id) })
+	s.tracker.NoteLeaving(id)
 	return nil
 }
 
--- a/internal/fleet/heartbeat.go
+++ b/internal/fleet/heartbeat.go
@@ -107,6 +107,6 @@
 // noteState takes a host's answer to a ping.
 func (t *Tracker) noteState(id topology.HostID, h topology.Host) {
 	if h.ID == id && h.State == topology.HostLeaving {
-		t.update(func(m *Members) { m.Leaving(id) })
+		t.NoteLeaving(id)
 	}
 }
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -8,14 +8,17 @@
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
-const helloGrace = 30 * time.Second // the platform's list may lack a new host for this long
+const (
+	helloGrace   = 30 * time.Second // the platform's list may lack a new host for this long
+	leavingGrace = 60 * time.Second // the list may call a leaving host live for this long
+)
 
 // Members merges the platform's list of hosts, which lags, with what the hosts
 // announce and with the fate of calls to them. Not safe for concurrent use.
 //
 // A host is live when it is listed or announced itself within helloGrace. It
-// is leaving once it or the list says so, and stays so until it announces
-// itself again. It is gone while calls to it fail (see suspicion). It is
+// is leaving once it or the list says so, until it announces itself again or
+// the list calls it live after leavingGrace. It is gone while calls to it fail (see suspicion). It is
 // forgotten when the list lacks it.
 type Members struct {
 	self topology.Host
@@ -24,7 +27,7 @@
 
 type member struct {
 	host      topology.Host
-	leaving   bool // announced by the host itself
+	leaving   time.Time // when the host itself said so, zero if it didn't
 	greeted   time.Time
 	suspicion suspicion
 }
@@ -45,7 +48,7 @@
 			continue
 		}
 		listed[h.ID] = true
-		m.list(h)
+		m.list(h, now)
 	}
 	for id, known := range m.byID {
 		if !listed[id] && now.Sub(known.greeted) > helloGrace {
@@ -54,7 +57,7 @@
 	}
 }
 
-func (m *Members) list(h topology.Host) {
+func (m *Members) list(h topology.Host, now time.Time) {
 	if h.ID == m.self.ID {
 		return
 	}
@@ -64,6 +67,9 @@
 		return
 	}
 	known.host = h
+	if h.State == topology.HostLive && now.Sub(known.leaving) > leavingGrace {
+		known.leaving = time.Time{}
+	}
 }
 
 // Hello takes a host's own announcement. It ends what was held against the
@@ -72,13 +78,13 @@
 	if h.ID == m.self.ID {
 		return
 	}
-	m.byID[h.ID] = &member{host: h, greeted: now, leaving: h.State == topology.HostLeaving}
+	m.byID[h.ID] = &member{host: h, greeted: now}
 }
 
 // Leaving takes a host's announcement that it leaves.
-func (m *Members) Leaving(id topology.HostID) {
+func (m *Members) Leaving(id topology.HostID, now time.Time) {
 	if known, ok := m.byID[id]; ok {
-		known.leaving = true
+		known.leaving = now
 	}
 }
 
@@ -157,7 +163,7 @@
 
 func (k *member) effective() topology.Host {
 	h := k.host
-	if k.leaving {
+	if !k.leaving.IsZero() {
 		h.State = topology.HostLeaving
 	}
 	if k.suspicion.Suspected {
--- a/internal/fleet/tracker.go
+++ b/internal/fleet/tracker.go
@@ -157,6 +157,11 @@
 	}
 }
 
+// NoteLeaving takes another host's answer that it leaves.
+func (t *Tracker) NoteLeaving(id topology.HostID) {
+	t.update(func(m *Members) { m.Leaving(id, time.Now()) })
+}
+
 // Leave makes this host leaving, so that it holds no slot. Announce tells the
 // others.
 func (t *Tracker) Leave() { t.update((*Members).LeaveSelf) }
--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -120,8 +120,11 @@
 	if a.call.Class == pool.Read && try.Replica {
 		a.reason = reasonFor(err.Code)
 	}
-	if err.Code == result.HostUnreachable || err.Code == result.HolderLost {
+	switch err.Code {
+	case result.HostUnreachable, result.HolderLost:
 		r.cfg.Fleet.Report(try.Host, false)
+	case result.Draining:
+		r.noteLeaving(try.Host)
 	}
 }
 
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -12,9 +12,9 @@
 const (
 	anySlot = -1
 
-	minRecheck   = 20 * time.Millisecond // a target behind is asked again after its lag, but no sooner
-	maxRecheck   = 1 * time.Second       // nor later
-	localBenefit = 4                     // requests under way that outweigh the hop to another holder
+	floorRecheck = 20 * time.Millisecond  // until a replica that was behind a floor is tried again
+	ageRecheck   = 100 * time.Millisecond // until one that was too old is
+	localBenefit = 4                      // requests under way that outweigh the hop to another holder
 )
 
 // Ask is the part of a batch that decides where it may run.
@@ -36,8 +36,8 @@
 	Down    bool     // failed lately
 	Known   bool     // Applied, Lag and SeenAgo are set
 	Applied topology.Position
-	Lag     time.Duration // upper bound on the data's age when last seen
-	SeenAgo time.Duration
+	Lag     time.Duration // upper bound on the data's age in the latest answer
+	SeenAgo time.Duration // since Applied was first heard of, or last found too low or too old
 }
 
 // Holder is the host of one slot.
--- a/internal/routing/choose_read.go
+++ b/internal/routing/choose_read.go
@@ -130,13 +130,13 @@
 	return max(floorFitness(ask.Floor, c), ageFitness(ask.MaxStaleness, c))
 }
 
-// floorFitness expects that a replica has applied the floor once its lag has
-// passed since it was last seen behind.
+// floorFitness leaves it to a replica's holder, which asks the replica, when
+// what is known isn't recent.
 func floorFitness(floor topology.Position, c Candidate) fitness {
 	if c.Applied.AtLeast(floor) {
 		return fits
 	}
-	if c.SeenAgo >= min(max(c.Lag, minRecheck), maxRecheck) {
+	if c.SeenAgo >= floorRecheck {
 		return mayFit
 	}
 	return behind
@@ -146,7 +146,7 @@
 	if bound == 0 || c.Lag+c.SeenAgo <= bound {
 		return fits
 	}
-	if c.Lag <= bound || c.SeenAgo >= maxRecheck {
+	if c.Lag <= bound || c.SeenAgo >= ageRecheck {
 		return mayFit
 	}
 	return stale
--- a/internal/routing/knowledge.go
+++ b/internal/routing/knowledge.go
@@ -23,8 +23,8 @@
 type Seen struct {
 	Known   bool // an answer of the target is known
 	Applied topology.Position
-	Lag     time.Duration // upper bound on the data's age at At
-	At      time.Time     // when the answer came
+	Lag     time.Duration // upper bound on the data's age in the latest answer
+	At      time.Time     // when Applied was first heard of, or last found too low or too old
 	Failed  time.Time     // when a request last failed for the target's health, zero if an answer came since
 }
 
@@ -53,17 +53,23 @@
 	if s.Role == target.Primary {
 		k.LearnPrimary(s.Term, s.Target)
 	}
-	k.Targets[s.Target] = Seen{Known: true, Applied: s.Applied, Lag: hint.Age, At: now}
+	seen := Seen{Known: true, Applied: s.Applied, Lag: hint.Age, At: now}
+	if old := k.Targets[s.Target]; old.Known && old.Applied == s.Applied {
+		seen.At = old.At // holders repeat a status for some time
+	}
+	k.Targets[s.Target] = seen
 }
 
 // LearnFailure takes a refusal of the target's holder.
 func (k *Knowledge) LearnFailure(id topology.TargetID, code result.Code, now time.Time) {
+	seen := k.Targets[id]
 	switch code {
 	case result.TargetDown, result.UnknownOutcome:
-		seen := k.Targets[id]
 		seen.Failed = now
-		k.Targets[id] = seen
+	case result.BehindFloor, result.TooStale:
+		seen.At = now
 	}
+	k.Targets[id] = seen
 }
 
 // down tells whether the target failed lately.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -113,6 +113,13 @@
 	return holders
 }
 
+// noteLeaving moves the slots of a host that refused because it is leaving.
+func (r *PlainRouter) noteLeaving(id topology.HostID) {
+	if f, ok := r.cfg.Fleet.(interface{ NoteLeaving(topology.HostID) }); ok {
+		f.NoteLeaving(id)
+	}
+}
+
 func (r *PlainRouter) newStream() pool.StreamID {
 	return pool.StreamID{Host: r.cfg.Self, Boot: r.cfg.Boot, Seq: r.seq.Add(1)}
 }
