--- a/internal/result/sqlstate.go
+++ b/internal/result/sqlstate.go
@@ -46,6 +46,7 @@
 	{Canceled, "Canceled", "57014", "canceled before it was sent", RetryNow},
 	{DeadlinePassed, "DeadlinePassed", "57014", "the deadline passed before it was sent", RetryNow},
 	{VersionConflict, "VersionConflict", "40001", "another edit won", RetryNow},
+	{PlatformDown, "PlatformDown", "57P03", "the platform can't be reached, nothing was sent", RetryLater},
 
 	{UnknownOutcome, "UnknownOutcome", "08007", "the connection broke after the request was sent", RetryCheck},
 	{UnconfirmedCommit, "UnconfirmedCommit", "08007", "committed at the primary, not confirmed by a majority", RetryCheck},
