--- a/internal/session/protocol_test.go
+++ b/internal/session/protocol_test.go
@@ -136,7 +136,8 @@
 	parse := &pgproto3.Parse{Name: "a", Query: "insert x"}
 	bind, execute := &pgproto3.Bind{PreparedStatement: "a"}, &pgproto3.Execute{}
 	sync := &pgproto3.Sync{}
-	runSteps(t, &fakeRouter{}, []step{
+	router := &fakeRouter{}
+	runSteps(t, router, []step{
 		{messages(query("copy t from stdin")), "E0A000 ZI"},
 		{messages(&pgproto3.CopyData{Data: []byte("x")}, query("")), "ZI"},
 		{messages(&pgproto3.FunctionCall{}), "E0A000 ZI"},
@@ -148,7 +149,8 @@
 		{messages(bind, execute, sync), "2 INSERT 0 1 ZI"},
 		{messages(parse, bind, &pgproto3.Flush{}), "E0A000"},
 		{messages(execute, sync), "ZI"},
-		{messages(&pgproto3.Bind{PreparedStatement: "none"}, execute, sync), "E26000 ZI"},
+		{messages(&pgproto3.Bind{PreparedStatement: "none"}, &pgproto3.Parse{Name: "a", Query: "insert skipped"}, sync), "E26000 ZI"},
+		{messages(bind, execute, sync), "2 INSERT 0 1 ZI"},
 		{messages(bind, query("select 1"), sync), "E08P01 ZI"},
 		{messages(parse, bind, &pgproto3.Bind{PreparedStatement: "a", Parameters: [][]byte{make([]byte, 40000)}},
 			&pgproto3.Bind{PreparedStatement: "a", Parameters: [][]byte{make([]byte, 40000)}}, sync), "E54000 ZI"},
@@ -156,6 +158,7 @@
 		{messages(bind, execute, sync), "E26000 ZI"},
 		{messages(sync), "ZI"},
 	})
+	qt.Assert(t, router.statements(), qt.DeepEquals, []string{"insert x", "insert x"})
 }
 
 // Statements of a pipeline that follow a failure never run outside their
@@ -181,6 +184,26 @@
 	qt.Assert(t, router.statements(), qt.DeepEquals, []string{"select 1"})
 }
 
+// A COMMIT whose outcome is unknown ends the transaction all the same, and an
+// error before Flush drops what follows up to Sync.
+func TestLostCommitAndErrorBeforeFlush(t *testing.T) {
+	router := &fakeRouter{refuse: func(sql string) *result.Error {
+		switch sql {
+		case "commit":
+			return result.New(result.UnknownOutcome, "the connection broke")
+		case "insert full":
+			return result.New(result.QueueFull, "full")
+		}
+		return nil
+	}}
+	runSteps(t, router, []step{
+		{messages(query("begin"), query("insert 1"), query("commit")), "BEGIN ZT INSERT 0 1 ZT E08007 ZI"},
+		{messages(&pgproto3.Parse{Query: "insert full"}, &pgproto3.Flush{}), "E53300"},
+		{messages(query("insert 2"), &pgproto3.Bind{}, &pgproto3.Sync{}, query("insert 3")), "ZI INSERT 0 1 ZI"},
+	})
+	qt.Assert(t, router.statements(), qt.DeepEquals, []string{"begin", "insert 1", "insert 3"})
+}
+
 // A refusal by the session itself ends an open transaction as an error would.
 func TestRefusalInsideATransaction(t *testing.T) {
 	router := &fakeRouter{}
