--- a/test/integration/leaving_test.go
+++ b/test/integration/leaving_test.go
@@ -94,5 +94,5 @@
 	case <-timer.C:
 	}
 	after, err := target.State(ctx)
-	return err == nil && after.Statements == before.Statements
+	return err == nil && after.HostStatements() == before.HostStatements()
 }
--- a/test/testbed/bed.go
+++ b/test/testbed/bed.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -40,6 +41,7 @@
 	Hosts    []*Host
 
 	dir      string
+	started  []*Process
 	ipPrefix string
 	nextIP   int
 	programs Programs
@@ -108,6 +110,15 @@
 
 func (b *Bed) logPath(name string) string { return filepath.Join(b.dir, name+".log") }
 
+// start starts a program; Close ends it.
+func (b *Bed) start(program, name string, args ...string) (*Process, error) {
+	p, err := startProcess(program, b.logPath(name), args...)
+	if err == nil {
+		b.started = append(b.started, p)
+	}
+	return p, err
+}
+
 // WaitReady waits until every running host serves callers.
 func (b *Bed) WaitReady(ctx context.Context) error {
 	for _, h := range b.Hosts {
@@ -123,14 +134,8 @@
 
 // Close ends every process, the links, and removes the files.
 func (b *Bed) Close() {
-	for _, h := range b.Hosts {
-		_ = h.Kill()
-	}
-	for _, t := range b.Targets {
-		_ = t.Kill()
-	}
-	if b.Platform != nil {
-		_ = b.Platform.Kill()
+	for _, p := range b.started {
+		_ = p.Kill()
 	}
 	b.Network.close()
 	os.RemoveAll(b.dir)
@@ -140,17 +145,12 @@
 
 // Logs returns the end of every process's log.
 func (b *Bed) Logs() string {
-	var text string
-	add := func(name, log string) {
-		text += "--- " + name + "\n" + log[max(0, len(log)-logTail):] + "\n"
-	}
-	for _, h := range b.Hosts {
-		add(string(h.ID), h.Log())
-	}
-	for id, t := range b.Targets {
-		add(string(id), t.Log())
+	var text strings.Builder
+	for _, p := range b.started {
+		log := p.Log()
+		fmt.Fprintf(&text, "--- %s\n%s\n", filepath.Base(p.log), log[max(0, len(log)-logTail):])
 	}
-	return text
+	return text.String()
 }
 
 const pollInterval = 10 * time.Millisecond // between looks at a condition
--- a/test/testbed/host.go
+++ b/test/testbed/host.go
@@ -58,7 +58,7 @@
 	if err := os.WriteFile(path, []byte(content), 0o644); err != nil {
 		return err
 	}
-	h.Process, err = startProcess(b.programs.Host, b.logPath(h.Name), "serve", "-c", path)
+	h.Process, err = b.start(b.programs.Host, h.Name, "serve", "-c", path)
 	return err
 }
 
--- /dev/null
+++ b/test/testbed/metrics.go
@@ -0,0 +1,62 @@
+package testbed
+
+import (
+	"context"
+	"net/http"
+
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+)
+
+// Sample is one value of a host's metrics.
+type Sample struct {
+	Name   string
+	Value  float64
+	labels []*dto.LabelPair
+}
+
+// Label returns the value of a label, empty if it isn't there.
+func (s Sample) Label(name string) string {
+	for _, l := range s.labels {
+		if l.GetName() == name {
+			return l.GetValue()
+		}
+	}
+	return ""
+}
+
+// Metrics returns the host's counters and gauges.
+func (h *Host) Metrics(ctx context.Context) ([]Sample, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.addr(adminPort)+"/metrics", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var parser expfmt.TextParser
+	families, err := parser.TextToMetricFamilies(resp.Body)
+	if err != nil {
+		return nil, err
+	}
+	var samples []Sample
+	for name, family := range families {
+		for _, m := range family.GetMetric() {
+			samples = append(samples, Sample{Name: name, Value: valueOf(m), labels: m.GetLabel()})
+		}
+	}
+	return samples, nil
+}
+
+func valueOf(m *dto.Metric) float64 {
+	switch {
+	case m.Counter != nil:
+		return m.Counter.GetValue()
+	case m.Gauge != nil:
+		return m.Gauge.GetValue()
+	default:
+		return m.GetUntyped().GetValue()
+	}
+}
--- a/test/testbed/platform.go
+++ b/test/testbed/platform.go
@@ -24,7 +24,7 @@
 
 func (b *Bed) startPlatform(ctx context.Context) error {
 	node := b.node("platform", KindPlatform, "")
-	process, err := startProcess(b.programs.Platform, b.logPath("platform"),
+	process, err := b.start(b.programs.Platform, "platform",
 		"--listen", node.addr(platformPort),
 		"--control", node.addr(controlPort),
 		"--host-lag", b.Plan.HostListLag.String(),
--- a/test/testbed/seed.go
+++ b/test/testbed/seed.go
@@ -61,3 +61,47 @@
 func (b *Bed) users() []customer.User {
 	return []customer.User{{Name: userName}, {Name: userNameReadOnly, ReadOnly: true}}
 }
+
+// parameters are a template's part of an object.
+type parameters struct {
+	ReadKeywords bool                 `json:"read_keywords"`
+	MaxStaleness string               `json:"max_staleness"`
+	WhenCutOff   customer.WhenCutOff  `json:"when_cut_off"`
+	Acknowledge  customer.Acknowledge `json:"acknowledge"`
+	Concurrent   int                  `json:"concurrent"`
+	Queue        int                  `json:"queue"`
+	Rate         float64              `json:"rate"`
+	CostShare    float64              `json:"cost_share"`
+}
+
+type templateObject struct {
+	Parameters parameters `json:"parameters"`
+}
+
+type customerObject struct {
+	Template  string                      `json:"template"`
+	Databases map[string]topology.GroupID `json:"databases"`
+	Users     []customer.User             `json:"users"`
+}
+
+// seedCustomer writes a template of the customer's own and the customer.
+func (b *Bed) seedCustomer(ctx context.Context, c Customer) error {
+	template := templateObject{Parameters: parameters{
+		ReadKeywords: c.ReadKeywords,
+		MaxStaleness: c.MaxStaleness.String(),
+		WhenCutOff:   c.WhenCutOff,
+		Acknowledge:  c.Acknowledge,
+		Concurrent:   c.Limits.Concurrent,
+		Queue:        c.Limits.Queue,
+		Rate:         c.Limits.Rate,
+		CostShare:    c.CostShare,
+	}}
+	if err := b.Platform.Put(ctx, "template", string(c.ID), template); err != nil {
+		return err
+	}
+	object := customerObject{Template: string(c.ID), Databases: map[string]topology.GroupID{}, Users: b.users()}
+	for _, g := range b.Plan.Groups {
+		object.Databases[string(g)] = g
+	}
+	return b.Platform.Put(ctx, "customer", string(c.ID), object)
+}
--- a/test/testbed/target.go
+++ b/test/testbed/target.go
@@ -64,7 +64,11 @@
 	if err != nil {
 		return err
 	}
-	t.Process, err = startProcess(b.programs.Target, b.logPath(t.Name),
+	dir := filepath.Join(b.dir, t.Name)
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	t.Process, err = b.start(b.programs.Target, t.Name,
 		"--id", t.Name,
 		"--listen", t.addr(targetPort),
 		"--peer-listen", t.addr(replicationPort),
@@ -76,7 +80,7 @@
 		"--apply-lag", b.Plan.ApplyLag.String(),
 		"--primary", string(group[0]),
 		"--term", "1",
-		"--dir", filepath.Join(b.dir, t.Name),
+		"--dir", dir,
 		"--seed-sql", seed,
 	)
 	if err != nil {
@@ -135,6 +139,18 @@
 	return state, err
 }
 
+// TargetState is what a target stand-in counted.
+type TargetState struct {
+	target.Status  `json:"status"`
+	MaxConnections int               `json:"highest_connections"` // at once, since its start
+	Statements     map[string]uint64 `json:"statements"`          // by login
+}
+
+// HostStatements returns how many statements hosts ran at the target.
+func (s TargetState) HostStatements() uint64 { return s.Statements[hostLogin] }
+
+const hostLogin = "nettlewalk" // of hosts at targets
+
 // Primary returns the group's target that is a writable primary at the highest term.
 func (b *Bed) Primary(ctx context.Context, group topology.GroupID) *Target {
 	var best *Target
