Fleet: a whole domain that seems gone keeps its slots

Suspicion alone moved the slots of a cut-off domain to hosts elsewhere. Both sides of a cut between hosts would then have claimed the slots of each other's targets, and taken them from live holders when the cut ended. Now such slots move only when the domain's hosts leave the platform's list. Routing tries suspected holders last and counts a target without a reachable holder as down.

A failed call no longer rebuilds the host list unless it changes a host.

--- a/internal/fleet/announce.go
+++ b/internal/fleet/announce.go
@@ -35,7 +35,10 @@
 // Hello takes the announcement of a new process.
 func (s *Service) Hello(h topology.Host, reply *Empty) error {
 	reply.Done = true
-	s.tracker.update(func(m *Members) { m.Hello(h, time.Now()) })
+	s.tracker.update(func(m *Members) bool {
+		m.Hello(h, time.Now())
+		return true
+	})
 	return nil
 }
 
@@ -56,7 +59,10 @@
 // before it counts.
 func (s *Service) Accuse(a Accusation, reply *Empty) error {
 	reply.Done = true
-	s.tracker.update(func(m *Members) { m.Accuse(a.Host, time.Now()) })
+	s.tracker.update(func(m *Members) bool {
+		m.Accuse(a.Host, time.Now())
+		return false
+	})
 	return nil
 }
 
--- a/internal/fleet/heartbeat.go
+++ b/internal/fleet/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -81,6 +82,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	ids := t.members.Failing()
+	rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
 	return ids[:min(maxRechecks, len(ids))]
 }
 
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -81,41 +81,61 @@
 	m.byID[h.ID] = &member{host: h, greeted: now}
 }
 
-// Leaving takes a host's announcement that it leaves.
-func (m *Members) Leaving(id topology.HostID, now time.Time) {
-	if known, ok := m.byID[id]; ok {
-		known.leaving = now
+// Leaving takes a host's announcement that it leaves. It returns whether that
+// is news.
+func (m *Members) Leaving(id topology.HostID, now time.Time) bool {
+	known, ok := m.byID[id]
+	if !ok {
+		return false
 	}
+	news := known.leaving.IsZero()
+	known.leaving = now
+	return news
 }
 
 // LeaveSelf makes this host leaving.
 func (m *Members) LeaveSelf() { m.self.State = topology.HostLeaving }
 
-// Report takes the fate of a call to the host. It returns whether the others
-// should hear that this host suspects it: not so when another one accused it.
-func (m *Members) Report(id topology.HostID, reachable bool, now time.Time) bool {
+// Verdict is what follows from the fate of a call.
+type Verdict int
+
+// The verdicts.
+const (
+	Unchanged Verdict = iota
+	Trusted           // the host was suspected
+	Suspected         // by another host too, or on its word
+	Accused           // by this host first: the others should hear of it
+)
+
+// Report takes the fate of a call to the host.
+func (m *Members) Report(id topology.HostID, reachable bool, now time.Time) Verdict {
 	known, ok := m.byID[id]
 	if !ok {
-		return false
+		return Unchanged
 	}
+	before := known.suspicion
 	if reachable {
-		known.suspicion = known.suspicion.succeeded(now)
-		return false
+		known.suspicion = before.succeeded(now)
+	} else {
+		known.suspicion = before.failed(now)
 	}
-	before := known.suspicion
-	known.suspicion = before.failed(now)
-	return !before.Suspected && known.suspicion.Suspected && before.Accused.IsZero()
+	switch {
+	case before.Suspected == known.suspicion.Suspected:
+		return Unchanged
+	case before.Suspected:
+		return Trusted
+	case before.Accused.IsZero():
+		return Accused
+	}
+	return Suspected
 }
 
-// Accuse notes that another host suspects the host. It returns whether this
-// host should call it to see for itself.
-func (m *Members) Accuse(id topology.HostID, now time.Time) bool {
-	known, ok := m.byID[id]
-	if !ok || known.suspicion.Suspected {
-		return false
+// Accuse notes that another host suspects the host. This host calls it to see
+// for itself (see Failing).
+func (m *Members) Accuse(id topology.HostID, now time.Time) {
+	if known, ok := m.byID[id]; ok && !known.suspicion.Suspected {
+		known.suspicion = known.suspicion.accused(now)
 	}
-	known.suspicion = known.suspicion.accused(now)
-	return true
 }
 
 // Suspected tells whether the host counts as gone because calls to it fail.
@@ -150,7 +170,7 @@
 // Self returns this host with its state.
 func (m *Members) Self() topology.Host { return m.self }
 
-// Hosts returns all hosts in the order of their ids, this one included.
+// Hosts returns all hosts, a suspected one as gone, in the order of their ids, this one included.
 func (m *Members) Hosts() []topology.Host {
 	hosts := make([]topology.Host, 0, len(m.byID)+1)
 	hosts = append(hosts, m.self)
--- a/internal/fleet/rendezvous.go
+++ b/internal/fleet/rendezvous.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -12,8 +11,8 @@
 // Index finds the holders of targets among the live hosts of one host list.
 // It is immutable.
 type Index struct {
-	byDomain   map[topology.Domain][]candidate
-	everywhere []candidate
+	byDomain   map[topology.Domain][]candidate // live hosts, or the suspected ones of a domain without
+	everywhere []candidate                     // live hosts
 }
 
 type candidate struct {
@@ -21,22 +20,37 @@
 	hash uint64
 }
 
-// NewIndex returns the index of the hosts whose state is live.
+// NewIndex returns the index of the hosts. Leaving hosts hold nothing.
+//
+// A gone host is one to which calls fail. It loses its slots to the others of
+// its domain. When a whole domain seems gone the cause is most likely a cut
+// between this host and the domain, where the domain's hosts go on holding its
+// targets: they keep their slots until they leave the list.
 func NewIndex(hosts []topology.Host) *Index {
 	x := &Index{byDomain: make(map[topology.Domain][]candidate)}
-	live := make([]topology.Host, 0, len(hosts))
-	for _, h := range hosts {
-		if h.State == topology.HostLive {
-			live = append(live, h)
+	x.everywhere = x.add(hosts, topology.HostLive)
+	suspected := &Index{byDomain: make(map[topology.Domain][]candidate)}
+	suspected.add(hosts, topology.HostGone)
+	for domain, hosts := range suspected.byDomain {
+		if len(x.byDomain[domain]) == 0 {
+			x.byDomain[domain] = hosts
 		}
 	}
-	slices.SortFunc(live, func(a, b topology.Host) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	for _, h := range live {
+	return x
+}
+
+// add enters the hosts of that state and returns them.
+func (x *Index) add(hosts []topology.Host, state topology.HostState) []candidate {
+	var added []candidate
+	for _, h := range hosts {
+		if h.State != state {
+			continue
+		}
 		c := candidate{id: h.ID, hash: xxhash.Sum64String(string(h.ID))}
 		x.byDomain[h.Domain] = append(x.byDomain[h.Domain], c)
-		x.everywhere = append(x.everywhere, c)
+		added = append(added, c)
 	}
-	return x
+	return added
 }
 
 // Holders returns the host of each slot of the target, by slot number. It is
@@ -46,8 +60,8 @@
 }
 
 // Holders returns the host of each slot of the target, by slot number: live
-// hosts of the target's domain, or of all domains when its own has none. It is
-// nil when no host is live.
+// hosts of the target's domain, or of all domains when its own has none (see
+// NewIndex for a domain that is cut off). It is nil when there is no such host.
 //
 // Each pair of slots shares one order of the hosts by weight. The even slot
 // takes the first host and the odd slot the last one. Hence the two are
@@ -88,10 +102,10 @@
 			continue
 		}
 		w := weight(target, pair, h.hash)
-		if first == "" || w > most {
+		if first == "" || w > most || (w == most && h.id < first) {
 			first, most = h.id, w
 		}
-		if last == "" || w <= least {
+		if last == "" || w < least || (w == least && h.id > last) {
 			last, least = h.id, w
 		}
 	}
--- a/internal/fleet/tracker.go
+++ b/internal/fleet/tracker.go
@@ -64,11 +64,16 @@
 	return s
 }
 
-// update changes the members and publishes them if that changed a host.
-func (t *Tracker) update(change func(*Members)) {
+// update changes the members. If change returns true it publishes them.
+func (t *Tracker) update(change func(*Members) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	change(t.members)
+	if change(t.members) {
+		t.publish()
+	}
+}
+
+func (t *Tracker) publish() {
 	old := t.current.Load()
 	hosts := t.members.Hosts()
 	if slices.Equal(hosts, old.hosts) {
@@ -81,7 +86,10 @@
 
 // Apply takes the platform's list of hosts.
 func (t *Tracker) Apply(hosts []topology.Host) {
-	t.update(func(m *Members) { m.Apply(hosts, time.Now()) })
+	t.update(func(m *Members) bool {
+		m.Apply(hosts, time.Now())
+		return true
+	})
 }
 
 // Self implements View.
@@ -135,16 +143,15 @@
 
 // Report implements View.
 func (t *Tracker) Report(id topology.HostID, reachable bool) {
-	t.mu.Lock()
-	quiet := reachable && !t.members.failing(id)
-	t.mu.Unlock()
-	if quiet {
-		return // the usual case changes nothing
-	}
-	t.update(func(m *Members) {
-		if m.Report(id, reachable, time.Now()) {
+	t.update(func(m *Members) bool {
+		if reachable && !m.failing(id) {
+			return false // the usual case
+		}
+		verdict := m.Report(id, reachable, time.Now())
+		if verdict == Accused {
 			t.accuse(id)
 		}
+		return verdict != Unchanged
 	})
 }
 
@@ -159,11 +166,16 @@
 
 // NoteLeaving takes another host's answer that it leaves.
 func (t *Tracker) NoteLeaving(id topology.HostID) {
-	t.update(func(m *Members) { m.Leaving(id, time.Now()) })
+	t.update(func(m *Members) bool { return m.Leaving(id, time.Now()) })
 }
 
 // Leave makes this host leaving, so that it holds no slot. Announce tells the
 // others.
-func (t *Tracker) Leave() { t.update((*Members).LeaveSelf) }
+func (t *Tracker) Leave() {
+	t.update(func(m *Members) bool {
+		m.LeaveSelf()
+		return true
+	})
+}
 
 var _ View = (*Tracker)(nil)
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -44,6 +45,7 @@
 type Holder struct {
 	Host  topology.HostID
 	Local bool // this host
+	Gone  bool // calls to it fail
 	Load  int  // requests of this host under way on the slot
 }
 
@@ -124,8 +126,21 @@
 
 // cost counts the requests under way; a hop to another host counts as several.
 func cost(h Holder) int {
-	if h.Local {
+	switch {
+	case h.Local:
 		return h.Load
+	case h.Gone:
+		return math.MaxInt
 	}
 	return h.Load + localBenefit
 }
+
+// unreachable tells whether no holder of the candidate can be called.
+func (c Candidate) unreachable() bool {
+	for _, h := range c.Holders {
+		if !h.Gone {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/routing/choose_read.go
+++ b/internal/routing/choose_read.go
@@ -60,7 +60,7 @@
 func primaryDown(view GroupView) bool {
 	for _, c := range view.Candidates {
 		if c.Target.ID == view.Primary {
-			return c.Down
+			return c.Down || c.unreachable()
 		}
 	}
 	return true
@@ -122,7 +122,7 @@
 	switch {
 	case c.Target.Leaving:
 		return leaving
-	case c.Down:
+	case c.Down || c.unreachable():
 		return outOfOrder
 	case !c.Known:
 		return mayFit
--- a/internal/routing/choose_test.go
+++ b/internal/routing/choose_test.go
@@ -49,6 +49,7 @@
 		{"too old", func(a *Ask, _ *Candidate) { a.MaxStaleness = 50 * time.Millisecond }, "t0", TooStale},
 		{"perhaps too old by now", func(a *Ask, _ *Candidate) { a.MaxStaleness = 101 * time.Millisecond }, "t1", ""},
 		{"failed", func(_ *Ask, c *Candidate) { c.Down = true }, "t0", Unhealthy},
+		{"holders gone", func(_ *Ask, c *Candidate) { c.Holders = []Holder{{Gone: true}, {Gone: true}} }, "t0", Unhealthy},
 		{"leaving", func(_ *Ask, c *Candidate) { c.Target.Leaving = true }, "t0", Unhealthy},
 		{"never seen", func(_ *Ask, c *Candidate) { *c = Candidate{Target: c.Target, Holders: c.Holders, Near: c.Near} }, "t1", ""},
 		{"no holder", func(_ *Ask, c *Candidate) { c.Holders = nil }, "t0", NoReplica},
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -108,11 +108,19 @@
 	ids := r.cfg.Fleet.Holders(t)
 	holders := make([]Holder, len(ids))
 	for i, id := range ids {
-		holders[i] = Holder{Host: id, Local: id == r.cfg.Self}
+		h, known := r.cfg.Fleet.Host(id)
+		holders[i] = Holder{Host: id, Local: id == r.cfg.Self, Gone: known && h.State == topology.HostGone}
 	}
 	return holders
 }
 
+// noteReached counts as a sign of life of a host that others call gone.
+func (r *PlainRouter) noteReached(id topology.HostID) {
+	if id != r.cfg.Self {
+		r.cfg.Fleet.Report(id, true)
+	}
+}
+
 // noteLeaving moves the slots of a host that refused because it is leaving.
 func (r *PlainRouter) noteLeaving(id topology.HostID) {
 	if f, ok := r.cfg.Fleet.(interface{ NoteLeaving(topology.HostID) }); ok {
