--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -21,10 +21,13 @@
 	emitted bool
 	rounds  int
 	reason  Reason // why the batch went on to the primary
+	gate    *gate  // at which a held write waits, nil before that
+	probe   bool   // it is the gate's probe
 	failure *result.Error
 }
 
-func (a *attempt) run(ctx context.Context) (Outcome, error) {
+func (a *attempt) run(ctx context.Context) (out Outcome, err error) {
+	defer func() { a.leaveGate(err == nil) }()
 	for {
 		ask, d := a.choose()
 		out, step := a.tryAll(ctx, ask, d)
@@ -35,12 +38,31 @@
 			return Outcome{}, step.Err
 		}
 		a.rounds++
-		if !sleep(ctx, step.Wait) {
+		if !a.wait(ctx, ask.Slot, step.Wait) {
 			return Outcome{}, a.overdue(ctx)
 		}
 	}
 }
 
+// wait holds the batch before its next decision, false if ctx ended first.
+func (a *attempt) wait(ctx context.Context, slot int, backoff time.Duration) bool {
+	if a.call.Class != pool.Write {
+		return sleep(ctx, backoff)
+	}
+	if a.gate == nil {
+		a.gate = a.conn.group.gate(slot)
+	}
+	probe, ok := a.gate.wait(ctx, a.probe, backoff)
+	a.probe = probe
+	return ok
+}
+
+func (a *attempt) leaveGate(success bool) {
+	if a.probe {
+		a.gate.leave(success)
+	}
+}
+
 func (a *attempt) choose() (Ask, Decision) {
 	view := a.conn.router.view(a.conn.group)
 	ask := a.ask(view)
--- a/internal/routing/conn_test.go
+++ b/internal/routing/conn_test.go
@@ -54,6 +54,8 @@
 }
 
 func (f *fakeGroup) Report(id topology.HostID, reachable bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if !reachable {
 		f.reports = append(f.reports, id)
 	}
@@ -81,7 +83,9 @@
 
 // Exec implements pool.Executor.
 func (f *fakeGroup) Exec(_ context.Context, req *pool.Request) (*pool.Reply, error) {
+	f.mu.Lock()
 	f.requests = append(f.requests, *req)
+	f.mu.Unlock()
 	if f.answer == nil {
 		return &pool.Reply{Messages: []byte("row"), TxStatus: 'I'}, nil
 	}
@@ -104,7 +108,9 @@
 	return nil
 }
 
-func (f *fakeGroup) open() Conn {
+func (f *fakeGroup) open() Conn { return f.router().Open("c", "g") }
+
+func (f *fakeGroup) router() *PlainRouter {
 	return New(Config{
 		Self:      "self",
 		Customers: f,
@@ -113,7 +119,7 @@
 		State:     f,
 		Floors:    f,
 		Log:       logr.Discard(),
-	}).Open("c", "g")
+	})
 }
 
 func newFakeGroup() *fakeGroup { return &fakeGroup{term: 1, primary: "t0"} }
@@ -207,6 +213,49 @@
 	qt.Assert(t, f.term, qt.Equals, uint64(2))
 }
 
+func TestHeldWritesDoNotAllProbe(t *testing.T) {
+	f := newFakeGroup()
+	over := time.Now().Add(400 * time.Millisecond)
+	f.answer = func(*pool.Request) (*pool.Reply, error) {
+		if time.Now().Before(over) {
+			return refuse(result.FailoverUnderway)
+		}
+		return &pool.Reply{TxStatus: 'I', Position: at(11)}, nil
+	}
+	const writes = 100
+	router := f.router()
+	began := time.Now()
+	var callers sync.WaitGroup
+	for range writes {
+		callers.Go(func() {
+			_, err := run(router.Open("c", "g"), Call{Class: pool.Write, MayCommit: true})
+			qt.Check(t, err, qt.IsNil)
+		})
+	}
+	callers.Wait()
+	// Each write tries once before and once after, beside the probe's tries.
+	qt.Check(t, len(f.requests) < 3*writes, qt.IsTrue, qt.Commentf("%d requests", len(f.requests)))
+	qt.Check(t, time.Since(began) < heldRecheck, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+}
+
+func TestAProbeThatGivesUpHandsOver(t *testing.T) {
+	var g gate
+	probe, _ := g.wait(context.Background(), false, 0)
+	qt.Assert(t, probe, qt.IsTrue)
+	woken := make(chan bool)
+	_, opened, next := g.enter()
+	go func() {
+		select {
+		case <-next:
+			woken <- true
+		case <-opened:
+			woken <- false
+		}
+	}()
+	g.leave(false)
+	qt.Assert(t, <-woken, qt.IsTrue)
+}
+
 func TestSessionWritesUseTheKeepersSlot(t *testing.T) {
 	f := newFakeGroup()
 	for _, session := range []string{"a", "b", "c", "d"} {
--- a/internal/routing/group.go
+++ b/internal/routing/group.go
@@ -16,6 +16,7 @@
 	mu    sync.Mutex // guards the fields below
 	known *Knowledge
 	load  map[slotKey]int // requests under way
+	gates map[int]*gate   // of held writes, by the slot that they need
 }
 
 type slotKey struct {
@@ -24,7 +25,19 @@
 }
 
 func newGroup(id topology.GroupID) *group {
-	return &group{id: id, known: NewKnowledge(), load: make(map[slotKey]int)}
+	return &group{id: id, known: NewKnowledge(), load: make(map[slotKey]int), gates: make(map[int]*gate)}
+}
+
+// gate returns the gate of the writes that need the slot.
+func (g *group) gate(slot int) *gate {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	held, ok := g.gates[slot]
+	if !ok {
+		held = &gate{}
+		g.gates[slot] = held
+	}
+	return held
 }
 
 func (g *group) learnPrimary(term uint64, primary topology.TargetID) {
