--- a/internal/pool/manager.go
+++ b/internal/pool/manager.go
@@ -190,9 +190,7 @@
 // VerifySlot returns an answer that the target gave after the call began on
 // the connection that holds the slot's lock. NotHolder if this host has no lock.
 func (m *Manager) VerifySlot(ctx context.Context, id topology.TargetID, slot int) (target.Status, error) {
-	m.mu.RLock()
-	s := m.slots[slotKey{id, slot}]
-	m.mu.RUnlock()
+	s := m.held(slotKey{id, slot})
 	if s == nil {
 		return target.Status{}, m.notHolder(id)
 	}
@@ -200,6 +198,21 @@
 	return st, asResult(err, id)
 }
 
+// held returns a slot that is held or still finishing its streams.
+func (m *Manager) held(key slotKey) *slot {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if s := m.slots[key]; s != nil {
+		return s
+	}
+	for s := range m.retired {
+		if s.id == key.target && s.number == key.number && s.control.holds() {
+			return s
+		}
+	}
+	return nil
+}
+
 // Control returns the control of a held target. Its Status calls are shared.
 func (m *Manager) Control(id topology.TargetID) (target.Control, bool) {
 	m.mu.RLock()
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-logr/logr"
 
+	"nettlewalk.example/nettlewalk/internal/peer"
 	"nettlewalk.example/nettlewalk/internal/target"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
@@ -26,13 +27,18 @@
 	Confirm   Confirmer
 	Freshness Freshness
 	Groups    func(topology.GroupID) (*topology.Group, bool)
+	Peers     peer.Caller // nil: streams of entry hosts that died end only after their idle time
 	Log       logr.Logger
 
+	// Handovers tells whether a host is leaving: its slots' locks are then
+	// refused for as long as its streams take to end. nil: none is.
+	Handovers func() bool
+
 	// OnCommit is called before a commit is answered whose request names a
 	// session; the slot's lock was held after the commit.
 	OnCommit func(id topology.TargetID, slot int, session string, position topology.Position)
-	// OnLock is called when a slot's lock was taken, before any request runs
-	// there: what was known of its sessions may be outdated.
+	// OnLock is called when a slot's lock was taken, before VerifySlot succeeds
+	// and any request runs there: what was known of its sessions may be outdated.
 	OnLock func(id topology.TargetID, slot int)
 	// OnStatus is called for each status of a held target, and with an error of
 	// type *HealthError and a Status that names only the target for each
--- a/internal/pool/orders.go
+++ b/internal/pool/orders.go
@@ -39,7 +39,7 @@
 // after the call began.
 func (c *control) verify(ctx context.Context) (target.Status, error) {
 	c.mu.Lock()
-	conn, locked := c.conn, c.locked
+	locked, locks := c.locked, c.locks
 	c.mu.Unlock()
 	if !locked {
 		return target.Status{}, c.notLocked()
@@ -50,13 +50,13 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.conn != conn || !c.locked {
+	if !c.locked || c.locks != locks {
 		return target.Status{}, c.notLocked()
 	}
 	return st, nil
 }
 
-// verifyUntil verifies the lock, waiting for a connection that takes it again.
+// verifyUntil verifies the lock; a lost one may be taken again meanwhile.
 func (c *control) verifyUntil(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, relockTimeout)
 	defer cancel()
