Routing: a host that failed is tried last for a while; reads past the bound are refused by their own code

A read whose replicas were too old and whose primary couldn't be reached was answered with the last holder's refusal, or held for two seconds. It is now refused at once as too stale, other reads that no target serves as such.

--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	helloGrace   = 30 * time.Second // the platform's list may lack a new host for this long
+	helloGrace   = 30 * time.Second // the platform's list may lack a new host, or tell of its former process
 	leavingGrace = 60 * time.Second // the list may call a leaving host live for this long
 )
 
@@ -66,6 +66,9 @@
 		m.byID[h.ID] = &member{host: h}
 		return
 	}
+	if now.Sub(known.greeted) <= helloGrace {
+		return
+	}
 	known.host = h
 	if h.State == topology.HostLive && now.Sub(known.leaving) > leavingGrace {
 		known.leaving = time.Time{}
--- a/internal/fleet/members_test.go
+++ b/internal/fleet/members_test.go
@@ -88,6 +88,13 @@
 	m.Apply(fleetOf(1, 1), at(2*time.Minute+helloGrace))
 	qt.Assert(t, stateOf(m, "fresh"), qt.Equals, topology.HostLive)
 	qt.Assert(t, stateOf(m, id), qt.Equals, topology.HostState(""))
+
+	restarted := fleetOf(2, 1)[1]
+	m.Hello(restarted, at(3*time.Minute))
+	former := restarted
+	former.State = topology.HostLeaving
+	m.Apply([]topology.Host{former}, at(3*time.Minute))
+	qt.Assert(t, stateOf(m, id), qt.Equals, topology.HostLive)
 	m.Apply(fleetOf(1, 1), at(2*time.Minute+helloGrace+1))
 	qt.Assert(t, stateOf(m, "fresh"), qt.Equals, topology.HostState(""))
 }
--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -114,7 +114,7 @@
 			return out, nil
 		}
 		a.failure = err
-		a.noteFailure(try, err)
+		a.noteFailure(ctx, try, err)
 		step := After(a.progress(try, len(d.Tries)-i-1, false), err)
 		if step.Spend {
 			a.conn.router.spend()
@@ -136,7 +136,7 @@
 	}
 }
 
-func (a *attempt) noteFailure(try Try, err *result.Error) {
+func (a *attempt) noteFailure(ctx context.Context, try Try, err *result.Error) {
 	r := a.conn.router
 	a.conn.group.learnFailure(try.Target, err.Code)
 	if a.call.Class == pool.Read && try.Replica {
@@ -144,7 +144,9 @@
 	}
 	switch err.Code {
 	case result.HostUnreachable, result.HolderLost:
-		r.cfg.Fleet.Report(try.Host, false)
+		if ctx.Err() == nil { // else the deadline may be to blame
+			r.noteUnreached(try.Host)
+		}
 	case result.Draining:
 		r.noteLeaving(try.Host)
 	}
@@ -158,6 +160,7 @@
 		MayCommit:     a.mayCommit(try),
 		InTransaction: inTransaction,
 		Emitted:       a.emitted,
+		TooStale:      a.reason == TooStale,
 		TriesLeft:     triesLeft,
 		Rounds:        a.rounds,
 		Elapsed:       time.Since(a.began),
--- a/internal/routing/conn_test.go
+++ b/internal/routing/conn_test.go
@@ -283,6 +283,28 @@
 	}
 }
 
+func TestReadsAvoidAHostThatFailed(t *testing.T) {
+	f := newFakeGroup()
+	f.answer = func(r *pool.Request) (*pool.Reply, error) {
+		if r.Target == "t1" {
+			return refuse(result.HostUnreachable)
+		}
+		return &pool.Reply{TxStatus: 'I'}, nil
+	}
+	router := f.router()
+	for range 10 {
+		_, err := run(router.Open("c", "g"), Call{Class: pool.Read, Floor: FloorSource{Known: true}})
+		qt.Assert(t, err, qt.IsNil)
+	}
+	failed := 0
+	for _, r := range f.requests {
+		if r.Target == "t1" {
+			failed++
+		}
+	}
+	qt.Assert(t, failed <= 2, qt.IsTrue, qt.Commentf("%d tries at a host that failed", failed))
+}
+
 func TestReadWithoutAFloorIsRefused(t *testing.T) {
 	f := newFakeGroup()
 	f.floorErr = errors.New("no majority")
--- a/internal/routing/retry.go
+++ b/internal/routing/retry.go
@@ -24,6 +24,7 @@
 	MayCommit     bool       // the try may have committed a write
 	InTransaction bool       // earlier batches of the transaction ran
 	Emitted       bool       // a part of the answer reached the caller
+	TooStale      bool       // a read that replicas can't serve for their age
 	TriesLeft     int        // of the current decision
 	Rounds        int        // decisions used up
 	Elapsed       time.Duration
@@ -126,7 +127,7 @@
 // again goes on with the next try of the decision, then with a new decision.
 func again(p Progress, err *result.Error, spend bool) Step {
 	if spend && !p.Budget {
-		return giveUp(err.After(max(err.RetryAfter, comeBackAfter)))
+		return giveUp(final(p, err))
 	}
 	if p.TriesLeft > 0 && p.TimeLeft > leastTime {
 		return Step{Action: TryNext, Spend: spend}
@@ -141,7 +142,7 @@
 	if wait+leastTime > p.TimeLeft {
 		return giveUp(final(p, err))
 	}
-	if p.Class == pool.Read && (err.Code == result.TooStale || p.Elapsed > readPatience) {
+	if p.Class == pool.Read && (p.TooStale || p.Elapsed > readPatience) {
 		return giveUp(final(p, err))
 	}
 	return Step{Action: ChooseAgain, Wait: wait, Spend: spend}
@@ -153,8 +154,11 @@
 
 // final returns what a caller is told when no more tries are made.
 func final(p Progress, err *result.Error) *result.Error {
-	if p.Class == pool.Read && err.Code == result.BehindFloor {
-		err = result.New(result.NoReadableTarget, "no target has applied the session's last write: %s", err.Detail)
+	switch {
+	case p.Class == pool.Read && p.TooStale:
+		err = result.New(result.TooStale, "every replica is older than allowed, and the primary can't serve: %s", err.Detail)
+	case p.Class == pool.Read && err.NotRun():
+		err = result.New(result.NoReadableTarget, "no target can serve the read now: %s", err.Detail)
 	}
 	if err.RetryAfter > 0 {
 		return err
--- a/internal/routing/retry_test.go
+++ b/internal/routing/retry_test.go
@@ -29,6 +29,7 @@
 		MayCommit:     rapid.Bool().Draw(t, "may commit"),
 		InTransaction: rapid.Bool().Draw(t, "in transaction"),
 		Emitted:       rapid.Bool().Draw(t, "emitted"),
+		TooStale:      rapid.Bool().Draw(t, "too stale"),
 		TriesLeft:     rapid.IntRange(0, 3).Draw(t, "tries"),
 		Rounds:        rapid.IntRange(0, 100).Draw(t, "rounds"),
 		Elapsed:       time.Duration(rapid.IntRange(0, 5000).Draw(t, "elapsed")) * time.Millisecond,
@@ -80,6 +81,7 @@
 	commit := inside
 	commit.MayCommit = true
 	read := Progress{Class: pool.Read, Repeatable: true, TimeLeft: time.Millisecond}
+	stale := Progress{Class: pool.Read, TooStale: true, TimeLeft: time.Second}
 	for _, c := range []struct {
 		progress Progress
 		code     result.Code
@@ -94,7 +96,8 @@
 		{commit, result.NotPrimary, result.TransactionLost},
 		{commit, result.UnconfirmedCommit, result.UnconfirmedCommit},
 		{read, result.BehindFloor, result.NoReadableTarget},
-		{read, result.TooStale, result.TooStale},
+		{read, result.HostUnreachable, result.NoReadableTarget},
+		{stale, result.TargetDown, result.TooStale},
 	} {
 		step := After(c.progress, result.New(c.code, "detail"))
 		qt.Check(t, step.Action, qt.Equals, GiveUp, qt.Commentf("%d", c.code))
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -40,6 +40,8 @@
 	seq   atomic.Uint64 // of streams
 	stats *stats
 
+	avoided avoided
+
 	mu     sync.Mutex // guards the fields below
 	groups map[topology.GroupID]*group
 	budget Budget
@@ -108,17 +110,32 @@
 	ids := r.cfg.Fleet.Holders(t)
 	holders := make([]Holder, len(ids))
 	for i, id := range ids {
-		h, known := r.cfg.Fleet.Host(id)
-		holders[i] = Holder{Host: id, Local: id == r.cfg.Self, Gone: known && h.State == topology.HostGone}
+		holders[i] = Holder{Host: id, Local: id == r.cfg.Self, Gone: r.gone(id)}
 	}
 	return holders
 }
 
-// noteReached counts as a sign of life of a host that others call gone.
+func (r *PlainRouter) gone(id topology.HostID) bool {
+	h, known := r.cfg.Fleet.Host(id)
+	return (known && h.State == topology.HostGone) || r.avoided.has(id, time.Now())
+}
+
+// noteReached takes an answer as a sign of life.
 func (r *PlainRouter) noteReached(id topology.HostID) {
-	if id != r.cfg.Self {
-		r.cfg.Fleet.Report(id, true)
+	if id == r.cfg.Self {
+		return
+	}
+	r.avoided.forget(id)
+	r.cfg.Fleet.Report(id, true)
+}
+
+// noteUnreached takes a failed call.
+func (r *PlainRouter) noteUnreached(id topology.HostID) {
+	if id == r.cfg.Self {
+		return
 	}
+	r.avoided.note(id, time.Now())
+	r.cfg.Fleet.Report(id, false)
 }
 
 // noteLeaving moves the slots of a host that refused because it is leaving.
