Routing: no refusal as not run after an outcome that isn't known

An idempotent write whose first try had an unknown outcome was answered with the refusal of its second try. TestARefusalAfterAnUnknownOutcomeIsNotCalledNotRun fails without the memory of the first.

--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -20,10 +20,11 @@
 	began   time.Time
 	emitted bool
 	rounds  int
-	reason  Reason // why the batch went on to the primary
-	gate    *gate  // at which a held write waits, nil before that
-	probe   bool   // it is the gate's probe
-	failure *result.Error
+	reason  Reason        // why the batch went on to the primary
+	gate    *gate         // at which a held write waits, nil before that
+	probe   bool          // it is the gate's probe
+	failure *result.Error // of the latest try
+	open    *result.Error // of a try that may have committed: no later refusal is "not run"
 }
 
 func (a *attempt) run(ctx context.Context) (out Outcome, err error) {
@@ -35,15 +36,23 @@
 			return out, nil
 		}
 		if step.Action == GiveUp {
-			return Outcome{}, step.Err
+			return Outcome{}, a.answer(step.Err)
 		}
 		a.rounds++
 		if !a.wait(ctx, ask.Slot, step.Wait) {
-			return Outcome{}, a.overdue(ctx)
+			return Outcome{}, a.answer(a.overdue(ctx))
 		}
 	}
 }
 
+// answer returns what the caller is told for err.
+func (a *attempt) answer(err *result.Error) *result.Error {
+	if a.open != nil && err.NotRun() {
+		return a.open
+	}
+	return err
+}
+
 // wait holds the batch before its next decision, false if ctx ended first.
 func (a *attempt) wait(ctx context.Context, slot int, backoff time.Duration) bool {
 	if a.call.Class != pool.Write {
@@ -139,6 +148,9 @@
 func (a *attempt) noteFailure(ctx context.Context, try Try, err *result.Error) {
 	r := a.conn.router
 	a.conn.group.learnFailure(try.Target, err.Code)
+	if err.Code.Group() == result.GroupUnknown && a.mayCommit(try) {
+		a.open = unknown(a.progress(try, 0, false), err)
+	}
 	if a.call.Class == pool.Read && try.Replica {
 		a.reason = reasonFor(err.Code)
 	}
--- a/internal/routing/conn_test.go
+++ b/internal/routing/conn_test.go
@@ -195,6 +195,19 @@
 	qt.Assert(t, f.reports, qt.HasLen, 1)
 }
 
+func TestARefusalAfterAnUnknownOutcomeIsNotCalledNotRun(t *testing.T) {
+	f := newFakeGroup()
+	f.answer = func(*pool.Request) (*pool.Reply, error) {
+		if len(f.requests) == 1 {
+			return refuse(result.HolderLost)
+		}
+		return refuse(result.LimitReached)
+	}
+	_, err := run(f.open(), Call{Class: pool.Write, MayCommit: true, Idempotent: true})
+	qt.Assert(t, code(err), qt.Equals, result.UnknownOutcome)
+	qt.Assert(t, f.requests, qt.HasLen, 2)
+}
+
 func TestWriteIsHeldThroughAFailover(t *testing.T) {
 	f := newFakeGroup()
 	f.answer = func(r *pool.Request) (*pool.Reply, error) {
--- a/internal/routing/retry.go
+++ b/internal/routing/retry.go
@@ -155,9 +155,10 @@
 // final returns what a caller is told when no more tries are made.
 func final(p Progress, err *result.Error) *result.Error {
 	switch {
+	case !err.NotRun():
 	case p.Class == pool.Read && p.TooStale:
 		err = result.New(result.TooStale, "every replica is older than allowed, and the primary can't serve: %s", err.Detail)
-	case p.Class == pool.Read && err.NotRun():
+	case p.Class == pool.Read:
 		err = result.New(result.NoReadableTarget, "no target can serve the read now: %s", err.Detail)
 	}
 	if err.RetryAfter > 0 {
