--- a/test/integration/callers_test.go
+++ b/test/integration/callers_test.go
@@ -58,8 +58,8 @@
 
 	_, err = pool.Exec(ctx, "INSERT INTO roster VALUES ($1, $2, $3)", "crew-8", "friday", "free")
 	qt.Assert(t, state(t, err), qt.Equals, "23505")
-	_, err = pool.Exec(ctx, "SELECT nothing FROM nowhere")
-	qt.Assert(t, state(t, err), qt.Equals, "42P01")
+	_, err = pool.Exec(ctx, "SELECT crew FROM nowhere")
+	qt.Assert(t, state(t, err), qt.Equals, "42P01", qt.Commentf("%v", err))
 }
 
 func TestDatabaseSQLWithPqWorksUnchanged(t *testing.T) {
@@ -130,7 +130,7 @@
 		qt.Check(t, conn.PgConn().CancelRequest(ctx), qt.IsNil)
 		select {
 		case err := <-asked:
-			qt.Check(t, state(t, err), qt.Equals, "57014")
+			qt.Check(t, state(t, err), qt.Equals, "57014", qt.Commentf("%v", err))
 			return true
 		default:
 			return false
