--- /dev/null
+++ b/test/standin/target/server_test.go
@@ -0,0 +1,346 @@
+package target_test
+
+import (
+	"context"
+	"database/sql"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	_ "github.com/lib/pq"
+
+	ctl "nettlewalk.example/nettlewalk/internal/target"
+	"nettlewalk.example/nettlewalk/internal/topology"
+	"nettlewalk.example/nettlewalk/test/standin/target"
+)
+
+const seed = `
+CREATE TABLE booking (id INTEGER PRIMARY KEY, crew TEXT NOT NULL, hours REAL, paid BOOLEAN, doc BLOB);
+CREATE UNIQUE INDEX booking_crew ON booking (crew);`
+
+var login = ctl.Login{User: "nettlewalk", Database: "nettlewalk"}
+
+// group is three servers of which the first is the primary.
+type group struct {
+	c       *qt.C
+	servers []*target.Server
+	configs []target.Config
+}
+
+func startGroup(c *qt.C, change func(*target.Config)) *group {
+	g := &group{c: c}
+	for i := range 3 {
+		cfg := target.Config{ID: id(i), Primary: id(0), Dir: c.TempDir(), SeedSQL: seed}
+		if change != nil {
+			change(&cfg)
+		}
+		s, err := target.Start(cfg)
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(func() { s.Close() })
+		g.servers = append(g.servers, s)
+		g.configs = append(g.configs, cfg)
+	}
+	g.connect()
+	return g
+}
+
+func id(i int) topology.TargetID { return topology.TargetID(fmt.Sprintf("t%d", i)) }
+
+func (g *group) connect() {
+	for i, s := range g.servers {
+		for _, other := range g.servers {
+			other.SetPeer(id(i), s.PeerAddr())
+		}
+	}
+}
+
+// restart starts a closed server in its old directory.
+func (g *group) restart(i int) {
+	s, err := target.Start(g.configs[i])
+	g.c.Assert(err, qt.IsNil)
+	g.c.Cleanup(func() { s.Close() })
+	g.servers[i] = s
+	g.connect()
+}
+
+func (g *group) url(i int) string {
+	return "postgres://app@" + g.servers[i].Addr() + "/db?sslmode=disable"
+}
+
+func (g *group) pgx(i int) *pgx.Conn {
+	conn, err := pgx.Connect(context.Background(), g.url(i))
+	g.c.Assert(err, qt.IsNil)
+	g.c.Cleanup(func() { conn.Close(context.Background()) })
+	return conn
+}
+
+func (g *group) control(i int) *ctl.Conn {
+	conn, err := ctl.Dial(context.Background(), g.servers[i].Addr(), login, nil)
+	g.c.Assert(err, qt.IsNil)
+	g.c.Cleanup(func() { conn.Close(context.Background()) })
+	return conn
+}
+
+// waitFor waits until ok tells true.
+func waitFor(c *qt.C, what string, ok func() bool) {
+	deadline := time.Now().Add(10 * time.Second)
+	for !ok() {
+		if time.Now().After(deadline) {
+			c.Fatalf("%s: never came", what)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+func state(err error) string {
+	if e, ok := err.(*pgconn.PgError); ok {
+		return e.Code
+	}
+	return fmt.Sprint(err)
+}
+
+func TestPgxReadsAndWritesAllTypes(t *testing.T) {
+	c := qt.New(t)
+	g := startGroup(c, nil)
+	ctx := context.Background()
+	conn := g.pgx(0)
+	_, err := conn.Exec(ctx, "INSERT INTO booking (id, crew, hours, paid, doc) VALUES ($1, $2, $3, $4, $5)", 7, "blue", 2.5, true, []byte{0, 1})
+	c.Assert(err, qt.IsNil)
+	var (
+		crew  string
+		hours float64
+		paid  bool
+		doc   []byte
+		n     int
+	)
+	row := conn.QueryRow(ctx, "SELECT crew, hours, paid, doc FROM booking WHERE id = $1", 7)
+	c.Assert(row.Scan(&crew, &hours, &paid, &doc), qt.IsNil)
+	c.Assert(fmt.Sprintf("%v %v %v %v", crew, hours, paid, doc), qt.Equals, "blue 2.5 true [0 1]")
+	c.Assert(conn.QueryRow(ctx, "SELECT count(*) AS n FROM booking").Scan(&n), qt.IsNil)
+	c.Assert(n, qt.Equals, 1)
+	c.Assert(conn.QueryRow(ctx, "UPDATE booking SET hours = hours + $1 WHERE id = $2 RETURNING id", 1.5, 7).Scan(&n), qt.IsNil)
+	c.Assert(n, qt.Equals, 7)
+	_, err = conn.Exec(ctx, "INSERT INTO booking (crew) VALUES ($1)", "blue")
+	c.Assert(state(err), qt.Equals, "23505")
+	_, err = conn.Exec(ctx, "SELEC")
+	c.Assert(state(err), qt.Equals, "42601")
+	_, err = conn.Exec(ctx, "SELECT * FROM nowhere")
+	c.Assert(state(err), qt.Equals, "42P01")
+}
+
+func TestSecondDriver(t *testing.T) {
+	c := qt.New(t)
+	g := startGroup(c, nil)
+	db, err := sql.Open("postgres", g.url(0))
+	c.Assert(err, qt.IsNil)
+	defer db.Close()
+	tx, err := db.Begin()
+	c.Assert(err, qt.IsNil)
+	_, err = tx.Exec("INSERT INTO booking (id, crew, paid, doc) VALUES ($1, $2, $3, $4)", 1, "red", false, []byte("x"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(tx.Commit(), qt.IsNil)
+	var id int64
+	var crew string
+	c.Assert(db.QueryRow("SELECT id, crew FROM booking WHERE crew = $1", "red").Scan(&id, &crew), qt.IsNil)
+	c.Assert(id, qt.Equals, int64(1))
+}
+
+func TestTransactionStates(t *testing.T) {
+	c := qt.New(t)
+	g := startGroup(c, nil)
+	ctx := context.Background()
+	conn := g.pgx(0)
+	tx, err := conn.Begin(ctx)
+	c.Assert(err, qt.IsNil)
+	_, err = tx.Exec(ctx, "INSERT INTO booking (id, crew) VALUES (1, 'a')")
+	c.Assert(err, qt.IsNil)
+	c.Assert(conn.PgConn().TxStatus(), qt.Equals, byte('T'))
+	var n int
+	c.Assert(g.pgx(0).QueryRow(ctx, "SELECT count(*) FROM booking").Scan(&n), qt.IsNil)
+	c.Assert(n, qt.Equals, 0)
+	nested, err := tx.Begin(ctx)
+	c.Assert(err, qt.IsNil)
+	_, err = nested.Exec(ctx, "INSERT INTO booking (id, crew) VALUES (2, 'a')")
+	c.Assert(state(err), qt.Equals, "23505")
+	_, err = nested.Exec(ctx, "SELECT 1")
+	c.Assert(state(err), qt.Equals, "25P02")
+	c.Assert(conn.PgConn().TxStatus(), qt.Equals, byte('E'))
+	c.Assert(nested.Rollback(ctx), qt.IsNil)
+	c.Assert(tx.Commit(ctx), qt.IsNil)
+	c.Assert(conn.QueryRow(ctx, "SELECT count(*) FROM booking").Scan(&n), qt.IsNil)
+	c.Assert(n, qt.Equals, 1)
+	_, err = conn.Exec(ctx, "BEGIN READ ONLY; INSERT INTO booking (crew) VALUES ('z')")
+	c.Assert(state(err), qt.Equals, ctl.StateNotPrimary)
+}
+
+func TestPositionIsReportedAndReplicated(t *testing.T) {
+	c := qt.New(t)
+	g := startGroup(c, nil)
+	ctx := context.Background()
+	conn := g.pgx(0)
+	_, err := conn.Exec(ctx, "INSERT INTO booking (id, crew) VALUES (1, 'a')")
+	c.Assert(err, qt.IsNil)
+	pos, err := topology.ParsePosition(conn.PgConn().ParameterStatus(ctl.PositionParameter))
+	c.Assert(err, qt.IsNil)
+	c.Assert(pos, qt.Equals, topology.Position{Term: 1, Offset: 2})
+	replica := g.control(1)
+	waitFor(c, "replica", func() bool {
+		st, err := replica.Status(ctx)
+		c.Assert(err, qt.IsNil)
+		return st.Applied == pos
+	})
+	var crew string
+	c.Assert(g.pgx(1).QueryRow(ctx, "SELECT crew FROM booking").Scan(&crew), qt.IsNil)
+	_, err = g.pgx(1).Exec(ctx, "DELETE FROM booking")
+	c.Assert(state(err), qt.Equals, ctl.StateNotPrimary)
+}
+
+func TestReceivedRunsAheadOfApplied(t *testing.T) {
+	c := qt.New(t)
+	g := startGroup(c, func(cfg *target.Config) { cfg.ApplyLag = time.Hour })
+	_, err := g.pgx(0).Exec(context.Background(), "INSERT INTO booking (id, crew) VALUES (1, 'a')")
+	c.Assert(err, qt.IsNil)
+	waitFor(c, "receipt", func() bool { return g.servers[1].Status().Received.Offset == 2 })
+	c.Assert(g.servers[1].Status().Applied, qt.Equals, topology.Position{})
+	g.servers[1].SetLag(0, 0)
+	waitFor(c, "application", func() bool { return g.servers[1].Status().Applied.Offset == 2 })
+}
+
+func TestConnectionLimitCostAndCancel(t *testing.T) {
+	c := qt.New(t)
+	const cost = 30 * time.Millisecond
+	g := startGroup(c, func(cfg *target.Config) { cfg.Connections, cfg.ConnectCost = 2, cost })
+	ctx := context.Background()
+	before := time.Now()
+	conn := g.pgx(0)
+	c.Assert(time.Since(before) >= cost, qt.IsTrue)
+	g.pgx(0)
+	_, err := pgx.Connect(ctx, g.url(0))
+	c.Assert(err, qt.ErrorMatches, "(?s).*"+ctl.StateTooManyConnections+".*")
+	c.Assert(g.servers[0].HighestConnections(), qt.Equals, 2)
+
+	done := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(ctx, "SELECT pg_sleep(60)")
+		done <- err
+	}()
+	waitFor(c, "cancel", func() bool {
+		_ = conn.PgConn().CancelRequest(ctx)
+		select {
+		case err = <-done:
+			return true
+		default:
+			return false
+		}
+	})
+	c.Assert(state(err), qt.Equals, "57014", qt.Commentf("%v", err))
+}
+
+func TestSlotLocks(t *testing.T) {
+	c := qt.New(t)
+	g := startGroup(c, nil)
+	ctx := context.Background()
+	a, b := g.control(0), g.control(0)
+	for _, step := range []struct {
+		conn *ctl.Conn
+		want bool
+	}{{a, true}, {a, true}, {b, false}} {
+		got, err := step.conn.LockSlot(ctx, 1)
+		c.Assert(err, qt.IsNil)
+		c.Assert(got, qt.Equals, step.want)
+	}
+	c.Assert(b.EndSlot(ctx, 1), qt.IsNil)
+	got, err := b.LockSlot(ctx, 1)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got, qt.IsTrue)
+	_, err = a.Status(ctx)
+	c.Assert(err, qt.IsNotNil)
+}
+
+func TestPromotionAndReturnOfTheOldPrimary(t *testing.T) {
+	c := qt.New(t)
+	g := startGroup(c, nil)
+	ctx := context.Background()
+	waitFor(c, "replicas", func() bool {
+		return g.servers[1].Status().Received.Offset == 1 && g.servers[2].Status().Received.Offset == 1
+	})
+	// A write that only the old primary has, and one that is open at the fence.
+	for _, i := range []int{1, 2} {
+		g.servers[i].SetLag(time.Hour, 0)
+	}
+	old := g.pgx(0)
+	_, err := old.Exec(ctx, "INSERT INTO booking (id, crew) VALUES (1, 'lost')")
+	c.Assert(err, qt.IsNil)
+	tx, err := old.Begin(ctx)
+	c.Assert(err, qt.IsNil)
+	_, err = tx.Exec(ctx, "INSERT INTO booking (id, crew) VALUES (2, 'open')")
+	c.Assert(err, qt.IsNil)
+
+	one, two := g.control(1), g.control(2)
+	for _, conn := range []*ctl.Conn{one, two} {
+		_, err := conn.Fence(ctx, 2)
+		c.Assert(err, qt.IsNil)
+		_, err = conn.Fence(ctx, 2)
+		c.Assert(err, qt.ErrorAs, new(*ctl.ErrStaleTerm))
+	}
+	st, err := one.Promote(ctx, 2)
+	c.Assert(err, qt.IsNil)
+	c.Assert(st.Received, qt.Equals, topology.Position{Term: 2, Offset: 2})
+	_, err = two.Follow(ctx, 2, id(1))
+	c.Assert(err, qt.IsNil)
+	_, err = g.control(0).Fence(ctx, 2)
+	c.Assert(err, qt.IsNil)
+	c.Assert(state(tx.Commit(ctx)), qt.Equals, ctl.StateNotPrimary)
+	_, err = g.control(0).Follow(ctx, 2, id(1))
+	c.Assert(err, qt.IsNil)
+	for _, s := range g.servers {
+		s.SetLag(0, 0)
+	}
+	_, err = g.pgx(1).Exec(ctx, "INSERT INTO booking (id, crew) VALUES (3, 'kept')")
+	c.Assert(err, qt.IsNil)
+	for i, s := range g.servers {
+		waitFor(c, "log", func() bool { return s.Status().Applied == topology.Position{Term: 2, Offset: 3} })
+		var crews string
+		c.Assert(g.pgx(i).QueryRow(ctx, "SELECT group_concat(crew) AS crews FROM booking").Scan(&crews), qt.IsNil)
+		c.Assert(crews, qt.Equals, "kept")
+	}
+}
+
+func TestRestartKeepsTheLogAndComesBackUnwritable(t *testing.T) {
+	c := qt.New(t)
+	g := startGroup(c, nil)
+	ctx := context.Background()
+	_, err := g.pgx(0).Exec(ctx, "INSERT INTO booking (id, crew) VALUES (1, 'a')")
+	c.Assert(err, qt.IsNil)
+	g.servers[0].Close()
+	g.restart(0)
+	st := g.servers[0].Status()
+	c.Assert(st.Role, qt.Equals, ctl.Fenced)
+	c.Assert(st.Applied, qt.Equals, topology.Position{Term: 1, Offset: 2})
+	conn := g.pgx(0)
+	var n int
+	c.Assert(conn.QueryRow(ctx, "SELECT count(*) FROM booking").Scan(&n), qt.IsNil)
+	c.Assert(n, qt.Equals, 1)
+	_, err = conn.Exec(ctx, "DELETE FROM booking")
+	c.Assert(state(err), qt.Equals, ctl.StateNotPrimary)
+}
+
+func TestLargeAnswer(t *testing.T) {
+	c := qt.New(t)
+	g := startGroup(c, nil)
+	rows, err := g.pgx(0).Query(context.Background(),
+		"WITH RECURSIVE n(i) AS (VALUES (1) UNION ALL SELECT i + 1 FROM n WHERE i < 20000) SELECT i, 'xxxxxxxxxxxxxxxxxxxx' AS pad FROM n")
+	c.Assert(err, qt.IsNil)
+	got, err := pgx.CollectRows(rows, func(row pgx.CollectableRow) (string, error) {
+		var i int64
+		var pad string
+		err := row.Scan(&i, &pad)
+		return pad, err
+	})
+	c.Assert(err, qt.IsNil)
+	c.Assert(len(strings.Join(got, "")), qt.Equals, 20000*20)
+}
