Floors: a slow keeper is hedged by the confirmed position

A frozen keeper held each read for the second of its call's timeout. TestClientFallsBackToTheConfirmedPosition takes that long without the hedge.

--- a/internal/floor/client.go
+++ b/internal/floor/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"nettlewalk.example/nettlewalk/internal/fleet"
 	"nettlewalk.example/nettlewalk/internal/peer"
@@ -10,6 +11,8 @@
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
+const keeperPatience = 25 * time.Millisecond // the confirmed position is asked for too after this
+
 // Primaries tells who is primary of a group as far as this host knows.
 type Primaries interface {
 	State(group topology.GroupID) (term uint64, primary topology.TargetID, ok bool)
@@ -70,20 +73,56 @@
 }
 
 // Session returns a position at or past every write of the session that was
-// acknowledged before the call: its keeper's answer, else the group's
-// confirmed position.
+// acknowledged before the call: its keeper's answer, or the group's confirmed
+// position if the keeper takes long or can't answer.
 func (c *Client) Session(ctx context.Context, group topology.GroupID, session string) (topology.Position, error) {
 	at, ok := c.keeperOf(group, session)
 	if !ok {
-		return c.Confirmed(ctx, group)
-	}
-	floors, err := c.batch(at).do(ctx, session)
-	if err != nil {
 		c.stats.fallbacks.Inc()
 		return c.Confirmed(ctx, group)
 	}
-	c.stats.answers.Inc()
-	return floors[session], nil
+	kept := c.batch(at).join(session)
+	if within(ctx, kept.done, keeperPatience) && kept.err == nil {
+		c.stats.answers.Inc()
+		return kept.value[session], nil
+	}
+	c.stats.fallbacks.Inc()
+	return c.first(ctx, session, kept, c.round(group).join(""))
+}
+
+// first returns the first answer of the keeper and the confirmed position.
+func (c *Client) first(ctx context.Context, session string, kept *run[floorsBySession], confirmed *run[topology.Position]) (topology.Position, error) {
+	keptDone, confirmedDone := kept.done, confirmed.done
+	for keptDone != nil || confirmedDone != nil {
+		select {
+		case <-keptDone:
+			if kept.err == nil {
+				return kept.value[session], nil
+			}
+			keptDone = nil
+		case <-confirmedDone:
+			if confirmed.err == nil {
+				return confirmed.value, nil
+			}
+			confirmedDone = nil
+		case <-ctx.Done():
+			return topology.Position{}, ctx.Err()
+		}
+	}
+	return topology.Position{}, confirmed.err
+}
+
+// within tells whether done is closed in time.
+func within(ctx context.Context, done <-chan struct{}, patience time.Duration) bool {
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case <-done:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
 }
 
 // batch returns the questions to the place. Those to a former place of the
@@ -116,12 +155,17 @@
 	}
 	slot := SlotOf(session, t.Slots)
 	holders := c.cfg.Fleet.Holders(t)
-	if slot >= len(holders) {
+	if slot >= len(holders) || c.gone(holders[slot]) {
 		return place{}, false
 	}
 	return place{group: id, target: primary, slot: slot, host: holders[slot]}, true
 }
 
+func (c *Client) gone(id topology.HostID) bool {
+	h, known := c.cfg.Fleet.Host(id)
+	return known && h.State == topology.HostGone
+}
+
 // Confirmed returns the group's confirmed position, by a round that began
 // after the call.
 func (c *Client) Confirmed(ctx context.Context, group topology.GroupID) (topology.Position, error) {
--- /dev/null
+++ b/internal/floor/client_test.go
@@ -0,0 +1,78 @@
+package floor
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"nettlewalk.example/nettlewalk/internal/result"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// fakeFleet has one host, "other", that holds every slot.
+type fakeFleet struct{ state topology.HostState }
+
+func (f *fakeFleet) Self() topology.Host    { return topology.Host{ID: "self"} }
+func (f *fakeFleet) Hosts() []topology.Host { return nil }
+func (f *fakeFleet) Host(id topology.HostID) (topology.Host, bool) {
+	return topology.Host{ID: id, State: f.state}, true
+}
+func (f *fakeFleet) Holders(topology.Target) []topology.HostID {
+	return []topology.HostID{"other", "other"}
+}
+func (f *fakeFleet) Report(topology.HostID, bool) {}
+
+// fakeCaller is the way to the keeper.
+type fakeCaller func(ctx context.Context, q Question, a *Answer) error
+
+func (f fakeCaller) Call(ctx context.Context, _ topology.HostID, _ string, args, reply any) error {
+	return f(ctx, args.(Question), reply.(*Answer))
+}
+
+type fakePrimaries struct{}
+
+func (fakePrimaries) State(topology.GroupID) (uint64, topology.TargetID, bool) {
+	return 1, name(0), true
+}
+
+// The confirmed position in these tests is 1/9, the keeper's answer 1/5.
+func clientOf(f *fakeFleet, keeper fakeCaller) *Client {
+	w := newWorld(nil)
+	for i := range w.received {
+		w.received[i] = pos(9)
+	}
+	return NewClient(ClientConfig{Self: "self", Caller: keeper, Fleet: f, Groups: w, Primaries: fakePrimaries{}, Rounds: w.hosts[0]})
+}
+
+func TestClientFallsBackToTheConfirmedPosition(t *testing.T) {
+	answers := func(_ context.Context, q Question, a *Answer) error {
+		for range q.Sessions {
+			a.Floors = append(a.Floors, pos(5))
+		}
+		return nil
+	}
+	refuses := func(context.Context, Question, *Answer) error { return result.New(result.NotHolder, "lock lost") }
+	silent := func(ctx context.Context, _ Question, _ *Answer) error {
+		<-ctx.Done()
+		return result.New(result.HolderLost, "silent")
+	}
+	for _, c := range []struct {
+		name   string
+		state  topology.HostState
+		keeper fakeCaller
+		want   topology.Position
+	}{
+		{"answers", topology.HostLive, answers, pos(5)},
+		{"refuses", topology.HostLive, refuses, pos(9)},
+		{"silent", topology.HostLive, silent, pos(9)},
+		{"gone", topology.HostGone, answers, pos(9)},
+	} {
+		began := time.Now()
+		got, err := clientOf(&fakeFleet{state: c.state}, c.keeper).Session(context.Background(), "g", "s")
+		qt.Check(t, err, qt.IsNil, qt.Commentf(c.name))
+		qt.Check(t, got, qt.Equals, c.want, qt.Commentf(c.name))
+		qt.Check(t, time.Since(began) < checkTimeout/2, qt.IsTrue, qt.Commentf(c.name))
+	}
+}
