--- a/test/standin/target/database.go
+++ b/test/standin/target/database.go
@@ -33,8 +33,10 @@
 	return c.now.UTC().Format(timestampFormat)
 }
 
-func (c *clock) sleep(seconds float64) (string, error) {
-	if c.ctx == nil {
+// sleep takes seconds as an integer, a float or NULL.
+func (c *clock) sleep(argument any) (string, error) {
+	seconds, _ := strconv.ParseFloat(encodeText(argument, oidFloat8), 64)
+	if c.ctx == nil || seconds <= 0 {
 		return "", nil
 	}
 	t := time.NewTimer(time.Duration(seconds * float64(time.Second)))
--- a/test/standin/target/server_test.go
+++ b/test/standin/target/server_test.go
@@ -237,7 +237,7 @@
 			return false
 		}
 	})
-	c.Assert(state(err), qt.Equals, "57014")
+	c.Assert(state(err), qt.Equals, "57014", qt.Commentf("%v", err))
 }
 
 func TestSlotLocks(t *testing.T) {
