--- a/internal/routing/stats.go
+++ b/internal/routing/stats.go
@@ -32,8 +32,10 @@
 
 // count notes a batch that was answered. One that was sent as a write but
 // wrote nothing and left no transaction open is a read that wasn't declared.
+// Batches that only prepare or describe statements aren't counted.
 func (s *stats) count(class pool.Class, out Outcome, reason Reason) {
 	switch {
+	case out.Usage.Statements == 0:
 	case out.Replica:
 		s.replicaReads.Inc()
 	case class == pool.Read && out.Position.IsZero():
