--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -47,6 +47,7 @@
 	Canceled           Code = 217 // the caller canceled before anything was sent
 	DeadlinePassed     Code = 218 // the deadline passed before anything was sent
 	VersionConflict    Code = 219 // a conditional edit lost against another one
+	PlatformDown       Code = 220 // the platform can't be reached, nothing was changed
 
 	UnknownOutcome    Code = 300 // the connection broke after the request was sent
 	UnconfirmedCommit Code = 301 // committed at the primary, no majority confirmed it in time
@@ -66,6 +67,7 @@
 	BadConfiguration   Code = 508 // a settings file, template or customer with faults
 	Forbidden          Code = 509 // the operator may not see or edit this object
 	NotFound           Code = 510 // no such object
+	ReadOnlySession    Code = 511 // a write from a user or session declared read-only
 )
 
 // Group returns the code's group.
@@ -103,8 +105,11 @@
 	return &c
 }
 
-// Error implements error.
+// Error implements error. Parse reads the text back.
 func (e *Error) Error() string {
+	if e.RetryAfter > 0 {
+		return fmt.Sprintf("nettlewalk %d (%s, retry after %s): %s", e.Code, e.Code.Group(), e.RetryAfter, e.Detail)
+	}
 	return fmt.Sprintf("nettlewalk %d (%s): %s", e.Code, e.Code.Group(), e.Detail)
 }
 
