--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -33,8 +33,10 @@
 }
 
 // Control gives orders to one target. Fence, Promote and Follow return
-// ErrStaleTerm when the target knows a higher term; every other error means
-// that the outcome isn't known. Safe for concurrent use; calls run one at a time.
+// ErrStaleTerm when the target knows a higher term, Fence also when it knows
+// this one: whoever fences a target at a term has that term for itself. Every
+// other error means that the outcome isn't known. Safe for concurrent use;
+// calls run one at a time.
 type Control interface {
 	Status(ctx context.Context) (Status, error)
 	// Fence stops writes at the target until an order of this term or higher.
