Usage: meters that only grow, kept by holder, entry hosts and witnesses

A holder's answer carries the customer's meter, its total at that process, so that the largest reading of a meter holds all before it and merging is a maximum.

pool.Reply has Meter, and OnUsage returns it; it is now called when the target answered, before the commit is confirmed, since the work was consumed then.

Seen to fail: without the entry hosts' readings, with readings forgotten before they are durable, with sums in place of maxima, and with nothing handed to witnesses (both killed: the usage is lost).

--- a/internal/pool/complete.go
+++ b/internal/pool/complete.go
@@ -22,6 +22,9 @@
 		return m.refusal(sl, req, err)
 	}
 	reply := m.lastChunk(s)
+	if m.opts.OnUsage != nil {
+		reply.Meter = m.opts.OnUsage(req.Customer, req.Group, reply.Usage)
+	}
 	s.unclean = s.unclean || a.unclean
 	s.answer = nil
 	s.open = a.txStatus != txIdle
@@ -36,9 +39,6 @@
 		}
 	}
 	reply.Hint = m.hint(sl, req.Class)
-	if m.opts.OnUsage != nil {
-		m.opts.OnUsage(req.Customer, req.Group, reply.Usage)
-	}
 	return reply, nil
 }
 
--- a/internal/pool/message.go
+++ b/internal/pool/message.go
@@ -74,6 +74,15 @@
 	TargetTime time.Duration
 }
 
+// Meter is a customer's usage at one process of a holder since it started. It
+// only grows, so that the latest one seen by anybody holds all before it.
+type Meter struct {
+	Host     topology.HostID // empty: not metered
+	Boot     uint64
+	Customer topology.CustomerID
+	Total    Usage
+}
+
 // Reply is one chunk of an answer. A refusal is an error of package result
 // beside a Reply that holds only Hint.
 type Reply struct {
@@ -84,6 +93,7 @@
 	Position topology.Position // of the commit, zero if nothing was written
 	Hint     Hint
 	Usage    Usage
+	Meter    Meter // after the batch
 }
 
 // Executor runs batches. All errors are *result.Error. Safe for concurrent use.
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -44,8 +44,9 @@
 	// type *HealthError and a Status that names only the target for each
 	// failed connect or status.
 	OnStatus func(st target.Status, err error, sentAt time.Time)
-	// OnUsage is called for each answered batch.
-	OnUsage func(customer topology.CustomerID, group topology.GroupID, used Usage)
+	// OnUsage is called for each batch that a target answered, also when its
+	// commit isn't confirmed in time, and returns the customer's meter after it.
+	OnUsage func(customer topology.CustomerID, group topology.GroupID, used Usage) Meter
 }
 
 // Held is a slot that this host has to hold.
--- /dev/null
+++ b/internal/usage/holdings.go
@@ -0,0 +1,157 @@
+package usage
+
+import (
+	"time"
+
+	"nettlewalk.example/nettlewalk/internal/pool"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// Holdings is all that one host knows of meters: its own, those of holders
+// whose answers it got, and those that it is a witness of. The zero value is
+// not ready for use.
+type Holdings struct {
+	self    Source
+	known   Ledger               // largest readings
+	durable Ledger               // readings that are in the platform
+	handed  Ledger               // readings that a witness got
+	handAt  map[Source]time.Time // last handing
+	changed map[Source]time.Time // last growth of a reading
+	witness map[Source]bool      // sources of which this host is a witness
+}
+
+// NewHoldings returns the holdings of a process.
+func NewHoldings(self Source) *Holdings {
+	return &Holdings{
+		self:    self,
+		changed: map[Source]time.Time{},
+		witness: map[Source]bool{},
+		handAt:  map[Source]time.Time{},
+	}
+}
+
+// Consume adds to the customer's own meter and returns it.
+func (h *Holdings) Consume(id topology.CustomerID, used pool.Usage, now time.Time) pool.Meter {
+	total := add(h.known.sources[h.self][id], used)
+	m := pool.Meter{Host: h.self.Host, Boot: h.self.Boot, Customer: id, Total: total}
+	h.learn(m, now)
+	return m
+}
+
+// Saw takes in the meter of an answer.
+func (h *Holdings) Saw(m pool.Meter, now time.Time) {
+	if m.Host != "" {
+		h.learn(m, now)
+	}
+}
+
+// Witness takes in what another host sent: readings, and which are durable.
+func (h *Holdings) Witness(readings, durable []pool.Meter, now time.Time) {
+	for _, m := range readings {
+		h.learn(m, now)
+		h.witness[sourceOf(m)] = true
+	}
+	h.durable.MergeAll(durable)
+}
+
+// Durable notes that readings are in the platform.
+func (h *Holdings) Durable(readings []pool.Meter) { h.durable.MergeAll(readings) }
+
+// Handed notes that a witness has readings of a source.
+func (h *Holdings) Handed(source Source, readings []pool.Meter, now time.Time) {
+	h.handed.MergeAll(readings)
+	h.handAt[source] = now
+}
+
+func (h *Holdings) learn(m pool.Meter, now time.Time) {
+	if h.known.Merge(m) {
+		h.changed[sourceOf(m)] = now
+	}
+}
+
+// ToHand returns the readings of each source that its witnesses are to get: of
+// this process at once, of others once they have been silent for a time, for
+// until then they send them themselves. Witnesses hand them to each other, too.
+// What doesn't become durable is handed
+// again after a time, for a witness may have died with it.
+func (h *Holdings) ToHand(now time.Time, silent, again time.Duration) map[Source][]pool.Meter {
+	due := map[Source][]pool.Meter{}
+	for source := range h.known.sources {
+		if source != h.self && now.Sub(h.changed[source]) < silent {
+			continue
+		}
+		if now.Sub(h.handAt[source]) >= again {
+			h.handed.Drop(source)
+		}
+		news := notCovered(notCovered(h.known.Readings(source), &h.durable), &h.handed)
+		if len(news) > 0 {
+			due[source] = news
+		}
+	}
+	return due
+}
+
+// ToWrite returns all readings of each source that this host is to merge into
+// the platform: of this process if anything is new, and of those that it is a
+// witness of once they have been silent for a time with something not durable.
+func (h *Holdings) ToWrite(now time.Time, silent time.Duration) map[Source][]pool.Meter {
+	due := map[Source][]pool.Meter{}
+	for source := range h.known.sources {
+		if source != h.self && (!h.witness[source] || now.Sub(h.changed[source]) < silent) {
+			continue
+		}
+		readings := h.known.Readings(source)
+		if len(notCovered(readings, &h.durable)) > 0 {
+			due[source] = readings
+		}
+	}
+	return due
+}
+
+// Forget drops the sources that have been silent for a time and whose readings
+// are durable.
+func (h *Holdings) Forget(now time.Time, silent time.Duration) {
+	for source := range h.known.sources {
+		if source == h.self || now.Sub(h.changed[source]) < silent {
+			continue
+		}
+		if len(notCovered(h.known.Readings(source), &h.durable)) > 0 {
+			continue
+		}
+		h.known.Drop(source)
+		h.durable.Drop(source)
+		h.handed.Drop(source)
+		delete(h.handAt, source)
+		delete(h.changed, source)
+		delete(h.witness, source)
+	}
+}
+
+// DurableOf returns the durable readings of the sources of some readings.
+func (h *Holdings) DurableOf(readings []pool.Meter) []pool.Meter {
+	var durable []pool.Meter
+	asked := map[Source]bool{}
+	for _, m := range readings {
+		if source := sourceOf(m); !asked[source] {
+			asked[source] = true
+			durable = append(durable, h.durable.Readings(source)...)
+		}
+	}
+	return durable
+}
+
+// OwnDurable returns which of this process's readings are durable.
+func (h *Holdings) OwnDurable() []pool.Meter { return h.durable.Readings(h.self) }
+
+// ReadingsOf returns a customer's readings.
+func (h *Holdings) ReadingsOf(id topology.CustomerID) []pool.Meter { return h.known.ReadingsOf(id) }
+
+func notCovered(readings []pool.Meter, by *Ledger) []pool.Meter {
+	var news []pool.Meter
+	for _, m := range readings {
+		if !by.Covers(m) {
+			news = append(news, m)
+		}
+	}
+	return news
+}
--- /dev/null
+++ b/internal/usage/keeper_test.go
@@ -0,0 +1,188 @@
+package usage_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"nettlewalk.example/nettlewalk/internal/platform"
+	"nettlewalk.example/nettlewalk/internal/pool"
+	"nettlewalk.example/nettlewalk/internal/result"
+	"nettlewalk.example/nettlewalk/internal/topology"
+	"nettlewalk.example/nettlewalk/internal/usage"
+	standin "nettlewalk.example/nettlewalk/test/standin/platform"
+)
+
+// fleet is some keepers that call each other directly.
+type fleet struct {
+	mu       sync.Mutex
+	platform *standin.Server
+	hosts    []topology.Host
+	keepers  map[topology.HostID]*usage.Keeper
+	stops    map[topology.HostID]func()
+}
+
+func newFleet(c *qt.C, ids ...topology.HostID) *fleet {
+	p, err := standin.Start(standin.Config{})
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(p.Close)
+	f := &fleet{platform: p, keepers: map[topology.HostID]*usage.Keeper{}, stops: map[topology.HostID]func(){}}
+	for _, id := range ids {
+		f.hosts = append(f.hosts, topology.Host{ID: id, Domain: topology.Domain(id[:1]), State: topology.HostLive})
+	}
+	for _, id := range ids {
+		f.start(c, id)
+	}
+	return f
+}
+
+func (f *fleet) start(c *qt.C, id topology.HostID) {
+	client := platform.New(platform.Options{Addr: f.platform.Addr, Caller: string(id)})
+	k := usage.NewKeeper(usage.Options{Self: id, Boot: 1, Client: client, Peers: f, Hosts: f.list})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); k.Run(ctx) }()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.keepers[id] = k
+	f.stops[id] = sync.OnceFunc(func() { cancel(); <-done; client.Close() })
+	c.Cleanup(f.stops[id])
+}
+
+// list returns the hosts that the platform lists: killed ones are gone.
+func (f *fleet) list() []topology.Host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var hosts []topology.Host
+	for _, host := range f.hosts {
+		if f.keepers[host.ID] != nil || f.stops[host.ID] == nil {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
+
+// knowers returns how many live hosts have readings of a source.
+func (f *fleet) knowers(source usage.Source) int {
+	n := 0
+	for _, host := range f.list() {
+		var reply usage.ReadReply
+		if f.Call(context.Background(), host.ID, "Usage.Read", &usage.ReadArgs{Customer: "x"}, &reply) != nil {
+			continue
+		}
+		for _, m := range reply.Readings {
+			if m.Host == source.Host && m.Boot == source.Boot {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// kill ends a host without any last write.
+func (f *fleet) kill(id topology.HostID) {
+	f.mu.Lock()
+	delete(f.keepers, id)
+	f.mu.Unlock()
+	f.stops[id]()
+}
+
+// Call implements peer.Caller.
+func (f *fleet) Call(_ context.Context, host topology.HostID, method string, args, reply any) error {
+	f.mu.Lock()
+	k := f.keepers[host]
+	f.mu.Unlock()
+	if k == nil {
+		return result.New(result.HostUnreachable, "%s is gone", host)
+	}
+	if method == "Usage.Read" {
+		return k.Service().Read(args.(*usage.ReadArgs), reply.(*usage.ReadReply))
+	}
+	return k.Service().Witness(args.(*usage.WitnessArgs), reply.(*usage.WitnessReply))
+}
+
+// holder is an executor that consumes one statement for each batch.
+type holder struct {
+	pool.Executor
+	keeper *usage.Keeper
+}
+
+func (h holder) Exec(_ context.Context, req *pool.Request) (*pool.Reply, error) {
+	return &pool.Reply{Meter: h.keeper.Consume(req.Customer, req.Group, pool.Usage{Statements: 1})}, nil
+}
+
+func (f *fleet) run(c *qt.C, entry, at topology.HostID, n int) {
+	exec := f.keepers[entry].Observe(holder{keeper: f.keepers[at]})
+	for range n {
+		_, err := exec.Exec(context.Background(), &pool.Request{Customer: "x"})
+		c.Assert(err, qt.IsNil)
+	}
+}
+
+func (f *fleet) statements(c *qt.C, at topology.HostID) uint64 {
+	report, err := f.keepers[at].Report(context.Background(), "x")
+	c.Assert(err, qt.IsNil)
+	return report.Statements
+}
+
+func TestReportIsWholeAfterDeaths(t *testing.T) {
+	tests := []struct {
+		name   string
+		killed []topology.HostID
+		known  int // hosts that must know of the holder's usage before
+	}{
+		{"the holder, at once", []topology.HostID{"a1"}, 1},
+		{"the entry host, at once", []topology.HostID{"b1"}, 1},
+		{"both, after the interval", []topology.HostID{"a1", "b1"}, 3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFleet(c, "a1", "a2", "b1", "b2", "c1", "c2")
+			f.run(c, "b1", "a1", 7)
+			waitFor(c, "others know", func() bool { return f.knowers(usage.Source{Host: "a1", Boot: 1}) >= test.known })
+			for _, id := range test.killed {
+				f.kill(id)
+			}
+			c.Check(f.statements(c, "c1"), qt.Equals, uint64(7))
+		})
+	}
+}
+
+func TestWitnessesWriteWhatTheDeadCouldNot(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c, "a1", "b1", "c1")
+	f.platform.Change(func(x *standin.Faults) { x.Outage = standin.OutageRefuse })
+	f.run(c, "a1", "b1", 4)
+	f.kill("b1")
+	f.platform.Change(func(x *standin.Faults) { x.Outage = standin.OutageNone; x.DropAnswers = 2 })
+	waitFor(c, "the platform has it", func() bool {
+		o, ok := f.platform.Object("usage", "b1.1")
+		return ok && string(o.Value) != ""
+	})
+	f.kill("a1")
+	c.Check(f.statements(c, "c1"), qt.Equals, uint64(4))
+}
+
+func TestLeavingWritesEverything(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c, "a1", "b1")
+	f.run(c, "a1", "b1", 4)
+	f.keepers["b1"].Leave(context.Background())
+	_, ok := f.platform.Object("usage", "b1.1")
+	c.Check(ok, qt.IsTrue)
+}
+
+func waitFor(c *qt.C, what string, ok func() bool) {
+	c.Helper()
+	deadline := time.Now().Add(30 * time.Second)
+	for !ok() {
+		if time.Now().After(deadline) {
+			c.Fatalf("not in time: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/internal/usage/ledger.go
@@ -0,0 +1,118 @@
+package usage
+
+import (
+	"sort"
+
+	"nettlewalk.example/nettlewalk/internal/pool"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// Source is one process of a holder.
+type Source struct {
+	Host topology.HostID
+	Boot uint64
+}
+
+// sourceOf returns the process that keeps the meter.
+func sourceOf(m pool.Meter) Source { return Source{Host: m.Host, Boot: m.Boot} }
+
+// Totals are the readings of one source's meters.
+type Totals map[topology.CustomerID]pool.Usage
+
+// Ledger keeps the largest reading of each meter. The zero value is empty.
+type Ledger struct{ sources map[Source]Totals }
+
+// Merge takes a reading in and tells whether it was larger than the known one.
+func (l *Ledger) Merge(m pool.Meter) bool {
+	source := sourceOf(m)
+	known := l.sources[source][m.Customer]
+	largest := larger(known, m.Total)
+	if largest == known {
+		return false
+	}
+	if l.sources == nil {
+		l.sources = map[Source]Totals{}
+	}
+	if l.sources[source] == nil {
+		l.sources[source] = Totals{}
+	}
+	l.sources[source][m.Customer] = largest
+	return true
+}
+
+// MergeAll takes readings in and tells whether any was larger.
+func (l *Ledger) MergeAll(meters []pool.Meter) bool {
+	changed := false
+	for _, m := range meters {
+		changed = l.Merge(m) || changed
+	}
+	return changed
+}
+
+// Covers tells whether the known reading is at least m.
+func (l *Ledger) Covers(m pool.Meter) bool {
+	known := l.sources[sourceOf(m)][m.Customer]
+	return larger(known, m.Total) == known
+}
+
+// Usage returns a customer's usage over all sources.
+func (l *Ledger) Usage(id topology.CustomerID) pool.Usage {
+	var sum pool.Usage
+	for _, totals := range l.sources {
+		sum = add(sum, totals[id])
+	}
+	return sum
+}
+
+// Readings returns the readings of one source, by customer.
+func (l *Ledger) Readings(source Source) []pool.Meter {
+	meters := make([]pool.Meter, 0, len(l.sources[source]))
+	for id, total := range l.sources[source] {
+		meters = append(meters, pool.Meter{Host: source.Host, Boot: source.Boot, Customer: id, Total: total})
+	}
+	sort.Slice(meters, func(i, j int) bool { return meters[i].Customer < meters[j].Customer })
+	return meters
+}
+
+// ReadingsOf returns a customer's readings, by source.
+func (l *Ledger) ReadingsOf(id topology.CustomerID) []pool.Meter {
+	var meters []pool.Meter
+	for source, totals := range l.sources {
+		if total, ok := totals[id]; ok {
+			meters = append(meters, pool.Meter{Host: source.Host, Boot: source.Boot, Customer: id, Total: total})
+		}
+	}
+	return meters
+}
+
+// Sources returns the sources with readings, in no order.
+func (l *Ledger) Sources() []Source {
+	sources := make([]Source, 0, len(l.sources))
+	for source := range l.sources {
+		sources = append(sources, source)
+	}
+	return sources
+}
+
+// Drop forgets a source.
+func (l *Ledger) Drop(source Source) { delete(l.sources, source) }
+
+// larger returns the larger of two readings of one meter. Its parts grow
+// together, so that taking each part's maximum gives a reading that was taken.
+func larger(a, b pool.Usage) pool.Usage {
+	return pool.Usage{
+		Statements: max(a.Statements, b.Statements),
+		Rows:       max(a.Rows, b.Rows),
+		Bytes:      max(a.Bytes, b.Bytes),
+		TargetTime: max(a.TargetTime, b.TargetTime),
+	}
+}
+
+func add(a, b pool.Usage) pool.Usage {
+	return pool.Usage{
+		Statements: a.Statements + b.Statements,
+		Rows:       a.Rows + b.Rows,
+		Bytes:      a.Bytes + b.Bytes,
+		TargetTime: a.TargetTime + b.TargetTime,
+	}
+}
--- /dev/null
+++ b/internal/usage/record.go
@@ -0,0 +1,62 @@
+package usage
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"nettlewalk.example/nettlewalk/internal/pool"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// Record is the platform's object of one source.
+type Record struct {
+	Host      topology.HostID                `json:"host"`
+	Boot      uint64                         `json:"boot"`
+	Customers map[topology.CustomerID]Amount `json:"customers"`
+}
+
+// Amount is a usage in JSON.
+type Amount struct {
+	Statements uint64        `json:"statements"`
+	Rows       uint64        `json:"rows"`
+	Bytes      uint64        `json:"bytes"`
+	TargetTime time.Duration `json:"target_time_ns"`
+}
+
+// recordName names a source's object.
+func recordName(source Source) string { return fmt.Sprintf("%s.%d", source.Host, source.Boot) }
+
+// readRecord returns the readings of a record.
+func readRecord(value json.RawMessage) ([]pool.Meter, error) {
+	var r Record
+	if err := json.Unmarshal(value, &r); err != nil {
+		return nil, errors.Wrap(err, "usage record")
+	}
+	meters := make([]pool.Meter, 0, len(r.Customers))
+	for id, amount := range r.Customers {
+		meters = append(meters, pool.Meter{Host: r.Host, Boot: r.Boot, Customer: id, Total: pool.Usage(amount)})
+	}
+	return meters, nil
+}
+
+// mergeRecord returns a source's record with readings merged in. value is the
+// present one, empty if there is none.
+func mergeRecord(source Source, value json.RawMessage, readings []pool.Meter) (json.RawMessage, error) {
+	var l Ledger
+	if len(value) > 0 {
+		present, err := readRecord(value)
+		if err != nil {
+			return nil, err
+		}
+		l.MergeAll(present)
+	}
+	l.MergeAll(readings)
+	r := Record{Host: source.Host, Boot: source.Boot, Customers: map[topology.CustomerID]Amount{}}
+	for _, m := range l.Readings(source) {
+		r.Customers[m.Customer] = Amount(m.Total)
+	}
+	return json.Marshal(r)
+}
--- /dev/null
+++ b/internal/usage/witnesses.go
@@ -0,0 +1,78 @@
+package usage
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// witnessCount is how many hosts keep a source's readings beside itself.
+const witnessCount = 2
+
+// Witnesses returns the hosts that keep a source's readings: the live hosts of
+// the highest rendezvous weight, of other failure domains if there are some.
+func Witnesses(source Source, hosts []topology.Host) []topology.HostID {
+	domain := domainOf(source.Host, hosts)
+	type candidate struct {
+		id     topology.HostID
+		near   bool
+		weight uint64
+	}
+	var candidates []candidate
+	for _, host := range hosts {
+		if host.ID == source.Host || host.State != topology.HostLive {
+			continue
+		}
+		key := fmt.Sprintf("%s\x00%d\x00%s", source.Host, source.Boot, host.ID)
+		candidates = append(candidates, candidate{host.ID, host.Domain == domain, xxhash.Sum64String(key)})
+	}
+	sort.Slice(candidates, func(i, j int) bool {
+		a, b := candidates[i], candidates[j]
+		if a.near != b.near {
+			return b.near
+		}
+		return a.weight > b.weight || a.weight == b.weight && a.id < b.id
+	})
+	var ids []topology.HostID
+	for _, c := range candidates[:min(witnessCount, len(candidates))] {
+		ids = append(ids, c.id)
+	}
+	return ids
+}
+
+func domainOf(id topology.HostID, hosts []topology.Host) topology.Domain {
+	for _, host := range hosts {
+		if host.ID == id {
+			return host.Domain
+		}
+	}
+	return ""
+}
+
+// witnessCache keeps the witnesses of sources while the hosts stay the same.
+// It is used by one goroutine at a time.
+type witnessCache struct {
+	hosts    []topology.Host
+	bySource map[Source][]topology.HostID
+}
+
+func (c *witnessCache) refresh(hosts []topology.Host) {
+	if c.bySource != nil && slices.Equal(c.hosts, hosts) {
+		return
+	}
+	c.hosts = hosts
+	c.bySource = map[Source][]topology.HostID{}
+}
+
+func (c *witnessCache) of(source Source) []topology.HostID {
+	ids, ok := c.bySource[source]
+	if !ok {
+		ids = Witnesses(source, c.hosts)
+		c.bySource[source] = ids
+	}
+	return ids
+}
