--- a/internal/fleet/heartbeat.go
+++ b/internal/fleet/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -81,6 +82,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	ids := t.members.Failing()
+	rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
 	return ids[:min(maxRechecks, len(ids))]
 }
 
@@ -107,6 +109,6 @@
 // noteState takes a host's answer to a ping.
 func (t *Tracker) noteState(id topology.HostID, h topology.Host) {
 	if h.ID == id && h.State == topology.HostLeaving {
-		t.update(func(m *Members) { m.Leaving(id) })
+		t.NoteLeaving(id)
 	}
 }
--- a/internal/fleet/members_test.go
+++ b/internal/fleet/members_test.go
@@ -36,7 +36,7 @@
 		m.Report(id, false, at(d))
 		qt.Assert(t, stateOf(m, id), qt.Equals, topology.HostLive)
 	}
-	qt.Assert(t, m.Report(id, false, at(suspectAfter)), qt.IsTrue)
+	qt.Assert(t, m.Report(id, false, at(suspectAfter)), qt.Equals, Accused)
 	qt.Assert(t, stateOf(m, id), qt.Equals, topology.HostGone)
 }
 
@@ -50,10 +50,10 @@
 
 func TestAccusationNeedsAnOwnFailure(t *testing.T) {
 	m, id := twoMembers()
-	qt.Assert(t, m.Accuse(id, start), qt.IsTrue)
+	m.Accuse(id, start)
 	qt.Assert(t, stateOf(m, id), qt.Equals, topology.HostLive)
 	qt.Assert(t, m.Failing(), qt.DeepEquals, []topology.HostID{id})
-	qt.Assert(t, m.Report(id, false, at(time.Second)), qt.IsFalse)
+	qt.Assert(t, m.Report(id, false, at(time.Second)), qt.Equals, Suspected)
 	qt.Assert(t, stateOf(m, id), qt.Equals, topology.HostGone)
 }
 
@@ -77,16 +77,25 @@
 
 func TestAnnouncementsOutrunTheList(t *testing.T) {
 	m, id := twoMembers()
-	m.Leaving(id)
-	m.Apply(fleetOf(2, 1), at(time.Second))
+	m.Leaving(id, start)
+	m.Apply(fleetOf(2, 1), at(leavingGrace))
 	qt.Assert(t, stateOf(m, id), qt.Equals, topology.HostLeaving)
+	m.Apply(fleetOf(2, 1), at(leavingGrace+1))
+	qt.Assert(t, stateOf(m, id), qt.Equals, topology.HostLive)
 
 	fresh := topology.Host{ID: "fresh", Domain: "domain-0", State: topology.HostLive}
-	m.Hello(fresh, at(time.Second))
-	m.Apply(fleetOf(1, 1), at(2*time.Second))
+	m.Hello(fresh, at(2*time.Minute))
+	m.Apply(fleetOf(1, 1), at(2*time.Minute+helloGrace))
 	qt.Assert(t, stateOf(m, "fresh"), qt.Equals, topology.HostLive)
 	qt.Assert(t, stateOf(m, id), qt.Equals, topology.HostState(""))
-	m.Apply(fleetOf(1, 1), at(time.Minute))
+
+	restarted := fleetOf(2, 1)[1]
+	m.Hello(restarted, at(3*time.Minute))
+	former := restarted
+	former.State = topology.HostLeaving
+	m.Apply([]topology.Host{former}, at(3*time.Minute))
+	qt.Assert(t, stateOf(m, id), qt.Equals, topology.HostLive)
+	m.Apply(fleetOf(1, 1), at(2*time.Minute+helloGrace+1))
 	qt.Assert(t, stateOf(m, "fresh"), qt.Equals, topology.HostState(""))
 }
 
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -12,9 +13,9 @@
 const (
 	anySlot = -1
 
-	minRecheck   = 20 * time.Millisecond // a target behind is asked again after its lag, but no sooner
-	maxRecheck   = 1 * time.Second       // nor later
-	localBenefit = 4                     // requests under way that outweigh the hop to another holder
+	floorRecheck = 20 * time.Millisecond  // until a replica that was behind a floor is tried again
+	ageRecheck   = 100 * time.Millisecond // until one that was too old is
+	localBenefit = 4                      // requests under way that outweigh the hop to another holder
 )
 
 // Ask is the part of a batch that decides where it may run.
@@ -36,14 +37,15 @@
 	Down    bool     // failed lately
 	Known   bool     // Applied, Lag and SeenAgo are set
 	Applied topology.Position
-	Lag     time.Duration // upper bound on the data's age when last seen
-	SeenAgo time.Duration
+	Lag     time.Duration // upper bound on the data's age in the latest answer
+	SeenAgo time.Duration // since Applied was first heard of, or last found too low or too old
 }
 
 // Holder is the host of one slot.
 type Holder struct {
 	Host  topology.HostID
 	Local bool // this host
+	Gone  bool // calls to it fail
 	Load  int  // requests of this host under way on the slot
 }
 
@@ -124,8 +126,21 @@
 
 // cost counts the requests under way; a hop to another host counts as several.
 func cost(h Holder) int {
-	if h.Local {
+	switch {
+	case h.Local:
 		return h.Load
+	case h.Gone:
+		return math.MaxInt
 	}
 	return h.Load + localBenefit
 }
+
+// unreachable tells whether no holder of the candidate can be called.
+func (c Candidate) unreachable() bool {
+	for _, h := range c.Holders {
+		if !h.Gone {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/routing/choose_read.go
+++ b/internal/routing/choose_read.go
@@ -60,7 +60,7 @@
 func primaryDown(view GroupView) bool {
 	for _, c := range view.Candidates {
 		if c.Target.ID == view.Primary {
-			return c.Down
+			return c.Down || c.unreachable()
 		}
 	}
 	return true
@@ -122,7 +122,7 @@
 	switch {
 	case c.Target.Leaving:
 		return leaving
-	case c.Down:
+	case c.Down || c.unreachable():
 		return outOfOrder
 	case !c.Known:
 		return mayFit
@@ -130,13 +130,13 @@
 	return max(floorFitness(ask.Floor, c), ageFitness(ask.MaxStaleness, c))
 }
 
-// floorFitness expects that a replica has applied the floor once its lag has
-// passed since it was last seen behind.
+// floorFitness leaves it to a replica's holder, which asks the replica, when
+// what is known isn't recent.
 func floorFitness(floor topology.Position, c Candidate) fitness {
 	if c.Applied.AtLeast(floor) {
 		return fits
 	}
-	if c.SeenAgo >= min(max(c.Lag, minRecheck), maxRecheck) {
+	if c.SeenAgo >= floorRecheck {
 		return mayFit
 	}
 	return behind
@@ -146,7 +146,7 @@
 	if bound == 0 || c.Lag+c.SeenAgo <= bound {
 		return fits
 	}
-	if c.Lag <= bound || c.SeenAgo >= maxRecheck {
+	if c.Lag <= bound || c.SeenAgo >= ageRecheck {
 		return mayFit
 	}
 	return stale
