--- a/internal/session/assembler.go
+++ b/internal/session/assembler.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	maxStatements = 4096 // prepared statements of one session
-	maxPortals    = 1024 // portals whose statement is remembered
+	maxStatements = 4096     // prepared statements of one session
+	maxSQLBytes   = 16 << 20 // of their text together
+	maxPortals    = 1024     // portals whose statement is remembered
 	maxOps        = 65536
 )
 
@@ -22,6 +23,7 @@
 type assembler struct {
 	limit       int // bytes of a batch
 	definitions map[string]*definition
+	sqlBytes    int // of the definitions' text
 	portals     map[string]*definition
 	current     *batch
 	skipping    bool // until Sync, after a refusal
@@ -109,6 +111,7 @@
 	for _, s := range d.statements {
 		if s.kind == kindForget {
 			clear(a.definitions)
+			a.sqlBytes = 0
 		}
 	}
 }
@@ -179,8 +182,13 @@
 	if len(a.definitions) >= maxStatements {
 		return result.New(result.MessageTooLarge, "more than %d prepared statements", maxStatements)
 	}
+	if a.sqlBytes+len(m.Query) > maxSQLBytes {
+		return result.New(result.MessageTooLarge, "prepared statements of more than %d bytes", maxSQLBytes)
+	}
 	d := define(m.Query, m.ParameterOIDs)
+	a.forget(m.Name)
 	a.definitions[m.Name] = d
+	a.sqlBytes += len(m.Query)
 	a.current.use(d)
 	renamed := *m
 	renamed.Name = d.target.Name
@@ -224,11 +232,19 @@
 	name := m.Name
 	if d, ok := a.definitions[m.Name]; ok {
 		name = d.target.Name
-		delete(a.definitions, m.Name)
+		a.forget(m.Name)
 	}
 	return a.push(op{kind: opClose}, &pgproto3.Close{ObjectType: 'S', Name: name})
 }
 
+// forget drops a prepared statement, if there is one of that name.
+func (a *assembler) forget(name string) {
+	if d, ok := a.definitions[name]; ok {
+		a.sqlBytes -= len(d.target.SQL)
+		delete(a.definitions, name)
+	}
+}
+
 func (a *assembler) find(name string) (*definition, error) {
 	d, ok := a.definitions[name]
 	if !ok {
--- a/internal/session/assembler_test.go
+++ b/internal/session/assembler_test.go
@@ -6,6 +6,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"nettlewalk.example/nettlewalk/internal/result"
 )
 
 // encode returns messages in wire format.
@@ -40,6 +42,24 @@
 	qt.Assert(t, define("select 2", []uint32{23}).target.Name, qt.Not(qt.Equals), third.statements[0].Name)
 }
 
+func TestPreparedStatementsAreBounded(t *testing.T) {
+	a := newAssembler(maxSQLBytes)
+	long := string(make([]byte, maxSQLBytes/4))
+	for range 10 {
+		qt.Assert(t, a.add(&pgproto3.Parse{Name: "a", Query: long}), qt.IsNil)
+		qt.Assert(t, a.add(&pgproto3.Sync{}).refusal == nil, qt.IsTrue)
+	}
+	for _, name := range []string{"b", "c", "d"} {
+		qt.Assert(t, a.add(&pgproto3.Parse{Name: name, Query: long}), qt.IsNil)
+		a.add(&pgproto3.Sync{})
+	}
+	b := a.add(&pgproto3.Parse{Name: "e", Query: long})
+	qt.Assert(t, b.refusal.Code, qt.Equals, result.MessageTooLarge)
+	a.add(&pgproto3.Sync{})
+	a.add(&pgproto3.Close{ObjectType: 'S', Name: "a"})
+	qt.Assert(t, a.add(&pgproto3.Parse{Name: "e", Query: long}), qt.IsNil)
+}
+
 // Whatever bytes a caller sends: no panic, bounded batches, and messages that
 // a target can read, all of whose statements are defined.
 func FuzzMessages(f *testing.F) {
