--- a/internal/session/cancel.go
+++ b/internal/session/cancel.go
@@ -36,13 +36,14 @@
 	return uint32(xxhash.Sum64String(string(id))) & positive
 }
 
-// newSecret returns a random number that no other session has, under s.mu.
+// newSecret returns a random number that no other session has, not 0, under
+// s.mu.
 func (s *Server) newSecret() uint32 {
 	for {
 		var raw [4]byte
 		_, _ = rand.Read(raw[:]) // never fails
 		secret := binary.BigEndian.Uint32(raw[:])
-		if _, taken := s.conns[secret]; !taken {
+		if _, taken := s.conns[secret]; !taken && secret != 0 {
 			return secret
 		}
 	}
--- a/internal/session/conn.go
+++ b/internal/session/conn.go
@@ -25,9 +25,9 @@
 
 var errDraining = result.New(result.Draining, "this host is leaving; connect again")
 
-// conn is one caller's connection. All but abort, stopRequests, cancelRunning and state
-// belongs to the goroutine of serve; the reading goroutine has the backend
-// once the handshake is over.
+// conn is one caller's connection. All but abort, stopRequests, cancelRunning
+// and state belongs to the goroutine of serve; the reading goroutine has the
+// backend once the handshake is over.
 type conn struct {
 	srv     *Server
 	net     net.Conn
@@ -80,11 +80,11 @@
 	defer c.abort()
 	stop := context.AfterFunc(c.ctx, func() { _ = c.net.Close() })
 	defer stop()
+	defer c.srv.leave(c)
 	if err := c.handshake(full); err != nil {
 		c.sayGoodbye(err)
 		return
 	}
-	defer c.srv.leave(c.secret)
 	c.openRouting()
 	defer c.closeRouting()
 	if err := c.run(); err != nil {
@@ -113,11 +113,9 @@
 // waits for no session outside one.
 func (c *conn) nextBatch(batches <-chan *batch) (*batch, error) {
 	draining := c.srv.draining
+	var idle <-chan time.Time
 	if c.tx == txBegun || c.tx.pinned() {
 		draining = nil
-	}
-	var idle <-chan time.Time
-	if c.tx != txIdle {
 		timer := time.NewTimer(c.srv.opts.IdleTransaction)
 		defer timer.Stop()
 		idle = timer.C
--- a/internal/session/fake_test.go
+++ b/internal/session/fake_test.go
@@ -135,6 +135,10 @@
 		case *pgproto3.Query:
 			c.run(m.String, true)
 		case *pgproto3.Parse:
+			if m.Query == "misread" {
+				c.send(&pgproto3.ErrorResponse{Code: "42601"})
+				return
+			}
 			c.send(&pgproto3.ParseComplete{})
 		case *pgproto3.Bind:
 			bound = c.router.statement(m.PreparedStatement)
--- a/internal/session/handle.go
+++ b/internal/session/handle.go
@@ -16,11 +16,13 @@
 
 // handle answers one batch. An error ends the connection.
 func (c *conn) handle(b *batch) error {
-	if c.skipping {
+	switch {
+	case b.fatal:
+		return b.refusal
+	case c.skipping:
 		return c.skip(b)
-	}
-	if b.refusal != nil {
-		return c.refuseUnread(b)
+	case b.refusal != nil:
+		return c.refuse(b, batchFacts{}, b.refusal)
 	}
 	if err := c.refresh(); err != nil {
 		return err
@@ -81,7 +83,7 @@
 
 // route runs a batch at a target.
 func (c *conn) route(b *batch, f batchFacts) error {
-	r := reader{customer: c.customer, user: c.user, settings: &c.settings}
+	r := access{customer: c.customer, user: c.user, settings: &c.settings}
 	if c.tx == txBegun {
 		opened, err := c.openTransaction(b, f, r)
 		if err != nil || !opened {
@@ -92,15 +94,23 @@
 	if err != nil {
 		return c.refuse(b, f, err)
 	}
-	outcome, err := c.runBatch(p, b, c.out.chunk)
+	failed := false
+	emit := func(chunk []byte) error {
+		failed = failed || holdsError(chunk)
+		return c.out.chunk(chunk)
+	}
+	outcome, err := c.runBatch(p, b, emit)
 	if err != nil {
 		return c.fail(b, f, err)
 	}
 	c.settle(p, outcome)
+	if failed {
+		return c.finishFailed(b)
+	}
 	return c.finish(b)
 }
 
-func (c *conn) plan(r reader, f batchFacts) (plan, error) {
+func (c *conn) plan(r access, f batchFacts) (plan, error) {
 	if c.tx.pinned() {
 		return r.planInside(c.txClass, f)
 	}
@@ -109,7 +119,7 @@
 
 // openTransaction sends the BEGIN that the caller has had its answer to. It
 // tells whether the transaction is open; if not, the batch is answered.
-func (c *conn) openTransaction(b *batch, f batchFacts, r reader) (bool, error) {
+func (c *conn) openTransaction(b *batch, f batchFacts, r access) (bool, error) {
 	p, err := r.planBegin(c.begin)
 	if err != nil {
 		return false, c.refuse(b, f, err)
--- a/internal/session/local.go
+++ b/internal/session/local.go
@@ -202,7 +202,7 @@
 	if name != setTxReadOnly {
 		return c.settings.show(name)
 	}
-	r := reader{customer: c.customer, user: c.user, settings: &c.settings}
+	r := access{customer: c.customer, user: c.user, settings: &c.settings}
 	if c.tx == txIdle {
 		return onOff(r.readOnly()), nil
 	}
--- a/internal/session/output.go
+++ b/internal/session/output.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"encoding/binary"
 	"net"
 	"time"
 
@@ -41,6 +42,25 @@
 	o.pending = pending
 }
 
+// holdsError tells whether an ErrorResponse is among messages in wire format.
+func holdsError(messages []byte) bool {
+	const (
+		headerSize    = 5 // type, then a length that counts itself
+		errorResponse = 'E'
+	)
+	for len(messages) >= headerSize {
+		if messages[0] == errorResponse {
+			return true
+		}
+		size := 1 + int(binary.BigEndian.Uint32(messages[1:headerSize]))
+		if size < headerSize || size > len(messages) {
+			return false
+		}
+		messages = messages[size:]
+	}
+	return false
+}
+
 // flush writes what is held back.
 func (o *output) flush() error {
 	if o.err != nil {
--- a/internal/session/plan.go
+++ b/internal/session/plan.go
@@ -20,89 +20,89 @@
 	serveStale   bool
 }
 
-// reader is what a session may do, from its customer, user and settings.
-type reader struct {
+// access is what a session may do, from its customer, user and settings.
+type access struct {
 	customer *customer.Customer
 	user     customer.User
 	settings *settings
 }
 
 // readOnly tells whether the session was declared to write nothing.
-func (r reader) readOnly() bool { return r.user.ReadOnly || r.settings.readOnly }
+func (a access) readOnly() bool { return a.user.ReadOnly || a.settings.readOnly }
 
 // replicasAllowed tells whether statements that begin as reads may go to replicas.
-func (r reader) replicasAllowed() bool {
-	if r.settings.maxStaleness != nil {
-		return *r.settings.maxStaleness > 0
+func (a access) replicasAllowed() bool {
+	if a.settings.maxStaleness != nil {
+		return *a.settings.maxStaleness > 0
 	}
-	return r.customer.ReadKeywords || r.readOnly()
+	return a.customer.ReadKeywords || a.readOnly()
 }
 
 // base fills in what depends on the session only.
-func (r reader) base() plan {
+func (a access) base() plan {
 	p := plan{
-		readOnly:     r.readOnly(),
-		maxStaleness: r.customer.MaxStaleness,
-		serveStale:   r.customer.WhenCutOff == customer.Serve,
+		readOnly:     a.readOnly(),
+		maxStaleness: a.customer.MaxStaleness,
+		serveStale:   a.customer.WhenCutOff == customer.Serve,
 	}
-	if r.settings.maxStaleness != nil {
-		p.maxStaleness = *r.settings.maxStaleness
+	if a.settings.maxStaleness != nil {
+		p.maxStaleness = *a.settings.maxStaleness
 	}
 	return p
 }
 
 // planAlone decides on a batch outside a transaction.
-func (r reader) planAlone(f batchFacts) (plan, error) {
-	p := r.base()
+func (a access) planAlone(f batchFacts) (plan, error) {
+	p := a.base()
 	p.mayCommit = true
-	if r.readOnly() && f.writes {
+	if a.readOnly() && f.writes {
 		return p, errReadOnly
 	}
-	if r.replicasAllowed() && !f.begins && r.changesNothing(f) {
+	if a.replicasAllowed() && !f.begins && a.changesNothing(f) {
 		p.class = pool.Read
 	}
-	p.idempotent = r.settings.idempotent || p.class == pool.Read
+	p.idempotent = a.settings.idempotent || p.class == pool.Read
 	return p, nil
 }
 
 // changesNothing tells whether a batch may be run twice and at replicas. A read
 // that calls a function of the caller's own may write, so that it counts only
 // if the caller declared it harmless.
-func (r reader) changesNothing(f batchFacts) bool {
-	return r.readOnly() || (f.reads && (f.repeatable || r.settings.idempotent))
+func (a access) changesNothing(f batchFacts) bool {
+	return a.readOnly() || (f.reads && (f.repeatable || a.settings.idempotent))
 }
 
 // planBegin decides on the BEGIN that opens a transaction. It may run twice, as
 // nothing hangs on it yet.
-func (r reader) planBegin(begin statement) (plan, error) {
-	p := r.base()
+func (a access) planBegin(begin statement) (plan, error) {
+	p := a.base()
 	p.idempotent = true
-	if begin.readWrite && r.user.ReadOnly {
+	if begin.readWrite && a.user.ReadOnly {
 		return p, errReadOnly
 	}
-	if r.beginsReadOnly(begin) && (r.settings.maxStaleness == nil || *r.settings.maxStaleness > 0) {
+	if a.beginsReadOnly(begin) && (a.settings.maxStaleness == nil || *a.settings.maxStaleness > 0) {
 		p.class = pool.Read
 	}
 	return p, nil
 }
 
-func (r reader) beginsReadOnly(begin statement) bool {
-	return begin.readOnly || (r.readOnly() && !begin.readWrite)
+func (a access) beginsReadOnly(begin statement) bool {
+	return begin.readOnly || (a.readOnly() && !begin.readWrite)
 }
 
 // beginText returns the BEGIN to send: a read-only session's default is in
 // force at the target only if the statement says so.
-func (r reader) beginText(begin statement) string {
-	if r.beginsReadOnly(begin) && !begin.readOnly {
+func (a access) beginText(begin statement) string {
+	if a.beginsReadOnly(begin) && !begin.readOnly {
 		return begin.text + " READ ONLY"
 	}
 	return begin.text
 }
 
 // planInside decides on a batch of a transaction, which stays where it began.
-func (r reader) planInside(class pool.Class, f batchFacts) (plan, error) {
-	p := r.base()
-	if r.user.ReadOnly && f.writes {
+func (a access) planInside(class pool.Class, f batchFacts) (plan, error) {
+	p := a.base()
+	if a.user.ReadOnly && f.writes {
 		return p, errReadOnly
 	}
 	p.class = class
--- a/internal/session/plan_test.go
+++ b/internal/session/plan_test.go
@@ -12,35 +12,35 @@
 )
 
 func TestPlanAlone(t *testing.T) {
-	keywords := func(r *reader) { r.customer.ReadKeywords = true }
-	stale := func(d time.Duration) func(*reader) { return func(r *reader) { r.settings.maxStaleness = &d } }
-	declared := func(r *reader) { r.settings.readOnly = true }
-	viewer := func(r *reader) { r.user.ReadOnly = true }
-	idempotent := func(r *reader) { r.settings.idempotent = true }
+	keywords := func(r *access) { r.customer.ReadKeywords = true }
+	stale := func(d time.Duration) func(*access) { return func(r *access) { r.settings.maxStaleness = &d } }
+	declared := func(r *access) { r.settings.readOnly = true }
+	viewer := func(r *access) { r.user.ReadOnly = true }
+	idempotent := func(r *access) { r.settings.idempotent = true }
 	for _, c := range []struct {
 		sql        string
-		declare    []func(*reader)
+		declare    []func(*access)
 		class      pool.Class
 		idempotent bool
 		code       result.Code
 	}{
 		{"select 1", nil, pool.Write, false, 0},
-		{"select 1", []func(*reader){keywords}, pool.Read, true, 0},
-		{"select 1", []func(*reader){stale(time.Second)}, pool.Read, true, 0},
-		{"select 1", []func(*reader){keywords, stale(0)}, pool.Write, false, 0},
-		{"select 1", []func(*reader){viewer}, pool.Read, true, 0},
-		{"select confirm_crew(7)", []func(*reader){keywords}, pool.Write, false, 0},
-		{"select confirm_crew(7)", []func(*reader){keywords, idempotent}, pool.Read, true, 0},
-		{"select roster_of(7)", []func(*reader){declared}, pool.Read, true, 0},
-		{"insert into t values (1)", []func(*reader){keywords}, pool.Write, false, 0},
-		{"insert into t values (1)", []func(*reader){idempotent}, pool.Write, true, 0},
-		{"insert into t values (1)", []func(*reader){declared}, pool.Write, false, result.ReadOnlySession},
-		{"insert into t values (1)", []func(*reader){viewer}, pool.Write, false, result.ReadOnlySession},
-		{"select 1; insert into t values (1)", []func(*reader){keywords}, pool.Write, false, 0},
-		{"select 1; delete from t", []func(*reader){viewer}, pool.Write, false, result.ReadOnlySession},
-		{"explain select 1", []func(*reader){viewer}, pool.Read, true, 0},
+		{"select 1", []func(*access){keywords}, pool.Read, true, 0},
+		{"select 1", []func(*access){stale(time.Second)}, pool.Read, true, 0},
+		{"select 1", []func(*access){keywords, stale(0)}, pool.Write, false, 0},
+		{"select 1", []func(*access){viewer}, pool.Read, true, 0},
+		{"select confirm_crew(7)", []func(*access){keywords}, pool.Write, false, 0},
+		{"select confirm_crew(7)", []func(*access){keywords, idempotent}, pool.Read, true, 0},
+		{"select roster_of(7)", []func(*access){declared}, pool.Read, true, 0},
+		{"insert into t values (1)", []func(*access){keywords}, pool.Write, false, 0},
+		{"insert into t values (1)", []func(*access){idempotent}, pool.Write, true, 0},
+		{"insert into t values (1)", []func(*access){declared}, pool.Write, false, result.ReadOnlySession},
+		{"insert into t values (1)", []func(*access){viewer}, pool.Write, false, result.ReadOnlySession},
+		{"select 1; insert into t values (1)", []func(*access){keywords}, pool.Write, false, 0},
+		{"select 1; delete from t", []func(*access){viewer}, pool.Write, false, result.ReadOnlySession},
+		{"explain select 1", []func(*access){viewer}, pool.Read, true, 0},
 	} {
-		r := reader{customer: &customer.Customer{}, settings: &settings{}}
+		r := access{customer: &customer.Customer{}, settings: &settings{}}
 		for _, d := range c.declare {
 			d(&r)
 		}
@@ -73,7 +73,7 @@
 		{"begin read write", false, true, pool.Write, "begin read write", false},
 		{"begin read write", true, false, pool.Write, "", true},
 	} {
-		r := reader{
+		r := access{
 			customer: &customer.Customer{},
 			user:     customer.User{ReadOnly: c.user},
 			settings: &settings{readOnly: c.session},
--- a/internal/session/protocol_test.go
+++ b/internal/session/protocol_test.go
@@ -198,6 +198,8 @@
 		{messages(query("begin"), query("insert 1"), query("commit")), "BEGIN ZT INSERT 0 1 ZT E08007 ZI"},
 		{messages(&pgproto3.Parse{Query: "insert full"}, &pgproto3.Flush{}), "E53300"},
 		{messages(query("insert 2"), &pgproto3.Bind{}, &pgproto3.Sync{}, query("insert 3")), "ZI INSERT 0 1 ZI"},
+		{messages(&pgproto3.Parse{Query: "misread"}, &pgproto3.Flush{}, &pgproto3.Parse{Query: "insert 4"}, &pgproto3.Bind{},
+			&pgproto3.Execute{}, &pgproto3.Sync{}), "E42601 ZI"},
 	})
 	qt.Assert(t, router.statements(), qt.DeepEquals, []string{"begin", "insert 1", "insert 3"})
 }
--- a/internal/session/refuse.go
+++ b/internal/session/refuse.go
@@ -15,14 +15,6 @@
 	return c.fail(b, f, err)
 }
 
-// refuseUnread answers a batch whose end wasn't read.
-func (c *conn) refuseUnread(b *batch) error {
-	if b.fatal {
-		return b.refusal
-	}
-	return c.refuse(b, batchFacts{}, b.refusal)
-}
-
 // fail answers a batch with an error after which no transaction is open at a
 // target.
 func (c *conn) fail(b *batch, f batchFacts, err error) error {
--- a/internal/session/server.go
+++ b/internal/session/server.go
@@ -214,9 +214,13 @@
 	return secret
 }
 
-func (s *Server) leave(secret uint32) {
+// leave takes the session back out, if it got as far as to enter.
+func (s *Server) leave(c *conn) {
+	if c.secret == 0 {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.conns, secret)
+	delete(s.conns, c.secret)
 	sessionsNow.Dec()
 }
