--- a/test/testbed/target.go
+++ b/test/testbed/target.go
@@ -132,8 +132,12 @@
 	return httpJSON(ctx, http.MethodPost, url, nil, nil)
 }
 
+const stateTimeout = 500 * time.Millisecond // a frozen target doesn't answer
+
 // State returns what the stand-in counted.
 func (t *Target) State(ctx context.Context) (TargetState, error) {
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
 	var state TargetState
 	err := httpJSON(ctx, http.MethodGet, "http://"+t.addr(controlPort)+"/state", nil, &state)
 	return state, err
