Pool: an idle connection outlives the deadline of its last batch

Cause: the look at an idle connection failed once the last batch's deadline had passed, so that a connection idle for longer than that was replaced. The deadline is cleared first; the new test failed before.

--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -37,7 +37,7 @@
 // have been idle as long when it is silent.
 func (s *slot) usable(c *conn, checked bool) bool {
 	idle := c.idleFor(time.Now())
-	if hungUp(c.net) {
+	if c.hungUp() {
 		s.release(c, false)
 		return false
 	}
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -144,6 +144,10 @@
 	return err
 }
 
+// hungUp tells whether the target has closed an idle connection. The deadline
+// of the last batch doesn't count any more.
+func (c *conn) hungUp() bool { return c.net.SetDeadline(time.Time{}) != nil || hungUp(c.net) }
+
 // idleFor returns how long the target has said nothing.
 func (c *conn) idleFor(now time.Time) time.Duration { return now.Sub(c.lastRead) }
 
--- a/internal/pool/manager_test.go
+++ b/internal/pool/manager_test.go
@@ -151,10 +151,11 @@
 	return &muteConn{Conn: conn, muted: muted}, nil
 }
 
-func (d *muteDialer) mute() {
+// mute silences the connections from the nth on.
+func (d *muteDialer) mute(from int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, m := range d.opened {
+	for _, m := range d.opened[from:] {
 		m.Store(true)
 	}
 }
@@ -339,13 +340,41 @@
 	close(f.fake.hold)
 }
 
+// Fails when a connection is reused after its deadline: the second request then
+// gets the first one's answer.
+func TestLateAnswerReachesNobody(t *testing.T) {
+	f := newFixture(t)
+	late := f.query(Write, "HOLD")
+	late.TimeLeft = 30 * time.Millisecond
+	_, err := f.exec(late)
+	wantCode(t, err, result.UnknownOutcome)
+	close(f.fake.hold)
+	reply, err := f.exec(f.query(Write, "ECHO mine"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, kinds(reply.Messages), qt.Equals, "DC")
+}
+
+// Fails when the last batch's deadline still counts: the connection is then
+// taken for closed.
+func TestIdleConnectionOutlivesItsLastDeadline(t *testing.T) {
+	f := newFixture(t)
+	short := f.query(Read, "ECHO x")
+	short.TimeLeft = 100 * time.Millisecond
+	_, err := f.exec(short)
+	qt.Assert(t, err, qt.IsNil)
+	time.Sleep(short.TimeLeft) // the rule is about time
+	_, err = f.exec(f.query(Read, "ECHO x"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, f.fake.get(func() int { return f.fake.opened }), qt.Equals, 2)
+}
+
 // Fails without the check of idle connections: the write then ends as an
 // unknown outcome at its deadline.
 func TestWriteDoesNotUseASilentIdleConnection(t *testing.T) {
 	f := newFixture(t)
 	_, err := f.exec(f.query(Write, "INSERT a"))
 	qt.Assert(t, err, qt.IsNil)
-	f.dialer.mute()
+	f.dialer.mute(1)
 	time.Sleep(idleCheck) // the rule is about idle time
 	_, err = f.exec(f.query(Write, "INSERT b"))
 	qt.Assert(t, err, qt.IsNil)
@@ -356,7 +385,7 @@
 	f := newFixture(t)
 	_, err := f.exec(f.query(Read, "ROWS 1 1"))
 	qt.Assert(t, err, qt.IsNil)
-	f.dialer.mute()
+	f.dialer.mute(1)
 	began := time.Now()
 	_, err = f.exec(f.query(Read, "ROWS 1 1"))
 	qt.Assert(t, err, qt.IsNil)
@@ -365,7 +394,7 @@
 
 func TestSilentPredecessorLosesItsSlot(t *testing.T) {
 	f := newFixture(t)
-	f.dialer.mute() // its lock stays at the target
+	f.dialer.mute(0) // its lock stays at the target
 	next := NewManager(Options{Self: topology.Host{ID: "next"}, Log: logr.Discard()})
 	defer next.Close()
 	next.Hold([]Held{{Target: f.fake.topology(), Slot: 0, Takeover: true}})
