--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -20,11 +20,15 @@
 	began   time.Time
 	emitted bool
 	rounds  int
-	reason  Reason // why the batch went on to the primary
-	failure *result.Error
+	reason  Reason        // why the batch went on to the primary
+	gate    *gate         // at which a held write waits, nil before that
+	probe   bool          // it is the gate's probe
+	failure *result.Error // of the latest try
+	open    *result.Error // of a try that may have committed: no later refusal is "not run"
 }
 
-func (a *attempt) run(ctx context.Context) (Outcome, error) {
+func (a *attempt) run(ctx context.Context) (out Outcome, err error) {
+	defer func() { a.leaveGate(err == nil) }()
 	for {
 		ask, d := a.choose()
 		out, step := a.tryAll(ctx, ask, d)
@@ -32,15 +36,42 @@
 			return out, nil
 		}
 		if step.Action == GiveUp {
-			return Outcome{}, step.Err
+			return Outcome{}, a.answer(step.Err)
 		}
 		a.rounds++
-		if !sleep(ctx, step.Wait) {
-			return Outcome{}, a.overdue(ctx)
+		if !a.wait(ctx, ask.Slot, step.Wait) {
+			return Outcome{}, a.answer(a.overdue(ctx))
 		}
 	}
 }
 
+// answer returns what the caller is told for err.
+func (a *attempt) answer(err *result.Error) *result.Error {
+	if a.open != nil && err.NotRun() {
+		return a.open
+	}
+	return err
+}
+
+// wait holds the batch before its next decision, false if ctx ended first.
+func (a *attempt) wait(ctx context.Context, slot int, backoff time.Duration) bool {
+	if a.call.Class != pool.Write {
+		return sleep(ctx, backoff)
+	}
+	if a.gate == nil {
+		a.gate = a.conn.group.gate(slot)
+	}
+	probe, ok := a.gate.wait(ctx, a.probe, backoff)
+	a.probe = probe
+	return ok
+}
+
+func (a *attempt) leaveGate(success bool) {
+	if a.probe {
+		a.gate.leave(success)
+	}
+}
+
 func (a *attempt) choose() (Ask, Decision) {
 	view := a.conn.router.view(a.conn.group)
 	ask := a.ask(view)
@@ -54,6 +85,7 @@
 func (a *attempt) ask(view GroupView) Ask {
 	return Ask{
 		Class:        a.call.Class,
+		ReadOnly:     a.call.ReadOnly,
 		Floor:        a.floor,
 		MaxStaleness: a.call.MaxStaleness,
 		ServeStale:   a.call.ServeStale,
@@ -62,10 +94,10 @@
 	}
 }
 
-// slot returns the primary's slot that must run the batch: the one whose
+// slot returns the primary's slot that must run what may write: the one whose
 // holder keeps the session's floor.
 func (a *attempt) slot(view GroupView) int {
-	if a.call.Class != pool.Write || a.call.Floor.Session == "" {
+	if a.call.Floor.Session == "" {
 		return anySlot
 	}
 	for _, c := range view.Candidates {
@@ -79,7 +111,7 @@
 // tryAll returns a nil step when the batch was answered whole.
 func (a *attempt) tryAll(ctx context.Context, ask Ask, d Decision) (Outcome, *Step) {
 	if len(d.Tries) == 0 {
-		step := After(a.progress(0, false), noTarget(ask))
+		step := After(a.progress(Try{}, 0, false), noTarget(ask))
 		return Outcome{}, &step
 	}
 	for i, try := range d.Tries {
@@ -91,8 +123,8 @@
 			return out, nil
 		}
 		a.failure = err
-		a.noteFailure(try, err)
-		step := After(a.progress(len(d.Tries)-i-1, false), err)
+		a.noteFailure(ctx, try, err)
+		step := After(a.progress(try, len(d.Tries)-i-1, false), err)
 		if step.Spend {
 			a.conn.router.spend()
 		}
@@ -113,25 +145,34 @@
 	}
 }
 
-func (a *attempt) noteFailure(try Try, err *result.Error) {
+func (a *attempt) noteFailure(ctx context.Context, try Try, err *result.Error) {
 	r := a.conn.router
 	a.conn.group.learnFailure(try.Target, err.Code)
+	if err.Code.Group() == result.GroupUnknown && a.mayCommit(try) {
+		a.open = unknown(a.progress(try, 0, false), err)
+	}
 	if a.call.Class == pool.Read && try.Replica {
 		a.reason = reasonFor(err.Code)
 	}
-	if err.Code == result.HostUnreachable || err.Code == result.HolderLost {
-		r.cfg.Fleet.Report(try.Host, false)
+	switch err.Code {
+	case result.HostUnreachable, result.HolderLost:
+		if ctx.Err() == nil { // else the deadline may be to blame
+			r.noteUnreached(try.Host)
+		}
+	case result.Draining:
+		r.noteLeaving(try.Host)
 	}
 }
 
-func (a *attempt) progress(triesLeft int, inTransaction bool) Progress {
+func (a *attempt) progress(try Try, triesLeft int, inTransaction bool) Progress {
 	return Progress{
 		Class:         a.call.Class,
-		Idempotent:    a.call.Idempotent,
+		Repeatable:    a.repeatable(try),
 		ReadOnly:      a.call.ReadOnly,
-		MayCommit:     a.call.MayCommit,
+		MayCommit:     a.mayCommit(try),
 		InTransaction: inTransaction,
 		Emitted:       a.emitted,
+		TooStale:      a.reason == TooStale,
 		TriesLeft:     triesLeft,
 		Rounds:        a.rounds,
 		Elapsed:       time.Since(a.began),
@@ -140,6 +181,18 @@
 	}
 }
 
+// repeatable tells whether the batch may run again after a try of which the
+// outcome isn't known. A read that nobody declared harmless may have written at
+// the primary.
+func (a *attempt) repeatable(try Try) bool {
+	harmless := a.call.Class == pool.Read && (try.Replica || a.call.ReadOnly)
+	return a.call.Idempotent || harmless
+}
+
+func (a *attempt) mayCommit(try Try) bool {
+	return a.call.MayCommit && try.Class == pool.Write
+}
+
 // overdue is the answer when ctx ended before another try was sent.
 func (a *attempt) overdue(ctx context.Context) *result.Error {
 	err := canceled(ctx)
@@ -147,7 +200,7 @@
 		return err
 	}
 	if a.failure.Code.Group() == result.GroupUnknown {
-		return unknown(a.progress(0, false), a.failure)
+		return a.failure
 	}
 	return err.After(comeBackAfter)
 }
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -12,18 +13,19 @@
 const (
 	anySlot = -1
 
-	minRecheck   = 20 * time.Millisecond // a target behind is asked again after its lag, but no sooner
-	maxRecheck   = 1 * time.Second       // nor later
-	localBenefit = 4                     // requests under way that outweigh the hop to another holder
+	floorRecheck = 20 * time.Millisecond  // until a replica that was behind a floor is tried again
+	ageRecheck   = 100 * time.Millisecond // until one that was too old is
+	localBenefit = 4                      // requests under way that outweigh the hop to another holder
 )
 
 // Ask is the part of a batch that decides where it may run.
 type Ask struct {
 	Class        pool.Class
+	ReadOnly     bool // a read that was declared to write nothing
 	Floor        topology.Position
 	MaxStaleness time.Duration // 0: any age
 	ServeStale   bool          // past MaxStaleness serve when the primary can't
-	Slot         int           // of the primary, for writes; anySlot if none is set
+	Slot         int           // of the primary, for what may write; anySlot if none is set
 	Draw         uint64        // random number that spreads requests among equals
 }
 
@@ -35,14 +37,15 @@
 	Down    bool     // failed lately
 	Known   bool     // Applied, Lag and SeenAgo are set
 	Applied topology.Position
-	Lag     time.Duration // upper bound on the data's age when last seen
-	SeenAgo time.Duration
+	Lag     time.Duration // upper bound on the data's age in the latest answer
+	SeenAgo time.Duration // since Applied was first heard of, or last found too low or too old
 }
 
 // Holder is the host of one slot.
 type Holder struct {
 	Host  topology.HostID
 	Local bool // this host
+	Gone  bool // calls to it fail
 	Load  int  // requests of this host under way on the slot
 }
 
@@ -58,6 +61,7 @@
 	Target     topology.TargetID
 	Slot       int
 	Host       topology.HostID
+	Class      pool.Class // a read that wasn't declared may write at the primary
 	Replica    bool
 	ServeStale bool // the target's age doesn't matter
 }
@@ -72,41 +76,38 @@
 // known that could run it.
 func Choose(ask Ask, view GroupView) Decision {
 	if ask.Class == pool.Write {
-		return Decision{Tries: primaryTries(ask, view)}
+		return Decision{Tries: primaryTries(ask, view, pool.Write)}
 	}
 	return chooseRead(ask, view)
 }
 
-func primaryTries(ask Ask, view GroupView) []Try {
+func primaryTries(ask Ask, view GroupView, class pool.Class) []Try {
 	for _, c := range view.Candidates {
 		if c.Target.ID == view.Primary {
-			return slotTries(c, ask, false, false)
+			return slotTries(c, ask, Try{Class: class})
 		}
 	}
 	return nil
 }
 
-// slotTries returns the candidate's slots, best first.
-func slotTries(c Candidate, ask Ask, replica, serveStale bool) []Try {
+// slotTries returns a copy of try for each of the candidate's slots, best first.
+func slotTries(c Candidate, ask Ask, try Try) []Try {
 	var tries []Try
-	for _, slot := range slotOrder(c.Holders, ask) {
-		tries = append(tries, Try{
-			Target:     c.Target.ID,
-			Slot:       slot,
-			Host:       c.Holders[slot].Host,
-			Replica:    replica,
-			ServeStale: serveStale,
-		})
+	for _, slot := range slotOrder(c.Holders, ask, try.Class) {
+		try.Target = c.Target.ID
+		try.Slot = slot
+		try.Host = c.Holders[slot].Host
+		tries = append(tries, try)
 	}
 	return tries
 }
 
-func slotOrder(holders []Holder, ask Ask) []int {
-	if ask.Class == pool.Write && ask.Slot != anySlot {
-		if ask.Slot >= len(holders) {
-			return nil
-		}
-		return []int{ask.Slot}
+func slotOrder(holders []Holder, ask Ask, class pool.Class) []int {
+	if len(holders) == 0 {
+		return nil
+	}
+	if class == pool.Write && ask.Slot != anySlot {
+		return onlySlot(ask.Slot, len(holders))
 	}
 	order := make([]int, len(holders))
 	for i := range order {
@@ -116,10 +117,30 @@
 	return order
 }
 
+func onlySlot(slot, slots int) []int {
+	if slot >= slots {
+		return nil
+	}
+	return []int{slot}
+}
+
 // cost counts the requests under way; a hop to another host counts as several.
 func cost(h Holder) int {
-	if h.Local {
+	switch {
+	case h.Local:
 		return h.Load
+	case h.Gone:
+		return math.MaxInt
 	}
 	return h.Load + localBenefit
 }
+
+// unreachable tells whether no holder of the candidate can be called.
+func (c Candidate) unreachable() bool {
+	for _, h := range c.Holders {
+		if !h.Gone {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/routing/choose_read.go
+++ b/internal/routing/choose_read.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"nettlewalk.example/nettlewalk/internal/pool"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
@@ -30,24 +31,36 @@
 	var d Decision
 	for _, r := range replicas {
 		if r.fitness <= mayFit {
-			d.Tries = append(d.Tries, slotTries(r.Candidate, ask, true, false)...)
+			d.Tries = append(d.Tries, slotTries(r.Candidate, ask, Try{Class: pool.Read, Replica: true})...)
 		}
 	}
 	if len(d.Tries) == 0 {
 		d.Reason = reasonOf(replicas)
 	}
-	primary, last := primaryTries(ask, view), lastResorts(ask, replicas)
+	primary, last := primaryTries(ask, view, primaryClass(ask)), lastResorts(ask, replicas)
 	if primaryDown(view) {
 		primary, last = last, primary
 	}
 	d.Tries = append(append(d.Tries, primary...), last...)
+	if ask.ServeStale && !ask.ReadOnly {
+		d.Tries = append(d.Tries, primaryTries(ask, view, pool.Read)...) // a primary without a majority serves reads only
+	}
 	return d
 }
 
+// primaryClass returns how a read is sent to the primary. What wasn't declared
+// to write nothing may write there, so it is treated as a write.
+func primaryClass(ask Ask) pool.Class {
+	if ask.ReadOnly {
+		return pool.Read
+	}
+	return pool.Write
+}
+
 func primaryDown(view GroupView) bool {
 	for _, c := range view.Candidates {
 		if c.Target.ID == view.Primary {
-			return c.Down
+			return c.Down || c.unreachable()
 		}
 	}
 	return true
@@ -58,11 +71,11 @@
 func lastResorts(ask Ask, replicas []ranked) []Try {
 	var tries []Try
 	for _, r := range replicas {
-		if r.fitness == leaving || r.fitness == behind {
+		if r.fitness == leaving || (r.Known && floorFitness(ask.Floor, r.Candidate) == behind) {
 			continue
 		}
 		if ask.ServeStale || r.fitness == outOfOrder {
-			tries = append(tries, slotTries(r.Candidate, ask, true, ask.ServeStale)...)
+			tries = append(tries, slotTries(r.Candidate, ask, Try{Class: pool.Read, Replica: true, ServeStale: ask.ServeStale})...)
 		}
 	}
 	return tries
@@ -109,7 +122,7 @@
 	switch {
 	case c.Target.Leaving:
 		return leaving
-	case c.Down:
+	case c.Down || c.unreachable():
 		return outOfOrder
 	case !c.Known:
 		return mayFit
@@ -117,13 +130,13 @@
 	return max(floorFitness(ask.Floor, c), ageFitness(ask.MaxStaleness, c))
 }
 
-// floorFitness expects that a replica has applied the floor once its lag has
-// passed since it was last seen behind.
+// floorFitness leaves it to a replica's holder, which asks the replica, when
+// what is known isn't recent.
 func floorFitness(floor topology.Position, c Candidate) fitness {
 	if c.Applied.AtLeast(floor) {
 		return fits
 	}
-	if c.SeenAgo >= min(max(c.Lag, minRecheck), maxRecheck) {
+	if c.SeenAgo >= floorRecheck {
 		return mayFit
 	}
 	return behind
@@ -133,7 +146,7 @@
 	if bound == 0 || c.Lag+c.SeenAgo <= bound {
 		return fits
 	}
-	if c.Lag <= bound || c.SeenAgo >= maxRecheck {
+	if c.Lag <= bound || c.SeenAgo >= ageRecheck {
 		return mayFit
 	}
 	return stale
--- a/internal/session/settings.go
+++ b/internal/session/settings.go
@@ -18,7 +18,7 @@
 	setReadOnly   = "default_transaction_read_only"
 	setTxReadOnly = "transaction_read_only"
 	setTimeout    = "statement_timeout"
-	showServedBy  = "nettlewalk.served_by" // can be shown, not set
+	setServedBy   = "nettlewalk.served_by" // shown only
 
 	settingPrefix = "nettlewalk."
 )
@@ -37,8 +37,8 @@
 	deadline     time.Duration // of a batch, 0: the host's default
 	idempotent   bool
 	readOnly     bool
+	servedBy     string            // target of the last batch, and its role
 	driver       map[string]string // what drivers set for themselves, by lower-case name
-	servedBy     string            // target and role of the last answer, as in "booking1-t1 (primary)"
 }
 
 // driverSettings are sent by drivers at start-up. Targets have one fixed value
@@ -191,7 +191,7 @@
 		return s.session, nil
 	case setToken:
 		return s.token, nil
-	case showServedBy:
+	case setServedBy:
 		return s.servedBy, nil
 	case setDeadline, setTimeout:
 		return s.deadline.String(), nil
