--- a/cmd/nettlewalk/targets.go
+++ b/cmd/nettlewalk/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"nettlewalk.example/nettlewalk/internal/failover"
@@ -34,6 +35,7 @@
 		Freshness: h.freshness,
 		Groups:    h.store.Group,
 		Peers:     h.peers,
+		Handovers: h.handovers,
 		Log:       h.log.WithName("pool"),
 		OnCommit: func(id topology.TargetID, slot int, session string, position topology.Position) {
 			h.keeper.OnCommit(id, slot, session, position)
@@ -74,6 +76,14 @@
 	return topology.Target{}, false
 }
 
+// handovers tells whether another host is leaving, so that a slot's lock may be
+// kept for as long as that host's streams take to end.
+func (h *host) handovers() bool {
+	return slices.ContainsFunc(h.fleet.Hosts(), func(other topology.Host) bool {
+		return other.State == topology.HostLeaving
+	})
+}
+
 // executor runs requests at a host: this one's pool or another's.
 func (h *host) executor(id topology.HostID) pool.Executor {
 	if id == h.settings.Host.ID {
