Pool: a slot is handed over only after its commits are confirmed

Cause: a commit's connection goes back before its confirmation, so that a slot being handed over looked idle, closed its control connection and lost the lock that the session's record needs. Ruled out: a lost majority, no target was touched. Change: commits that wait count as streams, and a slot that is handed over still answers control calls of its own host.

--- a/internal/pool/complete.go
+++ b/internal/pool/complete.go
@@ -21,6 +21,8 @@
 		m.end(s, true)
 		return m.refusal(sl, req, err)
 	}
+	sl.beginCommit()
+	defer sl.endCommit()
 	reply := m.lastChunk(s)
 	if m.opts.OnUsage != nil {
 		reply.Meter = m.opts.OnUsage(req.Customer, req.Group, reply.Usage)
--- a/internal/pool/manager.go
+++ b/internal/pool/manager.go
@@ -217,11 +217,15 @@
 func (m *Manager) Control(id topology.TargetID) (target.Control, bool) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	s := m.best(id)
-	if s == nil {
-		return nil, false
+	if s := m.best(id); s != nil {
+		return s.control, true
+	}
+	for s := range m.retired {
+		if s.id == id && s.control.holds() {
+			return s.control, true
+		}
 	}
-	return s.control, true
+	return nil, false
 }
 
 // asResult gives an error of a control call a code. ErrStaleTerm stays.
--- a/internal/pool/manager_test.go
+++ b/internal/pool/manager_test.go
@@ -26,13 +26,18 @@
 	mu       sync.Mutex
 	can, did error
 	asked    []topology.Position
+	gate     chan struct{} // a confirmation waits for it
 }
 
 func (c *fakeConfirmer) Confirm(_ context.Context, _ topology.GroupID, pos topology.Position) error {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.asked = append(c.asked, pos)
-	return c.did
+	gate, did := c.gate, c.did
+	c.mu.Unlock()
+	if gate != nil {
+		<-gate
+	}
+	return did
 }
 
 func (c *fakeConfirmer) CanConfirm(topology.GroupID) error {
@@ -404,6 +409,36 @@
 	next.Hold(nil)
 }
 
+// Fails when a slot that is handed over closes once its connections are free:
+// the lock is then gone before the commit's session is recorded.
+func TestHandoverWaitsForCommits(t *testing.T) {
+	recorded := make(chan topology.Position, 1)
+	f := newFixture(t, func(o *Options) {
+		o.OnCommit = func(_ topology.TargetID, _ int, _ string, pos topology.Position) { recorded <- pos }
+	})
+	f.confirm.gate = make(chan struct{})
+	req := f.query(Write, "INSERT a")
+	req.Session = "s"
+	done := make(chan error, 1)
+	go func() {
+		_, err := f.exec(req)
+		done <- err
+	}()
+	eventually(t, "the commit waits", func() bool {
+		f.confirm.mu.Lock()
+		defer f.confirm.mu.Unlock()
+		return len(f.confirm.asked) == 1
+	})
+	f.m.Hold(nil)
+	eventually(t, "handover has begun", func() bool {
+		slots := f.m.Dump().(State).Slots
+		return len(slots) == 0 || slots[0].Draining
+	})
+	close(f.confirm.gate)
+	qt.Assert(t, <-done, qt.IsNil)
+	qt.Assert(t, (<-recorded).Offset, qt.Equals, uint64(1))
+}
+
 func TestLeavingFinishesStreamsAndRefusesOthers(t *testing.T) {
 	f := newFixture(t)
 	done := make(chan error, 1)
--- a/internal/pool/slot.go
+++ b/internal/pool/slot.go
@@ -31,6 +31,7 @@
 	open     int     // connections, those being opened included
 	opening  int
 	streams  int // streams that own a connection
+	commits  int // commits that wait for their confirmation
 	retryAt  time.Time
 	draining bool
 	drained  chan struct{} // closed when draining and no stream is left
@@ -170,6 +171,20 @@
 	return s.latest
 }
 
+// beginCommit keeps the slot's lock until endCommit.
+func (s *slot) beginCommit() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.commits++
+}
+
+func (s *slot) endCommit() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.commits--
+	s.endIfDrained()
+}
+
 // drain refuses new streams and lets the others end; drained tells when.
 func (s *slot) drain() {
 	s.mu.Lock()
@@ -185,7 +200,7 @@
 func (s *slot) done() bool { return s.draining && s.queue.len() == 0 }
 
 func (s *slot) endIfDrained() {
-	if !s.done() || s.streams > 0 {
+	if !s.done() || s.streams > 0 || s.commits > 0 {
 		return
 	}
 	select {
