--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -114,7 +114,8 @@
 		step := After(a.progress(Try{}, 0, false), noTarget(ask))
 		return Outcome{}, &step
 	}
-	for i, try := range d.Tries {
+	for len(d.Tries) > 0 {
+		try := d.Tries[0]
 		if ctx.Err() != nil {
 			return Outcome{}, &Step{Action: GiveUp, Err: a.overdue(ctx)}
 		}
@@ -124,7 +125,8 @@
 		}
 		a.failure = err
 		a.noteFailure(ctx, try, err)
-		step := After(a.progress(try, len(d.Tries)-i-1, false), err)
+		d.Tries = remaining(d.Tries[1:], try, err.Code)
+		step := After(a.progress(try, len(d.Tries), false), err)
 		if step.Spend {
 			a.conn.router.spend()
 		}
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"nettlewalk.example/nettlewalk/internal/pool"
+	"nettlewalk.example/nettlewalk/internal/result"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
@@ -81,6 +82,22 @@
 	return chooseRead(ask, view)
 }
 
+// remaining returns the tries that still make sense after failed ended in code:
+// what a target lacks it lacks at each of its holders.
+func remaining(tries []Try, failed Try, code result.Code) []Try {
+	return slices.DeleteFunc(tries, func(t Try) bool {
+		switch code {
+		case result.BehindFloor:
+			return t.Target == failed.Target
+		case result.TooStale:
+			return t.Target == failed.Target && !t.ServeStale
+		case result.ReadOnlyTarget:
+			return t.Replica
+		}
+		return false
+	})
+}
+
 func primaryTries(ask Ask, view GroupView, class pool.Class) []Try {
 	for _, c := range view.Candidates {
 		if c.Target.ID == view.Primary {
--- a/internal/routing/conn_test.go
+++ b/internal/routing/conn_test.go
@@ -291,6 +291,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, out.ReadAt, qt.Equals, at(7))
 	qt.Assert(t, out.Replica, qt.IsFalse)
+	qt.Assert(t, f.requests, qt.HasLen, 3) // each target once
 	for _, r := range f.requests {
 		qt.Assert(t, r.Floor, qt.Equals, at(7))
 	}
