Routing: a replica's lag is measured when it refuses a floor

With replicas 200 ms behind most reads of sessions that write often tried both replicas before the primary. A host now remembers when it first heard of positions, takes a lower bound on a replica's lag from a refusal, and skips the replica for younger floors during half a second. An age from the replica's regular status was ruled out: that is up to half a second old, and fast replicas would look slow.

--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -87,6 +87,7 @@
 		Class:        a.call.Class,
 		ReadOnly:     a.call.ReadOnly,
 		Floor:        a.floor,
+		FloorAge:     a.conn.group.floorAge(a.floor),
 		MaxStaleness: a.call.MaxStaleness,
 		ServeStale:   a.call.ServeStale,
 		Slot:         a.slot(view),
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	anySlot = -1
+	anySlot    = -1
+	unknownAge = math.MaxInt64
 
 	floorRecheck = 20 * time.Millisecond  // until a replica that was behind a floor is tried again
 	ageRecheck   = 100 * time.Millisecond // until one that was too old is
@@ -24,6 +25,7 @@
 	Class        pool.Class
 	ReadOnly     bool // a read that was declared to write nothing
 	Floor        topology.Position
+	FloorAge     time.Duration // how long the floor has existed at least, or unknownAge
 	MaxStaleness time.Duration // 0: any age
 	ServeStale   bool          // past MaxStaleness serve when the primary can't
 	Slot         int           // of the primary, for what may write; anySlot if none is set
@@ -38,6 +40,7 @@
 	Down    bool     // failed lately
 	Known   bool     // Applied, Lag and SeenAgo are set
 	Applied topology.Position
+	Behind  time.Duration // lower bound on its lag
 	Lag     time.Duration // upper bound on the data's age in the latest answer
 	SeenAgo time.Duration // since Applied was first heard of, or last found too low or too old
 }
--- a/internal/routing/choose_read.go
+++ b/internal/routing/choose_read.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"nettlewalk.example/nettlewalk/internal/pool"
-	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
 // fitness is how a replica suits a read, best first.
@@ -71,7 +70,7 @@
 func lastResorts(ask Ask, replicas []ranked) []Try {
 	var tries []Try
 	for _, r := range replicas {
-		if r.fitness == leaving || (r.Known && floorFitness(ask.Floor, r.Candidate) == behind) {
+		if r.fitness == leaving || (r.Known && floorFitness(ask, r.Candidate) == behind) {
 			continue
 		}
 		if ask.ServeStale || r.fitness == outOfOrder {
@@ -127,19 +126,19 @@
 	case !c.Known:
 		return mayFit
 	}
-	return max(floorFitness(ask.Floor, c), ageFitness(ask.MaxStaleness, c))
+	return max(floorFitness(ask, c), ageFitness(ask.MaxStaleness, c))
 }
 
 // floorFitness leaves it to a replica's holder, which asks the replica, when
-// what is known isn't recent.
-func floorFitness(floor topology.Position, c Candidate) fitness {
-	if c.Applied.AtLeast(floor) {
+// what is known isn't recent and the floor is older than the replica's lag.
+func floorFitness(ask Ask, c Candidate) fitness {
+	switch {
+	case c.Applied.AtLeast(ask.Floor):
 		return fits
+	case c.SeenAgo < floorRecheck || ask.FloorAge < c.Behind:
+		return behind
 	}
-	if c.SeenAgo >= floorRecheck {
-		return mayFit
-	}
-	return behind
+	return mayFit
 }
 
 func ageFitness(bound time.Duration, c Candidate) fitness {
--- a/internal/routing/choose_test.go
+++ b/internal/routing/choose_test.go
@@ -36,7 +36,7 @@
 }
 
 func TestReadGoesToAReplicaUnlessThereIsAReason(t *testing.T) {
-	read := Ask{Class: pool.Read, Floor: at(10), Slot: anySlot}
+	read := Ask{Class: pool.Read, Floor: at(10), FloorAge: unknownAge, Slot: anySlot}
 	for _, c := range []struct {
 		name   string
 		change func(*Ask, *Candidate)
@@ -46,6 +46,10 @@
 		{"near replica first", func(*Ask, *Candidate) {}, "t1", ""},
 		{"behind the floor", func(a *Ask, _ *Candidate) { a.Floor = at(11) }, "t0", BehindFloor},
 		{"behind the floor some time ago", func(a *Ask, c *Candidate) { a.Floor = at(11); c.SeenAgo = floorRecheck }, "t1", ""},
+		{"behind by more than the floor's age", func(a *Ask, c *Candidate) {
+			a.Floor, a.FloorAge = at(11), 99*time.Millisecond
+			c.SeenAgo, c.Behind = floorRecheck, 100*time.Millisecond
+		}, "t0", BehindFloor},
 		{"too old", func(a *Ask, _ *Candidate) { a.MaxStaleness = 50 * time.Millisecond }, "t0", TooStale},
 		{"perhaps too old by now", func(a *Ask, _ *Candidate) { a.MaxStaleness = 101 * time.Millisecond }, "t1", ""},
 		{"failed", func(_ *Ask, c *Candidate) { c.Down = true }, "t0", Unhealthy},
@@ -77,6 +81,25 @@
 	qt.Assert(t, k.Targets["t1"].At, qt.Equals, now)
 }
 
+func TestLagIsMeasuredWhenAFloorIsRefused(t *testing.T) {
+	k := NewKnowledge()
+	start := time.Unix(1000, 0)
+	for i := range uint64(10) {
+		k.Hear(at(i), start.Add(time.Duration(i)*10*time.Millisecond))
+	}
+	now := start.Add(100 * time.Millisecond)
+	k.Learn(pool.Hint{Status: target.Status{Target: "t1", Role: target.Replica, Applied: at(4)}}, now)
+	qt.Assert(t, k.Targets["t1"].lag(now), qt.Equals, time.Duration(0))
+	k.LearnFailure("t1", result.BehindFloor, now)
+	qt.Assert(t, k.Targets["t1"].lag(now), qt.Equals, 50*time.Millisecond) // it lacks 5, heard of then
+	qt.Assert(t, k.Targets["t1"].lag(now.Add(behindFor+1)), qt.Equals, time.Duration(0))
+	age, known := k.FloorAge(at(8), now)
+	qt.Assert(t, known, qt.IsTrue)
+	qt.Assert(t, age, qt.Equals, 20*time.Millisecond)
+	_, known = k.FloorAge(at(10), now)
+	qt.Assert(t, known, qt.IsFalse)
+}
+
 func TestStaleReplicasServeOnlyWhereAllowedAndLast(t *testing.T) {
 	ask := Ask{Class: pool.Read, Slot: anySlot, MaxStaleness: time.Millisecond}
 	qt.Assert(t, Choose(ask, threeTargets()).Tries, qt.HasLen, 2)
@@ -134,7 +157,7 @@
 		if c.Target.ID != try.Target || !try.Replica {
 			continue
 		}
-		if c.Target.Leaving || floorFitness(ask.Floor, c) == behind {
+		if c.Target.Leaving || floorFitness(ask, c) == behind {
 			t.Fatalf("%+v: a replica that leaves or is behind", try)
 		}
 	}
--- a/internal/routing/exec.go
+++ b/internal/routing/exec.go
@@ -72,6 +72,7 @@
 func (a *attempt) done(s *stream, reply *pool.Reply) Outcome {
 	c := a.conn
 	a.learn(reply.Hint)
+	c.group.hear(reply.Position)
 	c.router.noteReached(s.try.Host)
 	c.pin(s, reply.TxStatus)
 	out := Outcome{
--- a/internal/routing/group.go
+++ b/internal/routing/group.go
@@ -52,6 +52,24 @@
 	g.known.Learn(hint, time.Now())
 }
 
+func (g *group) hear(pos topology.Position) {
+	if pos.IsZero() {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.known.Hear(pos, time.Now())
+}
+
+func (g *group) floorAge(floor topology.Position) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if age, known := g.known.FloorAge(floor, time.Now()); known {
+		return age
+	}
+	return unknownAge
+}
+
 func (g *group) learnFailure(id topology.TargetID, code result.Code) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -99,6 +117,7 @@
 		Known:   seen.Known,
 		Applied: seen.Applied,
 		Lag:     seen.Lag,
+		Behind:  seen.lag(now),
 		SeenAgo: now.Sub(seen.At),
 	}
 }
--- a/internal/routing/plain_conn.go
+++ b/internal/routing/plain_conn.go
@@ -48,7 +48,9 @@
 		return Outcome{}, failure
 	}
 	a := &attempt{conn: c, call: call, emit: emit, floor: floor, began: time.Now()}
-	return a.run(ctx)
+	out, err := a.run(ctx)
+	c.group.hear(floor) // by the next read it has existed for some time
+	return out, err
 }
 
 func (c *conn) runPinned(ctx context.Context, call *Call, emit func([]byte) error) (Outcome, error) {
