--- a/internal/failover/attempt.go
+++ b/internal/failover/attempt.go
@@ -202,9 +202,6 @@
 	old := m.lead.primary
 	m.learn(m.attempt.term, m.attempt.chosen, true, now)
 	m.lead.since = now
-	if m.reason == ReasonStuck {
-		m.progress.tries++
-	}
 	if old == m.attempt.chosen {
 		m.handoverAfter = now.Add(m.times.LongestPause)
 	}
--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -194,6 +194,9 @@
 		m.lead.certain = m.lead.certain || certain && primary == m.lead.primary
 		return
 	}
+	if m.progress.idleFor(now) >= m.times.StuckAfter/2 {
+		m.progress.tries++ // until the change is seen to have helped
+	}
 	m.lead = lead{term: term, primary: primary, since: now, certain: certain}
 	m.progress.markedAt, m.progress.movedAt = time.Time{}, now
 	m.outvotedSince = time.Time{}
