Limits: a new limiter begins with the equal share of the hosts known now

TestOneBusyHostGetsMostOfTheLimit passed without the exchange of demands, because the limiter began as a fleet of one; it fails without it now.

--- a/internal/limit/exchange.go
+++ b/internal/limit/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -97,16 +98,9 @@
 
 // exchange tells this host's demands and takes its shares.
 func (l *Limiter) exchange(ctx context.Context) {
-	hosts := l.opts.Hosts()
-	live := 0
-	for _, host := range hosts {
-		if host.State == topology.HostLive {
-			live++
-		}
-	}
 	var calls errgroup.Group
 	calls.SetLimit(parallelAsks)
-	for id, demands := range l.collect(hosts, live) {
+	for id, demands := range l.collect(l.liveHosts()) {
 		calls.Go(func() error {
 			shares, err := l.ask(ctx, id, demands)
 			l.take(demands, shares, err)
@@ -116,12 +110,21 @@
 	_ = calls.Wait()
 }
 
+func (l *Limiter) liveHosts() []topology.Host {
+	if l.opts.Hosts == nil {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(l.opts.Hosts()), func(host topology.Host) bool {
+		return host.State != topology.HostLive
+	})
+}
+
 // collect returns what is to be told to each coordinator, and gives customers
 // with little demand the equal share.
-func (l *Limiter) collect(hosts []topology.Host, live int) map[topology.HostID][]Demand {
+func (l *Limiter) collect(hosts []topology.Host) map[topology.HostID][]Demand {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.hosts = max(live, 1)
+	l.hosts = len(hosts)
 	due := map[topology.HostID][]Demand{}
 	count := 0
 	for k, e := range l.entries {
--- a/internal/limit/limiter.go
+++ b/internal/limit/limiter.go
@@ -45,14 +45,11 @@
 	demands map[key]map[topology.HostID]told // told to this host as coordinator
 }
 
-// New returns a limiter for a fleet of one until Run knows better.
+// New returns a limiter with equal shares among the hosts known now.
 func New(opts Options) *Limiter {
-	return &Limiter{
-		opts:    opts,
-		hosts:   1,
-		entries: map[key]*entry{},
-		demands: map[key]map[topology.HostID]told{},
-	}
+	l := &Limiter{opts: opts, entries: map[key]*entry{}, demands: map[key]map[topology.HostID]told{}}
+	l.hosts = len(l.liveHosts())
+	return l
 }
 
 // Acquire admits a statement, or waits in the customer's queue until it may
--- a/internal/limit/shares.go
+++ b/internal/limit/shares.go
@@ -35,15 +35,12 @@
 // equalShare is what a host has without a coordinator.
 func equalShare(hosts int) float64 { return 1 / float64(max(hosts, 1)) }
 
-// coordinator returns the live host that divides a customer's limit, empty if
+// coordinator returns the one of the live hosts that divides a customer's limit, empty if
 // there is none.
 func coordinator(id topology.CustomerID, hosts []topology.Host) topology.HostID {
 	var best topology.HostID
 	var most uint64
 	for _, host := range hosts {
-		if host.State != topology.HostLive {
-			continue
-		}
 		weight := xxhash.Sum64String(string(id) + "\x00" + string(host.ID))
 		if best == "" || weight > most || weight == most && host.ID < best {
 			best, most = host.ID, weight
