--- a/cmd/nettlewalk/failover.go
+++ b/cmd/nettlewalk/failover.go
@@ -1,5 +1,31 @@
 package main
 
-import "nettlewalk.example/nettlewalk/internal/failover"
+import (
+	"slices"
 
-func (h *host) joinFailover() { h.failover = &failover.Monitor{Store: h.store, Dir: h.directory} }
+	"nettlewalk.example/nettlewalk/internal/failover"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+func (h *host) joinFailover() {
+	h.failover = failover.New(failover.Options{
+		Self:      h.settings.Host.ID,
+		Directory: h.directory,
+		Caller:    h.peers,
+		Group:     h.store.Group,
+		Peers:     h.watchers,
+		Publisher: h.platform,
+		Dial:      h.dial,
+		Log:       h.log.WithName("failover"),
+	})
+}
+
+// watchers returns the hosts that hold a slot of one of the group's targets.
+func (h *host) watchers(g *topology.Group) []topology.HostID {
+	var hosts []topology.HostID
+	for _, t := range g.Targets {
+		hosts = append(hosts, h.fleet.Holders(t)...)
+	}
+	slices.Sort(hosts)
+	return slices.Compact(hosts)
+}
