--- a/test/measure/measure.go
+++ b/test/measure/measure.go
@@ -5,7 +5,6 @@
 	"math/rand"
 	"time"
 
-	"nettlewalk.example/nettlewalk/internal/topology"
 	"nettlewalk.example/nettlewalk/test/load"
 	"nettlewalk.example/nettlewalk/test/testbed"
 )
@@ -139,8 +138,3 @@
 	}
 	return sum, nil
 }
-
-// primaryOf returns the group's primary at the start.
-func primaryOf(bed *testbed.Bed, g topology.GroupID) *testbed.Target {
-	return bed.Targets[bed.Plan.TargetIDs(g)[0]]
-}
