Sessions: a SELECT that calls a function may go to replicas again

Routing now runs what nobody declared harmless as a write at the primary and repeats it there only if it is idempotent, so the class no longer has to keep such reads away from replicas; only their being idempotent is withheld.

--- a/internal/session/plan.go
+++ b/internal/session/plan.go
@@ -58,18 +58,18 @@
 	if a.readOnly() && f.writes {
 		return p, errReadOnly
 	}
-	if a.replicasAllowed() && !f.begins && a.changesNothing(f) {
+	if (f.reads || a.readOnly()) && a.replicasAllowed() && !f.begins {
 		p.class = pool.Read
 	}
-	p.idempotent = a.settings.idempotent || p.class == pool.Read
+	p.idempotent = a.settings.idempotent || (p.class == pool.Read && a.changesNothing(f))
 	return p, nil
 }
 
-// changesNothing tells whether a batch may be run twice and at replicas. A read
-// that calls a function of the caller's own may write, so that it counts only
-// if the caller declared it harmless.
+// changesNothing tells whether a batch may run twice anywhere. A read that
+// calls a function of the caller's own may write at the primary, so that it
+// counts only if the caller declared it harmless.
 func (a access) changesNothing(f batchFacts) bool {
-	return a.readOnly() || (f.reads && (f.repeatable || a.settings.idempotent))
+	return a.readOnly() || (f.reads && f.repeatable)
 }
 
 // planBegin decides on the BEGIN that opens a transaction. It may run twice, as
