--- a/internal/session/fake_test.go
+++ b/internal/session/fake_test.go
@@ -277,7 +277,7 @@
 func (v *fakeView) Ready() bool                                    { return !v.notReady }
 
 func verifierOf(password string) string {
-	v, err := MakeVerifier(password, []byte("sixteen bytes ok"))
+	v, err := customer.MakeVerifier("ada", password, []byte("sixteen bytes ok"))
 	if err != nil {
 		panic(err)
 	}
--- a/internal/session/verifier.go
+++ b/internal/session/verifier.go
@@ -40,22 +40,3 @@
 	c.Salt, c.StoredKey, c.ServerKey = string(saltBytes), storedKey, serverKey
 	return c, nil
 }
-
-// VerifierIterations is PostgreSQL's own default.
-const VerifierIterations = 4096
-
-// MakeVerifier returns the verifier of a password in PostgreSQL's form. The
-// salt is random, 16 bytes or more.
-func MakeVerifier(password string, salt []byte) (string, error) {
-	client, err := scram.SHA256.NewClient("", password, "")
-	if err != nil {
-		return "", errors.Wrap(err, "password")
-	}
-	c, err := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: string(salt), Iters: VerifierIterations})
-	if err != nil {
-		return "", errors.Wrap(err, "password")
-	}
-	encode := base64.StdEncoding.EncodeToString
-	return scramMechanism + "$" + strconv.Itoa(c.Iters) + ":" + encode(salt) +
-		"$" + encode(c.StoredKey) + ":" + encode(c.ServerKey), nil
-}
