--- a/internal/session/plan.go
+++ b/internal/session/plan.go
@@ -94,7 +94,7 @@
 // force at the target only if the statement says so.
 func (a access) beginText(begin statement) string {
 	if a.beginsReadOnly(begin) && !begin.readOnly {
-		return begin.text + "\nREAD ONLY" // on a line of its own, behind any comment
+		return begin.text + " READ ONLY"
 	}
 	return begin.text
 }
