--- a/test/measure/main.go
+++ b/test/measure/main.go
@@ -24,7 +24,7 @@
 	options := options{Scenario: "all", Deployment: "both", Seed: 1, Seconds: defaultSeconds}
 	flaggy.SetName("measure")
 	flaggy.SetDescription("Measure the proxy under load and faults")
-	flaggy.String(&options.Scenario, "s", "scenario", "all or one of: "+strings.Join(scenarioNames(), ", "))
+	flaggy.String(&options.Scenario, "s", "scenario", "all or one of: "+strings.Join(scenarioNames(), ", ")+", "+capacityScenario)
 	flaggy.String(&options.Deployment, "d", "deployment", "association, caderno or both")
 	flaggy.Int64(&options.Seed, "", "seed", "seed of the load and the faults")
 	flaggy.Int(&options.Seconds, "", "seconds", "length of the load of each scenario")
@@ -46,6 +46,9 @@
 }
 
 func runAll(o options) error {
+	if o.Scenario == capacityScenario {
+		return measureCapacity(context.Background())
+	}
 	found := false
 	for _, s := range scenarios {
 		if o.Scenario != "all" && o.Scenario != s.name {
--- a/test/testbed/cpu.go
+++ b/test/testbed/cpu.go
@@ -34,3 +34,18 @@
 	}
 	return (user + system) / clockTicksPerSecond, nil
 }
+
+// processMemory returns the resident memory in bytes.
+func processMemory(pid int) (int64, error) {
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0, err
+	}
+	fields := strings.Fields(string(content))
+	const residentField = 1 // in pages
+	if len(fields) <= residentField {
+		return 0, errors.Newf("unexpected form of /proc/%d/statm", pid)
+	}
+	pages, err := strconv.ParseInt(fields[residentField], 10, 64)
+	return pages * int64(os.Getpagesize()), err
+}
--- a/test/testbed/process.go
+++ b/test/testbed/process.go
@@ -112,3 +112,11 @@
 	p.mu.Unlock()
 	return processCPU(pid)
 }
+
+// Memory returns the process's resident memory in bytes.
+func (p *Process) Memory() (int64, error) {
+	p.mu.Lock()
+	pid := p.cmd.Process.Pid
+	p.mu.Unlock()
+	return processMemory(pid)
+}
