--- a/internal/topology/position.go
+++ b/internal/topology/position.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"fmt"
+	"strconv"
+	"strings"
 )
 
 // Position is a place in a group's log: the term in which the entry was
@@ -27,15 +29,18 @@
 func (p Position) IsZero() bool { return p == Position{} }
 
 // String returns the form that ParsePosition reads.
-func (p Position) String() string { return fmt.Sprintf("%d/%d", p.Term, p.Offset) }
+func (p Position) String() string {
+	return strconv.FormatUint(p.Term, 10) + "/" + strconv.FormatUint(p.Offset, 10)
+}
 
 // ParsePosition reads the form that String writes.
 func ParsePosition(s string) (Position, error) {
-	var p Position
-	if _, err := fmt.Sscanf(s, "%d/%d", &p.Term, &p.Offset); err != nil {
-		return Position{}, fmt.Errorf("position %q: want TERM/OFFSET", s)
-	}
-	if p.String() != s {
+	term, offset, _ := strings.Cut(s, "/")
+	p := Position{}
+	var termErr, offsetErr error
+	p.Term, termErr = strconv.ParseUint(term, 10, 64)
+	p.Offset, offsetErr = strconv.ParseUint(offset, 10, 64)
+	if termErr != nil || offsetErr != nil || p.String() != s {
 		return Position{}, fmt.Errorf("position %q: want TERM/OFFSET", s)
 	}
 	return p, nil
