Pool: connections of a dead entry host come back after 1.5 s without its answer

A host killed in mid-transaction blocked writes at its target until the holder gave up on it. Ruled out: failover, no target changes in that test. An entry host that stands still for longer than that loses its open transactions, which it is told as rolled back.

--- a/internal/pool/cancel.go
+++ b/internal/pool/cancel.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	watchInterval        = 500 * time.Millisecond
+	watchInterval        = 250 * time.Millisecond
 	idleTransactionLimit = 60 * time.Second // a caller that holds a connection for longer without using it loses it
 )
 
--- a/internal/pool/entryhosts.go
+++ b/internal/pool/entryhosts.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	hostTimeout = 500 * time.Millisecond // for an entry host to tell its boot
-	orphanAfter = 3 * time.Second        // without an answer of the entry host
+	hostTimeout = 250 * time.Millisecond  // for an entry host to tell its boot
+	orphanAfter = 1500 * time.Millisecond // without an answer of the entry host
 )
 
 // entryHosts knows when the entry hosts of open streams last answered, and
