--- a/internal/pool/admission.go
+++ b/internal/pool/admission.go
@@ -10,6 +10,7 @@
 
 const (
 	queueBound    = 256                    // requests that wait at one slot
+	queueBytes    = 32 << 20               // of their messages
 	maxRetryAfter = 2 * time.Second        // an estimate of a later time is worth little
 	minRetryAfter = 5 * time.Millisecond   // an earlier return finds the same queue
 	minCost       = 100 * time.Microsecond // charged for a request of unknown or tiny cost
@@ -21,7 +22,8 @@
 // of the request served last). It is bounded; when full, the customer that
 // has most waiting for its weight gives way. Not safe for concurrent use.
 type admission struct {
-	bound    int
+	bound    int // requests
+	bytes    int // of the waiting requests
 	tickets  ticketHeap
 	virtual  float64
 	finish   map[topology.CustomerID]float64 // tag of the customer's last ticket
@@ -35,6 +37,7 @@
 type ticket struct {
 	customer topology.CustomerID
 	weight   float64
+	size     int     // bytes of the request
 	finish   float64 // virtual time
 	seq      uint64  // order among equal tags
 	index    int     // in the heap, -1 when not waiting
@@ -52,6 +55,7 @@
 	customer topology.CustomerID
 	weight   float64
 	timeLeft time.Duration
+	size     int // bytes of the request
 }
 
 func newAdmission(bound int) *admission {
@@ -71,12 +75,21 @@
 // way; that one is returned and no longer waits.
 func (q *admission) push(now time.Time, a arrival, connections, busy int) (t, evicted *ticket, refusal *result.Error) {
 	weight := max(a.weight, minWeight)
-	t = &ticket{customer: a.customer, weight: weight, finish: q.tag(a.customer, weight), grant: make(chan grant, 1)}
+	t = &ticket{
+		customer: a.customer,
+		weight:   weight,
+		size:     a.size,
+		finish:   q.tag(a.customer, weight),
+		grant:    make(chan grant, 1),
+	}
 	free := len(q.tickets)+busy < connections
 	if wait := q.times.wait(q.ahead(t), connections); wait > a.timeLeft && !free {
 		e := result.New(result.DeadlineTooClose, "a wait of %s is expected, %s are left", wait.Round(time.Millisecond), a.timeLeft.Round(time.Millisecond))
 		return nil, nil, e.After(q.comeBack(now, wait-a.timeLeft, connections))
 	}
+	if len(q.tickets) > 0 && q.bytes+a.size > queueBytes {
+		return nil, nil, q.full(now, connections)
+	}
 	if len(q.tickets) >= q.bound {
 		if evicted = q.yielding(a.customer, weight); evicted == nil {
 			return nil, nil, q.full(now, connections)
@@ -90,7 +103,7 @@
 // full returns the refusal of a request that finds no place in the queue.
 func (q *admission) full(now time.Time, connections int) *result.Error {
 	drain := q.times.wait(len(q.tickets)/2, connections)
-	e := result.New(result.QueueFull, "%d requests wait", len(q.tickets))
+	e := result.New(result.QueueFull, "%d requests of %d bytes wait", len(q.tickets), q.bytes)
 	return e.After(q.comeBack(now, drain, connections))
 }
 
@@ -116,6 +129,7 @@
 	t.seq = q.seq
 	q.finish[t.customer] = t.finish
 	q.waiting[t.customer]++
+	q.bytes += t.size
 	heap.Push(&q.tickets, t)
 }
 
@@ -154,6 +168,7 @@
 	}
 	heap.Remove(&q.tickets, t.index)
 	q.waiting[t.customer]--
+	q.bytes -= t.size
 	if q.waiting[t.customer] == 0 {
 		delete(q.waiting, t.customer)
 	}
--- a/internal/pool/admission_test.go
+++ b/internal/pool/admission_test.go
@@ -27,7 +27,7 @@
 			} else {
 				waiting += pushAny(t, q)
 			}
-			if q.len() > q.bound || q.len() != waiting {
+			if q.len() > q.bound || q.len() != waiting || q.bytes > queueBytes {
 				t.Fatalf("%d wait, %d counted, bound %d", q.len(), waiting, q.bound)
 			}
 		}
@@ -40,6 +40,7 @@
 		customer: topology.CustomerID(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "customer")),
 		weight:   rapid.Float64Range(0, 10).Draw(t, "weight"),
 		timeLeft: time.Second,
+		size:     rapid.IntRange(0, queueBytes/2).Draw(t, "size"),
 	}
 	ticket, evicted, refusal := q.push(t0, a, 1, 1)
 	switch {
@@ -64,7 +65,7 @@
 		for range rounds {
 			for customer, weight := range weights {
 				for q.waiting[customer] < 2 {
-					q.push(t0, arrival{customer, weight, time.Second}, 1, 1)
+					q.push(t0, arrival{customer, weight, time.Second, 0}, 1, 1)
 				}
 			}
 			served[q.pop().customer]++
@@ -84,11 +85,11 @@
 		before := rapid.IntRange(0, 20).Draw(t, "before")
 		q := newAdmission(256)
 		for range before {
-			q.push(t0, arrival{"flood", heavy, time.Second}, 1, 1)
+			q.push(t0, arrival{"flood", heavy, time.Second, 0}, 1, 1)
 		}
-		light, _, _ := q.push(t0, arrival{"light", 1, time.Second}, 1, 1)
+		light, _, _ := q.push(t0, arrival{"light", 1, time.Second, 0}, 1, 1)
 		for served := 0; ; served++ {
-			q.push(t0, arrival{"flood", heavy, time.Second}, 1, 1)
+			q.push(t0, arrival{"flood", heavy, time.Second, 0}, 1, 1)
 			if q.pop() == light {
 				return
 			}
@@ -103,25 +104,37 @@
 	q := newAdmission(4)
 	var last *ticket
 	for range 4 {
-		last, _, _ = q.push(t0, arrival{"flood", 1, time.Second}, 1, 1)
+		last, _, _ = q.push(t0, arrival{"flood", 1, time.Second, 0}, 1, 1)
 	}
-	_, evicted, refusal := q.push(t0, arrival{"quiet", 1, time.Second}, 1, 1)
+	_, evicted, refusal := q.push(t0, arrival{"quiet", 1, time.Second, 0}, 1, 1)
 	qt.Assert(t, refusal == nil, qt.IsTrue)
 	qt.Assert(t, evicted, qt.Equals, last)
-	_, evicted, refusal = q.push(t0, arrival{"flood", 1, time.Second}, 1, 1)
+	_, evicted, refusal = q.push(t0, arrival{"flood", 1, time.Second, 0}, 1, 1)
 	qt.Assert(t, evicted, qt.IsNil)
 	qt.Assert(t, refusal.Code, qt.Equals, result.QueueFull)
 	qt.Assert(t, refusal.RetryAfter > 0, qt.IsTrue)
 }
 
+func TestQueueHoldsBoundedBytes(t *testing.T) {
+	q := newAdmission(queueBound)
+	for range 5 {
+		q.push(t0, arrival{"a", 1, time.Second, queueBytes / 4}, 1, 1)
+	}
+	qt.Assert(t, q.len(), qt.Equals, 4)
+	_, _, refusal := q.push(t0, arrival{"a", 1, time.Second, 1}, 1, 1)
+	qt.Assert(t, refusal.Code, qt.Equals, result.QueueFull)
+	q.pop()
+	qt.Assert(t, q.bytes, qt.Equals, 3*queueBytes/4)
+}
+
 func TestRefusalTellsWhenTheQueueIsShortEnough(t *testing.T) {
 	q := newAdmission(256)
 	q.times.observe("a", 10*time.Millisecond)
 	for range 20 {
-		q.push(t0, arrival{"a", 1, time.Second}, 2, 2)
+		q.push(t0, arrival{"a", 1, time.Second, 0}, 2, 2)
 	}
 	// 20 ahead and itself on two connections of 10 ms each: 105 ms.
-	late := arrival{"a", 1, 50 * time.Millisecond}
+	late := arrival{"a", 1, 50 * time.Millisecond, 0}
 	_, _, refusal := q.push(t0, late, 2, 2)
 	qt.Assert(t, refusal.Code, qt.Equals, result.DeadlineTooClose)
 	qt.Assert(t, refusal.RetryAfter, qt.Equals, 55*time.Millisecond)
@@ -140,11 +153,11 @@
 		connections := rapid.IntRange(1, 8).Draw(t, "connections")
 		waiting := rapid.IntRange(0, connections-1).Draw(t, "waiting")
 		for range waiting {
-			q.push(t0, arrival{"a", 1, time.Minute}, connections, 0)
+			q.push(t0, arrival{"a", 1, time.Minute, 0}, connections, 0)
 		}
 		busy := rapid.IntRange(0, connections-1-waiting).Draw(t, "busy")
 		left := time.Duration(rapid.IntRange(1, 1e9).Draw(t, "left"))
-		if _, _, refusal := q.push(t0, arrival{"b", 1, left}, connections, busy); refusal != nil {
+		if _, _, refusal := q.push(t0, arrival{"b", 1, left, 0}, connections, busy); refusal != nil {
 			t.Fatalf("%d of %d busy, %d wait: %v", busy, connections, waiting, refusal)
 		}
 	})
@@ -153,10 +166,10 @@
 func TestReturnsOfRefusedRequestsAreSpaced(t *testing.T) {
 	q := newAdmission(1)
 	q.times.observe("a", 10*time.Millisecond)
-	q.push(t0, arrival{"a", 1, time.Second}, 1, 1)
+	q.push(t0, arrival{"a", 1, time.Second, 0}, 1, 1)
 	var last time.Duration
 	for i := range 5 {
-		_, _, refusal := q.push(t0, arrival{"a", 1, time.Second}, 1, 1)
+		_, _, refusal := q.push(t0, arrival{"a", 1, time.Second, 0}, 1, 1)
 		if i > 0 {
 			qt.Check(t, refusal.RetryAfter-last, qt.Equals, 10*time.Millisecond)
 		}
@@ -172,10 +185,10 @@
 		customers[i] = topology.CustomerID(fmt.Sprintf("c%d", i))
 	}
 	for i := range queueBound - 1 {
-		q.push(t0, arrival{customers[i%len(customers)], 1, time.Minute}, 6, 6)
+		q.push(t0, arrival{customers[i%len(customers)], 1, time.Minute, 0}, 6, 6)
 	}
 	for i := 0; b.Loop(); i++ {
-		q.push(t0, arrival{customers[i%len(customers)], 1, time.Minute}, 6, 6)
+		q.push(t0, arrival{customers[i%len(customers)], 1, time.Minute, 0}, 6, 6)
 		q.pop()
 	}
 }
--- a/internal/pool/exec.go
+++ b/internal/pool/exec.go
@@ -103,6 +103,7 @@
 		customer: s.req.Customer,
 		weight:   s.req.CostShare,
 		timeLeft: time.Until(s.deadline),
+		size:     len(s.req.Messages),
 	}
 	c, err := sl.acquire(ctx, a, checked)
 	if err != nil {
--- a/internal/pool/manager_test.go
+++ b/internal/pool/manager_test.go
@@ -314,6 +314,20 @@
 	qt.Assert(t, f.fake.get(func() int { return f.fake.most }) <= slotShare(f.fake.topology()), qt.IsTrue)
 }
 
+func TestFullTargetIsATrueNotRun(t *testing.T) {
+	f := newFixture(t)
+	f.fake.set(func() { f.fake.limit = 1 }) // the control connection
+	reply, err := f.exec(f.query(Write, "INSERT a"))
+	wantCode(t, err, result.TooManyConnections)
+	qt.Assert(t, reply.Hint.Primary, qt.Equals, topology.TargetID("t1"))
+	qt.Assert(t, err.(*result.Error).RetryAfter > 0, qt.IsTrue)
+	f.fake.set(func() { f.fake.limit = 2 })
+	eventually(t, "one connection serves", func() bool {
+		_, err := f.exec(f.query(Write, "INSERT b"))
+		return err == nil
+	})
+}
+
 func TestDeadTargetIsATrueNotRun(t *testing.T) {
 	f := newFixture(t)
 	_, err := f.exec(f.query(Write, "INSERT a"))
@@ -437,6 +451,25 @@
 	qt.Assert(t, (<-recorded).Offset, qt.Equals, uint64(1))
 }
 
+// Fails without ending the slot's lock: the target keeps that of the old
+// connection.
+func TestSilentControlConnectionIsReplaced(t *testing.T) {
+	locks := make(chan int, 10)
+	f := newFixture(t, func(o *Options) { o.OnLock = func(_ topology.TargetID, slot int) { locks <- slot } })
+	qt.Assert(t, <-locks, qt.Equals, 0)
+	f.dialer.mute(0)
+	select {
+	case <-locks:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the lock isn't taken again")
+	}
+	f.awaitLock()
+	_, err := f.m.VerifySlot(context.Background(), "t1", 0)
+	qt.Assert(t, err, qt.IsNil)
+	_, err = f.exec(f.query(Write, "INSERT a"))
+	qt.Assert(t, err, qt.IsNil)
+}
+
 func TestLeavingFinishesStreamsAndRefusesOthers(t *testing.T) {
 	f := newFixture(t)
 	done := make(chan error, 1)
