--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -204,3 +204,24 @@
 		qt.Check(t, got, qt.Equals, test.want, qt.Commentf("%s", test.name))
 	}
 }
+
+func BenchmarkCall(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	server := NewServer([]byte("key"), "b", logr.Discard())
+	if err := server.Register("Echo", &echo{}); err != nil {
+		b.Fatal(err)
+	}
+	go func() { _ = server.Serve(context.Background(), l) }()
+	client := NewClient([]byte("key"), "a", func(topology.HostID) (string, bool) { return l.Addr().String(), true }, nil)
+	for b.Loop() {
+		if _, err := call(client, time.Second, "Echo.Say", "hello"); err != nil {
+			b.Fatal(err)
+		}
+	}
+	client.Close()
+	_ = l.Close()
+	server.Close()
+}
--- a/internal/pool/admission.go
+++ b/internal/pool/admission.go
@@ -13,6 +13,7 @@
 	queueBytes    = 32 << 20               // of their messages
 	maxRetryAfter = 2 * time.Second        // an estimate of a later time is worth little
 	minRetryAfter = 5 * time.Millisecond   // an earlier return finds the same queue
+	returnSpacing = 110                    // per cent of the mean time between two services
 	minCost       = 100 * time.Microsecond // charged for a request of unknown or tiny cost
 	minWeight     = 1e-3                   // of a customer without a cost share
 )
@@ -198,7 +199,7 @@
 	if limit := now.Add(maxRetryAfter); at.After(limit) {
 		at = limit
 	}
-	q.promised = at.Add(q.times.wait(0, connections))
+	q.promised = at.Add(q.times.wait(0, connections) * returnSpacing / 100)
 	return max(at.Sub(now), minRetryAfter)
 }
 
