--- /dev/null
+++ b/internal/pool/connections_test.go
@@ -0,0 +1,136 @@
+package pool
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"nettlewalk.example/nettlewalk/internal/result"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// Fails when the last batch's deadline still counts: the connection is then
+// taken for closed.
+func TestIdleConnectionOutlivesItsLastDeadline(t *testing.T) {
+	f := newFixture(t)
+	short := f.query(Read, "ECHO x")
+	short.TimeLeft = 100 * time.Millisecond
+	_, err := f.exec(short)
+	qt.Assert(t, err, qt.IsNil)
+	time.Sleep(short.TimeLeft) // the rule is about time
+	_, err = f.exec(f.query(Read, "ECHO x"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, f.fake.get(func() int { return f.fake.opened }), qt.Equals, 2)
+}
+
+// Fails without the check of idle connections: the write then ends as an
+// unknown outcome at its deadline.
+func TestWriteDoesNotUseASilentIdleConnection(t *testing.T) {
+	f := newFixture(t)
+	_, err := f.exec(f.query(Write, "INSERT a"))
+	qt.Assert(t, err, qt.IsNil)
+	f.dialer.mute(1)
+	time.Sleep(idleCheck) // the rule is about idle time
+	_, err = f.exec(f.query(Write, "INSERT b"))
+	qt.Assert(t, err, qt.IsNil)
+}
+
+// Fails without the second attempt: the read then ends at its deadline.
+func TestReadMovesOnFromASilentConnection(t *testing.T) {
+	f := newFixture(t)
+	_, err := f.exec(f.query(Read, "ROWS 1 1"))
+	qt.Assert(t, err, qt.IsNil)
+	f.dialer.mute(1)
+	began := time.Now()
+	_, err = f.exec(f.query(Read, "ROWS 1 1"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, time.Since(began) < 4*time.Second, qt.IsTrue)
+}
+
+func TestSilentPredecessorLosesItsSlot(t *testing.T) {
+	f := newFixture(t)
+	f.dialer.mute(0) // its lock stays at the target
+	next := NewManager(Options{Self: topology.Host{ID: "next"}, Log: logr.Discard()})
+	defer next.Close()
+	next.Hold([]Held{{Target: f.fake.topology(), Slot: 0, Takeover: true}})
+	eventually(t, "the successor holds the slot", func() bool { return next.Dump().(State).Slots[0].Locked })
+	_, err := f.m.VerifySlot(context.Background(), "t1", 0)
+	qt.Assert(t, err, qt.IsNotNil)
+	next.Hold(nil)
+}
+
+// Fails when a slot that is handed over closes once its connections are free:
+// the lock is then gone before the commit's session is recorded.
+func TestHandoverWaitsForCommits(t *testing.T) {
+	recorded := make(chan topology.Position, 1)
+	f := newFixture(t, func(o *Options) {
+		o.OnCommit = func(_ topology.TargetID, _ int, _ string, pos topology.Position) { recorded <- pos }
+	})
+	f.confirm.gate = make(chan struct{})
+	req := f.query(Write, "INSERT a")
+	req.Session = "s"
+	done := make(chan error, 1)
+	go func() {
+		_, err := f.exec(req)
+		done <- err
+	}()
+	eventually(t, "the commit waits", func() bool {
+		f.confirm.mu.Lock()
+		defer f.confirm.mu.Unlock()
+		return len(f.confirm.asked) == 1
+	})
+	f.m.Hold(nil)
+	time.Sleep(50 * time.Millisecond) // the rule is that nothing happens
+	qt.Assert(t, f.fake.get(func() int { return len(f.fake.locks) }), qt.Equals, 1)
+	close(f.confirm.gate)
+	qt.Assert(t, <-done, qt.IsNil)
+	qt.Assert(t, (<-recorded).Offset, qt.Equals, uint64(1))
+}
+
+// Fails without ending the slot's lock: the target keeps that of the old
+// connection.
+func TestSilentControlConnectionIsReplaced(t *testing.T) {
+	locks := make(chan int, 10)
+	f := newFixture(t, func(o *Options) { o.OnLock = func(_ topology.TargetID, slot int) { locks <- slot } })
+	qt.Assert(t, <-locks, qt.Equals, 0)
+	f.dialer.mute(0)
+	select {
+	case <-locks:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the lock isn't taken again")
+	}
+	f.awaitLock()
+	_, err := f.m.VerifySlot(context.Background(), "t1", 0)
+	qt.Assert(t, err, qt.IsNil)
+	_, err = f.exec(f.query(Write, "INSERT a"))
+	qt.Assert(t, err, qt.IsNil)
+}
+
+func TestLeavingFinishesStreamsAndRefusesOthers(t *testing.T) {
+	f := newFixture(t)
+	done := make(chan error, 1)
+	req := f.query(Write, "HOLD")
+	go func() {
+		_, err := f.exec(req)
+		done <- err
+	}()
+	eventually(t, "it runs", func() bool { return f.fake.get(func() int { return f.fake.ran["HOLD"] }) == 1 })
+	left := make(chan struct{})
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		f.m.Leave(ctx)
+		close(left)
+	}()
+	eventually(t, "new streams are refused", func() bool {
+		_, err := f.exec(f.query(Read, "ROWS 1 1"))
+		return codeOf(err) == result.Draining
+	})
+	close(f.fake.hold)
+	qt.Assert(t, <-done, qt.IsNil)
+	<-left
+	eventually(t, "no connection is left", func() bool { return f.fake.get(func() int { return len(f.fake.conns) }) == 0 })
+}
