Failover: planned moves keep the last entries; properties under rivals, lag and cuts

A fenced former primary goes on giving its log to replicas of its term, so a leaving primary is fenced first and a replica gets what it had. Machines look at targets in the group's order: a simulation with the same seed runs the same way twice.

--- a/internal/failover/fact.go
+++ b/internal/failover/fact.go
@@ -30,6 +30,15 @@
 // heardSince tells whether a request sent at or after t was answered.
 func (f *fact) heardSince(t time.Time) bool { return f.known && !f.heardAt.Before(t) }
 
+// all returns the facts in the group's order.
+func (m *Machine) all() []*fact {
+	facts := make([]*fact, len(m.group.Targets))
+	for i, t := range m.group.Targets {
+		facts[i] = m.facts[t.ID]
+	}
+	return facts
+}
+
 // lead is the primary of the highest term that is known to have had one.
 type lead struct {
 	term    uint64
--- a/internal/failover/machine_test.go
+++ b/internal/failover/machine_test.go
@@ -46,6 +46,7 @@
 		clear(s.cut)
 	case 6:
 		s.loss = float64(rapid.IntRange(0, 40).Draw(t, "loss")) / 100
+		s.late = float64(rapid.IntRange(0, 95).Draw(t, "late")) / 100
 		s.delay = time.Duration(rapid.IntRange(1, 300).Draw(t, "delay")) * time.Millisecond
 	}
 }
@@ -83,13 +84,13 @@
 	})
 }
 
-// gapAfter returns how long the group has no primary of a term above the first,
+// gapAfter returns how long no write of a term above the first is confirmed,
 // and fails if that is above the bound.
 func gapAfter(t *testing.T, s *simulation, bound time.Duration) time.Duration {
 	start := s.now
 	for s.now.Sub(start) < bound {
 		s.run(5 * time.Millisecond)
-		if lead := s.serving(); lead != nil && lead.term > 1 {
+		if n := len(s.confirmed); n > 0 && s.confirmed[n-1].Term > 1 {
 			return s.now.Sub(start)
 		}
 	}
@@ -165,27 +166,75 @@
 
 // A leaving primary hands over without losing an entry, confirmed or not.
 func TestPlannedMoveLosesNothing(t *testing.T) {
-	s := newSimulation(3, 3, 3)
+	for seed := range uint64(30) {
+		s := newSimulation(seed, 3, 3)
+		s.late = 0.5
+		s.run(time.Second + time.Duration(seed)*time.Millisecond)
+		leaving := s.group
+		leaving.Targets = append([]topology.Target(nil), s.group.Targets...)
+		leaving.Targets[0].Leaving = true
+		for _, h := range s.hosts {
+			h.machine.SetGroup(leaving, s.now)
+		}
+		gap := gapAfter(t, s, failoverBound)
+		qt.Assert(t, gap < 600*time.Millisecond, qt.IsTrue, qt.Commentf("%v", gap))
+		qt.Assert(t, s.promotions, qt.HasLen, 1)
+		qt.Assert(t, s.promotions[0].target, qt.Not(qt.Equals), topology.TargetID("t0"))
+		qt.Assert(t, s.promotions[0].has(s.written[1]), qt.IsTrue)
+	}
+}
+
+// A host that alone can't reach a healthy primary changes nothing.
+func TestPrimaryThatOthersReachIsLeftAlone(t *testing.T) {
+	s := newSimulation(5, 3, 3)
 	s.run(time.Second)
-	leaving := s.group
-	leaving.Targets = append([]topology.Target(nil), s.group.Targets...)
-	leaving.Targets[0].Leaving = true
-	for _, h := range s.hosts {
-		h.machine.SetGroup(leaving, s.now)
+	s.cut["h1>t0"], s.cut["t0>h1"] = true, true
+	s.run(30 * time.Second)
+	qt.Assert(t, s.calls, qt.Equals, 0)
+}
+
+// Hosts that can't ask each other act at the same time: a term still has one
+// primary, and the group comes to rest.
+func TestRivalsShareNoTerm(t *testing.T) {
+	for seed := range uint64(100) {
+		s := newSimulation(seed, 3, 3)
+		s.delay = 20 * time.Millisecond
+		s.run(time.Second)
+		for _, a := range s.hosts {
+			for _, b := range s.hosts {
+				s.cut[string(a.id)+">"+string(b.id)] = true
+			}
+		}
+		s.targets["t0"].down = true
+		gapAfter(t, s, failoverBound)
+		s.run(2 * time.Second)
+		qt.Assert(t, s.broken, qt.IsNil)
+		changes := len(s.promotions)
+		s.run(5 * time.Second)
+		qt.Assert(t, s.promotions, qt.HasLen, changes)
 	}
-	gap := gapAfter(t, s, failoverBound)
+}
+
+// The answer of one fence is not enough to promote.
+func TestPromotesOnlyWithAMajorityFenced(t *testing.T) {
+	s := newSimulation(6, 1, 3)
 	s.run(time.Second)
-	qt.Assert(t, s.serving().id, qt.Not(qt.Equals), topology.TargetID("t0"))
-	qt.Assert(t, s.broken, qt.IsNil)
-	lead := s.serving()
-	last := uint64(0)
-	for i, term := range lead.log {
-		if term == 1 {
-			last = uint64(i) + 1
+	m := s.hosts[0].machine
+	m.phase, m.since = PhaseFencing, s.now
+	m.attempt = attempt{term: 2, answers: map[topology.TargetID]target.Status{}, ordered: map[topology.TargetID]bool{}}
+	promoted := func(id topology.TargetID) bool {
+		order := Order{Kind: OrderFence, Target: id, Term: 2}
+		st := target.Status{Target: id, Role: target.Fenced, Term: 2}
+		for _, a := range m.Step(s.now, OrderDoneEvent{Order: order, Status: st, SentAt: s.now}) {
+			if g, ok := a.(Give); ok && g.Order.Kind == OrderPromote {
+				return true
+			}
 		}
+		return false
 	}
-	qt.Assert(t, s.promotions[0].log[last-1], qt.Equals, uint64(1))
-	qt.Assert(t, gap < 500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", gap))
+	qt.Assert(t, promoted("t1"), qt.IsFalse)
+	qt.Assert(t, promoted("t1"), qt.IsFalse)
+	qt.Assert(t, promoted("t2"), qt.IsTrue)
 }
 
 // Replicas that receive late, but receive, are no reason to change the primary;
--- a/internal/failover/poll.go
+++ b/internal/failover/poll.go
@@ -4,7 +4,7 @@
 
 // poll asks the targets whose turn it is.
 func (m *Machine) poll(now time.Time) {
-	for _, f := range m.facts {
+	for _, f := range m.all() {
 		last := f.polledAt
 		if f.heardAt.After(last) {
 			last = f.heardAt
--- a/internal/failover/repair.go
+++ b/internal/failover/repair.go
@@ -14,7 +14,7 @@
 		return
 	}
 	m.publishLate(now)
-	for _, other := range m.facts {
+	for _, other := range m.all() {
 		if other == f || !m.reached(other, now) {
 			continue
 		}
--- a/internal/failover/sim_test.go
+++ b/internal/failover/sim_test.go
@@ -64,9 +64,11 @@
 	group      topology.Group
 	hosts      []*simHost
 	targets    map[topology.TargetID]*simTarget
-	loss       float64
+	loss       float64       // of messages
+	late       float64       // share of replication steps that are left out
 	delay      time.Duration // longest, one way
 	cut        map[string]bool
+	written    map[uint64]topology.Position // last write of each term
 	hidden     int                          // entries by which replicas receive late
 	led        map[topology.TargetID]uint64 // latest term as primary
 	promotions []promotion
@@ -81,6 +83,7 @@
 		now:     time.Unix(1_000_000, 0),
 		targets: map[topology.TargetID]*simTarget{},
 		cut:     map[string]bool{},
+		written: map[uint64]topology.Position{},
 		led:     map[topology.TargetID]uint64{"t0": 1},
 		delay:   2 * time.Millisecond,
 		group:   topology.Group{ID: "g", Term: 1, Primary: "t0"},
@@ -102,6 +105,15 @@
 	return s
 }
 
+// all returns the targets in the group's order.
+func (s *simulation) all() []*simTarget {
+	targets := make([]*simTarget, len(s.group.Targets))
+	for i, t := range s.group.Targets {
+		targets[i] = s.targets[t.ID]
+	}
+	return targets
+}
+
 func (s *simulation) after(d time.Duration, do func()) {
 	s.seq++
 	heap.Push(&s.queue, simEvent{at: s.now.Add(d), seq: s.seq, do: do})
@@ -265,9 +277,9 @@
 }
 
 func (s *simulation) replicate() {
-	for _, t := range s.targets {
+	for _, t := range s.all() {
 		from := s.targets[t.primary]
-		if from == nil || from == t || t.down || from.down || s.rand.Float64() < s.loss {
+		if from == nil || from == t || t.down || from.down || s.rand.Float64() < s.late {
 			continue
 		}
 		if s.cut[string(t.id)+">"+string(from.id)] || s.cut[string(from.id)+">"+string(t.id)] {
@@ -280,12 +292,12 @@
 // write lets every target that takes itself for the primary commit, and a host
 // confirm the commit as the poller does.
 func (s *simulation) write() {
-	for _, t := range s.group.Targets {
-		p := s.targets[t.ID]
+	for _, p := range s.all() {
 		if p.down || p.role != target.Primary {
 			continue
 		}
 		p.log = append(p.log, p.term)
+		s.written[p.term] = p.received()
 		s.confirm(s.hosts[s.rand.IntN(len(s.hosts))], p.received())
 	}
 }
@@ -307,13 +319,13 @@
 	}
 	for i := range 8 {
 		s.after(time.Duration(i)*simWrite, func() {
-			for id, t := range s.targets {
-				s.send(string(h.id), string(id), func() {
+			for _, t := range s.all() {
+				s.send(string(h.id), string(t.id), func() {
 					if t.down {
 						return
 					}
 					st := t.status()
-					s.send(string(id), string(h.id), func() { take(st) })
+					s.send(string(t.id), string(h.id), func() { take(st) })
 				})
 			}
 		})
@@ -331,7 +343,7 @@
 // serving returns the primary of the highest term if a majority follows it.
 func (s *simulation) serving() *simTarget {
 	var lead *simTarget
-	for _, t := range s.targets {
+	for _, t := range s.all() {
 		if !t.down && t.role == target.Primary && (lead == nil || t.term > lead.term) {
 			lead = t
 		}
@@ -340,7 +352,7 @@
 		return nil
 	}
 	n := 0
-	for _, t := range s.targets {
+	for _, t := range s.all() {
 		if !t.down && t.term == lead.term && t.primary == lead.id {
 			n++
 		}
@@ -353,9 +365,9 @@
 
 // calm ends all faults.
 func (s *simulation) calm() {
-	s.loss, s.delay = 0, 2*time.Millisecond
+	s.loss, s.late, s.delay = 0, 0, 2*time.Millisecond
 	clear(s.cut)
-	for _, t := range s.targets {
+	for _, t := range s.all() {
 		if t.down {
 			t.restart()
 		}
--- a/test/standin/target/node.go
+++ b/test/standin/target/node.go
@@ -25,7 +25,8 @@
 	receivedAt []time.Time
 	receiveLag time.Duration
 	applyLag   time.Duration
-	urgent     bool // a promotion waits: apply without lag
+	urgent     bool   // a promotion waits: apply without lag
+	ledTerm    uint64 // latest term as primary of this process
 	changed    chan struct{}
 	closed     bool
 	onFence    func()       // rolls back writes in flight; called without the lock
@@ -43,7 +44,7 @@
 	}
 	n := &node{cfg: cfg, meta: m, log: log, receiveLag: cfg.ReceiveLag, applyLag: cfg.ApplyLag, changed: make(chan struct{})}
 	n.receivedAt = make([]time.Time, log.len())
-	if err := m.save(cfg.Dir); err != nil {
+	if err := n.setMetaLocked(m); err != nil {
 		return nil, err
 	}
 	if m.Role == ctl.Primary && log.len() == 0 {
@@ -96,9 +97,18 @@
 		return err
 	}
 	n.meta = m
+	if m.Role == ctl.Primary {
+		n.ledTerm = m.Term
+	}
 	return nil
 }
 
+// servesLocked tells whether replicas of that term may have this log: it is
+// the term's primary, or was until it was fenced.
+func (n *node) servesLocked(term uint64) bool {
+	return n.meta.Role != ctl.Replica && n.ledTerm == term && !n.closed
+}
+
 func (n *node) statusLocked() ctl.Status {
 	return ctl.Status{
 		Target:   n.cfg.ID,
--- a/test/standin/target/replicate.go
+++ b/test/standin/target/replicate.go
@@ -27,13 +27,14 @@
 
 // batch is one message of the primary.
 type batch struct {
-	Refused bool   // not the primary of that term
+	Refused bool   // neither the primary of that term nor its fenced former one
 	Keep    uint64 // in the first message: last offset that both logs share
 	Entries []Entry
 	Ages    []time.Duration // since each commit
 }
 
-// serveReplica streams the log to one replica until the role changes.
+// serveReplica streams the log to one replica. A fenced primary goes on, so
+// that replicas of its term get its last entries.
 func (s *Server) serveReplica(conn net.Conn) {
 	defer conn.Close()
 	dec, enc := gob.NewDecoder(conn), gob.NewEncoder(conn)
@@ -58,15 +59,15 @@
 
 // nextBatch returns the entries past offset, waiting for one beat if there are none.
 func (n *node) nextBatch(ctx context.Context, h hello, after uint64, first bool) batch {
-	leads := func() bool { return n.meta.Role == ctl.Primary && n.meta.Term == h.Term }
+	serves := func() bool { return n.servesLocked(h.Term) }
 	if !first {
 		ctx, cancel := context.WithTimeout(ctx, replicationBeat)
 		defer cancel()
-		_ = n.wait(ctx, func() bool { return !leads() || n.log.len() > after })
+		_ = n.wait(ctx, func() bool { return !serves() || n.log.len() > after })
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !leads() || n.closed {
+	if !serves() {
 		return batch{Refused: true}
 	}
 	var b batch
--- a/test/standin/target/server_test.go
+++ b/test/standin/target/server_test.go
@@ -310,6 +310,17 @@
 	}
 }
 
+func TestFencedPrimaryStillGivesItsLastEntries(t *testing.T) {
+	c := qt.New(t)
+	g := startGroup(c, func(cfg *target.Config) { cfg.ReceiveLag = 50 * time.Millisecond })
+	ctx := context.Background()
+	_, err := g.pgx(0).Exec(ctx, "INSERT INTO booking (id, crew) VALUES (1, 'last')")
+	c.Assert(err, qt.IsNil)
+	st, err := g.control(0).Fence(ctx, 2)
+	c.Assert(err, qt.IsNil)
+	waitFor(c, "last entry", func() bool { return g.servers[1].Status().Received == st.Received })
+}
+
 func TestRestartKeepsTheLogAndComesBackUnwritable(t *testing.T) {
 	c := qt.New(t)
 	g := startGroup(c, nil)
