--- a/internal/pool/atmostonce_test.go
+++ b/internal/pool/atmostonce_test.go
@@ -37,6 +37,25 @@
 	qt.Assert(t, f.fake.get(func() int { return f.fake.ran["INSERT late"] }), qt.Equals, 0)
 }
 
+// A transaction whose next batch never arrived is rolled back at once.
+func TestRecallEndsTheTransaction(t *testing.T) {
+	f := newFixture(t)
+	p := &peers{service: &Service{Manager: f.m}}
+	remote := Remote{Caller: p, Host: "holder"}
+	begin := f.query(Write, "BEGIN")
+	_, err := remote.Exec(context.Background(), begin)
+	qt.Assert(t, err, qt.IsNil)
+	p.lose = "Pool.Exec"
+	commit := f.query(Write, "COMMIT")
+	commit.Stream, commit.Batch = begin.Stream, 2
+	_, err = remote.Exec(context.Background(), commit)
+	wantCode(t, err, result.TransactionLost)
+	qt.Assert(t, f.m.Dump().(State).Slots[0].Streams, qt.Equals, 0)
+	_, err = f.exec(commit) // it arrives late
+	qt.Assert(t, err, qt.IsNotNil)
+	qt.Assert(t, f.fake.get(func() int { return f.fake.ran["COMMIT"] }), qt.Equals, 0)
+}
+
 func TestConnectionThatBreaksUnderAWriteLeavesItsOutcomeUnknown(t *testing.T) {
 	f := newFixture(t)
 	errs := make(chan error, 2)
--- a/internal/pool/service.go
+++ b/internal/pool/service.go
@@ -74,8 +74,11 @@
 // won't run any more.
 func (s *Service) Recall(args *RecallArgs, reply *RecallReply) error {
 	reply.Uptime = time.Since(s.Manager.started)
-	call := s.Manager.streams.recall(args.Stream, args.Batch, time.Now())
+	call, stream := s.Manager.streams.recall(args.Stream, args.Batch, time.Now())
 	if call == nil {
+		if stream != nil {
+			s.Manager.abandon(stream)
+		}
 		return nil
 	}
 	storedAnswers.Inc()
--- a/internal/pool/streams.go
+++ b/internal/pool/streams.go
@@ -69,19 +69,16 @@
 }
 
 // recall returns the call of a batch, nil if it never arrived. Such a batch
-// won't run any more: its stream is over.
-func (t *streamTable) recall(id StreamID, batch uint32, now time.Time) *batchCall {
+// won't run any more; the caller ends its stream, if there is one.
+func (t *streamTable) recall(id StreamID, batch uint32, now time.Time) (*batchCall, *stream) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
 	if call := t.known(id, batch); call != nil {
-		return call
+		return call, nil
 	}
 	t.graves.add(id, now)
-	if s := t.open[id]; s != nil {
-		go s.kill()
-	}
-	return nil
+	return nil, t.open[id]
 }
 
 // finish publishes the answer of a stream's call; over ends the stream.
