--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -187,6 +187,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.queue.times.observe(customer, used)
+	s.repeats.earn()
+}
+
+// mayRepeat takes a repeated read from the slot's budget.
+func (s *slot) mayRepeat() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.repeats.spend()
 }
 
 // dispatch serves waiting requests; called when the slot's lock was taken.
--- a/internal/pool/admission_test.go
+++ b/internal/pool/admission_test.go
@@ -163,6 +163,29 @@
 	})
 }
 
+func TestRepeatedReadsStayWithinTheirBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b repeatBudget
+		batches, repeats := 0, 0
+		for range rapid.IntRange(1, 2000).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "repeat") && b.spend() {
+				repeats++
+			} else {
+				b.earn()
+				batches++
+			}
+			if float64(repeats) > repeatBurst+repeatShare*float64(batches)+1 {
+				t.Fatalf("%d repeated of %d", repeats, batches)
+			}
+		}
+	})
+	_, enough := silentReadAfter(0, silentReadMin)
+	qt.Assert(t, enough, qt.IsFalse)
+	wait, enough := silentReadAfter(time.Second, time.Minute)
+	qt.Assert(t, wait, qt.Equals, silentReadFactor*time.Second)
+	qt.Assert(t, enough, qt.IsTrue)
+}
+
 func TestReturnsOfRefusedRequestsAreSpaced(t *testing.T) {
 	q := newAdmission(1)
 	q.times.observe("a", 10*time.Millisecond)
--- a/internal/pool/silentread.go
+++ b/internal/pool/silentread.go
@@ -10,14 +10,33 @@
 const (
 	silentReadMin    = 500 * time.Millisecond // without a byte of the answer, at least
 	silentReadFactor = 8                      // times the slot's mean service time
+	repeatShare      = 0.1                    // repeated reads per batch
+	repeatBurst      = 32                     // repeated reads after a quiet time: all connections may go silent at once
 )
 
 var errSilentRead = errors.New("no byte of the answer arrived")
 
 // silentReadAfter returns how long a read waits for the first byte before it
-// tries another connection.
-func silentReadAfter(service, left time.Duration) time.Duration {
-	return min(max(silentReadMin, silentReadFactor*service), left/2)
+// tries another connection; false if that leaves no time for it.
+func silentReadAfter(service, left time.Duration) (time.Duration, bool) {
+	wait := max(silentReadMin, silentReadFactor*service)
+	return wait, 2*wait <= left
+}
+
+// repeatBudget bounds repeated reads, so that a slow target isn't given twice
+// the work. The zero value allows repeatBurst reads.
+type repeatBudget struct{ spent float64 }
+
+// earn counts a batch.
+func (b *repeatBudget) earn() { b.spent = max(b.spent-repeatShare, 0) }
+
+// spend takes a repeated read from the budget; false if none is left.
+func (b *repeatBudget) spend() bool {
+	if b.spent+1 > repeatBurst {
+		return false
+	}
+	b.spent++
+	return true
 }
 
 // firstByte waits for the start of the answer to a read that may be repeated,
@@ -26,15 +45,18 @@
 	if s.retried || !m.brokenState(s, true).repeatable() {
 		return nil
 	}
-	wait := silentReadAfter(s.slot.serviceTime(), time.Until(s.deadline))
+	wait, enough := silentReadAfter(s.slot.serviceTime(), time.Until(s.deadline))
+	if !enough {
+		return nil
+	}
 	if err := c.net.SetReadDeadline(time.Now().Add(wait)); err != nil {
 		return err
 	}
 	err := c.awaitByte()
-	if isTimeout(err) {
+	if isTimeout(err) && s.slot.mayRepeat() {
 		return errSilentRead
 	}
-	if err != nil {
+	if err != nil && !isTimeout(err) {
 		return err
 	}
 	return c.net.SetReadDeadline(s.deadline)
--- a/internal/pool/slot.go
+++ b/internal/pool/slot.go
@@ -31,6 +31,7 @@
 	open     int     // connections, those being opened included
 	opening  int
 	streams  int // streams that own a connection
+	repeats  repeatBudget
 	commits  int // commits that wait for their confirmation
 	retryAt  time.Time
 	draining bool
