Pool: a refusal by a target that was fenced and promoted again is "not primary"

Cause: the target was asked whether it is the primary after its refusal; one that was fenced at the time of the write and promoted since says yes. The status from before the write, at the same term, now decides.

--- a/internal/pool/complete.go
+++ b/internal/pool/complete.go
@@ -64,7 +64,7 @@
 		return nil
 	}
 	st, err := s.slot.control.Status(ctx)
-	if err == nil && st.Role == target.Primary {
+	if err == nil && samePrimary(s.before, st) {
 		return nil // the caller's own read-only setting
 	}
 	if s.req.Class == Read {
@@ -73,6 +73,12 @@
 	return result.New(result.NotPrimary, "%s takes no writes", s.slot.id)
 }
 
+// samePrimary tells whether a target was the primary all along between two
+// statuses: one that is fenced and promoted again has another term.
+func samePrimary(before, after target.Status) bool {
+	return before.Role == target.Primary && after.Role == target.Primary && before.Term == after.Term
+}
+
 // confirm waits until the commit can't be lost. For a request with a session
 // the slot's lock must have been held after the commit, so that no successor
 // has answered for the session without it.
--- a/internal/pool/exec.go
+++ b/internal/pool/exec.go
@@ -133,6 +133,7 @@
 	s.answer = newAnswer(p, c.statements)
 	s.bytes = uint64(len(s.req.Messages))
 	s.sentAt = time.Now()
+	s.before = s.slot.observed().status
 	defer context.AfterFunc(ctx, c.abandon)()
 	sent, err := c.send(p.wire, s.deadline)
 	if err != nil {
--- a/internal/pool/stream.go
+++ b/internal/pool/stream.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"nettlewalk.example/nettlewalk/internal/target"
 )
 
 // stream is the use of one connection by one caller: waiting for it, then
@@ -30,11 +32,12 @@
 type batchRun struct {
 	slot     *slot // nil before the first grant and after the stream's end
 	req      *Request
-	answer   *answer // nil: none is under way
-	open     bool    // an earlier batch opened a transaction
-	unclean  bool    // the connection keeps state of this caller
-	retried  bool    // a silent connection was given up for this one
-	passedOn bool    // a chunk of the answer was returned
+	answer   *answer       // nil: none is under way
+	open     bool          // an earlier batch opened a transaction
+	unclean  bool          // the connection keeps state of this caller
+	retried  bool          // a silent connection was given up for this one
+	passedOn bool          // a chunk of the answer was returned
+	before   target.Status // the latest before the batch was sent
 	granted  time.Time
 	sentAt   time.Time
 	deadline time.Time
