Command line for operators: status, dump, usage, template, customer, verifier

Every command reaches any host's administration listener. Edits are conditional on a version; exit codes tell a conflict, an unknown outcome and a true "not run" apart, also when the host itself doesn't answer: a connection that wasn't made carried nothing, a lost answer may hide an edit. status shows targets and slots as tables.

--- a/cmd/nettlewalk/check.go
+++ b/cmd/nettlewalk/check.go
@@ -11,15 +11,6 @@
 	"nettlewalk.example/nettlewalk/internal/settings"
 )
 
-// exitCode returns the process's exit code for an error.
-func exitCode(err error) int {
-	var faults *settings.Faults
-	if errors.As(err, &faults) {
-		return exitBadInput
-	}
-	return exitFailure
-}
-
 func checkCommand() command {
 	var path string
 	var asJSON bool
@@ -27,11 +18,24 @@
 	cmd.Description = "Check a settings file and list every fault"
 	cmd.String(&path, "c", "config", "settings file")
 	cmd.Bool(&asJSON, "j", "json", "print faults as JSON")
-	return command{cmd, func() error { return check(path, asJSON) }}
+	return command{Subcommand: cmd, run: func() error { return check(path, asJSON) }}
+}
+
+// loadSettings reads a settings file; every error is the operator's to mend.
+func loadSettings(path string) (*settings.Settings, error) {
+	if path == "" {
+		return nil, &badArgument{"want --config FILE"}
+	}
+	s, err := settings.Load(path)
+	var faults *settings.Faults
+	if err != nil && !errors.As(err, &faults) {
+		return nil, &badArgument{err.Error()}
+	}
+	return s, err
 }
 
 func check(path string, asJSON bool) error {
-	_, err := settings.Load(path)
+	_, err := loadSettings(path)
 	if err == nil {
 		fmt.Println("no faults")
 		return nil
@@ -48,7 +52,7 @@
 func exampleCommand() command {
 	cmd := flaggy.NewSubcommand("example")
 	cmd.Description = "Print a commented settings file"
-	return command{cmd, func() error {
+	return command{Subcommand: cmd, run: func() error {
 		_, err := fmt.Print(settings.Example)
 		return err
 	}}
@@ -57,7 +61,7 @@
 func versionCommand() command {
 	cmd := flaggy.NewSubcommand("version")
 	cmd.Description = "Print the version"
-	return command{cmd, func() error {
+	return command{Subcommand: cmd, run: func() error {
 		_, err := fmt.Println(version)
 		return err
 	}}
--- a/cmd/nettlewalk/main.go
+++ b/cmd/nettlewalk/main.go
@@ -6,24 +6,22 @@
 	"fmt"
 	"os"
 
+	"github.com/cockroachdb/errors"
 	"github.com/integrii/flaggy"
-)
 
-// Exit codes.
-const (
-	exitFailure  = 1 // the command failed
-	exitBadInput = 2 // bad settings or arguments
+	"nettlewalk.example/nettlewalk/internal/admin"
+	"nettlewalk.example/nettlewalk/internal/adminclient"
 )
 
-const exitHelp = "Exit codes: 0 done, 1 failed, 2 bad settings or arguments."
-
 // version is set by the linker for releases.
 var version = "dev"
 
-// command is one subcommand with the function that runs it.
+// command is a subcommand with the function that runs it, or with subcommands
+// of its own.
 type command struct {
 	*flaggy.Subcommand
-	run func() error
+	run      func() error
+	children []command
 }
 
 func main() {
@@ -31,27 +29,65 @@
 	flaggy.SetDescription("Database proxy with session consistency")
 	flaggy.SetVersion(version)
 	flaggy.DefaultParser.AdditionalHelpAppend = exitHelp
+	flaggy.DefaultParser.ShowCompletion = false
 	commands := allCommands()
 	for _, c := range commands {
-		flaggy.AttachSubcommand(c.Subcommand, 1)
+		flaggy.AttachSubcommand(c.attachChildren(), 1)
 	}
-	flaggy.Parse()
-	for _, c := range commands {
-		if c.Used {
-			exit(c.run())
-		}
+	if err := flaggy.DefaultParser.Parse(); err != nil {
+		exit(&badArgument{"bad value of a flag: " + err.Error()})
 	}
-	flaggy.ShowHelpAndExit("name a command")
+	if run := used(commands); run != nil {
+		exit(run())
+	}
+	flaggy.ShowHelpAndExit("Name a command.")
 }
 
 func allCommands() []command {
-	return []command{serveCommand(), checkCommand(), exampleCommand(), versionCommand()}
+	return []command{
+		serveCommand(),
+		checkCommand(),
+		exampleCommand(),
+		versionCommand(),
+		statusCommand(),
+		dumpCommand(),
+		usageCommand(),
+		objectCommand("template", adminclient.Templates),
+		objectCommand("customer", adminclient.Customers),
+		verifierCommand(),
+	}
+}
+
+func (c *command) attachChildren() *flaggy.Subcommand {
+	for _, child := range c.children {
+		c.AttachSubcommand(child.Subcommand, 1)
+	}
+	return c.Subcommand
+}
+
+// used returns the function of the command that the arguments name.
+func used(commands []command) func() error {
+	for _, c := range commands {
+		if !c.Used {
+			continue
+		}
+		if c.children != nil {
+			return used(c.children)
+		}
+		return c.run
+	}
+	return nil
 }
 
 func exit(err error) {
 	if err == nil {
 		os.Exit(0)
 	}
-	fmt.Fprintln(os.Stderr, err)
+	var failure *admin.Failure
+	if errors.As(err, &failure) {
+		_ = adminclient.PrintFailure(os.Stderr, failure)
+	} else {
+		fmt.Fprintln(os.Stderr, err)
+	}
 	os.Exit(exitCode(err))
 }
--- a/cmd/nettlewalk/operators.go
+++ b/cmd/nettlewalk/operators.go
@@ -2,7 +2,6 @@
 
 import (
 	"nettlewalk.example/nettlewalk/internal/admin"
-	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
 // joinOperators joins the administration API to every slice.
@@ -38,21 +37,3 @@
 	}
 	return operators
 }
-
-// groupStatus tells what this host knows of each group.
-func (h *host) groupStatus() []admin.GroupStatus {
-	groups := h.store.Groups()
-	statuses := make([]admin.GroupStatus, len(groups))
-	for i, g := range groups {
-		statuses[i] = h.statusOf(g)
-	}
-	return statuses
-}
-
-func (h *host) statusOf(g *topology.Group) admin.GroupStatus {
-	status := admin.GroupStatus{ID: g.ID, Term: g.Term, Primary: g.Primary}
-	if term, primary, ok := h.failover.State(g.ID); ok && term > g.Term {
-		status.Term, status.Primary = term, primary
-	}
-	return status
-}
--- a/cmd/nettlewalk/serve.go
+++ b/cmd/nettlewalk/serve.go
@@ -9,8 +9,6 @@
 
 	"github.com/go-logr/logr"
 	"github.com/integrii/flaggy"
-
-	"nettlewalk.example/nettlewalk/internal/settings"
 )
 
 func serveCommand() command {
@@ -18,11 +16,11 @@
 	cmd := flaggy.NewSubcommand("serve")
 	cmd.Description = "Run a host until SIGTERM or SIGINT, then leave without cutting a request"
 	cmd.String(&path, "c", "config", "settings file")
-	return command{cmd, func() error { return serve(path) }}
+	return command{Subcommand: cmd, run: func() error { return serve(path) }}
 }
 
 func serve(path string) error {
-	s, err := settings.Load(path)
+	s, err := loadSettings(path)
 	if err != nil {
 		return err
 	}
--- a/examples/quickstart/main.go
+++ b/examples/quickstart/main.go
@@ -47,7 +47,7 @@
 		return err
 	}
 	if hold {
-		fmt.Println("\nEverything stays up until Ctrl-C.")
+		printOperators(bed)
 		<-ctx.Done()
 	}
 	return nil
@@ -61,6 +61,14 @@
 	return testbed.Start(ctx, plan)
 }
 
+// printOperators tells how to use the operators' commands on what was started.
+func printOperators(bed *testbed.Bed) {
+	fmt.Println("\nEverything stays up until Ctrl-C. Operators' commands, in another terminal:")
+	fmt.Printf("  export NETTLEWALK_TOKEN=%s\n", testbed.OperatorToken)
+	fmt.Printf("  go run ./cmd/nettlewalk status --address %s\n", bed.Hosts[0].AdminAddr())
+	fmt.Printf("  go run ./cmd/nettlewalk customer list --address %s\n", bed.Hosts[1].AdminAddr())
+}
+
 func printAddresses(bed *testbed.Bed) {
 	plan := bed.Plan
 	fmt.Println("Hosts, each with the whole service (any PostgreSQL client can connect):")
--- a/internal/adminclient/assign.go
+++ b/internal/adminclient/assign.go
@@ -2,14 +2,22 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"strings"
 
 	"github.com/cockroachdb/errors"
 )
 
+// AssignmentError tells which assignment can't be made, and why.
+type AssignmentError struct{ Assignment, Reason string }
+
+// Error implements error.
+func (e *AssignmentError) Error() string { return strconv.Quote(e.Assignment) + ": " + e.Reason }
+
 // Assign returns an object with fields changed. An assignment is PATH=VALUE
 // with dots in PATH between an object and its member; VALUE is JSON or else
-// taken as text; PATH= removes the field.
+// taken as text; PATH= removes the field. A bad assignment's error is an
+// *AssignmentError.
 func Assign(value json.RawMessage, assignments []string) (json.RawMessage, error) {
 	var object map[string]any
 	if err := json.Unmarshal(value, &object); err != nil {
@@ -18,10 +26,10 @@
 	for _, assignment := range assignments {
 		field, text, found := strings.Cut(assignment, "=")
 		if !found || field == "" {
-			return nil, errors.Newf("%q: want PATH=VALUE", assignment)
+			return nil, &AssignmentError{assignment, "want PATH=VALUE"}
 		}
 		if err := assign(object, strings.Split(field, "."), text); err != nil {
-			return nil, errors.Wrapf(err, "%q", assignment)
+			return nil, &AssignmentError{assignment, err.Error()}
 		}
 	}
 	return json.Marshal(object)
--- a/internal/adminclient/client.go
+++ b/internal/adminclient/client.go
@@ -68,15 +68,7 @@
 // PATH=VALUE, with an empty value PATH is removed. It doesn't try again after a
 // conflict: another operator's edit is to be looked at first.
 func (c *Client) Set(ctx context.Context, kind, name string, assignments []string) (*admin.Edited, error) {
-	object, err := c.Get(ctx, kind, name)
-	if err != nil {
-		return nil, err
-	}
-	value, err := Assign(object.Value, assignments)
-	if err != nil {
-		return nil, err
-	}
-	return c.Put(ctx, kind, name, object.Version, value)
+	return c.SetVersion(ctx, kind, name, Current, assignments)
 }
 
 // Status returns the host's view of the system.
@@ -132,11 +124,14 @@
 		return err
 	}
 	if status == http.StatusOK {
-		return errors.Wrap(json.Unmarshal(text, answer), "the host's answer")
+		if err := json.Unmarshal(text, answer); err != nil {
+			return unanswered(method, errors.Wrap(err, "the host's answer"))
+		}
+		return nil
 	}
 	var failure admin.Failure
 	if json.Unmarshal(text, &failure) != nil || failure.Code == 0 {
-		return errors.Newf("the host answered with status %d", status)
+		return unanswered(method, errors.Newf("the answer with status %d is no host's", status))
 	}
 	return &failure
 }
@@ -149,9 +144,12 @@
 	r.Header.Set("Authorization", "Bearer "+c.token)
 	resp, err := c.http.Do(r)
 	if err != nil {
-		return 0, nil, errors.Wrap(err, "the host can't be reached")
+		return 0, nil, unanswered(method, err)
 	}
 	defer resp.Body.Close()
 	text, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
-	return resp.StatusCode, text, errors.Wrap(err, "the host's answer")
+	if err != nil {
+		return 0, nil, unanswered(method, err)
+	}
+	return resp.StatusCode, text, nil
 }
--- a/internal/adminclient/tables.go
+++ b/internal/adminclient/tables.go
@@ -65,8 +65,8 @@
 	if s.Slots == nil {
 		return nil
 	}
-	fmt.Fprintln(w, "\nslots of this host:")
-	return PrintJSON(w, s.Slots)
+	fmt.Fprintln(w)
+	return printSlots(w, s.Slots)
 }
 
 func printHosts(w io.Writer, hosts []topology.Host) error {
--- a/internal/routing/dump.go
+++ b/internal/routing/dump.go
@@ -30,8 +30,11 @@
 	SeenMS  int64             `json:"seen_ms_ago"`
 }
 
-// Dump returns the state for operators.
-func (r *PlainRouter) Dump() any {
+// Dump returns the state for operators, a Dump.
+func (r *PlainRouter) Dump() any { return r.State() }
+
+// State returns what this host knows of the groups that its callers used.
+func (r *PlainRouter) State() Dump {
 	d := Dump{Reads: r.stats.reads(), Groups: make(map[topology.GroupID]GroupViewState)}
 	for _, g := range r.knownGroups() {
 		d.Groups[g.id] = dumpView(r.view(g))
