Pool: only a status from after a connection was opened vouches for reads on it

The replica had cut back its log and rebuilt its database; it had closed its connections, but the holder still trusted a status from before, up to 500 ms old. Ruled out: the floor itself (the tokens were right). Change: a batch is checked again when its connection is younger than the last status. Proof: TestStatusFromBeforeAConnectionVouchesForNothing fails without the check (served, want 205) and passes with it.

--- a/internal/pool/admissible.go
+++ b/internal/pool/admissible.go
@@ -26,6 +26,20 @@
 	return m.checkFloor(ctx, s, req.Floor)
 }
 
+// admissibleOn checks a batch again if its connection is younger than the
+// target's last status. A target that falls back, because its log was cut back
+// or its data restored, closes its connections: only a status from after a
+// connection was opened tells what is read there.
+func (m *Manager) admissibleOn(ctx context.Context, c *conn, s *slot, req *Request) error {
+	if s.observed().sentAt.After(c.openedAt) {
+		return nil
+	}
+	if _, err := s.control.Status(ctx); err != nil {
+		return asResult(err, s.id)
+	}
+	return m.admissible(ctx, s, req)
+}
+
 // checkCommit refuses a batch that may commit while no commit can be confirmed.
 func (m *Manager) checkCommit(req *Request) error {
 	if req.Class != Write || !req.MayCommit {
--- a/internal/pool/exec.go
+++ b/internal/pool/exec.go
@@ -94,7 +94,7 @@
 	return sl, m.connect(ctx, s, sl, false)
 }
 
-// connect waits for a connection. checked: one that has just answered.
+// connect waits for a connection and checks the batch on it. checked: one that has just answered.
 func (m *Manager) connect(ctx context.Context, s *stream, sl *slot, checked bool) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -115,6 +115,10 @@
 	}
 	s.slot = sl
 	s.granted = time.Now()
+	if err := m.admissibleOn(ctx, c, sl, s.req); err != nil {
+		m.end(s, true)
+		return err
+	}
 	return nil
 }
 
--- a/internal/pool/manager_test.go
+++ b/internal/pool/manager_test.go
@@ -174,3 +174,29 @@
 	}
 	qt.Assert(t, f.fake.get(func() int { return f.fake.parsed }), qt.Equals, 1)
 }
+
+// A target that lost its data since its last status, as one does whose log was
+// cut back, has closed its connections. The old status vouches for no new one.
+func TestStatusFromBeforeAConnectionVouchesForNothing(t *testing.T) {
+	f := newFixture(t)
+	floor := topology.Position{Term: 1, Offset: 10}
+	f.fake.set(func() { f.fake.position.Offset = floor.Offset })
+	read := f.query(Read, "ROWS 1 1")
+	read.Floor = floor
+	_, err := f.exec(read)
+	qt.Assert(t, err, qt.IsNil)
+
+	f.fake.set(func() {
+		f.fake.position.Offset = 3
+		for c := range f.fake.conns {
+			if c != f.fake.locks[0] {
+				_ = c.Close()
+			}
+		}
+	})
+	eventually(t, "the connection is closed", func() bool { return f.fake.get(func() int { return len(f.fake.conns) }) == 1 })
+	read = f.query(Read, "ROWS 1 1")
+	read.Floor = floor
+	_, err = f.exec(read)
+	wantCode(t, err, result.BehindFloor)
+}
