--- a/cmd/nettlewalk/operators.go
+++ b/cmd/nettlewalk/operators.go
@@ -2,6 +2,8 @@
 
 import (
 	"nettlewalk.example/nettlewalk/internal/admin"
+	"nettlewalk.example/nettlewalk/internal/routing"
+	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
 // joinOperators joins the administration API to every slice.
@@ -37,3 +39,32 @@
 	}
 	return operators
 }
+
+// groupStatus tells what this host knows of each group.
+func (h *host) groupStatus() []admin.GroupStatus {
+	known := h.router.State().Groups
+	groups := h.store.Groups()
+	statuses := make([]admin.GroupStatus, len(groups))
+	for i, g := range groups {
+		statuses[i] = h.statusOf(g, known[g.ID])
+	}
+	return statuses
+}
+
+func (h *host) statusOf(g *topology.Group, known routing.GroupViewState) admin.GroupStatus {
+	status := admin.GroupStatus{ID: g.ID, Term: g.Term, Primary: g.Primary}
+	if term, primary, ok := h.failover.State(g.ID); ok && term > status.Term {
+		status.Term, status.Primary = term, primary
+	}
+	if known.Term > status.Term {
+		status.Term, status.Primary = known.Term, known.Primary
+	}
+	states := map[topology.TargetID]routing.TargetState{}
+	for _, t := range known.Targets {
+		states[t.ID] = t
+	}
+	for _, t := range g.Targets {
+		status.Targets = append(status.Targets, targetStatus(t, status.Primary, states[t.ID]))
+	}
+	return status
+}
