Health: a host that has just started isn't cut off

Cause: a host that read its configuration from a peer before the platform answered counted as out of touch since the year 1, and was shown as cut off for 2562047 h until its first watch. Ruled out: the budget of platform calls, none was refused. Change: what was never known to be current counts as old as the process.

--- a/internal/customer/store.go
+++ b/internal/customer/store.go
@@ -21,7 +21,8 @@
 // Store is the configuration of this host. It implements View and
 // platform.Sink, and is safe for concurrent use. Nothing in it ever reverts.
 type Store struct {
-	log logr.Logger
+	log     logr.Logger
+	started time.Time
 
 	mu        sync.RWMutex
 	kinds     map[string]*Collection
@@ -44,6 +45,7 @@
 func NewStore(log logr.Logger, set *metrics.Set) *Store {
 	s := &Store{
 		log:        log,
+		started:    time.Now(),
 		kinds:      map[string]*Collection{},
 		confirmed:  map[string]time.Time{},
 		templates:  map[string]Versioned[*Template]{},
@@ -165,6 +167,12 @@
 	return now.Sub(oldest)
 }
 
+// unconfirmedFor returns for how long this host hasn't known its configuration
+// to be current. What was never known isn't older than the host's process.
+func (s *Store) unconfirmedFor(now time.Time) time.Duration {
+	return min(s.Age(now), now.Sub(s.started))
+}
+
 // Since returns what a kind changed after a revision, of about limit bytes.
 // ok is false while the kind isn't whole.
 func (s *Store) Since(kind string, revision uint64, limit int) (d Delta, ok bool) {
--- a/internal/customer/store_metrics.go
+++ b/internal/customer/store_metrics.go
@@ -27,7 +27,7 @@
 		if !s.Ready() {
 			return -1
 		}
-		return s.Age(time.Now()).Seconds()
+		return s.unconfirmedFor(time.Now()).Seconds()
 	})
 	s.badObjects = set.NewCounter("nettlewalk_config_bad_objects_total")
 }
--- a/internal/customer/view.go
+++ b/internal/customer/view.go
@@ -179,9 +179,9 @@
 // OutOfTouch tells since when the store has no news of the platform's state,
 // empty while it is in touch.
 func OutOfTouch(s *Store) string {
-	age := s.Age(time.Now())
-	if !s.Ready() || age <= outOfTouchAfter {
+	silence := s.unconfirmedFor(time.Now())
+	if !s.Ready() || silence <= outOfTouchAfter {
 		return ""
 	}
-	return fmt.Sprintf("neither the platform nor a peer in touch with it answered for %s", age.Round(time.Second))
+	return fmt.Sprintf("neither the platform nor a peer in touch with it answered for %s", silence.Round(time.Second))
 }
