--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -85,20 +85,23 @@
 	return chooseRead(ask, view)
 }
 
-// remaining returns the tries that still make sense after failed ended in code:
-// what a target lacks it lacks at each of its holders.
+// remaining returns the tries that still make sense after failed ended in code,
+// best first. What a target lacks it lacks at each of its holders; a holder that
+// can't be reached is often cut off together with the target's other ones.
 func remaining(tries []Try, failed Try, code result.Code) []Try {
-	return slices.DeleteFunc(tries, func(t Try) bool {
-		switch code {
-		case result.BehindFloor:
-			return t.Target == failed.Target
-		case result.TooStale:
-			return t.Target == failed.Target && !t.ServeStale
-		case result.ReadOnlyTarget:
-			return t.Replica
-		}
-		return false
-	})
+	sameTarget := func(t Try) bool { return t.Target == failed.Target }
+	switch code {
+	case result.BehindFloor:
+		return slices.DeleteFunc(tries, sameTarget)
+	case result.TooStale:
+		return slices.DeleteFunc(tries, func(t Try) bool { return sameTarget(t) && !t.ServeStale })
+	case result.ReadOnlyTarget:
+		return slices.DeleteFunc(tries, func(t Try) bool { return t.Replica })
+	case result.HostUnreachable, result.HolderLost, result.TargetDown:
+		same := slices.DeleteFunc(slices.Clone(tries), func(t Try) bool { return !sameTarget(t) })
+		return append(slices.DeleteFunc(tries, sameTarget), same...)
+	}
+	return tries
 }
 
 func primaryTries(ask Ask, view GroupView, class pool.Class) []Try {
--- a/internal/routing/choose_test.go
+++ b/internal/routing/choose_test.go
@@ -100,6 +100,21 @@
 	qt.Assert(t, known, qt.IsFalse)
 }
 
+func TestRemainingTriesAfterARefusal(t *testing.T) {
+	first, second, primary := Try{Target: "t1", Replica: true}, Try{Target: "t1", Slot: 1, Replica: true}, Try{Target: "t0"}
+	stale := Try{Target: "t1", Replica: true, ServeStale: true}
+	for code, want := range map[result.Code][]Try{
+		result.NotHolder:       {second, primary, stale},
+		result.BehindFloor:     {primary},
+		result.TooStale:        {primary, stale},
+		result.ReadOnlyTarget:  {primary},
+		result.HostUnreachable: {primary, second, stale},
+	} {
+		got := remaining([]Try{second, primary, stale}, first, code)
+		qt.Check(t, got, qt.DeepEquals, want, qt.Commentf("%d", code))
+	}
+}
+
 func TestStaleReplicasServeOnlyWhereAllowedAndLast(t *testing.T) {
 	ask := Ask{Class: pool.Read, Slot: anySlot, MaxStaleness: time.Millisecond}
 	qt.Assert(t, Choose(ask, threeTargets()).Tries, qt.HasLen, 2)
