Fleet: a host that answers again is trusted before it takes its locks by force

Trust returned after 1 s of answers, up to 32 s after relapses, while the pool of a host that was frozen ends its successor's lock after 1 s of refusals. The successor now hands over within about 0.8 s. Worked out from the constants (answers every 250 ms), not measured.

--- a/internal/fleet/suspicion.go
+++ b/internal/fleet/suspicion.go
@@ -3,13 +3,13 @@
 import "time"
 
 const (
-	suspectAfter  = 2 * time.Second  // a shorter run of failed calls may be a restart of a switch
-	minFailures   = 3                // failed calls in the run
-	runGap        = 10 * time.Second // a failure after a longer silence begins a new run
-	accusedWindow = 5 * time.Second  // another host's accusation counts as a witness for this long
-	clearAfter    = 1 * time.Second  // calls must succeed for this long, doubled per relapse
-	maxRelapses   = 5                // doublings of clearAfter
-	relapseWindow = 5 * time.Minute  // a suspicion after a longer time isn't a relapse
+	suspectAfter  = 2 * time.Second        // a shorter run of failed calls may be a restart of a switch
+	minFailures   = 3                      // failed calls in the run
+	runGap        = 10 * time.Second       // a failure after a longer silence begins a new run
+	accusedWindow = 5 * time.Second        // another host's accusation counts as a witness for this long
+	clearAfter    = 500 * time.Millisecond // calls must succeed for this long, doubled per relapse; a host that is back takes its slots' locks by force after 1 s
+	maxRelapses   = 2                      // doublings of clearAfter
+	relapseWindow = 5 * time.Minute        // a suspicion after a longer time isn't a relapse
 )
 
 // suspicion is what failed and successful calls say of one host.
