--- a/internal/fleet/rendezvous.go
+++ b/internal/fleet/rendezvous.go
@@ -132,12 +132,16 @@
 
 // HeldBy returns the slots that the host holds, in the order of targets.
 func (x *Index) HeldBy(host topology.Host, targets []topology.Target) []Held {
+	return x.heldBy(host, targets, x.Holders)
+}
+
+func (x *Index) heldBy(host topology.Host, targets []topology.Target, holders func(topology.Target) []topology.HostID) []Held {
 	var held []Held
 	for _, t := range targets {
 		if t.Domain != host.Domain && len(x.byDomain[t.Domain]) > 0 {
 			continue
 		}
-		for slot, id := range x.Holders(t) {
+		for slot, id := range holders(t) {
 			if id == host.ID {
 				held = append(held, Held{Target: t, Slot: slot})
 			}
--- a/internal/fleet/rendezvous_test.go
+++ b/internal/fleet/rendezvous_test.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
 	"pgregory.net/rapid"
 
 	"nettlewalk.example/nettlewalk/internal/topology"
@@ -161,15 +163,47 @@
 	}
 }
 
+// BenchmarkChange is a host that leaves and comes back, without HeldBy.
+func BenchmarkChange(b *testing.B) {
+	hosts := fleetOf(planHosts, planDomains)
+	t := NewTracker(hosts[0], logr.Discard())
+	t.Apply(hosts)
+	b.ReportAllocs()
+	for b.Loop() {
+		t.NoteLeaving(hosts[1].ID)
+		t.update(func(m *Members) bool { m.Hello(hosts[1], time.Now()); return true })
+	}
+}
+
+// BenchmarkReport is the report of a call that succeeded, as after each request.
+func BenchmarkReport(b *testing.B) {
+	hosts := fleetOf(planHosts, planDomains)
+	t := NewTracker(hosts[0], logr.Discard())
+	t.Apply(hosts)
+	for b.Loop() {
+		t.Report(hosts[1].ID, true)
+	}
+}
+
+// BenchmarkHeldBy is the first time after a change of the hosts, and again
+// after other changes of the configuration.
 func BenchmarkHeldBy(b *testing.B) {
 	hosts := fleetOf(planHosts, planDomains)
-	index := NewIndex(hosts)
 	targets := make([]topology.Target, planTargets)
 	for i := range targets {
 		targets[i] = planTarget(i)
 	}
-	b.ReportAllocs()
-	for b.Loop() {
-		index.HeldBy(hosts[0], targets)
-	}
+	b.Run("first", func(b *testing.B) {
+		index := NewIndex(hosts)
+		for b.Loop() {
+			index.HeldBy(hosts[0], targets)
+		}
+	})
+	b.Run("again", func(b *testing.B) {
+		t := NewTracker(hosts[0], logr.Discard())
+		t.Apply(hosts)
+		for b.Loop() {
+			t.HeldBy(hosts[0].ID, targets)
+		}
+	})
 }
--- a/internal/fleet/tracker.go
+++ b/internal/fleet/tracker.go
@@ -116,7 +116,10 @@
 
 // Holders implements View. The result must not be changed.
 func (t *Tracker) Holders(target topology.Target) []topology.HostID {
-	s := t.current.Load()
+	return t.current.Load().holdersOf(target)
+}
+
+func (s *snapshot) holdersOf(target topology.Target) []topology.HostID {
 	key := holderKey{target: target.ID, domain: target.Domain, slots: target.Slots}
 	if known, ok := s.holders.Load(key); ok {
 		return known.([]topology.HostID)
@@ -134,7 +137,7 @@
 	if !ok || h.State != topology.HostLive {
 		return nil
 	}
-	return s.index.HeldBy(h, targets)
+	return s.index.heldBy(h, targets, s.holdersOf)
 }
 
 // Changed returns a channel that is closed at the next change of the hosts.
