--- a/internal/floor/client.go
+++ b/internal/floor/client.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"nettlewalk.example/nettlewalk/internal/customer"
 	"nettlewalk.example/nettlewalk/internal/fleet"
 	"nettlewalk.example/nettlewalk/internal/peer"
 	"nettlewalk.example/nettlewalk/internal/result"
@@ -27,6 +28,8 @@
 	Groups    Groups
 	Primaries Primaries
 	Rounds    Rounds
+	// Policy returns when the group's commits are acknowledged; nil: AckMajority.
+	Policy func(topology.GroupID) customer.Acknowledge
 }
 
 // Client finds floors for the callers of this host. It implements routing's
@@ -64,6 +67,9 @@
 
 // NewClient returns a client.
 func NewClient(cfg ClientConfig) *Client {
+	if cfg.Policy == nil {
+		cfg.Policy = func(topology.GroupID) customer.Acknowledge { return customer.AckMajority }
+	}
 	return &Client{
 		cfg:     cfg,
 		stats:   newStats(),
@@ -194,9 +200,9 @@
 	if err != nil {
 		return topology.Position{}, err
 	}
-	pos, ok := Confirmed(len(g.Targets), r)
+	pos, ok := Confirmed(len(g.Targets), r, c.cfg.Policy(id))
 	if !ok {
-		return topology.Position{}, result.New(result.NoMajority, "group %s: %d of %d targets answered", id, len(r.Statuses), len(g.Targets))
+		return topology.Position{}, result.New(result.NoMajority, "group %s: the %d answers of %d targets tell no confirmed position", id, len(r.Statuses), len(g.Targets))
 	}
 	return pos, nil
 }
--- a/internal/floor/confirmed.go
+++ b/internal/floor/confirmed.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"nettlewalk.example/nettlewalk/internal/customer"
 	"nettlewalk.example/nettlewalk/internal/target"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
@@ -26,25 +27,34 @@
 }
 
 // Confirmed returns a position at or past every write that was acknowledged
-// before the round began, or false if the round doesn't hold a majority of the
-// group's targets.
+// before the round began, or false if the round doesn't tell one.
 //
-// An acknowledged write is at a majority of the targets, and at the primary.
-// Targets that didn't answer are taken to have it.
-func Confirmed(targets int, r Round) (topology.Position, bool) {
+// With AckMajority an acknowledged write is at a majority of the targets, and at
+// the primary. Targets that didn't answer are taken to have it. With AckTerm it
+// may be at the primary alone.
+func Confirmed(targets int, r Round, policy customer.Acknowledge) (topology.Position, bool) {
 	majority := targets/2 + 1
 	if len(r.Statuses) < majority {
 		return topology.Position{}, false
 	}
-	received := make([]topology.Position, 0, len(r.Statuses))
-	for _, s := range r.Statuses {
-		received = append(received, s.Received)
+	p, answered := r.status(r.Primary)
+	answered = answered && p.Role == target.Primary
+	if policy == customer.AckTerm {
+		return p.Received, answered
 	}
-	slices.SortFunc(received, func(a, b topology.Position) int { return b.Compare(a) })
-	silent := max(targets-len(r.Statuses), 0)
-	confirmed := received[majority-silent-1]
-	if p, ok := r.status(r.Primary); ok && p.Role == target.Primary && confirmed.AtLeast(p.Received) {
+	confirmed := atMajority(r.Statuses, majority-max(targets-len(r.Statuses), 0))
+	if answered && confirmed.AtLeast(p.Received) {
 		confirmed = p.Received
 	}
 	return confirmed, true
 }
+
+// atMajority returns the highest position that n of the targets received.
+func atMajority(statuses []target.Status, n int) topology.Position {
+	received := make([]topology.Position, 0, len(statuses))
+	for _, s := range statuses {
+		received = append(received, s.Received)
+	}
+	slices.SortFunc(received, func(a, b topology.Position) int { return b.Compare(a) })
+	return received[n-1]
+}
--- a/internal/floor/table_test.go
+++ b/internal/floor/table_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"nettlewalk.example/nettlewalk/internal/customer"
 	"nettlewalk.example/nettlewalk/internal/target"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
@@ -79,7 +80,11 @@
 			}
 		}
 		answers := rapid.Permutation(all).Draw(t, "order")[:rapid.IntRange(0, n).Draw(t, "answers")]
-		got, ok := Confirmed(n, Round{Term: 1, Primary: "0", Statuses: answers})
+		round := Round{Term: 1, Primary: "0", Statuses: answers}
+		if got, ok := Confirmed(n, round, customer.AckTerm); ok && got != all[0].Received {
+			t.Fatalf("confirmed %v by term, the primary is at %v", got, all[0].Received)
+		}
+		got, ok := Confirmed(n, round, customer.AckMajority)
 		if ok != (len(answers) > n/2) {
 			t.Fatalf("%d of %d answers: %v", len(answers), n, ok)
 		}
