--- a/internal/floor/client.go
+++ b/internal/floor/client.go
@@ -84,15 +84,14 @@
 func (c *Client) Session(ctx context.Context, group topology.GroupID, session string) (topology.Position, error) {
 	at, ok := c.keeperOf(group, session)
 	if !ok {
-		c.stats.fallbacks.Inc()
+		c.stats.confirmed.Inc()
 		return c.Confirmed(ctx, group)
 	}
 	kept := c.batch(at).join(session)
 	if within(ctx, kept.done, keeperPatience) && kept.err == nil {
-		c.stats.answers.Inc()
+		c.stats.kept.Inc()
 		return kept.value[session], nil
 	}
-	c.stats.fallbacks.Inc()
 	return c.first(ctx, session, kept, c.round(group).join(""))
 }
 
@@ -103,11 +102,13 @@
 		select {
 		case <-keptDone:
 			if kept.err == nil {
+				c.stats.kept.Inc()
 				return kept.value[session], nil
 			}
 			keptDone = nil
 		case <-confirmedDone:
 			if confirmed.err == nil {
+				c.stats.confirmed.Inc()
 				return confirmed.value, nil
 			}
 			confirmedDone = nil
