--- a/cmd/nettlewalk/serve.go
+++ b/cmd/nettlewalk/serve.go
@@ -26,7 +26,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	log := newLogger(s.Log.Level).WithValues("host", s.Host.ID, "domain", s.Host.Domain)
+	log := newLogger(s.Log.Level).WithValues("instance", s.Host.ID, "domain", s.Host.Domain)
 	return newHost(s, log).run(ctx)
 }
 
