Pool: a batch is checked once more on the connection it gets

Cause: the first check rested on a status of before, the connection's check was skipped when a newer status had arrived while the read waited for its connection. Change: the check on the connection is always made, against the latest status. Proof: TestStatusThatArrivesBeforeTheConnectionCounts fails without it.

--- a/internal/pool/admissible.go
+++ b/internal/pool/admissible.go
@@ -26,16 +26,15 @@
 	return m.checkFloor(ctx, s, req.Floor)
 }
 
-// admissibleOn checks a batch again if its connection is younger than the
-// target's last status. A target that falls back, because its log was cut back
-// or its data restored, closes its connections: only a status from after a
-// connection was opened tells what is read there.
+// admissibleOn checks a batch again once it has its connection. A target that
+// falls back, because its log was cut back or its data restored, closes its
+// connections: only a status from after a connection was opened tells what is
+// read there, and it may have come since the first check.
 func (m *Manager) admissibleOn(ctx context.Context, c *conn, s *slot, req *Request) error {
-	if s.observed().sentAt.After(c.openedAt) {
-		return nil
-	}
-	if _, err := s.control.Status(ctx); err != nil {
-		return asResult(err, s.id)
+	if !s.observed().sentAt.After(c.openedAt) {
+		if _, err := s.control.Status(ctx); err != nil {
+			return asResult(err, s.id)
+		}
 	}
 	return m.admissible(ctx, s, req)
 }
--- a/internal/pool/manager_test.go
+++ b/internal/pool/manager_test.go
@@ -200,3 +200,33 @@
 	_, err = f.exec(read)
 	wantCode(t, err, result.BehindFloor)
 }
+
+// As above, but the status that tells of the loss arrives after the read was
+// first checked, while it waits for its connection.
+func TestStatusThatArrivesBeforeTheConnectionCounts(t *testing.T) {
+	f := newFixture(t)
+	floor := topology.Position{Term: 1, Offset: 10}
+	f.fake.set(func() { f.fake.position.Offset = floor.Offset })
+	held := make([]*Request, slotShare(f.fake.topology())-1)
+	for i := range held {
+		held[i] = f.query(Write, "BEGIN")
+		_, err := f.exec(held[i])
+		qt.Assert(t, err, qt.IsNil)
+	}
+	answered := make(chan error, 1)
+	go func() {
+		read := f.query(Read, "ROWS 1 1")
+		read.Floor = floor
+		_, err := f.exec(read)
+		answered <- err
+	}()
+	eventually(t, "the read waits", func() bool { return f.m.Dump().(State).Slots[0].Queue == 1 })
+	f.fake.set(func() { f.fake.position.Offset = 3 })
+	_, err := f.m.Status(context.Background(), "t1")
+	qt.Assert(t, err, qt.IsNil)
+	commit := f.query(Write, "COMMIT")
+	commit.Stream, commit.Batch = held[0].Stream, 2
+	_, err = f.exec(commit)
+	qt.Assert(t, err, qt.IsNil)
+	wantCode(t, <-answered, result.BehindFloor)
+}
--- a/test/load/session.go
+++ b/test/load/session.go
@@ -143,7 +143,9 @@
 	r.End = time.Now()
 	if err == nil {
 		s.timings.addRead(r.Start, r.End)
-		r.Detail = s.where(i)
+		if r.Seen < r.Floor {
+			r.Detail = s.servedBy(ctx, i)
+		}
 		s.log.AddRead(r)
 	} else {
 		s.timings.addError("read", err)
@@ -151,8 +153,11 @@
 	s.drop(i)
 }
 
-func (s *session) where(i int) string {
-	return fmt.Sprintf("%s via %s", s.mode, s.conns[i].Config().Host)
+// servedBy names the session's mode and the target of its last answer.
+func (s *session) servedBy(ctx context.Context, i int) string {
+	var target string
+	err := s.conns[i].QueryRow(ctx, "SHOW nettlewalk.served_by", pgx.QueryExecModeSimpleProtocol).Scan(&target)
+	return fmt.Sprintf("%s session, served by %s, %v", s.mode, target, err)
 }
 
 // drop forgets a connection that has ended.
