Pool: a status counts only for connections that were open when it was asked for

Cause: a replaced primary that follows the new one starts its data anew, and a read on a new connection was checked against the status that it gave before. Ruled out: the floors, a plain connection's own was among them. Change: after a read got its connection its status must be younger than that, else the target is asked once more.

--- a/internal/pool/admissible.go
+++ b/internal/pool/admissible.go
@@ -72,16 +72,35 @@
 // checkReadAt checks a read against what is known, then once more against a
 // fresh answer of the target.
 func (m *Manager) checkReadAt(ctx context.Context, s *slot, req *Request) error {
-	check := func() *result.Error {
-		return checkRead(m.readState(s), req.Floor, req.MaxStaleness, req.ServeStale)
+	if m.checkReadNow(s, req) == nil {
+		return nil
+	}
+	if _, err := s.control.Status(ctx); err != nil {
+		return asResult(err, s.id)
+	}
+	return asError(m.checkReadNow(s, req))
+}
+
+// checkReadOn checks a read against a status that the target gave after the
+// connection was opened. A target closes its connections before its data goes
+// back, as a replaced primary's does when it follows the new one; so what the
+// status says holds for as long as the connection does.
+func (m *Manager) checkReadOn(ctx context.Context, s *slot, c *conn, req *Request) error {
+	if req.Class != Read || (req.Floor.IsZero() && req.MaxStaleness == 0) {
+		return nil
 	}
-	if check() == nil {
+	current := !s.observed().sentAt.Before(c.openedAt)
+	if current && m.checkReadNow(s, req) == nil {
 		return nil
 	}
 	if _, err := s.control.Status(ctx); err != nil {
 		return asResult(err, s.id)
 	}
-	return asError(check())
+	return asError(m.checkReadNow(s, req))
+}
+
+func (m *Manager) checkReadNow(s *slot, req *Request) *result.Error {
+	return checkRead(m.readState(s), req.Floor, req.MaxStaleness, req.ServeStale)
 }
 
 func (m *Manager) readState(s *slot) readState {
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -38,6 +38,7 @@
 	key   []byte
 
 	statements *statementCache
+	openedAt   time.Time
 	lastRead   time.Time // when the target last answered
 	closed     atomic.Bool
 }
@@ -69,6 +70,7 @@
 		pid:        hijacked.PID,
 		key:        hijacked.SecretKey,
 		statements: newStatementCache(),
+		openedAt:   time.Now(),
 		lastRead:   time.Now(),
 	}
 	c.front.SetMaxBodyLen(maxMessageSize)
--- a/internal/pool/exec.go
+++ b/internal/pool/exec.go
@@ -109,6 +109,10 @@
 	if err != nil {
 		return err
 	}
+	if err := m.checkReadOn(ctx, sl, c, s.req); err != nil {
+		sl.release(c, true)
+		return err
+	}
 	if !s.attach(sl, c) {
 		sl.release(c, true)
 		return result.New(result.Canceled, "released while waiting for a connection")
--- a/internal/pool/manager_test.go
+++ b/internal/pool/manager_test.go
@@ -106,6 +106,30 @@
 	qt.Assert(t, err, qt.IsNil)
 }
 
+// A replaced primary that follows the new one starts its data anew and closes
+// its connections. Fails when a status from before counts for a connection that
+// was opened since: the read is then served without its session's write.
+func TestStatusDoesNotOutliveTheTargetsData(t *testing.T) {
+	f := newFixture(t)
+	f.fake.set(func() { f.fake.position.Offset = 5 })
+	read := func() error {
+		req := f.query(Read, "ROWS 1 1")
+		req.Floor = topology.Position{Term: 1, Offset: 5}
+		_, err := f.exec(req)
+		return err
+	}
+	qt.Assert(t, read(), qt.IsNil)
+	f.fake.set(func() {
+		f.fake.position.Offset = 0
+		for c := range f.fake.conns {
+			if c != f.fake.locks[0] { // the control connection notices later
+				_ = c.Close()
+			}
+		}
+	})
+	wantCode(t, read(), result.BehindFloor)
+}
+
 func TestCopyIsRefusedAndItsConnectionClosed(t *testing.T) {
 	f := newFixture(t)
 	_, err := f.exec(f.query(Write, "COPY t FROM STDIN"))
