--- a/internal/pool/admissible.go
+++ b/internal/pool/admissible.go
@@ -26,6 +26,21 @@
 	return m.checkFloor(ctx, s, req.Floor)
 }
 
+// admissibleOn checks a batch again on its connection. A target that falls back,
+// because its log was cut back or its data restored, closes its connections:
+// only a status from after a connection was opened tells what is read there.
+func (m *Manager) admissibleOn(ctx context.Context, c *conn, s *slot, req *Request) error {
+	if req.Class == Read && req.Floor.IsZero() && req.MaxStaleness == 0 {
+		return nil
+	}
+	if !s.observed().sentAt.After(c.openedAt) {
+		if _, err := s.control.Status(ctx); err != nil {
+			return asResult(err, s.id)
+		}
+	}
+	return m.admissible(ctx, s, req)
+}
+
 // checkCommit refuses a batch that may commit while no commit can be confirmed.
 func (m *Manager) checkCommit(req *Request) error {
 	if req.Class != Write || !req.MayCommit {
@@ -81,24 +96,6 @@
 	return asError(m.checkReadNow(s, req))
 }
 
-// checkReadOn checks a read against a status that the target gave after the
-// connection was opened. A target closes its connections before its data goes
-// back, as a replaced primary's does when it follows the new one; so what the
-// status says holds for as long as the connection does.
-func (m *Manager) checkReadOn(ctx context.Context, s *slot, c *conn, req *Request) error {
-	if req.Class != Read || (req.Floor.IsZero() && req.MaxStaleness == 0) {
-		return nil
-	}
-	current := !s.observed().sentAt.Before(c.openedAt)
-	if current && m.checkReadNow(s, req) == nil {
-		return nil
-	}
-	if _, err := s.control.Status(ctx); err != nil {
-		return asResult(err, s.id)
-	}
-	return asError(m.checkReadNow(s, req))
-}
-
 func (m *Manager) checkReadNow(s *slot, req *Request) *result.Error {
 	return checkRead(m.readState(s), req.Floor, req.MaxStaleness, req.ServeStale)
 }
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -38,7 +38,7 @@
 	key   []byte
 
 	statements *statementCache
-	openedAt   time.Time
+	openedAt   time.Time // before it, no status of the target vouches for what is read here
 	lastRead   time.Time // when the target last answered
 	closed     atomic.Bool
 }
