--- a/internal/pool/admissible.go
+++ b/internal/pool/admissible.go
@@ -31,6 +31,9 @@
 // connections: only a status from after a connection was opened tells what is
 // read there, and it may have come since the first check.
 func (m *Manager) admissibleOn(ctx context.Context, c *conn, s *slot, req *Request) error {
+	if req.Class == Read && req.Floor.IsZero() && req.MaxStaleness == 0 {
+		return nil
+	}
 	if !s.observed().sentAt.After(c.openedAt) {
 		if _, err := s.control.Status(ctx); err != nil {
 			return asResult(err, s.id)
@@ -85,16 +88,17 @@
 // checkReadAt checks a read against what is known, then once more against a
 // fresh answer of the target.
 func (m *Manager) checkReadAt(ctx context.Context, s *slot, req *Request) error {
-	check := func() *result.Error {
-		return checkRead(m.readState(s), req.Floor, req.MaxStaleness, req.ServeStale)
-	}
-	if check() == nil {
+	if m.checkReadNow(s, req) == nil {
 		return nil
 	}
 	if _, err := s.control.Status(ctx); err != nil {
 		return asResult(err, s.id)
 	}
-	return asError(check())
+	return asError(m.checkReadNow(s, req))
+}
+
+func (m *Manager) checkReadNow(s *slot, req *Request) *result.Error {
+	return checkRead(m.readState(s), req.Floor, req.MaxStaleness, req.ServeStale)
 }
 
 func (m *Manager) readState(s *slot) readState {
