--- a/internal/session/protocol_test.go
+++ b/internal/session/protocol_test.go
@@ -198,6 +198,8 @@
 		{messages(query("begin"), query("insert 1"), query("commit")), "BEGIN ZT INSERT 0 1 ZT E08007 ZI"},
 		{messages(&pgproto3.Parse{Query: "insert full"}, &pgproto3.Flush{}), "E53300"},
 		{messages(query("insert 2"), &pgproto3.Bind{}, &pgproto3.Sync{}, query("insert 3")), "ZI INSERT 0 1 ZI"},
+		{messages(&pgproto3.Parse{Query: "misread"}, &pgproto3.Flush{}, &pgproto3.Parse{Query: "insert 4"}, &pgproto3.Bind{},
+			&pgproto3.Execute{}, &pgproto3.Sync{}), "E42601 ZI"},
 	})
 	qt.Assert(t, router.statements(), qt.DeepEquals, []string{"begin", "insert 1", "insert 3"})
 }
@@ -208,9 +210,9 @@
 	runSteps(t, router, []step{
 		{messages(query("begin"), query("insert 1")), "BEGIN ZT INSERT 0 1 ZT"},
 		{messages(query("listen x"), query("insert 2"), query("commit")), "E0A000 ZE E25P02 ZE ROLLBACK ZI"},
-		{messages(query("begin"), query("broken"), query("insert 3"), query("rollback")), "BEGIN ZT E42601 ZE INSERT 0 1 ZE ROLLBACK ZI"},
+		{messages(query("begin"), query("broken"), query("insert 3"), query("rollback")), "BEGIN ZT E42601 ZE E25P02 ZE ROLLBACK ZI"},
 	})
-	qt.Assert(t, router.statements(), qt.DeepEquals, []string{"begin", "insert 1", "begin", "broken", "insert 3", "rollback"})
+	qt.Assert(t, router.statements(), qt.DeepEquals, []string{"begin", "insert 1", "begin", "broken", "rollback"})
 	qt.Assert(t, router.releases() > 0, qt.IsTrue)
 }
 
