--- a/internal/failover/assess.go
+++ b/internal/failover/assess.go
@@ -39,8 +39,8 @@
 	if r := m.assessReach(f, now); r != ReasonNone {
 		return r
 	}
-	if f.heardSince(m.lead.since) && f.status.Term >= m.lead.term && f.status.Role != target.Primary {
-		return ReasonNoPrimary
+	if f.heardSince(m.lead.since) && f.status.Term == m.lead.term && f.status.Role != target.Primary {
+		return ReasonNoPrimary // it restarted; at a higher term a change is under way
 	}
 	if m.outvotedFor(now) >= m.times.SuspectAfter {
 		return ReasonOutvoted
@@ -126,7 +126,11 @@
 	if !ok || !p.Leaving || now.Before(m.handoverAfter) {
 		return false
 	}
-	from := m.facts[p.ID].status.Received
+	old := m.facts[p.ID].status
+	if old.Role != target.Primary || old.Term != m.lead.term {
+		return false
+	}
+	from := old.Received
 	for _, t := range m.group.Targets {
 		f := m.facts[t.ID]
 		if t.Leaving || !m.reached(f, now) || f.status.Term != m.lead.term {
--- a/internal/failover/attempt.go
+++ b/internal/failover/attempt.go
@@ -58,6 +58,10 @@
 			m.backOff(now, fmt.Sprintf("the primary answers %s", o.Host))
 			return
 		}
+		if o.Changes {
+			m.backOff(now, fmt.Sprintf("%s is changing the primary", o.Host))
+			return
+		}
 		if o.Reaches {
 			able = append(able, o.Host)
 		}
@@ -75,6 +79,10 @@
 		m.enter(now, PhaseSteady, ReasonNone, "the reason is gone")
 		return
 	}
+	if m.rivalFences(now) {
+		m.backOff(now, "another host fences targets")
+		return
+	}
 	if now.Before(m.attempt.actAt) {
 		return
 	}
@@ -94,6 +102,11 @@
 	m.startFencing(now)
 }
 
+// rivalFences tells whether a target was fenced at a new term a short while ago.
+func (m *Machine) rivalFences(now time.Time) bool {
+	return !m.outvotedSince.IsZero() && m.outvotedFor(now) < m.times.SuspectAfter
+}
+
 // startFencing fences all targets. A primary that is cut off from its replicas
 // is left out: its position is ahead with writes that nobody was promised.
 func (m *Machine) startFencing(now time.Time) {
--- a/internal/failover/event.go
+++ b/internal/failover/event.go
@@ -49,6 +49,7 @@
 	Primary topology.TargetID
 	Healthy bool // the primary answered it after the question, and its writes can be confirmed
 	Reaches bool // it reaches a majority of the targets
+	Changes bool // it is changing the primary itself
 }
 
 // OpinionsGathered are the answers of the hosts that could be asked.
--- a/internal/failover/monitor_test.go
+++ b/internal/failover/monitor_test.go
@@ -12,6 +12,7 @@
 
 	"nettlewalk.example/nettlewalk/internal/customer"
 	"nettlewalk.example/nettlewalk/internal/result"
+	"nettlewalk.example/nettlewalk/internal/target"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
@@ -117,6 +118,32 @@
 	qt.Assert(t, m.Confirm(context.Background(), "g", d.write(time.Hour)), qt.IsNil)
 }
 
+// Under the term policy only answers to requests sent after the commit count;
+// under the majority policy any answer that has the commit does.
+func TestEarlierAnswersUnderEachPolicy(t *testing.T) {
+	pos := topology.Position{Term: 1, Offset: 5}
+	q := quorum{targets: 3, majority: 2}
+	for _, test := range []struct {
+		policy   customer.Acknowledge
+		covers   uint64
+		received uint64
+		want     bool
+	}{
+		{customer.AckTerm, 6, 5, false},
+		{customer.AckTerm, 7, 4, true},
+		{customer.AckMajority, 6, 5, true},
+		{customer.AckMajority, 7, 4, false},
+	} {
+		w := &commitWaiter{number: 7, pos: pos, policy: test.policy, latest: map[topology.TargetID]target.Status{}}
+		through := false
+		for _, id := range []topology.TargetID{"t1", "t2"} {
+			st := target.Status{Target: id, Term: 1, Received: topology.Position{Term: 1, Offset: test.received}}
+			through = w.take(answer{target: id, status: st, covers: test.covers}, q)
+		}
+		qt.Check(t, through, qt.Equals, test.want, qt.Commentf("%+v", test))
+	}
+}
+
 func TestRoundIsAskedAfterTheCall(t *testing.T) {
 	d := newFakeDirectory(2 * time.Millisecond)
 	m := New(Options{Directory: d, Group: d.group})
--- a/internal/failover/view.go
+++ b/internal/failover/view.go
@@ -54,7 +54,7 @@
 
 // Opinion answers a question of another host that came at asked.
 func (m *Machine) Opinion(now, asked time.Time) Opinion {
-	o := Opinion{Host: m.self, Term: m.lead.term, Primary: m.lead.primary, Reaches: m.reachesMajority(now)}
+	o := Opinion{Host: m.self, Term: m.lead.term, Primary: m.lead.primary, Reaches: m.reachesMajority(now), Changes: m.phase.changing()}
 	f := m.facts[m.lead.primary]
 	serving := f != nil && f.heardSince(asked) && f.status.Role == target.Primary && f.status.Term == m.lead.term
 	o.Healthy = serving && o.Reaches && m.outvotedSince.IsZero() && !m.stuck(now)
--- /dev/null
+++ b/test/standin/target/replication_test.go
@@ -0,0 +1,125 @@
+package target_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	ctl "nettlewalk.example/nettlewalk/internal/target"
+	"nettlewalk.example/nettlewalk/internal/topology"
+	"nettlewalk.example/nettlewalk/test/standin/target"
+)
+
+func TestPositionIsReportedAndReplicated(t *testing.T) {
+	c := qt.New(t)
+	g := startGroup(c, nil)
+	ctx := context.Background()
+	conn := g.pgx(0)
+	_, err := conn.Exec(ctx, "INSERT INTO booking (id, crew) VALUES (1, 'a')")
+	c.Assert(err, qt.IsNil)
+	pos, err := topology.ParsePosition(conn.PgConn().ParameterStatus(ctl.PositionParameter))
+	c.Assert(err, qt.IsNil)
+	c.Assert(pos, qt.Equals, topology.Position{Term: 1, Offset: 2})
+	replica := g.control(1)
+	waitFor(c, "replica", func() bool {
+		st, err := replica.Status(ctx)
+		c.Assert(err, qt.IsNil)
+		return st.Applied == pos
+	})
+	var crew string
+	c.Assert(g.pgx(1).QueryRow(ctx, "SELECT crew FROM booking").Scan(&crew), qt.IsNil)
+	_, err = g.pgx(1).Exec(ctx, "DELETE FROM booking")
+	c.Assert(state(err), qt.Equals, ctl.StateNotPrimary)
+}
+
+func TestReceivedRunsAheadOfApplied(t *testing.T) {
+	c := qt.New(t)
+	g := startGroup(c, func(cfg *target.Config) { cfg.ApplyLag = time.Hour })
+	_, err := g.pgx(0).Exec(context.Background(), "INSERT INTO booking (id, crew) VALUES (1, 'a')")
+	c.Assert(err, qt.IsNil)
+	waitFor(c, "receipt", func() bool { return g.servers[1].Status().Received.Offset == 2 })
+	c.Assert(g.servers[1].Status().Applied, qt.Equals, topology.Position{})
+	g.servers[1].SetLag(0, 0)
+	waitFor(c, "application", func() bool { return g.servers[1].Status().Applied.Offset == 2 })
+}
+
+func TestPromotionAndReturnOfTheOldPrimary(t *testing.T) {
+	c := qt.New(t)
+	g := startGroup(c, nil)
+	ctx := context.Background()
+	waitFor(c, "replicas", func() bool {
+		return g.servers[1].Status().Received.Offset == 1 && g.servers[2].Status().Received.Offset == 1
+	})
+	// A write that only the old primary has, and one that is open at the fence.
+	for _, i := range []int{1, 2} {
+		g.servers[i].SetLag(time.Hour, 0)
+	}
+	old := g.pgx(0)
+	_, err := old.Exec(ctx, "INSERT INTO booking (id, crew) VALUES (1, 'lost')")
+	c.Assert(err, qt.IsNil)
+	tx, err := old.Begin(ctx)
+	c.Assert(err, qt.IsNil)
+	_, err = tx.Exec(ctx, "INSERT INTO booking (id, crew) VALUES (2, 'open')")
+	c.Assert(err, qt.IsNil)
+
+	one, two := g.control(1), g.control(2)
+	for _, conn := range []*ctl.Conn{one, two} {
+		_, err := conn.Fence(ctx, 2)
+		c.Assert(err, qt.IsNil)
+		_, err = conn.Fence(ctx, 2)
+		c.Assert(err, qt.ErrorAs, new(*ctl.ErrStaleTerm))
+	}
+	st, err := one.Promote(ctx, 2)
+	c.Assert(err, qt.IsNil)
+	c.Assert(st.Received, qt.Equals, topology.Position{Term: 2, Offset: 2})
+	_, err = two.Follow(ctx, 2, id(1))
+	c.Assert(err, qt.IsNil)
+	_, err = g.control(0).Fence(ctx, 2)
+	c.Assert(err, qt.IsNil)
+	c.Assert(state(tx.Commit(ctx)), qt.Equals, ctl.StateNotPrimary)
+	_, err = g.control(0).Follow(ctx, 2, id(1))
+	c.Assert(err, qt.IsNil)
+	for _, s := range g.servers {
+		s.SetLag(0, 0)
+	}
+	_, err = g.pgx(1).Exec(ctx, "INSERT INTO booking (id, crew) VALUES (3, 'kept')")
+	c.Assert(err, qt.IsNil)
+	for i, s := range g.servers {
+		waitFor(c, "log", func() bool { return s.Status().Applied == topology.Position{Term: 2, Offset: 3} })
+		var crews string
+		c.Assert(g.pgx(i).QueryRow(ctx, "SELECT group_concat(crew) AS crews FROM booking").Scan(&crews), qt.IsNil)
+		c.Assert(crews, qt.Equals, "kept")
+	}
+}
+
+func TestFencedPrimaryStillGivesItsLastEntries(t *testing.T) {
+	c := qt.New(t)
+	g := startGroup(c, func(cfg *target.Config) { cfg.ReceiveLag = 50 * time.Millisecond })
+	ctx := context.Background()
+	_, err := g.pgx(0).Exec(ctx, "INSERT INTO booking (id, crew) VALUES (1, 'last')")
+	c.Assert(err, qt.IsNil)
+	st, err := g.control(0).Fence(ctx, 2)
+	c.Assert(err, qt.IsNil)
+	waitFor(c, "last entry", func() bool { return g.servers[1].Status().Received == st.Received })
+}
+
+func TestRestartKeepsTheLogAndComesBackUnwritable(t *testing.T) {
+	c := qt.New(t)
+	g := startGroup(c, nil)
+	ctx := context.Background()
+	_, err := g.pgx(0).Exec(ctx, "INSERT INTO booking (id, crew) VALUES (1, 'a')")
+	c.Assert(err, qt.IsNil)
+	g.servers[0].Close()
+	g.restart(0)
+	st := g.servers[0].Status()
+	c.Assert(st.Role, qt.Equals, ctl.Fenced)
+	c.Assert(st.Applied, qt.Equals, topology.Position{Term: 1, Offset: 2})
+	conn := g.pgx(0)
+	var n int
+	c.Assert(conn.QueryRow(ctx, "SELECT count(*) FROM booking").Scan(&n), qt.IsNil)
+	c.Assert(n, qt.Equals, 1)
+	_, err = conn.Exec(ctx, "DELETE FROM booking")
+	c.Assert(state(err), qt.Equals, ctl.StateNotPrimary)
+}
