--- a/internal/pool/exec.go
+++ b/internal/pool/exec.go
@@ -94,7 +94,7 @@
 	return sl, m.connect(ctx, s, sl, false)
 }
 
-// connect waits for a connection. checked: one that has just answered.
+// connect waits for a connection and checks the batch on it. checked: one that has just answered.
 func (m *Manager) connect(ctx context.Context, s *stream, sl *slot, checked bool) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -115,6 +115,10 @@
 	}
 	s.slot = sl
 	s.granted = time.Now()
+	if err := m.admissibleOn(ctx, c, sl, s.req); err != nil {
+		m.end(s, true)
+		return err
+	}
 	return nil
 }
 
@@ -133,6 +137,7 @@
 	s.answer = newAnswer(p, c.statements)
 	s.bytes = uint64(len(s.req.Messages))
 	s.sentAt = time.Now()
+	s.before = s.slot.observed().status
 	defer context.AfterFunc(ctx, c.abandon)()
 	sent, err := c.send(p.wire, s.deadline)
 	if err != nil {
