Target stand-in: a replica leaves its old stream as soon as it is told to follow another

Cause: after a freeze or cut of a primary its replicas went on reading the silent stream for up to 1 s, so the new primary's commits had no majority and no write landed for 1.05 s although it was promoted after 0.5 s. A replica of a primary that was alive but idle never left it. Ruled out: routing and the pool; writes begun at any moment after the promotion were all released at the same time, 1.04 s after the fault, on every host. Change: the stream is closed when the server gets other orders.

--- a/test/standin/target/replicate.go
+++ b/test/standin/target/replicate.go
@@ -113,8 +113,9 @@
 		return err
 	}
 	defer conn.Close()
-	stop := context.AfterFunc(s.ctx, func() { conn.Close() })
-	defer stop()
+	ctx, cancel := context.WithCancel(s.ctx)
+	defer cancel()
+	go s.closeWhenStale(ctx, conn, m)
 	dec, enc := gob.NewDecoder(conn), gob.NewEncoder(conn)
 	_ = conn.SetDeadline(time.Now().Add(replicationTimeout))
 	if err := enc.Encode(h); err != nil {
@@ -135,6 +136,13 @@
 	}
 }
 
+// closeWhenStale ends a stream once ctx is over or the server has other orders:
+// a silent primary must not keep it from the next one.
+func (s *Server) closeWhenStale(ctx context.Context, conn net.Conn, m meta) {
+	_ = s.node.wait(ctx, func() bool { return s.node.meta != m })
+	conn.Close()
+}
+
 // receive appends a batch, after the receive lag, while the server still
 // follows as m says.
 func (n *node) receive(ctx context.Context, m meta, b batch, first bool) error {
--- a/test/standin/target/replication_test.go
+++ b/test/standin/target/replication_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -123,3 +124,35 @@
 	_, err = conn.Exec(ctx, "DELETE FROM booking")
 	c.Assert(state(err), qt.Equals, ctl.StateNotPrimary)
 }
+
+// A primary that is silent, not closed, doesn't keep its replica from following
+// the next one at once.
+func TestReplicaLeavesASilentPrimaryAtOnce(t *testing.T) {
+	c := qt.New(t)
+	g := startGroup(c, nil)
+	ctx := context.Background()
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer silent.Close()
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		conn, _ := silent.Accept()
+		accepted <- conn
+	}()
+	g.servers[2].SetPeer("mute", silent.Addr().String())
+	two := g.control(2)
+	_, err = two.Follow(ctx, 2, "mute")
+	c.Assert(err, qt.IsNil)
+	conn := <-accepted
+	defer conn.Close()
+	one := g.control(1)
+	_, err = one.Fence(ctx, 3)
+	c.Assert(err, qt.IsNil)
+	_, err = one.Promote(ctx, 3)
+	c.Assert(err, qt.IsNil)
+	began := time.Now()
+	_, err = two.Follow(ctx, 3, id(1))
+	c.Assert(err, qt.IsNil)
+	waitFor(c, "the new primary's entry", func() bool { return g.servers[2].Status().Received.Term == 3 })
+	c.Assert(time.Since(began) < 500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+}
