--- a/internal/customer/spreader.go
+++ b/internal/customer/spreader.go
@@ -40,8 +40,9 @@
 // Spreader fills the store: from the platform if this host is a relay, and
 // from peers. It runs until its context ends.
 type Spreader struct {
-	opts   SpreaderOptions
-	puller *puller
+	opts    SpreaderOptions
+	puller  *puller
+	started time.Time
 
 	mu      sync.Mutex
 	place   Place
@@ -50,7 +51,7 @@
 
 // NewSpreader returns a spreader that isn't running yet.
 func NewSpreader(opts SpreaderOptions) *Spreader {
-	s := &Spreader{opts: opts, place: PlaceOf(opts.Self, nil)}
+	s := &Spreader{opts: opts, place: PlaceOf(opts.Self, nil), started: time.Now()}
 	s.puller = newPuller(opts, s.currentPlace)
 	opts.Store.OnHosts(s.setPlace)
 	if opts.Metrics != nil {
@@ -104,7 +105,9 @@
 	if _, known := s.opts.Store.Revision(platform.KindHost); !known {
 		return s.puller.noneAnswered()
 	}
-	return shouldWatch(s.currentPlace(), s.watching(), s.opts.Store.Age(time.Now()), s.puller.sourceAge())
+	uptime := time.Since(s.started) // what was never known isn't old yet
+	age := min(uptime, s.opts.Store.Age(time.Now()))
+	return shouldWatch(s.currentPlace(), s.watching(), age, min(uptime, s.puller.sourceAge()))
 }
 
 // shouldWatch decides whether a host watches the platform: relays do, and
--- a/test/measure/main.go
+++ b/test/measure/main.go
@@ -56,6 +56,9 @@
 			return err
 		}
 	}
+	if o.Scenario == "all" || o.Scenario == spreadScenario {
+		return runSpread(o)
+	}
 	if !found {
 		return fmt.Errorf("no scenario %q: %s", o.Scenario, strings.Join(scenarioNames(), ", "))
 	}
--- a/test/measure/scenarios.go
+++ b/test/measure/scenarios.go
@@ -43,7 +43,7 @@
 	for i, s := range scenarios {
 		names[i] = s.name
 	}
-	return names
+	return append(names, spreadScenario)
 }
 
 func overload(c *load.Config) {
