--- a/internal/limit/router_test.go
+++ b/internal/limit/router_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,12 +16,17 @@
 )
 
 // backend is a router whose batches answer with a transaction state.
-type backend struct{ status chan byte }
+type backend struct {
+	status chan byte
+	inside atomic.Int64 // batches that run
+}
 
 func (b *backend) Open(topology.CustomerID, topology.GroupID) routing.Conn { return b }
 func (b *backend) Cancel(context.Context) error                            { return nil }
 func (b *backend) Close()                                                  {}
 func (b *backend) Run(context.Context, *routing.Call, func([]byte) error) (routing.Outcome, error) {
+	b.inside.Add(1)
+	defer b.inside.Add(-1)
 	return routing.Outcome{TxStatus: <-b.status}, nil
 }
 
@@ -48,12 +54,19 @@
 
 	blocked := make(chan error)
 	go func() { blocked <- run(second) }() // runs, for the first one's batch is over
-	for l.Uses()[0].Running == 0 {
+	for b.inside.Load() < 1 {
 		time.Sleep(time.Millisecond)
 	}
 	c.Check(codeOf(run(r.Open("x", "g"))), qt.Equals, result.LimitReached)
 	inside := make(chan error)
 	go func() { inside <- run(first) }() // inside its transaction it needs no admission
+	for b.inside.Load() < 2 {
+		select {
+		case err := <-inside:
+			t.Fatalf("inside the transaction: %v", err)
+		case <-time.After(time.Millisecond):
+		}
+	}
 	b.status <- 'I'
 	b.status <- 'I'
 	c.Check(<-inside, qt.IsNil)
