Wiring: usage and limits

The pool's work is metered, entry hosts note the meters of remote answers, callers' batches pass the limits, operators see both.

--- a/cmd/nettlewalk/host.go
+++ b/cmd/nettlewalk/host.go
@@ -14,6 +14,7 @@
 	"nettlewalk.example/nettlewalk/internal/fleet"
 	"nettlewalk.example/nettlewalk/internal/floor"
 	"nettlewalk.example/nettlewalk/internal/freshness"
+	"nettlewalk.example/nettlewalk/internal/limit"
 	"nettlewalk.example/nettlewalk/internal/peer"
 	"nettlewalk.example/nettlewalk/internal/platform"
 	"nettlewalk.example/nettlewalk/internal/pool"
@@ -21,6 +22,7 @@
 	"nettlewalk.example/nettlewalk/internal/session"
 	"nettlewalk.example/nettlewalk/internal/settings"
 	"nettlewalk.example/nettlewalk/internal/target"
+	"nettlewalk.example/nettlewalk/internal/usage"
 )
 
 // host is one process: every slice, joined.
@@ -46,6 +48,8 @@
 	router    *routing.PlainRouter
 	sessions  *session.Server
 	admin     *admin.Server
+	usage     *usage.Keeper
+	limiter   *limit.Limiter
 }
 
 // newHost joins the slices. It opens nothing yet.
@@ -59,6 +63,7 @@
 	}
 	h.joinConfiguration()
 	h.joinPeers()
+	h.joinUsage()
 	h.joinTargets()
 	h.joinCallers()
 	h.joinOperators()
@@ -94,6 +99,25 @@
 	})
 }
 
+// joinUsage joins metering and limits, which sit between callers and targets.
+func (h *host) joinUsage() {
+	h.usage = usage.NewKeeper(usage.Options{
+		Self:    h.settings.Host.ID,
+		Boot:    h.boot,
+		Client:  h.platform,
+		Peers:   h.peers,
+		Hosts:   h.fleet.Hosts,
+		Metrics: metrics.GetDefaultSet(),
+		Log:     h.log.WithName("usage"),
+	})
+	h.limiter = limit.New(limit.Options{
+		Self:    h.settings.Host.ID,
+		Peers:   h.peers,
+		Hosts:   h.fleet.Hosts,
+		Metrics: metrics.GetDefaultSet(),
+	})
+}
+
 func (h *host) joinCallers() {
 	h.router = routing.New(routing.Config{
 		Self:      h.settings.Host.ID,
@@ -108,7 +132,7 @@
 	})
 	h.sessions = session.NewServer(session.Options{
 		Customers:       h.store,
-		Router:          h.router,
+		Router:          h.limiter.Router(h.router, h.store),
 		Log:             h.log.WithName("session"),
 		Host:            h.settings.Host.ID,
 		TokenKey:        []byte(h.settings.Callers.TokenKey),
--- a/cmd/nettlewalk/operators.go
+++ b/cmd/nettlewalk/operators.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"context"
+
 	"nettlewalk.example/nettlewalk/internal/admin"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
@@ -24,10 +26,15 @@
 			"freshness": h.freshness.Dump,
 			"routing":   h.router.Dump,
 			"session":   h.sessions.Dump,
+			"usage":     h.usage.Dump,
+			"limit":     h.limiter.Dump,
 		},
 		Groups: h.groupStatus,
 		Slots:  h.pool.Dump,
-		Log:    h.log.WithName("admin"),
+		Usage: func(ctx context.Context, id topology.CustomerID) (any, error) {
+			return h.usage.Report(ctx, id)
+		},
+		Log: h.log.WithName("admin"),
 	})
 }
 
--- a/cmd/nettlewalk/run.go
+++ b/cmd/nettlewalk/run.go
@@ -11,8 +11,10 @@
 	"nettlewalk.example/nettlewalk/internal/failover"
 	"nettlewalk.example/nettlewalk/internal/fleet"
 	"nettlewalk.example/nettlewalk/internal/floor"
+	"nettlewalk.example/nettlewalk/internal/limit"
 	"nettlewalk.example/nettlewalk/internal/pool"
 	"nettlewalk.example/nettlewalk/internal/session"
+	"nettlewalk.example/nettlewalk/internal/usage"
 )
 
 // listeners are where a host is reached.
@@ -54,6 +56,8 @@
 		floor.ServiceName:    h.keeper.Service(),
 		failover.ServiceName: h.failover.Service(),
 		customer.ServiceName: customer.NewService(h.store),
+		usage.ServiceName:    h.usage.Service(),
+		limit.ServiceName:    h.limiter.Service(),
 	}
 	for name, service := range services {
 		if err := h.server.Register(name, service); err != nil {
@@ -88,6 +92,8 @@
 		func(ctx context.Context) { h.fleet.Run(ctx, h.peers) },
 		h.announce,
 		h.failover.Run,
+		h.usage.Run,
+		h.limiter.Run,
 	}
 	for _, loop := range loops {
 		g.Go(func() error {
@@ -127,6 +133,7 @@
 		return nil
 	})
 	err := g.Wait()
+	h.usage.Leave(ctx)
 	h.log.Info("left")
 	return errors.Wrap(err, "requests were cut at the end of the drain timeout")
 }
--- a/cmd/nettlewalk/targets.go
+++ b/cmd/nettlewalk/targets.go
@@ -40,7 +40,8 @@
 		OnCommit: func(id topology.TargetID, slot int, session string, position topology.Position) {
 			h.keeper.OnCommit(id, slot, session, position)
 		},
-		OnLock: func(id topology.TargetID, slot int) { h.keeper.OnLock(id, slot) },
+		OnUsage: h.usage.Consume,
+		OnLock:  func(id topology.TargetID, slot int) { h.keeper.OnLock(id, slot) },
 		OnStatus: func(st target.Status, err error, sentAt time.Time) {
 			h.failover.Observe(st, err, sentAt)
 		},
@@ -89,7 +90,7 @@
 	if id == h.settings.Host.ID {
 		return h.pool
 	}
-	return pool.Remote{Caller: h.peers, Host: id}
+	return h.usage.Observe(pool.Remote{Caller: h.peers, Host: id})
 }
 
 // confirmer passes the pool's questions on to failover.
