--- a/test/measure/main.go
+++ b/test/measure/main.go
@@ -59,6 +59,15 @@
 			return err
 		}
 	}
+	for _, s := range ownFleets {
+		if o.Scenario != "all" && o.Scenario != s.name {
+			continue
+		}
+		found = true
+		if err := s.run(o); err != nil {
+			return err
+		}
+	}
 	if !found {
 		return fmt.Errorf("no scenario %q: %s", o.Scenario, strings.Join(scenarioNames(), ", "))
 	}
