The template's choice of acknowledgement is in force

Cause: acknowledge = term was accepted and kept, but nobody told failover and the floors, so every group was confirmed by majority. Change: a group's commits are acknowledged by term while each of its customers chose that, since all of them depend on one log.

--- a/cmd/nettlewalk/failover.go
+++ b/cmd/nettlewalk/failover.go
@@ -14,6 +14,7 @@
 		Caller:    h.peers,
 		Group:     h.store.Group,
 		Peers:     h.watchers,
+		Policy:    h.store.Acknowledge,
 		Publisher: h.platform,
 		Dial:      h.dial,
 		Log:       h.log.WithName("failover"),
--- a/cmd/nettlewalk/targets.go
+++ b/cmd/nettlewalk/targets.go
@@ -64,6 +64,7 @@
 		Groups:    h.store,
 		Primaries: h.failover,
 		Rounds:    rounds{h},
+		Policy:    h.store.Acknowledge,
 	})
 }
 
--- a/internal/customer/interpret.go
+++ b/internal/customer/interpret.go
@@ -48,12 +48,15 @@
 
 // interpretCustomer checks a customer; it is resolved when it is asked for.
 func (s *Store) interpretCustomer(update Update, gone bool) error {
+	var spec *Spec
 	if !gone {
-		if _, err := parseSpecItem(update.Item); err != nil {
+		var err error
+		if spec, err = parseSpecItem(update.Item); err != nil {
 			s.keepLastGood(update.Previous)
 			return err
 		}
 	}
+	s.choices.set(update.Name, spec)
 	delete(s.lastGood, update.Name)
 	delete(s.resolved, topology.CustomerID(update.Name))
 	return nil
--- a/internal/customer/store.go
+++ b/internal/customer/store.go
@@ -30,6 +30,7 @@
 	templates map[string]Versioned[*Template]
 	lastGood  map[string]Item // customers whose latest version has faults
 	resolved  map[topology.CustomerID]*Customer
+	choices   *choices
 	groups    map[topology.GroupID]*topology.Group
 	groupList []*topology.Group // nil when it has to be built again
 	hosts     map[string]topology.Host
@@ -51,6 +52,7 @@
 		templates:  map[string]Versioned[*Template]{},
 		lastGood:   map[string]Item{},
 		resolved:   map[topology.CustomerID]*Customer{},
+		choices:    newChoices(),
 		groups:     map[topology.GroupID]*topology.Group{},
 		hosts:      map[string]topology.Host{},
 		changed:    make(chan struct{}),
