Failover: no deadlock between a change of the watched groups and a tick

Cause: Watch takes the monitor's lock, then a watched group's; setGroup took them the other way round to index an edited group's targets. When a host list and a group changed at once, as after a cut, a host hung for good. Ruled out: peers (their calls were answered), the links (only calls that touched failover hung). Change: the index is made outside of the group's lock, the order is written at the lock.

--- a/internal/failover/monitor.go
+++ b/internal/failover/monitor.go
@@ -45,7 +45,7 @@
 	opts      Options
 	publisher *publisher
 
-	mu      sync.Mutex // guards the fields below
+	mu      sync.Mutex // guards the fields below; taken before a watched's lock, never after it
 	watched map[topology.GroupID]*watched
 	pollers map[topology.GroupID]*poller
 	learned map[topology.GroupID]lead // of groups that aren't watched
@@ -86,13 +86,22 @@
 
 func (m *Monitor) tick() {
 	for _, w := range m.all() {
-		if g, ok := m.opts.Group(w.id); ok {
-			w.setGroup(g, m.opts.Policy(w.id))
-		}
+		m.refresh(w)
 		w.step(Tick{})
 	}
 }
 
+// refresh gives a machine the group's present configuration.
+func (m *Monitor) refresh(w *watched) {
+	g, ok := m.opts.Group(w.id)
+	if !ok {
+		return
+	}
+	if w.setGroup(g, m.opts.Policy(w.id)) {
+		m.index(g)
+	}
+}
+
 func (m *Monitor) all() []*watched {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/failover/watched.go
+++ b/internal/failover/watched.go
@@ -78,15 +78,16 @@
 	}
 }
 
-func (w *watched) setGroup(g *topology.Group, policy customer.Acknowledge) {
+func (w *watched) setGroup(g *topology.Group, policy customer.Acknowledge) (changed bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.group != g {
+	changed = w.group != g
+	if changed {
 		w.group = g
 		w.machine.SetGroup(*g, time.Now())
-		w.monitor.index(g)
 	}
 	w.machine.Configure(w.times, policy)
+	return changed
 }
 
 // index remembers the group of each target.
