--- /dev/null
+++ b/test/docs/doc.go
@@ -0,0 +1,2 @@
+// Package docs checks that the pages name only what exists.
+package docs
