--- a/test/load/config.go
+++ b/test/load/config.go
@@ -27,4 +27,7 @@
 	Pause      time.Duration // mean time between a session's statements
 	Seed       int64
 	MaxStale   time.Duration // of viewers' reads
+	// PastLag makes sessions read now and then that long after their last write,
+	// and counts who served the read; 0: they don't.
+	PastLag time.Duration
 }
--- a/test/load/session.go
+++ b/test/load/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand"
+	"strings"
 	"time"
 
 	"github.com/jackc/pgx/v5"
@@ -16,6 +17,7 @@
 const (
 	statementTimeout = 8 * time.Second // of a caller; under the promise that a change of primary is over within 10 s
 	roamEvery        = 8               // statements on one connection before a token session moves
+	pastLagEvery     = 5               // statements between reads that wait for the replicas' lag
 	connectPause     = 20 * time.Millisecond
 )
 
@@ -46,6 +48,9 @@
 		}
 		s.step(ctx)
 		s.statements++
+		if s.cfg.PastLag > 0 && s.statements%pastLagEvery == 0 {
+			s.readPastLag(ctx)
+		}
 		pause(ctx, s.thinkTime())
 	}
 }
@@ -153,11 +158,38 @@
 	s.drop(i)
 }
 
-// servedBy names the session's mode and the target of its last answer.
-func (s *session) servedBy(ctx context.Context, i int) string {
+// readPastLag reads once the replicas had time to apply the session's writes,
+// and counts whether one served it.
+func (s *session) readPastLag(ctx context.Context) {
+	pause(ctx, s.cfg.PastLag)
+	if ctx.Err() != nil || len(s.conns) == 0 {
+		return
+	}
+	s.read(ctx, 0)
+	if len(s.conns) == 0 {
+		return
+	}
+	bounded, cancel := withTimeout(ctx)
+	defer cancel()
+	s.timings.addPastLag(strings.HasSuffix(s.target(bounded, 0), replicaSuffix))
+	s.drop(0)
+}
+
+const replicaSuffix = "(replica)" // of SHOW nettlewalk.served_by
+
+// target returns the target of the last answer on a connection, and its role.
+func (s *session) target(ctx context.Context, i int) string {
 	var target string
 	err := s.conns[i].QueryRow(ctx, "SHOW nettlewalk.served_by", pgx.QueryExecModeSimpleProtocol).Scan(&target)
-	return fmt.Sprintf("%s session, served by %s, %v", s.mode, target, err)
+	if err != nil {
+		return err.Error()
+	}
+	return target
+}
+
+// servedBy names the session's mode and the target of its last answer.
+func (s *session) servedBy(ctx context.Context, i int) string {
+	return fmt.Sprintf("%s session, served by %s", s.mode, s.target(ctx, i))
 }
 
 // drop forgets a connection that has ended.
--- a/test/load/timings.go
+++ b/test/load/timings.go
@@ -25,6 +25,8 @@
 	views  *hdrhistogram.Histogram // µs
 	landed map[topology.GroupID][]time.Time
 	errors map[string]int
+	// Reads made later than the replicas' lag after the session's last write.
+	pastLag, pastLagReplica int
 }
 
 func newTimings() *Timings {
@@ -131,3 +133,20 @@
 	}
 	return n
 }
+
+func (t *Timings) addPastLag(replica bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.pastLag++
+	if replica {
+		t.pastLagReplica++
+	}
+}
+
+// PastLag returns how many reads sessions made later than the replicas' lag
+// after their last write, and how many of them replicas served.
+func (t *Timings) PastLag() (reads, replica int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.pastLag, t.pastLagReplica
+}
--- a/test/measure/measure.go
+++ b/test/measure/measure.go
@@ -87,6 +87,11 @@
 	r.StaleReadLatency = latencyOf(t.Views())
 	r.Statements = r.WriteLatency.N + r.ReadLatency.N + r.StaleReadLatency.N
 	r.FailoverGap = gapsOf(s.gaps)
+	reads, replica := t.PastLag()
+	r.PastLagReads = reads
+	if reads > 0 {
+		r.PastLagReplicaShare = float64(replica) / float64(reads)
+	}
 	r.Errors = t.Errors()
 	r.Extra = s.extra
 }
--- a/test/measure/report.go
+++ b/test/measure/report.go
@@ -17,6 +17,8 @@
 	Seconds              int                         `json:"seconds"`
 	Statements           int64                       `json:"statements"`
 	ReplicaReadShare     float64                     `json:"replica_read_share"`
+	PastLagReplicaShare  float64                     `json:"replica_share_past_lag"` // of sessions' reads later than the lag after their last write
+	PastLagReads         int                         `json:"reads_past_lag"`
 	PrimaryReadsByReason map[string]int64            `json:"primary_reads_by_reason"`
 	FailoverGap          gaps                        `json:"failover_gap_ms"`
 	WriteLatency         latency                     `json:"write_latency_ms"`
--- a/test/measure/scenarios.go
+++ b/test/measure/scenarios.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"nettlewalk.example/nettlewalk/internal/customer"
 	"nettlewalk.example/nettlewalk/internal/topology"
 	"nettlewalk.example/nettlewalk/test/load"
 	"nettlewalk.example/nettlewalk/test/testbed"
@@ -26,7 +27,10 @@
 
 var scenarios = []scenario{
 	{name: "steady", act: quiet},
-	{name: "lag", plan: func(p *testbed.Plan) { p.ApplyLag = replicaLag }, act: quiet},
+	{name: "lag", plan: func(p *testbed.Plan) { p.ApplyLag = replicaLag }, load: waitForLag, act: quiet},
+	{name: "lag-received", plan: func(p *testbed.Plan) { p.ReceiveLag = replicaLag }, act: quiet},
+	{name: "lag-received-term", plan: acknowledgeByTerm, act: quiet},
+	{name: "kill-primary-term", plan: acknowledgeByTerm, act: killPrimary},
 	{name: "kill-primary", act: killPrimary},
 	{name: "freeze-primary", act: freezePrimary},
 	{name: "cut-domain", act: cutDomain},
@@ -58,6 +62,17 @@
 	return names
 }
 
+// waitForLag lets sessions read later than the lag after their last write.
+func waitForLag(c *load.Config) { c.PastLag = replicaLag + replicaLag/2 }
+
+// acknowledgeByTerm lets replicas receive late and commits be answered without them.
+func acknowledgeByTerm(p *testbed.Plan) {
+	p.ReceiveLag = replicaLag
+	for i := range p.Customers {
+		p.Customers[i].Acknowledge = customer.AckTerm
+	}
+}
+
 func overload(c *load.Config) {
 	c.Sessions *= 6
 	c.Viewers *= 6
