Routing: a held write is given up after 4 s, not at its deadline

Cause: writes that met no primary were held until the caller's deadline, also in a domain that is cut off, where they can't run at all. Change: after writePatience the write is refused as not run with a time to come back.

--- a/internal/routing/retry.go
+++ b/internal/routing/retry.go
@@ -12,6 +12,7 @@
 	longestWait   = 40 * time.Millisecond // keeps the end of a failover from being noticed late
 	leastTime     = 2 * time.Millisecond  // with less time left a try can't be answered
 	readPatience  = 2 * time.Second       // reads that no target can serve are refused after this
+	writePatience = 4 * time.Second       // writes that meet no primary are refused after this: a change of primary is over long before
 	comeBackAfter = 200 * time.Millisecond
 	maxBusyRounds = 3 // rounds of refused connections; longer ones mean overload
 )
@@ -145,6 +146,9 @@
 	if p.Class == pool.Read && (p.TooStale || p.Elapsed > readPatience) {
 		return giveUp(final(p, err))
 	}
+	if p.Class == pool.Write && p.Elapsed > writePatience {
+		return giveUp(final(p, err))
+	}
 	return Step{Action: ChooseAgain, Wait: wait, Spend: spend}
 }
 
--- a/test/integration/atmostonce_test.go
+++ b/test/integration/atmostonce_test.go
@@ -6,7 +6,9 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/jackc/pgx/v5/pgconn"
 
+	"nettlewalk.example/nettlewalk/test/history"
 	"nettlewalk.example/nettlewalk/test/load"
 	"nettlewalk.example/nettlewalk/test/testbed"
 )
@@ -126,3 +128,27 @@
 		t.Error(f)
 	}
 }
+
+// A write in a domain that is cut off from the others is refused as not run,
+// with a time to come back, long before its deadline of a minute; and it is
+// true. The first write may have left before the cut was noticed, so that its
+// outcome isn't known.
+func TestWriteInACutOffDomainIsRefusedInTime(t *testing.T) {
+	bed, ctx := start(t, testbed.Small())
+	conn := connect(t, ctx, bed, 2, "nettlewalk.deadline=1m")
+	qt.Assert(t, bed.Network.Cut(testbed.AcrossDomain(bed.Hosts[2].Domain)), qt.IsNil)
+	for _, id := range []string{"first", "second"} {
+		bound, cancel := context.WithTimeout(ctx, failoverBound)
+		defer cancel()
+		err := insert(bound, conn, id)
+		if id == "first" && load.Outcome(err) == history.Unknown {
+			continue
+		}
+		var pgErr *pgconn.PgError
+		qt.Assert(t, err, qt.ErrorAs, &pgErr)
+		qt.Check(t, pgErr.Message, qt.Matches, `nettlewalk 2\d\d \(not run.*`)
+		qt.Check(t, pgErr.Hint, qt.Contains, "retry after")
+	}
+	qt.Assert(t, bed.Network.Heal(ctx), qt.IsNil)
+	qt.Check(t, countAtPrimary(t, ctx, bed, "second"), qt.Equals, 0)
+}
