Pool: writes at a primary that was replaced while silent end at once

Cause: a write sent to a frozen or cut-off primary waited for its deadline, or for the thaw, although another target had been promoted. Ruled out: the peer connections, the holder itself was reachable. The new test fails without the mechanism.

--- a/cmd/nettlewalk/targets.go
+++ b/cmd/nettlewalk/targets.go
@@ -35,6 +35,7 @@
 		Freshness: h.freshness,
 		Groups:    h.store.Group,
 		Peers:     h.peers,
+		Primary:   func(id topology.GroupID) (uint64, topology.TargetID, bool) { return h.failover.State(id) },
 		Handovers: h.handovers,
 		Log:       h.log.WithName("pool"),
 		OnCommit: func(id topology.TargetID, slot int, session string, position topology.Position) {
--- a/internal/pool/atmostonce_test.go
+++ b/internal/pool/atmostonce_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -169,6 +170,29 @@
 
 // Fails without the question for the boot: the transaction then keeps its
 // connection for idleTransactionLimit.
+// Fails when a write waits for a silent primary that was replaced: it then ends
+// at its deadline only.
+func TestWriteAtAReplacedPrimaryEnds(t *testing.T) {
+	var term atomic.Uint64
+	f := newFixture(t, func(o *Options) {
+		o.Primary = func(topology.GroupID) (uint64, topology.TargetID, bool) { return term.Load(), "t2", true }
+	})
+	term.Store(1)
+	_, err := f.exec(f.query(Write, "INSERT a"))
+	qt.Assert(t, err, qt.IsNil)
+	done := make(chan error, 1)
+	go func() {
+		_, err := f.exec(f.query(Write, "HOLD"))
+		done <- err
+	}()
+	eventually(t, "it runs", func() bool { return f.fake.get(func() int { return f.fake.ran["HOLD"] }) == 1 })
+	term.Store(2)
+	began := time.Now()
+	wantCode(t, <-done, result.UnknownOutcome)
+	qt.Assert(t, time.Since(began) < 3*time.Second, qt.IsTrue)
+	close(f.fake.hold)
+}
+
 func TestRestartedEntryHostLosesItsTransactions(t *testing.T) {
 	p := &peers{boot: 2}
 	f := newFixture(t, func(o *Options) { o.Peers = p })
--- a/internal/pool/cancel.go
+++ b/internal/pool/cancel.go
@@ -68,6 +68,7 @@
 			return
 		case <-ticker.C:
 			m.endIdle(time.Now())
+			m.endReplaced()
 			m.endOrphans(ctx, hosts)
 		}
 	}
--- a/internal/pool/exec.go
+++ b/internal/pool/exec.go
@@ -109,7 +109,7 @@
 	if err != nil {
 		return err
 	}
-	if !s.attach(sl, c) {
+	if !s.attach(sl, c, s.req.Class) {
 		sl.release(c, true)
 		return result.New(result.Canceled, "released while waiting for a connection")
 	}
--- a/internal/pool/metrics.go
+++ b/internal/pool/metrics.go
@@ -18,6 +18,7 @@
 	targetSeconds   = metrics.NewHistogram("nettlewalk_pool_target_seconds")
 	storedAnswers   = metrics.NewCounter("nettlewalk_pool_stored_answers_returned_total")
 	retriedReads    = metrics.NewCounter("nettlewalk_pool_silent_reads_retried_total")
+	replacedStreams = metrics.NewCounter("nettlewalk_pool_replaced_primary_streams_total")
 	endedStreams    = metrics.NewCounter("nettlewalk_pool_abandoned_streams_total")
 )
 
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -30,6 +30,10 @@
 	Peers     peer.Caller // nil: streams of entry hosts that died end only after their idle time
 	Log       logr.Logger
 
+	// Primary returns the highest term that is known of a group and its primary.
+	// nil: writes at a replaced primary that is silent end at their deadline.
+	Primary func(topology.GroupID) (term uint64, primary topology.TargetID, ok bool)
+
 	// Handovers tells whether a host is leaving: its slots' locks are then
 	// refused for as long as its streams take to end. nil: none is.
 	Handovers func() bool
--- a/internal/pool/stream.go
+++ b/internal/pool/stream.go
@@ -20,6 +20,7 @@
 	mu     sync.Mutex // guards what follows
 	conn   *conn      // nil: waiting, or over
 	at     *slot      // where conn belongs
+	class  Class      // of the first batch
 	busy   int        // calls that work on the stream
 	usedAt time.Time
 	killed bool
@@ -51,13 +52,13 @@
 
 // attach gives the stream a connection; false if it was killed meanwhile, the
 // caller keeps the connection then.
-func (s *stream) attach(sl *slot, c *conn) bool {
+func (s *stream) attach(sl *slot, c *conn, class Class) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.killed {
 		return false
 	}
-	s.conn, s.at = c, sl
+	s.conn, s.at, s.class = c, sl, class
 	return true
 }
 
@@ -96,6 +97,17 @@
 	return s.conn != nil && s.at == sl
 }
 
+// writesAt returns the slot at which the stream may write, nil for a read and
+// for one that doesn't own a connection or was killed.
+func (s *stream) writesAt() *slot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conn == nil || s.killed || s.class != Write {
+		return nil
+	}
+	return s.at
+}
+
 // enter and leave mark a call that works on the stream.
 func (s *stream) enter(now time.Time) {
 	s.mu.Lock()
