--- a/cmd/nettlewalk/targets.go
+++ b/cmd/nettlewalk/targets.go
@@ -41,7 +41,8 @@
 		OnCommit: func(id topology.TargetID, slot int, session string, position topology.Position) {
 			h.keeper.OnCommit(id, slot, session, position)
 		},
-		OnLock: func(id topology.TargetID, slot int) { h.keeper.OnLock(id, slot) },
+		OnUsage: h.usage.Consume,
+		OnLock:  func(id topology.TargetID, slot int) { h.keeper.OnLock(id, slot) },
 		OnStatus: func(st target.Status, err error, sentAt time.Time) {
 			h.failover.Observe(st, err, sentAt)
 		},
@@ -64,6 +65,7 @@
 		Groups:    h.store,
 		Primaries: h.failover,
 		Rounds:    rounds{h},
+		Policy:    h.store.Acknowledge,
 	})
 }
 
@@ -90,7 +92,7 @@
 	if id == h.settings.Host.ID {
 		return h.pool
 	}
-	return pool.Remote{Caller: h.peers, Host: id}
+	return h.usage.Observe(pool.Remote{Caller: h.peers, Host: id})
 }
 
 // confirmer passes the pool's questions on to failover.
--- a/test/measure/scenarios.go
+++ b/test/measure/scenarios.go
@@ -38,11 +38,23 @@
 	{name: "mixed", act: mixed},
 }
 
+// ownFleets are the measurements that start fleets of their own.
+var ownFleets = []struct {
+	name string
+	run  func(options) error
+}{
+	{spreadScenario, runSpread},
+	{neighbourScenario, runNeighbour},
+}
+
 func scenarioNames() []string {
 	names := make([]string, len(scenarios))
 	for i, s := range scenarios {
 		names[i] = s.name
 	}
+	for _, s := range ownFleets {
+		names = append(names, s.name)
+	}
 	return names
 }
 
