--- a/cmd/nettlewalk/targets.go
+++ b/cmd/nettlewalk/targets.go
@@ -33,7 +33,6 @@
 		Dial:      h.dial,
 		Confirm:   confirmer{h},
 		Freshness: h.freshness,
-		Groups:    h.store.Group,
 		Peers:     h.peers,
 		Primary:   func(id topology.GroupID) (uint64, topology.TargetID, bool) { return h.failover.State(id) },
 		Handovers: h.handovers,
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -17,7 +17,7 @@
 	Age(group topology.GroupID, applied topology.Position) (time.Duration, bool)
 }
 
-// Options are what a Manager needs. Confirm, Groups and Freshness may be nil:
+// Options are what a Manager needs. Confirm and Freshness may be nil:
 // commits are then answered unconfirmed, and ages are unknown.
 type Options struct {
 	Self      topology.Host
@@ -26,7 +26,6 @@
 	Dial      target.DialFunc // nil dials directly
 	Confirm   Confirmer
 	Freshness Freshness
-	Groups    func(topology.GroupID) (*topology.Group, bool)
 	Peers     peer.Caller // nil: streams of entry hosts that died end only after their idle time
 	Log       logr.Logger
 
