--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -17,7 +17,7 @@
 	Age(group topology.GroupID, applied topology.Position) (time.Duration, bool)
 }
 
-// Options are what a Manager needs. Confirm, Groups and Freshness may be nil:
+// Options are what a Manager needs. Confirm and Freshness may be nil:
 // commits are then answered unconfirmed, and ages are unknown.
 type Options struct {
 	Self      topology.Host
@@ -26,10 +26,13 @@
 	Dial      target.DialFunc // nil dials directly
 	Confirm   Confirmer
 	Freshness Freshness
-	Groups    func(topology.GroupID) (*topology.Group, bool)
 	Peers     peer.Caller // nil: streams of entry hosts that died end only after their idle time
 	Log       logr.Logger
 
+	// Primary returns the highest term that is known of a group and its primary.
+	// nil: writes at a replaced primary that is silent end at their deadline.
+	Primary func(topology.GroupID) (term uint64, primary topology.TargetID, ok bool)
+
 	// Handovers tells whether a host is leaving: its slots' locks are then
 	// refused for as long as its streams take to end. nil: none is.
 	Handovers func() bool
