--- a/test/standin/target/database.go
+++ b/test/standin/target/database.go
@@ -132,14 +132,21 @@
 	if len(e.Statements) == 0 {
 		return nil
 	}
-	c.now = e.Time
+	return replay(conn, c, []Entry{e})
+}
+
+// replay runs the statements of many entries in one transaction.
+func replay(conn *sqlite3.SQLiteConn, c *clock, entries []Entry) error {
 	if err := execOne(conn, Statement{SQL: "BEGIN IMMEDIATE"}); err != nil {
 		return err
 	}
-	for _, st := range e.Statements {
-		if err := execOne(conn, st); err != nil {
-			_ = execOne(conn, Statement{SQL: "ROLLBACK"})
-			return fmt.Errorf("entry %d/%d: %s: %w", e.Term, e.Offset, strings.TrimSpace(st.SQL), err)
+	for _, e := range entries {
+		c.now = e.Time
+		for _, st := range e.Statements {
+			if err := execOne(conn, st); err != nil {
+				_ = execOne(conn, Statement{SQL: "ROLLBACK"})
+				return fmt.Errorf("entry %d/%d: %s: %w", e.Term, e.Offset, strings.TrimSpace(st.SQL), err)
+			}
 		}
 	}
 	return execOne(conn, Statement{SQL: "COMMIT"})
--- a/test/standin/target/replicate.go
+++ b/test/standin/target/replicate.go
@@ -216,6 +216,10 @@
 	if n.applied <= offset {
 		return nil
 	}
-	n.applied = 0
-	return n.onRebuild()
+	if err := n.onRebuild(); err != nil {
+		return err
+	}
+	n.applied = offset
+	n.notifyLocked()
+	return nil
 }
--- a/test/standin/target/server.go
+++ b/test/standin/target/server.go
@@ -80,10 +80,8 @@
 	if s.store, err = openStore(s.cfg); err != nil {
 		return err
 	}
-	for _, e := range s.node.log.entries {
-		if err := applyEntry(s.store.applier, s.store.clock, e); err != nil {
-			return err
-		}
+	if err := replay(s.store.applier, s.store.clock, s.node.log.entries); err != nil {
+		return err
 	}
 	s.node.applied = s.node.log.len()
 	s.node.onFence = s.rollbackWrites
@@ -98,10 +96,15 @@
 	return nil
 }
 
-// rebuild ends all readers of the old database and starts a new one.
+// rebuild ends all readers of the old database and builds a new one from the
+// log that is left. No reader sees it before it is whole: what was applied
+// before and is still in the log stays visible.
 func (s *Server) rebuild() error {
 	s.closeSessions()
-	return s.store.renew()
+	if err := s.store.renew(); err != nil {
+		return err
+	}
+	return replay(s.store.applier, s.store.clock, s.node.log.entries)
 }
 
 // Addr returns the address of the PostgreSQL protocol.
