--- a/cmd/nettlewalk/host.go
+++ b/cmd/nettlewalk/host.go
@@ -141,6 +141,7 @@
 		AllowTrust:      h.settings.Callers.AllowTrust,
 		DefaultDeadline: h.settings.Callers.Deadline,
 		MaxMessageBytes: h.settings.Callers.MaxMessageBytes,
+		MaxSessions:     h.settings.Callers.MaxSessions,
 	})
 }
 
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -3,9 +3,10 @@
 import "time"
 
 const (
-	minKeyBytes     = 16               // shorter shared keys can be guessed
-	minMessageBytes = 64 << 10         // bytes; smaller ones refuse ordinary statements
-	maxMessageBytes = 1 << 30          // bytes; the protocol's own limit
+	minKeyBytes     = 16       // shorter shared keys can be guessed
+	minMessageBytes = 64 << 10 // bytes; smaller ones refuse ordinary statements
+	maxMessageBytes = 1 << 30  // bytes; the protocol's own limit
+	maxSessions     = 1_000_000
 	maxDeadline     = time.Hour        // longer requests would outlive a host
 	maxDrain        = 10 * time.Minute // longer drains outlast a roll-out step
 )
@@ -36,6 +37,7 @@
 	{"callers", "token_key", "", true, "16 bytes or more", "secret that signs session tokens, the same on all hosts", text(func(s *Settings) *string { return &s.Callers.TokenKey }, longerThan(minKeyBytes))},
 	{"callers", "deadline", "10s", false, "10ms to 1h", "deadline of a request that names none", duration(func(s *Settings) *time.Duration { return &s.Callers.Deadline }, 10*time.Millisecond, maxDeadline)},
 	{"callers", "max_message_bytes", "16777216", false, "65536 to 1073741824", "largest request in bytes", number(func(s *Settings) *int { return &s.Callers.MaxMessageBytes }, minMessageBytes, maxMessageBytes)},
+	{"callers", "max_sessions", "10000", false, "1 to 1000000", "callers' connections of this host; more are refused", number(func(s *Settings) *int { return &s.Callers.MaxSessions }, 1, maxSessions)},
 
 	{"log", "level", "0", false, "0 to 2", "0: what operators need, 1: each refusal, 2: each request", number(func(s *Settings) *int { return &s.Log.Level }, 0, 2)},
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -56,6 +56,7 @@
 	TokenKey        string
 	Deadline        time.Duration // of a request that names none
 	MaxMessageBytes int
+	MaxSessions     int
 }
 
 // Operator is one bearer token of the administration API.
