Measure: the direct comparison keeps to the local path

Cause: the read through the host might be served by a replica in another domain, so the added latency held the delay between domains. It also ran on a deployment with links, whose proxies add their own hop.

Change: after steady's load a deployment of its own, without links and with one slot per target, compares reads at a replica and writes at the primary through a host of the same domain that holds the slot and one that forwards. Both ways take turns, served_by is checked, and the hosts' processor time is given with and without what they use when idle. The fields so far stay; they are those of the host that holds the slot.

--- a/test/measure/main.go
+++ b/test/measure/main.go
@@ -83,6 +83,11 @@
 		if err != nil {
 			return fmt.Errorf("%s on %s: %w", s.name, plan.Name, err)
 		}
+		if s.name == steadyScenario {
+			if report.Direct, err = measureDirect(context.Background(), plan); err != nil {
+				return fmt.Errorf("straight and through a host on %s: %w", plan.Name, err)
+			}
+		}
 		if err := json.NewEncoder(os.Stdout).Encode(report); err != nil {
 			return err
 		}
--- a/test/measure/measure.go
+++ b/test/measure/measure.go
@@ -74,10 +74,7 @@
 	if after, err := hostCPU(s.bed); err == nil && r.Statements > 0 {
 		r.HostCPUPerStatement = (after - before) * float64(time.Second/time.Microsecond) / float64(r.Statements)
 	}
-	if sc.name == "steady" {
-		r.Direct, err = measureDirect(ctx, s.bed)
-	}
-	return r, err
+	return r, nil
 }
 
 func (s *stage) fillTimings(r *report) {
--- a/test/measure/report.go
+++ b/test/measure/report.go
@@ -37,11 +37,27 @@
 	GapsByGroup          map[topology.GroupID]string `json:"gaps_by_group,omitempty"`
 }
 
-// direct is the same statement by a client that talks straight to the target.
+// direct compares clients straight at a target with clients of a host in the
+// same domain, without network delay. Its first three fields are of the host
+// that holds the target's slot itself.
 type direct struct {
-	ReadLatency  latency `json:"read_latency_ms"`
-	WriteLatency latency `json:"write_latency_ms"`
-	AddedReadP50 float64 `json:"added_read_p50_ms"`
+	ReadLatency    latency    `json:"read_latency_ms"`
+	WriteLatency   latency    `json:"write_latency_ms"`
+	AddedReadP50   float64    `json:"added_read_p50_ms"`
+	ReadAtHolder   comparison `json:"read_at_holder"`
+	ReadForwarded  comparison `json:"read_forwarded"`
+	WriteAtHolder  comparison `json:"write_at_holder"`
+	WriteForwarded comparison `json:"write_forwarded"`
+}
+
+// comparison is one statement straight at its target and through a host.
+type comparison struct {
+	Straight   latency `json:"straight_ms"`
+	Through    latency `json:"through_ms"`
+	AddedP50   float64 `json:"added_p50_ms"`
+	AddedP99   float64 `json:"added_p99_ms"`
+	CPU        float64 `json:"host_cpu_us_per_statement"`           // of all hosts, without what they use when idle
+	CPUAndIdle float64 `json:"host_cpu_us_per_statement_with_idle"` // of all hosts
 }
 
 // latency sums up a histogram in milliseconds.
--- a/test/measure/scenarios.go
+++ b/test/measure/scenarios.go
@@ -24,8 +24,10 @@
 	overloadRate = time.Millisecond // mean pause of a session
 )
 
+const steadyScenario = "steady" // after which direct paths are compared
+
 var scenarios = []scenario{
-	{name: "steady", act: quiet},
+	{name: steadyScenario, act: quiet},
 	{name: "lag", plan: func(p *testbed.Plan) { p.ApplyLag = replicaLag }, act: quiet},
 	{name: "kill-primary", act: killPrimary},
 	{name: "freeze-primary", act: freezePrimary},
