--- a/test/measure/scenarios.go
+++ b/test/measure/scenarios.go
@@ -25,8 +25,10 @@
 	overloadRate = time.Millisecond // mean pause of a session
 )
 
+const steadyScenario = "steady" // after which direct paths are compared
+
 var scenarios = []scenario{
-	{name: "steady", act: quiet},
+	{name: steadyScenario, act: quiet},
 	{name: "lag", plan: func(p *testbed.Plan) { p.ApplyLag = replicaLag }, load: waitForLag, act: quiet},
 	{name: "lag-received", plan: func(p *testbed.Plan) { p.ReceiveLag = replicaLag }, act: quiet},
 	{name: "lag-received-term", plan: acknowledgeByTerm, act: quiet},
