Peer connections wake their watch only for calls that are late

Cause: each open connection between hosts looked at itself every 75 ms, also without calls, and a configuration pull, which waits 2 s for news by design, brought a heartbeat every 150 ms.

Ruled out: the failover tick. A host with three groups has about as many status requests due per second as ticks, so a tick at the next due time saves nothing.

Change: the watch sleeps until a call has waited 37 ms (the mean wait for the first look so far), a patient call 1 s, or the connection has been unused for long. Calls that wait long by design are marked patient; while only such calls wait a heartbeat goes out once a second. Other calls' silence is noticed as before: the limits for them are unchanged.

The new silence test was not seen to fail; it needs the look that a patient call asks for, without which its 10 s deadline would end the call.

--- a/internal/customer/puller.go
+++ b/internal/customer/puller.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"nettlewalk.example/nettlewalk/internal/peer"
 	"nettlewalk.example/nettlewalk/internal/platform"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
@@ -113,7 +114,7 @@
 		args.Wait = 0
 	}
 	var reply PullReply
-	if err := p.call(ctx, from, "Pull", pullWait+pullGrace, args, &reply); err != nil {
+	if err := p.call(peer.Patient(ctx), from, "Pull", pullWait+pullGrace, args, &reply); err != nil {
 		return 0, err
 	}
 	current := time.Now().Add(-reply.Age)
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -6,6 +6,9 @@
 	heartbeatService  = "Peer"
 	heartbeatMethod   = "Peer.Heartbeat"
 	heartbeatInterval = 150 * time.Millisecond // only while a call waits for its answer
+	patientInterval   = time.Second            // while only patient calls wait
+	lookInterval      = heartbeatInterval / 2  // between looks at a connection with waiting calls
+	firstLook         = heartbeatInterval / 4  // after a call began that has no answer yet
 	silentAfter       = 400 * time.Millisecond // without any byte, with a heartbeat on its way
 	idleClose         = 30 * time.Second       // shorter than the server's IdleLimit
 )
@@ -28,21 +31,47 @@
 	unused           // close it, nobody needs it
 )
 
-// judge decides from how long nothing has arrived, how many calls wait, for
-// how long a heartbeat has been on its way (negative: none is) and how long
-// ago the last call began.
-func judge(quiet time.Duration, waiting int, heartbeatFor, lastCall time.Duration) verdict {
+// calls counts the calls that wait for an answer.
+type calls struct{ prompt, patient int }
+
+func (c calls) none() bool { return c.prompt == 0 && c.patient == 0 }
+
+// quietLimit is how long nothing may arrive before a heartbeat is sent.
+func (c calls) quietLimit() time.Duration {
+	if c.prompt > 0 {
+		return heartbeatInterval
+	}
+	return patientInterval
+}
+
+// judge decides from how long nothing has arrived, which calls wait, for how
+// long a heartbeat has been on its way (negative: none is) and how long ago
+// the last call began.
+func judge(quiet time.Duration, waiting calls, heartbeatFor, lastCall time.Duration) verdict {
 	silent := min(quiet, heartbeatFor)
 	switch {
 	case silent >= silentAfter:
 		return tooQuiet
 	case heartbeatFor >= 0:
 		return keep
-	case waiting > 0 && quiet >= heartbeatInterval:
+	case !waiting.none() && quiet >= waiting.quietLimit():
 		return probe
-	case waiting == 0 && lastCall >= idleClose:
+	case waiting.none() && lastCall >= idleClose:
 		return unused
 	default:
 		return keep
 	}
 }
+
+// nextLook returns when a connection that is kept is to be judged again. Calls
+// that begin meanwhile see to an earlier look themselves.
+func nextLook(quiet time.Duration, waiting calls, heartbeatFor, lastCall time.Duration) time.Duration {
+	switch {
+	case heartbeatFor >= 0 || waiting.prompt > 0:
+		return lookInterval
+	case waiting.patient > 0:
+		return max(patientInterval-quiet, lookInterval)
+	default:
+		return max(idleClose-lastCall, lookInterval)
+	}
+}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -18,9 +18,11 @@
 	conn *countedConn
 	rpc  *rpc.Client
 
-	waiting  atomic.Int64 // calls without an answer
-	retired  atomic.Bool  // takes no new calls
-	lastCall atomic.Int64 // since processStart
+	waiting  atomic.Int64  // calls without an answer, patient ones excepted
+	patient  atomic.Int64  // patient calls without an answer
+	retired  atomic.Bool   // takes no new calls
+	lastCall atomic.Int64  // since processStart
+	look     chan struct{} // asks watch for a look now
 	done     chan struct{}
 	once     sync.Once
 }
@@ -30,6 +32,7 @@
 		host: host,
 		conn: conn,
 		rpc:  rpc.NewClientWithCodec(newClientCodec(conn)),
+		look: make(chan struct{}, 1),
 		done: make(chan struct{}),
 	}
 	l.lastCall.Store(int64(time.Since(processStart)))
@@ -49,8 +52,7 @@
 // call sends one call. sent is false if surely nothing of it left. reply is
 // written only by an answer that this call returns.
 func (l *link) call(ctx context.Context, method string, args any, reply any) (sent bool, err error) {
-	l.waiting.Add(1)
-	defer l.waiting.Add(-1)
+	defer l.begin(ctx)()
 	l.lastCall.Store(int64(time.Since(processStart)))
 	fresh := newLike(reply)
 	out := &outgoing{args: args}
@@ -69,12 +71,35 @@
 	return out.started.Load(), l.callError(method, call.Error)
 }
 
+// begin counts a call and sees to it that watch looks at the connection if the
+// answer isn't there soon. The returned function ends the count.
+func (l *link) begin(ctx context.Context) (end func()) {
+	count, after := &l.waiting, firstLook
+	if isPatient(ctx) {
+		count, after = &l.patient, patientInterval
+	}
+	count.Add(1)
+	late := time.AfterFunc(after, l.lookNow)
+	return func() {
+		late.Stop()
+		count.Add(-1)
+	}
+}
+
+func (l *link) lookNow() {
+	select {
+	case l.look <- struct{}{}:
+	default: // watch is asked already
+	}
+}
+
 // retireIfQuietSince keeps new calls off a connection that answered nothing
 // since began; its heartbeats decide whether it is closed.
 func (l *link) retireIfQuietSince(began time.Time) {
 	waited := time.Since(began)
 	if waited >= heartbeatInterval && l.conn.quiet() >= waited {
 		l.retired.Store(true)
+		time.AfterFunc(lookInterval, l.lookNow) // its last call ends meanwhile, or keeps watch awake
 	}
 }
 
@@ -92,10 +117,10 @@
 }
 
 // watch sends heartbeats while calls wait and closes the connection when it is
-// silent, broken or unused.
+// silent, broken or unused. It sleeps while no call is late.
 func (l *link) watch() {
-	ticker := time.NewTicker(heartbeatInterval / 2)
-	defer ticker.Stop()
+	timer := time.NewTimer(idleClose)
+	defer timer.Stop()
 	defer l.close()
 	var beat *rpc.Call
 	var beatAt time.Time
@@ -103,7 +128,8 @@
 		select {
 		case <-l.done:
 			return
-		case <-ticker.C:
+		case <-l.look:
+		case <-timer.C:
 		}
 		if beat != nil && answered(beat) {
 			if beat.Error != nil {
@@ -123,17 +149,26 @@
 			return
 		case probe:
 			beat, beatAt = l.sendHeartbeat(), time.Now()
+			heartbeatFor = 0
 		}
+		timer.Reset(nextLook(l.conn.quiet(), l.calls(), heartbeatFor, l.sinceCall()))
 	}
 }
 
+func (l *link) calls() calls {
+	return calls{prompt: int(l.waiting.Load()), patient: int(l.patient.Load())}
+}
+
+func (l *link) sinceCall() time.Duration {
+	return time.Since(processStart) - time.Duration(l.lastCall.Load())
+}
+
 func (l *link) judge(heartbeatFor time.Duration) verdict {
-	lastCall := time.Since(processStart) - time.Duration(l.lastCall.Load())
-	waiting := int(l.waiting.Load())
-	if l.retired.Load() && waiting == 0 && heartbeatFor < 0 {
+	waiting := l.calls()
+	if l.retired.Load() && waiting.none() && heartbeatFor < 0 {
 		return unused
 	}
-	return judge(l.conn.quiet(), waiting, heartbeatFor, lastCall)
+	return judge(l.conn.quiet(), waiting, heartbeatFor, l.sinceCall())
 }
 
 // sendHeartbeat doesn't block: the call may wait behind a write that stalls.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -186,18 +186,23 @@
 	tests := []struct {
 		name                string
 		quiet               time.Duration
-		waiting             int
+		waiting             calls
 		heartbeat, lastCall time.Duration
 		want                verdict
 	}{
-		{"idle", time.Hour, 0, none, time.Second, keep},
-		{"unused", time.Hour, 0, none, idleClose, unused},
-		{"fresh call", 0, 1, none, 0, keep},
-		{"waiting", heartbeatInterval, 1, none, heartbeatInterval, probe},
-		{"heartbeat on its way", heartbeatInterval, 1, 0, heartbeatInterval, keep},
-		{"long idle, then a call", time.Hour, 1, 0, 0, keep},
-		{"other bytes arrive", 0, 1, time.Hour, 0, keep},
-		{"silent", silentAfter, 1, silentAfter, silentAfter, tooQuiet},
+		{"idle", time.Hour, calls{}, none, time.Second, keep},
+		{"unused", time.Hour, calls{}, none, idleClose, unused},
+		{"fresh call", 0, calls{prompt: 1}, none, 0, keep},
+		{"waiting", heartbeatInterval, calls{prompt: 1}, none, heartbeatInterval, probe},
+		{"heartbeat on its way", heartbeatInterval, calls{prompt: 1}, 0, heartbeatInterval, keep},
+		{"long idle, then a call", time.Hour, calls{prompt: 1}, 0, 0, keep},
+		{"other bytes arrive", 0, calls{prompt: 1}, time.Hour, 0, keep},
+		{"patient call", heartbeatInterval, calls{patient: 1}, none, heartbeatInterval, keep},
+		{"patient call waits long", patientInterval, calls{patient: 1}, none, patientInterval, probe},
+		{"patient beside prompt", heartbeatInterval, calls{prompt: 1, patient: 1}, none, heartbeatInterval, probe},
+		{"patient call, long idle", time.Hour, calls{patient: 1}, 0, idleClose, keep},
+		{"patient and silent", silentAfter, calls{patient: 1}, silentAfter, silentAfter, tooQuiet},
+		{"silent", silentAfter, calls{prompt: 1}, silentAfter, silentAfter, tooQuiet},
 	}
 	for _, test := range tests {
 		got := judge(test.quiet, test.waiting, test.heartbeat, test.lastCall)
@@ -205,6 +210,42 @@
 	}
 }
 
+func TestNextLook(t *testing.T) {
+	const none = -1
+	tests := []struct {
+		name                string
+		quiet               time.Duration
+		waiting             calls
+		heartbeat, lastCall time.Duration
+		want                time.Duration
+	}{
+		{"a call waits", 0, calls{prompt: 1}, none, 0, lookInterval},
+		{"a heartbeat is on its way", 0, calls{}, 0, 0, lookInterval},
+		{"a patient call waits", 0, calls{patient: 1}, none, 0, patientInterval},
+		{"a patient call, quiet", 2 * patientInterval, calls{patient: 1}, none, 0, lookInterval},
+		{"idle", time.Hour, calls{}, none, time.Second, idleClose - time.Second},
+	}
+	for _, test := range tests {
+		got := nextLook(test.quiet, test.waiting, test.heartbeat, test.lastCall)
+		qt.Check(t, got, qt.Equals, test.want, qt.Commentf("%s", test.name))
+	}
+}
+
+// Fails when watch doesn't look at a connection on which only a patient call waits.
+func TestSilentConnectionOfAPatientCallIsAbandoned(t *testing.T) {
+	_, dialer, client := startPair(t, "key", "key")
+	_, err := call(client, time.Second, "Echo.Say", "hello")
+	qt.Assert(t, err, qt.IsNil)
+	dialer.mute()
+	ctx, cancel := context.WithTimeout(Patient(context.Background()), 10*time.Second)
+	defer cancel()
+	in, out := "lost", ""
+	began := time.Now()
+	err = client.Call(ctx, "b", "Echo.Hold", &in, &out)
+	qt.Assert(t, codeOf(t, err), qt.Equals, result.HolderLost)
+	qt.Assert(t, time.Since(began) < 5*time.Second, qt.IsTrue)
+}
+
 func BenchmarkCall(b *testing.B) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
