--- a/cmd/nettlewalk/targets.go
+++ b/cmd/nettlewalk/targets.go
@@ -33,8 +33,8 @@
 		Dial:      h.dial,
 		Confirm:   confirmer{h},
 		Freshness: h.freshness,
-		Groups:    h.store.Group,
 		Peers:     h.peers,
+		Primary:   func(id topology.GroupID) (uint64, topology.TargetID, bool) { return h.failover.State(id) },
 		Handovers: h.handovers,
 		Log:       h.log.WithName("pool"),
 		OnCommit: func(id topology.TargetID, slot int, session string, position topology.Position) {
@@ -64,6 +64,7 @@
 		Groups:    h.store,
 		Primaries: h.failover,
 		Rounds:    rounds{h},
+		Policy:    h.store.Acknowledge,
 	})
 }
 
