Pool: an entry host is gone after unanswered questions, not after time

A holder that stood still for 1.5 s and lost one question after it took every entry host for dead and rolled their transactions back. Now six questions in a row must stay unanswered; a pause of the holder asks none.

--- a/internal/pool/entryhosts.go
+++ b/internal/pool/entryhosts.go
@@ -11,53 +11,48 @@
 )
 
 const (
-	hostTimeout = 250 * time.Millisecond  // for an entry host to tell its boot
-	orphanAfter = 1500 * time.Millisecond // without an answer of the entry host
+	hostTimeout  = 250 * time.Millisecond // for an entry host to tell its boot
+	orphanMisses = 6                      // questions in a row without an answer; a pause of this process isn't one
 )
 
-// entryHosts knows when the entry hosts of open streams last answered, and
-// which process did. Not safe for concurrent use.
+// entryHosts knows how the entry hosts of open streams answered lately. Not safe
+// for concurrent use.
 type entryHosts struct {
 	seen map[topology.HostID]seenHost
 }
 
 type seenHost struct {
-	at   time.Time // of the last answer, at first of the first question
-	boot uint64    // 0: it hasn't answered yet
+	misses int    // since the last answer
+	boot   uint64 // of the last answer, 0: there was none
 }
 
 func newEntryHosts() *entryHosts {
 	return &entryHosts{seen: map[topology.HostID]seenHost{}}
 }
 
-// keep forgets all hosts but these and begins to time the new ones.
-func (e *entryHosts) keep(hosts []topology.HostID, now time.Time) {
+// keep forgets all hosts but these.
+func (e *entryHosts) keep(hosts []topology.HostID) {
 	kept := make(map[topology.HostID]seenHost, len(hosts))
 	for _, id := range hosts {
-		old, known := e.seen[id]
-		if !known {
-			old = seenHost{at: now}
-		}
-		kept[id] = old
+		kept[id] = e.seen[id]
 	}
 	e.seen = kept
 }
 
-func (e *entryHosts) answered(id topology.HostID, boot uint64, now time.Time) {
-	e.seen[id] = seenHost{at: now, boot: boot}
+func (e *entryHosts) answered(id topology.HostID, boot uint64) { e.seen[id] = seenHost{boot: boot} }
+
+func (e *entryHosts) missed(id topology.HostID) {
+	host := e.seen[id]
+	host.misses++
+	e.seen[id] = host
 }
 
 // orphaned tells whether a stream's entry host is gone: another process answers
-// in its place, or nobody for long.
-func (e *entryHosts) orphaned(id StreamID, now time.Time) bool {
-	host, known := e.seen[id.Host]
-	if !known {
-		return false
-	}
-	if host.boot != 0 && host.boot != id.Boot {
-		return true
-	}
-	return now.Sub(host.at) > orphanAfter
+// in its place, or nobody does any more.
+func (e *entryHosts) orphaned(id StreamID) bool {
+	host := e.seen[id.Host]
+	restarted := host.boot != 0 && host.boot != id.Boot
+	return restarted || host.misses >= orphanMisses
 }
 
 // endOrphans rolls back the idle streams whose entry host is gone.
@@ -66,11 +61,10 @@
 		return
 	}
 	streams := m.idleRemoteStreams()
-	hosts.keep(hostsOf(streams), time.Now())
+	hosts.keep(hostsOf(streams))
 	m.askBoots(ctx, hosts)
-	now := time.Now()
 	for _, s := range streams {
-		if _, idle := s.idleSince(); idle && hosts.orphaned(s.id, now) {
+		if _, idle := s.idleSince(); idle && hosts.orphaned(s.id) {
 			endedStreams.Inc()
 			m.opts.Log.Info("stream of a lost entry host ended", "host", s.id.Host, "boot", s.id.Boot, "seq", s.id.Seq)
 			m.abandon(s)
@@ -110,12 +104,13 @@
 		wg.Go(func() {
 			var reply BootReply
 			err := m.opts.Peers.Call(ctx, id, ServiceName+".BootID", &Empty{}, &reply)
+			mu.Lock()
+			defer mu.Unlock()
 			if err != nil {
+				hosts.missed(id)
 				return
 			}
-			mu.Lock()
-			defer mu.Unlock()
-			hosts.answered(id, reply.Boot, time.Now())
+			hosts.answered(id, reply.Boot)
 		})
 	}
 	wg.Wait()
