Failover: one refused fence doesn't end an attempt; pauses stay short

Cause: an order may reach a target twice, by two ways; the second copy of a fence is refused as stale, and the machine took that for a rival and backed off for up to 2 s. Change: an attempt ends when refused fences leave it no majority; pauses grow to 600 ms instead of 2 s.

--- a/internal/failover/attempt.go
+++ b/internal/failover/attempt.go
@@ -16,6 +16,7 @@
 	term      uint64
 	answers   map[topology.TargetID]target.Status // of the fences
 	ordered   map[topology.TargetID]bool          // fences given
+	refused   map[topology.TargetID]bool          // fences that came too late
 	chosen    topology.TargetID
 	last      topology.Position // of a leaving primary
 	promoting bool              // a Promote is under way
@@ -30,6 +31,7 @@
 		startedAt: now,
 		answers:   map[topology.TargetID]target.Status{},
 		ordered:   map[topology.TargetID]bool{},
+		refused:   map[topology.TargetID]bool{},
 	}
 	m.enter(now, PhaseAsking, reason, "")
 	m.out = append(m.out, Ask{Attempt: m.attempts})
@@ -192,6 +194,8 @@
 		return
 	}
 	switch {
+	case ev.Result == OrderStale && ev.Order.Kind == OrderFence:
+		m.takeRefusedFence(now, ev.Order.Target)
 	case ev.Result == OrderStale:
 		m.backOff(now, "a rival has a higher term")
 	case ev.Order.Kind == OrderFence && ev.Result == OrderDone:
@@ -203,6 +207,18 @@
 	}
 }
 
+// takeRefusedFence gives the attempt up once no majority is left for it. The
+// refusal may be the answer to a second copy of this host's own order.
+func (m *Machine) takeRefusedFence(now time.Time, id topology.TargetID) {
+	if _, answered := m.attempt.answers[id]; answered {
+		return
+	}
+	m.attempt.refused[id] = true
+	if len(m.group.Targets)-len(m.attempt.refused) < m.group.Majority() {
+		m.backOff(now, "a rival has a higher term")
+	}
+}
+
 func (m *Machine) takeFence(ev OrderDoneEvent) {
 	m.attempt.answers[ev.Order.Target] = ev.Status
 	if m.phase == PhaseHandover && ev.Order.Target == m.lead.primary {
@@ -216,7 +232,7 @@
 	m.learn(m.attempt.term, m.attempt.chosen, true, now)
 	m.lead.since = now
 	if old == m.attempt.chosen {
-		m.handoverAfter = now.Add(m.times.LongestPause)
+		m.handoverAfter = now.Add(m.times.HandoverPause)
 	}
 	m.publish(now)
 	for _, t := range m.group.Targets {
@@ -240,7 +256,7 @@
 		pause = min(pause, m.times.SuspectAfter) // nothing was changed, so another look costs little
 	}
 	if m.reason == ReasonLeaving {
-		m.handoverAfter = now.Add(m.times.LongestPause)
+		m.handoverAfter = now.Add(m.times.HandoverPause)
 	}
 	m.resumeAt = now.Add(pause)
 	m.enter(now, PhaseBackoff, m.reason, detail)
--- a/internal/failover/machine_test.go
+++ b/internal/failover/machine_test.go
@@ -223,7 +223,7 @@
 	s.run(time.Second)
 	m := s.hosts[0].machine
 	m.phase, m.since = PhaseFencing, s.now
-	m.attempt = attempt{term: 2, answers: map[topology.TargetID]target.Status{}, ordered: map[topology.TargetID]bool{}}
+	m.attempt = attempt{term: 2, answers: map[topology.TargetID]target.Status{}, ordered: map[topology.TargetID]bool{}, refused: map[topology.TargetID]bool{}}
 	promoted := func(id topology.TargetID) bool {
 		order := Order{Kind: OrderFence, Target: id, Term: 2}
 		st := target.Status{Target: id, Role: target.Fenced, Term: 2}
--- a/internal/failover/times.go
+++ b/internal/failover/times.go
@@ -20,6 +20,7 @@
 	PublishLate    time.Duration // an outcome is left to the promoting host to publish
 	Backoff        time.Duration // first pause after an attempt that failed
 	LongestPause   time.Duration // of backing off
+	HandoverPause  time.Duration // after a planned move that failed
 	Asleep         time.Duration // between two steps means that this process was paused
 	Alert          time.Duration // targets are polled fast after another host asked
 }
@@ -48,7 +49,8 @@
 		RepairEvery:    250 * time.Millisecond,
 		PublishLate:    3 * time.Second,
 		Backoff:        100 * time.Millisecond,
-		LongestPause:   2 * time.Second,
+		LongestPause:   600 * time.Millisecond,
+		HandoverPause:  2 * time.Second,
 		Asleep:         300 * time.Millisecond,
 		Alert:          time.Second,
 	}
