--- a/internal/usage/holdings.go
+++ b/internal/usage/holdings.go
@@ -143,6 +143,12 @@
 // OwnDurable returns which of this process's readings are durable.
 func (h *Holdings) OwnDurable() []pool.Meter { return h.durable.Readings(h.self) }
 
+// unhanded returns which of this process's readings are neither durable nor
+// with a witness.
+func (h *Holdings) unhanded() []pool.Meter {
+	return notCovered(notCovered(h.known.Readings(h.self), &h.durable), &h.handed)
+}
+
 // ReadingsOf returns a customer's readings.
 func (h *Holdings) ReadingsOf(id topology.CustomerID) []pool.Meter { return h.known.ReadingsOf(id) }
 
--- a/internal/usage/keeper.go
+++ b/internal/usage/keeper.go
@@ -134,7 +134,8 @@
 	Source    Source        `json:"source"`
 	Own       []pool.Meter  `json:"own"`
 	Durable   []pool.Meter  `json:"durable"`
-	Sources   int           `json:"sources"` // of which readings are kept
+	Unhanded  int           `json:"unhanded"` // own readings that no witness has yet
+	Sources   int           `json:"sources"`  // of which readings are kept
 	LastFlush time.Time     `json:"last_flush"`
 	Interval  time.Duration `json:"interval_ns"` // between writes
 }
@@ -148,6 +149,7 @@
 		Source:    k.self,
 		Own:       k.holdings.known.Readings(k.self),
 		Durable:   k.holdings.OwnDurable(),
+		Unhanded:  len(k.holdings.unhanded()),
 		Sources:   len(k.holdings.known.sources),
 		LastFlush: k.lastFlush,
 		Interval:  flushInterval(hosts),
