Pool: what an identified session reads as a write is answered only by a primary that isn't replaced

Cause: reads that aren't declared run as writes at the primary, without a floor of the session's other connections; a replaced primary that doesn't know of it yet could answer with older data. Change: a first batch that wrote nothing waits for a majority still at the primary's term when its session is identified or its floor isn't known. A connection that knows its floor is checked against it as before. Proof: TestReadAsAWriteNeedsACurrentPrimary is answered without the check, refused with it.

--- a/internal/pool/complete.go
+++ b/internal/pool/complete.go
@@ -33,17 +33,48 @@
 	if !s.open {
 		m.end(s, !s.unclean)
 	}
-	if !a.position.IsZero() {
-		sl.committed(a.position)
-		if err := m.confirm(ctx, s, sl, a.position); err != nil {
-			m.end(s, false)
-			return m.refusal(sl, req, err)
-		}
+	if err := m.vouch(ctx, s, sl, a.position); err != nil {
+		m.end(s, false)
+		return m.refusal(sl, req, err)
 	}
 	reply.Hint = m.hint(sl, req.Class)
 	return reply, nil
 }
 
+// vouch waits until the answer may be given: a commit is confirmed, and what
+// was read as a write was read at a primary that isn't replaced.
+func (m *Manager) vouch(ctx context.Context, s *stream, sl *slot, position topology.Position) error {
+	if !position.IsZero() {
+		sl.committed(position)
+		return m.confirm(ctx, s, sl, position)
+	}
+	if s.req.needsCurrentPrimary() {
+		return m.confirmPrimary(ctx, s)
+	}
+	return nil
+}
+
+// needsCurrentPrimary tells whether a batch that wrote nothing may have read
+// what its session must not see: it ran as a write, so that no floor was asked
+// for, and its caller's connection doesn't know all of the session's writes.
+func (r *Request) needsCurrentPrimary() bool {
+	return r.Class == Write && r.Batch == 1 && (r.Session != "" || r.Floor.IsZero())
+}
+
+// confirmPrimary refuses what was read at a primary whose term is over. Nothing
+// took effect, so that it may run again elsewhere.
+func (m *Manager) confirmPrimary(ctx context.Context, s *stream) error {
+	if m.opts.Confirm == nil {
+		return nil
+	}
+	ctx, cancel := context.WithDeadline(ctx, s.deadline)
+	defer cancel()
+	if err := m.opts.Confirm.Confirm(ctx, s.req.Group, topology.Position{Term: s.before.Term}); err != nil {
+		return result.New(result.NotPrimary, "read at a primary that may be replaced: %s", detail(err))
+	}
+	return nil
+}
+
 func (m *Manager) lastChunk(s *stream) *Reply {
 	a := s.answer
 	reply := &Reply{Messages: a.chunk(), TxStatus: a.txStatus, Position: a.position}
--- a/internal/pool/manager_test.go
+++ b/internal/pool/manager_test.go
@@ -230,3 +230,23 @@
 	qt.Assert(t, err, qt.IsNil)
 	wantCode(t, <-answered, result.BehindFloor)
 }
+
+// What an identified session reads as a write is answered only once a majority
+// knew, after the read, that its primary isn't replaced. A connection that knows
+// its floor needs no such word.
+func TestReadAsAWriteNeedsACurrentPrimary(t *testing.T) {
+	f := newFixture(t)
+	f.confirm.set(nil, result.New(result.NoMajority, "cut off"))
+	identified := f.query(Write, "ROWS 1 1")
+	identified.Session = "supervisor"
+	_, err := f.exec(identified)
+	wantCode(t, err, result.NotPrimary)
+	unknown := f.query(Write, "ROWS 1 1")
+	_, err = f.exec(unknown)
+	wantCode(t, err, result.NotPrimary)
+	f.fake.set(func() { f.fake.position.Offset = 1 })
+	known := f.query(Write, "ROWS 1 1")
+	known.Floor = topology.Position{Term: 1, Offset: 1}
+	_, err = f.exec(known)
+	qt.Assert(t, err, qt.IsNil)
+}
