--- a/internal/usage/keeper_test.go
+++ b/internal/usage/keeper_test.go
@@ -65,8 +65,8 @@
 	return hosts
 }
 
-// knowers returns how many live hosts have readings of a source.
-func (f *fleet) knowers(source usage.Source) int {
+// knowers returns how many live hosts know of that many statements at a source.
+func (f *fleet) knowers(source usage.Source, statements uint64) int {
 	n := 0
 	for _, host := range f.list() {
 		var reply usage.ReadReply
@@ -74,7 +74,7 @@
 			continue
 		}
 		for _, m := range reply.Readings {
-			if m.Host == source.Host && m.Boot == source.Boot {
+			if m.Host == source.Host && m.Boot == source.Boot && m.Total.Statements >= statements {
 				n++
 			}
 		}
@@ -143,7 +143,7 @@
 			c := qt.New(t)
 			f := newFleet(c, "a1", "a2", "b1", "b2", "c1", "c2")
 			f.run(c, "b1", "a1", 7)
-			waitFor(c, "others know", func() bool { return f.knowers(usage.Source{Host: "a1", Boot: 1}) >= test.known })
+			waitFor(c, "others know", func() bool { return f.knowers(usage.Source{Host: "a1", Boot: 1}, 7) >= test.known })
 			for _, id := range test.killed {
 				f.kill(id)
 			}
