Fleet: a dead host that greeted a moment ago and left the platform's list is gone

Cause: a host that announced itself within 30 s was kept although the list lacked it, and the list was applied only when it changed. When all hosts of a domain died, their slots stayed theirs. Change: the grace doesn't hold for a host that doesn't answer, and the list is applied again each second.

--- a/cmd/nettlewalk/follow.go
+++ b/cmd/nettlewalk/follow.go
@@ -2,14 +2,20 @@
 
 import (
 	"context"
+	"time"
 
 	"nettlewalk.example/nettlewalk/internal/fleet"
 	"nettlewalk.example/nettlewalk/internal/pool"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
-// followHosts gives the platform's host list to the fleet.
+const listInterval = time.Second // a dead host's slots wait for it once the list lacks the host
+
+// followHosts gives the platform's host list to the fleet, at each change and at
+// intervals: what follows from a list depends on the time too.
 func (h *host) followHosts(ctx context.Context) {
+	ticker := time.NewTicker(listInterval)
+	defer ticker.Stop()
 	for {
 		changed := h.store.Changed()
 		h.fleet.Apply(h.store.Hosts())
@@ -17,6 +23,7 @@
 		case <-ctx.Done():
 			return
 		case <-changed:
+		case <-ticker.C:
 		}
 	}
 }
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -37,7 +37,10 @@
 	return &Members{self: self, byID: make(map[topology.HostID]*member)}
 }
 
-// Apply takes the platform's list. An empty one says nothing.
+// Apply takes the platform's list. An empty one says nothing. A host that
+// announced itself lately may not be listed yet, unless calls to it fail. What
+// is concluded depends on the time, so the same list is to be applied again now
+// and then.
 func (m *Members) Apply(hosts []topology.Host, now time.Time) {
 	if len(hosts) == 0 {
 		return
@@ -51,7 +54,7 @@
 		m.list(h, now)
 	}
 	for id, known := range m.byID {
-		if !listed[id] && now.Sub(known.greeted) > helloGrace {
+		if !listed[id] && (known.suspicion.Suspected || now.Sub(known.greeted) > helloGrace) {
 			delete(m.byID, id)
 		}
 	}
--- a/internal/fleet/members_test.go
+++ b/internal/fleet/members_test.go
@@ -99,6 +99,21 @@
 	qt.Assert(t, stateOf(m, "fresh"), qt.Equals, topology.HostState(""))
 }
 
+// A host that greeted a moment ago, died and was taken off the list is gone, also
+// where it was the last of its domain.
+func TestGreetingDoesNotOutliveADeadHost(t *testing.T) {
+	m, id := twoMembers()
+	m.Hello(fleetOf(2, 1)[1], start)
+	now := start
+	for !m.Suspected(id) {
+		now = now.Add(100 * time.Millisecond)
+		m.Report(id, false, now)
+		qt.Assert(t, now.Sub(start) < helloGrace, qt.IsTrue)
+	}
+	m.Apply(fleetOf(1, 1), now)
+	qt.Assert(t, stateOf(m, id), qt.Equals, topology.HostState(""))
+}
+
 func TestStateFlipsAtMostOncePerSuspicionTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m, id := twoMembers()
--- a/test/integration/atmostonce_test.go
+++ b/test/integration/atmostonce_test.go
@@ -39,6 +39,28 @@
 	}
 }
 
+// Every host of the primary's domain and of another one dies and is taken off
+// the platform's list. The last domain's hosts take over the slots of all
+// targets, and writes land again.
+func TestAllHostsOfTwoDomainsDie(t *testing.T) {
+	plan := testbed.Association()
+	plan.Groups = plan.Groups[:1]
+	bed, ctx := start(t, plan)
+	last := len(bed.Hosts) - 1
+	for _, h := range bed.Hosts {
+		if h.Domain == bed.Hosts[last].Domain {
+			continue
+		}
+		qt.Assert(t, h.Kill(), qt.IsNil)
+		qt.Assert(t, h.MarkGone(ctx), qt.IsNil)
+	}
+	conn := connect(t, ctx, bed, last)
+	bound, cancel := context.WithTimeout(ctx, failoverBound)
+	defer cancel()
+	err := testbed.Until(bound, "writes land", func() bool { return insert(bound, conn, "after") == nil })
+	qt.Assert(t, err, qt.IsNil)
+}
+
 // After a transaction is lost, its later statements run neither outside of it
 // nor in another one.
 func TestStatementsAfterALostTransactionDoNotRun(t *testing.T) {
