Configuration: two tests wait for the host list before they cut

Cause: under load the platform was cut off before the second node had read the list of hosts; a node that knows no peer and has no seed has no way to learn anything. A trial's trace shows it: rate in force, host list not whole, "no peer is known". Ruled out: the pulls and the store (both right in the trace). Change: the tests' starting condition is that the list is known; what they demand afterwards and its bound stay.

--- a/internal/customer/spreader_test.go
+++ b/internal/customer/spreader_test.go
@@ -55,7 +55,9 @@
 	c := newCluster(t)
 	a, b := c.add("h1", "d1", true), c.add("h2", "d2", true)
 	c.putCustomer("a", 1)
-	waitFor(t, inForceLimit, "both", func() bool { return a.rate("a") == 1 && b.rate("a") == 1 })
+	waitFor(t, inForceLimit, "both", func() bool {
+		return a.rate("a") == 1 && b.rate("a") == 1 && len(b.store.Hosts()) == 2
+	})
 	b.link.setCut(true)
 	c.put("template", "t", map[string]any{"parameters": map[string]any{"rate": 2}})
 	waitFor(t, inForceLimit, "the peer's news", func() bool { return b.rate("a") == 2 })
@@ -65,7 +67,9 @@
 	c := newCluster(t)
 	a, b := c.add("h1", "d1", true), c.add("h2", "d2", true)
 	c.putCustomer("a", 1)
-	waitFor(t, inForceLimit, "both", func() bool { return a.rate("a") == 1 && b.rate("a") == 1 })
+	waitFor(t, inForceLimit, "both", func() bool {
+		return a.rate("a") == 1 && b.rate("a") == 1 && len(b.store.Hosts()) == 2
+	})
 	c.setCut("d2", true)
 	b.link.setCut(true)
 	for i := range 5 {
