--- a/internal/failover/monitor.go
+++ b/internal/failover/monitor.go
@@ -33,10 +33,7 @@
 	Policy    func(topology.GroupID) customer.Acknowledge
 	Publisher Publisher       // nil: nothing is published
 	Dial      target.DialFunc // for probes; nil dials directly
-	// OnChange is called when a watched group's primary of a higher term is
-	// known: nothing that an earlier primary still does will be confirmed.
-	OnChange func(group topology.GroupID, term uint64, primary topology.TargetID)
-	Log      logr.Logger
+	Log       logr.Logger
 }
 
 // Monitor confirms commits and changes the primaries of the groups of which
--- a/internal/failover/times.go
+++ b/internal/failover/times.go
@@ -25,14 +25,15 @@
 	Alert          time.Duration // targets are polled fast after another host asked
 }
 
-// groupsAtFullRate is how many groups a host polls at the shortest interval;
-// with more the interval grows, so that the cost of control stays bounded.
-const groupsAtFullRate = 4
+const (
+	shortestPoll = 125 * time.Millisecond   // of a host with few groups; shorter ones only cost more
+	pollShare    = 62500 * time.Microsecond // a group's part of the interval: 16 polls of primaries a second bound the cost of control
+)
 
-// TimesFor returns the periods of a host that watches that many groups.
+// TimesFor returns the periods of a host that watches that many groups. The
+// more they are, the longer it takes to suspect a primary.
 func TimesFor(groups int) Times {
-	scale := max(1, (groups+groupsAtFullRate-1)/groupsAtFullRate)
-	poll := time.Duration(scale) * 125 * time.Millisecond
+	poll := max(shortestPoll, time.Duration(groups)*pollShare)
 	return Times{
 		Poll:           poll,
 		SparsePoll:     4 * poll,
--- a/internal/failover/watched.go
+++ b/internal/failover/watched.go
@@ -21,7 +21,6 @@
 	stopped bool
 	changed chan struct{} // closed at the next step
 	began   time.Time     // of the change under way
-	term    uint64        // of the primary that OnChange was told of
 }
 
 func (w *watched) step(ev Event) {
@@ -36,31 +35,11 @@
 		w.changed = make(chan struct{})
 	}
 	w.mu.Unlock()
-	w.tellChange()
 	for _, a := range actions {
 		w.act(a)
 	}
 }
 
-// tellChange calls OnChange once for each new primary.
-func (w *watched) tellChange() {
-	tell := w.monitor.opts.OnChange
-	if tell == nil {
-		return
-	}
-	w.mu.Lock()
-	term, primary, certain := w.machine.Lead()
-	first := w.term == 0
-	changed := certain && term > w.term
-	if changed {
-		w.term = term
-	}
-	w.mu.Unlock()
-	if changed && !first {
-		tell(w.id, term, primary)
-	}
-}
-
 func (w *watched) act(a Action) {
 	switch a := a.(type) {
 	case Poll:
--- a/internal/pool/control.go
+++ b/internal/pool/control.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	statusInterval = 500 * time.Millisecond // heartbeat of a control connection
+	statusInterval = time.Second            // heartbeat of a control connection; failover polls primaries more often
 	statusTimeout  = 300 * time.Millisecond // a status takes one round trip
 	orderTimeout   = time.Second            // a fence, promotion or follow
 	controlConnect = 400 * time.Millisecond // connecting costs up to 30 ms
