--- a/test/standin/target/replicate.go
+++ b/test/standin/target/replicate.go
@@ -30,7 +30,6 @@
 	Refused bool   // neither the primary of that term nor its fenced former one
 	Keep    uint64 // in the first message: last offset that both logs share
 	Entries []Entry
-	Ages    []time.Duration // since each commit
 }
 
 // serveReplica streams the log to one replica. A fenced primary goes on, so
@@ -77,9 +76,6 @@
 	}
 	end := min(n.log.len(), after+replicationBatch)
 	b.Entries = append(b.Entries, n.log.entries[after:end]...)
-	for _, e := range b.Entries {
-		b.Ages = append(b.Ages, time.Since(e.Time))
-	}
 	return b
 }
 
@@ -151,9 +147,8 @@
 			return err
 		}
 	}
-	arrived := time.Now()
-	for i, e := range b.Entries {
-		if err := n.waitLag(ctx, m, arrived.Add(-b.Ages[i])); err != nil {
+	for _, e := range b.Entries {
+		if err := n.waitLag(ctx, m, e.Time); err != nil {
 			return err
 		}
 		if err := n.receiveOne(m, e); err != nil {
