--- /dev/null
+++ b/cmd/nettlewalk/fleethost.go
@@ -0,0 +1,283 @@
+package main
+
+import (
+	"context"
+	"hash/fnv"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"nettlewalk.example/nettlewalk/internal/catalog"
+	"nettlewalk.example/nettlewalk/internal/duty"
+	"nettlewalk.example/nettlewalk/internal/gossip"
+	"nettlewalk.example/nettlewalk/internal/group"
+	"nettlewalk.example/nettlewalk/internal/peer"
+	storeclient "nettlewalk.example/nettlewalk/internal/platform"
+	"nettlewalk.example/nettlewalk/internal/promotion"
+	"nettlewalk.example/nettlewalk/internal/relay"
+	"nettlewalk.example/nettlewalk/internal/statement"
+	"nettlewalk.example/nettlewalk/internal/steady"
+	"nettlewalk.example/nettlewalk/internal/topology"
+	"nettlewalk.example/nettlewalk/platform"
+)
+
+// fleetHost is a host on the users' platform. It joins the slices and decides nothing.
+type fleetHost struct {
+	settings *platform.Settings
+	log      logr.Logger
+	begun    time.Time
+
+	store   *storeclient.Client
+	catalog *catalog.Store
+	server  *peer.Server
+	peers   *peer.Client
+	gossip  *gossip.Gossip
+	duty    *duty.Keeper
+	desk    *promotion.Desk
+	groups  *group.Set
+	relay   *relay.Server
+	leaving atomic.Bool
+}
+
+const (
+	storeTimeout = 1 * time.Second  // of one call to the store, which answers in milliseconds
+	watchWait    = 10 * time.Second // a watch costs a call; other hosts tell news in between
+	// settleTime is how long a host waits to hear of the others before it
+	// assumes that it knows them all. A round of gossip takes half a second.
+	settleTime = 1500 * time.Millisecond
+)
+
+func newFleetHost(s *platform.Settings, log logr.Logger) *fleetHost {
+	h := &fleetHost{settings: s, log: log, begun: steady.Now(), catalog: catalog.NewStore(), desk: promotion.NewDesk()}
+	self := topology.HostID(s.Peers)
+	boot := rand.Uint64()
+	key := peerKey(s)
+	h.store = storeclient.New(storeclient.Options{
+		Addr: s.Store, CallTimeout: storeTimeout, WatchWait: watchWait,
+		Dialect: platform.StoreDialect{}, Log: log.WithName("store"),
+	})
+	h.server = peer.NewServer(key, self, log.WithName("peer"))
+	resolve := func(id topology.HostID) (string, bool) { return string(id), true }
+	h.peers = peer.NewClient(key, self, resolve, nil)
+	h.gossip = gossip.New(gossip.Options{
+		Self:    gossip.Host{Addr: self, Name: string(s.Host), Domain: s.Domain, Boot: boot},
+		Seeds:   hostIDs(s.Seeds),
+		Catalog: h.catalog, Caller: h.peers, Log: log.WithName("gossip"),
+	})
+	h.duty = duty.New(duty.Options{
+		Self: self, Name: string(s.Host), Boot: boot, Store: h.store, Hosts: h.gossip,
+		Log: log.WithName("duty"), Changed: h.gossip.Kick,
+	})
+	h.gossip.SetClaims(h.duty)
+	h.groups = group.NewSet(group.SetOptions{
+		Domain: s.Domain, Dialer: platform.TargetDialer{}, Catalog: h.catalog,
+		Hosts: h.sharers, Suspect: h.suspect, LeaderFound: func(topology.GroupID, topology.TargetID) {},
+		Log: log.WithName("group"),
+	})
+	h.relay = relay.NewServer(relay.Options{
+		Catalog: h.catalog, Groups: h.groups, Accept: platform.NewCallerConn, Log: log.WithName("relay"),
+	})
+	return h
+}
+
+// peerKey is the key by which hosts of one deployment know each other. The
+// platform gives them no secret.
+func peerKey(s *platform.Settings) []byte {
+	sum := fnv.New128a()
+	_, _ = sum.Write([]byte(s.Store + " " + s.Promotions))
+	return sum.Sum(nil)
+}
+
+func hostIDs(addrs []string) []topology.HostID {
+	ids := make([]topology.HostID, 0, len(addrs))
+	for _, a := range addrs {
+		ids = append(ids, topology.HostID(a))
+	}
+	return ids
+}
+
+// sharers returns how many hosts share the targets' connections, 0 while this
+// host may not have heard of all.
+func (h *fleetHost) sharers() int {
+	live := len(h.gossip.Live())
+	if live < 2 && steady.Now().Sub(h.begun) < settleTime {
+		return 0
+	}
+	return live
+}
+
+// suspect reports a target that can't be reached to the holder of the duty.
+func (h *fleetHost) suspect(id topology.GroupID, target topology.TargetID, _ statement.DialOutcome) {
+	holder, ok := h.duty.Holder(id)
+	if !ok {
+		return
+	}
+	silence := promotion.Silence{From: topology.HostID(h.settings.Peers), Group: id, Target: target}
+	if holder == silence.From {
+		h.desk.Take(silence)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+		defer cancel()
+		if err := promotion.Send(ctx, h.peers, holder, silence); err != nil {
+			h.log.V(1).Info("silence not reported", "group", id, "target", target, "error", err.Error())
+		}
+	}()
+}
+
+// run serves until ctx ends and then leaves.
+func (h *fleetHost) run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	callers, err := h.listen(work)
+	if err != nil {
+		return err
+	}
+	go h.store.Follow(work, platform.KindConfiguration, &catalog.ConfigurationFeed{
+		Name: platform.NameConfiguration, Decode: platform.DecodeConfiguration, Store: h.catalog, Log: h.log.WithName("catalog"),
+	})
+	go h.store.Follow(work, platform.KindTargets, &catalog.RegisterFeed{
+		Decode: platform.DecodeMember, Store: h.catalog, Log: h.log.WithName("catalog"),
+	})
+	go h.gossip.Run(work)
+	go h.duty.Run(work)
+	go h.groups.Run(work)
+	go h.followGroups(work)
+	go h.spread(work)
+	h.log.Info("serving", "callers", h.settings.Callers, "peers", h.settings.Peers)
+	<-ctx.Done()
+	h.leave(callers)
+	return nil
+}
+
+// listen opens every address of the host and serves them.
+func (h *fleetHost) listen(ctx context.Context) (callers net.Listener, err error) {
+	if err := h.server.Register(gossip.ServiceName, h.gossip.Service()); err != nil {
+		return nil, err
+	}
+	if err := h.server.Register(promotion.ServiceName, h.desk.Service()); err != nil {
+		return nil, err
+	}
+	if callers, err = net.Listen("tcp", h.settings.Callers); err != nil {
+		return nil, errors.Wrap(err, "listen for callers")
+	}
+	peers, err := net.Listen("tcp", h.settings.Peers)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	ready, err := net.Listen("tcp", h.settings.Readiness)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for probes")
+	}
+	inspect, err := net.Listen("tcp", h.settings.MetricsAt)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for metrics")
+	}
+	go func() { _ = h.server.Serve(ctx, peers) }()
+	go func() { _ = http.Serve(ready, platform.ReadinessHandler(h.ready)) }()
+	go func() { _ = http.Serve(inspect, inspection()) }()
+	go func() {
+		if err := h.relay.Serve(ctx, callers); err != nil {
+			h.log.Error(err, "callers are served no more")
+		}
+	}()
+	return callers, nil
+}
+
+func (h *fleetHost) ready() bool {
+	return !h.leaving.Load() && h.catalog.Configuration() != nil && h.groups.Ready()
+}
+
+// inspection serves metrics.
+func inspection() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	return mux
+}
+
+// spread tells other hosts of each change of the catalog at once.
+func (h *fleetHost) spread(ctx context.Context) {
+	for {
+		changed := h.catalog.Changed()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+			h.gossip.Kick()
+		}
+	}
+}
+
+// followGroups starts a watcher for each group.
+func (h *fleetHost) followGroups(ctx context.Context) {
+	ticker := time.NewTicker(settleTime)
+	defer ticker.Stop()
+	for {
+		changed := h.catalog.Changed()
+		if c := h.catalog.Configuration(); c != nil {
+			h.watchGroups(ctx, c)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+func (h *fleetHost) watchGroups(ctx context.Context, c *catalog.Configuration) {
+	ids := make([]topology.GroupID, 0, len(c.Groups))
+	for id := range c.Groups {
+		ids = append(ids, id)
+	}
+	h.duty.SetGroups(ids)
+	for _, id := range ids {
+		belief := h.groups.Group(id)
+		if belief == nil {
+			continue // it is made from the same change, and found at the next look
+		}
+		h.desk.Ensure(ctx, id, func() *promotion.Watcher {
+			return promotion.NewWatcher(promotion.Options{
+				Group: id, Name: string(h.settings.Host), Dialer: platform.TargetDialer{}, Parse: platform.ParseStatus,
+				Promoter: platform.NewPromoter(h.settings.Promotions), Duty: h.duty, Catalog: h.catalog, Belief: belief,
+				Hosts: func() int { return len(h.gossip.Live()) }, Log: h.log.WithName("promotion"),
+			})
+		})
+	}
+}
+
+const (
+	// rotationTime is how long new callers still come after the readiness probe
+	// fails: two probes a second apart, and a little.
+	rotationTime = 2300 * time.Millisecond
+	// exitMargin is kept of the grace period for the process's end.
+	exitMargin = 700 * time.Millisecond
+)
+
+// leave stops without cutting a request: it waits until no new callers are sent
+// here, closes sessions between requests, ends transactions after half of the
+// grace period, and waits for the rest.
+func (h *fleetHost) leave(callers net.Listener) {
+	began := time.Now()
+	h.leaving.Store(true)
+	h.log.Info("leaving", "sessions", h.relay.Sessions())
+	h.gossip.Leave()
+	release, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	go h.duty.Release(release)
+	time.Sleep(rotationTime)
+	h.relay.CloseIdle()
+	_ = callers.Close()
+	time.Sleep(max(0, h.settings.Grace/2-time.Since(began)))
+	h.relay.CutTransactions()
+	whole := h.relay.Wait(h.settings.Grace - exitMargin - time.Since(began))
+	h.log.Info("left", "all_ended", whole, "sessions", h.relay.Sessions())
+}
--- a/cmd/nettlewalk/serve.go
+++ b/cmd/nettlewalk/serve.go
@@ -6,17 +6,47 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/integrii/flaggy"
+
+	"nettlewalk.example/nettlewalk/internal/eventlog"
+	"nettlewalk.example/nettlewalk/platform"
 )
 
 func serveCommand() command {
 	var path string
 	cmd := flaggy.NewSubcommand("serve")
 	cmd.Description = "Run a host until SIGTERM or SIGINT, then leave without cutting a request"
-	cmd.String(&path, "c", "config", "settings file")
-	return command{Subcommand: cmd, run: func() error { return serve(path) }}
+	cmd.String(&path, "c", "config", "settings file; without it, the file that "+platform.PathVariable+" names, in the platform's format")
+	return command{Subcommand: cmd, run: func() error {
+		if onPlatform(path) {
+			return serveOnPlatform()
+		}
+		return serve(path)
+	}}
+}
+
+// onPlatform tells whether the platform's settings file is the one to use.
+func onPlatform(path string) bool { return path == "" && os.Getenv(platform.PathVariable) != "" }
+
+// flushLimit is how long the end of the process may wait for its last log lines.
+const flushLimit = 200 * time.Millisecond
+
+// serveOnPlatform runs a host by the platform's settings file.
+func serveOnPlatform() error {
+	s, err := platform.LoadSettings(os.Getenv(platform.PathVariable))
+	if err != nil {
+		return err
+	}
+	setCollection()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	out := eventlog.NewWriter(os.Stdout)
+	defer out.Flush(flushLimit)
+	log := eventlog.New(out, 0).WithValues("host", s.Host)
+	return newFleetHost(s, log).run(ctx)
 }
 
 func serve(path string) error {
--- /dev/null
+++ b/internal/duty/claim.go
@@ -0,0 +1,55 @@
+package duty
+
+import (
+	"time"
+
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// Kind is the kind of the store's objects that hold claims, one per group.
+const Kind = "nettlewalk-duties"
+
+// Claim says who is responsible for a group. A higher token overrides.
+type Claim struct {
+	Group    topology.GroupID `json:"group"`
+	Holder   topology.HostID  `json:"holder"` // address for other hosts
+	Name     string           `json:"name"`   // of the host, for the platform
+	Boot     uint64           `json:"boot"`   // incarnation of the holder's process
+	Token    uint64           `json:"token"`
+	Released bool             `json:"released,omitempty"` // the holder has left
+}
+
+const (
+	// takeoverAfter is how long a holder must have been silent on the hosts'
+	// own paths before another takes its duty: four rounds of gossip.
+	takeoverAfter = 2 * time.Second
+	// rankPause keeps hosts from racing for a duty: each rank waits so much
+	// longer. A write to the store takes some milliseconds.
+	rankPause = 300 * time.Millisecond
+)
+
+// situation is what a host knows when it decides about a group's duty.
+type situation struct {
+	self     topology.HostID
+	boot     uint64
+	claim    Claim         // the zero claim: none is known
+	heardAgo time.Duration // since the holder was last heard of
+	rank     int           // of this host among the live ones, 0 first
+	waited   time.Duration // since this host could first have taken the duty
+}
+
+// decide tells whether the host should try to take the duty now.
+func decide(s situation) bool {
+	mine := s.claim.Holder == s.self && s.claim.Boot == s.boot && !s.claim.Released
+	if mine {
+		return false
+	}
+	patience := time.Duration(s.rank) * rankPause
+	switch {
+	case s.claim.Token == 0, s.claim.Released:
+		return s.waited >= patience
+	case s.claim.Holder == s.self: // an earlier process of this host held it
+		return true
+	}
+	return s.heardAgo >= takeoverAfter+patience
+}
--- /dev/null
+++ b/internal/duty/keeper.go
@@ -0,0 +1,296 @@
+package duty
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"nettlewalk.example/nettlewalk/internal/failover"
+	"nettlewalk.example/nettlewalk/internal/platform"
+	"nettlewalk.example/nettlewalk/internal/result"
+	"nettlewalk.example/nettlewalk/internal/steady"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+const (
+	tick        = 200 * time.Millisecond // between looks whether a duty is to be taken
+	takeTimeout = 1500 * time.Millisecond
+	retryTake   = 500 * time.Millisecond // after a take that failed
+)
+
+// Store is the part of the platform's client that claims need.
+type Store interface {
+	Get(ctx context.Context, kind, name string) (platform.Object, error)
+	List(ctx context.Context, kind string) (platform.List, error)
+	PutIf(ctx context.Context, object platform.Object) (platform.Object, error)
+}
+
+// Hosts is what is known of the other hosts.
+type Hosts interface {
+	// HeardAgo returns for how long nothing was heard of the host, false if
+	// nothing ever was.
+	HeardAgo(topology.HostID) (time.Duration, bool)
+	// Live returns the hosts that take part, this one included.
+	Live() []topology.HostID
+}
+
+// Options configures a Keeper.
+type Options struct {
+	Self  topology.HostID
+	Name  string
+	Boot  uint64
+	Store Store
+	Hosts Hosts
+	Log   logr.Logger
+	// Changed is told when a claim became known.
+	Changed func()
+}
+
+// Keeper holds duties for this host. Safe for concurrent use.
+type Keeper struct {
+	opts  Options
+	begun time.Time
+
+	mu     sync.Mutex
+	claims map[topology.GroupID]Claim
+	groups []topology.GroupID
+	free   map[topology.GroupID]time.Time // since when nobody holds it
+	next   map[topology.GroupID]time.Time // no take before
+}
+
+// New returns a keeper that knows of no claim.
+func New(opts Options) *Keeper {
+	return &Keeper{
+		opts:   opts,
+		begun:  steady.Now(),
+		claims: map[topology.GroupID]Claim{},
+		free:   map[topology.GroupID]time.Time{},
+		next:   map[topology.GroupID]time.Time{},
+	}
+}
+
+// SetGroups tells which groups there are duties for.
+func (k *Keeper) SetGroups(ids []topology.GroupID) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.groups = ids
+}
+
+// Learn takes what another host or the store knows of a claim.
+func (k *Keeper) Learn(c Claim) {
+	k.mu.Lock()
+	old := k.claims[c.Group]
+	newer := c.Token > old.Token || (c.Token == old.Token && c.Released && !old.Released)
+	if newer {
+		k.claims[c.Group] = c
+		delete(k.free, c.Group)
+	}
+	k.mu.Unlock()
+	if newer {
+		k.opts.Log.Info("duty known", "group", c.Group, "holder", c.Name, "token", c.Token, "released", c.Released, "mine", k.isMine(c))
+		k.opts.Changed()
+	}
+}
+
+// Claims returns every claim known.
+func (k *Keeper) Claims() []Claim {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	list := make([]Claim, 0, len(k.claims))
+	for _, c := range k.claims {
+		list = append(list, c)
+	}
+	return list
+}
+
+func (k *Keeper) isMine(c Claim) bool {
+	return c.Holder == k.opts.Self && c.Boot == k.opts.Boot && !c.Released
+}
+
+// Token returns the token under which this host holds the group's duty.
+func (k *Keeper) Token(id topology.GroupID) (token uint64, mine bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	c := k.claims[id]
+	return c.Token, k.isMine(c)
+}
+
+// Holder returns who holds the group's duty.
+func (k *Keeper) Holder(id topology.GroupID) (topology.HostID, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	c, ok := k.claims[id]
+	return c.Holder, ok && !c.Released
+}
+
+// Run takes duties that nobody holds until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	k.load(ctx)
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, id := range k.due(steady.Now()) {
+			k.take(ctx, id)
+		}
+	}
+}
+
+// load reads the claims that stand in the store.
+func (k *Keeper) load(ctx context.Context) {
+	list, err := k.opts.Store.List(ctx, Kind)
+	if err != nil {
+		k.opts.Log.Info("duties not read, other hosts may know them", "error", err.Error())
+		return
+	}
+	for _, o := range list.Objects {
+		if c, err := decode(o); err == nil {
+			k.Learn(c)
+		} else {
+			k.opts.Log.Error(err, "duty ignored", "name", o.Name)
+		}
+	}
+}
+
+func decode(o platform.Object) (c Claim, err error) {
+	err = errors.Wrap(json.Unmarshal(o.Value, &c), "claim")
+	return c, err
+}
+
+// due lists the groups whose duty this host should try to take.
+func (k *Keeper) due(now time.Time) []topology.GroupID {
+	live := k.opts.Hosts.Live()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var due []topology.GroupID
+	for _, id := range k.groups {
+		if now.Before(k.next[id]) {
+			continue
+		}
+		if decide(k.situation(id, live, now)) {
+			k.next[id] = now.Add(retryTake)
+			due = append(due, id)
+		}
+	}
+	return due
+}
+
+// situation needs k.mu.
+func (k *Keeper) situation(id topology.GroupID, live []topology.HostID, now time.Time) situation {
+	c := k.claims[id]
+	s := situation{self: k.opts.Self, boot: k.opts.Boot, claim: c, rank: failover.Rank(id, k.opts.Self, live)}
+	heard, ok := k.opts.Hosts.HeardAgo(c.Holder)
+	if !ok {
+		heard = now.Sub(k.begun)
+	}
+	s.heardAgo = heard
+	if c.Token == 0 || c.Released {
+		if k.free[id].IsZero() {
+			k.free[id] = now
+		}
+		s.waited = now.Sub(k.free[id])
+	}
+	return s
+}
+
+// take tries to become the holder. Only what the store is seen to hold counts.
+func (k *Keeper) take(ctx context.Context, id topology.GroupID) {
+	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
+	defer cancel()
+	if err := k.Renew(ctx, id); err != nil {
+		k.opts.Log.Info("duty not taken", "group", id, "error", err.Error())
+	}
+}
+
+// ErrTaken means that another host holds the duty.
+var ErrTaken = errors.New("another host holds the duty")
+
+// Renew writes this host as the holder under a higher token than any before,
+// unless another host took the duty since this one last looked.
+func (k *Keeper) Renew(ctx context.Context, id topology.GroupID) error {
+	k.mu.Lock()
+	known := k.claims[id]
+	k.mu.Unlock()
+	object, found, err := k.read(ctx, id)
+	if err != nil {
+		return err
+	}
+	if found.Token > known.Token {
+		k.Learn(found)
+		return ErrTaken
+	}
+	claim := Claim{Group: id, Holder: k.opts.Self, Name: k.opts.Name, Boot: k.opts.Boot, Token: max(found.Token, known.Token) + 1}
+	if object.Value, err = json.Marshal(claim); err != nil {
+		return err
+	}
+	if _, err = k.opts.Store.PutIf(ctx, object); err == nil {
+		k.Learn(claim)
+		return nil
+	}
+	return k.lookAgain(ctx, id, claim, err)
+}
+
+// lookAgain finds out what became of a write whose answer was lost, or who was
+// faster.
+func (k *Keeper) lookAgain(ctx context.Context, id topology.GroupID, claim Claim, cause error) error {
+	_, found, err := k.read(ctx, id)
+	if err != nil {
+		return errors.CombineErrors(cause, err)
+	}
+	k.Learn(found)
+	if found == claim {
+		return nil
+	}
+	return cause
+}
+
+// read returns the group's object, an empty one if there is none yet.
+func (k *Keeper) read(ctx context.Context, id topology.GroupID) (platform.Object, Claim, error) {
+	object, err := k.opts.Store.Get(ctx, Kind, string(id))
+	var coded *result.Error
+	if errors.As(err, &coded) && coded.Code == result.NotFound {
+		return platform.Object{Kind: Kind, Name: string(id)}, Claim{}, nil
+	}
+	if err != nil {
+		return object, Claim{}, err
+	}
+	claim, err := decode(object)
+	return object, claim, err
+}
+
+// Release gives up every duty, so that others needn't wait for this host's silence.
+func (k *Keeper) Release(ctx context.Context) {
+	for _, c := range k.Claims() {
+		if !k.isMine(c) {
+			continue
+		}
+		if err := k.release(ctx, c); err != nil {
+			k.opts.Log.Info("duty not released", "group", c.Group, "error", err.Error())
+		}
+	}
+}
+
+func (k *Keeper) release(ctx context.Context, c Claim) error {
+	object, found, err := k.read(ctx, c.Group)
+	if err != nil {
+		return err
+	}
+	if found != c {
+		return ErrTaken
+	}
+	c.Released = true
+	if object.Value, err = json.Marshal(c); err != nil {
+		return err
+	}
+	k.Learn(c)
+	_, err = k.opts.Store.PutIf(ctx, object)
+	return err
+}
--- /dev/null
+++ b/internal/gossip/digest.go
@@ -0,0 +1,37 @@
+package gossip
+
+import (
+	"nettlewalk.example/nettlewalk/internal/catalog"
+	"nettlewalk.example/nettlewalk/internal/duty"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// ServiceName is the name under which hosts exchange digests.
+const ServiceName = "Gossip"
+
+const exchangeMethod = ServiceName + ".Exchange"
+
+// Host is a host as it announces itself.
+type Host struct {
+	Addr    topology.HostID // for other hosts
+	Name    string
+	Domain  topology.Domain
+	Boot    uint64 // incarnation of its process
+	Leaving bool
+}
+
+// Digest is what one host tells another.
+type Digest struct {
+	From          Host
+	Configuration uint64 // versions that it knows
+	Register      uint64
+	Hosts         []topology.HostID
+	Claims        []duty.Claim
+}
+
+// News is the answer: the other's digest, and what the asker lacks.
+type News struct {
+	Digest
+	NewConfiguration *catalog.Configuration
+	NewRegister      *catalog.Register
+}
--- /dev/null
+++ b/internal/gossip/gossip.go
@@ -0,0 +1,269 @@
+package gossip
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"nettlewalk.example/nettlewalk/internal/catalog"
+	"nettlewalk.example/nettlewalk/internal/duty"
+	"nettlewalk.example/nettlewalk/internal/peer"
+	"nettlewalk.example/nettlewalk/internal/steady"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+const (
+	interval = 500 * time.Millisecond // between rounds; news travel at once besides
+	timeout  = 450 * time.Millisecond // of one exchange, some round trips
+	// fanout is how many hosts one round asks. With it, all hear of a holder's
+	// silence within a takeover's patience.
+	fanout = 8
+	// liveFor is how long a host counts as live after it was heard of. Hosts
+	// restart within it, and their share of connections is kept for them.
+	liveFor = 8 * time.Second
+	// forgetAfter is how long a silent host is still asked.
+	forgetAfter = 60 * time.Second
+)
+
+// Claims is the part of duty.Keeper that gossip needs.
+type Claims interface {
+	Learn(duty.Claim)
+	Claims() []duty.Claim
+}
+
+// Options configures a Gossip.
+type Options struct {
+	Self    Host
+	Seeds   []topology.HostID
+	Catalog *catalog.Store
+	Caller  peer.Caller
+	Log     logr.Logger
+}
+
+// known is a host that this one has heard of.
+type known struct {
+	host  Host
+	heard time.Time // zero: never
+	named time.Time // since when it is known
+	lost  bool      // its silence was logged
+}
+
+// Gossip exchanges digests with other hosts. Safe for concurrent use.
+type Gossip struct {
+	opts   Options
+	claims Claims
+	kick   chan struct{}
+
+	mu    sync.Mutex
+	self  Host
+	hosts map[topology.HostID]*known
+}
+
+// New returns a gossip that knows the seeds. SetClaims must be called before Run.
+func New(opts Options) *Gossip {
+	g := &Gossip{opts: opts, self: opts.Self, kick: make(chan struct{}, 1), hosts: map[topology.HostID]*known{}}
+	g.Add(opts.Seeds...)
+	return g
+}
+
+// SetClaims joins the keeper of duties.
+func (g *Gossip) SetClaims(c Claims) { g.claims = c }
+
+// Add names hosts that may exist.
+func (g *Gossip) Add(addrs ...topology.HostID) {
+	now := steady.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, addr := range addrs {
+		if addr != g.self.Addr && g.hosts[addr] == nil {
+			g.hosts[addr] = &known{host: Host{Addr: addr}, named: now}
+		}
+	}
+}
+
+// Leave announces that this host leaves.
+func (g *Gossip) Leave() {
+	g.mu.Lock()
+	g.self.Leaving = true
+	g.mu.Unlock()
+	g.Kick()
+}
+
+// Kick starts a round at once, to spread news.
+func (g *Gossip) Kick() {
+	select {
+	case g.kick <- struct{}{}:
+	default: // a round is due anyway
+	}
+}
+
+// HeardAgo implements duty.Hosts.
+func (g *Gossip) HeardAgo(id topology.HostID) (time.Duration, bool) {
+	now := steady.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	k := g.hosts[id]
+	if k == nil || k.heard.IsZero() {
+		return 0, false
+	}
+	return now.Sub(k.heard), true
+}
+
+// Live implements duty.Hosts: the hosts heard of lately, this one included.
+func (g *Gossip) Live() []topology.HostID {
+	now := steady.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	live := []topology.HostID{g.self.Addr}
+	for id, k := range g.hosts {
+		if !k.heard.IsZero() && now.Sub(k.heard) < liveFor && !k.host.Leaving {
+			live = append(live, id)
+		}
+	}
+	slices.Sort(live)
+	return live
+}
+
+// Hosts returns what is known of each other host.
+func (g *Gossip) Hosts() []Host {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	list := make([]Host, 0, len(g.hosts))
+	for _, k := range g.hosts {
+		list = append(list, k.host)
+	}
+	return list
+}
+
+// Run exchanges digests until ctx ends.
+func (g *Gossip) Run(ctx context.Context) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		for _, id := range g.round() {
+			go g.exchange(ctx, id)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-g.kick:
+		}
+	}
+}
+
+// round returns the hosts to ask, and forgets those silent for long.
+func (g *Gossip) round() []topology.HostID {
+	now := steady.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var ids []topology.HostID
+	for id, k := range g.hosts {
+		if now.Sub(later(k.heard, k.named)) > forgetAfter && !slices.Contains(g.opts.Seeds, id) {
+			delete(g.hosts, id)
+			continue
+		}
+		if !k.lost && !k.heard.IsZero() && now.Sub(k.heard) > liveFor {
+			k.lost = true
+			g.opts.Log.Info("host is silent", "host", k.host.Name, "addr", id)
+		}
+		ids = append(ids, id)
+	}
+	rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	return ids[:min(len(ids), fanout)]
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func (g *Gossip) exchange(ctx context.Context, id topology.HostID) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	digest := g.digest()
+	var news News
+	if err := g.opts.Caller.Call(ctx, id, exchangeMethod, &digest, &news); err != nil {
+		g.opts.Log.V(1).Info("no answer from a host", "addr", id, "error", err.Error())
+		return
+	}
+	g.take(&news.Digest)
+	if g.opts.Catalog.OfferConfiguration(news.NewConfiguration) {
+		g.opts.Log.Info("configuration in force", "version", news.NewConfiguration.Version, "source", news.From.Name, "routes", len(news.NewConfiguration.Routes))
+		g.Kick()
+	}
+	if g.opts.Catalog.OfferRegister(news.NewRegister) {
+		g.opts.Log.V(1).Info("register learnt", "revision", news.NewRegister.Revision, "source", news.From.Name)
+	}
+}
+
+func (g *Gossip) digest() Digest {
+	d := Digest{Claims: g.claims.Claims()}
+	d.Configuration, d.Register = g.opts.Catalog.Versions()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	d.From = g.self
+	for id, k := range g.hosts {
+		if !k.heard.IsZero() && !k.lost {
+			d.Hosts = append(d.Hosts, id)
+		}
+	}
+	return d
+}
+
+// take learns from another host's digest.
+func (g *Gossip) take(d *Digest) {
+	g.Add(d.Hosts...)
+	g.hear(d.From)
+	for _, c := range d.Claims {
+		g.claims.Learn(c)
+	}
+}
+
+func (g *Gossip) hear(h Host) {
+	now := steady.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if h.Addr == g.self.Addr {
+		return
+	}
+	k := g.hosts[h.Addr]
+	if k == nil {
+		k = &known{named: now}
+		g.hosts[h.Addr] = k
+	}
+	if k.lost || k.heard.IsZero() || k.host.Boot != h.Boot {
+		g.opts.Log.Info("host heard of", "host", h.Name, "addr", h.Addr, "domain", h.Domain)
+	}
+	k.host, k.heard, k.lost = h, now, false
+}
+
+// Service answers other hosts' exchanges.
+type Service struct{ gossip *Gossip }
+
+// Service returns what is to be registered under ServiceName.
+func (g *Gossip) Service() *Service { return &Service{gossip: g} }
+
+// Exchange takes a digest and answers with this host's and with what the other
+// lacks. What the other knows better is asked for at once.
+func (s *Service) Exchange(args *Digest, reply *News) error {
+	g := s.gossip
+	g.take(args)
+	reply.Digest = g.digest()
+	if reply.Configuration > args.Configuration {
+		reply.NewConfiguration = g.opts.Catalog.Configuration()
+	}
+	if reply.Register > args.Register {
+		reply.NewRegister = g.opts.Catalog.Register()
+	}
+	if args.Configuration > reply.Configuration {
+		g.Kick()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/group/set.go
@@ -0,0 +1,133 @@
+package group
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"nettlewalk.example/nettlewalk/internal/catalog"
+	"nettlewalk.example/nettlewalk/internal/share"
+	"nettlewalk.example/nettlewalk/internal/statement"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+const (
+	syncInterval = 250 * time.Millisecond // targets that vanished are dropped this much late at most
+	// anchorAge is how old the newest anchor may grow before the leader is
+	// asked for another: a small part of the routes' bounds on age.
+	anchorAge = 300 * time.Millisecond
+)
+
+// SetOptions configures a Set.
+type SetOptions struct {
+	Domain  topology.Domain
+	Dialer  statement.Dialer
+	Catalog *catalog.Store
+	// Hosts returns how many hosts share the targets' connections, 0 while
+	// that isn't known.
+	Hosts       func() int
+	Suspect     func(topology.GroupID, topology.TargetID, statement.DialOutcome)
+	LeaderFound func(topology.GroupID, topology.TargetID)
+	Log         logr.Logger
+}
+
+// Set keeps the groups that the catalog names. Safe for concurrent use.
+type Set struct {
+	opts SetOptions
+
+	mu     sync.Mutex
+	groups map[topology.GroupID]*Group
+}
+
+// NewSet returns a set without groups.
+func NewSet(opts SetOptions) *Set {
+	return &Set{opts: opts, groups: map[topology.GroupID]*Group{}}
+}
+
+// Group returns a group, nil if there is none of that id.
+func (s *Set) Group(id topology.GroupID) *Group {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.groups[id]
+}
+
+// IDs returns the ids of all groups.
+func (s *Set) IDs() []topology.GroupID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ids := make([]topology.GroupID, 0, len(s.groups))
+	for id := range s.groups {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Run follows the catalog until ctx ends and keeps anchors fresh.
+func (s *Set) Run(ctx context.Context) {
+	ticker := time.NewTicker(syncInterval)
+	defer ticker.Stop()
+	for {
+		changed := s.opts.Catalog.Changed()
+		s.sync()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Set) sync() {
+	c := s.opts.Catalog.Configuration()
+	if c == nil {
+		return
+	}
+	serving := s.opts.Catalog.Serving()
+	hosts := s.opts.Hosts()
+	for id, settings := range c.Groups {
+		size := 1
+		if hosts > 0 {
+			size = share.Plan(settings.MaxConnections, hosts)
+		}
+		g := s.ensure(id)
+		g.SetMembers(serving[id], size)
+		go g.Refresh(anchorAge)
+	}
+}
+
+func (s *Set) ensure(id topology.GroupID) *Group {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := s.groups[id]
+	if g == nil {
+		g = New(Options{ID: id, Domain: s.opts.Domain, Dialer: s.opts.Dialer, Log: s.opts.Log, Suspect: s.opts.Suspect, LeaderFound: s.opts.LeaderFound})
+		s.groups[id] = g
+	}
+	return g
+}
+
+// Ready tells whether a connection to any target is open.
+func (s *Set) Ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, g := range s.groups {
+		if g.connected() {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Group) connected() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range g.members {
+		if m.pool.Load().Open > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -16,13 +15,11 @@
 
 // request is one call to the platform.
 type request struct {
-	method  string // of HTTP
+	Call
 	name    string // get, list, put, delete or watch
 	kind    string
-	path    string
-	body    []byte
-	answer  any           // decoded into on success
-	timeout time.Duration // 0: the client's
+	decode  func(body []byte) error // reads the body of a success
+	timeout time.Duration           // 0: the client's
 }
 
 // once spends from the budget and makes one attempt.
@@ -58,11 +55,16 @@
 }
 
 func (c *Client) attempt(ctx context.Context, r request) error {
-	req, err := http.NewRequestWithContext(ctx, r.method, "http://"+c.opts.Addr+r.path, bytes.NewReader(r.body))
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+c.opts.Addr+r.Path, bytes.NewReader(r.Body))
 	if err != nil {
 		return errors.Wrap(err, "platform request")
 	}
-	req.Header.Set(CallerHeader, c.opts.Caller)
+	if c.opts.Caller != "" {
+		req.Header.Set(CallerHeader, c.opts.Caller)
+	}
+	if len(r.Body) > 0 {
+		req.Header.Set("Content-Type", "application/json")
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return noAnswer(err)
@@ -72,7 +74,7 @@
 	if err != nil {
 		return &errNoAnswer{cause: err}
 	}
-	return decode(resp.StatusCode, body, r.answer)
+	return c.judge(resp.StatusCode, body, r)
 }
 
 // noAnswer tells a request that was surely not sent from the others.
@@ -84,15 +86,15 @@
 	return &errNoAnswer{cause: err}
 }
 
-func decode(status int, body []byte, answer any) error {
-	if status == http.StatusOK {
-		if err := json.Unmarshal(body, answer); err != nil {
+// judge turns an answer into its outcome.
+func (c *Client) judge(status int, body []byte, r request) error {
+	if status == http.StatusOK || status == http.StatusCreated {
+		if err := r.decode(body); err != nil {
 			return &errNoAnswer{cause: err}
 		}
 		return nil
 	}
-	var failure Failure
-	_ = json.Unmarshal(body, &failure) // the status alone decides
+	failure := c.dialect().DecodeFailure(r.kind, body)
 	switch status {
 	case http.StatusNotFound:
 		return result.New(result.NotFound, "no such object")
@@ -104,7 +106,11 @@
 		return &errNotSent{cause: errors.New("the platform's call budget is used up")}
 	}
 	if status >= http.StatusInternalServerError {
-		return &errNoAnswer{cause: errors.Newf("status %d: %s", status, failure.Message)}
+		cause := errors.Newf("status %d: %s", status, failure.Message)
+		if c.dialect().NothingDone(status) {
+			return &errNotSent{cause: cause}
+		}
+		return &errNoAnswer{cause: cause}
 	}
 	return result.New(result.BadConfiguration, "the platform refused the request: %s", failure.Message)
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -4,8 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"net/url"
-	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -22,7 +20,7 @@
 	defaultRetryFor    = 5 * time.Second                // of one call with its retries, when ctx has no deadline
 	retryFirst         = 50 * time.Millisecond          // before the second attempt
 	retryMax           = 1 * time.Second                // between later attempts
-	watchWait          = 3 * time.Second                // a watch on a silent connection is noticed after it and watchGrace
+	defaultWatchWait   = 3 * time.Second                // a watch on a silent connection is noticed after it and watchGrace
 	watchGrace         = 1 * time.Second                // for a watch's answer to arrive
 	listPage           = 100                            // objects a page
 	maxIdleConns       = 8                              // kept open to the platform
@@ -39,6 +37,8 @@
 	// Dial opens connections; nil: plain TCP.
 	Dial        func(ctx context.Context, network, addr string) (net.Conn, error)
 	CallTimeout time.Duration // of one attempt; 0: 2 s
+	WatchWait   time.Duration // how long a watch waits for news; 0: 3 s
+	Dialect     Dialect       // spelling of the API; nil: the product's own
 	Metrics     *metrics.Set  // nil: none are kept
 	Log         logr.Logger
 }
@@ -57,6 +57,12 @@
 	if opts.CallTimeout == 0 {
 		opts.CallTimeout = defaultCallTimeout
 	}
+	if opts.WatchWait == 0 {
+		opts.WatchWait = defaultWatchWait
+	}
+	if opts.Dialect == nil {
+		opts.Dialect = native{}
+	}
 	if opts.Dial == nil {
 		opts.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
@@ -91,8 +97,17 @@
 
 // Get returns an object, or an error of code NotFound.
 func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
-	var object Object
-	r := request{method: http.MethodGet, name: "get", kind: kind, path: objectPath(kind, name), answer: &object}
+	return c.get(ctx, kind, name, false)
+}
+
+// GetStale is Get with an answer that may be seconds old, where the platform
+// offers such answers at a lower price.
+func (c *Client) GetStale(ctx context.Context, kind, name string) (Object, error) {
+	return c.get(ctx, kind, name, true)
+}
+
+func (c *Client) get(ctx context.Context, kind, name string, stale bool) (object Object, err error) {
+	r := request{Call: c.dialect().Get(kind, name, stale), name: "get", kind: kind, decode: c.objectInto(kind, &object)}
 	return object, c.retry(ctx, r)
 }
 
@@ -102,9 +117,11 @@
 	var all List
 	for page := ""; ; {
 		var list List
-		query := url.Values{"limit": {strconv.Itoa(listPage)}, "page": {page}}
-		path := "/v1/objects/" + url.PathEscape(kind) + "?" + query.Encode()
-		r := request{method: http.MethodGet, name: "list", kind: kind, path: path, answer: &list}
+		r := request{Call: c.dialect().List(kind, page, false), name: "list", kind: kind}
+		r.decode = func(body []byte) (err error) {
+			list, err = c.dialect().DecodeList(kind, body)
+			return err
+		}
 		if err := c.retry(ctx, r); err != nil {
 			return List{}, err
 		}
@@ -120,13 +137,14 @@
 
 // Watch returns the changes of a kind after a revision. It waits some seconds
 // for the first one and then returns none. ErrGone: list again.
-func (c *Client) Watch(ctx context.Context, kind string, after uint64) (Changes, error) {
-	var changes Changes
-	query := url.Values{"after": {strconv.FormatUint(after, 10)}, "wait": {watchWait.String()}}
-	path := "/v1/watch/" + url.PathEscape(kind) + "?" + query.Encode()
-	r := request{method: http.MethodGet, name: "watch", kind: kind, path: path, answer: &changes, timeout: watchWait + watchGrace}
-	err := c.once(ctx, r)
-	return changes, err
+func (c *Client) Watch(ctx context.Context, kind string, after uint64) (changes Changes, err error) {
+	wait := c.opts.WatchWait
+	r := request{Call: c.dialect().Watch(kind, after, wait), name: "watch", kind: kind, timeout: wait + watchGrace}
+	r.decode = func(body []byte) (err error) {
+		changes, err = c.dialect().DecodeChanges(kind, body)
+		return err
+	}
+	return changes, c.once(ctx, r)
 }
 
 // PutIf writes a value if the object has this version, 0: doesn't exist. It
@@ -134,21 +152,21 @@
 // take effect, PlatformUnknown that nobody knows.
 func (c *Client) PutIf(ctx context.Context, object Object) (Object, error) {
 	var written Object
-	r := putRequest(object, &written)
-	err := c.once(ctx, r)
+	err := c.once(ctx, c.putRequest(object, &written))
 	written.Value = object.Value
 	return written, coded(err, result.PlatformUnknown)
 }
 
-func putRequest(object Object, answer *Object) request {
-	query := url.Values{"if_version": {strconv.FormatUint(object.Version, 10)}}
-	return request{
-		method: http.MethodPut,
-		name:   "put",
-		kind:   object.Kind,
-		path:   objectPath(object.Kind, object.Name) + "?" + query.Encode(),
-		body:   object.Value,
-		answer: answer,
+func (c *Client) putRequest(object Object, answer *Object) request {
+	return request{Call: c.dialect().Put(object), name: "put", kind: object.Kind, decode: c.objectInto(object.Kind, answer)}
+}
+
+func (c *Client) dialect() Dialect { return c.opts.Dialect }
+
+func (c *Client) objectInto(kind string, object *Object) func([]byte) error {
+	return func(body []byte) (err error) {
+		*object, err = c.dialect().DecodeObject(kind, body)
+		return err
 	}
 }
 
@@ -189,7 +207,3 @@
 	}
 	return err
 }
-
-func objectPath(kind, name string) string {
-	return "/v1/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
-}
--- a/internal/platform/edit.go
+++ b/internal/platform/edit.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
-	"net/http"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -78,7 +77,7 @@
 	maybeSent := false
 	for {
 		var written Object
-		err := c.once(ctx, putRequest(object, &written))
+		err := c.once(ctx, c.putRequest(object, &written))
 		if err == nil {
 			object.Version = written.Version
 			return Edited{Object: object}, nil
@@ -143,7 +142,7 @@
 // DeleteIf removes an object of this version for good, in one attempt. Kinds
 // whose deletions are edited by operators keep a marked object instead.
 func (c *Client) DeleteIf(ctx context.Context, object Object) error {
-	r := putRequest(object, &Object{})
-	r.method, r.name, r.body = http.MethodDelete, "delete", nil
+	r := request{Call: c.dialect().Delete(object), name: "delete", kind: object.Kind}
+	r.decode = func([]byte) error { return nil }
 	return coded(c.once(ctx, r), result.PlatformUnknown)
 }
--- a/internal/platform/follow.go
+++ b/internal/platform/follow.go
@@ -61,7 +61,7 @@
 		return err
 	}
 	sink.Apply(kind, changes)
-	if len(changes.Changes) == 0 && time.Since(began) < watchWait/2 {
+	if len(changes.Changes) == 0 && time.Since(began) < c.opts.WatchWait/2 {
 		sleep(ctx, retryFirst) // a platform that doesn't hold watches isn't asked in a tight loop
 	}
 	return nil
--- /dev/null
+++ b/internal/promotion/eye.go
@@ -0,0 +1,136 @@
+package promotion
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"nettlewalk.example/nettlewalk/internal/statement"
+	"nettlewalk.example/nettlewalk/internal/steady"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+const (
+	// lookTimeout bounds one look at a target. A proof takes a round trip, a
+	// status waits for a work slot, some tens of milliseconds.
+	lookTimeout = 250 * time.Millisecond
+	// lookDialTimeout bounds a dial of a look, some round trips; shorter than
+	// the dialer's own, so that silence is noticed fast.
+	lookDialTimeout = 200 * time.Millisecond
+	// doubtFor is how long an order without an answer may still be carried out.
+	doubtFor = 15 * time.Second
+)
+
+// eye looks at one target over a connection of its own, which requests can't
+// keep busy.
+type eye struct {
+	target topology.Target
+	dialer statement.Dialer
+	parse  statement.StatusParser
+	conn   statement.Conn
+
+	deadSince  time.Time // when nobody was first found listening, zero while it lives
+	logSince   topology.Position
+	doubtUntil time.Time // an order to resume may be carried out until then
+	silent     int       // looks without an answer in a row
+}
+
+// dial opens the connection if need be. ok is false if the target didn't take
+// it; reach then says how.
+func (e *eye) dial(ctx context.Context) (reach Reach, ok bool) {
+	if e.conn != nil && e.conn.Alive() {
+		return Answered, true
+	}
+	e.drop()
+	ctx, cancel := context.WithTimeout(ctx, lookDialTimeout)
+	defer cancel()
+	conn, err := e.dialer.Dial(ctx, e.target)
+	if err == nil {
+		e.conn = conn
+		e.lives()
+		return Answered, true
+	}
+	var failure *statement.DialError
+	if !errors.As(err, &failure) {
+		return Silent, false
+	}
+	switch {
+	case failure.Outcome == statement.DialRefused:
+		if e.deadSince.IsZero() {
+			e.deadSince = steady.Now()
+		}
+		return Dead, false
+	case failure.Outcome == statement.DialSilent:
+		return Silent, false
+	case failure.Code == statement.Misrouted:
+		return Gone, false
+	}
+	e.lives()
+	return Crowded, false
+}
+
+// lives notes a sign of life: what was concluded from its death is void.
+func (e *eye) lives() {
+	e.deadSince, e.logSince, e.silent = time.Time{}, topology.Position{}, 0
+}
+
+func (e *eye) drop() {
+	if e.conn != nil {
+		e.conn.Close()
+		e.conn = nil
+	}
+}
+
+// proof is the answer to the question whether a target leads.
+type proof struct {
+	reach    Reach
+	leads    bool
+	position topology.Position
+	sent     time.Time
+}
+
+// prove asks whether the target leads.
+func (e *eye) prove(ctx context.Context, ask []statement.Statement) proof {
+	reach, ok := e.dial(ctx)
+	if !ok {
+		return proof{reach: reach}
+	}
+	sent := steady.Now()
+	answers, err := e.conn.Exchange(time.Now().Add(lookTimeout), ask...)
+	if err != nil {
+		e.drop()
+		return proof{reach: Silent}
+	}
+	e.lives()
+	return proof{reach: Answered, leads: answers[0].OK(), position: answers[0].Position, sent: sent}
+}
+
+// command sends a control statement and returns the status that answers it.
+func (e *eye) command(ctx context.Context, kind statement.Kind, term uint64) (statement.TargetStatus, Reach) {
+	reach, ok := e.dial(ctx)
+	if !ok {
+		return statement.TargetStatus{}, reach
+	}
+	answers, err := e.conn.Exchange(time.Now().Add(lookTimeout), statement.Statement{ID: statement.OwnID, Kind: kind, Term: term})
+	if err != nil {
+		e.drop()
+		return statement.TargetStatus{}, Silent
+	}
+	e.lives()
+	if !answers[0].OK() || len(answers[0].Rows) == 0 {
+		return statement.TargetStatus{}, Crowded
+	}
+	status, err := e.parse(answers[0].Rows[0])
+	if err != nil {
+		return statement.TargetStatus{}, Crowded
+	}
+	return status, Answered
+}
+
+// resume ends a pause. Without an answer the order may still be on its way.
+func (e *eye) resume(ctx context.Context) {
+	if _, reach := e.command(ctx, statement.Resume, 0); reach != Answered {
+		e.doubtUntil = steady.Now().Add(doubtFor)
+	}
+}
--- /dev/null
+++ b/internal/relay/metrics.go
@@ -0,0 +1,19 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"nettlewalk.example/nettlewalk/internal/statement"
+)
+
+// count notes the end of a statement. Labels are bounded: two kinds and the codes.
+func (s *Server) count(r *request, a *statement.Answer) {
+	kind := "read"
+	if r.writes {
+		kind = "write"
+	}
+	metrics.GetOrCreateCounter(`nettlewalk_statements_total{kind="` + kind + `",code="` + a.Code.String() + `"}`).Inc()
+	metrics.GetOrCreateHistogram(`nettlewalk_statement_seconds{kind="` + kind + `"}`).Update(time.Since(r.arrived).Seconds())
+}
--- /dev/null
+++ b/internal/relay/plan.go
@@ -0,0 +1,74 @@
+package relay
+
+import (
+	"time"
+
+	"nettlewalk.example/nettlewalk/internal/catalog"
+	"nettlewalk.example/nettlewalk/internal/statement"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+const (
+	// ageMargin is taken off a route's bound on the age of reads: the answer is
+	// judged at the target, a little after the anchor was chosen.
+	ageMargin = 100 * time.Millisecond
+	// patienceFactor times a route's latency goal is how long a request may
+	// expect to wait for a connection. Callers give up a few goals after they
+	// asked; a refusal before leaves them time to ask another host.
+	patienceFactor = 2
+	// mostTries bounds how often one statement is sent, each time after a
+	// promise that it didn't run.
+	mostTries = 4
+	// checkIdleAfter is the idle time after which a connection is checked
+	// before it is used: it may have gone silent meanwhile.
+	checkIdleAfter = 2 * time.Second
+	// checkTimeout bounds that check, a round trip without a work slot.
+	checkTimeout = 100 * time.Millisecond
+)
+
+// where says where a statement may run.
+type where uint8
+
+const (
+	atLeader where = iota // as a write, which the leader alone accepts
+	guarded               // a read at the leader, with a proof that it leads
+	anywhere              // a read at whatever target has a position
+)
+
+// place decides where a single statement may run, and what its target must
+// have. covered is a position with every commit that the route's age bound
+// asks for, if one is known.
+func place(writes bool, f catalog.Freshness, floor, covered topology.Position, known bool) (where, topology.Position) {
+	switch {
+	case writes:
+		return atLeader, topology.Position{}
+	case f == catalog.LatestData, !known:
+		return guarded, topology.Position{}
+	case f == catalog.OwnWrites:
+		return anywhere, topology.Later(covered, floor)
+	}
+	return anywhere, covered
+}
+
+// patience is how long a request of the route may expect to wait for a
+// connection before it is refused instead.
+func patience(r *catalog.Route) time.Duration {
+	if r.LatencyGoal <= 0 {
+		return r.StatementTimeout
+	}
+	return min(patienceFactor*r.LatencyGoal, r.StatementTimeout)
+}
+
+// afterBreak tells what a caller is told about a statement whose connection
+// broke, and whether it may run again at once.
+func afterBreak(b *statement.Broken, writes bool) (code statement.Code, again bool) {
+	switch {
+	case !b.Sent:
+		return statement.Busy, true
+	case b.Timeout:
+		return statement.TimedOut, false
+	case writes:
+		return statement.InDoubt, false
+	}
+	return statement.Busy, true
+}
--- /dev/null
+++ b/internal/relay/server.go
@@ -0,0 +1,136 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"nettlewalk.example/nettlewalk/internal/statement"
+)
+
+// Options configures a Server.
+type Options struct {
+	Catalog Catalog
+	Groups  Groups
+	// Accept makes a caller of a connection.
+	Accept func(net.Conn) Caller
+	Log    logr.Logger
+}
+
+// Server serves callers. Safe for concurrent use.
+type Server struct {
+	opts Options
+	ids  atomic.Uint64
+
+	mu       sync.Mutex
+	sessions map[*session]bool
+	wg       sync.WaitGroup
+
+	leaving atomic.Bool // idle sessions are closed
+	cutting atomic.Bool // open transactions are ended
+}
+
+// NewServer returns a server without sessions.
+func NewServer(opts Options) *Server {
+	return &Server{opts: opts, sessions: map[*session]bool{}}
+}
+
+// Serve accepts callers until the listener is closed.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	for {
+		socket, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			s.opts.Log.Error(err, "accept failed")
+			time.Sleep(acceptPause)
+			continue
+		}
+		s.wg.Add(1)
+		go s.serve(ctx, socket)
+	}
+}
+
+// acceptPause follows a failed accept, most likely for want of descriptors.
+const acceptPause = 20 * time.Millisecond
+
+func (s *Server) serve(ctx context.Context, socket net.Conn) {
+	defer s.wg.Done()
+	session := &session{server: s, caller: s.opts.Accept(socket), log: s.opts.Log}
+	session.state = sessionState{id: s.ids.Add(1), prepared: map[string]statement.Statement{}}
+	s.mu.Lock()
+	s.sessions[session] = true
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.sessions, session)
+		s.mu.Unlock()
+	}()
+	session.run(ctx)
+}
+
+// Sessions returns how many sessions are open.
+func (s *Server) Sessions() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.sessions)
+}
+
+// CloseIdle closes every session between two requests, now and from now on.
+func (s *Server) CloseIdle() {
+	s.leaving.Store(true)
+	s.interrupt()
+}
+
+// CutTransactions ends the open transactions with a promise that nothing of
+// them is kept.
+func (s *Server) CutTransactions() {
+	s.cutting.Store(true)
+	s.interrupt()
+}
+
+func (s *Server) interrupt() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for session := range s.sessions {
+		session.caller.Interrupt()
+	}
+}
+
+// Wait waits until no session is open or the time is up.
+func (s *Server) Wait(limit time.Duration) bool {
+	done := make(chan struct{})
+	go func() {
+		s.wg.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+func (s *Server) closing() bool          { return s.leaving.Load() }
+func (s *Server) cutsTransactions() bool { return s.cutting.Load() }
+
+func (s *Server) transactionIdle() time.Duration {
+	if c := s.opts.Catalog.Configuration(); c != nil {
+		return c.TransactionIdle
+	}
+	return 0
+}
+
+func (s *Server) version() uint64 {
+	if c := s.opts.Catalog.Configuration(); c != nil {
+		return c.Version
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/relay/single.go
@@ -0,0 +1,257 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"nettlewalk.example/nettlewalk/internal/catalog"
+	"nettlewalk.example/nettlewalk/internal/group"
+	"nettlewalk.example/nettlewalk/internal/share"
+	"nettlewalk.example/nettlewalk/internal/statement"
+	"nettlewalk.example/nettlewalk/internal/steady"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// request is one statement outside a transaction, or the first of one, on its
+// way to a target.
+type request struct {
+	session  *session
+	st       *statement.Statement
+	route    catalog.Route
+	group    *group.Group
+	writes   bool
+	uses     string // prepared name
+	arrived  time.Time
+	deadline time.Time
+	tries    int
+	skip     map[topology.TargetID]bool // lacked the position
+	last     statement.Code             // why the last try failed
+}
+
+// single runs one statement outside a transaction.
+func (s *session) single(ctx context.Context, st *statement.Statement, writes bool, uses string) statement.Answer {
+	r, refused := s.newRequest(st, writes, uses)
+	if refused != nil {
+		return *refused
+	}
+	answer, ok := r.run(ctx)
+	s.server.count(r, &answer)
+	if !ok {
+		s.log.Info("statement not served", "request", st.ID, "session", s.state.id, "group", r.route.Group, "writes", writes,
+			"code", answer.Code.String(), "detail", answer.Detail, "tries", r.tries,
+			"waited_ms", time.Since(r.arrived).Milliseconds(), "configuration", s.server.version())
+	}
+	return answer
+}
+
+// newRequest looks up the route, which may have changed since the session began.
+func (s *session) newRequest(st *statement.Statement, writes bool, uses string) (*request, *statement.Answer) {
+	route, ok := s.route()
+	if !ok {
+		a := s.refusal(statement.NoDatabase, s.database)
+		return nil, &a
+	}
+	g := s.server.opts.Groups.Group(route.Group)
+	if g == nil {
+		a := s.refusal(statement.Busy, "group "+string(route.Group)+" has no targets")
+		return nil, &a
+	}
+	now := time.Now()
+	r := &request{session: s, st: st, route: route, group: g, writes: writes, uses: uses, arrived: now}
+	r.deadline = now.Add(route.StatementTimeout)
+	return r, nil
+}
+
+// run tries places until one answers. ok is false if the answer is an error.
+func (r *request) run(ctx context.Context) (answer statement.Answer, ok bool) {
+	for r.tries < mostTries && time.Now().Before(r.deadline) {
+		covered, known := r.group.Cover(r.route.MaxAge - ageMargin)
+		at, after := place(r.writes, r.route.Freshness, r.session.floor, covered, known)
+		var again bool
+		if at == anywhere {
+			answer, again = r.tryReaders(ctx, after)
+		} else {
+			answer, again = r.tryLeader(ctx, at)
+		}
+		if !again {
+			return answer, answer.OK()
+		}
+	}
+	if answer.Code == statement.OK || answer.Code == statement.Lagging {
+		answer = r.session.refusal(statement.Busy, "no target could serve it in time")
+	}
+	return answer, false
+}
+
+// tryReaders reads at the targets that may have the position, best first. The
+// leader has it, so that it ends the list.
+func (r *request) tryReaders(ctx context.Context, after topology.Position) (statement.Answer, bool) {
+	readers := r.group.Readers()
+	for _, c := range readers {
+		if r.skip[c.ID] {
+			continue
+		}
+		conn := c.Pool.TryAcquire()
+		if conn == nil {
+			continue
+		}
+		answer, again := r.readAt(c.ID, c.Pool, conn, after)
+		if !again {
+			return answer, false
+		}
+		if r.tries >= mostTries {
+			return answer, false
+		}
+	}
+	for _, c := range readers {
+		if r.skip[c.ID] || c.Failing {
+			continue
+		}
+		conn, err := c.Pool.Acquire(r.deadline, patience(&r.route), r.route.Priority)
+		if err != nil {
+			continue
+		}
+		return r.readAt(c.ID, c.Pool, conn, after)
+	}
+	return r.tryLeader(ctx, guarded)
+}
+
+// readAt runs a read at a target that must have the position.
+func (r *request) readAt(id topology.TargetID, pool *share.Pool, conn *share.Conn, after topology.Position) (statement.Answer, bool) {
+	st := *r.st
+	st.After = after
+	answer, again := r.exchange(id, pool, conn, []statement.Statement{st}, 0)
+	if answer.Code == statement.Lagging {
+		r.group.NoteLagging(id)
+		r.skipTarget(id)
+	}
+	return answer, again
+}
+
+func (r *request) skipTarget(id topology.TargetID) {
+	if r.skip == nil {
+		r.skip = map[topology.TargetID]bool{}
+	}
+	r.skip[id] = true
+}
+
+// tryLeader runs the statement at the leader.
+func (r *request) tryLeader(ctx context.Context, at where) (statement.Answer, bool) {
+	id, pool, conn, refusal := r.leaderConn(ctx)
+	if conn == nil {
+		return refusal, false
+	}
+	sent := steady.Now()
+	if at == guarded {
+		batch := []statement.Statement{own(statement.Begin, ""), *r.st, own(statement.Rollback, "")}
+		return r.exchange(id, pool, conn, batch, 1)
+	}
+	answer, again := r.exchange(id, pool, conn, []statement.Statement{*r.st}, 0)
+	switch {
+	case answer.OK():
+		r.group.NoteLeading(id, sent, &answer)
+		r.session.raiseFloor(&answer)
+	case answer.Code == statement.ReadOnly:
+		r.group.NoteNotLeading(id, sent)
+	}
+	return answer, again
+}
+
+// leaderConn returns a connection to the leader. It waits for one to be found
+// only as long as the route's patience.
+func (r *request) leaderConn(ctx context.Context) (topology.TargetID, *share.Pool, *share.Conn, statement.Answer) {
+	id, pool, ok := r.group.Leader()
+	if !ok {
+		until := r.arrived.Add(patience(&r.route))
+		if id, pool, ok = r.group.WaitLeader(ctx, until); !ok {
+			return "", nil, nil, r.session.refusal(statement.Busy, "no target leads the group")
+		}
+	}
+	conn, err := pool.Acquire(r.deadline, patience(&r.route), r.route.Priority)
+	if err != nil {
+		return "", nil, nil, r.session.refusal(statement.Busy, err.Error())
+	}
+	return id, pool, conn, statement.Answer{}
+}
+
+// exchange sends the batch with what the target must know of the session before
+// it. main is the index of the caller's statement in the batch. again: the
+// statement didn't run, or ran without effect, and may be tried elsewhere.
+func (r *request) exchange(id topology.TargetID, pool *share.Pool, conn *share.Conn, batch []statement.Statement, main int) (statement.Answer, bool) {
+	r.tries++
+	if !usable(conn) {
+		pool.Release(conn, false)
+		return r.session.refusal(statement.Busy, "connection ended while idle"), true
+	}
+	prefix := r.session.state.replay(conn, r.uses)
+	sent := steady.Now()
+	answers, err := conn.Exchange(r.deadline, append(prefix, batch...)...)
+	pool.Release(conn, err == nil)
+	if err != nil {
+		return r.broke(id, err)
+	}
+	for i := range prefix {
+		if !answers[i].OK() {
+			return r.replayFailed(conn, &answers[i])
+		}
+	}
+	answers = answers[len(prefix):]
+	if main > 0 {
+		r.group.Judge(id, sent, &answers[0])
+		if !answers[0].OK() { // what ran then ran without the proof
+			return r.session.refusal(statement.Busy, "the target leads no more"), true
+		}
+	}
+	answer := answers[main]
+	answer.State = statement.Idle
+	if answer.OK() {
+		r.group.NoteServed(id, steady.Now().Sub(sent))
+		return answer, false
+	}
+	return answer, answer.Code == statement.Lagging || answer.Code == statement.ReadOnly
+}
+
+// usable checks a connection before it is used. One that was idle for long may
+// have gone silent.
+func usable(conn *share.Conn) bool {
+	if !conn.Alive() {
+		return false
+	}
+	if conn.IdleFor() < checkIdleAfter {
+		return true
+	}
+	_, err := conn.Exchange(time.Now().Add(checkTimeout), own(statement.Reset, ""))
+	conn.Forget()
+	return err == nil
+}
+
+// broke answers for a connection that broke under the statement.
+func (r *request) broke(id topology.TargetID, err error) (statement.Answer, bool) {
+	var b *statement.Broken
+	if !errors.As(err, &b) {
+		b = &statement.Broken{Sent: true, Cause: err}
+	}
+	r.group.NoteFailing(id)
+	code, again := afterBreak(b, r.writes)
+	return r.session.refusal(code, b.Error()), again
+}
+
+// replayFailed answers when the target refused a session's value or name: the
+// statement may have run without it.
+func (r *request) replayFailed(conn *share.Conn, a *statement.Answer) (statement.Answer, bool) {
+	conn.Close() // the pool finds it ended
+	r.session.log.Info("target refused a session's state", "request", r.st.ID, "code", a.Code.String(), "detail", a.Detail)
+	if r.writes {
+		return r.session.refusal(statement.InDoubt, "the target refused the session's state"), false
+	}
+	return r.session.refusal(statement.Busy, "the target refused the session's state"), true
+}
+
+// raiseFloor notes an acknowledged commit of the session.
+func (s *session) raiseFloor(a *statement.Answer) {
+	if a.HasPosition {
+		s.floor = topology.Later(s.floor, a.Position)
+	}
+}
