--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -6,7 +6,10 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
+	"os/signal"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -29,6 +32,7 @@
 
 // fleetHost is a host on the users' platform. It joins the slices and decides nothing.
 type fleetHost struct {
+	path     string // of the settings file
 	settings *platform.Settings
 	log      logr.Logger
 	begun    time.Time
@@ -53,8 +57,8 @@
 	settleTime = 1500 * time.Millisecond
 )
 
-func newFleetHost(s *platform.Settings, log logr.Logger) *fleetHost {
-	h := &fleetHost{settings: s, log: log, begun: steady.Now(), catalog: catalog.NewStore(), desk: promotion.NewDesk()}
+func newFleetHost(path string, s *platform.Settings, log logr.Logger) *fleetHost {
+	h := &fleetHost{path: path, settings: s, log: log, begun: steady.Now(), catalog: catalog.NewStore(), desk: promotion.NewDesk()}
 	self := topology.HostID(s.Peers)
 	boot := rand.Uint64()
 	key := peerKey(s)
@@ -140,23 +144,32 @@
 	if err != nil {
 		return err
 	}
-	go h.store.Follow(work, platform.KindConfiguration, &catalog.ConfigurationFeed{
-		Name: platform.NameConfiguration, Decode: platform.DecodeConfiguration, Store: h.catalog, Log: h.log.WithName("catalog"),
-	})
-	go h.store.Follow(work, platform.KindTargets, &catalog.RegisterFeed{
-		Decode: platform.DecodeMember, Store: h.catalog, Log: h.log.WithName("catalog"),
-	})
+	h.followStore(work)
 	go h.gossip.Run(work)
 	go h.duty.Run(work)
 	go h.groups.Run(work)
 	go h.followGroups(work)
 	go h.spread(work)
 	h.log.Info("serving", "callers", h.settings.Callers, "peers", h.settings.Peers)
-	<-ctx.Done()
+	h.followSettings(ctx)
 	h.leave(callers)
 	return nil
 }
 
+// followStore keeps the catalog up to date, by watches and by polls beside them.
+func (h *fleetHost) followStore(ctx context.Context) {
+	log := h.log.WithName("catalog")
+	hosts := func() int { return len(h.gossip.Live()) }
+	configurations := &catalog.ConfigurationFeed{
+		Name: platform.NameConfiguration, Decode: platform.DecodeConfiguration, Store: h.catalog, Log: log,
+	}
+	go h.store.Follow(ctx, platform.KindConfiguration, configurations)
+	go configurations.Poll(ctx, h.store, platform.KindConfiguration, hosts)
+	register := &catalog.RegisterFeed{Decode: platform.DecodeMember, Store: h.catalog, Log: log}
+	go h.store.Follow(ctx, platform.KindTargets, register)
+	go register.Poll(ctx, h.store, platform.KindTargets, hosts)
+}
+
 // listen opens every address of the host and serves them.
 func (h *fleetHost) listen(ctx context.Context) (callers net.Listener, err error) {
 	if err := h.server.Register(gossip.ServiceName, h.gossip.Service()); err != nil {
@@ -254,6 +267,55 @@
 	}
 }
 
+// settingsPoll is how often the settings file is looked at: it may change
+// without a signal.
+const settingsPoll = 5 * time.Second
+
+// followSettings reloads the settings file on SIGHUP and when it changes, until
+// ctx ends.
+func (h *fleetHost) followSettings(ctx context.Context) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	ticker := time.NewTicker(settingsPoll)
+	defer ticker.Stop()
+	seen := modified(h.path)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			h.reload("signal")
+		case <-ticker.C:
+			if at := modified(h.path); !at.Equal(seen) {
+				seen = at
+				h.reload("file changed")
+			}
+		}
+	}
+}
+
+// modified returns when the file was changed last, the zero time if it can't be read.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+// reload takes what can change while the host runs: the seeds. A file with
+// faults changes nothing; a new address needs a restart.
+func (h *fleetHost) reload(cause string) {
+	s, err := platform.LoadSettings(h.path)
+	if err != nil {
+		h.log.Error(err, "settings not reloaded", "cause", cause)
+		return
+	}
+	h.gossip.Add(hostIDs(s.Seeds)...)
+	h.log.Info("settings reloaded", "cause", cause, "addresses_changed", s.Addresses() != h.settings.Addresses())
+}
+
 const (
 	// rotationTime is how long new callers still come after the readiness probe
 	// fails: two probes a second apart, and a little.
--- a/cmd/nettlewalk/serve.go
+++ b/cmd/nettlewalk/serve.go
@@ -36,7 +36,8 @@
 
 // serveOnPlatform runs a host by the platform's settings file.
 func serveOnPlatform() error {
-	s, err := platform.LoadSettings(os.Getenv(platform.PathVariable))
+	path := os.Getenv(platform.PathVariable)
+	s, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
 	}
@@ -46,7 +47,7 @@
 	out := eventlog.NewWriter(os.Stdout)
 	defer out.Flush(flushLimit)
 	log := eventlog.New(out, 0).WithValues("host", s.Host)
-	return newFleetHost(s, log).run(ctx)
+	return newFleetHost(path, s, log).run(ctx)
 }
 
 func serve(path string) error {
--- a/internal/catalog/feed.go
+++ b/internal/catalog/feed.go
@@ -92,6 +92,9 @@
 func (f *RegisterFeed) Reset(_ string, list platform.List) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.whole && list.Revision < f.revision {
+		return // a watch was faster
+	}
 	f.members = map[topology.TargetID]Member{}
 	for _, o := range list.Objects {
 		f.take(o, false)
@@ -104,6 +107,9 @@
 func (f *RegisterFeed) Apply(_ string, changes platform.Changes) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if changes.Revision < f.revision {
+		return // a list was faster
+	}
 	for _, c := range changes.Changes {
 		f.take(c.Object, c.Deleted)
 	}
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -44,6 +44,9 @@
 	}
 	defer s.endTransaction()
 	for {
+		if s.tx != nil && s.tx.running() && s.server.cutsTransactions() {
+			s.failTransaction("host is leaving")
+		}
 		st, err := s.next()
 		if err != nil {
 			if !s.proceed(err) {
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -27,7 +27,6 @@
 	deadline time.Time
 	tries    int
 	skip     map[topology.TargetID]bool // lacked the position
-	last     statement.Code             // why the last try failed
 }
 
 // single runs one statement outside a transaction.
