No pause is ended and no order given while another holder's order may be pending

A holder's promotion was accepted; another host overrode the duty on an outdated decision, saw the old primary still lead and ended the pause that the promotion rested on. The replica helped to acknowledge commits that the promoted target lacked. Ruled out: the candidate receiving until the effect (its position stood still).

--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -260,7 +260,7 @@
 		h.desk.Ensure(ctx, id, func() *promotion.Watcher {
 			return promotion.NewWatcher(promotion.Options{
 				Group: id, Name: string(h.settings.Host), Dialer: platform.TargetDialer{}, Parse: platform.ParseStatus,
-				Promoter: platform.NewPromoter(h.settings.Promotions), Duty: h.duty, Catalog: h.catalog, Belief: belief,
+				Promoter: platform.NewPromoter(h.settings.Promotions), Duty: h.duty, Contact: h.gossip, Catalog: h.catalog, Belief: belief,
 				Hosts: func() int { return len(h.gossip.Live()) }, Log: h.log.WithName("promotion"),
 			})
 		})
--- a/internal/duty/claim.go
+++ b/internal/duty/claim.go
@@ -30,18 +30,19 @@
 
 // situation is what a host knows when it decides about a group's duty.
 type situation struct {
-	self     topology.HostID
-	boot     uint64
-	claim    Claim         // the zero claim: none is known
-	heardAgo time.Duration // since the holder was last heard of
-	rank     int           // of this host among the live ones, 0 first
-	waited   time.Duration // since this host could first have taken the duty
+	connected bool // with hosts of most failure domains
+	self      topology.HostID
+	boot      uint64
+	claim     Claim         // the zero claim: none is known
+	heardAgo  time.Duration // since the holder was last heard of
+	rank      int           // of this host among the live ones, 0 first
+	waited    time.Duration // since this host could first have taken the duty
 }
 
 // decide tells whether the host should try to take the duty now.
 func decide(s situation) bool {
 	mine := s.claim.Holder == s.self && s.claim.Boot == s.boot && !s.claim.Released
-	if mine {
+	if mine || !s.connected {
 		return false
 	}
 	patience := time.Duration(s.rank) * rankPause
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -36,6 +36,8 @@
 	HeardAgo(topology.HostID) (time.Duration, bool)
 	// Live returns the hosts that take part, this one included.
 	Live() []topology.HostID
+	// Connected tells whether hosts of most failure domains answered lately.
+	Connected() bool
 }
 
 // Options configures a Keeper.
@@ -138,8 +140,8 @@
 			return
 		case <-ticker.C:
 		}
-		for _, id := range k.due(steady.Now()) {
-			k.take(ctx, id)
+		for _, known := range k.due(steady.Now()) {
+			k.take(ctx, known)
 		}
 	}
 }
@@ -165,19 +167,23 @@
 	return c, err
 }
 
-// due lists the groups whose duty this host should try to take.
-func (k *Keeper) due(now time.Time) []topology.GroupID {
-	live := k.opts.Hosts.Live()
+// due lists the claims that this host should try to override.
+func (k *Keeper) due(now time.Time) []Claim {
+	live, connected := k.opts.Hosts.Live(), k.opts.Hosts.Connected()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	var due []topology.GroupID
+	var due []Claim
 	for _, id := range k.groups {
 		if now.Before(k.next[id]) {
 			continue
 		}
-		if decide(k.situation(id, live, now)) {
+		s := k.situation(id, live, now)
+		s.connected = connected
+		if decide(s) {
 			k.next[id] = now.Add(retryTake)
-			due = append(due, id)
+			known := k.claims[id]
+			known.Group = id
+			due = append(due, known)
 		}
 	}
 	return due
@@ -202,24 +208,33 @@
 }
 
 // take tries to become the holder. Only what the store is seen to hold counts.
-func (k *Keeper) take(ctx context.Context, id topology.GroupID) {
+func (k *Keeper) take(ctx context.Context, known Claim) {
 	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
 	defer cancel()
-	if err := k.Renew(ctx, id); err != nil {
-		k.opts.Log.Info("duty not taken", "group", id, "error", err.Error())
+	if err := k.override(ctx, known); err != nil {
+		k.opts.Log.Info("duty not taken", "group", known.Group, "error", err.Error())
 	}
 }
 
 // ErrTaken means that another host holds the duty.
 var ErrTaken = errors.New("another host holds the duty")
 
-// Renew writes this host as the holder under a higher token than any before,
-// unless another host took the duty since this one last looked.
+// Renew gives this host a higher token than any before, unless another host
+// holds the duty.
 func (k *Keeper) Renew(ctx context.Context, id topology.GroupID) error {
 	k.mu.Lock()
 	known := k.claims[id]
 	k.mu.Unlock()
-	object, found, err := k.read(ctx, id)
+	if !k.isMine(known) {
+		return ErrTaken
+	}
+	return k.override(ctx, known)
+}
+
+// override writes this host as the holder, unless the store has another claim
+// than the one on which the decision rests.
+func (k *Keeper) override(ctx context.Context, known Claim) error {
+	object, found, err := k.read(ctx, known.Group)
 	if err != nil {
 		return err
 	}
@@ -227,7 +242,7 @@
 		k.Learn(found)
 		return ErrTaken
 	}
-	claim := Claim{Group: id, Holder: k.opts.Self, Name: k.opts.Name, Boot: k.opts.Boot, Token: max(found.Token, known.Token) + 1}
+	claim := Claim{Group: known.Group, Holder: k.opts.Self, Name: k.opts.Name, Boot: k.opts.Boot, Token: max(found.Token, known.Token) + 1}
 	if object.Value, err = json.Marshal(claim); err != nil {
 		return err
 	}
@@ -235,13 +250,13 @@
 		k.Learn(claim)
 		return nil
 	}
-	return k.lookAgain(ctx, id, claim, err)
+	return k.lookAgain(ctx, claim, err)
 }
 
 // lookAgain finds out what became of a write whose answer was lost, or who was
 // faster.
-func (k *Keeper) lookAgain(ctx context.Context, id topology.GroupID, claim Claim, cause error) error {
-	_, found, err := k.read(ctx, id)
+func (k *Keeper) lookAgain(ctx context.Context, claim Claim, cause error) error {
+	_, found, err := k.read(ctx, claim.Group)
 	if err != nil {
 		return errors.CombineErrors(cause, err)
 	}
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -1,6 +1,8 @@
 package gossip
 
 import (
+	"time"
+
 	"nettlewalk.example/nettlewalk/internal/catalog"
 	"nettlewalk.example/nettlewalk/internal/duty"
 	"nettlewalk.example/nettlewalk/internal/topology"
@@ -20,12 +22,19 @@
 	Leaving bool
 }
 
+// Heard says how long ago a host was heard of, directly or through others.
+type Heard struct {
+	Host topology.HostID
+	Ago  time.Duration
+}
+
 // Digest is what one host tells another.
 type Digest struct {
 	From          Host
 	Configuration uint64 // versions that it knows
 	Register      uint64
 	Hosts         []topology.HostID
+	Heard         []Heard
 	Claims        []duty.Claim
 }
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -25,6 +25,9 @@
 	// liveFor is how long a host counts as live after it was heard of. Hosts
 	// restart within it, and their share of connections is kept for them.
 	liveFor = 8 * time.Second
+	// contactFor is how recently a host must have been sent a request that it
+	// answered, to count as in contact: two rounds.
+	contactFor = 1 * time.Second
 	// forgetAfter is how long a silent host is still asked.
 	forgetAfter = 60 * time.Second
 )
@@ -46,10 +49,12 @@
 
 // known is a host that this one has heard of.
 type known struct {
-	host  Host
-	heard time.Time // zero: never
-	named time.Time // since when it is known
-	lost  bool      // its silence was logged
+	host     Host
+	heard    time.Time // zero: never
+	told     time.Time // when somebody heard of it, as others tell
+	answered time.Time // when the request was sent that it answered last
+	named    time.Time // since when it is known
+	lost     bool      // its silence was logged
 }
 
 // Gossip exchanges digests with other hosts. Safe for concurrent use.
@@ -107,10 +112,34 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	k := g.hosts[id]
-	if k == nil || k.heard.IsZero() {
+	if k == nil || (k.heard.IsZero() && k.told.IsZero()) {
 		return 0, false
 	}
-	return now.Sub(k.heard), true
+	return now.Sub(later(k.heard, k.told)), true
+}
+
+// Connected tells whether hosts in more than half of the failure domains have
+// answered within contactFor. A host that isn't connected gives no orders, and
+// takes no duty: those on the other side of a cut may have taken it.
+func (g *Gossip) Connected() bool {
+	now := steady.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	domains := map[topology.Domain]bool{g.self.Domain: true}
+	for _, k := range g.hosts {
+		if k.heard.IsZero() || now.Sub(k.heard) > liveFor || k.host.Leaving {
+			continue
+		}
+		near := now.Sub(k.answered) < contactFor
+		domains[k.host.Domain] = domains[k.host.Domain] || near
+	}
+	connected := 0
+	for _, near := range domains {
+		if near {
+			connected++
+		}
+	}
+	return 2*connected > len(domains)
 }
 
 // Live implements duty.Hosts: the hosts heard of lately, this one included.
@@ -189,11 +218,13 @@
 	defer cancel()
 	digest := g.digest()
 	var news News
+	sent := steady.Now()
 	if err := g.opts.Caller.Call(ctx, id, exchangeMethod, &digest, &news); err != nil {
 		g.opts.Log.V(1).Info("no answer from a host", "addr", id, "error", err.Error())
 		return
 	}
 	g.take(&news.Digest)
+	g.noteAnswer(id, sent)
 	if g.opts.Catalog.OfferConfiguration(news.NewConfiguration) {
 		g.opts.Log.Info("configuration in force", "version", news.NewConfiguration.Version, "source", news.From.Name, "routes", len(news.NewConfiguration.Routes))
 		g.Kick()
@@ -203,17 +234,31 @@
 	}
 }
 
+func (g *Gossip) noteAnswer(id topology.HostID, sent time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if k := g.hosts[id]; k != nil {
+		k.answered = later(k.answered, sent)
+	}
+}
+
 func (g *Gossip) digest() Digest {
 	d := Digest{Claims: g.claims.Claims()}
 	d.Configuration, d.Register = g.opts.Catalog.Versions()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	d.From = g.self
+	now := steady.Now()
 	for id, k := range g.hosts {
 		if !k.heard.IsZero() && !k.lost {
 			d.Hosts = append(d.Hosts, id)
 		}
 	}
+	for _, c := range d.Claims {
+		if k := g.hosts[c.Holder]; k != nil && !k.heard.IsZero() {
+			d.Heard = append(d.Heard, Heard{Host: c.Holder, Ago: now.Sub(k.heard)})
+		}
+	}
 	return d
 }
 
@@ -221,6 +266,7 @@
 func (g *Gossip) take(d *Digest) {
 	g.Add(d.Hosts...)
 	g.hear(d.From)
+	g.hearOf(d.Heard)
 	for _, c := range d.Claims {
 		g.claims.Learn(c)
 	}
@@ -244,6 +290,18 @@
 	k.host, k.heard, k.lost = h, now, false
 }
 
+// hearOf takes when others heard of the holders of duties.
+func (g *Gossip) hearOf(list []Heard) {
+	now := steady.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, h := range list {
+		if k := g.hosts[h.Host]; k != nil {
+			k.told = later(k.told, now.Add(-h.Ago))
+		}
+	}
+}
+
 // Service answers other hosts' exchanges.
 type Service struct{ gossip *Gossip }
 
--- a/internal/group/belief.go
+++ b/internal/group/belief.go
@@ -10,9 +10,10 @@
 // belief is what is known of a group's leader. The zero value knows nothing.
 type belief struct {
 	leader  topology.TargetID
-	asOf    time.Time // when the request was sent that proved it, on the steady clock
-	since   time.Time // when it was first proved
-	lost    time.Time // when the last leader was found not to lead, zero while one does
+	last    topology.TargetID // the latest one that led
+	asOf    time.Time         // when the request was sent that proved it, on the steady clock
+	since   time.Time         // when it was first proved
+	lost    time.Time         // when the last leader was found not to lead, zero while one does
 	anchors freshness.Anchors
 }
 
@@ -25,7 +26,7 @@
 	}
 	if id != b.leader {
 		b.anchors.Forget()
-		b.leader, b.since, changed = id, now, true
+		b.leader, b.last, b.since, changed = id, id, now, true
 	}
 	b.asOf, b.lost = sent, time.Time{}
 	if known {
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -114,6 +114,13 @@
 	return g.belief.leader, m.pool, true
 }
 
+// LastLeader returns the target that was proved to lead last, and how long ago.
+func (g *Group) LastLeader() (id topology.TargetID, ago time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.belief.last, steady.Now().Sub(g.belief.asOf)
+}
+
 // WaitLeader waits for a leader until the deadline.
 func (g *Group) WaitLeader(ctx context.Context, deadline time.Time) (topology.TargetID, *share.Pool, bool) {
 	timer := time.NewTimer(time.Until(deadline))
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -17,15 +17,22 @@
 )
 
 const (
-	restInterval  = 100 * time.Millisecond // between looks at a leader that serves
-	busyInterval  = 20 * time.Millisecond  // between steps of an attempt
-	tidyInterval  = 2 * time.Second        // between looks for pauses left behind; each takes a work slot
-	silentLooks   = 2                      // looks without an answer that count as the leader's silence
-	lookAgain     = 30 * time.Millisecond  // after the first sign of death
-	reportsCount  = 1500 * time.Millisecond
-	effectTimeout = 2500 * time.Millisecond // for an accepted promotion to take effect; it takes some hundred ms
-	pauseBetween  = 1 * time.Second         // between a promotion's effect and the next one
-	frozenAfter   = 1 * time.Second         // a tick so late means that the host was suspended
+	restInterval = 100 * time.Millisecond // between looks at a leader that serves
+	busyInterval = 20 * time.Millisecond  // between steps of an attempt
+	tidyInterval = 2 * time.Second        // between looks for pauses left behind; each takes a work slot
+	silentLooks  = 2                      // looks without an answer that count as the leader's silence
+	lookAgain    = 30 * time.Millisecond  // after the first sign of death
+	reportsCount = 800 * time.Millisecond // how long a host's report counts; it dials anew about as often
+	// orderPending is how long an order of an earlier holder may still take
+	// effect: it may give one until it has been out of contact for a second,
+	// and the effect takes less than another.
+	orderPending = 2 * time.Second
+	// leaderKnownFor is how old this host's own proof of the last leader may be
+	// for a new holder to take it for the one that failed.
+	leaderKnownFor = 15 * time.Second
+	effectTimeout  = 2500 * time.Millisecond // for an accepted promotion to take effect; it takes some hundred ms
+	pauseBetween   = 1 * time.Second         // between a promotion's effect and the next one
+	frozenAfter    = 1 * time.Second         // a tick so late means that the host was suspended
 )
 
 // Duty is this host's hold on a group's duty.
@@ -34,6 +41,13 @@
 	Renew(ctx context.Context, id topology.GroupID) error
 }
 
+// Contact tells whether this host may still act as a holder.
+type Contact interface {
+	// Connected tells whether hosts of most failure domains answered lately, so
+	// that no other host can have taken the duty without this one's knowledge.
+	Connected() bool
+}
+
 // Options configures a Watcher.
 type Options struct {
 	Group    topology.GroupID
@@ -42,6 +56,7 @@
 	Parse    statement.StatusParser
 	Promoter Promoter
 	Duty     Duty
+	Contact  Contact
 	Catalog  *catalog.Store
 	Belief   *group.Group
 	// Hosts returns how many hosts are live.
@@ -60,9 +75,11 @@
 	settled  time.Time         // when the last promotion took effect
 	tidied   time.Time
 	ticked   time.Time
-	token    uint64 // of the last order
-	ordered  topology.TargetID
-	tainted  bool // an order got no answer and may still be carried out
+	token    uint64            // under which this host holds the duty, 0: it doesn't
+	orderAt  time.Time         // no order may take effect before
+	resumeAt time.Time         // no pause may be ended before: an order may still be carried out
+	ordered  topology.TargetID // by the last order
+	tainted  bool              // that order got no answer and may still be carried out
 	started  time.Time
 	reason   string
 
@@ -97,7 +114,8 @@
 	defer w.close()
 	for {
 		wait := restInterval
-		if _, mine := w.opts.Duty.Token(w.opts.Group); mine {
+		if token, mine := w.opts.Duty.Token(w.opts.Group); mine {
+			w.hold(token)
 			wait = w.tick(ctx)
 		} else {
 			w.close()
@@ -111,7 +129,26 @@
 	}
 }
 
+// hold notes that this host holds the duty. When it begins to, an order of the
+// holder before may still be under way.
+func (w *Watcher) hold(token uint64) {
+	if w.token == 0 && token > firstToken {
+		now := steady.Now()
+		w.orderAt, w.resumeAt = now.Add(orderPending), now.Add(doubtFor)
+	}
+	w.token = token
+}
+
+// firstToken is that of a duty which nobody held before.
+const firstToken = 1
+
 func (w *Watcher) close() {
+	w.token = 0
+	w.forget()
+}
+
+// forget drops what was seen.
+func (w *Watcher) forget() {
 	for id, e := range w.eyes {
 		e.drop()
 		delete(w.eyes, id)
@@ -124,7 +161,7 @@
 	now := steady.Now()
 	if !w.ticked.IsZero() && now.Sub(w.ticked) > frozenAfter {
 		w.opts.Log.Info("host was suspended or very late", "group", w.opts.Group, "late_ms", now.Sub(w.ticked).Milliseconds())
-		w.close() // connections and what was seen over them are old
+		w.forget() // connections and what was seen over them are old
 	}
 	w.ticked = now
 	members := w.refresh()
@@ -179,6 +216,9 @@
 
 // lookAtLeader asks who leads, the target that led last before the others.
 func (w *Watcher) lookAtLeader(ctx context.Context) (serves bool, reach Reach) {
+	if id, ago := w.opts.Belief.LastLeader(); w.leader == "" && ago < leaderKnownFor {
+		w.leader = id
+	}
 	if e := w.eyes[w.leader]; e != nil {
 		p := w.prove(ctx, w.leader, e)
 		if p.leads {
@@ -285,7 +325,7 @@
 // tidy looks now and then for pauses that an attempt left behind.
 func (w *Watcher) tidy(ctx context.Context) {
 	now := steady.Now()
-	if now.Sub(w.tidied) < tidyInterval {
+	if now.Sub(w.tidied) < tidyInterval || now.Before(w.resumeAt) {
 		return
 	}
 	w.tidied = now
@@ -299,6 +339,9 @@
 	view := w.look(ctx)
 	view.Replace, view.LeaderServes = true, serves
 	step := Next(view)
+	if _, ok := step.(Promote); ok && (steady.Now().Before(w.orderAt) || !w.opts.Contact.Connected()) {
+		step = Hold{Reason: "an earlier holder's order may be under way, or this host is cut off"}
+	}
 	w.logStep(step, &view)
 	w.perform(ctx, step)
 	return busyInterval
@@ -384,7 +427,7 @@
 	if !mine || steady.Now().Sub(w.ticked) > frozenAfter {
 		return
 	}
-	w.token, w.ordered = token, target
+	w.ordered = target
 	reply := w.opts.Promoter.Promote(ctx, Order{Group: w.opts.Group, Target: target, Holder: w.opts.Name, Token: token})
 	values := []any{"group", w.opts.Group, "target", target, "token", token, "since_ms", steady.Now().Sub(w.started).Milliseconds()}
 	if reply.Err != nil {
@@ -394,9 +437,11 @@
 	metrics.GetOrCreateCounter(`nettlewalk_promotions_total{outcome="` + outcomeNames[reply.Outcome] + `"}`).Inc()
 	switch reply.Outcome {
 	case Accepted:
+		w.resumeAt = laterOf(w.resumeAt, steady.Now().Add(orderPending))
 		w.awaitEffect(ctx, target)
 	case Unanswered:
 		w.tainted = true
+		w.resumeAt = steady.Now().Add(doubtFor)
 	case Refused:
 		// Either another host used a higher token or the target isn't running.
 		if err := w.opts.Duty.Renew(ctx, w.opts.Group); err != nil {
@@ -405,6 +450,13 @@
 	}
 }
 
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 var outcomeNames = [...]string{Accepted: "accepted", Refused: "refused", NotDone: "not_done", Unanswered: "unanswered"}
 
 // awaitEffect waits until the promoted target leads.
