--- a/internal/promotion/eye.go
+++ b/internal/promotion/eye.go
@@ -18,6 +18,13 @@
 	// lookDialTimeout bounds a dial of a look, some round trips; shorter than
 	// the dialer's own, so that silence is noticed fast.
 	lookDialTimeout = 200 * time.Millisecond
+	// goneAfter is how long a target must have vanished from the register for
+	// its silence to count as its death: one that lives and reaches the store
+	// is registered again within two seconds.
+	goneAfter = 4 * time.Second
+	// recheckGone is the time between looks at a target that counts as dead
+	// after its silence. Each waits for the dial to time out.
+	recheckGone = 2 * time.Second
 	// doubtFor is how long an order without an answer may still be carried out.
 	doubtFor = 15 * time.Second
 )
@@ -32,8 +39,10 @@
 
 	deadSince  time.Time // when nobody was first found listening, zero while it lives
 	logSince   topology.Position
-	doubtUntil time.Time // an order to resume may be carried out until then
-	silent     int       // looks without an answer in a row
+	doubtUntil time.Time     // an order to resume may be carried out until then
+	silent     int           // looks without an answer in a row
+	vanished   time.Duration // since it was last registered, 0: it is
+	recheck    time.Time     // a silent one that vanished isn't dialed before
 }
 
 // dial opens the connection if need be. ok is false if the target didn't take
@@ -43,6 +52,10 @@
 		return Answered, true
 	}
 	e.drop()
+	now := steady.Now()
+	if now.Before(e.recheck) {
+		return Dead, false
+	}
 	ctx, cancel := context.WithTimeout(ctx, lookDialTimeout)
 	defer cancel()
 	conn, err := e.dialer.Dial(ctx, e.target)
@@ -57,9 +70,11 @@
 	}
 	switch {
 	case failure.Outcome == statement.DialRefused:
-		if e.deadSince.IsZero() {
-			e.deadSince = steady.Now()
-		}
+		e.dies(now)
+		return Dead, false
+	case failure.Outcome == statement.DialSilent && e.vanished > goneAfter:
+		e.dies(now)
+		e.recheck = now.Add(recheckGone)
 		return Dead, false
 	case failure.Outcome == statement.DialSilent:
 		return Silent, false
@@ -70,6 +85,13 @@
 	return Crowded, false
 }
 
+// dies notes the first sign of its death.
+func (e *eye) dies(now time.Time) {
+	if e.deadSince.IsZero() {
+		e.deadSince = now
+	}
+}
+
 // lives notes a sign of life: what was concluded from its death is void.
 func (e *eye) lives() {
 	e.deadSince, e.logSince, e.silent = time.Time{}, topology.Position{}, 0
--- a/internal/promotion/next.go
+++ b/internal/promotion/next.go
@@ -16,12 +16,12 @@
 		return Hold{Reason: "no replica can be promoted"}
 	}
 	others := v.others(candidate.ID)
-	if pause := toPause(v, others); len(pause.Targets) > 0 {
-		return pause
-	}
 	if n := unsure(others, candidate); n >= max(v.SyncReplicas, 1) {
 		return Hold{Reason: fmt.Sprintf("%d replicas can't be paused and may have acknowledged commits", n)}
 	}
+	if pause := toPause(v, others); len(pause.Targets) > 0 {
+		return pause
+	}
 	for _, m := range others {
 		if m.Reach == Answered && !candidate.Status.Received.AtLeast(m.Status.Received) {
 			return Hold{Reason: "the candidate lacks what " + string(m.ID) + " has received"}
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -80,8 +80,10 @@
 	resumeAt time.Time         // no pause may be ended before: an order may still be carried out
 	ordered  topology.TargetID // by the last order
 	tainted  bool              // that order got no answer and may still be carried out
-	started  time.Time
-	reason   string
+	started  time.Time // of the present attempt, zero: there is none
+	reason   string    // of it
+	heldFor  string    // reason of the last hold that was logged
+	heldAt   time.Time
 
 	mu      sync.Mutex
 	reports map[topology.HostID]report
@@ -196,7 +198,7 @@
 		known[m.Target.ID] = true
 		e := w.eyes[m.Target.ID]
 		if e != nil && e.target.Addr == m.Target.Addr {
-			e.target = m.Target
+			e.target, e.vanished = m.Target, vanished[m.Target.ID]
 			continue
 		}
 		if e != nil {
@@ -210,7 +212,6 @@
 			delete(w.eyes, id)
 		}
 	}
-	_ = vanished
 	return members
 }
 
@@ -322,16 +323,19 @@
 	return n
 }
 
-// tidy looks now and then for pauses that an attempt left behind.
+// tidy looks now and then at the others: for pauses that an attempt left behind,
+// and for deaths, after which a position of the leader counts.
 func (w *Watcher) tidy(ctx context.Context) {
 	now := steady.Now()
-	if now.Sub(w.tidied) < tidyInterval || now.Before(w.resumeAt) {
+	if now.Sub(w.tidied) < tidyInterval {
 		return
 	}
 	w.tidied = now
 	view := w.look(ctx)
 	view.LeaderServes = true
-	w.perform(ctx, Next(view))
+	if now.After(w.resumeAt) {
+		w.perform(ctx, Next(view))
+	}
 }
 
 // attempt takes the next step to replace the leader.
@@ -386,7 +390,10 @@
 	values := []any{"group", w.opts.Group, "leader", w.leader, "since_ms", steady.Now().Sub(w.started).Milliseconds(), "members", view.Members}
 	switch s := step.(type) {
 	case Hold:
-		w.opts.Log.Info("promotion held", append(values, "reason", s.Reason)...)
+		if s.Reason != w.heldFor || steady.Now().Sub(w.heldAt) > holdLogInterval {
+			w.heldFor, w.heldAt = s.Reason, steady.Now()
+			w.opts.Log.Info("promotion held", append(values, "reason", s.Reason)...)
+		}
 	case Pause:
 		w.opts.Log.Info("replicas are paused", append(values, "term", s.Term, "targets", s.Targets)...)
 	case Promote:
