--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -32,7 +32,9 @@
 	leaderKnownFor = 15 * time.Second
 	effectTimeout  = 2500 * time.Millisecond // for an accepted promotion to take effect; it takes some hundred ms
 	pauseBetween   = 1 * time.Second         // between a promotion's effect and the next one
-	frozenAfter    = 1 * time.Second         // a tick so late means that the host was suspended
+	// holdLogInterval is the time between log lines about the same hold.
+	holdLogInterval = 1 * time.Second
+	frozenAfter     = 1 * time.Second // a tick so late means that the host was suspended
 )
 
 // Duty is this host's hold on a group's duty.
@@ -80,9 +82,9 @@
 	resumeAt time.Time         // no pause may be ended before: an order may still be carried out
 	ordered  topology.TargetID // by the last order
 	tainted  bool              // that order got no answer and may still be carried out
-	started  time.Time // of the present attempt, zero: there is none
-	reason   string    // of it
-	heldFor  string    // reason of the last hold that was logged
+	started  time.Time         // of the present attempt, zero: there is none
+	reason   string            // of it
+	heldFor  string            // reason of the last hold that was logged
 	heldAt   time.Time
 
 	mu      sync.Mutex
