Statements without an own connection go through another host

Cause: after all hosts lost power, their connections lingered at the targets for 3 s and filled the limits: no host could open one to each leader (139 of 239 refusals on gold-coast-1: no target leads). A host cut off with its failure domain kept its callers although others could serve them. A session that began before the first configuration was told that its database doesn't exist.

Change: single statements are sent on, once, to a host that offers connections; a host that is cut off and without leaders fails its probe and closes idle sessions; a session waits for the first configuration; a loss of the leader that won't be over in time is refused at once.

--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -72,7 +72,7 @@
 	h.gossip = gossip.New(gossip.Options{
 		Self:    gossip.Host{Addr: self, Name: string(s.Host), Domain: s.Domain, Boot: boot},
 		Seeds:   hostIDs(s.Seeds),
-		Catalog: h.catalog, Caller: h.peers, Log: log.WithName("gossip"),
+		Catalog: h.catalog, Caller: h.peers, Offers: h.offers, Log: log.WithName("gossip"),
 	})
 	h.duty = duty.New(duty.Options{
 		Self: self, Name: string(s.Host), Boot: boot, Store: h.store, Hosts: h.gossip,
@@ -85,11 +85,50 @@
 		Log: log.WithName("group"),
 	})
 	h.relay = relay.NewServer(relay.Options{
-		Catalog: h.catalog, Groups: h.groups, Accept: platform.NewCallerConn, Log: log.WithName("relay"),
+		Catalog: h.catalog, Groups: h.groups, Accept: platform.NewCallerConn,
+		Peers: &forwarding{Client: h.peers, host: h}, Log: log.WithName("relay"),
 	})
 	return h
 }
 
+// offers lists this host's connections for the others.
+func (h *fleetHost) offers() []gossip.Offer {
+	var list []gossip.Offer
+	for _, o := range h.groups.Offers() {
+		list = append(list, gossip.Offer{Target: o.Target, Open: o.Open, Idle: o.Idle - o.Waiting, Leads: o.Leads})
+	}
+	return list
+}
+
+// forwarding implements relay.Peers.
+type forwarding struct {
+	*peer.Client
+	host *fleetHost
+}
+
+// Offers implements relay.Peers.
+func (f *forwarding) Offers(id topology.GroupID) []relay.Offer {
+	g := f.host.groups.Group(id)
+	if g == nil {
+		return nil
+	}
+	var list []relay.Offer
+	for host, offers := range f.host.gossip.Offers() {
+		sum := relay.Offer{Host: host}
+		for _, o := range offers {
+			if g.Has(o.Target) {
+				sum.Leads = sum.Leads || o.Leads
+				sum.Idle += o.Idle
+				sum.Open += o.Open
+			}
+		}
+		if sum.Open > 0 {
+			list = append(list, sum)
+		}
+	}
+	return list
+}
+
 // peerKey is the key by which hosts of one deployment know each other. The
 // platform gives them no secret.
 func peerKey(s *platform.Settings) []byte {
@@ -150,6 +189,7 @@
 	go h.groups.Run(work)
 	go h.followGroups(work)
 	go h.spread(work)
+	go h.sendCallersAway(work)
 	h.log.Info("serving", "callers", h.settings.Callers, "peers", h.settings.Peers)
 	h.followSettings(ctx)
 	h.leave(callers)
@@ -178,6 +218,9 @@
 	if err := h.server.Register(promotion.ServiceName, h.desk.Service()); err != nil {
 		return nil, err
 	}
+	if err := h.server.Register(relay.ServiceName, h.relay.Service()); err != nil {
+		return nil, err
+	}
 	if callers, err = net.Listen("tcp", h.settings.Callers); err != nil {
 		return nil, errors.Wrap(err, "listen for callers")
 	}
@@ -205,7 +248,45 @@
 }
 
 func (h *fleetHost) ready() bool {
-	return !h.leaving.Load() && h.catalog.Configuration() != nil && h.groups.Ready()
+	return !h.leaving.Load() && h.catalog.Configuration() != nil && h.groups.Ready() && !h.cutOff()
+}
+
+// cutOff tells whether this host can't serve most requests, while hosts of other
+// failure domains most likely can.
+func (h *fleetHost) cutOff() bool {
+	without, all := h.groups.Leaderless()
+	return !h.gossip.Connected() && 2*without > all
+}
+
+// outOfRotation is how long after its probe began to fail a host gets no more
+// new callers: two probes a second apart.
+const outOfRotation = 2 * time.Second
+
+// sendCallersAway closes idle sessions while this host is cut off, once new ones
+// are led elsewhere.
+func (h *fleetHost) sendCallersAway(ctx context.Context) {
+	ticker := time.NewTicker(outOfRotation / 4)
+	defer ticker.Stop()
+	var since time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		switch {
+		case h.leaving.Load():
+			return
+		case !h.cutOff():
+			since = time.Time{}
+		case since.IsZero():
+			since = time.Now()
+		}
+		away := !since.IsZero() && time.Since(since) > outOfRotation
+		if h.relay.CloseIdle(away) {
+			h.log.Info("callers are sent away", "on", away, "sessions", h.relay.Sessions())
+		}
+	}
 }
 
 // inspection serves metrics.
@@ -336,7 +417,7 @@
 	defer cancel()
 	go h.duty.Release(release)
 	time.Sleep(rotationTime)
-	h.relay.CloseIdle()
+	h.relay.CloseIdle(true)
 	_ = callers.Close()
 	time.Sleep(max(0, h.settings.Grace/2-time.Since(began)))
 	h.relay.CutTransactions()
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -36,6 +36,16 @@
 	Hosts         []topology.HostID
 	Heard         []Heard
 	Claims        []duty.Claim
+	Offers        []Offer
+}
+
+// Offer says that a host has connections to a target, which other hosts may
+// use by sending it their statements.
+type Offer struct {
+	Target topology.TargetID
+	Open   int
+	Idle   int
+	Leads  bool // as the host believes
 }
 
 // News is the answer: the other's digest, and what the asker lacks.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -44,7 +44,9 @@
 	Seeds   []topology.HostID
 	Catalog *catalog.Store
 	Caller  peer.Caller
-	Log     logr.Logger
+	// Offers returns this host's connections to targets.
+	Offers func() []Offer
+	Log    logr.Logger
 }
 
 // known is a host that this one has heard of.
@@ -55,6 +57,7 @@
 	answered time.Time // when the request was sent that it answered last
 	named    time.Time // since when it is known
 	lost     bool      // its silence was logged
+	offers   []Offer
 }
 
 // Gossip exchanges digests with other hosts. Safe for concurrent use.
@@ -168,6 +171,24 @@
 	return list
 }
 
+// offersFor is how old another host's offers may be: a little over two rounds.
+const offersFor = 1200 * time.Millisecond
+
+// Offers returns what other hosts offered lately, by host. Hosts that leave
+// offer nothing.
+func (g *Gossip) Offers() map[topology.HostID][]Offer {
+	now := steady.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	offers := map[topology.HostID][]Offer{}
+	for id, k := range g.hosts {
+		if !k.heard.IsZero() && now.Sub(k.heard) < offersFor && !k.host.Leaving {
+			offers[id] = k.offers
+		}
+	}
+	return offers
+}
+
 // Run exchanges digests until ctx ends.
 func (g *Gossip) Run(ctx context.Context) {
 	ticker := time.NewTicker(interval)
@@ -243,7 +264,7 @@
 }
 
 func (g *Gossip) digest() Digest {
-	d := Digest{Claims: g.claims.Claims()}
+	d := Digest{Claims: g.claims.Claims(), Offers: g.opts.Offers()}
 	d.Configuration, d.Register = g.opts.Catalog.Versions()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -265,14 +286,14 @@
 // take learns from another host's digest.
 func (g *Gossip) take(d *Digest) {
 	g.Add(d.Hosts...)
-	g.hear(d.From)
+	g.hear(d.From, d.Offers)
 	g.hearOf(d.Heard)
 	for _, c := range d.Claims {
 		g.claims.Learn(c)
 	}
 }
 
-func (g *Gossip) hear(h Host) {
+func (g *Gossip) hear(h Host, offers []Offer) {
 	now := steady.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -287,7 +308,7 @@
 	if k.lost || k.heard.IsZero() || k.host.Boot != h.Boot {
 		g.opts.Log.Info("host heard of", "host", h.Name, "addr", h.Addr, "domain", h.Domain)
 	}
-	k.host, k.heard, k.lost = h, now, false
+	k.host, k.heard, k.lost, k.offers = h, now, false, offers
 }
 
 // hearOf takes when others heard of the holders of duties.
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -143,14 +143,14 @@
 	}
 }
 
-// LostFor returns for how long no target has been proved to lead.
-func (g *Group) LostFor() (time.Duration, bool) {
+// LostFor returns for how long no target has been proved to lead, 0 if one is.
+func (g *Group) LostFor() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.belief.leader != "" {
-		return 0, false
+	if g.belief.leader != "" || g.belief.lost.IsZero() {
+		return 0
 	}
-	return steady.Now().Sub(g.belief.lost), !g.belief.lost.IsZero()
+	return steady.Now().Sub(g.belief.lost)
 }
 
 // NoteLeading takes a proof that the target led when a request was sent.
@@ -268,12 +268,11 @@
 	return choices
 }
 
-// Hint takes another host's word, or the register's, that a target leads. It
-// is looked at before it is believed.
-func (g *Group) Hint() {
+// Has tells whether the target is a member of the group.
+func (g *Group) Has(id topology.TargetID) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.seek()
+	return g.members[id] != nil
 }
 
 // seek looks for the leader unless one is known or a search is under way.
--- a/internal/group/set.go
+++ b/internal/group/set.go
@@ -109,6 +109,49 @@
 	return g
 }
 
+// Leaderless returns how many groups have no target that is proved to lead, and
+// how many groups there are.
+func (s *Set) Leaderless() (without, all int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, g := range s.groups {
+		if _, _, ok := g.Leader(); !ok {
+			without++
+		}
+	}
+	return without, len(s.groups)
+}
+
+// Offer is this host's connections to one target.
+type Offer struct {
+	Target topology.TargetID
+	Leads  bool
+	share.Load
+}
+
+// Offers returns this host's connections to all targets.
+func (s *Set) Offers() []Offer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var offers []Offer
+	for _, g := range s.groups {
+		offers = append(offers, g.offers()...)
+	}
+	return offers
+}
+
+func (g *Group) offers() []Offer {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	offers := make([]Offer, 0, len(g.members))
+	for id, m := range g.members {
+		if load := m.pool.Load(); load.Open > 0 {
+			offers = append(offers, Offer{Target: id, Leads: id == g.belief.leader, Load: load})
+		}
+	}
+	return offers
+}
+
 // Ready tells whether a connection to any target is open.
 func (s *Set) Ready() bool {
 	s.mu.Lock()
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -16,6 +16,10 @@
 	// expect to wait for a connection. Callers give up a few goals after they
 	// asked; a refusal before leaves them time to ask another host.
 	patienceFactor = 2
+	// promotionTakes is how long a group is usually without a leader when its
+	// primary fails: half a second until the loss is certain, and some hundred
+	// milliseconds for the promotion.
+	promotionTakes = 1200 * time.Millisecond
 	// mostTries bounds how often one statement is sent, each time after a
 	// promise that it didn't run.
 	mostTries = 4
@@ -59,6 +63,21 @@
 	return min(patienceFactor*r.LatencyGoal, r.StatementTimeout)
 }
 
+// leaderPatience is how long a request waits for a leader that has been lost for
+// so long. It doesn't wait for what is most likely not over in time: a loss that
+// has just begun, when the request can't outlast it, and one that has lasted
+// longer than a promotion takes, which nobody can tell the end of.
+func leaderPatience(r *catalog.Route, lost time.Duration) time.Duration {
+	left := promotionTakes - lost
+	if left <= 0 || left > r.StatementTimeout {
+		return 0
+	}
+	return min(left+leaderMargin, r.StatementTimeout)
+}
+
+// leaderMargin is added to what a promotion is expected to take still.
+const leaderMargin = 100 * time.Millisecond
+
 // afterBreak tells what a caller is told about a statement whose connection
 // broke, and whether it may run again at once.
 func afterBreak(b *statement.Broken, writes bool) (code statement.Code, again bool) {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
@@ -19,7 +20,9 @@
 	Groups  Groups
 	// Accept makes a caller of a connection.
 	Accept func(net.Conn) Caller
-	Log    logr.Logger
+	// Peers runs statements on other hosts; nil: there are none.
+	Peers Peers
+	Log   logr.Logger
 }
 
 // Server serves callers. Safe for concurrent use.
@@ -31,13 +34,18 @@
 	sessions map[*session]bool
 	wg       sync.WaitGroup
 
-	leaving atomic.Bool // idle sessions are closed
-	cutting atomic.Bool // open transactions are ended
+	leaving  atomic.Bool // idle sessions are closed
+	cutting  atomic.Bool // open transactions are ended
+	forwards *metrics.Counter
 }
 
 // NewServer returns a server without sessions.
 func NewServer(opts Options) *Server {
-	return &Server{opts: opts, sessions: map[*session]bool{}}
+	return &Server{
+		opts:     opts,
+		sessions: map[*session]bool{},
+		forwards: metrics.GetOrCreateCounter("nettlewalk_statements_forwarded_total"),
+	}
 }
 
 // Serve accepts callers until the listener is closed.
@@ -62,8 +70,7 @@
 
 func (s *Server) serve(ctx context.Context, socket net.Conn) {
 	defer s.wg.Done()
-	session := &session{server: s, caller: s.opts.Accept(socket), log: s.opts.Log}
-	session.state = sessionState{id: s.ids.Add(1), prepared: map[string]statement.Statement{}}
+	session := s.newSession(s.opts.Accept(socket))
 	s.mu.Lock()
 	s.sessions[session] = true
 	s.mu.Unlock()
@@ -75,6 +82,11 @@
 	session.run(ctx)
 }
 
+func (s *Server) newSession(c Caller) *session {
+	state := sessionState{id: s.ids.Add(1), prepared: map[string]statement.Statement{}}
+	return &session{server: s, caller: c, state: state, log: s.opts.Log}
+}
+
 // Sessions returns how many sessions are open.
 func (s *Server) Sessions() int {
 	s.mu.Lock()
@@ -82,10 +94,14 @@
 	return len(s.sessions)
 }
 
-// CloseIdle closes every session between two requests, now and from now on.
-func (s *Server) CloseIdle() {
-	s.leaving.Store(true)
-	s.interrupt()
+// CloseIdle closes every session between two requests, now and until it is
+// called with false. It tells whether that is a change.
+func (s *Server) CloseIdle(on bool) (changed bool) {
+	changed = s.leaving.Swap(on) != on
+	if changed && on {
+		s.interrupt()
+	}
+	return changed
 }
 
 // CutTransactions ends the open transactions with a promise that nothing of
@@ -118,6 +134,25 @@
 	}
 }
 
+const (
+	// configurationWait is how long a new session may wait for the first
+	// configuration after the host's start. Callers wait two seconds.
+	configurationWait = 1500 * time.Millisecond
+	configurationPoll = 20 * time.Millisecond // between looks meanwhile
+)
+
+// awaitConfiguration waits until a configuration is known. Without one, nobody
+// can say that a database doesn't exist.
+func (s *Server) awaitConfiguration() bool {
+	for end := time.Now().Add(configurationWait); s.opts.Catalog.Configuration() == nil; {
+		if time.Now().After(end) {
+			return false
+		}
+		time.Sleep(configurationPoll)
+	}
+	return true
+}
+
 func (s *Server) closing() bool          { return s.leaving.Load() }
 func (s *Server) cutsTransactions() bool { return s.cutting.Load() }
 
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -78,6 +78,11 @@
 		return false
 	}
 	s.database = database
+	if !s.server.awaitConfiguration() {
+		s.log.Info("session refused", "database", database, "code", statement.Busy.String(), "reason", "no configuration is known yet")
+		_ = s.caller.Refuse(statement.Busy, "no configuration is known yet")
+		return false
+	}
 	if _, ok := s.route(); !ok {
 		s.log.Info("session refused", "database", database, "code", statement.NoDatabase.String(), "configuration", s.server.version())
 		_ = s.caller.Refuse(statement.NoDatabase, database)
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -27,6 +27,8 @@
 	deadline time.Time
 	tries    int
 	skip     map[topology.TargetID]bool // lacked the position
+	// forwarded: it was sent to another host, or came from one. It is sent on once.
+	forwarded bool
 }
 
 // single runs one statement outside a transaction.
@@ -114,6 +116,9 @@
 		}
 		return r.readAt(c.ID, c.Pool, conn, after)
 	}
+	if answer, ok := r.forward(ctx, false, len(readers) > 0); ok {
+		return answer, false
+	}
 	return r.tryLeader(ctx, guarded)
 }
 
@@ -158,21 +163,28 @@
 	return answer, again
 }
 
-// leaderConn returns a connection to the leader. It waits for one to be found
-// only as long as the route's patience.
+// leaderConn returns a connection to the leader. Without one, it sends the
+// statement to another host that has, or waits if that can help; conn is then
+// nil and the answer the caller's.
 func (r *request) leaderConn(ctx context.Context) (topology.TargetID, *share.Pool, *share.Conn, statement.Answer) {
 	id, pool, ok := r.group.Leader()
 	if !ok {
-		until := r.arrived.Add(patience(&r.route))
+		if answer, ok := r.forward(ctx, true, false); ok {
+			return "", nil, nil, answer
+		}
+		until := r.arrived.Add(leaderPatience(&r.route, r.group.LostFor()))
 		if id, pool, ok = r.group.WaitLeader(ctx, until); !ok {
 			return "", nil, nil, r.session.refusal(statement.Busy, "no target leads the group")
 		}
 	}
 	conn, err := pool.Acquire(r.deadline, patience(&r.route), r.route.Priority)
-	if err != nil {
-		return "", nil, nil, r.session.refusal(statement.Busy, err.Error())
+	if err == nil {
+		return id, pool, conn, statement.Answer{}
+	}
+	if answer, ok := r.forward(ctx, true, !errors.Is(err, share.ErrNone)); ok {
+		return "", nil, nil, answer
 	}
-	return id, pool, conn, statement.Answer{}
+	return "", nil, nil, r.session.refusal(statement.Busy, err.Error())
 }
 
 // exchange sends the batch with what the target must know of the session before
--- a/internal/share/pool.go
+++ b/internal/share/pool.go
@@ -14,6 +14,9 @@
 const (
 	firstRetry = 100 * time.Millisecond // after a failed dial; a target that restarts takes seconds
 	lastRetry  = 1 * time.Second        // between later dials
+	// fullRetry is the pause after a target refused a connection for being at
+	// its limit. Connections of hosts that lost power linger there for seconds.
+	fullRetry = 200 * time.Millisecond
 	// typicalHold is the guess of how long a request keeps a connection before
 	// any was measured: some milliseconds of work and a round trip.
 	typicalHold = 10 * time.Millisecond
@@ -246,13 +249,19 @@
 		if err == nil {
 			continue
 		}
+		var failure *statement.DialError
+		wait := delay
+		if errors.As(err, &failure) && failure.Outcome == statement.DialRejected {
+			wait = fullRetry
+		} else {
+			delay = min(2*delay, lastRetry)
+		}
 		select {
 		case <-p.ctx.Done():
 			p.take(nil, nil)
 			return
-		case <-time.After(delay):
+		case <-time.After(wait):
 		}
-		delay = min(2*delay, lastRetry)
 	}
 }
 
