Takeovers of a duty after 1.5 s; lasting reports; another leader is looked at first

Reads met connections that had ended as tries, and took one target's full queue for an answer.

Change: the wait counts from when the holder was last heard of; gossip every 300 ms; a holder without contact takes no step; a host's reports count after 500 ms; a target that says it leads a newer term is looked at first.

--- a/internal/duty/claim.go
+++ b/internal/duty/claim.go
@@ -21,8 +21,12 @@
 
 const (
 	// takeoverAfter is how long a holder must have been silent on the hosts'
-	// own paths before another takes its duty: four rounds of gossip.
-	takeoverAfter = 2 * time.Second
+	// own paths before another takes its duty: five rounds of gossip.
+	takeoverAfter = 1500 * time.Millisecond
+	// orderPending is how long after it was heard of last a holder's order may
+	// still take effect: it gives none after 800 ms without contact, and an
+	// order has its effect within 1.2 s.
+	orderPending = 2 * time.Second
 	// rankPause keeps hosts from racing for a duty: each rank waits so much
 	// longer. A write to the store takes some milliseconds.
 	rankPause = 300 * time.Millisecond
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -62,16 +62,19 @@
 	groups []topology.GroupID
 	free   map[topology.GroupID]time.Time // since when nobody holds it
 	next   map[topology.GroupID]time.Time // no take before
+	// pending is until when an order of the holder before may take effect.
+	pending map[topology.GroupID]time.Time
 }
 
 // New returns a keeper that knows of no claim.
 func New(opts Options) *Keeper {
 	return &Keeper{
-		opts:   opts,
-		begun:  steady.Now(),
-		claims: map[topology.GroupID]Claim{},
-		free:   map[topology.GroupID]time.Time{},
-		next:   map[topology.GroupID]time.Time{},
+		opts:    opts,
+		begun:   steady.Now(),
+		claims:  map[topology.GroupID]Claim{},
+		free:    map[topology.GroupID]time.Time{},
+		next:    map[topology.GroupID]time.Time{},
+		pending: map[topology.GroupID]time.Time{},
 	}
 }
 
@@ -121,6 +124,29 @@
 	return c.Token, k.isMine(c)
 }
 
+// PendingUntil returns until when an order of the holder before this host may
+// still take effect.
+func (k *Keeper) PendingUntil(id topology.GroupID) time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.pending[id]
+}
+
+// notePending needs no lock. It is called before this host overrides a claim.
+func (k *Keeper) notePending(known Claim) {
+	now := steady.Now()
+	if known.Token == 0 || k.isMine(known) {
+		return
+	}
+	heard, ok := k.opts.Hosts.HeardAgo(known.Holder)
+	if !ok || known.Holder == k.opts.Self || known.Released {
+		heard = 0
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.pending[known.Group] = now.Add(max(0, orderPending-heard))
+}
+
 // Holder returns who holds the group's duty.
 func (k *Keeper) Holder(id topology.GroupID) (topology.HostID, bool) {
 	k.mu.Lock()
@@ -246,6 +272,7 @@
 	if object.Value, err = json.Marshal(claim); err != nil {
 		return err
 	}
+	k.notePending(known)
 	if _, err = k.opts.Store.PutIf(ctx, object); err == nil {
 		k.Learn(claim)
 		return nil
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	interval = 500 * time.Millisecond // between rounds; news travel at once besides
-	timeout  = 450 * time.Millisecond // of one exchange, some round trips
+	interval = 300 * time.Millisecond // between rounds; news travel at once besides
+	timeout  = 280 * time.Millisecond // of one exchange, some round trips
 	// fanout is how many hosts one round asks. With it, all hear of a holder's
 	// silence within a takeover's patience.
 	fanout = 8
@@ -27,7 +27,7 @@
 	liveFor = 8 * time.Second
 	// contactFor is how recently a host must have been sent a request that it
 	// answered, to count as in contact: two rounds.
-	contactFor = 1 * time.Second
+	contactFor = 800 * time.Millisecond
 	// forgetAfter is how long a silent host is still asked.
 	forgetAfter = 60 * time.Second
 )
--- a/internal/promotion/next.go
+++ b/internal/promotion/next.go
@@ -11,6 +11,9 @@
 	if !v.Replace {
 		return afterwards(v)
 	}
+	if id, ok := v.otherLeader(); ok {
+		return Hold{Reason: string(id) + " says that it leads a newer term"}
+	}
 	candidate, ok := choose(v)
 	if !ok {
 		return Hold{Reason: "no replica can be promoted"}
@@ -69,6 +72,18 @@
 	return m.ID < other.ID
 }
 
+// otherLeader returns a target besides the known leader that says it leads the
+// highest term: somebody else had it promoted, and the next look proves it.
+func (v *View) otherLeader() (topology.TargetID, bool) {
+	term := v.highestTerm()
+	for _, m := range v.Members {
+		if m.ID != v.Leader && m.Reach == Answered && m.Status.Primary && m.Status.Term == term {
+			return m.ID, true
+		}
+	}
+	return "", false
+}
+
 // others returns the replicas besides the candidate.
 func (v *View) others(candidate topology.TargetID) []Member {
 	var list []Member
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -23,10 +23,9 @@
 	silentLooks  = 2                      // looks without an answer that count as the leader's silence
 	lookAgain    = 30 * time.Millisecond  // after the first sign of death
 	reportsCount = 800 * time.Millisecond // how long a host's report counts; it dials anew about as often
-	// orderPending is how long an order of an earlier holder may still take
-	// effect: it may give one until it has been out of contact for a second,
-	// and the effect takes less than another.
-	orderPending = 2 * time.Second
+	reportsFirm  = 500 * time.Millisecond // how long a host must have reported before it counts: no remains of a cut
+	// effectPending is how long an accepted order may take to have its effect.
+	effectPending = 2 * time.Second
 	// leaderKnownFor is how old this host's own proof of the last leader may be
 	// for a new holder to take it for the one that failed.
 	leaderKnownFor = 15 * time.Second
@@ -41,6 +40,9 @@
 type Duty interface {
 	Token(topology.GroupID) (token uint64, mine bool)
 	Renew(ctx context.Context, id topology.GroupID) error
+	// PendingUntil returns until when an order of the holder before may still
+	// take effect.
+	PendingUntil(topology.GroupID) time.Time
 }
 
 // Contact tells whether this host may still act as a holder.
@@ -78,7 +80,6 @@
 	tidied   time.Time
 	ticked   time.Time
 	token    uint64            // under which this host holds the duty, 0: it doesn't
-	orderAt  time.Time         // no order may take effect before
 	resumeAt time.Time         // no pause may be ended before: an order may still be carried out
 	ordered  topology.TargetID // by the last order
 	tainted  bool              // that order got no answer and may still be carried out
@@ -94,7 +95,8 @@
 // report is another host's word that the leader is silent to it.
 type report struct {
 	target topology.TargetID
-	at     time.Time
+	first  time.Time // of the reports since then none was long missing
+	at     time.Time // of the last one
 }
 
 // NewWatcher returns a watcher that has looked at nothing.
@@ -105,7 +107,13 @@
 // Report takes another host's word that a target can't be reached.
 func (w *Watcher) Report(from topology.HostID, target topology.TargetID) {
 	w.mu.Lock()
-	w.reports[from] = report{target: target, at: steady.Now()}
+	now := steady.Now()
+	r := w.reports[from]
+	if r.target != target || now.Sub(r.at) > reportsCount {
+		r = report{target: target, first: now}
+	}
+	r.at = now
+	w.reports[from] = r
 	w.mu.Unlock()
 	select {
 	case w.wake <- struct{}{}:
@@ -134,11 +142,11 @@
 }
 
 // hold notes that this host holds the duty. When it begins to, an order of the
-// holder before may still be under way.
+// holder before may still be carried out, and the pauses that it rests on must
+// stay.
 func (w *Watcher) hold(token uint64) {
 	if w.token == 0 && token > firstToken {
-		now := steady.Now()
-		w.orderAt, w.resumeAt = now.Add(orderPending), now.Add(doubtFor)
+		w.resumeAt = steady.Now().Add(doubtFor)
 	}
 	w.token = token
 }
@@ -318,7 +326,7 @@
 			delete(w.reports, from)
 			continue
 		}
-		if r.target == w.leader {
+		if r.target == w.leader && now.Sub(r.first) > reportsFirm {
 			n++
 		}
 	}
@@ -345,14 +353,22 @@
 	view := w.look(ctx)
 	view.Replace, view.LeaderServes = true, serves
 	step := Next(view)
-	if _, ok := step.(Promote); ok && (steady.Now().Before(w.orderAt) || !w.opts.Contact.Connected()) {
-		step = Hold{Reason: "an earlier holder's order may be under way, or this host is cut off"}
+	switch {
+	case !w.opts.Contact.Connected():
+		step = Hold{Reason: "this host is cut off from most failure domains"}
+	case isPromote(step) && steady.Now().Before(w.opts.Duty.PendingUntil(w.opts.Group)):
+		step = Hold{Reason: "an earlier holder's order may be under way"}
 	}
 	w.logStep(step, &view)
 	w.perform(ctx, step)
 	return busyInterval
 }
 
+func isPromote(s Step) bool {
+	_, ok := s.(Promote)
+	return ok
+}
+
 // look asks all targets but the leader for their status, at once.
 func (w *Watcher) look(ctx context.Context) View {
 	view := View{Leader: w.leader, SyncReplicas: w.syncReplicas()}
@@ -446,7 +462,7 @@
 	metrics.GetOrCreateCounter(`nettlewalk_promotions_total{outcome="` + outcomeNames[reply.Outcome] + `"}`).Inc()
 	switch reply.Outcome {
 	case Accepted:
-		w.resumeAt = laterOf(w.resumeAt, steady.Now().Add(orderPending))
+		w.resumeAt = laterOf(w.resumeAt, steady.Now().Add(effectPending))
 		w.awaitEffect(ctx, target)
 	case Unanswered:
 		w.tainted = true
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -127,9 +127,15 @@
 	st := *r.st
 	st.After = after
 	answer, again := r.exchange(id, pool, conn, []statement.Statement{st}, 0)
-	if answer.Code == statement.Lagging {
+	switch answer.Code {
+	case statement.Lagging:
 		r.group.NoteLagging(id)
 		r.skipTarget(id)
+	case statement.Busy: // the target's own word: its queue is full
+		if !again {
+			r.skipTarget(id)
+			return answer, true
+		}
 	}
 	return answer, again
 }
@@ -191,11 +197,11 @@
 // it. main is the index of the caller's statement in the batch. again: the
 // statement didn't run, or ran without effect, and may be tried elsewhere.
 func (r *request) exchange(id topology.TargetID, pool *share.Pool, conn *share.Conn, batch []statement.Statement, main int) (statement.Answer, bool) {
-	r.tries++
-	if !usable(conn) {
+	if !usable(conn) { // costs no try: each such connection is met once
 		pool.Release(conn, false)
 		return r.session.refusal(statement.Busy, "connection ended while idle"), true
 	}
+	r.tries++
 	prefix := r.session.state.replay(conn, r.uses)
 	sent := steady.Now()
 	answers, err := conn.Exchange(r.deadline, append(prefix, batch...)...)
