Hosts read the store once a second together, and alone when they hear of no reads

Change: hosts tell each other when the store was last read; one whose news are older than a second, by its rank among those in contact, reads.

--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -199,15 +199,14 @@
 // followStore keeps the catalog up to date, by watches and by polls beside them.
 func (h *fleetHost) followStore(ctx context.Context) {
 	log := h.log.WithName("catalog")
-	hosts := func() int { return len(h.gossip.Live()) }
 	configurations := &catalog.ConfigurationFeed{
 		Name: platform.NameConfiguration, Decode: platform.DecodeConfiguration, Store: h.catalog, Log: log,
 	}
 	go h.store.Follow(ctx, platform.KindConfiguration, configurations)
-	go configurations.Poll(ctx, h.store, platform.KindConfiguration, hosts)
+	go configurations.Poll(ctx, h.store, platform.KindConfiguration, h.gossip.Rank)
 	register := &catalog.RegisterFeed{Decode: platform.DecodeMember, Store: h.catalog, Log: log}
 	go h.store.Follow(ctx, platform.KindTargets, register)
-	go register.Poll(ctx, h.store, platform.KindTargets, hosts)
+	go register.Poll(ctx, h.store, platform.KindTargets, h.gossip.Rank)
 }
 
 // listen opens every address of the host and serves them.
--- a/internal/catalog/poll.go
+++ b/internal/catalog/poll.go
@@ -2,30 +2,62 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"nettlewalk.example/nettlewalk/internal/platform"
+	"nettlewalk.example/nettlewalk/internal/steady"
 )
 
+// Reads tells when the store was last read, by this host or by one that told
+// it. Hosts read the store beside their watches, which may go deaf; together
+// they read it once in each period, and a host that hears of no other's reads
+// does so alone.
+type Reads struct {
+	Configuration time.Time // when the request was sent, on the steady clock
+	Register      time.Time
+}
+
 const (
-	// configurationPolls is how often a second all hosts together read the
-	// configuration beside their watches, which may go deaf. An accepted
-	// configuration has three seconds to be in force.
-	configurationPolls = 1.0
-	// registerPolls is the same for the register. A leaving target ends some
+	// configurationPeriod is how old the newest read of the configuration may
+	// grow. With gossip and the ranks it stays well below the three seconds
+	// that an accepted configuration has to be in force.
+	configurationPeriod = 1 * time.Second
+	// registerPeriod is the same for the register. A leaving target ends seven
 	// seconds after it said so.
-	registerPolls = 0.4
-	// shortestPoll and longestPoll bound one host's interval, in small and in large fleets.
-	shortestPoll = 1 * time.Second
-	longestPoll  = 60 * time.Second
+	registerPeriod = 2500 * time.Millisecond
+	// rankDelay keeps hosts from reading at once: the first does, and the
+	// others only if they don't hear of it within a round of gossip.
+	rankDelay = 350 * time.Millisecond
+	// lastRank bounds the delay of large fleets.
+	lastRank = 3
+	pollTick = 100 * time.Millisecond // between looks whether a read is due
 )
 
-// pollInterval returns how often one of so many hosts reads, for a rate of the
-// whole fleet.
-func pollInterval(hosts int, perSecond float64) time.Duration {
-	d := time.Duration(float64(max(hosts, 1)) / perSecond * float64(time.Second))
-	return min(max(d, shortestPoll), longestPoll)
+// due tells whether a host of the rank should read what was last read at a time.
+func due(last time.Time, period time.Duration, rank int, now time.Time) bool {
+	return now.Sub(last) >= period+time.Duration(min(rank, lastRank))*rankDelay
+}
+
+// NoteReads takes when another host read the store.
+func (s *Store) NoteReads(r Reads) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads.Configuration = later(s.reads.Configuration, r.Configuration)
+	s.reads.Register = later(s.reads.Register, r.Register)
+}
+
+// Reads returns when the store was last read.
+func (s *Store) Reads() Reads {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // Reader reads the store.
@@ -34,41 +66,59 @@
 	List(ctx context.Context, kind string) (platform.List, error)
 }
 
-// Poll reads the configuration now and then until ctx ends.
-func (f *ConfigurationFeed) Poll(ctx context.Context, r Reader, kind string, hosts func() int) {
-	for pause(ctx, pollInterval(hosts(), configurationPolls)) {
+// readTimeout bounds one read, which takes milliseconds.
+const readTimeout = 700 * time.Millisecond
+
+// Poll reads the configuration whenever it is due, until ctx ends. rank is this
+// host's place among those that read.
+func (f *ConfigurationFeed) Poll(ctx context.Context, r Reader, kind string, rank func() int) {
+	poll(ctx, func() {
+		sent := steady.Now()
+		if !due(f.Store.Reads().Configuration, configurationPeriod, rank(), sent) {
+			return
+		}
+		ctx, cancel := context.WithTimeout(ctx, readTimeout)
+		defer cancel()
 		o, err := r.Get(ctx, kind, f.Name)
 		if err != nil {
 			f.Log.V(1).Info("configuration not read", "error", err.Error())
-			continue
+			return
 		}
 		f.take(o)
-	}
+		f.Store.NoteReads(Reads{Configuration: sent})
+	})
 }
 
-// Poll reads the whole register now and then until ctx ends. What it finds is
-// offered; the watch goes on from its own revision.
-func (f *RegisterFeed) Poll(ctx context.Context, r Reader, kind string, hosts func() int) {
-	for pause(ctx, pollInterval(hosts(), registerPolls)) {
+// Poll reads the whole register whenever it is due, until ctx ends. The watch
+// goes on from the newest revision.
+func (f *RegisterFeed) Poll(ctx context.Context, r Reader, kind string, rank func() int) {
+	poll(ctx, func() {
+		sent := steady.Now()
+		if !due(f.Store.Reads().Register, registerPeriod, rank(), sent) {
+			return
+		}
+		ctx, cancel := context.WithTimeout(ctx, readTimeout)
+		defer cancel()
 		list, err := r.List(ctx, kind)
 		if err != nil {
 			f.Log.V(1).Info("register not read", "error", err.Error())
-			continue
+			return
 		}
 		f.Reset(kind, list)
-	}
+		f.Store.NoteReads(Reads{Register: sent})
+	})
 }
 
-// pause waits about so long, so that hosts started together spread out. It
-// returns false when ctx has ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	d = d/2 + time.Duration(rand.Int64N(int64(d)))
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
+// poll looks at every tick until ctx ends.
+func poll(ctx context.Context, look func()) {
+	ticker := time.NewTicker(pollTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			look()
+		}
 	}
 }
--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -25,6 +25,7 @@
 	configAt time.Time
 	register *Register
 	missing  map[topology.TargetID]vanished
+	reads    Reads
 	changed  chan struct{}
 }
 
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -35,8 +35,11 @@
 	Register      uint64
 	Hosts         []topology.HostID
 	Heard         []Heard
-	Claims        []duty.Claim
-	Offers        []Offer
+	// ConfigurationRead and RegisterRead are how long ago the store was last
+	// read, as far as the host knows.
+	ConfigurationRead, RegisterRead time.Duration
+	Claims                          []duty.Claim
+	Offers                          []Offer
 }
 
 // Offer says that a host has connections to a target, which other hosts may
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -160,6 +160,20 @@
 	return live
 }
 
+// Rank returns this host's place among the hosts in contact with it.
+func (g *Gossip) Rank() int {
+	now := steady.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	rank := 0
+	for id, k := range g.hosts {
+		if id < g.self.Addr && now.Sub(k.answered) < contactFor {
+			rank++
+		}
+	}
+	return rank
+}
+
 // Hosts returns what is known of each other host.
 func (g *Gossip) Hosts() []Host {
 	g.mu.Lock()
@@ -270,6 +284,8 @@
 	defer g.mu.Unlock()
 	d.From = g.self
 	now := steady.Now()
+	reads := g.opts.Catalog.Reads()
+	d.ConfigurationRead, d.RegisterRead = now.Sub(reads.Configuration), now.Sub(reads.Register)
 	for id, k := range g.hosts {
 		if !k.heard.IsZero() && !k.lost {
 			d.Hosts = append(d.Hosts, id)
@@ -288,6 +304,8 @@
 	g.Add(d.Hosts...)
 	g.hear(d.From, d.Offers)
 	g.hearOf(d.Heard)
+	now := steady.Now()
+	g.opts.Catalog.NoteReads(catalog.Reads{Configuration: now.Add(-d.ConfigurationRead), Register: now.Add(-d.RegisterRead)})
 	for _, c := range d.Claims {
 		g.claims.Learn(c)
 	}
