--- /dev/null
+++ b/internal/share/share_test.go
@@ -0,0 +1,143 @@
+package share
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"nettlewalk.example/nettlewalk/internal/statement"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// All hosts together stay within the limit, with room for a host that restarts.
+func TestPlanStaysWithinTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit, hosts := rapid.IntRange(8, 200).Draw(t, "limit"), rapid.IntRange(1, 8).Draw(t, "hosts")
+		each := Plan(limit, hosts)
+		if each*hosts > limit {
+			t.Fatalf("%d hosts with %d each exceed %d", hosts, each, limit)
+		}
+	})
+	qt.Check(t, Plan(16, 6), qt.Equals, 2)
+	qt.Check(t, Plan(32, 8), qt.Equals, 3)
+	qt.Check(t, Plan(16, 86), qt.Equals, 1)
+}
+
+func TestQueueServesPriorityThenArrival(t *testing.T) {
+	now := time.Now()
+	var q queue
+	for i, priority := range []int{2, 1, 2, 0, 1} {
+		q.add(&waiter{priority: priority, arrived: now.Add(time.Duration(i)), deadline: now.Add(time.Second), granted: make(chan *Conn, 1)})
+	}
+	qt.Check(t, q.ahead(1), qt.Equals, 3)
+	var got []time.Duration
+	for w := q.next(now); w != nil; w = q.next(now) {
+		got = append(got, w.arrived.Sub(now))
+	}
+	qt.Check(t, got, qt.DeepEquals, []time.Duration{3, 1, 4, 0, 2})
+}
+
+func TestQueueEndsTheWaitOfTheLate(t *testing.T) {
+	now := time.Now()
+	var q queue
+	late := &waiter{deadline: now.Add(-1), granted: make(chan *Conn, 1)}
+	q.add(late)
+	qt.Check(t, q.next(now), qt.IsNil)
+	c, open := <-late.granted
+	qt.Check(t, c, qt.IsNil)
+	qt.Check(t, open, qt.IsFalse)
+}
+
+// fakeDialer opens connections until it is full or told to fail.
+type fakeDialer struct {
+	mu    sync.Mutex
+	open  int
+	limit int
+}
+
+func (d *fakeDialer) Dial(context.Context, topology.Target) (statement.Conn, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.open >= d.limit {
+		return nil, &statement.DialError{Outcome: statement.DialRejected, Code: statement.TooMany, Cause: errors.New("full")}
+	}
+	d.open++
+	return &fakeConn{dialer: d}, nil
+}
+
+type fakeConn struct{ dialer *fakeDialer }
+
+func (c *fakeConn) Exchange(time.Time, ...statement.Statement) ([]statement.Answer, error) {
+	return nil, nil
+}
+func (c *fakeConn) Alive() bool { return true }
+func (c *fakeConn) Close() {
+	c.dialer.mu.Lock()
+	defer c.dialer.mu.Unlock()
+	c.dialer.open--
+}
+
+func newPool(t *testing.T, limit, size int) (*Pool, *fakeDialer) {
+	t.Helper()
+	d := &fakeDialer{limit: limit}
+	p := NewPool(Options{Dialer: d, Size: size, Dialed: func(topology.TargetID, error) {}})
+	t.Cleanup(p.Close)
+	eventually(t, func() bool { return p.Load().Open == min(limit, size) })
+	return p, d
+}
+
+func eventually(t *testing.T, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !ok(); {
+		qt.Assert(t, time.Now().Before(end), qt.IsTrue)
+		<-time.After(time.Millisecond)
+	}
+}
+
+func TestPoolKeepsItsShareOpen(t *testing.T) {
+	p, d := newPool(t, 5, 3)
+	c := p.TryAcquire()
+	p.Release(c, false)
+	eventually(t, func() bool { return p.Load().Idle == 3 })
+	p.SetSize(1)
+	eventually(t, func() bool { d.mu.Lock(); defer d.mu.Unlock(); return d.open == 1 })
+}
+
+func TestPoolGivesAFreeConnectionToWhoWaits(t *testing.T) {
+	p, _ := newPool(t, 1, 1)
+	c := p.TryAcquire()
+	got := make(chan *Conn)
+	go func() {
+		c, _ := p.Acquire(time.Now().Add(time.Second), time.Second, 1)
+		got <- c
+	}()
+	eventually(t, func() bool { return p.Load().Waiting == 1 })
+	p.Release(c, true)
+	qt.Check(t, <-got, qt.Equals, c)
+}
+
+// A request that would most likely wait longer than it can use is refused at once.
+func TestPoolRefusesAtOnceWhatWouldWaitTooLong(t *testing.T) {
+	p, _ := newPool(t, 1, 1)
+	p.TryAcquire()
+	began := time.Now()
+	_, err := p.Acquire(began.Add(time.Minute), time.Millisecond, 1)
+	qt.Check(t, err, qt.Equals, ErrTooLong)
+	_, err = p.Acquire(began.Add(time.Millisecond), time.Minute, 1)
+	qt.Check(t, err, qt.Equals, ErrTooLong)
+	qt.Check(t, time.Since(began) < time.Second, qt.IsTrue)
+}
+
+func TestPoolWithoutConnectionsRefuses(t *testing.T) {
+	p := NewPool(Options{Dialer: &fakeDialer{}, Size: 1, Dialed: func(topology.TargetID, error) {}})
+	_, err := p.Acquire(time.Now().Add(time.Second), time.Second, 1)
+	qt.Check(t, err, qt.Equals, ErrNone)
+	p.Close()
+	_, err = p.Acquire(time.Now().Add(time.Second), time.Second, 1)
+	qt.Check(t, err, qt.Equals, ErrClosed)
+}
