A deposed leader's successor is searched for; relay tests

Cause: TestAReadAtAReplacedPrimaryIsNotDelivered: a request was refused at once when the leader said that it had been replaced, as if a promotion still had to come. Change: after a leader's own word the successor is looked for up to 300 ms; after its silence a promotion is waited for or not, as before.

--- a/internal/group/belief.go
+++ b/internal/group/belief.go
@@ -14,6 +14,7 @@
 	asOf    time.Time         // when the request was sent that proved it, on the steady clock
 	since   time.Time         // when it was first proved
 	lost    time.Time         // when the last leader was found not to lead, zero while one does
+	deposed bool              // it said so itself, so that another leads most likely
 	anchors freshness.Anchors
 }
 
@@ -36,15 +37,30 @@
 }
 
 // refuted takes the news that a target doesn't lead, from a request that was
-// sent at that time, and tells whether it was believed to.
-func (b *belief) refuted(id topology.TargetID, sent, now time.Time) bool {
+// sent at that time, and tells whether it was believed to. deposed: by its own
+// word, not by its silence.
+func (b *belief) refuted(id topology.TargetID, sent, now time.Time, deposed bool) bool {
 	if id != b.leader || sent.Before(b.asOf) {
 		return false
 	}
-	b.leader, b.lost = "", now
+	b.leader, b.lost, b.deposed = "", now, deposed
 	return true
 }
 
+// Loss is how long a group has been without a known leader. The zero value: it
+// has one, or never had.
+type Loss struct {
+	For     time.Duration
+	Deposed bool // the last leader said itself that it leads no more
+}
+
+func (b *belief) loss(now time.Time) Loss {
+	if b.leader != "" || b.lost.IsZero() {
+		return Loss{}
+	}
+	return Loss{For: now.Sub(b.lost), Deposed: b.deposed}
+}
+
 // lag remembers that a replica lacked a position.
 type lag struct {
 	until time.Time // not asked before
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -57,7 +57,9 @@
 
 // New returns a group without members.
 func New(opts Options) *Group {
-	return &Group{opts: opts, members: map[topology.TargetID]*member{}, found: make(chan struct{})}
+	g := &Group{opts: opts, members: map[topology.TargetID]*member{}, found: make(chan struct{})}
+	g.belief.lost, g.belief.deposed = steady.Now(), true // somebody leads most likely, and is to be found
+	return g
 }
 
 // SetMembers takes the group's registered targets and how many connections to
@@ -84,7 +86,7 @@
 		if !kept[id] {
 			m.pool.Close()
 			delete(g.members, id)
-			g.belief.refuted(id, steady.Now(), steady.Now())
+			g.belief.refuted(id, steady.Now(), steady.Now(), false)
 		}
 	}
 	g.seek()
@@ -143,14 +145,11 @@
 	}
 }
 
-// LostFor returns for how long no target has been proved to lead, 0 if one is.
-func (g *Group) LostFor() time.Duration {
+// Loss returns for how long no target has been proved to lead.
+func (g *Group) Loss() Loss {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.belief.leader != "" || g.belief.lost.IsZero() {
-		return 0
-	}
-	return steady.Now().Sub(g.belief.lost)
+	return g.belief.loss(steady.Now())
 }
 
 // NoteLeading takes a proof that the target led when a request was sent.
@@ -170,13 +169,15 @@
 
 // NoteNotLeading takes the news that the target refused to begin a transaction
 // when a request was sent.
-func (g *Group) NoteNotLeading(id topology.TargetID, sent time.Time) {
+func (g *Group) NoteNotLeading(id topology.TargetID, sent time.Time) { g.refute(id, sent, true) }
+
+func (g *Group) refute(id topology.TargetID, sent time.Time, deposed bool) {
 	g.mu.Lock()
-	refuted := g.belief.refuted(id, sent, steady.Now())
+	refuted := g.belief.refuted(id, sent, steady.Now(), deposed)
 	g.seek()
 	g.mu.Unlock()
 	if refuted {
-		g.opts.Log.Info("target leads no more", "group", g.opts.ID, "target", id)
+		g.opts.Log.Info("target leads no more", "group", g.opts.ID, "target", id, "by_its_word", deposed)
 	}
 }
 
@@ -184,7 +185,7 @@
 // led, it is looked for anew; it is found again if it answers.
 func (g *Group) NoteUnreachable(id topology.TargetID) {
 	g.NoteFailing(id)
-	g.NoteNotLeading(id, steady.Now())
+	g.refute(id, steady.Now(), false)
 }
 
 // NoteFailing notes that connections to the target break.
@@ -349,7 +350,7 @@
 	g.mu.Unlock()
 	if silent {
 		pool.DropIdle()
-		g.NoteNotLeading(id, steady.Now())
+		g.refute(id, steady.Now(), false)
 	}
 }
 
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
+	"nettlewalk.example/nettlewalk/internal/group"
 	"nettlewalk.example/nettlewalk/internal/statement"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
@@ -63,20 +64,30 @@
 	return min(patienceFactor*r.LatencyGoal, r.StatementTimeout)
 }
 
-// leaderPatience is how long a request waits for a leader that has been lost for
-// so long. It doesn't wait for what is most likely not over in time: a loss that
-// has just begun, when the request can't outlast it, and one that has lasted
-// longer than a promotion takes, which nobody can tell the end of.
-func leaderPatience(r *catalog.Route, lost time.Duration) time.Duration {
-	left := promotionTakes - lost
+// leaderPatience is how long a request waits for a leader after the loss of one.
+// It doesn't wait for what is most likely not over in time: a loss that has just
+// begun, when the request can't outlast it, and one that has lasted longer than
+// a promotion takes, whose end nobody can tell. Where the last leader said
+// itself that it was replaced, the next one is there and only to be found.
+func leaderPatience(r *catalog.Route, loss group.Loss) time.Duration {
+	takes := promotionTakes
+	if loss.Deposed {
+		takes = leaderSearch
+	}
+	left := takes - loss.For
 	if left <= 0 || left > r.StatementTimeout {
 		return 0
 	}
 	return min(left+leaderMargin, r.StatementTimeout)
 }
 
-// leaderMargin is added to what a promotion is expected to take still.
-const leaderMargin = 100 * time.Millisecond
+const (
+	// leaderSearch is how long it takes at most to find a leader that is there:
+	// some looks at each target.
+	leaderSearch = 300 * time.Millisecond
+	// leaderMargin is added to what a promotion is expected to take still.
+	leaderMargin = 100 * time.Millisecond
+)
 
 // afterBreak tells what a caller is told about a statement whose connection
 // broke, and whether it may run again at once.
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,379 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"nettlewalk.example/nettlewalk/internal/catalog"
+	"nettlewalk.example/nettlewalk/internal/group"
+	"nettlewalk.example/nettlewalk/internal/statement"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// fakeTarget answers statements by a function and remembers them.
+type fakeTarget struct {
+	mu     sync.Mutex
+	got    []string // ids and texts of callers' statements, kinds of the proxy's own
+	leads  bool
+	end    topology.Position
+	answer func(st statement.Statement) (statement.Answer, error) // nil answer: the default
+}
+
+func (f *fakeTarget) Exchange(_ time.Time, batch ...statement.Statement) ([]statement.Answer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var answers []statement.Answer
+	state := statement.Idle
+	for _, st := range batch {
+		a, err := f.one(st, &state)
+		if err != nil {
+			return answers, err
+		}
+		answers = append(answers, a)
+	}
+	return answers, nil
+}
+
+func (f *fakeTarget) one(st statement.Statement, state *statement.State) (statement.Answer, error) {
+	if st.Kind == statement.Begin && st.ID == statement.OwnID {
+		if !f.leads {
+			return statement.Answer{Code: statement.ReadOnly, Position: f.end, HasPosition: true}, nil
+		}
+		*state = statement.InTransaction
+		return statement.Answer{Signature: "-", State: *state, Position: f.end, HasPosition: true}, nil
+	}
+	if st.Kind == statement.BeginRead {
+		*state = statement.InTransaction
+	}
+	if st.Kind != statement.Rollback || st.ID != statement.OwnID {
+		f.got = append(f.got, st.ID+" "+st.Text)
+	}
+	if f.answer != nil {
+		if a, err := f.answer(st); err != nil || a.Signature != "" || a.Code != statement.OK {
+			return a, err
+		}
+	}
+	if !st.After.IsZero() && !f.end.AtLeast(st.After) {
+		return statement.Answer{Code: statement.Lagging, Position: f.end, HasPosition: true}, nil
+	}
+	if st.Kind == statement.Commit || st.Kind == statement.Rollback {
+		*state = statement.Idle
+	}
+	return statement.Answer{Signature: "sig", State: *state, Position: f.end, HasPosition: true}, nil
+}
+
+func (f *fakeTarget) Alive() bool { return true }
+func (f *fakeTarget) Close()      {}
+
+func (f *fakeTarget) texts() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.got...)
+}
+
+// pinnedConn remembers that a transaction is open on it.
+type pinnedConn struct {
+	*fakeTarget
+	open bool
+}
+
+func (c *pinnedConn) Exchange(d time.Time, batch ...statement.Statement) ([]statement.Answer, error) {
+	answers, err := c.fakeTarget.Exchange(d, batch...)
+	for i := range answers {
+		switch batch[i].Kind {
+		case statement.Begin, statement.BeginRead:
+			c.open = answers[i].OK()
+		case statement.Commit, statement.Rollback:
+			c.open = false
+		}
+		if c.open && answers[i].OK() {
+			answers[i].State = statement.InTransaction
+		}
+	}
+	return answers, err
+}
+
+// dialer opens connections to fakes by the target's id.
+type dialer map[topology.TargetID]*fakeTarget
+
+func (d dialer) Dial(_ context.Context, t topology.Target) (statement.Conn, error) {
+	f := d[t.ID]
+	if f == nil {
+		return nil, &statement.DialError{Outcome: statement.DialSilent, Cause: errors.New("cut")}
+	}
+	return &pinnedConn{fakeTarget: f}, nil
+}
+
+// fixture is a session before a leader and a replica.
+type fixture struct {
+	*session
+	group           *group.Group
+	leader, replica *fakeTarget
+	config          *catalog.Configuration
+}
+
+func (f *fixture) Configuration() *catalog.Configuration  { return f.config }
+func (f *fixture) Group(id topology.GroupID) *group.Group { return f.group }
+func (f *fixture) serveText(st statement.Statement) statement.Answer {
+	st.ID = "q"
+	return f.serve(context.Background(), &st)
+}
+
+func newFixture(t *testing.T, fresh catalog.Freshness) *fixture {
+	t.Helper()
+	f := &fixture{
+		leader:  &fakeTarget{leads: true, end: topology.Position{Term: 1, Offset: 10}},
+		replica: &fakeTarget{end: topology.Position{Term: 1, Offset: 10}},
+	}
+	f.config = &catalog.Configuration{Version: 1, Routes: map[string]catalog.Route{"db": {
+		Database: "db", Group: "g", Freshness: fresh, MaxAge: 2 * time.Second, StatementTimeout: time.Second, LatencyGoal: 100 * time.Millisecond,
+	}}}
+	f.group = group.New(group.Options{
+		ID: "g", Dialer: dialer{"p": f.leader, "r": f.replica}, Log: logr.Discard(),
+		Suspect:     func(topology.GroupID, topology.TargetID, statement.DialOutcome) {},
+		LeaderFound: func(topology.GroupID, topology.TargetID) {},
+	})
+	t.Cleanup(f.group.Close)
+	member := func(id topology.TargetID) catalog.Member {
+		return catalog.Member{Target: topology.Target{ID: id, Group: "g", Addr: string(id)}}
+	}
+	f.group.SetMembers([]catalog.Member{member("p"), member("r")}, 2)
+	f.session = NewServer(Options{Catalog: f, Groups: f, Log: logr.Discard()}).newSession(nil)
+	f.session.database = "db"
+	_, _, ok := f.group.WaitLeader(context.Background(), time.Now().Add(5*time.Second))
+	qt.Assert(t, ok, qt.IsTrue)
+	for end := time.Now().Add(5 * time.Second); len(f.group.Readers()) < 2; {
+		qt.Assert(t, time.Now().Before(end), qt.IsTrue)
+		<-time.After(time.Millisecond)
+	}
+	return f
+}
+
+func read(item string) statement.Statement {
+	return statement.Statement{Kind: statement.Read, Name: item, Text: "READ " + item}
+}
+
+func write(item string) statement.Statement {
+	return statement.Statement{Kind: statement.Write, Name: item, Value: "x", Text: "WRITE " + item + " x"}
+}
+
+var (
+	begin  = statement.Statement{Kind: statement.Begin, Text: "BEGIN"}
+	commit = statement.Statement{Kind: statement.Commit, Text: "COMMIT"}
+)
+
+func TestBoundedReadsGoToTheReplica(t *testing.T) {
+	f := newFixture(t, catalog.BoundedAge)
+	a := f.serveText(read("a"))
+	qt.Assert(t, a.OK(), qt.IsTrue, qt.Commentf("%+v", a))
+	qt.Check(t, f.replica.texts(), qt.DeepEquals, []string{"q READ a"})
+}
+
+func TestReadsOfTheLatestDataGoToTheLeader(t *testing.T) {
+	f := newFixture(t, catalog.LatestData)
+	qt.Assert(t, f.serveText(read("a")).OK(), qt.IsTrue)
+	qt.Check(t, f.replica.texts(), qt.HasLen, 0)
+	qt.Check(t, f.leader.texts(), qt.DeepEquals, []string{"q READ a"})
+}
+
+// A session that wrote reads its own write: the replica that lacks it isn't asked.
+func TestOwnWritesAreSeen(t *testing.T) {
+	f := newFixture(t, catalog.OwnWrites)
+	f.leader.mu.Lock()
+	f.leader.end.Offset = 20
+	f.leader.mu.Unlock()
+	qt.Assert(t, f.serveText(write("a")).OK(), qt.IsTrue)
+	qt.Check(t, f.floor, qt.Equals, topology.Position{Term: 1, Offset: 20})
+	a := f.serveText(read("a"))
+	qt.Assert(t, a.OK(), qt.IsTrue)
+	qt.Check(t, a.Position.Offset, qt.Equals, uint64(20))
+}
+
+// The answer of a read at a target that refused to begin is thrown away: it
+// ran on the log of a replaced primary.
+func TestAReadAtAReplacedPrimaryIsNotDelivered(t *testing.T) {
+	f := newFixture(t, catalog.LatestData)
+	f.leader.mu.Lock()
+	f.leader.leads = false
+	f.leader.mu.Unlock()
+	f.replica.mu.Lock()
+	f.replica.leads = true
+	f.replica.mu.Unlock()
+	a := f.serveText(read("a"))
+	qt.Assert(t, a.OK(), qt.IsTrue, qt.Commentf("%+v", a))
+	qt.Check(t, f.replica.texts(), qt.DeepEquals, []string{"q READ a"})
+}
+
+func TestASessionsStateIsReplayed(t *testing.T) {
+	f := newFixture(t, catalog.LatestData)
+	f.serveText(statement.Statement{Kind: statement.Set, Name: "tz", Value: "utc", Text: "SET tz utc"})
+	f.serveText(statement.Statement{Kind: statement.Prepare, Name: "s1", Value: "READ q2c", Text: "PREPARE s1 READ q2c"})
+	execute := statement.Statement{Kind: statement.Execute, Name: "s1", Value: "a", Text: "EXECUTE s1 a"}
+	qt.Assert(t, f.serveText(execute).OK(), qt.IsTrue)
+	qt.Check(t, f.leader.texts(), qt.DeepEquals, []string{"- SET tz utc", "- PREPARE s1 READ q2c", "q EXECUTE s1 a"})
+	qt.Check(t, f.serveText(statement.Statement{Kind: statement.Execute, Name: "s2", Value: "a", Text: "EXECUTE s2 a"}).Code, qt.Equals, statement.UnknownName)
+}
+
+// A write whose connection breaks promises nothing, and isn't sent again.
+func TestAWriteThatBreaksIsInDoubtAndSentOnce(t *testing.T) {
+	f := newFixture(t, catalog.LatestData)
+	f.leader.answer = func(st statement.Statement) (statement.Answer, error) {
+		if st.Kind == statement.Write {
+			return statement.Answer{}, &statement.Broken{Sent: true, Cause: errors.New("reset")}
+		}
+		return statement.Answer{}, nil
+	}
+	a := f.serveText(write("a"))
+	qt.Check(t, a.Code, qt.Equals, statement.InDoubt)
+	qt.Check(t, a.Code.Promise(), qt.IsFalse)
+	qt.Check(t, f.leader.texts(), qt.DeepEquals, []string{"q WRITE a x"})
+}
+
+func TestAWriteThatNeverLeftIsTriedAgain(t *testing.T) {
+	f := newFixture(t, catalog.LatestData)
+	broke := false
+	f.leader.answer = func(st statement.Statement) (statement.Answer, error) {
+		if st.Kind == statement.Write && !broke {
+			broke = true
+			return statement.Answer{}, &statement.Broken{Cause: errors.New("reset")}
+		}
+		return statement.Answer{}, nil
+	}
+	qt.Check(t, f.serveText(write("a")).OK(), qt.IsTrue)
+}
+
+func TestTransactionKeepsItsConnection(t *testing.T) {
+	f := newFixture(t, catalog.LatestData)
+	qt.Check(t, f.serveText(begin).State, qt.Equals, statement.InTransaction)
+	qt.Check(t, f.leader.texts(), qt.HasLen, 0) // it begins with its first statement
+	qt.Check(t, f.serveText(write("a")).State, qt.Equals, statement.InTransaction)
+	held := f.tx.conn
+	f.serveText(read("b"))
+	qt.Check(t, f.tx.conn, qt.Equals, held)
+	a := f.serveText(commit)
+	qt.Check(t, a.OK(), qt.IsTrue)
+	qt.Check(t, a.State, qt.Equals, statement.Idle)
+	qt.Check(t, f.tx, qt.IsNil)
+	qt.Check(t, f.leader.texts(), qt.DeepEquals, []string{"q WRITE a x", "q READ b", "q COMMIT"})
+}
+
+func TestALostCommitIsInDoubtOnlyIfSomethingWasWritten(t *testing.T) {
+	for _, test := range []struct {
+		st   statement.Statement
+		want statement.Code
+	}{{write("a"), statement.InDoubt}, {read("a"), statement.Aborted}} {
+		f := newFixture(t, catalog.LatestData)
+		f.leader.answer = func(st statement.Statement) (statement.Answer, error) {
+			if st.Kind == statement.Commit {
+				return statement.Answer{}, &statement.Broken{Sent: true, Cause: errors.New("reset")}
+			}
+			return statement.Answer{}, nil
+		}
+		f.serveText(begin)
+		f.serveText(test.st)
+		qt.Check(t, f.serveText(commit).Code, qt.Equals, test.want)
+	}
+}
+
+func TestAFailedTransactionTakesOnlyItsEnd(t *testing.T) {
+	f := newFixture(t, catalog.LatestData)
+	f.leader.answer = func(st statement.Statement) (statement.Answer, error) {
+		if st.Kind == statement.Write {
+			return statement.Answer{}, &statement.Broken{Sent: true, Cause: errors.New("reset")}
+		}
+		return statement.Answer{}, nil
+	}
+	f.serveText(begin)
+	a := f.serveText(write("a"))
+	qt.Check(t, a.Code, qt.Equals, statement.Aborted) // the commit was never sent
+	qt.Check(t, a.State, qt.Equals, statement.Failed)
+	qt.Check(t, f.serveText(read("b")).Code, qt.Equals, statement.Malformed)
+	qt.Check(t, f.serveText(statement.Statement{Kind: statement.Rollback, Text: "ROLLBACK"}).State, qt.Equals, statement.Idle)
+}
+
+// A transaction that the proxy ended is refused with a promise, once.
+func TestAnIdleTransactionIsEndedWithAPromise(t *testing.T) {
+	f := newFixture(t, catalog.LatestData)
+	f.serveText(begin)
+	f.serveText(write("a"))
+	f.failTransaction("idle for too long")
+	qt.Check(t, f.serveText(write("b")).Code, qt.Equals, statement.Aborted)
+	qt.Check(t, f.serveText(commit).Code, qt.Equals, statement.Aborted)
+	qt.Check(t, f.tx, qt.IsNil)
+}
+
+// fakePeers is one other host.
+type fakePeers struct {
+	offer  Offer
+	answer statement.Answer
+	err    error
+	calls  int
+}
+
+func (p *fakePeers) Offers(topology.GroupID) []Offer { return []Offer{p.offer} }
+func (p *fakePeers) Call(_ context.Context, _ topology.HostID, _ string, _, reply any) error {
+	p.calls++
+	*reply.(*statement.Answer) = p.answer
+	return p.err
+}
+
+// Without a leader of its own, a host lets another run the statement, once.
+func TestStatementsGoThroughAnotherHost(t *testing.T) {
+	f := newFixture(t, catalog.LatestData)
+	f.group.Close()
+	peers := &fakePeers{offer: Offer{Host: "b", Leads: true, Idle: 1, Open: 2}, answer: statement.Answer{Signature: "sig", Position: topology.Position{Term: 1, Offset: 33}, HasPosition: true}}
+	f.server.opts.Peers = peers
+	qt.Check(t, f.serveText(write("a")).OK(), qt.IsTrue)
+	qt.Check(t, f.floor.Offset, qt.Equals, uint64(33))
+	qt.Check(t, peers.calls, qt.Equals, 1)
+	peers.err = errors.New("the connection broke")
+	qt.Check(t, f.serveText(write("a")).Code, qt.Equals, statement.InDoubt)
+	qt.Check(t, f.serveText(read("a")).Code, qt.Equals, statement.Busy)
+}
+
+func TestPickPeer(t *testing.T) {
+	offers := []Offer{{Host: "a", Open: 3}, {Host: "b", Open: 2, Idle: 1}, {Host: "c", Leads: true, Open: 1}}
+	best, _ := pickPeer(offers, false, false)
+	qt.Check(t, best.Host, qt.Equals, topology.HostID("b"))
+	best, _ = pickPeer(offers, true, false)
+	qt.Check(t, best.Host, qt.Equals, topology.HostID("c"))
+	_, ok := pickPeer(offers, true, true)
+	qt.Check(t, ok, qt.IsFalse) // as busy as this host
+}
+
+// A loss that can't be over in time is refused at once; one that can is waited for.
+func TestLeaderPatience(t *testing.T) {
+	r := &catalog.Route{StatementTimeout: 800 * time.Millisecond}
+	ms := time.Millisecond
+	qt.Check(t, leaderPatience(r, group.Loss{}), qt.Equals, time.Duration(0))
+	qt.Check(t, leaderPatience(r, group.Loss{For: 600 * ms}), qt.Equals, 700*ms)
+	qt.Check(t, leaderPatience(r, group.Loss{For: 5000 * ms}), qt.Equals, time.Duration(0))
+	qt.Check(t, leaderPatience(r, group.Loss{For: 10 * ms, Deposed: true}), qt.Equals, 390*ms)
+	qt.Check(t, leaderPatience(r, group.Loss{For: 400 * ms, Deposed: true}), qt.Equals, time.Duration(0))
+	r.StatementTimeout = 2 * time.Second
+	qt.Check(t, leaderPatience(r, group.Loss{}), qt.Equals, 1300*ms)
+}
+
+func TestAfterBreak(t *testing.T) {
+	for _, test := range []struct {
+		broken statement.Broken
+		writes bool
+		code   statement.Code
+		again  bool
+	}{
+		{statement.Broken{}, true, statement.Busy, true},
+		{statement.Broken{Sent: true}, true, statement.InDoubt, false},
+		{statement.Broken{Sent: true}, false, statement.Busy, true},
+		{statement.Broken{Sent: true, Timeout: true}, true, statement.TimedOut, false},
+	} {
+		code, again := afterBreak(&test.broken, test.writes)
+		qt.Check(t, code, qt.Equals, test.code)
+		qt.Check(t, again, qt.Equals, test.again)
+	}
+}
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -178,7 +178,7 @@
 		if answer, ok := r.forward(ctx, true, false); ok {
 			return "", nil, nil, answer
 		}
-		until := r.arrived.Add(leaderPatience(&r.route, r.group.LostFor()))
+		until := time.Now().Add(leaderPatience(&r.route, r.group.Loss()))
 		if id, pool, ok = r.group.WaitLeader(ctx, until); !ok {
 			return "", nil, nil, r.session.refusal(statement.Busy, "no target leads the group")
 		}
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -69,4 +69,4 @@
 }
 
 // OK tells whether the statement succeeded.
-func (a *Answer) OK() bool { return a.Code == OK }
+func (a Answer) OK() bool { return a.Code == OK }
