--- /dev/null
+++ b/internal/catalog/store_test.go
@@ -0,0 +1,128 @@
+package catalog
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"nettlewalk.example/nettlewalk/internal/platform"
+	"nettlewalk.example/nettlewalk/internal/steady"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+func TestAConfigurationNeverGoesBack(t *testing.T) {
+	s := NewStore()
+	qt.Check(t, s.OfferConfiguration(nil), qt.IsFalse)
+	qt.Check(t, s.OfferConfiguration(&Configuration{Version: 4}), qt.IsTrue)
+	qt.Check(t, s.OfferConfiguration(&Configuration{Version: 2}), qt.IsFalse)
+	qt.Check(t, s.OfferConfiguration(&Configuration{Version: 4}), qt.IsFalse)
+	qt.Check(t, s.Configuration().Version, qt.Equals, uint64(4))
+}
+
+func member(id topology.TargetID, leaving bool) Member {
+	return Member{Target: topology.Target{ID: id, Group: "g", Addr: "a:1", Leaving: leaving}}
+}
+
+func registerOf(revision uint64, members ...Member) *Register {
+	r := &Register{Revision: revision, Members: map[topology.TargetID]Member{}}
+	for _, m := range members {
+		r.Members[m.Target.ID] = m
+	}
+	return r
+}
+
+// Entries lapse while the store is disturbed: a target that vanished without
+// leaving is used on for a while, one that was leaving is not. Both may still
+// hold acknowledged commits.
+func TestVanishedTargets(t *testing.T) {
+	s := NewStore()
+	s.OfferRegister(registerOf(1, member("a", false), member("b", true), member("c", false)))
+	s.OfferRegister(registerOf(2, member("c", false)))
+	var serving []topology.TargetID
+	for _, m := range s.Serving()["g"] {
+		serving = append(serving, m.Target.ID)
+	}
+	qt.Check(t, serving, qt.ContentEquals, []topology.TargetID{"a", "c"})
+	members, vanished := s.Holding("g")
+	qt.Check(t, members, qt.HasLen, 3)
+	qt.Check(t, vanished, qt.HasLen, 2)
+	s.OfferRegister(registerOf(3, member("a", false), member("c", false)))
+	_, vanished = s.Holding("g")
+	qt.Check(t, vanished, qt.HasLen, 1)
+	qt.Check(t, s.OfferRegister(registerOf(2)), qt.IsFalse)
+}
+
+// A watch that goes on from its own revision doesn't undo what a list brought.
+func TestRegisterFeedKeepsTheNewest(t *testing.T) {
+	s := NewStore()
+	f := &RegisterFeed{Store: s, Log: logr.Discard(), Decode: func(id string, value json.RawMessage) (Member, error) {
+		if string(value) == `"bad"` {
+			return Member{}, errors.New("unreadable")
+		}
+		return member(topology.TargetID(id), false), nil
+	}}
+	object := func(name, value string) platform.Object {
+		return platform.Object{Name: name, Value: json.RawMessage(value)}
+	}
+	f.Reset("", platform.List{Revision: 10, Objects: []platform.Object{object("a", `{}`), object("x", `"bad"`)}})
+	f.Apply("", platform.Changes{Revision: 8, Changes: []platform.Change{{Object: object("a", `{}`), Deleted: true}}})
+	qt.Check(t, s.Register().Members, qt.HasLen, 1)
+	f.Apply("", platform.Changes{Revision: 12, Changes: []platform.Change{{Object: object("b", `{}`)}}})
+	f.Reset("", platform.List{Revision: 11})
+	qt.Check(t, s.Register().Members, qt.HasLen, 2)
+	qt.Check(t, s.Register().Revision, qt.Equals, uint64(12))
+}
+
+// The first host reads once a period, the others only if they don't hear of it.
+func TestReadsAreDueByRank(t *testing.T) {
+	now := time.Unix(100, 0)
+	for _, test := range []struct {
+		age  time.Duration
+		rank int
+		want bool
+	}{
+		{900 * time.Millisecond, 0, false}, {time.Second, 0, true}, {1300 * time.Millisecond, 1, false},
+		{1350 * time.Millisecond, 1, true}, {2050 * time.Millisecond, 80, true},
+	} {
+		qt.Check(t, due(now.Add(-test.age), configurationPeriod, test.rank, now), qt.Equals, test.want, qt.Commentf("%+v", test))
+	}
+}
+
+// fakeReader answers reads of the configuration.
+type fakeReader struct{ version uint64 }
+
+func (r *fakeReader) Get(context.Context, string, string) (platform.Object, error) {
+	return platform.Object{Name: "main", Value: json.RawMessage(`{}`), Version: r.version}, nil
+}
+
+func (r *fakeReader) List(context.Context, string) (platform.List, error) {
+	return platform.List{}, errors.New("down")
+}
+
+// A host whose watch is deaf and who hears of no other's reads reads by itself.
+// Cut off from the others, it stayed on an old configuration for 5 seconds.
+func TestPollReadsWithoutNews(t *testing.T) {
+	s := NewStore()
+	f := &ConfigurationFeed{Name: "main", Store: s, Log: logr.Discard(), Decode: func(json.RawMessage) (*Configuration, error) {
+		return &Configuration{Version: 7}, nil
+	}}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	changed := s.Changed()
+	go f.Poll(ctx, &fakeReader{}, "config", func() int { return 3 })
+	select {
+	case <-changed:
+	case <-ctx.Done():
+		t.Fatal("nothing was read")
+	}
+	qt.Check(t, s.Configuration().Version, qt.Equals, uint64(7))
+	for s.Reads().Configuration.IsZero() && ctx.Err() == nil {
+		<-time.After(time.Millisecond)
+	}
+	qt.Check(t, steady.Now().Sub(s.Reads().Configuration) < 5*time.Second, qt.IsTrue)
+}
