Silent replicas are left after 250 ms; callers are sent away after the second failed probe

Change: a read tries another target after 250 ms or eight times the target's mean; the second look at a silent leader follows at once; failed probes are counted.

--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -47,6 +47,7 @@
 	groups  *group.Set
 	relay   *relay.Server
 	leaving atomic.Bool
+	refused atomic.Int64 // probes in a row that were answered with not ready
 }
 
 const (
@@ -247,7 +248,13 @@
 }
 
 func (h *fleetHost) ready() bool {
-	return !h.leaving.Load() && h.catalog.Configuration() != nil && h.groups.Ready() && !h.cutOff()
+	ready := !h.leaving.Load() && h.catalog.Configuration() != nil && h.groups.Ready() && !h.cutOff()
+	if ready {
+		h.refused.Store(0)
+	} else {
+		h.refused.Add(1)
+	}
+	return ready
 }
 
 // cutOff tells whether this host can't serve most requests, while hosts of other
@@ -257,31 +264,28 @@
 	return !h.gossip.Connected() && 2*without > all
 }
 
-// outOfRotation is how long after its probe began to fail a host gets no more
-// new callers: two probes a second apart.
-const outOfRotation = 2 * time.Second
+const (
+	// failedProbes is how many probes must have failed before the platform
+	// leads new callers elsewhere.
+	failedProbes = 2
+	awayTick     = 100 * time.Millisecond // between looks whether callers are to be sent away
+)
 
 // sendCallersAway closes idle sessions while this host is cut off, once new ones
 // are led elsewhere.
 func (h *fleetHost) sendCallersAway(ctx context.Context) {
-	ticker := time.NewTicker(outOfRotation / 4)
+	ticker := time.NewTicker(awayTick)
 	defer ticker.Stop()
-	var since time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		switch {
-		case h.leaving.Load():
+		if h.leaving.Load() {
 			return
-		case !h.cutOff():
-			since = time.Time{}
-		case since.IsZero():
-			since = time.Now()
 		}
-		away := !since.IsZero() && time.Since(since) > outOfRotation
+		away := h.cutOff() && h.refused.Load() >= failedProbes
 		if h.relay.CloseIdle(away) {
 			h.log.Info("callers are sent away", "on", away, "sessions", h.relay.Sessions())
 		}
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -319,21 +319,23 @@
 // there, so an answer needs a round trip.
 const proofTimeout = 150 * time.Millisecond
 
-// prove asks a target over an idle connection whether it leads.
-func (g *Group) prove(id topology.TargetID, pool *share.Pool) {
+// prove asks a target over an idle connection whether it leads. It returns
+// false if the target was asked and didn't answer.
+func (g *Group) prove(id topology.TargetID, pool *share.Pool) (answered bool) {
 	conn := pool.TryAcquire()
 	if conn == nil {
-		return
+		return true
 	}
 	sent := steady.Now()
 	answers, err := conn.Exchange(time.Now().Add(proofTimeout), Proof()...)
 	pool.Release(conn, err == nil && answers[1].State == statement.Idle)
 	if err != nil {
 		g.noteSilent(id, pool)
-		return
+		return false
 	}
 	g.heard(id)
 	g.Judge(id, sent, &answers[0])
+	return true
 }
 
 // noteSilent notes a look without an answer. The second one in a row counts as
@@ -385,8 +387,14 @@
 	if latest, ok := g.AnchorAge(); ok && latest < age {
 		return
 	}
-	if id, pool, ok := g.Leader(); ok {
-		g.prove(id, pool)
+	id, pool, ok := g.Leader()
+	if !ok {
+		return
+	}
+	for range silentLooks { // the second look follows a first one without an answer at once
+		if g.prove(id, pool) {
+			return
+		}
 	}
 }
 
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -55,6 +55,21 @@
 	return anywhere, covered
 }
 
+const (
+	// shortestTry is how long a read waits at least for one of several targets
+	// before it tries another. Almost all answers take less.
+	shortestTry = 250 * time.Millisecond
+	// triesLong times a target's mean time to answer is waited for at least.
+	triesLong = 8
+)
+
+// tryWithin is how long a read waits for the answer of a target that usually
+// takes so long. A silent target would use up the whole time that the read has;
+// under load the mean grows, and reads aren't sent twice.
+func tryWithin(took time.Duration) time.Duration {
+	return max(shortestTry, triesLong*took)
+}
+
 // patience is how long a request of the route may expect to wait for a
 // connection before it is refused instead.
 func patience(r *catalog.Route) time.Duration {
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -98,7 +98,7 @@
 		if conn == nil {
 			continue
 		}
-		answer, again := r.readAt(c.ID, c.Pool, conn, after)
+		answer, again := r.readAt(&c, conn, after)
 		if !again {
 			return answer, false
 		}
@@ -114,7 +114,7 @@
 		if err != nil {
 			continue
 		}
-		return r.readAt(c.ID, c.Pool, conn, after)
+		return r.readAt(&c, conn, after)
 	}
 	if answer, ok := r.forward(ctx, false, len(readers) > 0); ok {
 		return answer, false
@@ -123,10 +123,18 @@
 }
 
 // readAt runs a read at a target that must have the position.
-func (r *request) readAt(id topology.TargetID, pool *share.Pool, conn *share.Conn, after topology.Position) (statement.Answer, bool) {
+func (r *request) readAt(c *group.Choice, conn *share.Conn, after topology.Position) (statement.Answer, bool) {
 	st := *r.st
 	st.After = after
-	answer, again := r.exchange(id, pool, conn, []statement.Statement{st}, 0)
+	id, until := c.ID, r.deadline
+	if try := time.Now().Add(tryWithin(c.Took)); try.Before(until) {
+		until = try
+	}
+	answer, again := r.exchange(id, c.Pool, conn, []statement.Statement{st}, 0, until)
+	if answer.Code == statement.TimedOut && until.Before(r.deadline) {
+		r.skipTarget(id)
+		return r.session.refusal(statement.Busy, "the target is silent"), true
+	}
 	switch answer.Code {
 	case statement.Lagging:
 		r.group.NoteLagging(id)
@@ -156,9 +164,9 @@
 	sent := steady.Now()
 	if at == guarded {
 		batch := []statement.Statement{own(statement.Begin, ""), *r.st, own(statement.Rollback, "")}
-		return r.exchange(id, pool, conn, batch, 1)
+		return r.exchange(id, pool, conn, batch, 1, r.deadline)
 	}
-	answer, again := r.exchange(id, pool, conn, []statement.Statement{*r.st}, 0)
+	answer, again := r.exchange(id, pool, conn, []statement.Statement{*r.st}, 0, r.deadline)
 	switch {
 	case answer.OK():
 		r.group.NoteLeading(id, sent, &answer)
@@ -196,7 +204,7 @@
 // exchange sends the batch with what the target must know of the session before
 // it. main is the index of the caller's statement in the batch. again: the
 // statement didn't run, or ran without effect, and may be tried elsewhere.
-func (r *request) exchange(id topology.TargetID, pool *share.Pool, conn *share.Conn, batch []statement.Statement, main int) (statement.Answer, bool) {
+func (r *request) exchange(id topology.TargetID, pool *share.Pool, conn *share.Conn, batch []statement.Statement, main int, until time.Time) (statement.Answer, bool) {
 	if !usable(conn) { // costs no try: each such connection is met once
 		pool.Release(conn, false)
 		return r.session.refusal(statement.Busy, "connection ended while idle"), true
@@ -204,7 +212,7 @@
 	r.tries++
 	prefix := r.session.state.replay(conn, r.uses)
 	sent := steady.Now()
-	answers, err := conn.Exchange(r.deadline, append(prefix, batch...)...)
+	answers, err := conn.Exchange(until, append(prefix, batch...)...)
 	pool.Release(conn, err == nil)
 	if err != nil {
 		return r.broke(id, err)
