Less memory, shorter digests between hosts, three watchers

Change: collection at 50 per cent on the platform; offers by group; lists of hosts and claims only where the other lacks them; the first three hosts in contact watch the store.

--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -52,7 +52,7 @@
 
 const (
 	storeTimeout = 1 * time.Second  // of one call to the store, which answers in milliseconds
-	watchWait    = 10 * time.Second // a watch costs a call; other hosts tell news in between
+	watchWait    = 20 * time.Second // a watch costs a call; a deaf one is noticed by the polls beside it
 	// settleTime is how long a host waits to hear of the others before it
 	// assumes that it knows them all. A round of gossip takes half a second.
 	settleTime = 1500 * time.Millisecond
@@ -96,7 +96,7 @@
 func (h *fleetHost) offers() []gossip.Offer {
 	var list []gossip.Offer
 	for _, o := range h.groups.Offers() {
-		list = append(list, gossip.Offer{Target: o.Target, Open: o.Open, Idle: o.Idle - o.Waiting, Leads: o.Leads})
+		list = append(list, gossip.Offer(o))
 	}
 	return list
 }
@@ -109,23 +109,13 @@
 
 // Offers implements relay.Peers.
 func (f *forwarding) Offers(id topology.GroupID) []relay.Offer {
-	g := f.host.groups.Group(id)
-	if g == nil {
-		return nil
-	}
 	var list []relay.Offer
 	for host, offers := range f.host.gossip.Offers() {
-		sum := relay.Offer{Host: host}
 		for _, o := range offers {
-			if g.Has(o.Target) {
-				sum.Leads = sum.Leads || o.Leads
-				sum.Idle += o.Idle
-				sum.Open += o.Open
+			if o.Group == id {
+				list = append(list, relay.Offer{Host: host, Leads: o.Leads, Idle: o.Idle, Open: o.Open})
 			}
 		}
-		if sum.Open > 0 {
-			list = append(list, sum)
-		}
 	}
 	return list
 }
@@ -203,13 +193,46 @@
 	configurations := &catalog.ConfigurationFeed{
 		Name: platform.NameConfiguration, Decode: platform.DecodeConfiguration, Store: h.catalog, Log: log,
 	}
-	go h.store.Follow(ctx, platform.KindConfiguration, configurations)
+	go h.watch(ctx, platform.KindConfiguration, configurations)
 	go configurations.Poll(ctx, h.store, platform.KindConfiguration, h.gossip.Rank)
 	register := &catalog.RegisterFeed{Decode: platform.DecodeMember, Store: h.catalog, Log: log}
-	go h.store.Follow(ctx, platform.KindTargets, register)
+	go h.watch(ctx, platform.KindTargets, register)
 	go register.Poll(ctx, h.store, platform.KindTargets, h.gossip.Rank)
 }
 
+const (
+	// watchers is how many of the hosts in contact watch the store. The others
+	// hear of news from them within milliseconds.
+	watchers  = 3
+	watchTick = 500 * time.Millisecond // between looks whether this host is to watch
+)
+
+// watch watches a kind while this host is one of the watchers, which it is
+// alone when it is in contact with nobody.
+func (h *fleetHost) watch(ctx context.Context, kind string, sink storeclient.Sink) {
+	ticker := time.NewTicker(watchTick)
+	defer ticker.Stop()
+	stop := func() {}
+	for watching := false; ; {
+		if wanted := h.gossip.Rank() < watchers; wanted != watching {
+			watching = wanted
+			stop()
+			stop = func() {}
+			if wanted {
+				var following context.Context
+				following, stop = context.WithCancel(ctx)
+				go h.store.Follow(following, kind, sink)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			stop()
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // listen opens every address of the host and serves them.
 func (h *fleetHost) listen(ctx context.Context) (callers net.Listener, err error) {
 	if err := h.server.Register(gossip.ServiceName, h.gossip.Service()); err != nil {
--- a/cmd/nettlewalk/serve.go
+++ b/cmd/nettlewalk/serve.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		return err
 	}
-	setCollection()
+	setCollection(platformCollectionPercent)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	out := eventlog.NewWriter(os.Stdout)
@@ -55,7 +55,7 @@
 	if err != nil {
 		return err
 	}
-	setCollection()
+	setCollection(collectionPercent)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	log := newLogger(s.Log.Level).WithValues("instance", s.Host.ID, "domain", s.Host.Domain)
--- a/internal/catalog/poll.go
+++ b/internal/catalog/poll.go
@@ -21,10 +21,10 @@
 	// configurationPeriod is how old the newest read of the configuration may
 	// grow. With gossip and the ranks it stays well below the three seconds
 	// that an accepted configuration has to be in force.
-	configurationPeriod = 1 * time.Second
+	configurationPeriod = 1200 * time.Millisecond
 	// registerPeriod is the same for the register. A leaving target ends seven
 	// seconds after it said so.
-	registerPeriod = 2500 * time.Millisecond
+	registerPeriod = 3 * time.Second
 	// rankDelay keeps hosts from reading at once: the first does, and the
 	// others only if they don't hear of it within a round of gossip.
 	rankDelay = 350 * time.Millisecond
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -33,8 +33,11 @@
 	From          Host
 	Configuration uint64 // versions that it knows
 	Register      uint64
-	Hosts         []topology.HostID
-	Heard         []Heard
+	// Sum stands for Hosts and Claims, which are left out where the other host
+	// told the same sum last.
+	Sum   uint64
+	Hosts []topology.HostID
+	Heard []Heard
 	// ConfigurationRead and RegisterRead are how long ago the store was last
 	// read, as far as the host knows.
 	ConfigurationRead, RegisterRead time.Duration
@@ -42,13 +45,13 @@
 	Offers                          []Offer
 }
 
-// Offer says that a host has connections to a target, which other hosts may
-// use by sending it their statements.
+// Offer says that a host has connections to targets of a group, which other
+// hosts may use by sending it their statements.
 type Offer struct {
-	Target topology.TargetID
-	Open   int
-	Idle   int
-	Leads  bool // as the host believes
+	Group topology.GroupID
+	Leads bool // one of them to the target that the host believes to lead
+	Idle  int  // without work, less the requests that wait
+	Open  int
 }
 
 // News is the answer: the other's digest, and what the asker lacks.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
@@ -58,6 +61,7 @@
 	named    time.Time // since when it is known
 	lost     bool      // its silence was logged
 	offers   []Offer
+	sum      uint64 // that it told last
 }
 
 // Gossip exchanges digests with other hosts. Safe for concurrent use.
@@ -251,7 +255,7 @@
 func (g *Gossip) exchange(ctx context.Context, id topology.HostID) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	digest := g.digest()
+	digest := g.digest(id)
 	var news News
 	sent := steady.Now()
 	if err := g.opts.Caller.Call(ctx, id, exchangeMethod, &digest, &news); err != nil {
@@ -277,7 +281,8 @@
 	}
 }
 
-func (g *Gossip) digest() Digest {
+// digest returns what the host of that address is told.
+func (g *Gossip) digest(to topology.HostID) Digest {
 	d := Digest{Claims: g.claims.Claims(), Offers: g.opts.Offers()}
 	d.Configuration, d.Register = g.opts.Catalog.Versions()
 	g.mu.Lock()
@@ -296,13 +301,32 @@
 			d.Heard = append(d.Heard, Heard{Host: c.Holder, Ago: now.Sub(k.heard)})
 		}
 	}
+	d.Sum = sumOf(&d)
+	if k := g.hosts[to]; k != nil && k.sum == d.Sum {
+		d.Hosts, d.Claims = nil, nil
+	}
 	return d
 }
 
+// sumOf tells lists of hosts and claims apart, this host included among the hosts.
+func sumOf(d *Digest) uint64 {
+	var sum xxhash.Digest
+	hosts := append([]topology.HostID{d.From.Addr}, d.Hosts...)
+	slices.Sort(hosts)
+	for _, h := range hosts {
+		_, _ = sum.WriteString(string(h) + "\n")
+	}
+	slices.SortFunc(d.Claims, func(a, b duty.Claim) int { return strings.Compare(string(a.Group), string(b.Group)) })
+	for _, c := range d.Claims {
+		_, _ = fmt.Fprintf(&sum, "%s %d %t\n", c.Group, c.Token, c.Released)
+	}
+	return sum.Sum64()
+}
+
 // take learns from another host's digest.
 func (g *Gossip) take(d *Digest) {
 	g.Add(d.Hosts...)
-	g.hear(d.From, d.Offers)
+	g.hear(d)
 	g.hearOf(d.Heard)
 	now := steady.Now()
 	g.opts.Catalog.NoteReads(catalog.Reads{Configuration: now.Add(-d.ConfigurationRead), Register: now.Add(-d.RegisterRead)})
@@ -311,7 +335,8 @@
 	}
 }
 
-func (g *Gossip) hear(h Host, offers []Offer) {
+func (g *Gossip) hear(d *Digest) {
+	h := d.From
 	now := steady.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -326,7 +351,7 @@
 	if k.lost || k.heard.IsZero() || k.host.Boot != h.Boot {
 		g.opts.Log.Info("host heard of", "host", h.Name, "addr", h.Addr, "domain", h.Domain)
 	}
-	k.host, k.heard, k.lost, k.offers = h, now, false, offers
+	k.host, k.heard, k.lost, k.offers, k.sum = h, now, false, d.Offers, d.Sum
 }
 
 // hearOf takes when others heard of the holders of duties.
@@ -352,7 +377,7 @@
 func (s *Service) Exchange(args *Digest, reply *News) error {
 	g := s.gossip
 	g.take(args)
-	reply.Digest = g.digest()
+	reply.Digest = g.digest(args.From.Addr)
 	if reply.Configuration > args.Configuration {
 		reply.NewConfiguration = g.opts.Catalog.Configuration()
 	}
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -269,13 +269,6 @@
 	return choices
 }
 
-// Has tells whether the target is a member of the group.
-func (g *Group) Has(id topology.TargetID) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.members[id] != nil
-}
-
 // seek looks for the leader unless one is known or a search is under way.
 // Needs g.mu.
 func (g *Group) seek() {
--- a/internal/group/set.go
+++ b/internal/group/set.go
@@ -122,34 +122,38 @@
 	return without, len(s.groups)
 }
 
-// Offer is this host's connections to one target.
+// Offer is this host's connections to the targets of one group.
 type Offer struct {
-	Target topology.TargetID
-	Leads  bool
-	share.Load
+	Group topology.GroupID
+	Leads bool // one of them to the target that is believed to lead
+	Idle  int  // without work, less the requests that wait
+	Open  int
 }
 
-// Offers returns this host's connections to all targets.
+// Offers returns this host's connections by group.
 func (s *Set) Offers() []Offer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var offers []Offer
 	for _, g := range s.groups {
-		offers = append(offers, g.offers()...)
+		if o := g.offer(); o.Open > 0 {
+			offers = append(offers, o)
+		}
 	}
 	return offers
 }
 
-func (g *Group) offers() []Offer {
+func (g *Group) offer() Offer {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	offers := make([]Offer, 0, len(g.members))
+	o := Offer{Group: g.opts.ID}
 	for id, m := range g.members {
-		if load := m.pool.Load(); load.Open > 0 {
-			offers = append(offers, Offer{Target: id, Leads: id == g.belief.leader, Load: load})
-		}
+		load := m.pool.Load()
+		o.Leads = o.Leads || (load.Open > 0 && id == g.belief.leader)
+		o.Idle += load.Idle - load.Waiting
+		o.Open += load.Open
 	}
-	return offers
+	return o
 }
 
 // Ready tells whether a connection to any target is open.
