--- a/test/standin/platform/api.go
+++ b/test/standin/platform/api.go
@@ -27,6 +27,7 @@
 	mux.HandleFunc("PUT /v1/objects/{kind}/{name}", s.counted("put", s.put))
 	mux.HandleFunc("DELETE /v1/objects/{kind}/{name}", s.counted("delete", s.delete))
 	mux.HandleFunc("GET /v1/watch/{kind}", s.counted("watch", s.watch))
+	mux.Handle(objectsPath, objects(mux))
 	return mux
 }
 
--- a/test/standin/target/value.go
+++ b/test/standin/target/value.go
@@ -63,3 +63,5 @@
 	Time       time.Time   `json:"time"` // of the commit on the primary's clock; now() of its statements
 	Statements []Statement `json:"statements,omitempty"`
 }
+
+func textValue(s string) Value { return Value{Text: &s} }
