--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -25,7 +25,6 @@
 	"nettlewalk.example/nettlewalk/internal/promotion"
 	"nettlewalk.example/nettlewalk/internal/relay"
 	"nettlewalk.example/nettlewalk/internal/statement"
-	"nettlewalk.example/nettlewalk/internal/steady"
 	"nettlewalk.example/nettlewalk/internal/topology"
 	"nettlewalk.example/nettlewalk/platform"
 )
@@ -35,7 +34,6 @@
 	path     string // of the settings file
 	settings *platform.Settings
 	log      logr.Logger
-	begun    time.Time
 
 	store   *storeclient.Client
 	catalog *catalog.Store
@@ -53,13 +51,15 @@
 const (
 	storeTimeout = 1 * time.Second  // of one call to the store, which answers in milliseconds
 	watchWait    = 20 * time.Second // a watch costs a call; a deaf one is noticed by the polls beside it
-	// settleTime is how long a host waits to hear of the others before it
-	// assumes that it knows them all. A round of gossip takes half a second.
-	settleTime = 1500 * time.Millisecond
+	// groupTick is the time between looks for groups without a watcher.
+	groupTick = 1500 * time.Millisecond
+	// lingerTime is how long targets keep the connections of a host that lost
+	// power, and a little.
+	lingerTime = 3300 * time.Millisecond
 )
 
 func newFleetHost(path string, s *platform.Settings, log logr.Logger) *fleetHost {
-	h := &fleetHost{path: path, settings: s, log: log, begun: steady.Now(), catalog: catalog.NewStore(), desk: promotion.NewDesk()}
+	h := &fleetHost{path: path, settings: s, log: log, catalog: catalog.NewStore(), desk: promotion.NewDesk()}
 	self := topology.HostID(s.Peers)
 	boot := rand.Uint64()
 	key := peerKey(s)
@@ -137,13 +137,12 @@
 }
 
 // sharers returns how many hosts share the targets' connections, 0 while this
-// host may not have heard of all.
+// host must do with one.
 func (h *fleetHost) sharers() int {
-	live := len(h.gossip.Live())
-	if live < 2 && steady.Now().Sub(h.begun) < settleTime {
+	if !h.gossip.Settled(lingerTime) {
 		return 0
 	}
-	return live
+	return len(h.gossip.Live())
 }
 
 // suspect reports a target that can't be reached to the holder of the duty.
@@ -337,7 +336,7 @@
 
 // followGroups starts a watcher for each group.
 func (h *fleetHost) followGroups(ctx context.Context) {
-	ticker := time.NewTicker(settleTime)
+	ticker := time.NewTicker(groupTick)
 	defer ticker.Stop()
 	for {
 		changed := h.catalog.Changed()
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -20,6 +20,7 @@
 	Domain  topology.Domain
 	Boot    uint64 // incarnation of its process
 	Leaving bool
+	UpFor   time.Duration // since its process started
 }
 
 // Heard says how long ago a host was heard of, directly or through others.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -69,6 +69,7 @@
 	opts   Options
 	claims Claims
 	kick   chan struct{}
+	begun  time.Time
 
 	mu    sync.Mutex
 	self  Host
@@ -77,7 +78,7 @@
 
 // New returns a gossip that knows the seeds. SetClaims must be called before Run.
 func New(opts Options) *Gossip {
-	g := &Gossip{opts: opts, self: opts.Self, kick: make(chan struct{}, 1), hosts: map[topology.HostID]*known{}}
+	g := &Gossip{opts: opts, self: opts.Self, kick: make(chan struct{}, 1), begun: steady.Now(), hosts: map[topology.HostID]*known{}}
 	g.Add(opts.Seeds...)
 	return g
 }
@@ -164,6 +165,24 @@
 	return live
 }
 
+// Settled tells whether this host may take its share of the targets'
+// connections: it has been up for so long, or another host has. When all start
+// at once, the first would take what the others' old connections leave.
+func (g *Gossip) Settled(upFor time.Duration) bool {
+	now := steady.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if now.Sub(g.begun) >= upFor {
+		return true
+	}
+	for _, k := range g.hosts {
+		if !k.heard.IsZero() && k.host.UpFor+now.Sub(k.heard) >= upFor {
+			return true
+		}
+	}
+	return false
+}
+
 // Rank returns this host's place among the hosts in contact with it.
 func (g *Gossip) Rank() int {
 	now := steady.Now()
@@ -288,6 +307,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	d.From = g.self
+	d.From.UpFor = steady.Now().Sub(g.begun)
 	now := steady.Now()
 	reads := g.opts.Catalog.Reads()
 	d.ConfigurationRead, d.RegisterRead = now.Sub(reads.Configuration), now.Sub(reads.Register)
