Logs say which way a request went; metrics, state dump and check on the platform

Each refusal and failure has a line with the request's id, its way from target to target, and what the decision rested on; detours of served requests are sampled by kind. Targets and the store are logged when lost and when back. The metrics port is the deploy file's; nettlewalk inspect prints a host's state; nettlewalk check reads the platform's settings file.

--- a/cmd/nettlewalk/check.go
+++ b/cmd/nettlewalk/check.go
@@ -9,6 +9,7 @@
 	"github.com/integrii/flaggy"
 
 	"nettlewalk.example/nettlewalk/internal/settings"
+	"nettlewalk.example/nettlewalk/platform"
 )
 
 func checkCommand() command {
@@ -16,7 +17,7 @@
 	var asJSON bool
 	cmd := flaggy.NewSubcommand("check")
 	cmd.Description = "Check a settings file and list every fault"
-	cmd.String(&path, "c", "config", "settings file")
+	cmd.String(&path, "c", "config", "settings file; without it, the file that "+platform.PathVariable+" names, in the platform's format")
 	cmd.Bool(&asJSON, "j", "json", "print faults as JSON")
 	return command{Subcommand: cmd, run: func() error { return check(path, asJSON) }}
 }
@@ -34,8 +35,18 @@
 	return s, err
 }
 
-func check(path string, asJSON bool) error {
+// checkFile reads a settings file; without a path, the platform's.
+func checkFile(path string) error {
+	if onPlatform(path) {
+		_, err := platform.LoadSettings(os.Getenv(platform.PathVariable))
+		return err
+	}
 	_, err := loadSettings(path)
+	return err
+}
+
+func check(path string, asJSON bool) error {
+	err := checkFile(path)
 	if err == nil {
 		fmt.Println("no faults")
 		return nil
--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -65,7 +65,7 @@
 	key := peerKey(s)
 	h.store = storeclient.New(storeclient.Options{
 		Addr: s.Store, CallTimeout: storeTimeout, WatchWait: watchWait,
-		Dialect: platform.StoreDialect{}, Log: log.WithName("store"),
+		Dialect: platform.StoreDialect{}, Metrics: storeMetrics(), Log: log.WithName("store"),
 	})
 	h.server = peer.NewServer(key, self, log.WithName("peer"))
 	resolve := func(id topology.HostID) (string, bool) { return string(id), true }
@@ -120,6 +120,13 @@
 	return list
 }
 
+// storeMetrics returns the set in which calls to the store are counted.
+func storeMetrics() *metrics.Set {
+	set := metrics.NewSet()
+	metrics.RegisterSet(set)
+	return set
+}
+
 // peerKey is the key by which hosts of one deployment know each other. The
 // platform gives them no secret.
 func peerKey(s *platform.Settings) []byte {
@@ -180,7 +187,8 @@
 	go h.followGroups(work)
 	go h.spread(work)
 	go h.sendCallersAway(work)
-	h.log.Info("serving", "callers", h.settings.Callers, "peers", h.settings.Peers)
+	go h.followStoreState(work)
+	h.log.Info("serving", "callers", h.settings.Callers, "peers", h.settings.Peers, "metrics", h.settings.MetricsAt)
 	h.followSettings(ctx)
 	h.leave(callers)
 	return nil
@@ -259,8 +267,8 @@
 		return nil, errors.Wrap(err, "listen for metrics")
 	}
 	go func() { _ = h.server.Serve(ctx, peers) }()
-	go func() { _ = http.Serve(ready, platform.ReadinessHandler(h.ready)) }()
-	go func() { _ = http.Serve(inspect, inspection()) }()
+	go func() { _ = http.Serve(ready, platform.ReadinessHandler(h.probe)) }()
+	go func() { _ = http.Serve(inspect, h.inspection()) }()
 	go func() {
 		if err := h.relay.Serve(ctx, callers); err != nil {
 			h.log.Error(err, "callers are served no more")
@@ -269,8 +277,13 @@
 	return callers, nil
 }
 
-func (h *fleetHost) ready() bool {
-	ready := !h.leaving.Load() && h.catalog.Configuration() != nil && h.groups.Ready() && !h.cutOff()
+func (h *fleetHost) isReady() bool {
+	return !h.leaving.Load() && h.catalog.Configuration() != nil && h.groups.Ready() && !h.cutOff()
+}
+
+// probe answers the readiness probe and counts failed ones in a row.
+func (h *fleetHost) probe() bool {
+	ready := h.isReady()
 	if ready {
 		h.refused.Store(0)
 	} else {
@@ -314,13 +327,6 @@
 	}
 }
 
-// inspection serves metrics.
-func inspection() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
-	return mux
-}
-
 // spread tells other hosts of each change of the catalog at once.
 func (h *fleetHost) spread(ctx context.Context) {
 	for {
--- /dev/null
+++ b/cmd/nettlewalk/fleetinspect.go
@@ -0,0 +1,163 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/integrii/flaggy"
+
+	"nettlewalk.example/nettlewalk/internal/catalog"
+	"nettlewalk.example/nettlewalk/internal/duty"
+	"nettlewalk.example/nettlewalk/internal/gossip"
+	"nettlewalk.example/nettlewalk/internal/group"
+	"nettlewalk.example/nettlewalk/internal/steady"
+)
+
+// fleetDump is the state of a host on the users' platform.
+type fleetDump struct {
+	Host          string        `json:"host"`
+	Ready         bool          `json:"ready"`
+	Leaving       bool          `json:"leaving"`
+	Sessions      int           `json:"sessions"`
+	Configuration uint64        `json:"configuration"`
+	Register      uint64        `json:"register"`
+	ReadMS        int64         `json:"configuration_read_ms_ago"`
+	StoreUp       bool          `json:"store_up"`
+	Connected     bool          `json:"connected"` // with most failure domains
+	Hosts         []gossip.Host `json:"hosts"`
+	Duties        []duty.Claim  `json:"duties"`
+	Groups        []group.Dump  `json:"groups"`
+}
+
+func (h *fleetHost) dump() fleetDump {
+	d := fleetDump{
+		Host: string(h.settings.Host), Ready: h.isReady(), Leaving: h.leaving.Load(), Sessions: h.relay.Sessions(),
+		ReadMS: sinceRead(h.catalog.Reads()), Connected: h.gossip.Connected(),
+		Hosts: h.gossip.Hosts(), Duties: h.duty.Claims(), Groups: h.groups.Dump(),
+	}
+	d.Configuration, d.Register = h.catalog.Versions()
+	d.StoreUp, _ = h.store.Up()
+	return d
+}
+
+func sinceRead(r catalog.Reads) int64 { return steady.Now().Sub(r.Configuration).Milliseconds() }
+
+// inspection serves metrics and the state dump.
+func (h *fleetHost) inspection() http.Handler {
+	h.registerGauges()
+	mux := http.NewServeMux()
+	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	mux.HandleFunc("/dump", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(h.dump()); err != nil {
+			h.log.V(1).Info("dump not delivered", "error", err.Error())
+		}
+	})
+	return mux
+}
+
+// registerGauges makes the metrics that are read from the present state.
+func (h *fleetHost) registerGauges() {
+	gauges := map[string]func() float64{
+		"nettlewalk_sessions":              func() float64 { return float64(h.relay.Sessions()) },
+		"nettlewalk_configuration_version": func() float64 { v, _ := h.catalog.Versions(); return float64(v) },
+		"nettlewalk_configuration_read_seconds_ago": func() float64 {
+			return float64(sinceRead(h.catalog.Reads())) / 1000
+		},
+		"nettlewalk_hosts_live":         func() float64 { return float64(len(h.gossip.Live())) },
+		"nettlewalk_connected":          func() float64 { return one(h.gossip.Connected()) },
+		"nettlewalk_ready":              func() float64 { return one(h.isReady()) },
+		"nettlewalk_duties_held":        func() float64 { return float64(h.duty.Held()) },
+		"nettlewalk_groups_leaderless":  func() float64 { n, _ := h.groups.Leaderless(); return float64(n) },
+		"nettlewalk_connections_open":   func() float64 { return h.connections(func(o group.Offer) int { return o.Open }) },
+		"nettlewalk_connections_idle":   func() float64 { return h.connections(func(o group.Offer) int { return o.Idle }) },
+		"nettlewalk_anchor_age_seconds": h.oldestAnchor,
+		"nettlewalk_store_up":           func() float64 { up, _ := h.store.Up(); return one(up) },
+	}
+	for name, read := range gauges {
+		metrics.GetOrCreateGauge(name, read)
+	}
+}
+
+func one(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (h *fleetHost) connections(count func(group.Offer) int) float64 {
+	n := 0
+	for _, o := range h.groups.Offers() {
+		n += count(o)
+	}
+	return float64(n)
+}
+
+// oldestAnchor is the age of the group's anchor that is oldest, -1 if a group has none.
+func (h *fleetHost) oldestAnchor() float64 {
+	oldest := 0.0
+	for _, d := range h.groups.Dump() {
+		if d.AnchorAgeMS < 0 {
+			return -1
+		}
+		oldest = max(oldest, float64(d.AnchorAgeMS)/1000)
+	}
+	return oldest
+}
+
+// followStoreState logs when the store is lost and when it is back.
+func (h *fleetHost) followStoreState(ctx context.Context) {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	was := true
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		up, since := h.store.Up()
+		if up == was {
+			continue
+		}
+		was = up
+		text := "store can't be reached"
+		if up {
+			text = "store is reached again"
+		}
+		h.log.Info(text, "ms_ago", time.Since(since).Milliseconds(), "configuration_read_ms_ago", sinceRead(h.catalog.Reads()))
+	}
+}
+
+// inspectTimeout bounds the question of the inspect command.
+const inspectTimeout = 3 * time.Second
+
+func inspectCommand() command {
+	var addr string
+	cmd := flaggy.NewSubcommand("inspect")
+	cmd.Description = "Print the state of a host on the users' platform as JSON"
+	cmd.AddPositionalValue(&addr, "ADDRESS", 1, true, "IP:PORT of the host's metrics")
+	return command{Subcommand: cmd, run: func() error { return inspect(addr) }}
+}
+
+func inspect(addr string) error {
+	if _, _, err := net.SplitHostPort(addr); err != nil {
+		return &badArgument{addr + ": want IP:PORT"}
+	}
+	client := http.Client{Timeout: inspectTimeout}
+	resp, err := client.Get("http://" + addr + "/dump")
+	if err != nil {
+		return errors.Wrap(err, "inspect")
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(os.Stdout, resp.Body)
+	return errors.Wrap(err, "inspect")
+}
--- a/cmd/nettlewalk/main.go
+++ b/cmd/nettlewalk/main.go
@@ -51,6 +51,7 @@
 		versionCommand(),
 		statusCommand(),
 		dumpCommand(),
+		inspectCommand(),
 		usageCommand(),
 		objectCommand("template", adminclient.Templates),
 		objectCommand("customer", adminclient.Customers),
--- a/cmd/nettlewalk/serve.go
+++ b/cmd/nettlewalk/serve.go
@@ -17,12 +17,14 @@
 
 func serveCommand() command {
 	var path string
+	var metricsPort int
 	cmd := flaggy.NewSubcommand("serve")
 	cmd.Description = "Run a host until SIGTERM or SIGINT, then leave without cutting a request"
 	cmd.String(&path, "c", "config", "settings file; without it, the file that "+platform.PathVariable+" names, in the platform's format")
+	cmd.Int(&metricsPort, "m", "metrics-port", "port of metrics and the state dump on the platform, 0: the first internal one")
 	return command{Subcommand: cmd, run: func() error {
 		if onPlatform(path) {
-			return serveOnPlatform()
+			return serveOnPlatform(metricsPort)
 		}
 		return serve(path)
 	}}
@@ -35,12 +37,15 @@
 const flushLimit = 200 * time.Millisecond
 
 // serveOnPlatform runs a host by the platform's settings file.
-func serveOnPlatform() error {
+func serveOnPlatform(metricsPort int) error {
 	path := os.Getenv(platform.PathVariable)
 	s, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
 	}
+	if metricsPort != 0 {
+		s.SetMetricsPort(metricsPort)
+	}
 	setCollection(platformCollectionPercent)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -112,6 +112,17 @@
 	return list
 }
 
+// Held returns how many duties this host holds.
+func (k *Keeper) Held() int {
+	n := 0
+	for _, c := range k.Claims() {
+		if k.isMine(c) {
+			n++
+		}
+	}
+	return n
+}
+
 func (k *Keeper) isMine(c Claim) bool {
 	return c.Holder == k.opts.Self && c.Boot == k.opts.Boot && !c.Released
 }
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
@@ -41,6 +42,7 @@
 	lag     lag
 	failing time.Time // until then
 	silent  int       // looks without an answer in a row
+	lost    bool      // the last dial failed
 	took    time.Duration
 }
 
@@ -94,15 +96,39 @@
 
 // dialed hears of every dial of the pools.
 func (g *Group) dialed(id topology.TargetID, err error) {
+	g.noteReach(id, err)
 	var failure *statement.DialError
 	if !errors.As(err, &failure) {
+		dials("opened").Inc()
 		return
 	}
+	dials(failure.Outcome.String()).Inc()
 	if failure.Outcome != statement.DialRejected {
 		g.NoteUnreachable(id)
 		g.opts.Suspect(g.opts.ID, id, failure.Outcome)
 	}
-	g.opts.Log.V(1).Info("dial failed", "target", id, "outcome", failure.Outcome, "error", err.Error())
+}
+
+// dials counts dials by outcome.
+func dials(outcome string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(`nettlewalk_target_dials_total{outcome="` + outcome + `"}`)
+}
+
+// noteReach logs when a target is lost and when it is back.
+func (g *Group) noteReach(id topology.TargetID, err error) {
+	g.mu.Lock()
+	m := g.members[id]
+	changed := m != nil && m.lost != (err != nil)
+	if changed {
+		m.lost = err != nil
+	}
+	g.mu.Unlock()
+	switch {
+	case changed && err != nil:
+		g.opts.Log.Info("target can't be reached", "group", g.opts.ID, "target", id, "error", err.Error())
+	case changed:
+		g.opts.Log.Info("target is reached again", "group", g.opts.ID, "target", id)
+	}
 }
 
 // Leader returns the pool of the leader, or false if none is believed to lead.
@@ -391,5 +417,41 @@
 	}
 }
 
+// MemberDump is one target as a host sees it.
+type MemberDump struct {
+	Target  catalog.Member `json:"target"`
+	Leads   bool           `json:"leads"`
+	Lost    bool           `json:"lost"`
+	Lagging bool           `json:"lagging"`
+	TookMS  float64        `json:"took_ms"`
+	Load    share.Load     `json:"load"`
+}
+
+// Dump is a group as a host sees it.
+type Dump struct {
+	Group        topology.GroupID `json:"group"`
+	LeaderlessMS int64            `json:"leaderless_ms"`
+	AnchorAgeMS  int64            `json:"anchor_ms_ago"` // -1: none is known
+	Members      []MemberDump     `json:"members"`
+}
+
+// Dump returns the state for operators.
+func (g *Group) Dump() Dump {
+	d := Dump{Group: g.opts.ID, LeaderlessMS: g.Loss().For.Milliseconds(), AnchorAgeMS: -1}
+	if age, ok := g.AnchorAge(); ok {
+		d.AnchorAgeMS = age.Milliseconds()
+	}
+	now := steady.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id, m := range g.members {
+		d.Members = append(d.Members, MemberDump{
+			Target: m.info, Leads: id == g.belief.leader, Lost: m.lost, Lagging: now.Before(m.lag.until),
+			TookMS: float64(m.took.Microseconds()) / 1000, Load: m.pool.Load(),
+		})
+	}
+	return d
+}
+
 // Close closes all connections.
 func (g *Group) Close() { g.SetMembers(nil, 0) }
--- a/internal/group/set.go
+++ b/internal/group/set.go
@@ -156,6 +156,17 @@
 	return o
 }
 
+// Dump returns the state of all groups for operators.
+func (s *Set) Dump() []Dump {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var dumps []Dump
+	for _, g := range s.groups {
+		dumps = append(dumps, g.Dump())
+	}
+	return dumps
+}
+
 // Ready tells whether a connection to any target is open.
 func (s *Set) Ready() bool {
 	s.mu.Lock()
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -76,6 +76,7 @@
 		return statement.Answer{}, false
 	}
 	r.forwarded = true
+	r.note(topology.TargetID(offer.Host), "asked to run it")
 	args := r.parcel()
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -37,6 +37,7 @@
 	leaving  atomic.Bool // idle sessions are closed
 	cutting  atomic.Bool // open transactions are ended
 	forwards *metrics.Counter
+	sampler  *sampler
 }
 
 // NewServer returns a server without sessions.
@@ -44,6 +45,7 @@
 	return &Server{
 		opts:     opts,
 		sessions: map[*session]bool{},
+		sampler:  newSampler(),
 		forwards: metrics.GetOrCreateCounter("nettlewalk_statements_forwarded_total"),
 	}
 }
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -27,6 +27,7 @@
 	deadline time.Time
 	tries    int
 	skip     map[topology.TargetID]bool // lacked the position
+	trail    []string                   // what was tried and decided, for the log
 	// forwarded: it was sent to another host, or came from one. It is sent on once.
 	forwarded bool
 }
@@ -39,11 +40,7 @@
 	}
 	answer, ok := r.run(ctx)
 	s.server.count(r, &answer)
-	if !ok {
-		s.log.Info("statement not served", "request", st.ID, "session", s.state.id, "group", r.route.Group, "writes", writes,
-			"code", answer.Code.String(), "detail", answer.Detail, "tries", r.tries,
-			"waited_ms", time.Since(r.arrived).Milliseconds(), "configuration", s.server.version())
-	}
+	r.logOutcome("statement", &answer, ok)
 	return answer
 }
 
@@ -187,6 +184,7 @@
 			return "", nil, nil, answer
 		}
 		until := time.Now().Add(leaderPatience(&r.route, r.group.Loss()))
+		r.note("", "waits for a leader")
 		if id, pool, ok = r.group.WaitLeader(ctx, until); !ok {
 			return "", nil, nil, r.session.refusal(statement.Busy, "no target leads the group")
 		}
@@ -195,6 +193,7 @@
 	if err == nil {
 		return id, pool, conn, statement.Answer{}
 	}
+	r.note(id, err.Error())
 	if answer, ok := r.forward(ctx, true, !errors.Is(err, share.ErrNone)); ok {
 		return "", nil, nil, answer
 	}
@@ -207,6 +206,7 @@
 func (r *request) exchange(id topology.TargetID, pool *share.Pool, conn *share.Conn, batch []statement.Statement, main int, until time.Time) (statement.Answer, bool) {
 	if !usable(conn) { // costs no try: each such connection is met once
 		pool.Release(conn, false)
+		r.note(id, "connection had ended")
 		return r.session.refusal(statement.Busy, "connection ended while idle"), true
 	}
 	r.tries++
@@ -226,6 +226,7 @@
 	if main > 0 {
 		r.group.Judge(id, sent, &answers[0])
 		if !answers[0].OK() { // what ran then ran without the proof
+			r.note(id, "leads no more")
 			return r.session.refusal(statement.Busy, "the target leads no more"), true
 		}
 	}
@@ -233,8 +234,10 @@
 	answer.State = statement.Idle
 	if answer.OK() {
 		r.group.NoteServed(id, steady.Now().Sub(sent))
+		r.note(id, "ok")
 		return answer, false
 	}
+	r.note(id, answer.Code.String())
 	return answer, answer.Code == statement.Lagging || answer.Code == statement.ReadOnly
 }
 
@@ -260,6 +263,7 @@
 	}
 	r.group.NoteFailing(id)
 	code, again := afterBreak(b, r.writes)
+	r.note(id, "broke: "+b.Cause.Error())
 	return r.session.refusal(code, b.Error()), again
 }
 
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -100,24 +100,18 @@
 	}
 	if !s.tx.running() {
 		if refusal, ok := r.beginAt(ctx); !ok {
-			s.logFailed(r, &refusal)
+			r.logOutcome("start of a transaction", &refusal, false)
 			return s.fail(refusal, true)
 		}
 	}
 	a := s.runPinned(r)
 	s.server.count(r, &a)
 	if !a.OK() {
-		s.logFailed(r, &a)
+		r.logOutcome("statement of a transaction", &a, false)
 	}
 	return a
 }
 
-func (s *session) logFailed(r *request, a *statement.Answer) {
-	s.log.Info("statement of a transaction not served", "request", r.st.ID, "session", s.state.id, "group", r.route.Group,
-		"target", s.tx.target, "code", a.Code.String(), "detail", a.Detail,
-		"waited_ms", time.Since(r.arrived).Milliseconds(), "configuration", s.server.version())
-}
-
 // runPinned runs a statement on the transaction's connection.
 func (s *session) runPinned(r *request) statement.Answer {
 	t := s.tx
@@ -125,6 +119,7 @@
 	started := steady.Now()
 	answers, err := t.conn.Exchange(r.deadline, append(prefix, *r.st)...)
 	if err != nil {
+		r.note(t.target, "broke: "+err.Error())
 		t.group.NoteFailing(t.target)
 		return s.fail(s.refusal(statement.Aborted, err.Error()), false)
 	}
@@ -134,6 +129,7 @@
 		}
 	}
 	a := answers[len(prefix)]
+	r.note(t.target, a.Code.String())
 	if a.OK() {
 		t.wrote = t.wrote || r.writes
 		t.group.NoteServed(t.target, steady.Now().Sub(started))
@@ -210,6 +206,7 @@
 		r.group.Judge(id, sent, &a)
 	}
 	if !a.OK() || a.State != statement.InTransaction {
+		r.note(id, a.Code.String())
 		pool.Release(conn, a.State == statement.Idle)
 		if a.Code == statement.Lagging {
 			r.group.NoteLagging(id)
@@ -239,6 +236,9 @@
 		}
 	}
 	if refused != nil {
+		if r != nil {
+			r.logOutcome("commit", refused, false)
+		}
 		s.endTransaction()
 		refused.State = statement.Idle
 		return *refused
@@ -246,8 +246,7 @@
 	a := s.commitPinned(r)
 	s.server.count(r, &a)
 	if !a.OK() {
-		s.log.Info("commit not served", "request", st.ID, "session", s.state.id, "group", r.route.Group,
-			"code", a.Code.String(), "detail", a.Detail, "wrote", r.writes, "configuration", s.server.version())
+		r.logOutcome("commit", &a, false)
 	}
 	return a
 }
--- a/internal/share/pool.go
+++ b/internal/share/pool.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
 	"nettlewalk.example/nettlewalk/internal/statement"
@@ -30,6 +31,9 @@
 	ErrNone    = errors.New("no connection to the target is open")
 )
 
+// waits is how long requests waited for a connection, those included that got none.
+var waits = metrics.NewHistogram("nettlewalk_connection_wait_seconds")
+
 // Options configures a Pool.
 type Options struct {
 	Target topology.Target
@@ -135,6 +139,7 @@
 func (p *Pool) wait(w *waiter) (*Conn, error) {
 	timer := time.NewTimer(time.Until(w.deadline))
 	defer timer.Stop()
+	defer func() { waits.Update(time.Since(w.arrived).Seconds()) }()
 	select {
 	case c := <-w.granted:
 		return granted(c)
--- a/internal/statement/conn.go
+++ b/internal/statement/conn.go
@@ -50,6 +50,17 @@
 	DialRejected                        // accepted and then refused; see Code
 )
 
+// String returns the name used in logs and metrics.
+func (o DialOutcome) String() string {
+	switch o {
+	case DialRefused:
+		return "refused"
+	case DialSilent:
+		return "silent"
+	}
+	return "rejected"
+}
+
 // DialError is a connection that couldn't be opened.
 type DialError struct {
 	Outcome DialOutcome
