--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -377,3 +377,46 @@
 		qt.Check(t, again, qt.Equals, test.again)
 	}
 }
+
+// scriptedCaller sends statements one after the other without a pause.
+type scriptedCaller struct {
+	statements []statement.Statement
+	answers    []statement.Answer
+	waited     []time.Time // deadlines of Next
+}
+
+func (c *scriptedCaller) Start() (string, error)              { return "db", nil }
+func (c *scriptedCaller) Ready() error                        { return nil }
+func (c *scriptedCaller) Refuse(statement.Code, string) error { return nil }
+func (c *scriptedCaller) Interrupt()                          {}
+func (c *scriptedCaller) Close()                              {}
+func (c *scriptedCaller) Answer(a *statement.Answer) error {
+	c.answers = append(c.answers, *a)
+	return nil
+}
+func (c *scriptedCaller) Next(deadline time.Time) (statement.Statement, error) {
+	c.waited = append(c.waited, deadline)
+	if len(c.statements) == 0 {
+		return statement.Statement{}, ErrNothing
+	}
+	st := c.statements[0]
+	c.statements = c.statements[1:]
+	return st, nil
+}
+
+// A session that is to be closed serves what its caller sends right after an
+// answer, and waits no longer than lastCall for it.
+func TestASessionIsClosedOnlyInAPause(t *testing.T) {
+	f := newFixture(t, catalog.BoundedAge)
+	f.server.CloseIdle(true)
+	c := &scriptedCaller{statements: []statement.Statement{read("a"), read("b")}}
+	for i := range c.statements {
+		c.statements[i].ID = "q"
+	}
+	s := f.server.newSession(c)
+	s.run(context.Background())
+	qt.Assert(t, c.answers, qt.HasLen, 2)
+	qt.Check(t, c.answers[1].OK(), qt.IsTrue)
+	qt.Check(t, c.waited, qt.HasLen, 3)
+	qt.Check(t, time.Until(c.waited[2]) <= lastCall, qt.IsTrue)
+}
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,7 +32,6 @@
 	state    sessionState
 	floor    topology.Position // of the session's last acknowledged commit
 	tx       *transaction      // nil: none
-	busy     atomic.Bool       // a statement is being served or a transaction is open
 	log      logr.Logger
 }
 
@@ -54,16 +52,11 @@
 			}
 			continue
 		}
-		s.busy.Store(true)
 		answer := s.serve(ctx, &st)
 		if err := s.caller.Answer(&answer); err != nil {
 			s.log.V(1).Info("answer not delivered", "request", st.ID, "error", err.Error())
 			return
 		}
-		s.busy.Store(s.tx != nil)
-		if s.tx == nil && s.server.closing() {
-			return
-		}
 	}
 }
 
@@ -84,18 +77,26 @@
 		return false
 	}
 	if _, ok := s.route(); !ok {
-		s.log.Info("session refused", "database", database, "code", statement.NoDatabase.String(), "configuration", s.server.version())
+		s.log.Info("session refused", "database", database, "code", statement.NoDatabase.String(), "result", int(statement.NoDatabase.Result()), "configuration", s.server.version())
 		_ = s.caller.Refuse(statement.NoDatabase, database)
 		return false
 	}
 	return s.caller.Ready() == nil
 }
 
+// lastCall is how long a session that is to be closed still waits for a
+// statement after an answer: many callers send the next one at once, and a
+// close would meet it on its way.
+const lastCall = 30 * time.Millisecond
+
 // next waits for the next statement, in a transaction not longer than it may
 // stay idle.
 func (s *session) next() (statement.Statement, error) {
 	var deadline time.Time
-	if s.tx != nil && s.tx.running() {
+	switch {
+	case s.tx == nil && s.server.closing():
+		deadline = time.Now().Add(lastCall)
+	case s.tx != nil && s.tx.running():
 		if idle := s.server.transactionIdle(); idle > 0 {
 			deadline = time.Now().Add(idle)
 		}
--- a/internal/statement/code.go
+++ b/internal/statement/code.go
@@ -1,5 +1,7 @@
 package statement
 
+import "nettlewalk.example/nettlewalk/internal/result"
+
 // Code tells why a statement failed.
 type Code uint8
 
@@ -41,6 +43,22 @@
 	return false
 }
 
+var results = [...]result.Code{
+	OK: result.OK, Busy: result.QueueFull, Aborted: result.TransactionLost, Lagging: result.BehindFloor,
+	ReadOnly: result.NotPrimary, Misrouted: result.TargetDown, TooMany: result.TooManyConnections,
+	UnknownName: result.BadSetting, NoDatabase: result.UnknownCustomer, Malformed: result.BadProtocol,
+	RunFailed: result.TargetError, TimedOut: result.UnknownOutcome, InDoubt: result.UnknownOutcome,
+	Unrecognized: result.UnknownOutcome,
+}
+
+// Result returns the numbered code of the same outcome.
+func (c Code) Result() result.Code {
+	if int(c) < len(results) {
+		return results[c]
+	}
+	return result.UnknownOutcome
+}
+
 var codeNames = [...]string{
 	OK: "ok", Busy: "busy", Aborted: "aborted", Lagging: "lagging", ReadOnly: "read_only",
 	Misrouted: "misrouted", TooMany: "too_many", UnknownName: "unknown_name", NoDatabase: "no_database",
