--- a/internal/share/pool.go
+++ b/internal/share/pool.go
@@ -102,9 +102,9 @@
 	return p.takeIdle(time.Now())
 }
 
-// Acquire returns a connection, waiting until the deadline for one at most.
-// patience bounds the expected wait: a request that would most likely wait
-// longer is refused at once. Errors are ErrTooLong, ErrClosed and ErrNone.
+// Acquire returns a connection, waiting for one until the deadline at most, and
+// no longer than patience: a request that would most likely wait longer is
+// refused at once. Errors are ErrTooLong, ErrClosed and ErrNone.
 func (p *Pool) Acquire(deadline time.Time, patience time.Duration, priority int) (*Conn, error) {
 	now := time.Now()
 	p.mu.Lock()
@@ -116,6 +116,9 @@
 		p.mu.Unlock()
 		return nil, err
 	}
+	if patient := now.Add(patience); patient.Before(deadline) {
+		deadline = patient
+	}
 	w := &waiter{priority: priority, arrived: now, deadline: deadline, granted: make(chan *Conn, 1)}
 	p.waiting.add(w)
 	p.mu.Unlock()
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -141,3 +141,14 @@
 	_, err = p.Acquire(time.Now().Add(time.Second), time.Second, 1)
 	qt.Check(t, err, qt.Equals, ErrClosed)
 }
+
+// A wait that turns out longer than expected ends with the patience: the caller
+// can ask another host while it still has time. Requests were held for 800 ms.
+func TestPoolEndsAWaitWithThePatience(t *testing.T) {
+	p, _ := newPool(t, 1, 1)
+	p.TryAcquire()
+	began := time.Now()
+	_, err := p.Acquire(began.Add(time.Minute), 30*time.Millisecond, 1)
+	qt.Check(t, err, qt.Equals, ErrTooLong)
+	qt.Check(t, time.Since(began) < 10*time.Second, qt.IsTrue)
+}
