--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -19,6 +19,9 @@
 // Forwarded is a single statement that another host is asked to run, with what
 // the target must know of its session.
 type Forwarded struct {
+	// Configuration is the version by which the statement may run. A host that
+	// knows only an older one refuses it.
+	Configuration uint64
 	Database  string
 	Statement statement.Statement
 	Writes    bool
@@ -105,7 +108,7 @@
 // parcel returns the statement with its session's state.
 func (r *request) parcel() *Forwarded {
 	f := &Forwarded{
-		Database: r.session.database, Statement: *r.st, Writes: r.writes, Uses: r.uses,
+		Configuration: r.session.server.version(), Database: r.session.database, Statement: *r.st, Writes: r.writes, Uses: r.uses,
 		Floor: r.session.floor, Within: time.Until(r.deadline),
 	}
 	if r.uses != "" {
@@ -135,6 +138,10 @@
 	if args.Uses != "" {
 		session.state.prepared[args.Uses] = args.Prepared
 	}
+	if s.server.version() < args.Configuration {
+		*reply = session.refusal(statement.Busy, "the host asked has an older configuration")
+		return nil
+	}
 	st := args.Statement
 	r, refused := session.newRequest(&st, args.Writes, args.Uses)
 	if refused != nil {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -420,3 +420,21 @@
 	qt.Check(t, c.waited, qt.HasLen, 3)
 	qt.Check(t, time.Until(c.waited[2]) <= lastCall, qt.IsTrue)
 }
+
+// A host with an older configuration runs nothing for one with a newer one. It
+// refused a database that it didn't know yet, three seconds after it was
+// accepted (scale-1, seed 950667505276).
+func TestAnOlderConfigurationRunsNothingForANewerOne(t *testing.T) {
+	f := newFixture(t, catalog.LatestData)
+	args := Forwarded{Configuration: 2, Database: "new", Statement: read("a"), Within: time.Second}
+	var reply statement.Answer
+	qt.Assert(t, f.server.Service().Run(&args, &reply), qt.IsNil)
+	qt.Check(t, reply.Code, qt.Equals, statement.Busy)
+	args.Configuration = 1
+	qt.Assert(t, f.server.Service().Run(&args, &reply), qt.IsNil)
+	qt.Check(t, reply.Code, qt.Equals, statement.NoDatabase)
+	args.Database = "db"
+	reply = statement.Answer{}
+	qt.Assert(t, f.server.Service().Run(&args, &reply), qt.IsNil)
+	qt.Check(t, reply.OK(), qt.IsTrue, qt.Commentf("%+v", reply))
+}
--- a/test/docs/docs_test.go
+++ b/test/docs/docs_test.go
@@ -28,7 +28,7 @@
 func code(t *testing.T, which func(path string) bool) string {
 	t.Helper()
 	texts := map[string]string{}
-	for _, dir := range []string{"internal", "cmd", "test", "examples"} {
+	for _, dir := range []string{"internal", "cmd", "platform", "test", "examples"} {
 		read(t, dir, which, texts)
 	}
 	return strings.Join(slices.Collect(maps.Values(texts)), "\n")
