--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -22,14 +22,14 @@
 	// Configuration is the version by which the statement may run. A host that
 	// knows only an older one refuses it.
 	Configuration uint64
-	Database  string
-	Statement statement.Statement
-	Writes    bool
-	Uses      string              // prepared name
-	Prepared  statement.Statement // of that name
-	Settings  []string            // texts, in their order
-	Floor     topology.Position
-	Within    time.Duration // what is left until the deadline
+	Database      string
+	Statement     statement.Statement
+	Writes        bool
+	Uses          string              // prepared name
+	Prepared      statement.Statement // of that name
+	Settings      []string            // texts, in their order
+	Floor         topology.Position
+	Within        time.Duration // what is left until the deadline
 }
 
 // Offer is another host that may run statements of a group.
