Hosts tell which target led last; reports of a cut don't outlast it

After the cut, reports made during it replaced two healthy leaders.

Change: with its offers a host tells which target led last and when that was proved; a holder forgets reports while the leader is silent to itself.

--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -78,7 +78,7 @@
 	h.gossip = gossip.New(gossip.Options{
 		Self:    gossip.Host{Addr: self, Name: string(s.Host), Domain: s.Domain, Boot: boot},
 		Seeds:   hostIDs(s.Seeds),
-		Catalog: h.catalog, Caller: h.peers, Offers: h.offers, Log: log.WithName("gossip"),
+		Catalog: h.catalog, Caller: h.peers, Offers: h.offers, Heard: h.heardOffers, Log: log.WithName("gossip"),
 	})
 	h.duty = duty.New(duty.Options{
 		Self: self, Name: string(s.Host), Boot: boot, Store: h.store, Hosts: h.gossip,
@@ -106,6 +106,15 @@
 	return list
 }
 
+// heardOffers learns from another host which targets led last.
+func (h *fleetHost) heardOffers(offers []gossip.Offer) {
+	for _, o := range offers {
+		if g := h.groups.Group(o.Group); g != nil && o.Last != "" {
+			g.HeardLeader(o.Last, o.ProvedAgo)
+		}
+	}
+}
+
 // forwarding implements relay.Peers.
 type forwarding struct {
 	*peer.Client
@@ -117,7 +126,7 @@
 	var list []relay.Offer
 	for host, offers := range f.host.gossip.Offers() {
 		for _, o := range offers {
-			if o.Group == id {
+			if o.Group == id && o.Open > 0 {
 				list = append(list, relay.Offer{Host: host, Leads: o.Leads, Idle: o.Idle, Open: o.Open})
 			}
 		}
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -53,6 +53,10 @@
 	Leads bool // one of them to the target that the host believes to lead
 	Idle  int  // without work, less the requests that wait
 	Open  int
+	// Last is the target that led last, as far as the host knows, and ProvedAgo
+	// how long ago that was proved.
+	Last      topology.TargetID
+	ProvedAgo time.Duration
 }
 
 // News is the answer: the other's digest, and what the asker lacks.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -52,7 +52,9 @@
 	Caller  peer.Caller
 	// Offers returns this host's connections to targets.
 	Offers func() []Offer
-	Log    logr.Logger
+	// Heard is told what another host offers.
+	Heard func([]Offer)
+	Log   logr.Logger
 }
 
 // known is a host that this one has heard of.
@@ -374,6 +376,7 @@
 func (g *Gossip) take(d *Digest) {
 	g.Add(d.Hosts...)
 	g.hear(d)
+	g.opts.Heard(d.Offers)
 	g.hearOf(d.Heard)
 	now := steady.Now()
 	g.opts.Catalog.NoteReads(catalog.Reads{Configuration: now.Add(-d.ConfigurationRead), Register: now.Add(-d.RegisterRead)})
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -40,7 +40,7 @@
 		id := topology.HostID(rune('a' + i))
 		g := New(Options{
 			Self: Host{Addr: id, Name: "host-" + string(id), Domain: d}, Seeds: []topology.HostID{"a"},
-			Catalog: catalog.NewStore(), Caller: n, Offers: func() []Offer { return nil }, Log: logr.Discard(),
+			Catalog: catalog.NewStore(), Caller: n, Offers: func() []Offer { return nil }, Heard: func([]Offer) {}, Log: logr.Discard(),
 		})
 		g.SetClaims(&claims{})
 		n.hosts[id] = g
--- a/internal/group/belief.go
+++ b/internal/group/belief.go
@@ -11,6 +11,7 @@
 type belief struct {
 	leader  topology.TargetID
 	last    topology.TargetID // the latest one that led
+	lastAt  time.Time         // when the request was sent that proved it, here or at another host
 	asOf    time.Time         // when the request was sent that proved it, on the steady clock
 	since   time.Time         // when it was first proved
 	lost    time.Time         // when the last leader was found not to lead, zero while one does
@@ -27,15 +28,23 @@
 	}
 	if id != b.leader {
 		b.anchors.Forget()
-		b.leader, b.last, b.since, changed = id, id, now, true
+		b.leader, b.since, changed = id, now, true
 	}
 	b.asOf, b.lost = sent, time.Time{}
+	b.heardLast(id, sent)
 	if known {
 		b.anchors.LearnLeading(sent, p)
 	}
 	return changed
 }
 
+// heardLast takes which target led when a request was sent.
+func (b *belief) heardLast(id topology.TargetID, sent time.Time) {
+	if sent.After(b.lastAt) {
+		b.last, b.lastAt = id, sent
+	}
+}
+
 // refuted takes the news that a target doesn't lead, from a request that was
 // sent at that time, and tells whether it was believed to. deposed: by its own
 // word, not by its silence.
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -142,11 +142,20 @@
 	return g.belief.leader, m.pool, true
 }
 
-// LastLeader returns the target that was proved to lead last, and how long ago.
+// LastLeader returns the target that was proved to lead last, to this host or to
+// one that told it, and how long ago.
 func (g *Group) LastLeader() (id topology.TargetID, ago time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.belief.last, steady.Now().Sub(g.belief.asOf)
+	return g.belief.last, steady.Now().Sub(g.belief.lastAt)
+}
+
+// HeardLeader takes another host's word that it proved the target to lead so
+// long ago. It doesn't make the target this host's leader.
+func (g *Group) HeardLeader(id topology.TargetID, ago time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.belief.heardLast(id, steady.Now().Add(-ago))
 }
 
 // WaitLeader waits for a leader until the deadline.
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -66,6 +66,18 @@
 	})
 }
 
+// A host that has just started knows from the others which target led, though
+// it never reached it: without that, nobody replaced a primary behind a cut.
+func TestTheLastLeaderIsHeardOf(t *testing.T) {
+	var b belief
+	b.heardLast("a", ms(10))
+	b.heardLast("b", ms(5))
+	qt.Check(t, b.last, qt.Equals, topology.TargetID("a"))
+	qt.Check(t, b.leader, qt.Equals, topology.TargetID(""))
+	b.leads("b", ms(20), pos(1, 1), true, ms(21))
+	qt.Check(t, b.last, qt.Equals, topology.TargetID("b"))
+}
+
 func TestLagPausesGrow(t *testing.T) {
 	var l lag
 	l.lagged(ms(0))
--- a/internal/group/set.go
+++ b/internal/group/set.go
@@ -9,6 +9,7 @@
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
 	"nettlewalk.example/nettlewalk/internal/statement"
+	"nettlewalk.example/nettlewalk/internal/steady"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
@@ -122,6 +123,10 @@
 	Leads bool // one of them to the target that is believed to lead
 	Idle  int  // without work, less the requests that wait
 	Open  int
+	// Last is the target that led last, as far as this host knows, and ProvedAgo
+	// how long ago that was proved.
+	Last      topology.TargetID
+	ProvedAgo time.Duration
 }
 
 // Offers returns this host's connections by group.
@@ -130,7 +135,7 @@
 	defer s.mu.Unlock()
 	var offers []Offer
 	for _, g := range s.groups {
-		if o := g.offer(); o.Open > 0 {
+		if o := g.offer(); o.Open > 0 || o.Last != "" {
 			offers = append(offers, o)
 		}
 	}
@@ -140,7 +145,7 @@
 func (g *Group) offer() Offer {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	o := Offer{Group: g.opts.ID}
+	o := Offer{Group: g.opts.ID, Last: g.belief.last, ProvedAgo: steady.Now().Sub(g.belief.lastAt)}
 	for id, m := range g.members {
 		load := m.pool.Load()
 		o.Leads = o.Leads || (load.Open > 0 && id == g.belief.leader)
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -182,6 +182,9 @@
 	}
 	serves, reach := w.lookAtLeader(ctx)
 	replace, reason := w.judge(serves, reach)
+	if !serves {
+		w.clearReports() // they may be of the same cut, and outlast it
+	}
 	if !replace {
 		w.started = time.Time{}
 		if !serves {
@@ -333,6 +336,13 @@
 	return n
 }
 
+// clearReports forgets what other hosts reported.
+func (w *Watcher) clearReports() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	clear(w.reports)
+}
+
 // tidy looks now and then at the others: for pauses that an attempt left behind,
 // and for deaths, after which a position of the leader counts.
 func (w *Watcher) tidy(ctx context.Context) {
