--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -520,3 +520,15 @@
 		qt.Check(t, text, qt.Not(qt.Equals), "q COMMIT")
 	}
 }
+
+// A session that answered a moment ago is in the middle of an operation most
+// likely: it gets a last call before it is closed, and only one.
+func TestABusySessionGetsALastCall(t *testing.T) {
+	f := newFixture(t, catalog.BoundedAge)
+	f.server.CloseIdle(true)
+	f.answered = time.Now()
+	qt.Check(t, f.proceed(ErrNothing), qt.IsTrue)
+	qt.Check(t, f.proceed(ErrNothing), qt.IsFalse)
+	f.answered, f.lastCalled = time.Now().Add(-time.Second), false
+	qt.Check(t, f.proceed(ErrNothing), qt.IsFalse)
+}
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -26,14 +26,16 @@
 
 // session serves one caller.
 type session struct {
-	server   *Server
-	caller   Caller
-	database string
-	state    sessionState
-	floor    topology.Position // of the session's last acknowledged commit
-	tx       *transaction      // nil: none
-	isGuest  bool              // it stands for a session of another host
-	log      logr.Logger
+	server     *Server
+	caller     Caller
+	database   string
+	state      sessionState
+	floor      topology.Position // of the session's last acknowledged commit
+	tx         *transaction      // nil: none
+	answered   time.Time         // when the last answer was sent
+	lastCalled bool              // it is to be closed, and waited for a last statement since then
+	isGuest    bool              // it stands for a session of another host
+	log        logr.Logger
 }
 
 func (s *session) run(ctx context.Context) {
@@ -58,6 +60,7 @@
 			s.log.V(1).Info("answer not delivered", "request", st.ID, "error", err.Error())
 			return
 		}
+		s.answered, s.lastCalled = time.Now(), false
 	}
 }
 
@@ -96,6 +99,7 @@
 	var deadline time.Time
 	switch {
 	case s.tx == nil && s.server.closing():
+		s.lastCalled = true
 		deadline = time.Now().Add(lastCall)
 	case s.tx != nil && s.tx.running():
 		if idle := s.server.transactionIdle(); idle > 0 {
@@ -118,13 +122,26 @@
 		s.failTransaction("host is leaving")
 		return true
 	case s.tx == nil && s.server.closing():
-		return false
+		return s.mayGoOn()
 	case s.tx != nil && s.tx.running() && !s.server.closing():
 		s.failTransaction("idle for too long")
 	}
 	return true
 }
 
+// recently is how long after an answer a caller is most likely in the middle of
+// an operation, some statements with short pauses.
+const recently = 200 * time.Millisecond
+
+// mayGoOn tells whether a session that is to be closed gets a last call first.
+func (s *session) mayGoOn() bool {
+	if s.lastCalled || time.Since(s.answered) > recently {
+		return false
+	}
+	s.lastCalled = true
+	return true
+}
+
 func (s *session) route() (catalog.Route, bool) {
 	c := s.server.opts.Catalog.Configuration()
 	if c == nil {
