--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -31,7 +31,7 @@
 type Group struct {
 	ID             topology.GroupID
 	MaxConnections int // at each target, from all hosts together
-	SyncReplicas   int // replicas that must receive a commit before it is acknowledged
+	AckReplicas    int // replicas that must receive a commit before it is acknowledged
 }
 
 // Configuration is one whole version.
--- a/internal/promotion/next.go
+++ b/internal/promotion/next.go
@@ -19,7 +19,7 @@
 		return Hold{Reason: "no replica can be promoted"}
 	}
 	others := v.others(candidate.ID)
-	if n := unsure(others, candidate); n >= max(v.SyncReplicas, 1) {
+	if n := unsure(others, candidate); n >= max(v.AckReplicas, 1) {
 		return Hold{Reason: fmt.Sprintf("%d replicas can't be paused and may have acknowledged commits", n)}
 	}
 	if pause := toPause(v, others); len(pause.Targets) > 0 {
--- a/internal/promotion/next_test.go
+++ b/internal/promotion/next_test.go
@@ -20,7 +20,7 @@
 }
 
 func TestNextPausesAllButTheFurthest(t *testing.T) {
-	v := View{SyncReplicas: 1, Leader: "p", Replace: true, Members: []Member{replica("a", at(1, 7), 0), replica("b", at(1, 9), 0), replica("c", at(1, 8), 0)}}
+	v := View{AckReplicas: 1, Leader: "p", Replace: true, Members: []Member{replica("a", at(1, 7), 0), replica("b", at(1, 9), 0), replica("c", at(1, 8), 0)}}
 	qt.Check(t, Next(v), qt.DeepEquals, Step(Pause{Term: 2, Targets: []topology.TargetID{"a", "c"}}))
 	v.Members[0].Status.PausedTerm, v.Members[2].Status.PausedTerm = 2, 2
 	qt.Check(t, Next(v), qt.DeepEquals, Step(Promote{Target: "b"}))
@@ -29,7 +29,7 @@
 func TestNextDoesNotPromoteALeavingReplica(t *testing.T) {
 	leaving := replica("b", at(1, 9), 0)
 	leaving.Leaving = true
-	v := View{SyncReplicas: 1, Leader: "p", Replace: true, Members: []Member{replica("a", at(1, 7), 0), leaving}}
+	v := View{AckReplicas: 1, Leader: "p", Replace: true, Members: []Member{replica("a", at(1, 7), 0), leaving}}
 	qt.Check(t, Next(v), qt.DeepEquals, Step(Pause{Term: 2, Targets: []topology.TargetID{"b"}}))
 	v.Members[1].Status.PausedTerm = 2
 	_, held := Next(v).(Hold)
@@ -38,7 +38,7 @@
 
 func TestNextHoldsForAReplicaThatItCannotPause(t *testing.T) {
 	for _, reach := range []Reach{Unseen, Dead, Silent, Crowded} {
-		v := View{SyncReplicas: 1, Leader: "p", Replace: true, Members: []Member{replica("a", at(1, 7), 0), {ID: "b", Reach: reach}}}
+		v := View{AckReplicas: 1, Leader: "p", Replace: true, Members: []Member{replica("a", at(1, 7), 0), {ID: "b", Reach: reach}}}
 		_, held := Next(v).(Hold)
 		qt.Check(t, held, qt.IsTrue, qt.Commentf("reach %d", reach))
 	}
@@ -47,7 +47,7 @@
 // A replica that died before the leader had a position can't have more than it.
 func TestNextPassesOverAReplicaThatDiedBefore(t *testing.T) {
 	dead := Member{ID: "b", Reach: Dead, LogSince: at(1, 6)}
-	v := View{SyncReplicas: 1, Leader: "p", Replace: true, Members: []Member{replica("a", at(1, 7), 0), dead}}
+	v := View{AckReplicas: 1, Leader: "p", Replace: true, Members: []Member{replica("a", at(1, 7), 0), dead}}
 	qt.Check(t, Next(v), qt.DeepEquals, Step(Promote{Target: "a"}))
 	v.Members[1].LogSince = at(1, 8)
 	_, held := Next(v).(Hold)
@@ -55,7 +55,7 @@
 }
 
 func TestNextEndsPausesThatNobodyNeeds(t *testing.T) {
-	v := View{SyncReplicas: 1, Leader: "p", LeaderServes: true, Members: []Member{replica("a", at(1, 7), 2), replica("b", at(1, 9), 0)}}
+	v := View{AckReplicas: 1, Leader: "p", LeaderServes: true, Members: []Member{replica("a", at(1, 7), 2), replica("b", at(1, 9), 0)}}
 	qt.Check(t, Next(v), qt.DeepEquals, Step(Resume{Targets: []topology.TargetID{"a"}}))
 	v.Members[0].Status.PausedTerm = 0
 	qt.Check(t, Next(v), qt.DeepEquals, Step(Rest{}))
@@ -66,7 +66,7 @@
 func TestNextLooksAgainWhenAnotherLeads(t *testing.T) {
 	leads := replica("a", at(3, 20), 0)
 	leads.Status.Primary, leads.Status.Term = true, 3
-	v := View{SyncReplicas: 1, Leader: "p", Replace: true, Members: []Member{leads, replica("b", at(3, 19), 0)}}
+	v := View{AckReplicas: 1, Leader: "p", Replace: true, Members: []Member{leads, replica("b", at(3, 19), 0)}}
 	_, held := Next(v).(Hold)
 	qt.Check(t, held, qt.IsTrue)
 }
@@ -191,7 +191,7 @@
 		for i := range rapid.IntRange(m.sync+1, 4).Draw(t, "replicas") {
 			m.targets = append(m.targets, &modelTarget{id: topology.TargetID(fmt.Sprint("r", i))})
 		}
-		v := View{SyncReplicas: m.sync, Leader: "leader", Replace: true}
+		v := View{AckReplicas: m.sync, Leader: "leader", Replace: true}
 		for range 12 {
 			m.commit(t, "before look")
 			if rapid.IntRange(0, 3).Draw(t, "fault?") == 0 {
--- a/internal/promotion/types.go
+++ b/internal/promotion/types.go
@@ -65,7 +65,7 @@
 
 // View is what a decision rests on.
 type View struct {
-	SyncReplicas int // that must receive a commit
+	AckReplicas  int // that must receive a commit
 	Leader       topology.TargetID
 	LeaderServes bool // proved to lead by this look
 	Replace      bool // the leader is to be replaced
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -381,7 +381,7 @@
 
 // look asks all targets but the leader for their status, at once.
 func (w *Watcher) look(ctx context.Context) View {
-	view := View{Leader: w.leader, SyncReplicas: w.syncReplicas()}
+	view := View{Leader: w.leader, AckReplicas: w.ackReplicas()}
 	now := steady.Now()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
@@ -407,9 +407,9 @@
 	return view
 }
 
-func (w *Watcher) syncReplicas() int {
+func (w *Watcher) ackReplicas() int {
 	if c := w.opts.Catalog.Configuration(); c != nil {
-		return c.Groups[w.opts.Group].SyncReplicas
+		return c.Groups[w.opts.Group].AckReplicas
 	}
 	return 1
 }
