--- /dev/null
+++ b/cmd/nettlewalk/fleetpeers.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"context"
+	"hash/fnv"
+	"slices"
+	"sync"
+
+	"nettlewalk.example/nettlewalk/internal/fleet"
+	"nettlewalk.example/nettlewalk/internal/gossip"
+	"nettlewalk.example/nettlewalk/internal/peer"
+	"nettlewalk.example/nettlewalk/internal/promotion"
+	"nettlewalk.example/nettlewalk/internal/relay"
+	"nettlewalk.example/nettlewalk/internal/share"
+	"nettlewalk.example/nettlewalk/internal/statement"
+	"nettlewalk.example/nettlewalk/internal/topology"
+	"nettlewalk.example/nettlewalk/platform"
+)
+
+// offers lists this host's connections for the others.
+func (h *fleetHost) offers() []gossip.Offer {
+	var list []gossip.Offer
+	for _, o := range h.groups.Offers() {
+		list = append(list, gossip.Offer(o))
+	}
+	return list
+}
+
+// heardOffers learns from another host which targets led last.
+func (h *fleetHost) heardOffers(offers []gossip.Offer) {
+	for _, o := range offers {
+		if g := h.groups.Group(o.Group); g != nil && o.Last != "" {
+			g.HeardLeader(o.Last, o.ProvedAgo)
+		}
+	}
+}
+
+// forwarding implements relay.Peers.
+type forwarding struct {
+	*peer.Client
+	host *fleetHost
+}
+
+// Offers implements relay.Peers.
+func (f *forwarding) Offers(id topology.GroupID) []relay.Offer {
+	var list []relay.Offer
+	for host, offers := range f.host.gossip.Offers() {
+		for _, o := range offers {
+			if o.Group == id && o.Open > 0 {
+				list = append(list, relay.Offer{Host: host, Leads: o.Leads, Idle: o.Idle, Open: o.Open})
+			}
+		}
+	}
+	return list
+}
+
+// peerKey is the key by which hosts of one deployment know each other. The
+// platform gives them no secret.
+func peerKey(s *platform.Settings) []byte {
+	sum := fnv.New128a()
+	_, _ = sum.Write([]byte(s.Store + " " + s.Promotions))
+	return sum.Sum(nil)
+}
+
+func hostIDs(addrs []string) []topology.HostID {
+	ids := make([]topology.HostID, 0, len(addrs))
+	for _, a := range addrs {
+		ids = append(ids, topology.HostID(a))
+	}
+	return ids
+}
+
+// shareOf returns how many connections to a target this host keeps open. The
+// holders of a group are the same for all of its targets: whoever reads at a
+// replica also knows the leader's positions.
+func (h *fleetHost) shareOf(t topology.Target, limit int) int {
+	hosts := h.gossip.Sharers()
+	holders, size := share.Plan(limit, len(hosts))
+	if holders < len(hosts) {
+		group := topology.Target{ID: topology.TargetID(t.Group), Slots: holders}
+		if !slices.Contains(h.holders.index(hosts).Holders(group), topology.HostID(h.settings.Peers)) {
+			return 0
+		}
+	}
+	if !h.gossip.Settled(lingerTime) {
+		return 1
+	}
+	return size
+}
+
+// holderIndex keeps the index of the hosts until their list changes.
+type holderIndex struct {
+	mu    sync.Mutex
+	hosts []topology.Host
+	last  *fleet.Index
+}
+
+func (x *holderIndex) index(hosts []topology.Host) *fleet.Index {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.last == nil || !slices.Equal(x.hosts, hosts) {
+		x.hosts, x.last = hosts, fleet.NewIndex(hosts)
+	}
+	return x.last
+}
+
+// suspect reports a target that can't be reached to the holder of the duty.
+func (h *fleetHost) suspect(id topology.GroupID, target topology.TargetID, _ statement.DialOutcome) {
+	holder, ok := h.duty.Holder(id)
+	if !ok {
+		return
+	}
+	silence := promotion.Silence{From: topology.HostID(h.settings.Peers), Group: id, Target: target}
+	if holder == silence.From {
+		h.desk.Take(silence)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+		defer cancel()
+		if err := promotion.Send(ctx, h.peers, holder, silence); err != nil {
+			h.log.V(1).Info("silence not reported", "group", id, "target", target, "error", err.Error())
+		}
+	}()
+}
--- /dev/null
+++ b/internal/group/dump.go
@@ -0,0 +1,44 @@
+package group
+
+import (
+	"nettlewalk.example/nettlewalk/internal/catalog"
+	"nettlewalk.example/nettlewalk/internal/share"
+	"nettlewalk.example/nettlewalk/internal/steady"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// MemberDump is one target as a host sees it.
+type MemberDump struct {
+	Target  catalog.Member `json:"target"`
+	Leads   bool           `json:"leads"`
+	Lost    bool           `json:"lost"`
+	Lagging bool           `json:"lagging"`
+	TookMS  float64        `json:"took_ms"`
+	Load    share.Load     `json:"load"`
+}
+
+// Dump is a group as a host sees it.
+type Dump struct {
+	Group        topology.GroupID `json:"group"`
+	LeaderlessMS int64            `json:"leaderless_ms"`
+	AnchorAgeMS  int64            `json:"anchor_ms_ago"` // -1: none is known
+	Members      []MemberDump     `json:"members"`
+}
+
+// Dump returns the state for operators.
+func (g *Group) Dump() Dump {
+	d := Dump{Group: g.opts.ID, LeaderlessMS: g.Loss().For.Milliseconds(), AnchorAgeMS: -1}
+	if age, ok := g.AnchorAge(); ok {
+		d.AnchorAgeMS = age.Milliseconds()
+	}
+	now := steady.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id, m := range g.members {
+		d.Members = append(d.Members, MemberDump{
+			Target: m.info, Leads: id == g.belief.leader, Lost: m.lost, Lagging: now.Before(m.lag.until),
+			TookMS: float64(m.took.Microseconds()) / 1000, Load: m.pool.Load(),
+		})
+	}
+	return d
+}
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
@@ -31,8 +29,6 @@
 	Log    logr.Logger
 	// Suspect is told of signs that a target is dead.
 	Suspect func(topology.GroupID, topology.TargetID, statement.DialOutcome)
-	// LeaderFound is told when another target was proved to lead.
-	LeaderFound func(topology.GroupID, topology.TargetID)
 }
 
 // member is one target with this host's connections to it.
@@ -94,43 +90,6 @@
 	g.seek()
 }
 
-// dialed hears of every dial of the pools.
-func (g *Group) dialed(id topology.TargetID, err error) {
-	g.noteReach(id, err)
-	var failure *statement.DialError
-	if !errors.As(err, &failure) {
-		dials("opened").Inc()
-		return
-	}
-	dials(failure.Outcome.String()).Inc()
-	if failure.Outcome != statement.DialRejected {
-		g.NoteUnreachable(id)
-		g.opts.Suspect(g.opts.ID, id, failure.Outcome)
-	}
-}
-
-// dials counts dials by outcome.
-func dials(outcome string) *metrics.Counter {
-	return metrics.GetOrCreateCounter(`nettlewalk_target_dials_total{outcome="` + outcome + `"}`)
-}
-
-// noteReach logs when a target is lost and when it is back.
-func (g *Group) noteReach(id topology.TargetID, err error) {
-	g.mu.Lock()
-	m := g.members[id]
-	changed := m != nil && m.lost != (err != nil)
-	if changed {
-		m.lost = err != nil
-	}
-	g.mu.Unlock()
-	switch {
-	case changed && err != nil:
-		g.opts.Log.Info("target can't be reached", "group", g.opts.ID, "target", id, "error", err.Error())
-	case changed:
-		g.opts.Log.Info("target is reached again", "group", g.opts.ID, "target", id)
-	}
-}
-
 // Leader returns the pool of the leader, or false if none is believed to lead.
 func (g *Group) Leader() (topology.TargetID, *share.Pool, bool) {
 	g.mu.Lock()
@@ -198,7 +157,6 @@
 	g.mu.Unlock()
 	if changed {
 		g.opts.Log.Info("leader found", "group", g.opts.ID, "target", id, "position", a.Position.String())
-		g.opts.LeaderFound(g.opts.ID, id)
 	}
 }
 
@@ -216,22 +174,6 @@
 	}
 }
 
-// NoteUnreachable notes that the target can't be reached from this host. If it
-// led, it is looked for anew; it is found again if it answers.
-func (g *Group) NoteUnreachable(id topology.TargetID) {
-	g.NoteFailing(id)
-	g.refute(id, steady.Now(), false)
-}
-
-// NoteFailing notes that connections to the target break.
-func (g *Group) NoteFailing(id topology.TargetID) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if m := g.members[id]; m != nil {
-		m.failing = steady.Now().Add(failingFor)
-	}
-}
-
 // NoteLagging notes that the target lacked a position.
 func (g *Group) NoteLagging(id topology.TargetID) {
 	g.mu.Lock()
@@ -304,163 +246,5 @@
 	return choices
 }
 
-// seek looks for the leader unless one is known or a search is under way.
-// Needs g.mu.
-func (g *Group) seek() {
-	if g.seeking || g.belief.leader != "" || len(g.members) == 0 {
-		return
-	}
-	g.seeking = true
-	go g.seekLoop()
-}
-
-func (g *Group) seekLoop() {
-	for {
-		for id, pool := range g.pools() {
-			g.prove(id, pool)
-		}
-		g.mu.Lock()
-		if g.belief.leader != "" || len(g.members) == 0 {
-			g.seeking = false
-			g.mu.Unlock()
-			return
-		}
-		g.mu.Unlock()
-		time.Sleep(idleRecheck)
-	}
-}
-
-func (g *Group) pools() map[topology.TargetID]*share.Pool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	pools := make(map[topology.TargetID]*share.Pool, len(g.members))
-	for id, m := range g.members {
-		pools[id] = m.pool
-	}
-	return pools
-}
-
-// silentLooks is how many looks without an answer count as silence.
-const silentLooks = 2
-
-// proofTimeout bounds the look whether a target leads. It takes no work slot
-// there, so an answer needs a round trip.
-const proofTimeout = 150 * time.Millisecond
-
-// prove asks a target over an idle connection whether it leads. It returns
-// false if the target was asked and didn't answer.
-func (g *Group) prove(id topology.TargetID, pool *share.Pool) (answered bool) {
-	conn := pool.TryAcquire()
-	if conn == nil {
-		return true
-	}
-	sent := steady.Now()
-	answers, err := conn.Exchange(time.Now().Add(proofTimeout), Proof()...)
-	pool.Release(conn, err == nil && answers[1].State == statement.Idle)
-	if err != nil {
-		g.noteSilent(id, pool)
-		return false
-	}
-	g.heard(id)
-	g.Judge(id, sent, &answers[0])
-	return true
-}
-
-// noteSilent notes a look without an answer. The second one in a row counts as
-// the target's silence: its other connections have most likely gone silent too.
-func (g *Group) noteSilent(id topology.TargetID, pool *share.Pool) {
-	g.NoteFailing(id)
-	g.mu.Lock()
-	m := g.members[id]
-	silent := false
-	if m != nil {
-		m.silent++
-		silent = m.silent >= silentLooks
-	}
-	g.mu.Unlock()
-	if silent {
-		pool.DropIdle()
-		g.refute(id, steady.Now(), false)
-	}
-}
-
-func (g *Group) heard(id topology.TargetID) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if m := g.members[id]; m != nil {
-		m.silent = 0
-	}
-}
-
-// Proof is what a target is asked to prove that it leads.
-func Proof() []statement.Statement {
-	return []statement.Statement{
-		{ID: statement.OwnID, Kind: statement.Begin},
-		{ID: statement.OwnID, Kind: statement.Rollback},
-	}
-}
-
-// Judge takes a target's answer to the start of a transaction.
-func (g *Group) Judge(id topology.TargetID, sent time.Time, begin *statement.Answer) {
-	switch {
-	case begin.OK():
-		g.NoteLeading(id, sent, begin)
-	case begin.Code == statement.ReadOnly:
-		g.NoteNotLeading(id, sent)
-	}
-}
-
-// Refresh renews the knowledge of the leader's log if it is older than age.
-func (g *Group) Refresh(age time.Duration) {
-	if latest, ok := g.AnchorAge(); ok && latest < age {
-		return
-	}
-	id, pool, ok := g.Leader()
-	if !ok {
-		return
-	}
-	for range silentLooks { // the second look follows a first one without an answer at once
-		if g.prove(id, pool) {
-			return
-		}
-	}
-}
-
-// MemberDump is one target as a host sees it.
-type MemberDump struct {
-	Target  catalog.Member `json:"target"`
-	Leads   bool           `json:"leads"`
-	Lost    bool           `json:"lost"`
-	Lagging bool           `json:"lagging"`
-	TookMS  float64        `json:"took_ms"`
-	Load    share.Load     `json:"load"`
-}
-
-// Dump is a group as a host sees it.
-type Dump struct {
-	Group        topology.GroupID `json:"group"`
-	LeaderlessMS int64            `json:"leaderless_ms"`
-	AnchorAgeMS  int64            `json:"anchor_ms_ago"` // -1: none is known
-	Members      []MemberDump     `json:"members"`
-}
-
-// Dump returns the state for operators.
-func (g *Group) Dump() Dump {
-	d := Dump{Group: g.opts.ID, LeaderlessMS: g.Loss().For.Milliseconds(), AnchorAgeMS: -1}
-	if age, ok := g.AnchorAge(); ok {
-		d.AnchorAgeMS = age.Milliseconds()
-	}
-	now := steady.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for id, m := range g.members {
-		d.Members = append(d.Members, MemberDump{
-			Target: m.info, Leads: id == g.belief.leader, Lost: m.lost, Lagging: now.Before(m.lag.until),
-			TookMS: float64(m.took.Microseconds()) / 1000, Load: m.pool.Load(),
-		})
-	}
-	return d
-}
-
 // Close closes all connections.
 func (g *Group) Close() { g.SetMembers(nil, nil) }
--- a/internal/group/set.go
+++ b/internal/group/set.go
@@ -27,10 +27,9 @@
 	Catalog *catalog.Store
 	// Size returns how many connections to a target this host keeps open, for
 	// the target's limit on connections from all hosts.
-	Size        func(target topology.Target, limit int) int
-	Suspect     func(topology.GroupID, topology.TargetID, statement.DialOutcome)
-	LeaderFound func(topology.GroupID, topology.TargetID)
-	Log         logr.Logger
+	Size    func(target topology.Target, limit int) int
+	Suspect func(topology.GroupID, topology.TargetID, statement.DialOutcome)
+	Log     logr.Logger
 }
 
 // Set keeps the groups that the catalog names. Safe for concurrent use.
@@ -98,7 +97,7 @@
 	defer s.mu.Unlock()
 	g := s.groups[id]
 	if g == nil {
-		g = New(Options{ID: id, Domain: s.opts.Domain, Dialer: s.opts.Dialer, Log: s.opts.Log, Suspect: s.opts.Suspect, LeaderFound: s.opts.LeaderFound})
+		g = New(Options{ID: id, Domain: s.opts.Domain, Dialer: s.opts.Dialer, Log: s.opts.Log, Suspect: s.opts.Suspect})
 		s.groups[id] = g
 	}
 	return g
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -136,8 +136,7 @@
 	}}}
 	f.group = group.New(group.Options{
 		ID: "g", Dialer: dialer{"p": f.leader, "r": f.replica}, Log: logr.Discard(),
-		Suspect:     func(topology.GroupID, topology.TargetID, statement.DialOutcome) {},
-		LeaderFound: func(topology.GroupID, topology.TargetID) {},
+		Suspect: func(topology.GroupID, topology.TargetID, statement.DialOutcome) {},
 	})
 	t.Cleanup(f.group.Close)
 	member := func(id topology.TargetID) catalog.Member {
