--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -29,23 +29,23 @@
 	settings *platform.Settings
 	log      logr.Logger
 
-	store   *storeclient.Client
-	catalog *catalog.Store
-	server  *peer.Server
-	peers   *peer.Client
-	gossip  *gossip.Gossip
-	duty    *duty.Keeper
-	desk    *promotion.Desk
-	groups  *group.Set
-	relay   *relay.Server
-	holders holderIndex
-	leaving atomic.Bool
-	refused atomic.Int64 // probes in a row that were answered with not ready
+	store    *storeclient.Client
+	catalog  *catalog.Store
+	server   *peer.Server
+	peers    *peer.Client
+	gossip   *gossip.Gossip
+	duty     *duty.Keeper
+	watchers *promotion.Watchers
+	groups   *group.Set
+	relay    *relay.Server
+	holders  holderIndex
+	leaving  atomic.Bool
+	refused  atomic.Int64 // probes in a row that were answered with not ready
 }
 
 const (
 	storeTimeout = 1 * time.Second  // of one call to the store, which answers in milliseconds
-	watchWait    = 20 * time.Second // a watch costs a call; a deaf one is noticed by the polls beside it
+	watchWait    = 20 * time.Second // a watch costs a call; one without events is noticed by the polls beside it
 	// groupTick is the time between looks for groups without a watcher.
 	groupTick = 1500 * time.Millisecond
 	// lingerTime is how long targets keep the connections of a host that lost
@@ -54,7 +54,7 @@
 )
 
 func newFleetHost(path string, s *platform.Settings, log logr.Logger) *fleetHost {
-	h := &fleetHost{path: path, settings: s, log: log, catalog: catalog.NewStore(), desk: promotion.NewDesk()}
+	h := &fleetHost{path: path, settings: s, log: log, catalog: catalog.NewStore(), watchers: promotion.NewWatchers()}
 	self := topology.HostID(s.Peers)
 	boot := rand.Uint64()
 	key := peerKey(s)
@@ -114,7 +114,7 @@
 	if err := h.server.Register(gossip.ServiceName, h.gossip.Service()); err != nil {
 		return nil, err
 	}
-	if err := h.server.Register(promotion.ServiceName, h.desk.Service()); err != nil {
+	if err := h.server.Register(promotion.ServiceName, h.watchers.Service()); err != nil {
 		return nil, err
 	}
 	if err := h.server.Register(relay.ServiceName, h.relay.Service()); err != nil {
--- a/cmd/nettlewalk/fleetpeers.go
+++ b/cmd/nettlewalk/fleetpeers.go
@@ -112,7 +112,7 @@
 	}
 	silence := promotion.Silence{From: topology.HostID(h.settings.Peers), Group: id, Target: target}
 	if holder == silence.From {
-		h.desk.Take(silence)
+		h.watchers.Take(silence)
 		return
 	}
 	go func() {
--- a/cmd/nettlewalk/fleetstore.go
+++ b/cmd/nettlewalk/fleetstore.go
@@ -108,7 +108,7 @@
 		if belief == nil {
 			continue // it is made from the same change, and found at the next look
 		}
-		h.desk.Ensure(ctx, id, func() *promotion.Watcher {
+		h.watchers.Ensure(ctx, id, func() *promotion.Watcher {
 			return promotion.NewWatcher(promotion.Options{
 				Group: id, Name: string(h.settings.Host), Dialer: platform.TargetDialer{}, Parse: platform.ParseStatus,
 				Promoter: platform.NewPromoter(h.settings.Promotions), Duty: h.duty, Contact: h.gossip, Catalog: h.catalog, Belief: belief,
--- a/internal/catalog/poll.go
+++ b/internal/catalog/poll.go
@@ -9,7 +9,7 @@
 )
 
 // Reads tells when the store was last read, by this host or by one that told
-// it. Hosts read the store beside their watches, which may go deaf; together
+// it. Hosts read the store beside their watches, which may stop delivering events; together
 // they read it once in each period, and a host that hears of no other's reads
 // does so alone.
 type Reads struct {
--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -13,9 +13,9 @@
 	// leaving is still used: entries lapse while the store is disturbed, and
 	// are back within two seconds of its return.
 	missingGrace = 3 * time.Second
-	// ghostFor is how long a vanished target still counts as one that may hold
+	// rememberVanished is how long a vanished target still counts as one that may hold
 	// acknowledged commits.
-	ghostFor = 60 * time.Second
+	rememberVanished = 60 * time.Second
 )
 
 // Store keeps the newest configuration and register. Safe for concurrent use.
@@ -148,7 +148,7 @@
 		groups[m.Target.Group] = append(groups[m.Target.Group], m)
 	}
 	for id, v := range s.missing {
-		if now.Sub(v.since) > ghostFor {
+		if now.Sub(v.since) > rememberVanished {
 			delete(s.missing, id)
 			continue
 		}
--- a/internal/catalog/store_test.go
+++ b/internal/catalog/store_test.go
@@ -104,7 +104,7 @@
 	return platform.List{}, errors.New("down")
 }
 
-// A host whose watch is deaf and who hears of no other's reads reads by itself.
+// A host whose watch delivers nothing and who hears of no other's reads reads by itself.
 // Cut off from the others, it stayed on an old configuration for 5 seconds.
 func TestPollReadsWithoutNews(t *testing.T) {
 	s := NewStore()
--- a/internal/promotion/judge.go
+++ b/internal/promotion/judge.go
@@ -36,7 +36,7 @@
 	if !w.settled.IsZero() && steady.Now().Sub(w.settled) < pauseBetween {
 		return false, ""
 	}
-	e := w.eyes[w.leader]
+	e := w.probers[w.leader]
 	switch {
 	case serves && e != nil && e.target.Leaving && w.successors() > 0:
 		return true, "leader is leaving"
@@ -68,7 +68,7 @@
 
 func (w *Watcher) successors() int {
 	n := 0
-	for id, e := range w.eyes {
+	for id, e := range w.probers {
 		if id != w.leader && !e.target.Leaving {
 			n++
 		}
--- a/internal/promotion/look.go
+++ b/internal/promotion/look.go
@@ -18,7 +18,7 @@
 	known := map[topology.TargetID]bool{}
 	for _, m := range members {
 		known[m.Target.ID] = true
-		e := w.eyes[m.Target.ID]
+		e := w.probers[m.Target.ID]
 		if e != nil && e.target.Addr == m.Target.Addr {
 			e.target, e.vanished = m.Target, vanished[m.Target.ID]
 			continue
@@ -26,12 +26,12 @@
 		if e != nil {
 			e.drop()
 		}
-		w.eyes[m.Target.ID] = &eye{target: m.Target, dialer: w.opts.Dialer, parse: w.opts.Parse}
+		w.probers[m.Target.ID] = &prober{target: m.Target, dialer: w.opts.Dialer, parse: w.opts.Parse}
 	}
-	for id, e := range w.eyes {
+	for id, e := range w.probers {
 		if !known[id] {
 			e.drop()
-			delete(w.eyes, id)
+			delete(w.probers, id)
 		}
 	}
 	return members
@@ -42,7 +42,7 @@
 	if id, ago := w.opts.Belief.LastLeader(); w.leader == "" && ago < leaderKnownFor {
 		w.leader = id
 	}
-	if e := w.eyes[w.leader]; e != nil {
+	if e := w.probers[w.leader]; e != nil {
 		p := w.prove(ctx, w.leader, e)
 		if p.leads {
 			return true, Answered
@@ -52,7 +52,7 @@
 			e.silent++
 		}
 	}
-	for id, e := range w.eyes {
+	for id, e := range w.probers {
 		if id == w.leader {
 			continue
 		}
@@ -64,7 +64,7 @@
 }
 
 // prove asks one target whether it leads and passes the proof on.
-func (w *Watcher) prove(ctx context.Context, id topology.TargetID, e *eye) proof {
+func (w *Watcher) prove(ctx context.Context, id topology.TargetID, e *prober) proof {
 	p := e.prove(ctx, group.Proof())
 	if !p.leads {
 		return p
@@ -74,7 +74,7 @@
 	}
 	w.leader, w.leaderAt = id, p.sent
 	w.opts.Belief.NoteLeading(id, p.sent, &statement.Answer{Position: p.position, HasPosition: true})
-	for _, other := range w.eyes {
+	for _, other := range w.probers {
 		if !other.deadSince.IsZero() && other.logSince.IsZero() && p.sent.After(other.deadSince) {
 			other.logSince = p.position
 		}
@@ -103,7 +103,7 @@
 	now := steady.Now()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	for id, e := range w.eyes {
+	for id, e := range w.probers {
 		if id == w.leader {
 			continue
 		}
--- a/internal/promotion/next_test.go
+++ b/internal/promotion/next_test.go
@@ -37,7 +37,7 @@
 }
 
 func TestNextHoldsForAReplicaThatItCannotPause(t *testing.T) {
-	for _, reach := range []Reach{Unseen, Dead, Silent, Crowded} {
+	for _, reach := range []Reach{Unseen, Dead, Silent, Overloaded} {
 		v := View{AckReplicas: 1, Leader: "p", Replace: true, Members: []Member{replica("a", at(1, 7), 0), {ID: "b", Reach: reach}}}
 		_, held := Next(v).(Hold)
 		qt.Check(t, held, qt.IsTrue, qt.Commentf("reach %d", reach))
--- a/internal/promotion/order.go
+++ b/internal/promotion/order.go
@@ -60,7 +60,7 @@
 // awaitEffect waits until the promoted target leads.
 func (w *Watcher) awaitEffect(ctx context.Context, target topology.TargetID) {
 	began := steady.Now()
-	e := w.eyes[target]
+	e := w.probers[target]
 	for ctx.Err() == nil && steady.Now().Sub(began) < effectTimeout {
 		if w.prove(ctx, target, e).leads {
 			w.settled = steady.Now()
--- a/internal/promotion/eye.go
+++ b/internal/promotion/prober.go
@@ -29,9 +29,9 @@
 	doubtFor = 15 * time.Second
 )
 
-// eye looks at one target over a connection of its own, which requests can't
+// prober asks one target about itself over a connection of its own, which requests can't
 // keep busy.
-type eye struct {
+type prober struct {
 	target topology.Target
 	dialer statement.Dialer
 	parse  statement.StatusParser
@@ -47,7 +47,7 @@
 
 // dial opens the connection if need be. ok is false if the target didn't take
 // it; reach then says how.
-func (e *eye) dial(ctx context.Context) (reach Reach, ok bool) {
+func (e *prober) dial(ctx context.Context) (reach Reach, ok bool) {
 	if e.conn != nil && e.conn.Alive() {
 		return Answered, true
 	}
@@ -82,22 +82,22 @@
 		return Gone, false
 	}
 	e.lives()
-	return Crowded, false
+	return Overloaded, false
 }
 
 // dies notes the first sign of its death.
-func (e *eye) dies(now time.Time) {
+func (e *prober) dies(now time.Time) {
 	if e.deadSince.IsZero() {
 		e.deadSince = now
 	}
 }
 
 // lives notes a sign of life: what was concluded from its death is void.
-func (e *eye) lives() {
+func (e *prober) lives() {
 	e.deadSince, e.logSince, e.silent = time.Time{}, topology.Position{}, 0
 }
 
-func (e *eye) drop() {
+func (e *prober) drop() {
 	if e.conn != nil {
 		e.conn.Close()
 		e.conn = nil
@@ -113,7 +113,7 @@
 }
 
 // prove asks whether the target leads.
-func (e *eye) prove(ctx context.Context, ask []statement.Statement) proof {
+func (e *prober) prove(ctx context.Context, ask []statement.Statement) proof {
 	reach, ok := e.dial(ctx)
 	if !ok {
 		return proof{reach: reach}
@@ -129,7 +129,7 @@
 }
 
 // command sends a control statement and returns the status that answers it.
-func (e *eye) command(ctx context.Context, kind statement.Kind, term uint64) (statement.TargetStatus, Reach) {
+func (e *prober) command(ctx context.Context, kind statement.Kind, term uint64) (statement.TargetStatus, Reach) {
 	reach, ok := e.dial(ctx)
 	if !ok {
 		return statement.TargetStatus{}, reach
@@ -141,17 +141,17 @@
 	}
 	e.lives()
 	if !answers[0].OK() || len(answers[0].Rows) == 0 {
-		return statement.TargetStatus{}, Crowded
+		return statement.TargetStatus{}, Overloaded
 	}
 	status, err := e.parse(answers[0].Rows[0])
 	if err != nil {
-		return statement.TargetStatus{}, Crowded
+		return statement.TargetStatus{}, Overloaded
 	}
 	return status, Answered
 }
 
 // resume ends a pause. Without an answer the order may still be on its way.
-func (e *eye) resume(ctx context.Context) {
+func (e *prober) resume(ctx context.Context) {
 	if _, reach := e.command(ctx, statement.Resume, 0); reach != Answered {
 		e.doubtUntil = steady.Now().Add(doubtFor)
 	}
--- a/internal/promotion/types.go
+++ b/internal/promotion/types.go
@@ -42,12 +42,12 @@
 
 // The ways.
 const (
-	Unseen   Reach = iota // not looked at yet
-	Answered              // Status is of this look
-	Dead                  // nobody listens at its address
-	Silent                // no answer; it may work for others
-	Crowded               // it lives, but had no connection or work slot to spare
-	Gone                  // another target has its address
+	Unseen     Reach = iota // not looked at yet
+	Answered                // Status is of this look
+	Dead                    // nobody listens at its address
+	Silent                  // no answer; it may work for others
+	Overloaded              // it lives, but had no connection or work slot to spare
+	Gone                    // another target has its address
 )
 
 // Member is a target of the group as the latest look saw it.
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -68,9 +68,9 @@
 
 // Watcher keeps a group led while this host holds the group's duty.
 type Watcher struct {
-	opts Options
-	eyes map[topology.TargetID]*eye
-	wake chan struct{}
+	opts    Options
+	probers map[topology.TargetID]*prober
+	wake    chan struct{}
 
 	leader   topology.TargetID // proved last
 	leaderAt time.Time         // when, on the steady clock
@@ -92,7 +92,7 @@
 
 // NewWatcher returns a watcher that has looked at nothing.
 func NewWatcher(opts Options) *Watcher {
-	return &Watcher{opts: opts, eyes: map[topology.TargetID]*eye{}, wake: make(chan struct{}, 1), reports: map[topology.HostID]report{}}
+	return &Watcher{opts: opts, probers: map[topology.TargetID]*prober{}, wake: make(chan struct{}, 1), reports: map[topology.HostID]report{}}
 }
 
 // Run looks until ctx ends. It does nothing while another host holds the duty.
@@ -135,9 +135,9 @@
 
 // forget drops what was seen.
 func (w *Watcher) forget() {
-	for id, e := range w.eyes {
+	for id, e := range w.probers {
 		e.drop()
-		delete(w.eyes, id)
+		delete(w.probers, id)
 	}
 	w.leader = ""
 }
@@ -218,12 +218,12 @@
 	case Resume:
 		w.opts.Log.Info("pauses are ended", "group", w.opts.Group, "targets", s.Targets)
 		for _, id := range s.Targets {
-			w.eyes[id].resume(ctx)
+			w.probers[id].resume(ctx)
 		}
 	case Pause:
 		var wg sync.WaitGroup
 		for _, id := range s.Targets {
-			wg.Go(func() { w.eyes[id].command(ctx, statement.Pause, s.Term) })
+			wg.Go(func() { w.probers[id].command(ctx, statement.Pause, s.Term) })
 		}
 		wg.Wait()
 	case Promote:
--- a/internal/promotion/desk.go
+++ b/internal/promotion/watchers.go
@@ -24,17 +24,17 @@
 // Empty is an answer without content.
 type Empty struct{ Done bool }
 
-// Desk has the watchers of all groups and takes other hosts' reports.
-type Desk struct {
+// Watchers has the watchers of all groups and takes other hosts' reports.
+type Watchers struct {
 	mu       sync.Mutex
 	watchers map[topology.GroupID]*Watcher
 }
 
-// NewDesk returns a desk without watchers.
-func NewDesk() *Desk { return &Desk{watchers: map[topology.GroupID]*Watcher{}} }
+// NewWatchers returns a watchers without watchers.
+func NewWatchers() *Watchers { return &Watchers{watchers: map[topology.GroupID]*Watcher{}} }
 
 // Ensure starts a group's watcher if there is none yet.
-func (d *Desk) Ensure(ctx context.Context, id topology.GroupID, create func() *Watcher) {
+func (d *Watchers) Ensure(ctx context.Context, id topology.GroupID, create func() *Watcher) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.watchers[id] != nil {
@@ -46,7 +46,7 @@
 }
 
 // Take passes a report to the group's watcher.
-func (d *Desk) Take(s Silence) {
+func (d *Watchers) Take(s Silence) {
 	d.mu.Lock()
 	w := d.watchers[s.Group]
 	d.mu.Unlock()
@@ -66,14 +66,14 @@
 }
 
 // Service answers other hosts' reports.
-type Service struct{ desk *Desk }
+type Service struct{ watchers *Watchers }
 
 // Service returns what is to be registered under ServiceName.
-func (d *Desk) Service() *Service { return &Service{desk: d} }
+func (d *Watchers) Service() *Service { return &Service{watchers: d} }
 
 // Report takes a report.
 func (s *Service) Report(args *Silence, reply *Empty) error {
-	s.desk.Take(*args)
+	s.watchers.Take(*args)
 	reply.Done = true
 	return nil
 }
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -95,7 +95,7 @@
 	}
 	r.forwarded = true
 	r.note(topology.TargetID(offer.Host), "asked to run it")
-	args := r.parcel()
+	args := r.toForward()
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
 	err := peers.Call(ctx, offer.Host, runMethod, args, &answer)
@@ -120,8 +120,8 @@
 	return r.session.refusal(code, err.Error()), true
 }
 
-// parcel returns the statement with its session's state.
-func (r *request) parcel() *Forwarded {
+// toForward returns the statement with its session's state.
+func (r *request) toForward() *Forwarded {
 	f := &Forwarded{
 		Configuration: r.session.server.version(), Database: r.session.database, Statement: *r.st, Writes: r.writes, Uses: r.uses,
 		Floor: r.session.floor, Within: time.Until(r.deadline),
@@ -148,7 +148,7 @@
 		return nil
 	}
 	if args.Transaction.Key != "" {
-		*reply = s.server.guests.step(args)
+		*reply = s.server.hosted.step(args)
 		return nil
 	}
 	session := s.server.newSession(nil)
--- a/internal/relay/guest.go
+++ b/internal/relay/hosted.go
@@ -14,36 +14,36 @@
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
-// guests are the transactions that this host keeps for sessions of other hosts.
+// hosted are the transactions that this host keeps for sessions of other hosts.
 // Each has a session of its own here, from its first statement to its end.
-type guests struct {
+type hosted struct {
 	server *Server
 
 	mu   sync.Mutex
-	open map[string]*guest
+	open map[string]*hostedTransaction
 }
 
-type guest struct {
+type hostedTransaction struct {
 	mu      sync.Mutex // one statement at a time
 	session *session
 	timer   *time.Timer // rolls back what was left alone
 }
 
-func newGuests(s *Server) *guests { return &guests{server: s, open: map[string]*guest{}} }
+func newHosted(s *Server) *hosted { return &hosted{server: s, open: map[string]*hostedTransaction{}} }
 
-// guestIdle is how long a transaction may be left alone if the configuration
+// hostedIdle is how long a transaction may be left alone if the configuration
 // sets no limit: its host may have died.
-const guestIdle = 5 * time.Second
+const hostedIdle = 5 * time.Second
 
 // count returns how many transactions are open.
-func (g *guests) count() int {
+func (g *hosted) count() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return len(g.open)
 }
 
 // step runs one statement of a transaction.
-func (g *guests) step(args *Forwarded) statement.Answer {
+func (g *hosted) step(args *Forwarded) statement.Answer {
 	kept := g.find(args)
 	if kept == nil {
 		return statement.Answer{Code: statement.Aborted, Detail: "the transaction is not known here", State: statement.Failed}
@@ -69,7 +69,7 @@
 }
 
 // find returns the transaction, a new one for a first statement.
-func (g *guests) find(args *Forwarded) *guest {
+func (g *hosted) find(args *Forwarded) *hostedTransaction {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	key := args.Transaction.Key
@@ -77,30 +77,30 @@
 		return g.open[key]
 	}
 	s := g.server.newSession(nil)
-	s.isGuest = true
+	s.isHosted = true
 	s.tx = &transaction{readOnly: args.Transaction.ReadOnly}
-	kept := &guest{session: s}
+	kept := &hostedTransaction{session: s}
 	kept.timer = time.AfterFunc(g.idle(), func() { g.expire(key, kept) })
 	g.open[key] = kept
 	return kept
 }
 
-func (g *guests) idle() time.Duration {
+func (g *hosted) idle() time.Duration {
 	if d := g.server.transactionIdle(); d > 0 {
 		return d
 	}
-	return guestIdle
+	return hostedIdle
 }
 
 // expire rolls back a transaction that was left alone.
-func (g *guests) expire(key string, kept *guest) {
+func (g *hosted) expire(key string, kept *hostedTransaction) {
 	kept.mu.Lock()
 	defer kept.mu.Unlock()
 	kept.session.endTransaction()
 	g.forget(key, kept)
 }
 
-func (g *guests) forget(key string, kept *guest) {
+func (g *hosted) forget(key string, kept *hostedTransaction) {
 	kept.timer.Stop()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -114,7 +114,7 @@
 func (r *request) beginElsewhere(ctx context.Context, busy bool) (a statement.Answer, ok bool) {
 	s := r.session
 	peers := s.server.opts.Peers
-	if s.isGuest || peers == nil || time.Until(r.deadline) < leastForward {
+	if s.isHosted || peers == nil || time.Until(r.deadline) < leastForward {
 		return a, false
 	}
 	leader := !s.tx.readOnly || r.route.Freshness == catalog.LatestData
@@ -138,7 +138,7 @@
 // is false if nothing left.
 func (r *request) stepElsewhere(ctx context.Context, first bool) (a statement.Answer, sent bool) {
 	t := r.session.tx
-	args := r.parcel()
+	args := r.toForward()
 	args.Transaction = Transaction{Key: t.key, ReadOnly: t.readOnly, First: first}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -404,7 +404,7 @@
 }
 
 // A session that is to be closed serves what its caller sends right after an
-// answer, and waits no longer than lastCall for it.
+// answer, and waits no longer than closeGrace for it.
 func TestASessionIsClosedOnlyInAPause(t *testing.T) {
 	f := newFixture(t, catalog.BoundedAge)
 	f.server.CloseIdle(true)
@@ -417,7 +417,7 @@
 	qt.Assert(t, c.answers, qt.HasLen, 2)
 	qt.Check(t, c.answers[1].OK(), qt.IsTrue)
 	qt.Check(t, c.waited, qt.HasLen, 3)
-	qt.Check(t, time.Until(c.waited[2]) <= lastCall, qt.IsTrue)
+	qt.Check(t, time.Until(c.waited[2]) <= closeGrace, qt.IsTrue)
 }
 
 // A host with an older configuration runs nothing for one with a newer one. It
@@ -475,12 +475,12 @@
 	qt.Assert(t, here.serveText(write("a")).State, qt.Equals, statement.InTransaction)
 	here.serveText(statement.Statement{Kind: statement.Set, Name: "tz", Value: "cet", Text: "SET tz cet"})
 	qt.Assert(t, here.serveText(read("b")).OK(), qt.IsTrue)
-	qt.Check(t, there.server.guests.count(), qt.Equals, 1)
+	qt.Check(t, there.server.hosted.count(), qt.Equals, 1)
 	a := here.serveText(commit)
 	qt.Check(t, a.OK(), qt.IsTrue)
 	qt.Check(t, a.State, qt.Equals, statement.Idle)
 	qt.Check(t, here.floor, qt.Equals, there.leader.end)
-	qt.Check(t, there.server.guests.count(), qt.Equals, 0)
+	qt.Check(t, there.server.hosted.count(), qt.Equals, 0)
 	qt.Check(t, there.leader.texts(), qt.DeepEquals, []string{"- SET tz utc", "q WRITE a x", "- SET tz cet", "q READ b", "q COMMIT"})
 }
 
@@ -511,7 +511,7 @@
 	qt.Check(t, a.Code, qt.Equals, statement.Aborted)
 	qt.Check(t, a.State, qt.Equals, statement.Failed)
 	qt.Check(t, here.serveText(commit).Code, qt.Equals, statement.Aborted)
-	for end := time.Now().Add(5 * time.Second); there.server.guests.count() > 0; {
+	for end := time.Now().Add(5 * time.Second); there.server.hosted.count() > 0; {
 		qt.Assert(t, time.Now().Before(end), qt.IsTrue)
 		<-time.After(time.Millisecond)
 	}
@@ -521,13 +521,13 @@
 }
 
 // A session that answered a moment ago is in the middle of an operation most
-// likely: it gets a last call before it is closed, and only one.
-func TestABusySessionGetsALastCall(t *testing.T) {
+// likely: it gets a grace period before it is closed, and only one.
+func TestABusySessionIsClosedAfterAGracePeriod(t *testing.T) {
 	f := newFixture(t, catalog.BoundedAge)
 	f.server.CloseIdle(true)
 	f.answered = time.Now()
 	qt.Check(t, f.proceed(ErrNothing), qt.IsTrue)
 	qt.Check(t, f.proceed(ErrNothing), qt.IsFalse)
-	f.answered, f.lastCalled = time.Now().Add(-time.Second), false
+	f.answered, f.graceGiven = time.Now().Add(-time.Second), false
 	qt.Check(t, f.proceed(ErrNothing), qt.IsFalse)
 }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -38,7 +38,7 @@
 	cutting  atomic.Bool // open transactions are ended
 	forwards *metrics.Counter
 	sampler  *sampler
-	guests   *guests
+	hosted   *hosted
 	name     string // of this process, unique among hosts
 }
 
@@ -51,7 +51,7 @@
 		sampler:  newSampler(),
 		forwards: metrics.GetOrCreateCounter("nettlewalk_statements_forwarded_total"),
 	}
-	s.guests = newGuests(s)
+	s.hosted = newHosted(s)
 	return s
 }
 
@@ -130,7 +130,7 @@
 // Wait waits until no session and no transaction of another host's is open, or
 // the time is up.
 func (s *Server) Wait(limit time.Duration) bool {
-	for end := time.Now().Add(limit); s.Sessions() > 0 || s.guests.count() > 0; {
+	for end := time.Now().Add(limit); s.Sessions() > 0 || s.hosted.count() > 0; {
 		if time.Now().After(end) {
 			return false
 		}
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -33,8 +33,8 @@
 	floor      topology.Position // of the session's last acknowledged commit
 	tx         *transaction      // nil: none
 	answered   time.Time         // when the last answer was sent
-	lastCalled bool              // it is to be closed, and waited for a last statement since then
-	isGuest    bool              // it stands for a session of another host
+	graceGiven bool              // it is to be closed, and waited for a last statement since then
+	isHosted   bool              // it stands for a session of another host
 	log        logr.Logger
 }
 
@@ -60,7 +60,7 @@
 			s.log.V(1).Info("answer not delivered", "request", st.ID, "error", err.Error())
 			return
 		}
-		s.answered, s.lastCalled = time.Now(), false
+		s.answered, s.graceGiven = time.Now(), false
 	}
 }
 
@@ -88,10 +88,10 @@
 	return s.caller.Ready() == nil
 }
 
-// lastCall is how long a session that is to be closed still waits for a
+// closeGrace is how long a session that is to be closed still waits for a
 // statement after an answer: many callers send the next one at once, and a
 // close would meet it on its way.
-const lastCall = 30 * time.Millisecond
+const closeGrace = 30 * time.Millisecond
 
 // next waits for the next statement, in a transaction not longer than it may
 // stay idle.
@@ -99,8 +99,8 @@
 	var deadline time.Time
 	switch {
 	case s.tx == nil && s.server.closing():
-		s.lastCalled = true
-		deadline = time.Now().Add(lastCall)
+		s.graceGiven = true
+		deadline = time.Now().Add(closeGrace)
 	case s.tx != nil && s.tx.running():
 		if idle := s.server.transactionIdle(); idle > 0 {
 			deadline = time.Now().Add(idle)
@@ -133,12 +133,12 @@
 // an operation, some statements with short pauses.
 const recently = 200 * time.Millisecond
 
-// mayGoOn tells whether a session that is to be closed gets a last call first.
+// mayGoOn tells whether a session that is to be closed gets a grace period first.
 func (s *session) mayGoOn() bool {
-	if s.lastCalled || time.Since(s.answered) > recently {
+	if s.graceGiven || time.Since(s.answered) > recently {
 		return false
 	}
-	s.lastCalled = true
+	s.graceGiven = true
 	return true
 }
 
