--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -531,3 +531,14 @@
 	f.answered, f.graceGiven = time.Now().Add(-time.Second), false
 	qt.Check(t, f.proceed(ErrNothing), qt.IsFalse)
 }
+
+// A change of the configuration applies from the next transaction on.
+func TestATransactionKeepsItsRoute(t *testing.T) {
+	f := newFixture(t, catalog.LatestData)
+	f.serveText(begin)
+	qt.Assert(t, f.serveText(write("a")).OK(), qt.IsTrue)
+	f.config = &catalog.Configuration{Version: 2}
+	qt.Check(t, f.serveText(read("a")).OK(), qt.IsTrue)
+	qt.Check(t, f.serveText(commit).OK(), qt.IsTrue)
+	qt.Check(t, f.serveText(read("a")).Code, qt.Equals, statement.NoDatabase)
+}
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -49,12 +49,19 @@
 }
 
 // newRequest looks up the route, which may have changed since the session began.
+// A transaction keeps the route of its first statement.
 func (s *session) newRequest(st *statement.Statement, writes bool, uses string) (*request, *statement.Answer) {
 	route, ok := s.route()
+	if s.tx != nil && s.tx.route != nil {
+		route, ok = *s.tx.route, true
+	}
 	if !ok {
 		a := s.refusal(statement.NoDatabase, s.database)
 		return nil, &a
 	}
+	if s.tx != nil {
+		s.tx.route = &route
+	}
 	g := s.server.opts.Groups.Group(route.Group)
 	if g == nil {
 		a := s.refusal(statement.Busy, "group "+string(route.Group)+" has no targets")
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -19,6 +19,7 @@
 	failed   bool
 	reason   string // of a failure that the caller hasn't heard of
 	wrote    bool
+	route    *catalog.Route // by which it runs; nil before its first statement
 
 	group  *group.Group
 	target topology.TargetID
