In large fleets the holders of a group are asked though they offered nothing lately

Change: who holds a group follows from the list of hosts; such holders are asked as if they had offered.

--- a/cmd/nettlewalk/fleetpeers.go
+++ b/cmd/nettlewalk/fleetpeers.go
@@ -51,6 +51,20 @@
 			}
 		}
 	}
+	return append(list, f.silentHolders(id, list)...)
+}
+
+// silentHolders returns the holders of a group that offered nothing lately. In a
+// large fleet a host hears of each other one only every few seconds; who holds
+// a group follows from the list of hosts.
+func (f *forwarding) silentHolders(id topology.GroupID, known []relay.Offer) []relay.Offer {
+	var list []relay.Offer
+	for _, host := range f.host.holdersOf(id) {
+		offered := slices.ContainsFunc(known, func(o relay.Offer) bool { return o.Host == host })
+		if !offered && host != topology.HostID(f.host.settings.Peers) {
+			list = append(list, relay.Offer{Host: host, Leads: true, Idle: 1, Open: 1})
+		}
+	}
 	return list
 }
 
@@ -74,13 +88,10 @@
 // holders of a group are the same for all of its targets: whoever reads at a
 // replica also knows the leader's positions.
 func (h *fleetHost) shareOf(t topology.Target, limit int) int {
-	hosts := h.gossip.Sharers()
-	holders, size := share.Plan(limit, len(hosts))
-	if holders < len(hosts) {
-		group := topology.Target{ID: topology.TargetID(t.Group), Slots: holders}
-		if !slices.Contains(h.holders.index(hosts).Holders(group), topology.HostID(h.settings.Peers)) {
-			return 0
-		}
+	_, size := share.Plan(limit, len(h.gossip.Sharers()))
+	holders := h.holdersOf(t.Group)
+	if holders != nil && !slices.Contains(holders, topology.HostID(h.settings.Peers)) {
+		return 0
 	}
 	if !h.gossip.Settled(lingerTime) {
 		return 1
@@ -88,6 +99,21 @@
 	return size
 }
 
+// holdersOf returns the hosts that hold a group's connections for the others,
+// nil if every host holds its own.
+func (h *fleetHost) holdersOf(id topology.GroupID) []topology.HostID {
+	c := h.catalog.Configuration()
+	if c == nil {
+		return nil
+	}
+	hosts := h.gossip.Sharers()
+	holders, _ := share.Plan(c.Groups[id].MaxConnections, len(hosts))
+	if holders >= len(hosts) {
+		return nil
+	}
+	return h.holders.index(hosts).Holders(topology.Target{ID: topology.TargetID(id), Slots: holders})
+}
+
 // holderIndex keeps the index of the hosts until their list changes.
 type holderIndex struct {
 	mu    sync.Mutex
