Line bed: a replica has a commit only if its log has that entry

The promoted t2 began term 2 at 2/79; until the stand-in's old primary follows, it wrote 1/79, and the bed took t2's later position for that commit received, since positions are compared by term first. Ruled out: the product, whose order rested on paused replicas and t2 at 1/46. Change: the bed asks for the very entry, which is stricter.

--- a/test/line/bed_test.go
+++ b/test/line/bed_test.go
@@ -108,7 +108,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, m := range b.members {
-		if s := m.server.Status(); m != of && !m.dead && s.Received.AtLeast(p) {
+		if m != of && !m.dead && m.server.Has(p) {
 			return true
 		}
 	}
--- a/test/standin/target/line.go
+++ b/test/standin/target/line.go
@@ -338,6 +338,14 @@
 	return row + "COMPLETE -\r\n", ""
 }
 
+// Has tells whether the server's log has the entry of that position, and not
+// another term's at the same offset.
+func (s *Server) Has(p topology.Position) bool {
+	s.node.mu.Lock()
+	defer s.node.mu.Unlock()
+	return s.node.log.at(p.Offset) == p
+}
+
 // Promote makes the server the primary of the next term, as the users' platform
 // does on a call: whatever the others have beyond it is rolled back.
 func Promote(ctx context.Context, next *Server, others []*Server) error {
