Line bed: refusals are no runs, and a promotion has its effect before the test goes on

Change: the stand-in counts what ran; the test waits for the effect; nothing is promoted after the test.

--- a/test/line/bed_test.go
+++ b/test/line/bed_test.go
@@ -20,6 +20,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	control "nettlewalk.example/nettlewalk/internal/target"
 	"nettlewalk.example/nettlewalk/internal/topology"
 	store "nettlewalk.example/nettlewalk/test/standin/platform"
 	"nettlewalk.example/nettlewalk/test/standin/target"
@@ -56,6 +57,7 @@
 	members []*member
 	token   uint64   // highest seen
 	orders  []string // accepted promotions
+	closed  bool     // the test has ended
 }
 
 // host is one process of the product.
@@ -78,6 +80,11 @@
 	b.cloud = httptest.NewServer(http.HandlerFunc(b.promotion))
 	t.Cleanup(b.cloud.Close)
 	b.startTargets()
+	t.Cleanup(func() { // before the targets end, in the reverse order
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.closed = true
+	})
 	b.configure(1, "db")
 	b.startHosts()
 	return b
@@ -157,6 +164,9 @@
 func (b *bed) promote(id topology.TargetID) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.closed {
+		return
+	}
 	var next *target.Server
 	var others []*target.Server
 	for _, m := range b.members {
@@ -174,6 +184,13 @@
 	}
 }
 
+// replaced tells whether another target than the first one leads.
+func (b *bed) replaced() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.members[0].server.Status().Role != control.Primary
+}
+
 func (b *bed) promotions() []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/test/line/line_test.go
+++ b/test/line/line_test.go
@@ -123,6 +123,7 @@
 	wg.Go(func() { w.run(b, 1, stop) })
 	b.register(b.members[0], "draining")
 	b.eventually("another target is promoted", func() bool { return len(b.promotions()) > 0 })
+	b.eventually("the promotion has its effect", b.replaced)
 	before := w.count()
 	b.eventually("writes go on", func() bool { return w.count() > before+20 })
 	stop.Store(true)
--- a/test/standin/target/line.go
+++ b/test/standin/target/line.go
@@ -60,7 +60,7 @@
 // Addr returns the address of the line protocol.
 func (l *Line) Addr() string { return l.listener.Addr().String() }
 
-// Runs returns how often each caller's statement ran.
+// Runs returns how often each caller's statement ran, refusals left out.
 func (l *Line) Runs() map[string]int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -232,9 +232,14 @@
 		word, _, _ = strings.Cut(shape, " ")
 		rest = arguments
 	}
-	s.line.mu.Lock()
-	s.line.ran[id]++
-	s.line.mu.Unlock()
+	defer func() {
+		if code == "READONLY" { // refused; nothing ran
+			return
+		}
+		s.line.mu.Lock()
+		s.line.ran[id]++
+		s.line.mu.Unlock()
+	}()
 	name, data, _ := strings.Cut(rest, " ")
 	switch word {
 	case "READ":
