Usage readings reach replaced witnesses, and those of ended processes at once

A source never handed a reading again that one witness had got, also when that witness was replaced or started again within the 5 s to the platform; and an entry host kept for 3 s to itself what only it knew of a holder that had been killed. Either lets the second death take a reading along. Ruled out: the test's counting (a statement counts when its answer is there). Change: readings count as handed only for the witness processes that took them (the reply names the process); a source whose host is not listed any more, or of which a later process is known, is handed on at once. The dump's unhanded counts the latter, too. Tests: TestReadingsAreHandedAgainToANewWitness (fails without the comparison), TestReadingsOfAGoneProcessAreHandedAtOnce.

--- a/internal/usage/hand.go
+++ b/internal/usage/hand.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"nettlewalk.example/nettlewalk/internal/pool"
@@ -20,8 +19,12 @@
 	Durable  []pool.Meter
 }
 
-// WitnessReply tells which readings of the same sources are in the platform.
-type WitnessReply struct{ Durable []pool.Meter }
+// WitnessReply tells which process keeps the readings now, and which readings
+// of the same sources are in the platform.
+type WitnessReply struct {
+	By      Source
+	Durable []pool.Meter
+}
 
 // ReadArgs asks for a customer's readings.
 type ReadArgs struct{ Customer topology.CustomerID }
@@ -41,6 +44,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.holdings.Witness(args.Readings, args.Durable, time.Now())
+	reply.By = k.self
 	reply.Durable = k.holdings.DurableOf(args.Readings)
 	return nil
 }
@@ -62,23 +66,18 @@
 	k.handing.Lock()
 	defer k.handing.Unlock()
 	k.witnesses.refresh(hosts)
-	for source, args := range k.toHand(silent, handAgain(len(hosts))) {
-		witnesses := k.witnesses.of(source)
-		if i := slices.Index(witnesses, k.opts.Self); i >= 0 {
-			k.witnessSelf(args)
-			witnesses = slices.Delete(slices.Clone(witnesses), i, i+1)
-		}
-		durable, kept := k.send(ctx, witnesses, args)
-		k.handed(source, args, durable, kept)
+	for source, args := range k.toHand(silent, handAgain(len(hosts)), k.witnesses.fleet()) {
+		durable, by := k.send(ctx, k.witnesses.of(source), args)
+		k.handed(source, args, durable, by)
 	}
 }
 
 // toHand takes what is due, news of what became durable among it.
-func (k *Keeper) toHand(silent, again time.Duration) map[Source]*WitnessArgs {
+func (k *Keeper) toHand(silent, again time.Duration, fleet Fleet) map[Source]*WitnessArgs {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	due := map[Source]*WitnessArgs{}
-	for source, readings := range k.holdings.ToHand(time.Now(), silent, again) {
+	for source, readings := range k.holdings.ToHand(time.Now(), silent, again, fleet) {
 		due[source] = &WitnessArgs{Readings: readings}
 	}
 	if k.durableNews {
@@ -98,38 +97,45 @@
 	k.holdings.Witness(args.Readings, nil, time.Now())
 }
 
-// send calls the witnesses at once. It tells whether at least one has the
-// readings, and which are durable.
-func (k *Keeper) send(ctx context.Context, witnesses []topology.HostID, args *WitnessArgs) (durable []pool.Meter, kept bool) {
+// send gives the readings to the witnesses, all at once. It returns which
+// readings are durable, and the processes that took them.
+func (k *Keeper) send(ctx context.Context, witnesses []topology.HostID, args *WitnessArgs) (durable []pool.Meter, by []Source) {
 	ctx, cancel := context.WithTimeout(ctx, handTimeout)
 	defer cancel()
 	replies := make(chan *WitnessReply, len(witnesses))
 	for _, id := range witnesses {
-		go func() {
-			reply := &WitnessReply{}
-			if k.opts.Peers.Call(ctx, id, ServiceName+".Witness", args, reply) != nil {
-				reply = nil
-			}
-			replies <- reply
-		}()
+		go func() { replies <- k.sendTo(ctx, id, args) }()
 	}
 	for range witnesses {
 		if reply := <-replies; reply != nil {
-			kept = true
+			by = append(by, reply.By)
 			durable = append(durable, reply.Durable...)
 		}
 	}
-	return durable, kept
+	return durable, by
+}
+
+// sendTo returns nil if the witness didn't answer: it gets the readings again.
+func (k *Keeper) sendTo(ctx context.Context, id topology.HostID, args *WitnessArgs) *WitnessReply {
+	if id == k.opts.Self {
+		k.witnessSelf(args)
+		return &WitnessReply{By: k.self}
+	}
+	reply := &WitnessReply{}
+	if k.opts.Peers.Call(ctx, id, ServiceName+".Witness", args, reply) != nil {
+		return nil
+	}
+	return reply
 }
 
-func (k *Keeper) handed(source Source, args *WitnessArgs, durable []pool.Meter, kept bool) {
+func (k *Keeper) handed(source Source, args *WitnessArgs, durable []pool.Meter, by []Source) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !kept {
+	if len(by) == 0 {
 		k.durableNews = k.durableNews || len(args.Durable) > 0
 		return
 	}
-	k.holdings.Handed(source, args.Readings, time.Now())
+	k.holdings.Handed(source, args.Readings, by, time.Now())
 	if source != k.self {
 		k.holdings.Durable(durable)
 	}
--- a/internal/usage/holdings.go
+++ b/internal/usage/holdings.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"slices"
 	"time"
 
 	"nettlewalk.example/nettlewalk/internal/pool"
@@ -12,21 +13,25 @@
 // not ready for use.
 type Holdings struct {
 	self    Source
-	known   Ledger               // largest readings
-	durable Ledger               // readings that are in the platform
-	handed  Ledger               // readings that a witness got
-	handAt  map[Source]time.Time // last handing
-	changed map[Source]time.Time // last growth of a reading
-	witness map[Source]bool      // sources of which this host is a witness
+	known   Ledger // largest readings
+	durable Ledger // readings that are in the platform
+	handed  Ledger // readings that all of handedTo got
+	// handedTo has the witnesses' processes: one that was started again, or
+	// took another's place, has nothing yet.
+	handedTo map[Source][]Source
+	handAt   map[Source]time.Time // last handing
+	changed  map[Source]time.Time // last growth of a reading
+	witness  map[Source]bool      // sources of which this host is a witness
 }
 
 // NewHoldings returns the holdings of a process.
 func NewHoldings(self Source) *Holdings {
 	return &Holdings{
-		self:    self,
-		changed: map[Source]time.Time{},
-		witness: map[Source]bool{},
-		handAt:  map[Source]time.Time{},
+		self:     self,
+		changed:  map[Source]time.Time{},
+		witness:  map[Source]bool{},
+		handAt:   map[Source]time.Time{},
+		handedTo: map[Source][]Source{},
 	}
 }
 
@@ -57,10 +62,28 @@
 // Durable notes that readings are in the platform.
 func (h *Holdings) Durable(readings []pool.Meter) { h.durable.MergeAll(readings) }
 
-// Handed notes that a witness has readings of a source.
-func (h *Holdings) Handed(source Source, readings []pool.Meter, now time.Time) {
-	h.handed.MergeAll(readings)
+// Handed notes that some processes got readings of a source, as its witnesses.
+func (h *Holdings) Handed(source Source, readings []pool.Meter, by []Source, now time.Time) {
 	h.handAt[source] = now
+	before, known := h.handedTo[source]
+	if !known {
+		h.handedTo[source] = by
+		h.handed.MergeAll(readings)
+		return
+	}
+	both := slices.DeleteFunc(slices.Clone(before), func(s Source) bool { return !slices.Contains(by, s) })
+	if len(both) == 0 {
+		h.unhand(source) // none has both what was handed before and this
+		return
+	}
+	h.handedTo[source] = both
+	h.handed.MergeAll(readings)
+}
+
+// unhand forgets what a source's witnesses got, so that they get it again.
+func (h *Holdings) unhand(source Source) {
+	h.handed.Drop(source)
+	delete(h.handedTo, source)
 }
 
 func (h *Holdings) learn(m pool.Meter, now time.Time) {
@@ -69,19 +92,25 @@
 	}
 }
 
+// Fleet is what a host knows of the others when it hands readings over.
+type Fleet struct {
+	Witnesses func(Source) []topology.HostID // who is to have a source's readings
+	Listed    func(topology.HostID) bool     // whether the host is live or leaving
+}
+
 // ToHand returns the readings of each source that its witnesses are to get: of
-// this process at once, of others once they have been silent for a time, for
-// until then they send them themselves. Witnesses hand them to each other, too.
-// What doesn't become durable is handed
-// again after a time, for a witness may have died with it.
-func (h *Holdings) ToHand(now time.Time, silent, again time.Duration) map[Source][]pool.Meter {
+// this process and of processes that are gone at once, of others once they have
+// been silent for a time, for until then they send them themselves. Witnesses
+// hand them to each other, too. What doesn't become durable is handed again
+// after a time, and at once if a witness has been replaced.
+func (h *Holdings) ToHand(now time.Time, silent, again time.Duration, fleet Fleet) map[Source][]pool.Meter {
 	due := map[Source][]pool.Meter{}
 	for source := range h.known.sources {
-		if source != h.self && now.Sub(h.changed[source]) < silent {
+		if source != h.self && !h.gone(source, fleet) && now.Sub(h.changed[source]) < silent {
 			continue
 		}
-		if now.Sub(h.handAt[source]) >= again {
-			h.handed.Drop(source)
+		if now.Sub(h.handAt[source]) >= again || !h.allHave(source, fleet.Witnesses(source)) {
+			h.unhand(source)
 		}
 		news := notCovered(notCovered(h.known.Readings(source), &h.durable), &h.handed)
 		if len(news) > 0 {
@@ -91,6 +120,30 @@
 	return due
 }
 
+// gone tells whether a process has ended: its host isn't listed any more, or
+// a later process of it is known. Boots grow with each start.
+func (h *Holdings) gone(source Source, fleet Fleet) bool {
+	if !fleet.Listed(source.Host) {
+		return true
+	}
+	for other := range h.known.sources {
+		if other.Host == source.Host && other.Boot > source.Boot {
+			return true
+		}
+	}
+	return false
+}
+
+// allHave tells whether each of the witnesses got what was handed.
+func (h *Holdings) allHave(source Source, witnesses []topology.HostID) bool {
+	for _, id := range witnesses {
+		if !slices.ContainsFunc(h.handedTo[source], func(s Source) bool { return s.Host == id }) {
+			return false
+		}
+	}
+	return true
+}
+
 // ToWrite returns all readings of each source that this host is to merge into
 // the platform: of this process if anything is new, and of those that it is a
 // witness of once they have been silent for a time with something not durable.
@@ -120,7 +173,7 @@
 		}
 		h.known.Drop(source)
 		h.durable.Drop(source)
-		h.handed.Drop(source)
+		h.unhand(source)
 		delete(h.handAt, source)
 		delete(h.changed, source)
 		delete(h.witness, source)
@@ -143,12 +196,6 @@
 // OwnDurable returns which of this process's readings are durable.
 func (h *Holdings) OwnDurable() []pool.Meter { return h.durable.Readings(h.self) }
 
-// unhanded returns which of this process's readings are neither durable nor
-// with a witness.
-func (h *Holdings) unhanded() []pool.Meter {
-	return notCovered(notCovered(h.known.Readings(h.self), &h.durable), &h.handed)
-}
-
 // ReadingsOf returns a customer's readings.
 func (h *Holdings) ReadingsOf(id topology.CustomerID) []pool.Meter { return h.known.ReadingsOf(id) }
 
--- a/internal/usage/holdings_test.go
+++ b/internal/usage/holdings_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
 	"nettlewalk.example/nettlewalk/internal/pool"
@@ -69,19 +70,31 @@
 }
 
 func (s *sim) hand(i int) {
-	for source, readings := range s.holdings[i].ToHand(s.now, simSilent, simAgain) {
+	for source, readings := range s.holdings[i].ToHand(s.now, simSilent, simAgain, s.fleet()) {
+		var by []Source
 		for _, id := range Witnesses(source, s.hosts) {
 			if !rapid.Bool().Draw(s.t, "handed") {
 				continue
 			}
 			w := s.holdings[s.index(id)]
 			w.Witness(readings, nil, s.now)
-			s.holdings[i].Handed(source, readings, s.now)
+			by = append(by, w.self)
 			s.holdings[i].Durable(w.DurableOf(readings))
 		}
+		if len(by) > 0 {
+			s.holdings[i].Handed(source, readings, by, s.now)
+		}
 	}
 }
 
+func (s *sim) fleet() Fleet { return fleetOf(s.hosts) }
+
+func fleetOf(hosts []topology.Host) Fleet {
+	var c witnessCache
+	c.refresh(hosts)
+	return c.fleet()
+}
+
 func (s *sim) write(i int) {
 	for _, readings := range s.holdings[i].ToWrite(s.now, simSilent) {
 		s.platform.MergeAll(readings)
@@ -180,7 +193,7 @@
 
 func (s *sim) handAll() {
 	for _, h := range s.holdings {
-		for source, readings := range h.ToHand(s.now, 0, 0) {
+		for source, readings := range h.ToHand(s.now, 0, 0, s.fleet()) {
 			for _, id := range Witnesses(source, s.hosts) {
 				s.holdings[s.index(id)].Witness(readings, nil, s.now)
 			}
@@ -212,3 +225,49 @@
 		}
 	})
 }
+
+// handOnce hands what is due of a process to some witnesses, which note who they are.
+func handOnce(h *Holdings, now time.Time, fleet Fleet, by ...Source) map[Source][]pool.Meter {
+	due := h.ToHand(now, simSilent, simAgain, fleet)
+	for source, readings := range due {
+		h.Handed(source, readings, by, now)
+	}
+	return due
+}
+
+// A witness that another host replaced, or that was started again, has none of
+// the readings that were handed before.
+func TestReadingsAreHandedAgainToANewWitness(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	hosts := []topology.Host{{ID: "a1", Domain: "a", State: topology.HostLive}, {ID: "b1", Domain: "b", State: topology.HostLive}, {ID: "c1", Domain: "c", State: topology.HostLive}}
+	h := NewHoldings(Source{"a1", 1})
+	h.Consume("x", pool.Usage{Statements: 1}, now)
+	b, c := Source{"b1", 1}, Source{"c1", 1}
+	qt.Check(t, handOnce(h, now, fleetOf(hosts), b, c), qt.HasLen, 1)
+	qt.Check(t, handOnce(h, now, fleetOf(hosts), b, c), qt.HasLen, 0)
+
+	without := fleetOf(append(hosts[:2:2], topology.Host{ID: "d1", Domain: "d", State: topology.HostLive}))
+	qt.Check(t, handOnce(h, now, without, b, Source{"d1", 1}), qt.HasLen, 1)
+	qt.Check(t, handOnce(h, now, fleetOf(hosts), b, c), qt.HasLen, 1)
+
+	h.Consume("y", pool.Usage{Statements: 1}, now)
+	again := Source{"c1", 2}
+	qt.Check(t, handOnce(h, now, fleetOf(hosts), b, again)[h.self], qt.HasLen, 1)
+	qt.Check(t, handOnce(h, now, fleetOf(hosts), b, again)[h.self], qt.HasLen, 2)
+	qt.Check(t, handOnce(h, now, fleetOf(hosts), b, again), qt.HasLen, 0)
+}
+
+// What only an entry host knows of a process that has ended would be lost with
+// the entry host.
+func TestReadingsOfAGoneProcessAreHandedAtOnce(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	hosts := []topology.Host{{ID: "b1", Domain: "b", State: topology.HostLive}, {ID: "c1", Domain: "c", State: topology.HostLive}, {ID: "a1", Domain: "a", State: topology.HostLive}}
+	h := NewHoldings(Source{"b1", 1})
+	h.Saw(pool.Meter{Host: "a1", Boot: 1, Customer: "x", Total: pool.Usage{Statements: 1}}, now)
+	qt.Check(t, h.ToHand(now, simSilent, simAgain, fleetOf(hosts)), qt.HasLen, 0)
+	qt.Check(t, h.ToHand(now, simSilent, simAgain, fleetOf(hosts[:2])), qt.HasLen, 1)
+	h.Saw(pool.Meter{Host: "a1", Boot: 2, Customer: "x", Total: pool.Usage{Statements: 1}}, now)
+	due := h.ToHand(now, simSilent, simAgain, fleetOf(hosts))
+	qt.Check(t, due, qt.HasLen, 1)
+	qt.Check(t, due[Source{"a1", 1}], qt.HasLen, 1)
+}
--- a/internal/usage/keeper.go
+++ b/internal/usage/keeper.go
@@ -134,7 +134,7 @@
 	Source    Source        `json:"source"`
 	Own       []pool.Meter  `json:"own"`
 	Durable   []pool.Meter  `json:"durable"`
-	Unhanded  int           `json:"unhanded"` // own readings that no witness has yet
+	Unhanded  int           `json:"unhanded"` // readings that witnesses lack: own ones and of processes that are gone
 	Sources   int           `json:"sources"`  // of which readings are kept
 	LastFlush time.Time     `json:"last_flush"`
 	Interval  time.Duration `json:"interval_ns"` // between writes
@@ -142,16 +142,30 @@
 
 // Dump returns the state for operators.
 func (k *Keeper) Dump() any {
-	hosts := len(k.opts.Hosts())
+	hosts := k.opts.Hosts()
+	unhanded := k.unhanded(hosts)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return Dump{
 		Source:    k.self,
 		Own:       k.holdings.known.Readings(k.self),
 		Durable:   k.holdings.OwnDurable(),
-		Unhanded:  len(k.holdings.unhanded()),
+		Unhanded:  unhanded,
 		Sources:   len(k.holdings.known.sources),
 		LastFlush: k.lastFlush,
-		Interval:  flushInterval(hosts),
+		Interval:  flushInterval(len(hosts)),
 	}
 }
+
+// unhanded counts the readings that would be handed over now.
+func (k *Keeper) unhanded(hosts []topology.Host) int {
+	var witnesses witnessCache
+	witnesses.refresh(hosts)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	n := 0
+	for _, readings := range k.holdings.ToHand(time.Now(), entrySilence, handAgain(len(hosts)), witnesses.fleet()) {
+		n += len(readings)
+	}
+	return n
+}
--- a/internal/usage/witnesses.go
+++ b/internal/usage/witnesses.go
@@ -76,3 +76,10 @@
 	}
 	return ids
 }
+
+// fleet describes the hosts of the last refresh.
+func (c *witnessCache) fleet() Fleet {
+	return Fleet{Witnesses: c.of, Listed: func(id topology.HostID) bool {
+		return slices.ContainsFunc(c.hosts, func(h topology.Host) bool { return h.ID == id })
+	}}
+}
