Stand-ins: a replica confirms only to its own primary; an order is answered before its rebuild

The stand-in's promotion told replicas to follow the next primary, and their old entries were cut off only later: until then the former primary took them for confirmations. The bed also ended the pause before the promotion, and a pause let the entry through that was being received. Ruled out: the product, which waited for a confirmed end in each of these logs (t3 paused at 1/36, t2 chosen at 1/43). Cause 2: 4 of 120: 'address already in use', a port that was free and taken by another process. Change: Has asks for the same term; a commit of a replaced primary ends its session; a pause holds for entries under way; sessions that order are closed after their answer; hosts of the bed have IP numbers of their own and fixed ports. New test of the confirmation fails before.

--- a/test/line/bed_test.go
+++ b/test/line/bed_test.go
@@ -49,15 +49,16 @@
 
 // bed is a store, a group of three targets and hosts of the product.
 type bed struct {
-	t       *testing.T
-	store   *store.Server
-	cloud   *httptest.Server
-	hosts   []*host
-	mu      sync.Mutex
-	members []*member
-	token   uint64   // highest seen
-	orders  []string // accepted promotions
-	closed  bool     // the test has ended
+	t        *testing.T
+	ipPrefix string // of the hosts
+	store    *store.Server
+	cloud    *httptest.Server
+	hosts    []*host
+	mu       sync.Mutex
+	members  []*member
+	token    uint64   // highest seen
+	orders   []string // accepted promotions
+	closed   bool     // the test has ended
 }
 
 // host is one process of the product.
@@ -72,7 +73,7 @@
 
 func newBed(t *testing.T) *bed {
 	t.Helper()
-	b := &bed{t: t}
+	b := &bed{t: t, ipPrefix: testbed.IPPrefix()}
 	var err error
 	b.store, err = store.Start(store.Config{})
 	qt.Assert(t, err, qt.IsNil)
@@ -173,15 +174,17 @@
 		switch {
 		case m.id == id:
 			next = m.server
-			m.line.Unpause()
 		case !m.dead:
 			others = append(others, m.server)
-			m.line.Unpause()
 		}
 	}
 	if err := target.Promote(context.Background(), next, others); err != nil {
 		b.t.Logf("promote %s: %v", id, err)
 	}
+	// Not before: a replica must not receive from the old primary again.
+	for _, m := range b.members {
+		m.line.Unpause()
+	}
 }
 
 // replaced tells whether another target than the first one leads.
@@ -207,20 +210,21 @@
 	_ = m.server.Close()
 }
 
-// freeAddr returns a loopback address that nobody listens at.
-func freeAddr(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	defer l.Close()
-	return l.Addr().String()
-}
+// Ports of a host. Its IP number is its own, so that they are free.
+const (
+	callerPort  = 5432
+	peerPort    = 7001
+	readyPort   = 7002
+	inspectPort = 7440
+)
+
+func (b *bed) addr(host, port int) string { return fmt.Sprintf("%s.%d:%d", b.ipPrefix, host+1, port) }
 
 const settingsText = `
-NodeName = "%s"
-Zone = "%s"
-IpAddress = "127.0.0.1"
-InternalPorts = [%s,%s]
+NodeName = "h%d"
+Zone = "zone%d"
+IpAddress = "%s.%d"
+InternalPorts = [%d,%d]
 SeedNodes = [%s]
 [ListenAddresses]
 FrontendAddress = "%s"
@@ -236,18 +240,16 @@
 `
 
 func (b *bed) startHosts() {
-	var peers, quoted []string
-	for range hostCount {
-		peers = append(peers, freeAddr(b.t))
-		quoted = append(quoted, strconv.Quote(peers[len(peers)-1]))
+	var seeds []string
+	for i := range hostCount {
+		seeds = append(seeds, strconv.Quote(b.addr(i, peerPort)))
 	}
 	for i := range hostCount {
-		h := &host{callers: freeAddr(b.t), ready: freeAddr(b.t)}
-		_, inspect, _ := net.SplitHostPort(freeAddr(b.t))
+		h := &host{callers: b.addr(i, callerPort), ready: b.addr(i, readyPort)}
 		dir := b.t.TempDir()
 		h.settings, h.log = filepath.Join(dir, "boot.toml"), filepath.Join(dir, "log")
-		text := fmt.Sprintf(settingsText, fmt.Sprintf("h%d", i+1), fmt.Sprintf("zone%d", i+1), inspect, inspect, strings.Join(quoted, ","),
-			h.callers, h.ready, peers[i], b.store.Addr, strings.TrimPrefix(b.cloud.URL, "http://"))
+		text := fmt.Sprintf(settingsText, i+1, i+1, b.ipPrefix, i+1, inspectPort, inspectPort, strings.Join(seeds, ","),
+			h.callers, h.ready, b.addr(i, peerPort), b.store.Addr, strings.TrimPrefix(b.cloud.URL, "http://"))
 		qt.Assert(b.t, os.WriteFile(h.settings, []byte(text), 0o600), qt.IsNil)
 		b.hosts = append(b.hosts, h)
 		b.start(h)
--- a/test/standin/target/control.go
+++ b/test/standin/target/control.go
@@ -44,6 +44,7 @@
 	case "nettlewalk_promote":
 		return statusRow(node.promote(ctx, numbers[1]))
 	case "nettlewalk_follow":
+		s.setOrdering(true)
 		return statusRow(node.follow(numbers[1], topology.TargetID(texts[2])))
 	case "pg_try_advisory_lock":
 		return []any{s.srv.lock(int64(numbers[1]), s.pid)}, nil
@@ -59,6 +60,15 @@
 	}
 }
 
+// setOrdering notes whether an order that can rebuild the database waits for
+// its answer. It tells whether the session's database was replaced meanwhile.
+func (s *session) setOrdering(ordering bool) (stale bool) {
+	s.srv.mu.Lock()
+	defer s.srv.mu.Unlock()
+	s.ordering = ordering
+	return s.stale
+}
+
 func controlArity(function string) int {
 	switch function {
 	case "nettlewalk_status", "pg_advisory_unlock_all":
--- a/test/standin/target/line.go
+++ b/test/standin/target/line.go
@@ -289,7 +289,8 @@
 	}
 	position := s.takePosition()
 	for s.line.cfg.Received != nil && !position.IsZero() && !s.line.cfg.Received(position) {
-		if s.ctx.Err() != nil {
+		if _, leads := s.srv.node.writable(position.Term); !leads || s.ctx.Err() != nil {
+			s.conn.Close() // the outcome is unknown: no answer
 			return "FAILED"
 		}
 		time.Sleep(time.Millisecond)
@@ -321,7 +322,8 @@
 // control runs an order and returns the server's status.
 func (s *lineSession) control(word, argument string) (body, code string) {
 	term, _ := strconv.ParseUint(argument, 10, 64)
-	l, status := s.line, s.srv.node.status()
+	l := s.line
+	status := s.srv.node.status()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch word {
@@ -335,6 +337,7 @@
 		l.pausedTerm = 0
 		l.srv.SetLag(0, 0)
 	}
+	status = s.srv.node.status() // what a pause has stopped is counted, too
 	role := "replica"
 	if status.Role == ctl.Primary {
 		role = "primary"
@@ -343,12 +346,13 @@
 	return row + "COMPLETE -\r\n", ""
 }
 
-// Has tells whether the server's log has the entry of that position, and not
-// another term's at the same offset.
+// Has tells whether the server confirms the entry of that position to its
+// term's primary: it has it, and follows that primary. What is in the log of a
+// server that follows another one may be dropped at any moment.
 func (s *Server) Has(p topology.Position) bool {
 	s.node.mu.Lock()
 	defer s.node.mu.Unlock()
-	return s.node.log.at(p.Offset) == p
+	return s.node.meta.Term == p.Term && s.node.log.at(p.Offset) == p
 }
 
 // Promote makes the server the primary of the next term, as the users' platform
--- a/test/standin/target/protocol.go
+++ b/test/standin/target/protocol.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	ctl "nettlewalk.example/nettlewalk/internal/target"
@@ -53,7 +54,13 @@
 		s.be.Send(&pgproto3.ParameterStatus{Name: ctl.PositionParameter, Value: pos.String()})
 	}
 	s.be.Send(&pgproto3.ReadyForQuery{TxStatus: s.txStatus()})
-	return s.be.Flush()
+	if err := s.be.Flush(); err != nil {
+		return err
+	}
+	if s.setOrdering(false) {
+		return errors.New("the database was rebuilt")
+	}
+	return nil
 }
 
 func (s *session) sync() error {
--- a/test/standin/target/replicate.go
+++ b/test/standin/target/replicate.go
@@ -183,8 +183,8 @@
 func (n *node) receiveOne(m meta, e Entry) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.meta != m || n.closed {
-		return errors.New("no longer follows")
+	if n.meta != m || n.closed || time.Until(e.Time.Add(n.receiveLag)) > 0 {
+		return errors.New("no longer follows, or is paused since")
 	}
 	if err := n.appendLocked(e); err != nil {
 		return err
--- a/test/standin/target/replication_test.go
+++ b/test/standin/target/replication_test.go
@@ -156,3 +156,22 @@
 	waitFor(c, "the new primary's entry", func() bool { return g.servers[2].Status().Received.Term == 3 })
 	c.Assert(time.Since(began) < 500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
 }
+
+// A replica that follows the next primary confirms nothing of the former one,
+// also while its log still has what the next one lacks.
+func TestAReplicaConfirmsOnlyWhatItsPrimaryHas(t *testing.T) {
+	c := qt.New(t)
+	g := startGroup(c, nil)
+	ctx := context.Background()
+	waitFor(c, "replicas", func() bool {
+		return g.servers[1].Status().Received.Offset == 1 && g.servers[2].Status().Received.Offset == 1
+	})
+	g.servers[1].SetLag(time.Hour, 0)
+	_, err := g.pgx(0).Exec(ctx, "INSERT INTO booking (id, crew) VALUES (1, 'lost')")
+	c.Assert(err, qt.IsNil)
+	lost := topology.Position{Term: 1, Offset: 2}
+	waitFor(c, "the other replica has it", func() bool { return g.servers[2].Has(lost) })
+	c.Check(g.servers[1].Has(lost), qt.IsFalse)
+	c.Assert(target.Promote(ctx, g.servers[1], []*target.Server{g.servers[0], g.servers[2]}), qt.IsNil)
+	c.Check(g.servers[2].Has(lost), qt.IsFalse)
+}
--- a/test/standin/target/server.go
+++ b/test/standin/target/server.go
@@ -100,7 +100,7 @@
 // log that is left. No reader sees it before it is whole: what was applied
 // before and is still in the log stays visible.
 func (s *Server) rebuild() error {
-	s.closeSessions()
+	s.closeReaders()
 	if err := s.store.renew(); err != nil {
 		return err
 	}
@@ -173,6 +173,21 @@
 	}
 }
 
+// closeReaders ends all sessions for a rebuild. One whose order brought the
+// rebuild about gets its answer first.
+func (s *Server) closeReaders() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, sess := range s.sessions {
+		if sess.ordering {
+			sess.stale = true
+			continue
+		}
+		sess.cancel()
+		sess.conn.Close()
+	}
+}
+
 // rollbackWrites ends the write transactions of a server that is no longer
 // the primary.
 func (s *Server) rollbackWrites() {
--- a/test/standin/target/session.go
+++ b/test/standin/target/session.go
@@ -31,6 +31,8 @@
 	tx    transaction
 
 	writing  atomic.Bool // an open write transaction
+	ordering bool        // an order that can rebuild the database isn't answered yet; guarded by srv.mu
+	stale    bool        // to be closed after that answer; guarded by srv.mu
 	opMu     sync.Mutex
 	opCancel context.CancelFunc // of the running statement
 
--- a/test/testbed/bed.go
+++ b/test/testbed/bed.go
@@ -65,7 +65,7 @@
 		Plan:     plan,
 		Targets:  map[topology.TargetID]*Target{},
 		dir:      dir,
-		ipPrefix: ipPrefix(),
+		ipPrefix: IPPrefix(),
 		programs: programs,
 		caller:   &Node{Name: "caller", Kind: KindCaller},
 	}
@@ -78,8 +78,9 @@
 	return b, nil
 }
 
-// ipPrefix returns three octets that no other Bed on this machine uses.
-func ipPrefix() string {
+// IPPrefix returns three octets of loopback addresses that no other bed on this
+// machine uses: a port that was free there is still free later.
+func IPPrefix() string {
 	pid := os.Getpid()
 	n := int(bedCount.Add(1))
 	return fmt.Sprintf("127.%d.%d", 1+(pid*7+n)%250, 1+(pid/250+n*31)%250)
