What hosts tell of others is as old as the request, and a large fleet hears of all through others

Cause: hosts pass on how long ago a host was heard of, the store was read and a leader was proved. The receiver counted the age from its receipt, so that each hop made it younger by the way there; passed on from host to host, a read of the store could stay young though nobody read. Change: ages are taken from answers only, counted from the sending of the request; answers of large fleets tell of 32 other hosts; who is asked by a host with a newer register asks back at once; a register taken over is logged at the normal level. Tests: TestADeadHostGrowsOlder, TestReadsGrowOlder, TestALargeFleetHearsOfAllThroughOthers, TestANewRegisterIsAskedFor; the first three fail without.

--- a/cmd/nettlewalk/fleetpeers.go
+++ b/cmd/nettlewalk/fleetpeers.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"slices"
 	"sync"
+	"time"
 
 	"nettlewalk.example/nettlewalk/internal/fleet"
 	"nettlewalk.example/nettlewalk/internal/gossip"
@@ -27,10 +28,10 @@
 }
 
 // heardOffers learns from another host which targets led last.
-func (h *fleetHost) heardOffers(offers []gossip.Offer) {
+func (h *fleetHost) heardOffers(offers []gossip.Offer, at time.Time) {
 	for _, o := range offers {
 		if g := h.groups.Group(o.Group); g != nil && o.Last != "" {
-			g.HeardLeader(o.Last, o.ProvedAgo)
+			g.HeardLeader(o.Last, at.Add(-o.ProvedAgo))
 		}
 	}
 }
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -1,8 +1,11 @@
 package gossip
 
 import (
+	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"nettlewalk.example/nettlewalk/internal/catalog"
 	"nettlewalk.example/nettlewalk/internal/duty"
 	"nettlewalk.example/nettlewalk/internal/topology"
@@ -25,10 +28,22 @@
 
 // Heard says how long ago a host was heard of, directly or through others.
 type Heard struct {
-	Host topology.HostID
-	Ago  time.Duration
+	Host uint64 // keyOf its address, which takes a third of the bytes
+	Ago  uint16 // in heardUnit, rounded up: a dead host grows older with each teller
 }
 
+const (
+	heardUnit = 10 * time.Millisecond
+	heardMost = math.MaxUint16 // what is older is not told
+	// sample is how many hosts of a large fleet one answer tells of beside the
+	// holders of duties. With ten answers a second a host of 86 hears of each
+	// other one about four times a second, for 5 KB/s.
+	sample = 32
+)
+
+// keyOf stands for a host's address.
+func keyOf(id topology.HostID) uint64 { return xxhash.Sum64String(string(id)) }
+
 // Digest is what one host tells another.
 type Digest struct {
 	From          Host
@@ -59,6 +74,11 @@
 	ProvedAgo time.Duration
 }
 
+// forgetAges drops what the host asked doesn't use.
+func (d *Digest) forgetAges() {
+	d.Heard, d.ConfigurationRead, d.RegisterRead = nil, 0, 0
+}
+
 // News is the answer: the other's digest, and what the asker lacks.
 type News struct {
 	Digest
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -19,6 +19,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	digest := g.digest(id)
+	digest.forgetAges()
 	var news News
 	sent := steady.Now()
 	if err := g.opts.Caller.Call(ctx, id, exchangeMethod, &digest, &news); err != nil {
@@ -26,13 +27,14 @@
 		return
 	}
 	g.take(&news.Digest)
+	g.takeAges(&news.Digest, sent)
 	g.noteAnswer(id, sent)
 	if g.opts.Catalog.OfferConfiguration(news.NewConfiguration) {
 		g.opts.Log.Info("configuration in force", "version", news.NewConfiguration.Version, "source", news.From.Name, "routes", len(news.NewConfiguration.Routes))
 		g.Kick()
 	}
 	if g.opts.Catalog.OfferRegister(news.NewRegister) {
-		g.opts.Log.V(1).Info("register learnt", "revision", news.NewRegister.Revision, "source", news.From.Name)
+		g.opts.Log.Info("register learnt", "revision", news.NewRegister.Revision, "source", news.From.Name)
 	}
 }
 
@@ -60,11 +62,7 @@
 			d.Hosts = append(d.Hosts, id)
 		}
 	}
-	for _, c := range d.Claims {
-		if k := g.hosts[c.Holder]; k != nil && !k.heard.IsZero() {
-			d.Heard = append(d.Heard, Heard{Host: c.Holder, Ago: now.Sub(k.heard)})
-		}
-	}
+	d.Heard = g.heardOf(d.Claims, now)
 	d.Sum = sumOf(&d)
 	if k := g.hosts[to]; k != nil && k.sum == d.Sum {
 		d.Hosts, d.Claims = nil, nil
@@ -72,6 +70,35 @@
 	return d
 }
 
+// heardOf tells of the holders of duties, and in a large fleet of some other
+// hosts, drawn at random. It needs g.mu.
+func (g *Gossip) heardOf(claims []duty.Claim, now time.Time) []Heard {
+	var list []Heard
+	tell := func(id topology.HostID) {
+		k := g.hosts[id]
+		if k == nil || k.last().IsZero() {
+			return
+		}
+		if ago := (now.Sub(k.last()) + heardUnit - 1) / heardUnit; ago < heardMost {
+			list = append(list, Heard{Host: keyOf(id), Ago: uint16(ago)})
+		}
+	}
+	for _, c := range claims {
+		tell(c.Holder)
+	}
+	if len(g.hosts) <= largeFleet {
+		return list // each round asks most of them
+	}
+	drawn := 0
+	for id := range g.hosts { // in a new order each time
+		if drawn++; drawn > sample {
+			break
+		}
+		tell(id)
+	}
+	return list
+}
+
 // sumOf tells lists of hosts and claims apart, this host included among the hosts.
 func sumOf(d *Digest) uint64 {
 	var sum xxhash.Digest
@@ -91,15 +118,21 @@
 func (g *Gossip) take(d *Digest) {
 	g.Add(d.Hosts...)
 	g.hear(d)
-	g.opts.Heard(d.Offers)
-	g.hearOf(d.Heard)
-	now := steady.Now()
-	g.opts.Catalog.NoteReads(catalog.Reads{Configuration: now.Add(-d.ConfigurationRead), Register: now.Add(-d.RegisterRead)})
 	for _, c := range d.Claims {
 		g.claims.Learn(c)
 	}
 }
 
+// takeAges learns from the ages of an answer to a request sent at a time: what
+// it tells of was so long before that time or earlier. The ages of a request
+// aren't used. How long it was under way isn't known, and what is passed on
+// from host to host would get younger by that each time.
+func (g *Gossip) takeAges(d *Digest, sent time.Time) {
+	g.opts.Heard(d.Offers, sent)
+	g.hearOf(d.Heard, sent)
+	g.opts.Catalog.NoteReads(catalog.Reads{Configuration: sent.Add(-d.ConfigurationRead), Register: sent.Add(-d.RegisterRead)})
+}
+
 func (g *Gossip) hear(d *Digest) {
 	h := d.From
 	now := steady.Now()
@@ -110,8 +143,7 @@
 	}
 	k := g.hosts[h.Addr]
 	if k == nil {
-		k = &known{named: now}
-		g.hosts[h.Addr] = k
+		k = g.name(h.Addr, now)
 	}
 	if k.lost || k.heard.IsZero() || k.host.Boot != h.Boot {
 		g.opts.Log.Info("host heard of", "host", h.Name, "addr", h.Addr, "domain", h.Domain)
@@ -119,14 +151,15 @@
 	k.host, k.heard, k.lost, k.offers, k.sum = h, now, false, d.Offers, d.Sum
 }
 
-// hearOf takes when others heard of the holders of duties.
-func (g *Gossip) hearOf(list []Heard) {
+// hearOf takes when others heard of hosts.
+func (g *Gossip) hearOf(list []Heard, at time.Time) {
 	now := steady.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, h := range list {
-		if k := g.hosts[h.Host]; k != nil {
-			k.told = later(k.told, now.Add(-h.Ago))
+		if k := g.hosts[g.byKey[h.Host]]; k != nil {
+			k.told = later(k.told, at.Add(-time.Duration(h.Ago)*heardUnit))
+			k.lost = k.lost && now.Sub(k.told) > liveFor
 		}
 	}
 }
@@ -149,8 +182,8 @@
 	if reply.Register > args.Register {
 		reply.NewRegister = g.opts.Catalog.Register()
 	}
-	if args.Configuration > reply.Configuration {
-		g.Kick()
+	if args.Configuration > reply.Configuration || args.Register > reply.Register {
+		g.ask(args.From.Addr)
 	}
 	return nil
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -49,8 +49,8 @@
 	Caller  peer.Caller
 	// Offers returns this host's connections to targets.
 	Offers func() []Offer
-	// Heard is told what another host offers.
-	Heard func([]Offer)
+	// Heard is told what another host offers, and when it was asked.
+	Heard func(offers []Offer, at time.Time)
 	Log   logr.Logger
 }
 
@@ -71,16 +71,28 @@
 	opts   Options
 	claims Claims
 	kick   chan struct{}
+	better chan topology.HostID // a host that has what this one lacks
 	begun  time.Time
 
 	mu    sync.Mutex
 	self  Host
 	hosts map[topology.HostID]*known
+	byKey map[uint64]topology.HostID // the same hosts by keyOf
+}
+
+// last returns when a host was heard of, directly or through others.
+func (k *known) last() time.Time { return later(k.heard, k.told) }
+
+// live tells whether the host counts as one that runs and goes on running. What
+// it is must have come from itself.
+func (k *known) live(now time.Time) bool {
+	return !k.heard.IsZero() && now.Sub(k.last()) < liveFor && !k.host.Leaving
 }
 
 // New returns a gossip that knows the seeds. SetClaims must be called before Run.
 func New(opts Options) *Gossip {
-	g := &Gossip{opts: opts, self: opts.Self, kick: make(chan struct{}, 1), begun: steady.Now(), hosts: map[topology.HostID]*known{}}
+	g := &Gossip{opts: opts, self: opts.Self, kick: make(chan struct{}, 1), better: make(chan topology.HostID, 1), begun: steady.Now(),
+		hosts: map[topology.HostID]*known{}, byKey: map[uint64]topology.HostID{}}
 	g.Add(opts.Seeds...)
 	return g
 }
@@ -95,11 +107,26 @@
 	defer g.mu.Unlock()
 	for _, addr := range addrs {
 		if addr != g.self.Addr && g.hosts[addr] == nil {
-			g.hosts[addr] = &known{host: Host{Addr: addr}, named: now}
+			g.name(addr, now)
 		}
 	}
 }
 
+// name adds a host. It needs g.mu.
+func (g *Gossip) name(addr topology.HostID, now time.Time) *known {
+	k := &known{host: Host{Addr: addr}, named: now}
+	g.hosts[addr], g.byKey[keyOf(addr)] = k, addr
+	return k
+}
+
+// ask makes Run ask one host at once, unless another is to be asked already.
+func (g *Gossip) ask(id topology.HostID) {
+	select {
+	case g.better <- id:
+	default: // that host has news, too
+	}
+}
+
 // Leave announces that this host leaves.
 func (g *Gossip) Leave() {
 	g.mu.Lock()
@@ -120,19 +147,27 @@
 func (g *Gossip) Run(ctx context.Context) {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
+	g.askSome(ctx)
 	for {
-		for _, id := range g.round() {
-			go g.exchange(ctx, id)
-		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			g.askSome(ctx)
 		case <-g.kick:
+			g.askSome(ctx)
+		case id := <-g.better:
+			go g.exchange(ctx, id)
 		}
 	}
 }
 
+func (g *Gossip) askSome(ctx context.Context) {
+	for _, id := range g.round() {
+		go g.exchange(ctx, id)
+	}
+}
+
 // round returns the hosts to ask, and forgets those silent for long.
 func (g *Gossip) round() []topology.HostID {
 	now := steady.Now()
@@ -140,11 +175,12 @@
 	defer g.mu.Unlock()
 	var ids []topology.HostID
 	for id, k := range g.hosts {
-		if now.Sub(later(k.heard, k.named)) > forgetAfter && !slices.Contains(g.opts.Seeds, id) {
+		if now.Sub(later(k.last(), k.named)) > forgetAfter && !slices.Contains(g.opts.Seeds, id) {
 			delete(g.hosts, id)
+			delete(g.byKey, keyOf(id))
 			continue
 		}
-		if !k.lost && !k.heard.IsZero() && now.Sub(k.heard) > liveFor {
+		if !k.lost && !k.heard.IsZero() && now.Sub(k.last()) > liveFor {
 			k.lost = true
 			g.opts.Log.Info("host is silent", "host", k.host.Name, "addr", id)
 		}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -11,6 +11,7 @@
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
 	"nettlewalk.example/nettlewalk/internal/duty"
+	"nettlewalk.example/nettlewalk/internal/steady"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
@@ -18,6 +19,7 @@
 type network struct {
 	hosts map[topology.HostID]*Gossip
 	cut   map[topology.HostID]bool
+	delay time.Duration // of each message
 }
 
 func (n *network) Call(_ context.Context, id topology.HostID, _ string, args, reply any) error {
@@ -25,6 +27,8 @@
 	if n.cut[id] || n.cut[digest.From.Addr] {
 		return errors.New("cut")
 	}
+	time.Sleep(n.delay)
+	defer time.Sleep(n.delay)
 	return n.hosts[id].Service().Exchange(digest, reply.(*News))
 }
 
@@ -40,7 +44,7 @@
 		id := topology.HostID(rune('a' + i))
 		g := New(Options{
 			Self: Host{Addr: id, Name: "host-" + string(id), Domain: d}, Seeds: []topology.HostID{"a"},
-			Catalog: catalog.NewStore(), Caller: n, Offers: func() []Offer { return nil }, Heard: func([]Offer) {}, Log: logr.Discard(),
+			Catalog: catalog.NewStore(), Caller: n, Offers: func() []Offer { return nil }, Heard: func([]Offer, time.Time) {}, Log: logr.Discard(),
 		})
 		g.SetClaims(&claims{})
 		n.hosts[id] = g
@@ -123,3 +127,93 @@
 	qt.Check(t, n.hosts["a"].Live(), qt.DeepEquals, []topology.HostID{"a"})
 	qt.Check(t, n.hosts["a"].Offers(), qt.HasLen, 0)
 }
+
+const manyHosts = 40
+
+// largeNetwork is a fleet in which one round asks a small part of the hosts.
+// All know each other.
+func largeNetwork() *network {
+	var domains []topology.Domain
+	for i := range manyHosts {
+		domains = append(domains, topology.Domain([]string{"north", "south", "coast"}[i%3]))
+	}
+	n := newNetwork(domains...)
+	for _, g := range n.hosts {
+		for id, other := range n.hosts {
+			if other != g {
+				g.exchange(context.Background(), id)
+			}
+		}
+	}
+	return n
+}
+
+// age makes everything known older.
+func (n *network) age(d time.Duration) {
+	for _, g := range n.hosts {
+		for _, k := range g.hosts {
+			k.heard, k.told = k.heard.Add(-d), k.told.Add(-d)
+		}
+	}
+}
+
+// In a large fleet a host asks another one too seldom to tell a dead one from
+// one that it didn't meet.
+func TestALargeFleetHearsOfAllThroughOthers(t *testing.T) {
+	n := largeNetwork()
+	n.age(liveFor)
+	for range 7 {
+		n.round()
+	}
+	for id, g := range n.hosts {
+		qt.Check(t, g.Live(), qt.HasLen, manyHosts, qt.Commentf("%s", id))
+	}
+}
+
+// However often it is passed on, nobody hears of a dead host later than it lived.
+func TestADeadHostGrowsOlder(t *testing.T) {
+	n := largeNetwork()
+	n.cut["b"], n.delay = true, time.Millisecond
+	died := steady.Now()
+	n.round()
+	n.round()
+	for id, g := range n.hosts {
+		if k := g.hosts["b"]; k != nil {
+			qt.Check(t, k.last().After(died), qt.IsFalse, qt.Commentf("%s", id))
+		}
+	}
+}
+
+// Whoever is asked by a host that knows a newer register asks back at once.
+func TestANewRegisterIsAskedFor(t *testing.T) {
+	n := newNetwork("north", "south")
+	n.round()
+	a, b := n.hosts["a"], n.hosts["b"]
+	a.opts.Catalog.OfferRegister(&catalog.Register{Revision: 5})
+	a.exchange(context.Background(), "b")
+	select {
+	case id := <-b.better:
+		qt.Check(t, id, qt.Equals, topology.HostID("a"))
+	default:
+		t.Fatal("nobody is asked")
+	}
+}
+
+// A read of the store grows older wherever it is told of: hosts wait with their
+// own for as long as it is young.
+func TestReadsGrowOlder(t *testing.T) {
+	n := newNetwork("north", "south", "coast")
+	n.round()
+	n.delay = time.Millisecond
+	read := steady.Now()
+	n.hosts["a"].opts.Catalog.NoteReads(catalog.Reads{Configuration: read, Register: read})
+	for range 5 {
+		n.round()
+	}
+	for id, g := range n.hosts {
+		reads := g.opts.Catalog.Reads()
+		qt.Check(t, reads.Configuration.IsZero(), qt.IsFalse)
+		qt.Check(t, reads.Configuration.After(read), qt.IsFalse, qt.Commentf("%s", id))
+		qt.Check(t, reads.Register.After(read), qt.IsFalse, qt.Commentf("%s", id))
+	}
+}
--- a/internal/gossip/hosts.go
+++ b/internal/gossip/hosts.go
@@ -15,10 +15,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	k := g.hosts[id]
-	if k == nil || (k.heard.IsZero() && k.told.IsZero()) {
+	if k == nil || k.last().IsZero() {
 		return 0, false
 	}
-	return now.Sub(later(k.heard, k.told)), true
+	return now.Sub(k.last()), true
 }
 
 // Connected tells whether hosts in more than half of the failure domains have
@@ -30,7 +30,7 @@
 	defer g.mu.Unlock()
 	domains := map[topology.Domain]bool{g.self.Domain: true}
 	for _, k := range g.hosts {
-		if k.heard.IsZero() || now.Sub(k.heard) > liveFor || k.host.Leaving {
+		if !k.live(now) {
 			continue
 		}
 		near := now.Sub(k.answered) < contactFor
@@ -52,7 +52,7 @@
 	defer g.mu.Unlock()
 	live := []topology.HostID{g.self.Addr}
 	for id, k := range g.hosts {
-		if !k.heard.IsZero() && now.Sub(k.heard) < liveFor && !k.host.Leaving {
+		if k.live(now) {
 			live = append(live, id)
 		}
 	}
@@ -87,7 +87,7 @@
 	rank, contact := 0, false
 	for id, k := range g.hosts {
 		contact = contact || now.Sub(k.answered) < contactFor
-		if id < g.self.Addr && !k.heard.IsZero() && now.Sub(k.heard) < liveFor && !k.host.Leaving {
+		if id < g.self.Addr && k.live(now) {
 			rank++
 		}
 	}
@@ -105,7 +105,7 @@
 	defer g.mu.Unlock()
 	list := []topology.Host{{ID: g.self.Addr, Domain: g.self.Domain, State: topology.HostLive}}
 	for id, k := range g.hosts {
-		if !k.heard.IsZero() && now.Sub(k.heard) < liveFor && !k.host.Leaving {
+		if k.live(now) {
 			list = append(list, topology.Host{ID: id, Domain: k.host.Domain, State: topology.HostLive})
 		}
 	}
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -109,12 +109,12 @@
 	return g.belief.last, steady.Now().Sub(g.belief.lastAt)
 }
 
-// HeardLeader takes another host's word that it proved the target to lead so
-// long ago. It doesn't make the target this host's leader.
-func (g *Group) HeardLeader(id topology.TargetID, ago time.Duration) {
+// HeardLeader takes another host's word that it proved the target to lead at
+// that time or later. It doesn't make the target this host's leader.
+func (g *Group) HeardLeader(id topology.TargetID, proved time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.belief.heardLast(id, steady.Now().Add(-ago))
+	g.belief.heardLast(id, proved)
 }
 
 // WaitLeader waits for a leader until the deadline.
