Statements that meet the end of their session, and those of transactions, can be found by their ids

Ruled out: dropped or sampled lines (failures aren't sampled). Change: a host that ends a session closes its half first, reads on for 60 ms and logs what met the end, with the promise that it did not run; lines of transactions name the statement that opened it and its first one; an answer that couldn't be delivered is logged normally. Test: TestAStatementThatMeetsTheEndOfItsSessionIsLogged.

--- a/internal/relay/caller.go
+++ b/internal/relay/caller.go
@@ -30,5 +30,7 @@
 	Answer(a *statement.Answer) error
 	// Interrupt makes a Next that waits return ErrNothing.
 	Interrupt()
+	// CloseWrite tells the caller that no more answers come. Next still reads.
+	CloseWrite()
 	Close()
 }
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -44,6 +44,9 @@
 		"leader", leader, "proved_ms_ago", proved.Milliseconds(), "leaderless_ms", loss.For.Milliseconds(),
 		"floor", s.floor.String(),
 	}
+	if r.begunBy != "" {
+		values = append(values, "begun_by", r.begunBy, "first_statement", r.firstID)
+	}
 	if age, ok := r.group.AnchorAge(); ok {
 		values = append(values, "anchor_ms_ago", age.Milliseconds())
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
 	"nettlewalk.example/nettlewalk/internal/group"
@@ -381,13 +382,16 @@
 type scriptedCaller struct {
 	statements []statement.Statement
 	answers    []statement.Answer
-	waited     []time.Time // deadlines of Next
+	waited     []time.Time           // deadlines of Next
+	late       []statement.Statement // sent once the host has closed its half
+	halfClosed bool
 }
 
 func (c *scriptedCaller) Start() (string, error)              { return "db", nil }
 func (c *scriptedCaller) Ready() error                        { return nil }
 func (c *scriptedCaller) Refuse(statement.Code, string) error { return nil }
 func (c *scriptedCaller) Interrupt()                          {}
+func (c *scriptedCaller) CloseWrite()                         { c.halfClosed = true }
 func (c *scriptedCaller) Close()                              {}
 func (c *scriptedCaller) Answer(a *statement.Answer) error {
 	c.answers = append(c.answers, *a)
@@ -395,6 +399,9 @@
 }
 func (c *scriptedCaller) Next(deadline time.Time) (statement.Statement, error) {
 	c.waited = append(c.waited, deadline)
+	if c.halfClosed && len(c.late) > 0 {
+		return c.late[0], nil
+	}
 	if len(c.statements) == 0 {
 		return statement.Statement{}, ErrNothing
 	}
@@ -416,10 +423,24 @@
 	s.run(context.Background())
 	qt.Assert(t, c.answers, qt.HasLen, 2)
 	qt.Check(t, c.answers[1].OK(), qt.IsTrue)
-	qt.Check(t, c.waited, qt.HasLen, 3)
+	qt.Check(t, c.waited, qt.HasLen, 4) // the last one for what was on its way
 	qt.Check(t, time.Until(c.waited[2]) <= closeGrace, qt.IsTrue)
 }
 
+// A statement that meets the end of its session has a line under its id.
+func TestAStatementThatMeetsTheEndOfItsSessionIsLogged(t *testing.T) {
+	f := newFixture(t, catalog.BoundedAge)
+	f.server.CloseIdle(true)
+	late := read("b")
+	late.ID = "late"
+	s := f.server.newSession(&scriptedCaller{late: []statement.Statement{late}})
+	var lines []string
+	s.log = funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{})
+	s.run(context.Background())
+	qt.Assert(t, lines, qt.HasLen, 2)
+	qt.Check(t, lines[1], qt.Contains, `"request"="late"`)
+}
+
 // A host with an older configuration runs nothing for one with a newer one. It
 // refused a database that it didn't know yet, three seconds after it was
 // accepted (scale-1, seed 950667505276).
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -33,6 +33,7 @@
 	floor      topology.Position // of the session's last acknowledged commit
 	tx         *transaction      // nil: none
 	answered   time.Time         // when the last answer was sent
+	lastID     string            // of the statement that it answered
 	graceGiven bool              // it is to be closed, and waited for a last statement since then
 	isHosted   bool              // it stands for a session of another host
 	log        logr.Logger
@@ -51,16 +52,18 @@
 		st, err := s.next()
 		if err != nil {
 			if !s.proceed(err) {
+				s.close(err)
 				return
 			}
 			continue
 		}
 		answer := s.serve(ctx, &st)
 		if err := s.caller.Answer(&answer); err != nil {
-			s.log.V(1).Info("answer not delivered", "request", st.ID, "error", err.Error())
+			s.log.Info("answer not delivered", "request", st.ID, "session", s.state.id, "database", s.database,
+				"code", answer.Code.String(), "result", int(answer.Code.Result()), "error", err.Error())
 			return
 		}
-		s.answered, s.graceGiven = time.Now(), false
+		s.answered, s.graceGiven, s.lastID = time.Now(), false, st.ID
 	}
 }
 
@@ -142,6 +145,26 @@
 	return true
 }
 
+// lateFor is how long a session that this host ended is watched for a statement
+// that was on its way: more than a round trip between failure domains.
+const lateFor = 60 * time.Millisecond
+
+// close ends a session after no statement came. If it is this host that ends
+// it, a statement that was on its way gets no answer, and a line for whoever
+// asks what became of it: it did not run.
+func (s *session) close(err error) {
+	if !errors.Is(err, ErrNothing) {
+		return // the caller's end
+	}
+	s.log.Info("session closed", "session", s.state.id, "database", s.database, "reason", "callers are sent away",
+		"last_request", s.lastID, "idle_ms", time.Since(s.answered).Milliseconds())
+	s.caller.CloseWrite()
+	if st, err := s.caller.Next(time.Now().Add(lateFor)); err == nil {
+		s.log.Info("statement not served", "request", st.ID, "session", s.state.id, "database", s.database,
+			"detail", "it met the end of its session and did not run", "last_request", s.lastID)
+	}
+}
+
 func (s *session) route() (catalog.Route, bool) {
 	c := s.server.opts.Catalog.Configuration()
 	if c == nil {
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -23,6 +23,8 @@
 	group    *group.Group
 	writes   bool
 	uses     string // prepared name
+	begunBy  string // id of the statement that opened its transaction, "": none
+	firstID  string // id of the transaction's first statement after that
 	arrived  time.Time
 	deadline time.Time
 	tries    int
@@ -70,6 +72,12 @@
 	now := time.Now()
 	r := &request{session: s, st: st, route: route, group: g, writes: writes, uses: uses, arrived: now}
 	r.deadline = now.Add(route.StatementTimeout)
+	if s.tx != nil {
+		if s.tx.firstID == "" {
+			s.tx.firstID = st.ID
+		}
+		r.begunBy, r.firstID = s.tx.begunBy, s.tx.firstID
+	}
 	return r, nil
 }
 
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -15,7 +15,9 @@
 // transaction is what a caller began. It has a connection from its first
 // statement to its end.
 type transaction struct {
-	readOnly bool // the caller declared it so
+	begunBy  string // id of the statement that opened it
+	firstID  string // id of its first statement after that, "": none yet
+	readOnly bool   // the caller declared it so
 	failed   bool
 	reason   string // of a failure that the caller hasn't heard of
 	wrote    bool
@@ -57,7 +59,7 @@
 	if s.tx != nil {
 		return s.refusal(statement.Malformed, "a transaction is open")
 	}
-	s.tx = &transaction{readOnly: st.Kind == statement.BeginRead}
+	s.tx = &transaction{begunBy: st.ID, readOnly: st.Kind == statement.BeginRead}
 	return s.done()
 }
 
@@ -83,7 +85,8 @@
 	s.abandonElsewhere()
 	s.tx.abandon()
 	s.tx.failed, s.tx.reason = true, reason
-	s.log.Info("transaction ended", "session", s.state.id, "reason", reason)
+	s.log.Info("transaction ended", "session", s.state.id, "database", s.database, "reason", reason,
+		"begun_by", s.tx.begunBy, "first_statement", s.tx.firstID, "last_request", s.lastID)
 }
 
 // fail makes an answer the end of the transaction that the caller hears now.
