A primary that accepts connections without a word is replaced

Cause: a dial that was accepted and ended without an answer counted as a refusal by an overloaded target, which is alive. A hung or broken primary with an open port was kept for ever: with a link before the targets, TestLineFailoverLosesNothing waited 20 s and more. Ruled out: counting such a dial as silence at once. Targets at their limit reset new connections, and keep those of hosts without power for 3 s: all would be replaced then. Change: a dial outcome of its own (mute). After 4 s without a word for any new connection the target counts as silent to the promotion, and to a host that has no connection left.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -39,6 +39,7 @@
 	failing time.Time // until then
 	silent  int       // looks without an answer in a row
 	lost    bool      // the last dial failed
+	mute    statement.Mute
 	took    time.Duration
 }
 
--- a/internal/group/reach.go
+++ b/internal/group/reach.go
@@ -12,18 +12,29 @@
 // dialed hears of every dial of the pools.
 func (g *Group) dialed(id topology.TargetID, err error) {
 	g.noteReach(id, err)
+	mute := g.noteMute(id, err)
 	var failure *statement.DialError
 	if !errors.As(err, &failure) {
 		dials("opened").Inc()
 		return
 	}
 	dials(failure.Outcome.String()).Inc()
-	if failure.Outcome != statement.DialRejected {
+	unreachable := failure.Outcome == statement.DialRefused || failure.Outcome == statement.DialSilent
+	if unreachable || mute {
 		g.NoteUnreachable(id)
 		g.opts.Suspect(g.opts.ID, id, failure.Outcome)
 	}
 }
 
+// noteMute tells whether a target that has had no word for new connections for
+// long leaves this host without any.
+func (g *Group) noteMute(id topology.TargetID, dial error) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.members[id]
+	return m != nil && !m.mute.Note(dial, steady.Now()) && m.pool.Load().Open == 0
+}
+
 // dials counts dials by outcome.
 func dials(outcome string) *metrics.Counter {
 	return metrics.GetOrCreateCounter(`nettlewalk_target_dials_total{outcome="` + outcome + `"}`)
--- a/internal/promotion/prober.go
+++ b/internal/promotion/prober.go
@@ -39,7 +39,8 @@
 
 	deadSince  time.Time // when nobody was first found listening, zero while it lives
 	logSince   topology.Position
-	doubtUntil time.Time     // an order to resume may be carried out until then
+	doubtUntil time.Time // an order to resume may be carried out until then
+	mute       statement.Mute
 	silent     int           // looks without an answer in a row
 	vanished   time.Duration // since it was last registered, 0: it is
 	recheck    time.Time     // a silent one that vanished isn't dialed before
@@ -59,6 +60,7 @@
 	ctx, cancel := context.WithTimeout(ctx, lookDialTimeout)
 	defer cancel()
 	conn, err := e.dialer.Dial(ctx, e.target)
+	serves := e.mute.Note(err, now)
 	if err == nil {
 		e.conn = conn
 		e.lives()
@@ -78,6 +80,8 @@
 		return Dead, false
 	case failure.Outcome == statement.DialSilent:
 		return Silent, false
+	case !serves:
+		return Silent, false
 	case failure.Code == statement.Misrouted:
 		return Gone, false
 	}
--- a/internal/share/pool.go
+++ b/internal/share/pool.go
@@ -261,7 +261,7 @@
 		}
 		var failure *statement.DialError
 		wait := delay
-		if errors.As(err, &failure) && failure.Outcome == statement.DialRejected {
+		if errors.As(err, &failure) && (failure.Outcome == statement.DialRejected || failure.Outcome == statement.DialMute) {
 			wait, full = full, min(2*full, lastFullRetry)
 		} else {
 			delay = min(2*delay, lastRetry)
--- a/internal/statement/conn.go
+++ b/internal/statement/conn.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
@@ -41,13 +43,14 @@
 // DialOutcome is how a dial failed.
 type DialOutcome uint8
 
-// The outcomes. Only the first two are signs that the target is dead: one that
-// accepts a connection lives, whatever it does next, since a target at its
-// limit of connections resets new ones.
+// The outcomes. Only the first two are signs at once that the target is dead:
+// one that accepts a connection may be at its limit of connections and reset
+// new ones. If it does so for long, see Mute.
 const (
 	DialRefused  DialOutcome = iota + 1 // nobody listens
 	DialSilent                          // no answer to the connection request
 	DialRejected                        // accepted and then refused; see Code
+	DialMute                            // accepted and then ended, or left, without a word
 )
 
 // String returns the name used in logs and metrics.
@@ -57,10 +60,34 @@
 		return "refused"
 	case DialSilent:
 		return "silent"
+	case DialMute:
+		return "mute"
 	}
 	return "rejected"
 }
 
+// muteFor is how long a target may accept connections without ever a word
+// before it counts as one that serves nobody: a second longer than targets keep
+// the connections of hosts that lost power, and so may be at their limit.
+const muteFor = 4 * time.Second
+
+// Mute follows the dials of a target. The zero value has seen none.
+type Mute struct{ since time.Time }
+
+// Note takes a dial's result, nil if it succeeded. It tells whether the target
+// has been mute for so long that nobody seems to be served.
+func (m *Mute) Note(err error, now time.Time) (serves bool) {
+	var failure *DialError
+	if !errors.As(err, &failure) || failure.Outcome != DialMute {
+		m.since = time.Time{}
+		return true
+	}
+	if m.since.IsZero() {
+		m.since = now
+	}
+	return now.Sub(m.since) < muteFor
+}
+
 // DialError is a connection that couldn't be opened.
 type DialError struct {
 	Outcome DialOutcome
--- a/test/testbed/link.go
+++ b/test/testbed/link.go
@@ -50,6 +50,28 @@
 	return l, nil
 }
 
+// NewLink returns a link before a listener that belongs to no bed.
+func NewLink(name, listener string) (*Link, error) {
+	return newLink(newProxyServer(), &Node{Name: "any"}, &Node{Name: name}, listener, Delay{})
+}
+
+// Close ends the link and its connections.
+func (l *Link) Close() { l.close() }
+
+// Reset closes the open connections; new ones work, without cuts.
+func (l *Link) Reset() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	old := l.proxy
+	fresh, err := l.newProxy()
+	if err != nil {
+		return err
+	}
+	l.proxy, l.cuts = fresh, map[string]bool{}
+	old.Stop()
+	return nil
+}
+
 // Addr returns the address that the dialing side uses.
 func (l *Link) Addr() string { return l.listener.Addr().String() }
 
