--- a/test/line/bed.go
+++ b/test/line/bed.go
@@ -60,6 +60,7 @@
 
 // Host is one process of the product.
 type Host struct {
+	Name     string
 	Cmd      *exec.Cmd
 	Done     chan error // gets one value when the process has ended
 	settings string
@@ -260,7 +261,7 @@
 		seeds = append(seeds, strconv.Quote(b.addr(i, peerPort)))
 	}
 	for i := range hostCount {
-		h := &Host{callers: b.addr(i, callerPort), ready: b.addr(i, readyPort)}
+		h := &Host{Name: fmt.Sprintf("h%d", i+1), callers: b.addr(i, callerPort), ready: b.addr(i, readyPort)}
 		dir := b.tb.TempDir()
 		h.settings, h.log = filepath.Join(dir, "boot.toml"), filepath.Join(dir, "log")
 		text := fmt.Sprintf(settingsText, i+1, i+1, b.ipPrefix, i+1, inspectPort, inspectPort, strings.Join(seeds, ","),
--- a/test/line/caller.go
+++ b/test/line/caller.go
@@ -20,7 +20,6 @@
 	if err != nil {
 		return nil
 	}
-	b.tb.Cleanup(func() { conn.Close() })
 	c := &Client{conn: conn, in: bufio.NewReader(conn)}
 	fmt.Fprintf(conn, "START %s test\r\n", database)
 	line, err := c.line()
@@ -31,6 +30,9 @@
 	return c
 }
 
+// Close ends the session.
+func (c *Client) Close() { c.conn.Close() }
+
 func (c *Client) line() (string, error) {
 	_ = c.conn.SetReadDeadline(time.Now().Add(10 * time.Second))
 	line, err := c.in.ReadString('\n')
--- a/test/standin/target/line.go
+++ b/test/standin/target/line.go
@@ -119,6 +119,8 @@
 	line     *Line
 	in       *bufio.Reader
 	prepared map[string]string // name to mode and shape
+	// generation of the database that the session has open. It ends with it.
+	generation int
 }
 
 func (l *Line) serve(conn net.Conn) {
@@ -135,6 +137,7 @@
 		fmt.Fprintf(conn, "ERROR MISROUTED -\r\n")
 		return
 	}
+	s.generation = l.srv.generation() // before it is opened
 	if s.openDatabase() != nil {
 		return
 	}
@@ -145,6 +148,9 @@
 		if err != nil {
 			return
 		}
+		if l.srv.generation() != s.generation {
+			return
+		}
 		out := s.answer(strings.TrimPrefix(line, "QUERY "))
 		if _, err := io.WriteString(conn, out); err != nil {
 			return
--- a/test/standin/target/server.go
+++ b/test/standin/target/server.go
@@ -107,6 +107,13 @@
 	return replay(s.store.applier, s.store.clock, s.node.log.entries)
 }
 
+// generation tells a rebuilt database from the one before.
+func (s *Server) generation() int {
+	s.node.mu.Lock()
+	defer s.node.mu.Unlock()
+	return s.store.generation
+}
+
 // Addr returns the address of the PostgreSQL protocol.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
