Metrics: time of targets and of dials, duties taken; a test reads what OPERATIONS names

TestLineMetricsTellOfAFailover reads them over HTTP on three processes through a crash of the primary. Added what the issue lists and was missing: nettlewalk_target_seconds, nettlewalk_target_dial_seconds, nettlewalk_duty_takeovers_total.

--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
@@ -85,6 +86,9 @@
 	k.groups = ids
 }
 
+// takeovers counts the duties that this process took.
+var takeovers = metrics.NewCounter("nettlewalk_duty_takeovers_total")
+
 // Learn takes what another host or the store knows of a claim.
 func (k *Keeper) Learn(c Claim) {
 	k.mu.Lock()
@@ -95,6 +99,9 @@
 		delete(k.free, c.Group)
 	}
 	k.mu.Unlock()
+	if newer && k.isMine(c) {
+		takeovers.Inc()
+	}
 	if newer {
 		k.opts.Log.Info("duty known", "group", c.Group, "holder", c.Name, "token", c.Token, "released", c.Released, "mine", k.isMine(c))
 		k.opts.Changed()
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -238,6 +238,7 @@
 	prefix := r.session.state.replay(conn, r.uses)
 	sent := steady.Now()
 	answers, err := conn.Exchange(until, append(prefix, batch...)...)
+	targetTimes[main > 0 || r.writes].Update(steady.Now().Sub(sent).Seconds())
 	pool.Release(conn, err == nil)
 	if err != nil {
 		return r.broke(id, err)
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -137,6 +137,7 @@
 	prefix := s.state.replay(t.conn, r.uses)
 	started := steady.Now()
 	answers, err := t.conn.Exchange(r.deadline, append(prefix, *r.st)...)
+	targetTimes[!t.readOnly].Update(steady.Now().Sub(started).Seconds())
 	if err != nil {
 		r.note(t.target, "broke: "+err.Error())
 		t.group.NoteFailing(t.target)
@@ -282,6 +283,7 @@
 	s.tx = nil
 	sent := steady.Now()
 	answers, err := t.conn.Exchange(r.deadline, *r.st)
+	targetTimes[!t.readOnly].Update(steady.Now().Sub(sent).Seconds())
 	if err != nil {
 		t.release(false)
 		a, _ := r.broke(t.target, err)
--- a/internal/share/pool.go
+++ b/internal/share/pool.go
@@ -36,6 +36,9 @@
 // waits is how long requests waited for a connection, those included that got none.
 var waits = metrics.NewHistogram("nettlewalk_connection_wait_seconds")
 
+// dialTimes is how long dials of targets took, failed ones included.
+var dialTimes = metrics.NewHistogram("nettlewalk_target_dial_seconds")
+
 // Options configures a Pool.
 type Options struct {
 	Target topology.Target
@@ -248,7 +251,9 @@
 func (p *Pool) fillLoop() {
 	delay, full := firstRetry, fullRetry
 	for {
+		began := time.Now()
 		conn, err := p.opts.Dialer.Dial(p.ctx, p.opts.Target)
+		dialTimes.Update(time.Since(began).Seconds())
 		p.opts.Dialed(p.opts.Target.ID, err)
 		if err == nil {
 			delay, full = firstRetry, fullRetry
--- a/test/line/bed.go
+++ b/test/line/bed.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -330,6 +331,26 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// metric returns the sum of a metric over all hosts.
+func (b *Bed) metric(name string) float64 {
+	sum := 0.0
+	for i := range b.Hosts {
+		resp, err := http.Get("http://" + b.addr(i, inspectPort) + "/metrics")
+		qt.Assert(b.tb, err, qt.IsNil)
+		text, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		qt.Assert(b.tb, err, qt.IsNil)
+		for line := range strings.SplitSeq(string(text), "\n") {
+			if value, ok := strings.CutPrefix(line, name+" "); ok {
+				v, err := strconv.ParseFloat(value, 64)
+				qt.Assert(b.tb, err, qt.IsNil)
+				sum += v
+			}
+		}
+	}
+	return sum
+}
+
 // Eventually waits until ok tells true.
 func (b *Bed) Eventually(what string, ok func() bool) {
 	b.tb.Helper()
--- a/test/line/line_test.go
+++ b/test/line/line_test.go
@@ -154,6 +154,24 @@
 	checkOnce(t, b)
 }
 
+// The metrics that docs/OPERATIONS.md names tell of a failover what the logs do.
+func TestLineMetricsTellOfAFailover(t *testing.T) {
+	b := NewBed(t)
+	b.Eventually("the duty is held", b.DutyIsHeld)
+	qt.Check(t, b.metric(`nettlewalk_duty_takeovers_total`), qt.Equals, 1.0)
+	qt.Check(t, b.metric(`nettlewalk_groups_leaderless`), qt.Equals, 0.0)
+	b.Crash(0)
+	b.Eventually("a group without a leader shows", func() bool { return b.metric(`nettlewalk_groups_leaderless`) > 0 })
+	qt.Check(t, b.Dial(0, "db").Try("early WRITE x 1"), qt.Not(qt.Equals), "")
+	b.Eventually("writes go on", func() bool { return b.Dial(0, "db").Try("w WRITE x 2") == "COMPLETE" })
+	qt.Check(t, b.metric(`nettlewalk_promotions_total{outcome="accepted"}`), qt.Equals, 1.0)
+	qt.Check(t, b.metric(`nettlewalk_target_dials_total{outcome="refused"}`) > 0, qt.IsTrue)
+	qt.Check(t, b.metric(`nettlewalk_statements_total{kind="write",code="ok"}`) > 0, qt.IsTrue)
+	qt.Check(t, b.metric(`nettlewalk_target_seconds_count{at="leader"}`) > 0, qt.IsTrue)
+	qt.Check(t, b.metric(`nettlewalk_platform_calls_total{method="list",kind="servers",outcome="ok"}`) > 0, qt.IsTrue)
+	b.Eventually("all hosts found the new leader", func() bool { return b.metric(`nettlewalk_groups_leaderless`) == 0 })
+}
+
 // A planned stop ends sessions between requests and leaves an open transaction
 // its time. The host's readiness fails at once.
 func TestLinePlannedStopCutsNothing(t *testing.T) {
