--- a/test/line/bed.go
+++ b/test/line/bed.go
@@ -27,9 +27,8 @@
 )
 
 const (
-	hostCount    = 3
-	upTimeout    = 20 * time.Second
-	promoteTakes = 100 * time.Millisecond
+	hostCount = 3
+	upTimeout = 20 * time.Second
 )
 
 // Member is one target: a server with its line protocol, behind a link.
@@ -50,13 +49,14 @@
 	Hosts     []*Host
 	Members   []*Member
 
-	tb       testing.TB
-	ipPrefix string // of the hosts
-	cloud    *httptest.Server
-	mu       sync.Mutex
-	token    uint64   // highest seen
-	orders   []string // accepted promotions
-	closed   bool     // the test has ended
+	tb           testing.TB
+	ipPrefix     string        // of the hosts
+	promoteTakes time.Duration // from the call to its effect
+	cloud        *httptest.Server
+	mu           sync.Mutex
+	token        uint64   // highest seen
+	orders       []string // accepted promotions
+	closed       bool     // the test has ended
 }
 
 // Host is one process of the product.
@@ -74,7 +74,7 @@
 // with tb.
 func NewBed(tb testing.TB) *Bed {
 	tb.Helper()
-	b := &Bed{tb: tb, ipPrefix: testbed.IPPrefix()}
+	b := &Bed{tb: tb, ipPrefix: testbed.IPPrefix(), promoteTakes: 100 * time.Millisecond}
 	var err error
 	b.Store, err = store.Start(store.Config{})
 	qt.Assert(tb, err, qt.IsNil)
@@ -171,7 +171,7 @@
 	}
 	b.token = token
 	b.orders = append(b.orders, body.Id)
-	time.AfterFunc(promoteTakes, func() { b.promote(topology.TargetID(body.Id)) })
+	time.AfterFunc(b.promoteTakes, func() { b.promote(topology.TargetID(body.Id)) })
 }
 
 func (b *Bed) promote(id topology.TargetID) {
--- a/test/line/line_test.go
+++ b/test/line/line_test.go
@@ -160,6 +160,7 @@
 	b.Eventually("the duty is held", b.DutyIsHeld)
 	qt.Check(t, b.metric(`nettlewalk_duty_takeovers_total`), qt.Equals, 1.0)
 	qt.Check(t, b.metric(`nettlewalk_groups_leaderless`), qt.Equals, 0.0)
+	b.promoteTakes = time.Second // long enough to be seen
 	b.Crash(0)
 	b.Eventually("a group without a leader shows", func() bool { return b.metric(`nettlewalk_groups_leaderless`) > 0 })
 	qt.Check(t, b.Dial(0, "db").Try("early WRITE x 1"), qt.Not(qt.Equals), "")
