--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -160,8 +160,8 @@
 		"last_request", s.lastID, "idle_ms", time.Since(s.answered).Milliseconds())
 	s.caller.CloseWrite()
 	if st, err := s.caller.Next(time.Now().Add(lateFor)); err == nil {
-		s.log.Info("statement not served", "request", st.ID, "session", s.state.id, "database", s.database,
-			"detail", "it met the end of its session and did not run", "last_request", s.lastID)
+		s.log.Info("statement met the end of its session and did not run", "request", st.ID, "session", s.state.id,
+			"database", s.database, "last_request", s.lastID)
 	}
 }
 
