--- a/test/standin/target/replication_test.go
+++ b/test/standin/target/replication_test.go
@@ -49,17 +49,27 @@
 	waitFor(c, "application", func() bool { return g.servers[1].Status().Applied.Offset == 2 })
 }
 
-func TestPromotionAndReturnOfTheOldPrimary(t *testing.T) {
-	c := qt.New(t)
-	g := startGroup(c, nil)
-	ctx := context.Background()
-	waitFor(c, "replicas", func() bool {
+// awaitReplicas waits until both have the first entry.
+func (g *group) awaitReplicas() {
+	waitFor(g.c, "replicas", func() bool {
 		return g.servers[1].Status().Received.Offset == 1 && g.servers[2].Status().Received.Offset == 1
 	})
-	// A write that only the old primary has, and one that is open at the fence.
+}
+
+// deafen keeps both replicas from receiving anything more.
+func (g *group) deafen() {
 	for _, i := range []int{1, 2} {
 		g.servers[i].SetLag(time.Hour, 0)
 	}
+}
+
+func TestPromotionAndReturnOfTheOldPrimary(t *testing.T) {
+	c := qt.New(t)
+	g := startGroup(c, nil)
+	ctx := context.Background()
+	g.awaitReplicas()
+	// A write that only the old primary has, and one that is open at the fence.
+	g.deafen()
 	old := g.pgx(0)
 	_, err := old.Exec(ctx, "INSERT INTO booking (id, crew) VALUES (1, 'lost')")
 	c.Assert(err, qt.IsNil)
@@ -166,9 +176,7 @@
 	c := qt.New(t)
 	g := startGroup(c, nil)
 	ctx := context.Background()
-	waitFor(c, "replicas", func() bool {
-		return g.servers[1].Status().Received.Offset == 1 && g.servers[2].Status().Received.Offset == 1
-	})
+	g.awaitReplicas()
 	g.servers[1].SetLag(time.Hour, 0)
 	_, err := g.pgx(0).Exec(ctx, "INSERT INTO booking (id, crew) VALUES (1, 'lost')")
 	c.Assert(err, qt.IsNil)
@@ -185,12 +193,8 @@
 	c := qt.New(t)
 	g := startGroup(c, nil)
 	ctx := context.Background()
-	waitFor(c, "replicas", func() bool {
-		return g.servers[1].Status().Received.Offset == 1 && g.servers[2].Status().Received.Offset == 1
-	})
-	for _, i := range []int{1, 2} {
-		g.servers[i].SetLag(time.Hour, 0)
-	}
+	g.awaitReplicas()
+	g.deafen()
 	l, err := g.servers[0].ServeLine(target.LineConfig{Group: "g"})
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(l.Close)
