--- a/internal/share/pool.go
+++ b/internal/share/pool.go
@@ -59,6 +59,7 @@
 	open    int // idle and in use
 	idle    []*Conn
 	waiting queue
+	grants  grants
 	hold    time.Duration // running mean of how long a connection is held
 	filling bool
 	closed  bool
@@ -114,6 +115,7 @@
 	now := time.Now()
 	p.mu.Lock()
 	if c := p.takeIdle(now); c != nil {
+		p.grants.add(priority, now)
 		p.mu.Unlock()
 		return c, nil
 	}
@@ -137,7 +139,7 @@
 	case p.open == 0:
 		return ErrNone
 	}
-	expected := expectedWait(p.waiting.ahead(priority), p.open, p.hold)
+	expected := expectedWait(p.waiting.ahead(priority), p.open, p.hold, p.grants.left(priority, p.open, p.hold, now))
 	if expected > patience || now.Add(expected).After(deadline) {
 		return ErrTooLong
 	}
@@ -188,6 +190,7 @@
 func (p *Pool) grant(c *Conn, now time.Time) {
 	if w := p.waiting.next(now); w != nil {
 		c.held = now
+		p.grants.add(w.priority, now)
 		w.granted <- c
 		return
 	}
--- a/internal/share/queue.go
+++ b/internal/share/queue.go
@@ -67,10 +67,13 @@
 }
 
 // expectedWait is how long a newcomer waits behind so many others for one of
-// the connections, each of which is free again after hold on average.
-func expectedWait(ahead, connections int, hold time.Duration) time.Duration {
+// the connections, each of which is free again after hold on average. Of those
+// that become free, the share left goes to the newcomer's priority or less
+// urgent ones; the others go to more urgent requests that come meanwhile.
+func expectedWait(ahead, connections int, hold time.Duration, left float64) time.Duration {
 	if connections < 1 {
 		connections = 1
 	}
-	return time.Duration(ahead+1) * hold / time.Duration(connections)
+	wait := time.Duration(ahead+1) * hold / time.Duration(connections)
+	return time.Duration(float64(wait) / left)
 }
