Requests that wait in a slot are refused when it goes before its lock was held

Cause: a host that starts takes itself for the holder of more slots than it keeps. Ruled out: the test's start (hosts are ready, the holder had both its slots within 400 ms) and the machine (requests of others ran meanwhile). Change: dropping a slot without its lock, or losing the lock of a dropped one, refuses those that wait, not run; the router sends them to the holder. The new test fails without the change.

--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -81,7 +81,7 @@
 func (s *slot) closedTo() error {
 	switch {
 	case s.draining:
-		return result.New(result.NotHolder, "slot %d of %s is handed over", s.number, s.id)
+		return s.handedOver()
 	case s.control.refusedLock():
 		return result.New(result.NotHolder, "slot %d of %s is still held elsewhere", s.number, s.id).After(retryConnect)
 	}
--- a/internal/pool/connections_test.go
+++ b/internal/pool/connections_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -90,6 +91,32 @@
 	qt.Assert(t, (<-recorded).Offset, qt.Equals, uint64(1))
 }
 
+// Fails when requests wait on in a slot that goes to another host before this
+// one has its lock, which then is never taken: they waited for drainTimeout.
+func TestWaitingRequestsLeaveASlotThatNeverHadItsLock(t *testing.T) {
+	dialing := make(chan struct{}, 10)
+	opts := Options{Self: topology.Host{ID: "self"}, Log: logr.Discard(), Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		dialing <- struct{}{}
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}}
+	s := newSlot(&opts, Held{Target: topology.Target{ID: "t1", Group: "g1", Addr: "127.0.0.1:1", Connections: 16, Slots: 2}})
+	defer s.close()
+	<-dialing
+	refused := make(chan error, 1)
+	go func() {
+		_, err := s.acquire(context.Background(), arrival{customer: "c", weight: 1, timeLeft: 5 * time.Second}, false)
+		refused <- err
+	}()
+	eventually(t, "it waits", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.queue.len() == 1
+	})
+	s.drain()
+	wantCode(t, <-refused, result.NotHolder)
+}
+
 // Fails without ending the slot's lock: the target keeps that of the old
 // connection.
 func TestSilentControlConnectionIsReplaced(t *testing.T) {
--- a/internal/pool/slot.go
+++ b/internal/pool/slot.go
@@ -144,6 +144,9 @@
 	if failure.Kind == HealthRefused || failure.Kind == HealthNoAnswer {
 		s.failQueue(result.New(result.TargetDown, "%s: %s", s.id, failure))
 	}
+	if !s.wanted() {
+		s.failQueue(s.handedOver()) // the lost lock is not taken again
+	}
 	if s.opts.OnStatus != nil {
 		s.opts.OnStatus(target.Status{Target: s.id}, failure, sentAt)
 	}
@@ -187,6 +190,8 @@
 }
 
 // drain refuses new streams and lets the others end; drained tells when.
+// Without the lock, which is not taken any more, those that wait can't be
+// served: they are refused, so that they go where the slot went.
 func (s *slot) drain() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -194,9 +199,16 @@
 		return
 	}
 	s.draining = true
+	if !s.control.holds() {
+		s.failQueueLocked(s.handedOver())
+	}
 	s.endIfDrained()
 }
 
+func (s *slot) handedOver() *result.Error {
+	return result.New(result.NotHolder, "slot %d of %s is handed over", s.number, s.id)
+}
+
 // done tells whether nothing needs another connection any more. Needs s.mu.
 func (s *slot) done() bool { return s.draining && s.queue.len() == 0 }
 
