Statements are sent to a holder that has a free connection, spread over the holders

A host hears of another every 8 s there, offers count for 1.2 s; among holders not heard of the first of the list was taken, always the same. The callers read 'no target leads the group'. Ruled out: a lost leader (the holders' lines say proved 6 ms ago), lags alone. Change: package placement: of two holders drawn at random the one with more free connections, those of the own failure domain first; loads come with each answer; up to three hosts are asked, all but the last one to run it at once or not at all; a host whose own connections are taken asks so before it lets a caller wait; the refusal says what the other host said.

--- a/cmd/nettlewalk/fleetpeers.go
+++ b/cmd/nettlewalk/fleetpeers.go
@@ -8,8 +8,8 @@
 
 	"nettlewalk.example/nettlewalk/internal/gossip"
 	"nettlewalk.example/nettlewalk/internal/peer"
+	"nettlewalk.example/nettlewalk/internal/placement"
 	"nettlewalk.example/nettlewalk/internal/promotion"
-	"nettlewalk.example/nettlewalk/internal/relay"
 	"nettlewalk.example/nettlewalk/internal/share"
 	"nettlewalk.example/nettlewalk/internal/statement"
 	"nettlewalk.example/nettlewalk/internal/topology"
@@ -41,10 +41,10 @@
 }
 
 // Offers implements relay.Peers.
-func (f *forwarding) Offers(id topology.GroupID) []relay.Offer {
-	var list []relay.Offer
+func (f *forwarding) Offers(id topology.GroupID) []placement.Offer {
+	var list []placement.Offer
 	for _, o := range f.host.gossip.Offers(id) {
-		list = append(list, relay.Offer{Host: o.Host, Leads: o.Leads, Idle: o.Idle, Open: o.Open})
+		list = append(list, placement.Offer{Host: o.Host, Near: o.Domain == f.host.settings.Domain, Leads: o.Leads, Load: o.Load, At: o.At})
 	}
 	return append(list, f.silentHolders(id, list)...)
 }
@@ -52,12 +52,12 @@
 // silentHolders returns the holders of a group that offered nothing lately. In a
 // large fleet a host hears of each other one only every few seconds; who holds
 // a group follows from the list of hosts.
-func (f *forwarding) silentHolders(id topology.GroupID, known []relay.Offer) []relay.Offer {
-	var list []relay.Offer
+func (f *forwarding) silentHolders(id topology.GroupID, known []placement.Offer) []placement.Offer {
+	var list []placement.Offer
 	for _, host := range f.host.holdersOf(id) {
-		offered := slices.ContainsFunc(known, func(o relay.Offer) bool { return o.Host == host })
-		if !offered && host != topology.HostID(f.host.settings.Peers) {
-			list = append(list, relay.Offer{Host: host, Leads: true, Idle: 1, Open: 1})
+		offered := slices.ContainsFunc(known, func(o placement.Offer) bool { return o.Host == host.ID })
+		if !offered && host.ID != topology.HostID(f.host.settings.Peers) {
+			list = append(list, placement.Offer{Host: host.ID, Near: host.Domain == f.host.settings.Domain, Leads: true})
 		}
 	}
 	return list
@@ -85,7 +85,7 @@
 func (h *fleetHost) shareOf(t topology.Target, limit int) int {
 	_, size := share.Plan(limit, len(h.gossip.Sharers().Hosts))
 	holders := h.holdersOf(t.Group)
-	if holders != nil && !slices.Contains(holders, topology.HostID(h.settings.Peers)) {
+	if holders != nil && !slices.ContainsFunc(holders, h.isSelf) {
 		return 0
 	}
 	if !h.gossip.Settled(lingerTime) {
@@ -94,9 +94,13 @@
 	return size
 }
 
+func (h *fleetHost) isSelf(other topology.Host) bool {
+	return other.ID == topology.HostID(h.settings.Peers)
+}
+
 // holdersOf returns the hosts that hold a group's connections for the others,
 // nil if every host holds its own. The list isn't to be changed.
-func (h *fleetHost) holdersOf(id topology.GroupID) []topology.HostID {
+func (h *fleetHost) holdersOf(id topology.GroupID) []topology.Host {
 	c := h.catalog.Configuration()
 	if c == nil {
 		return nil
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -8,6 +8,7 @@
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
 	"nettlewalk.example/nettlewalk/internal/duty"
+	"nettlewalk.example/nettlewalk/internal/placement"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
@@ -66,8 +67,8 @@
 type Offer struct {
 	Group topology.GroupID
 	Leads bool // one of them to the target that the host believes to lead
-	Idle  int  // without work, less the requests that wait
-	Open  int
+	placement.Load
+	Open int
 	// Last is the target that led last, as far as the host knows, and ProvedAgo
 	// how long ago that was proved.
 	Last      topology.TargetID
--- a/internal/gossip/hosts.go
+++ b/internal/gossip/hosts.go
@@ -152,6 +152,7 @@
 type Offered struct {
 	Host   topology.HostID
 	Domain topology.Domain
+	At     time.Time // when it was heard of
 	Offer
 }
 
@@ -168,7 +169,7 @@
 		}
 		for _, o := range k.offers {
 			if o.Group == id && o.Open > 0 {
-				offers = append(offers, Offered{Host: host, Domain: k.host.Domain, Offer: o})
+				offers = append(offers, Offered{Host: host, Domain: k.host.Domain, At: k.heard, Offer: o})
 			}
 		}
 	}
--- a/internal/group/set.go
+++ b/internal/group/set.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
+	"nettlewalk.example/nettlewalk/internal/placement"
 	"nettlewalk.example/nettlewalk/internal/statement"
 	"nettlewalk.example/nettlewalk/internal/steady"
 	"nettlewalk.example/nettlewalk/internal/topology"
@@ -120,8 +121,8 @@
 type Offer struct {
 	Group topology.GroupID
 	Leads bool // one of them to the target that is believed to lead
-	Idle  int  // without work, less the requests that wait
-	Open  int
+	placement.Load
+	Open int
 	// Last is the target that led last, as far as this host knows, and ProvedAgo
 	// how long ago that was proved.
 	Last      topology.TargetID
@@ -147,13 +148,19 @@
 	o := Offer{Group: g.opts.ID, Last: g.belief.last, ProvedAgo: steady.Now().Sub(g.belief.lastAt)}
 	for id, m := range g.members {
 		load := m.pool.Load()
-		o.Leads = o.Leads || (load.Open > 0 && id == g.belief.leader)
-		o.Idle += load.Idle - load.Waiting
+		free := load.Idle - load.Waiting
+		if id == g.belief.leader {
+			o.Leads, o.LeaderIdle = load.Open > 0, free
+		}
+		o.Idle += free
 		o.Open += load.Open
 	}
 	return o
 }
 
+// Load returns how much more this host can run of the group's statements.
+func (g *Group) Load() placement.Load { return g.offer().Load }
+
 // Dump returns the state of all groups for operators.
 func (s *Set) Dump() []Dump {
 	s.mu.Lock()
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"nettlewalk.example/nettlewalk/internal/placement"
 	"nettlewalk.example/nettlewalk/internal/result"
 	"nettlewalk.example/nettlewalk/internal/statement"
+	"nettlewalk.example/nettlewalk/internal/steady"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
@@ -30,6 +33,8 @@
 	Settings      []Setting           // in their order
 	Floor         topology.Position
 	Within        time.Duration // what is left until the deadline
+	// AtOnce: it is to be run only if a connection is free, and else refused.
+	AtOnce bool
 	// Transaction is set for a statement of a transaction that the other host keeps.
 	Transaction Transaction
 }
@@ -47,70 +52,98 @@
 	First    bool   // the statement begins it
 }
 
-// Offer is another host that may run statements of a group.
-type Offer struct {
-	Host  topology.HostID
-	Leads bool // it has a connection to the target that it believes to lead
-	Idle  int  // connections without work, as last heard
-	Open  int
+// Ran is another host's answer, with its load after it.
+type Ran struct {
+	Answer statement.Answer
+	Load   placement.Load
 }
 
 // Peers runs statements on other hosts.
 type Peers interface {
 	// Offers lists the hosts with connections to the group's targets.
-	Offers(topology.GroupID) []Offer
+	Offers(topology.GroupID) []placement.Offer
 	// Call is peer.Caller's.
 	Call(ctx context.Context, host topology.HostID, method string, args, reply any) error
 }
 
-// pickPeer returns the host to send a statement to: one with idle connections,
-// to the leader if it must run there. busy tells that this host has connections
-// itself, so that a host as busy is no better.
-func pickPeer(offers []Offer, leader, busy bool) (best Offer, ok bool) {
-	for _, o := range offers {
-		if (leader && !o.Leads) || (busy && o.Idle == 0) {
-			continue
-		}
-		if !ok || o.Idle > best.Idle || (o.Idle == best.Idle && o.Open > best.Open) {
-			best, ok = o, true
-		}
-	}
-	return best, ok
-}
-
 // leastForward is the time that must be left for a statement to be sent to
 // another host: some round trips and the work.
 const leastForward = 20 * time.Millisecond
 
+// pickPeer returns the next host to send the statement to, and whether it is to
+// run it at once or not at all. free: this host's own connections are taken, and
+// another one is of use only if it has a free one.
+func (r *request) pickPeer(leader, free bool) (host topology.HostID, atOnce, ok bool) {
+	server := r.session.server
+	switch {
+	case server.opts.Peers == nil, time.Until(r.deadline) < leastForward, len(r.asked) >= placement.MostAsked:
+		return "", false, false
+	case len(r.asked) > 0 && time.Since(r.arrived) > patience(&r.route):
+		return "", false, false
+	}
+	id := r.route.Group
+	offers := server.loads.Present(id, server.opts.Peers.Offers(id), steady.Now())
+	offer, ok := placement.Pick(offers, placement.Need{Leader: leader, Free: free, Not: r.asked}, rand.IntN)
+	if !ok {
+		return "", false, false
+	}
+	r.asked = append(r.asked, offer.Host)
+	last := len(r.asked) == placement.MostAsked || len(r.asked) == len(offers)
+	return offer.Host, free || !last, true
+}
+
+// callPeer sends a statement to another host and remembers the load that it tells.
+func (s *Server) callPeer(ctx context.Context, host topology.HostID, id topology.GroupID, args *Forwarded) (statement.Answer, error) {
+	s.forwards.Inc()
+	s.loads.Sent(host, id, steady.Now())
+	var ran Ran
+	if err := s.opts.Peers.Call(ctx, host, runMethod, args, &ran); err != nil {
+		s.loads.Failed(host, id, steady.Now())
+		return statement.Answer{}, err
+	}
+	s.loads.Answered(host, id, ran.Load, steady.Now())
+	return ran.Answer, nil
+}
+
 // forward runs the statement on another host. ok is false if none may run it,
 // or if it surely didn't run there.
-func (r *request) forward(ctx context.Context, leader, busy bool) (answer statement.Answer, ok bool) {
-	peers := r.session.server.opts.Peers
-	if r.forwarded || peers == nil || r.session.tx != nil || time.Until(r.deadline) < leastForward {
+func (r *request) forward(ctx context.Context, leader, free bool) (answer statement.Answer, ok bool) {
+	if r.fromPeer || r.session.tx != nil {
 		return statement.Answer{}, false
 	}
-	offer, ok := pickPeer(peers.Offers(r.route.Group), leader, busy)
-	if !ok {
-		return statement.Answer{}, false
+	for {
+		host, atOnce, ok := r.pickPeer(leader, free)
+		if !ok {
+			return statement.Answer{}, false
+		}
+		if answer, ran := r.runAt(ctx, host, atOnce); ran {
+			return answer, true
+		}
 	}
-	r.forwarded = true
-	r.note(topology.TargetID(offer.Host), "asked to run it")
-	args := r.toForward()
+}
+
+// runAt runs the statement at another host. ran is false if it surely didn't
+// run, or is a read that may be repeated.
+func (r *request) runAt(ctx context.Context, host topology.HostID, atOnce bool) (answer statement.Answer, ran bool) {
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
-	err := peers.Call(ctx, offer.Host, runMethod, args, &answer)
-	r.session.server.forwards.Inc()
+	args := r.toForward()
+	args.AtOnce = atOnce
+	answer, err := r.session.server.callPeer(ctx, host, r.route.Group, args)
 	if err == nil {
+		r.note(topology.TargetID(host), "asked: "+answer.Code.String()+" "+answer.Detail)
 		if answer.OK() && r.writes {
 			r.session.raiseFloor(&answer)
 		}
-		return answer, !answer.Code.NotRun()
+		if !answer.Code.NotRun() {
+			return answer, true
+		}
+		r.refusedThere = answer.Detail
+		return answer, false
 	}
+	r.note(topology.TargetID(host), "asked, and lost: "+err.Error())
 	var coded *result.Error
-	if errors.As(err, &coded) && coded.Code == result.HostUnreachable {
-		return statement.Answer{}, false
-	}
-	if !r.writes {
+	if !r.writes || (errors.As(err, &coded) && coded.Code == result.HostUnreachable) {
 		return statement.Answer{}, false
 	}
 	code := statement.InDoubt
@@ -142,32 +175,48 @@
 func (s *Server) Service() *Service { return &Service{server: s} }
 
 // Run runs one statement as if its caller were here. It is not sent on again.
-func (s *Service) Run(args *Forwarded, reply *statement.Answer) error {
-	if s.server.version() < args.Configuration {
-		*reply = statement.Answer{Code: statement.Busy, Detail: "the host asked has an older configuration"}
-		return nil
+func (s *Service) Run(args *Forwarded, reply *Ran) error {
+	reply.Answer = s.server.runForPeer(args)
+	reply.Load = s.server.loadFor(args.Database)
+	return nil
+}
+
+// loadFor returns this host's load of the group that serves the database, the
+// zero value if it knows of none.
+func (s *Server) loadFor(database string) placement.Load {
+	c := s.opts.Catalog.Configuration()
+	if c == nil {
+		return placement.Load{}
+	}
+	if g := s.opts.Groups.Group(c.Routes[database].Group); g != nil {
+		return g.Load()
+	}
+	return placement.Load{}
+}
+
+func (s *Server) runForPeer(args *Forwarded) statement.Answer {
+	if s.version() < args.Configuration {
+		return statement.Answer{Code: statement.Busy, Detail: "the host asked has an older configuration"}
 	}
 	if args.Transaction.Key != "" {
-		*reply = s.server.hosted.step(args)
-		return nil
+		return s.hosted.step(args)
 	}
-	session := s.server.newSession(nil)
+	session := s.newSession(nil)
 	session.adopt(args)
 	st := args.Statement
 	r, refused := session.newRequest(&st, args.Writes, args.Uses)
 	if refused != nil {
-		*reply = *refused
-		return nil
+		return *refused
 	}
-	r.forwarded = true
+	r.fromPeer = true
 	r.deadline = r.arrived.Add(min(args.Within, r.route.StatementTimeout))
-	*reply, _ = r.run(context.Background())
-	return nil
+	answer, _ := r.run(context.Background())
+	return answer
 }
 
 // adopt takes the state of another host's session.
 func (s *session) adopt(args *Forwarded) {
-	s.database, s.floor = args.Database, args.Floor
+	s.database, s.floor, s.atOnce = args.Database, args.Floor, args.AtOnce
 	s.state.settings = s.state.settings[:0]
 	for _, v := range args.Settings {
 		s.state.settings = append(s.state.settings, setting{name: v.Text, text: v.Text, sequence: v.Sequence})
--- a/internal/relay/hosted.go
+++ b/internal/relay/hosted.go
@@ -60,6 +60,7 @@
 		s.failTransaction("host is leaving")
 	}
 	st := args.Statement
+	s.atOnce = args.AtOnce
 	answer := s.serve(context.Background(), &st)
 	if s.tx == nil || s.tx.failed {
 		s.endTransaction()
@@ -111,41 +112,40 @@
 
 // beginElsewhere begins the session's transaction at another host, with the
 // request's statement. ok is false if none took it; nothing ran then.
-func (r *request) beginElsewhere(ctx context.Context, busy bool) (a statement.Answer, ok bool) {
+func (r *request) beginElsewhere(ctx context.Context, free bool) (a statement.Answer, ok bool) {
 	s := r.session
-	peers := s.server.opts.Peers
-	if s.isHosted || peers == nil || time.Until(r.deadline) < leastForward {
+	if s.isHosted {
 		return a, false
 	}
 	leader := !s.tx.readOnly || r.route.Freshness == catalog.LatestData
-	offer, ok := pickPeer(peers.Offers(r.route.Group), leader, busy)
-	if !ok {
-		return a, false
-	}
-	r.note(topology.TargetID(offer.Host), "asked to keep the transaction")
-	s.tx.elsewhere = offer.Host
-	s.tx.key = s.server.name + "/" + strconv.FormatUint(s.server.ids.Add(1), 10)
-	s.tx.group = r.group
-	a, sent := r.stepElsewhere(ctx, true)
-	if !sent || (!a.OK() && a.Code.NotRun()) {
-		s.tx.elsewhere, s.tx.key = "", ""
-		return a, false
+	for {
+		host, atOnce, ok := r.pickPeer(leader, free)
+		if !ok {
+			return a, false
+		}
+		s.tx.elsewhere = host
+		s.tx.key = s.server.name + "/" + strconv.FormatUint(s.server.ids.Add(1), 10)
+		s.tx.group = r.group
+		a, sent := r.stepElsewhere(ctx, true, atOnce)
+		if sent && (a.OK() || !a.Code.NotRun()) {
+			return a, true
+		}
+		s.tx.elsewhere, s.tx.key, r.refusedThere = "", "", a.Detail
 	}
-	return a, true
 }
 
 // stepElsewhere runs a statement of a transaction that another host keeps. sent
-// is false if nothing left.
-func (r *request) stepElsewhere(ctx context.Context, first bool) (a statement.Answer, sent bool) {
+// is false if nothing left. atOnce: the first one is refused rather than made to wait.
+func (r *request) stepElsewhere(ctx context.Context, first, atOnce bool) (a statement.Answer, sent bool) {
 	t := r.session.tx
 	args := r.toForward()
+	args.AtOnce = atOnce
 	args.Transaction = Transaction{Key: t.key, ReadOnly: t.readOnly, First: first}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
-	r.session.server.forwards.Inc()
-	err := r.session.server.opts.Peers.Call(ctx, t.elsewhere, runMethod, args, &a)
+	a, err := r.session.server.callPeer(ctx, t.elsewhere, r.route.Group, args)
 	if err == nil {
-		r.note(topology.TargetID(t.elsewhere), a.Code.String())
+		r.note(topology.TargetID(t.elsewhere), "asked to run a part of the transaction: "+a.Code.String())
 		return a, true
 	}
 	r.note(topology.TargetID(t.elsewhere), "lost: "+err.Error())
@@ -158,7 +158,7 @@
 // runElsewhere runs a statement of a transaction that another host keeps. A
 // failure ends the transaction: the other host rolls back what it hears no more of.
 func (s *session) runElsewhere(ctx context.Context, r *request) statement.Answer {
-	a, _ := r.stepElsewhere(ctx, false)
+	a, _ := r.stepElsewhere(ctx, false, false)
 	if a.State != statement.InTransaction {
 		s.tx.failed, s.tx.elsewhere = true, ""
 		a.State = statement.Failed
@@ -171,7 +171,7 @@
 // became of it, if anything was written.
 func (s *session) commitElsewhere(ctx context.Context, r *request) statement.Answer {
 	wrote := s.tx.wrote
-	a, sent := r.stepElsewhere(ctx, false)
+	a, sent := r.stepElsewhere(ctx, false, false)
 	s.tx = nil
 	if r.lostAnswer && sent && wrote {
 		a.Code = statement.InDoubt
@@ -211,8 +211,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), rollbackTimeout)
 		defer cancel()
-		var a statement.Answer
-		if err := peers.Call(ctx, host, runMethod, args, &a); err != nil {
+		if err := peers.Call(ctx, host, runMethod, args, &Ran{}); err != nil {
 			s.log.V(1).Info("rollback not delivered", "peer", host, "error", err.Error())
 		}
 	}()
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"nettlewalk.example/nettlewalk/internal/placement"
 	"nettlewalk.example/nettlewalk/internal/statement"
 )
 
@@ -39,7 +40,8 @@
 	forwards *metrics.Counter
 	sampler  *sampler
 	hosted   *hosted
-	name     string // of this process, unique among hosts
+	loads    placement.Loads // of other hosts
+	name     string          // of this process, unique among hosts
 }
 
 // NewServer returns a server without sessions.
@@ -89,7 +91,7 @@
 
 func (s *Server) newSession(c Caller) *session {
 	state := sessionState{id: s.ids.Add(1), prepared: map[string]statement.Statement{}}
-	return &session{server: s, caller: c, state: state, log: s.opts.Log}
+	return &session{server: s, caller: c, state: state, log: s.opts.Log, answered: time.Now()}
 }
 
 // Sessions returns how many sessions are open.
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -32,9 +32,10 @@
 	state      sessionState
 	floor      topology.Position // of the session's last acknowledged commit
 	tx         *transaction      // nil: none
-	answered   time.Time         // when the last answer was sent
+	answered   time.Time         // when the last answer was sent; at first when the session began
 	lastID     string            // of the statement that it answered
 	graceGiven bool              // it is to be closed, and waited for a last statement since then
+	atOnce     bool              // statements of another host's session are refused rather than made to wait
 	isHosted   bool              // it stands for a session of another host
 	log        logr.Logger
 }
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,8 +31,11 @@
 	tries    int
 	skip     map[topology.TargetID]bool // lacked the position
 	trail    []string                   // what was tried and decided, for the log
-	// forwarded: it was sent to another host, or came from one. It is sent on once.
-	forwarded bool
+	asked    []topology.HostID          // other hosts that it was sent to
+	// refusedThere is why the last of them refused it.
+	refusedThere string
+	fromPeer     bool // it came from another host and isn't sent on
+	atOnce       bool // it is refused rather than made to wait
 	// lostAnswer: a call to another host ended without its answer.
 	lostAnswer bool
 	// hadConnections: this host has connections to the leader, all of them taken.
@@ -70,7 +74,7 @@
 		return nil, &a
 	}
 	now := time.Now()
-	r := &request{session: s, st: st, route: route, group: g, writes: writes, uses: uses, arrived: now}
+	r := &request{session: s, st: st, route: route, group: g, writes: writes, uses: uses, arrived: now, atOnce: s.atOnce}
 	r.deadline = now.Add(route.StatementTimeout)
 	if s.tx != nil {
 		if s.tx.firstID == "" {
@@ -122,22 +126,29 @@
 			return answer, false
 		}
 	}
+	if answer, ok := r.forward(ctx, r.leaderAlone(readers), len(readers) > 0); ok {
+		return answer, false
+	}
 	for _, c := range readers {
 		if r.skip[c.ID] || c.Failing {
 			continue
 		}
-		conn, err := c.Pool.Acquire(r.deadline, patience(&r.route), r.route.Priority)
+		conn, err := r.acquire(c.Pool)
 		if err != nil {
 			continue
 		}
 		return r.readAt(&c, conn, after)
 	}
-	if answer, ok := r.forward(ctx, false, len(readers) > 0); ok {
-		return answer, false
-	}
 	return r.tryLeader(ctx, guarded)
 }
 
+// leaderAlone tells whether of the targets that may serve a read only the leader
+// is left: other hosts would find the others behind as well.
+func (r *request) leaderAlone(readers []group.Choice) bool {
+	replicas := slices.ContainsFunc(readers, func(c group.Choice) bool { return !c.Leads && !r.skip[c.ID] })
+	return len(readers) > 0 && !replicas
+}
+
 // readAt runs a read at a target that must have the position.
 func (r *request) readAt(c *group.Choice, conn *share.Conn, after topology.Position) (statement.Answer, bool) {
 	st := *r.st
@@ -193,31 +204,63 @@
 	return answer, again
 }
 
-// leaderConn returns a connection to the leader. Without one, it sends the
-// statement to another host that has, or waits if that can help; conn is then
-// nil and the answer the caller's.
+// leaderConn returns a connection to the leader: a free one here, else another
+// host runs the statement if it has one, else it waits if that can help. conn is
+// nil where another host ran it, or none may; the answer is then the caller's.
 func (r *request) leaderConn(ctx context.Context) (topology.TargetID, *share.Pool, *share.Conn, statement.Answer) {
-	id, pool, ok := r.group.Leader()
-	if !ok {
-		if answer, ok := r.forward(ctx, r.needsLeader(), false); ok {
-			return "", nil, nil, answer
-		}
-		until := time.Now().Add(leaderPatience(&r.route, r.group.Loss()))
-		r.note("", "waits for a leader")
-		if id, pool, ok = r.group.WaitLeader(ctx, until); !ok {
-			return "", nil, nil, r.session.refusal(statement.Busy, "no target leads the group")
+	id, pool, known := r.group.Leader()
+	if known {
+		if conn := pool.TryAcquire(); conn != nil {
+			return id, pool, conn, statement.Answer{}
 		}
+		r.hadConnections = pool.Load().Open > 0
 	}
-	conn, err := pool.Acquire(r.deadline, patience(&r.route), r.route.Priority)
-	if err == nil {
-		return id, pool, conn, statement.Answer{}
-	}
-	r.note(id, err.Error())
-	r.hadConnections = !errors.Is(err, share.ErrNone)
 	if answer, ok := r.forward(ctx, r.needsLeader(), r.hadConnections); ok {
 		return "", nil, nil, answer
 	}
-	return "", nil, nil, r.session.refusal(statement.Busy, err.Error())
+	if !known {
+		if id, pool, known = r.waitLeader(ctx); !known {
+			return "", nil, nil, r.session.refusal(statement.Busy, r.whyNoLeader())
+		}
+	}
+	conn, err := r.acquire(pool)
+	if err != nil {
+		r.note(id, err.Error())
+		return "", nil, nil, r.session.refusal(statement.Busy, err.Error())
+	}
+	return id, pool, conn, statement.Answer{}
+}
+
+// waitLeader waits for a leader for as long as the request can still be served.
+func (r *request) waitLeader(ctx context.Context) (topology.TargetID, *share.Pool, bool) {
+	if r.atOnce {
+		return "", nil, false
+	}
+	until := time.Now().Add(leaderPatience(&r.route, r.group.Loss()))
+	r.note("", "waits for a leader")
+	return r.group.WaitLeader(ctx, until)
+}
+
+// acquire returns a connection of the pool, waiting for one where the request may.
+func (r *request) acquire(pool *share.Pool) (*share.Conn, error) {
+	if !r.atOnce {
+		return pool.Acquire(r.deadline, patience(&r.route), r.route.Priority)
+	}
+	if conn := pool.TryAcquire(); conn != nil {
+		return conn, nil
+	}
+	return nil, errNoneFree
+}
+
+// errNoneFree refuses a request that isn't to wait.
+var errNoneFree = errors.New("no connection to the target is free")
+
+// whyNoLeader says why a host without a leader of its own refuses.
+func (r *request) whyNoLeader() string {
+	if r.refusedThere != "" {
+		return "another host: " + r.refusedThere
+	}
+	return "no target leads the group"
 }
 
 // needsLeader tells whether only the leader may run the statement.
--- a/internal/share/holders.go
+++ b/internal/share/holders.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"slices"
 	"sync"
 
 	"nettlewalk.example/nettlewalk/internal/fleet"
@@ -14,20 +15,24 @@
 	mu      sync.Mutex
 	version uint64 // of the list of hosts
 	index   *fleet.Index
-	groups  map[topology.GroupID][]topology.HostID
+	groups  map[topology.GroupID][]topology.Host
 }
 
 // Of returns the n holders of a group among the hosts, whose version changes
 // when the list does. The result isn't to be changed.
-func (h *Holders) Of(id topology.GroupID, n int, hosts []topology.Host, version uint64) []topology.HostID {
+func (h *Holders) Of(id topology.GroupID, n int, hosts []topology.Host, version uint64) []topology.Host {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.index == nil || h.version != version {
 		h.version, h.index = version, fleet.NewIndex(hosts)
-		h.groups = map[topology.GroupID][]topology.HostID{}
+		h.groups = map[topology.GroupID][]topology.Host{}
 	}
 	if len(h.groups[id]) != n {
-		h.groups[id] = h.index.Holders(topology.Target{ID: topology.TargetID(id), Slots: n})
+		h.groups[id] = nil
+		for _, holder := range h.index.Holders(topology.Target{ID: topology.TargetID(id), Slots: n}) {
+			i := slices.IndexFunc(hosts, func(host topology.Host) bool { return host.ID == holder })
+			h.groups[id] = append(h.groups[id], hosts[i])
+		}
 	}
 	return h.groups[id]
 }
