An unreachable host is waited for 100 ms, and not asked for longer each time

Change: calls that have other hosts to turn to wait 100 ms for a connection (the dial goes on); a host to which calls fail isn't asked for 1 s, doubled up to 8 s, unless it was heard of since.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -68,7 +68,7 @@
 		return err
 	}
 	for {
-		l, err := r.link(ctx)
+		l, err := r.connected(ctx)
 		if err != nil {
 			return result.New(result.HostUnreachable, "%s: %s", host, err)
 		}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -143,6 +143,22 @@
 	qt.Assert(t, codeOf(t, err), qt.Equals, result.HostUnreachable)
 }
 
+// A call with other hosts to turn to waits for a connection for a short time
+// only, and surely wasn't sent then. Without the bound it waits for the dial.
+func TestCallWaitsForAConnectionAsLongAsItMay(t *testing.T) {
+	dial := func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	client := NewClient([]byte("key"), "a", func(topology.HostID) (string, bool) { return "127.0.0.1:1", true }, dial)
+	defer client.Close()
+	var text string
+	began := time.Now()
+	err := client.Call(ConnectWithin(context.Background(), 20*time.Millisecond), "b", "Echo.Say", &text, &text)
+	qt.Check(t, codeOf(t, err), qt.Equals, result.HostUnreachable)
+	qt.Check(t, time.Since(began) < dialTimeout, qt.IsTrue)
+}
+
 func TestCallEndsWithItsContextAsLost(t *testing.T) {
 	_, _, client := startPair(t, "key", "key")
 	_, err := call(client, 20*time.Millisecond, "Echo.Hold", "late")
--- a/internal/peer/remote.go
+++ b/internal/peer/remote.go
@@ -33,6 +33,13 @@
 	err  error
 }
 
+// connected is link within the time that the call's context allows for connecting.
+func (r *remote) connected(ctx context.Context) (*link, error) {
+	ctx, done := connecting(ctx)
+	defer done()
+	return r.link(ctx)
+}
+
 // link returns a usable connection, a new one if need be. On an error nothing was sent.
 func (r *remote) link(ctx context.Context) (*link, error) {
 	r.mu.Lock()
--- a/internal/placement/loads.go
+++ b/internal/placement/loads.go
@@ -14,8 +14,10 @@
 	freshFor = 1200 * time.Millisecond
 	// failedFor is how long a host isn't asked after a call to it failed, unless
 	// it was heard of since: about what it takes until a dead host's connections
-	// are known to be dead.
-	failedFor = 1 * time.Second
+	// are known to be dead. It doubles with each further failure, up to lastFailedFor,
+	// when a silent host doesn't count as live any more.
+	failedFor     = 1 * time.Second
+	lastFailedFor = 8 * time.Second
 	// forgetAfter is when a host that isn't asked any more is forgotten.
 	forgetAfter = 1 * time.Minute
 )
@@ -31,7 +33,8 @@
 	saidAt time.Time
 	sent   int // statements since it said so
 	sentAt time.Time
-	failed time.Time
+	failed time.Time     // when a call failed; zero: the last one didn't
+	shun   time.Duration // for how long it isn't asked then
 }
 
 // Loads remembers what other hosts say of their load in their answers. Safe for
@@ -58,14 +61,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	h := l.of(key{host, group}, now)
-	h.said, h.saidAt, h.sent, h.failed = load, now, 0, time.Time{}
+	*h = heard{said: load, saidAt: now, sentAt: h.sentAt}
 }
 
 // Failed notes that a call to the host failed.
 func (l *Loads) Failed(host topology.HostID, group topology.GroupID, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.of(key{host, group}, now).failed = now
+	h := l.of(key{host, group}, now)
+	h.failed, h.shun = now, min(max(2*h.shun, failedFor), lastFailedFor)
 }
 
 // of needs l.mu.
@@ -74,7 +78,7 @@
 		return h
 	}
 	for other, h := range l.hosts {
-		if now.Sub(h.sentAt) > forgetAfter && now.Sub(h.saidAt) > forgetAfter {
+		if now.Sub(h.sentAt) > forgetAfter {
 			delete(l.hosts, other)
 		}
 	}
@@ -98,7 +102,7 @@
 			present = append(present, o)
 			continue
 		}
-		if now.Sub(h.failed) < failedFor && o.At.Before(h.failed) {
+		if now.Sub(h.failed) < h.shun && o.At.Before(h.failed) {
 			continue
 		}
 		present = append(present, h.adjust(o, now))
--- a/internal/placement/loads_test.go
+++ b/internal/placement/loads_test.go
@@ -39,6 +39,10 @@
 	l.Failed("a", "g", failed)
 	qt.Check(t, l.Present("g", []Offer{told}, failed), qt.HasLen, 0)
 	qt.Check(t, l.Present("g", []Offer{told}, failed.Add(failedFor)), qt.HasLen, 1)
+	failed = failed.Add(failedFor)
+	l.Failed("a", "g", failed)
+	qt.Check(t, l.Present("g", []Offer{told}, failed.Add(failedFor)), qt.HasLen, 0)
+	qt.Check(t, l.Present("g", []Offer{told}, failed.Add(2*failedFor)), qt.HasLen, 1)
 	told.At = failed.Add(time.Millisecond)
 	qt.Check(t, l.Present("g", []Offer{told}, told.At), qt.HasLen, 1)
 }
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"nettlewalk.example/nettlewalk/internal/peer"
 	"nettlewalk.example/nettlewalk/internal/placement"
 	"nettlewalk.example/nettlewalk/internal/result"
 	"nettlewalk.example/nettlewalk/internal/statement"
@@ -70,6 +71,11 @@
 // another host: some round trips and the work.
 const leastForward = 20 * time.Millisecond
 
+// connectWithin is how long a statement waits for a connection to another host
+// while it may be sent to yet another: several round trips between failure
+// domains. A host that is cut off let each statement wait for 500 ms.
+const connectWithin = 100 * time.Millisecond
+
 // pickPeer returns the next host to send the statement to, and whether it is to
 // run it at once or not at all. free: this host's own connections are taken, and
 // another one is of use only if it has a free one.
@@ -97,7 +103,7 @@
 	s.forwards.Inc()
 	s.loads.Sent(host, id, steady.Now())
 	var ran Ran
-	if err := s.opts.Peers.Call(ctx, host, runMethod, args, &ran); err != nil {
+	if err := s.opts.Peers.Call(peer.ConnectWithin(ctx, connectWithin), host, runMethod, args, &ran); err != nil {
 		s.loads.Failed(host, id, steady.Now())
 		return statement.Answer{}, err
 	}
