A replica that lags is asked for positions that it has, and not in vain for others

Ruled out: too new anchors (positions asked for cover the route's age). Change: the position of a target's last answer is kept as a hint; a target lags only for later positions; while a leader is known those that lag are left out.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -36,9 +36,10 @@
 	info    catalog.Member
 	pool    *share.Pool
 	lag     lag
-	failing time.Time // until then
-	silent  int       // looks without an answer in a row
-	lost    bool      // the last dial failed
+	applied topology.Position // as its last answers say; a hint, as targets are rebuilt
+	failing time.Time         // until then
+	silent  int               // looks without an answer in a row
+	lost    bool              // the last dial failed
 	mute    statement.Mute
 	took    time.Duration
 }
@@ -175,22 +176,28 @@
 	}
 }
 
-// NoteLagging notes that the target lacked a position.
-func (g *Group) NoteLagging(id topology.TargetID) {
+// NoteLagging notes that the target refused a read for lack of its position.
+func (g *Group) NoteLagging(id topology.TargetID, a *statement.Answer) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if m := g.members[id]; m != nil {
 		m.lag.lagged(steady.Now())
+		if a.HasPosition {
+			m.applied = a.Position
+		}
 	}
 }
 
-// NoteServed notes a read that the target answered, and how long it took.
-func (g *Group) NoteServed(id topology.TargetID, took time.Duration) {
+// NoteServed notes a statement that the target answered, and how long it took.
+func (g *Group) NoteServed(id topology.TargetID, took time.Duration, a *statement.Answer) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if m := g.members[id]; m != nil {
 		m.took += (took - m.took) / tookWeight
 		m.lag.caughtUp()
+		if a.HasPosition {
+			m.applied = topology.Later(m.applied, a.Position)
+		}
 	}
 }
 
@@ -218,8 +225,9 @@
 	Pool *share.Pool
 }
 
-// Readers returns the targets that may serve a read, best first.
-func (g *Group) Readers() []Choice {
+// Readers returns the targets that may serve a read which needs a position, best
+// first. One that refused a read lately lags, unless it had this position.
+func (g *Group) Readers(after topology.Position) []Choice {
 	now := steady.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -232,7 +240,7 @@
 			Near:    m.info.Target.Domain == g.opts.Domain,
 			Leaving: m.info.Target.Leaving,
 			Failing: now.Before(m.failing),
-			Lagging: now.Before(m.lag.until),
+			Lagging: now.Before(m.lag.until) && !m.applied.AtLeast(after),
 			Open:    load.Open,
 			Idle:    load.Idle,
 			Waiting: load.Waiting,
--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -125,3 +125,32 @@
 	qt.Check(t, over, qt.IsTrue)
 	qt.Check(t, a.Code, qt.Equals, statement.Busy)
 }
+
+// A replica that refused a read for lack of its position isn't asked for that
+// one again at once; reads of positions that it has go on there.
+func TestAReplicaThatLagsIsAskedForWhatItHas(t *testing.T) {
+	f := newFixture(t, catalog.OwnWrites)
+	f.replica.end = topology.Position{Term: 1, Offset: 5}
+	f.floor = topology.Position{Term: 1, Offset: 9}
+	qt.Assert(t, f.serveText(read("a")).OK(), qt.IsTrue)
+	lagging := func(after uint64) bool {
+		for _, c := range f.group.Readers(topology.Position{Term: 1, Offset: after}) {
+			if c.ID == "r" {
+				return c.Lagging
+			}
+		}
+		return false
+	}
+	f.group.NoteLagging("r", &statement.Answer{Code: statement.Lagging, Position: f.replica.end, HasPosition: true})
+	qt.Check(t, lagging(9), qt.IsTrue)
+	qt.Check(t, lagging(5), qt.IsFalse)
+	qt.Check(t, withoutLagging(f.group.Readers(topology.Position{Term: 1, Offset: 9})), qt.HasLen, 1)
+}
+
+// Without a leader, replicas that lag are all that is left.
+func TestReplicasThatLagAreTriedWithoutALeader(t *testing.T) {
+	lagging := group.Choice{Candidate: group.Candidate{ID: "r", Lagging: true}}
+	leader := group.Choice{Candidate: group.Candidate{ID: "p", Leads: true}}
+	qt.Check(t, withoutLagging([]group.Choice{lagging}), qt.HasLen, 1)
+	qt.Check(t, withoutLagging([]group.Choice{leader, lagging}), qt.DeepEquals, []group.Choice{leader})
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -147,7 +147,7 @@
 	f.session.database = "db"
 	_, _, ok := f.group.WaitLeader(context.Background(), time.Now().Add(5*time.Second))
 	qt.Assert(t, ok, qt.IsTrue)
-	for end := time.Now().Add(5 * time.Second); len(f.group.Readers()) < 2; {
+	for end := time.Now().Add(5 * time.Second); len(f.group.Readers(topology.Position{})) < 2; {
 		qt.Assert(t, time.Now().Before(end), qt.IsTrue)
 		<-time.After(time.Millisecond)
 	}
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -109,7 +109,7 @@
 // tryReaders reads at the targets that may have the position, best first. The
 // leader has it, so that it ends the list.
 func (r *request) tryReaders(ctx context.Context, after topology.Position) (statement.Answer, bool) {
-	readers := r.group.Readers()
+	readers := withoutLagging(r.group.Readers(after))
 	for _, c := range readers {
 		if r.skip[c.ID] {
 			continue
@@ -142,6 +142,15 @@
 	return r.tryLeader(ctx, guarded)
 }
 
+// withoutLagging leaves out the targets that lag, if there is a leader, which has
+// every position: a refusal would cost a round trip and help nobody.
+func withoutLagging(readers []group.Choice) []group.Choice {
+	if !slices.ContainsFunc(readers, func(c group.Choice) bool { return c.Leads }) {
+		return readers
+	}
+	return slices.DeleteFunc(readers, func(c group.Choice) bool { return c.Lagging })
+}
+
 // leaderAlone tells whether of the targets that may serve a read only the leader
 // is left: other hosts would find the others behind as well.
 func (r *request) leaderAlone(readers []group.Choice) bool {
@@ -164,7 +173,7 @@
 	}
 	switch answer.Code {
 	case statement.Lagging:
-		r.group.NoteLagging(id)
+		r.group.NoteLagging(id, &answer)
 		r.skipTarget(id)
 	case statement.Busy: // the target's own word: its queue is full
 		if !again {
@@ -302,7 +311,7 @@
 	answer := answers[main]
 	answer.State = statement.Idle
 	if answer.OK() {
-		r.group.NoteServed(id, steady.Now().Sub(sent))
+		r.group.NoteServed(id, steady.Now().Sub(sent), &answer)
 		r.note(id, "ok")
 		return answer, false
 	}
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -170,7 +170,7 @@
 	r.note(t.target, a.Code.String())
 	if a.OK() {
 		t.wrote = t.wrote || r.writes
-		t.group.NoteServed(t.target, steady.Now().Sub(started))
+		t.group.NoteServed(t.target, steady.Now().Sub(started), &a)
 	}
 	if a.State != statement.InTransaction {
 		if a.Code == statement.ReadOnly {
@@ -208,7 +208,7 @@
 
 // beginReading begins at the first idle target that has the position.
 func (r *request) beginReading(after topology.Position) bool {
-	for _, c := range r.group.Readers() {
+	for _, c := range withoutLagging(r.group.Readers(after)) {
 		if r.skip[c.ID] || c.Failing {
 			continue
 		}
@@ -248,7 +248,7 @@
 		r.note(id, a.Code.String())
 		pool.Release(conn, a.State == statement.Idle)
 		if a.Code == statement.Lagging {
-			r.group.NoteLagging(id)
+			r.group.NoteLagging(id, &a)
 			r.skipTarget(id)
 		}
 		return false
