--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -46,6 +46,7 @@
 	down    map[*line.Host]bool // killed or frozen
 	touched map[any]bool        // links with a fault, and targets that leave
 	version int                 // of the configuration
+	crashed *line.Member        // nil: none yet
 }
 
 func newFaults(bed *line.Bed, seed uint64, version int, log func(string, ...any)) *faults {
@@ -86,7 +87,7 @@
 }
 
 func (f *faults) beginOne() {
-	kinds := []func() *fault{f.kill, f.freeze, f.stop, f.reload, f.storeFault, f.storeLink, f.targetLink, f.targetLink, f.lag, f.leave, f.configure}
+	kinds := []func() *fault{f.kill, f.freeze, f.stop, f.reload, f.storeFault, f.storeLink, f.targetLink, f.targetLink, f.lag, f.leave, f.configure, f.crash}
 	chosen := kinds[f.draw.IntN(len(kinds))]()
 	lasts := f.between(leastFor, greatestFor)
 	if chosen == nil {
@@ -201,8 +202,33 @@
 
 func (f *faults) storeLink() *fault { return f.linkFault("store", f.bed.StoreLink) }
 
-func (f *faults) targetLink() *fault {
+// target draws a target that runs, nil if it drew the crashed one.
+func (f *faults) target() *line.Member {
 	m := f.bed.Members[f.draw.IntN(len(f.bed.Members))]
+	if m == f.crashed {
+		return nil
+	}
+	return m
+}
+
+// crash ends a target for good, once: two are left, which a commit needs.
+func (f *faults) crash() *fault {
+	i := f.draw.IntN(len(f.bed.Members))
+	if f.crashed != nil || f.touched[f.bed.Members[i].Link] {
+		return nil
+	}
+	return &fault{"crash of " + string(f.bed.Members[i].ID), func() func() {
+		f.crashed = f.bed.Members[i]
+		f.bed.Crash(i)
+		return nil
+	}}
+}
+
+func (f *faults) targetLink() *fault {
+	m := f.target()
+	if m == nil {
+		return nil
+	}
 	return f.linkFault(string(m.ID), m.Link)
 }
 
@@ -243,8 +269,10 @@
 }
 
 func (f *faults) lag() *fault {
-	m := f.bed.Members[f.draw.IntN(len(f.bed.Members))]
-	lag := f.between(0, lagMost)
+	m, lag := f.target(), f.between(0, lagMost)
+	if m == nil {
+		return nil
+	}
 	return &fault{"lag of " + string(m.ID), func() func() {
 		m.Server.SetApplyLag(lag)
 		return func() { m.Server.SetApplyLag(0) }
@@ -253,8 +281,8 @@
 
 // leave announces that a target leaves, and takes it back.
 func (f *faults) leave() *fault {
-	m := f.bed.Members[f.draw.IntN(len(f.bed.Members))]
-	if f.touched["leaving"] {
+	m := f.target()
+	if m == nil || f.touched["leaving"] {
 		return nil
 	}
 	return &fault{"leaving of " + string(m.ID), func() func() {
