--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -71,9 +71,10 @@
 // another host: some round trips and the work.
 const leastForward = 20 * time.Millisecond
 
-// connectWithin is how long a statement waits for a connection to another host
-// while it may be sent to yet another: several round trips between failure
-// domains. A host that is cut off let each statement wait for 500 ms.
+// connectWithin is how long a statement waits for a connection to another host:
+// several round trips between failure domains. It may be sent to yet another one
+// then; one of a transaction that is kept elsewhere may not, but a host that
+// can't be reached again by then is most likely cut off. It was 500 ms before.
 const connectWithin = 100 * time.Millisecond
 
 // pickPeer returns the next host to send the statement to, and whether it is to
