A host that was cut off asks the others again before it changes a primary

Cause: a host that is cut off from a healthy primary and a majority asks the others, hears nothing, and waits in its turn for a majority of targets. When the cut heals, the replicas' answers may come some milliseconds before the primary's; it then fenced and replaced a healthy primary by opinions from during the cut.

Ruled out: the test's own look; the one seed of TestHostWithoutMajorityLeavesTermsAlone, which only happens to heal well.

Change: an attempt notes that the host reached no majority when it asked or when its turn came; once it reaches one, it asks again.

--- a/internal/failover/attempt.go
+++ b/internal/failover/attempt.go
@@ -13,6 +13,7 @@
 	number    uint64
 	startedAt time.Time
 	actAt     time.Time // end of waiting
+	cutOff    bool      // this host reached no majority when it asked or when its turn had come
 	term      uint64
 	answers   map[topology.TargetID]target.Status // of the fences
 	ordered   map[topology.TargetID]bool          // fences given
@@ -29,6 +30,7 @@
 	m.attempt = attempt{
 		number:    m.attempts,
 		startedAt: now,
+		cutOff:    !m.reachesMajority(now),
 		answers:   map[topology.TargetID]target.Status{},
 		ordered:   map[topology.TargetID]bool{},
 		refused:   map[topology.TargetID]bool{},
@@ -74,7 +76,8 @@
 }
 
 // advanceWaiting acts when this host's turn has come, if the reason still holds
-// and a majority can be fenced.
+// and a majority can be fenced. A host that was cut off until then asks the
+// others again: its reason and their opinions are from before.
 func (m *Machine) advanceWaiting(now time.Time) {
 	reason := m.assess(now)
 	if reason == ReasonNone {
@@ -89,11 +92,16 @@
 		return
 	}
 	if !m.reachesMajoritySince(m.attempt.startedAt.Add(-m.times.SuspectAfter)) {
+		m.attempt.cutOff = true
 		if now.Sub(m.since) >= m.times.OrderTimeout {
 			m.backOff(now, "this host reaches no majority of the targets")
 		}
 		return
 	}
+	if m.attempt.cutOff {
+		m.startAsking(now, reason)
+		return
+	}
 	m.attempt.term = m.highest + 1
 	m.highest = m.attempt.term
 	if m.reason == ReasonLeaving {
--- a/internal/failover/machine_test.go
+++ b/internal/failover/machine_test.go
@@ -153,6 +153,22 @@
 	qt.Assert(t, s.broken, qt.IsNil)
 }
 
+// Whichever answer comes first after a cut, the host asks the others again
+// before it changes anything: what it judged the primary by is old.
+func TestAHealedHostChangesNothing(t *testing.T) {
+	for seed := range uint64(200) {
+		s := newSimulation(seed, 3, 3)
+		s.run(time.Second)
+		for _, id := range []string{"t0", "t1", "h1", "h2"} {
+			s.cut["h0>"+id], s.cut[id+">h0"] = true, true
+		}
+		s.run(2*time.Second + time.Duration(seed)*17*time.Millisecond)
+		clear(s.cut)
+		s.run(3 * time.Second)
+		qt.Assert(t, s.calls, qt.Equals, 0, qt.Commentf("seed %d", seed))
+	}
+}
+
 func TestOldPrimaryFollowsAfterItsReturn(t *testing.T) {
 	s := newSimulation(2, 3, 3)
 	s.run(time.Second)
