A group's duty is held outside the failure domain of its primary

Change: hosts in the primary's domain rank last for a duty; a holder that finds itself beside the primary hands the duty over, in calm only: 8 s after it took it, never within 30 s of its last order, and not while cut off. The first register often comes after the first claim, so that most moves happen before callers come.

--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -72,8 +72,8 @@
 		Catalog: h.catalog, Caller: h.peers, Offers: h.offers, Heard: h.heardOffers, Log: log.WithName("gossip"),
 	})
 	h.duty = duty.New(duty.Options{
-		Self: self, Name: string(s.Host), Boot: boot, Store: h.store, Hosts: h.gossip,
-		Log: log.WithName("duty"), Changed: h.gossip.Kick,
+		Self: self, Name: string(s.Host), Boot: boot, Domain: s.Domain, Store: h.store, Hosts: h.gossip,
+		PrimaryDomain: h.primaryDomain, Log: log.WithName("duty"), Changed: h.gossip.Kick,
 	})
 	h.gossip.SetClaims(h.duty)
 	h.groups = group.NewSet(group.SetOptions{
--- a/cmd/nettlewalk/fleetstore.go
+++ b/cmd/nettlewalk/fleetstore.go
@@ -117,3 +117,12 @@
 		})
 	}
 }
+
+// primaryDomain returns the failure domain of a group's primary, "" if it isn't known.
+func (h *fleetHost) primaryDomain(id topology.GroupID) topology.Domain {
+	var last topology.TargetID
+	if g := h.groups.Group(id); g != nil {
+		last, _ = g.LastLeader()
+	}
+	return h.catalog.PrimaryDomain(id, last)
+}
--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -182,3 +182,23 @@
 	}
 	return members, vanishedFor
 }
+
+// PrimaryDomain returns the failure domain of a group's primary: of the target
+// that was proved to lead last, if it is registered, else of one that registered
+// as the primary. It is "" if there is none.
+func (s *Store) PrimaryDomain(id topology.GroupID, last topology.TargetID) topology.Domain {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.register == nil {
+		return ""
+	}
+	if m, ok := s.register.Members[last]; ok {
+		return m.Target.Domain
+	}
+	for _, m := range s.register.Members {
+		if m.Target.Group == id && m.Primary {
+			return m.Target.Domain
+		}
+	}
+	return ""
+}
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -10,7 +10,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
-	"nettlewalk.example/nettlewalk/internal/failover"
 	"nettlewalk.example/nettlewalk/internal/platform"
 	"nettlewalk.example/nettlewalk/internal/result"
 	"nettlewalk.example/nettlewalk/internal/steady"
@@ -36,7 +35,7 @@
 	// nothing ever was.
 	HeardAgo(topology.HostID) (time.Duration, bool)
 	// Live returns the hosts that take part, this one included.
-	Live() []topology.HostID
+	Live() []topology.Host
 	// Connected tells whether hosts of most failure domains answered lately.
 	Connected() bool
 }
@@ -48,7 +47,12 @@
 	Boot  uint64
 	Store Store
 	Hosts Hosts
-	Log   logr.Logger
+	// Domain is this host's failure domain.
+	Domain topology.Domain
+	// PrimaryDomain returns the failure domain of a group's primary, "" if it
+	// isn't known.
+	PrimaryDomain func(topology.GroupID) topology.Domain
+	Log           logr.Logger
 	// Changed is told when a claim became known.
 	Changed func()
 }
@@ -65,6 +69,8 @@
 	next   map[topology.GroupID]time.Time // no take before
 	// pending is until when an order of the holder before may take effect.
 	pending map[topology.GroupID]time.Time
+	held    map[topology.GroupID]time.Time // since when this host holds it
+	ordered map[topology.GroupID]time.Time // when this host gave its last order
 }
 
 // New returns a keeper that knows of no claim.
@@ -76,6 +82,8 @@
 		free:    map[topology.GroupID]time.Time{},
 		next:    map[topology.GroupID]time.Time{},
 		pending: map[topology.GroupID]time.Time{},
+		held:    map[topology.GroupID]time.Time{},
+		ordered: map[topology.GroupID]time.Time{},
 	}
 }
 
@@ -95,6 +103,9 @@
 	old := k.claims[c.Group]
 	newer := c.Token > old.Token || (c.Token == old.Token && c.Released && !old.Released)
 	if newer {
+		if k.isMine(c) && !k.isMine(old) {
+			k.held[c.Group] = steady.Now()
+		}
 		k.claims[c.Group] = c
 		delete(k.free, c.Group)
 	}
@@ -142,6 +153,13 @@
 	return c.Token, k.isMine(c)
 }
 
+// Ordered notes that this host gives an order for the group.
+func (k *Keeper) Ordered(id topology.GroupID) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.ordered[id] = steady.Now()
+}
+
 // PendingUntil returns until when an order of the holder before this host may
 // still take effect.
 func (k *Keeper) PendingUntil(id topology.GroupID) time.Time {
@@ -187,6 +205,9 @@
 		for _, known := range k.due(steady.Now()) {
 			k.take(ctx, known)
 		}
+		for _, held := range k.misplaced(steady.Now()) {
+			k.handOver(ctx, held)
+		}
 	}
 }
 
@@ -234,9 +255,9 @@
 }
 
 // situation needs k.mu.
-func (k *Keeper) situation(id topology.GroupID, live []topology.HostID, now time.Time) situation {
+func (k *Keeper) situation(id topology.GroupID, live []topology.Host, now time.Time) situation {
 	c := k.claims[id]
-	s := situation{self: k.opts.Self, boot: k.opts.Boot, claim: c, rank: failover.Rank(id, k.opts.Self, live)}
+	s := situation{self: k.opts.Self, boot: k.opts.Boot, claim: c, rank: rank(id, k.opts.Self, live, k.opts.PrimaryDomain(id))}
 	heard, ok := k.opts.Hosts.HeardAgo(c.Holder)
 	if !ok {
 		heard = now.Sub(k.begun)
@@ -251,6 +272,41 @@
 	return s
 }
 
+// misplaced lists the claims of this host that it should give up, since it is in
+// the failure domain of the group's primary.
+func (k *Keeper) misplaced(now time.Time) []Claim {
+	live, connected := k.opts.Hosts.Live(), k.opts.Hosts.Connected()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var list []Claim
+	for _, id := range k.groups {
+		if !k.isMine(k.claims[id]) || now.Before(k.next[id]) {
+			continue
+		}
+		domain := k.opts.PrimaryDomain(id)
+		apart, _ := split(live, domain)
+		t := tenure{beside: domain == k.opts.Domain, apart: len(apart), connected: connected, heldFor: now.Sub(k.held[id])}
+		if at, ok := k.ordered[id]; ok {
+			t.ordered, t.orderAgo = true, now.Sub(at)
+		}
+		if handsOver(t) {
+			k.next[id] = now.Add(handOverAfter) // leaves others time to take it
+			list = append(list, k.claims[id])
+		}
+	}
+	return list
+}
+
+// handOver gives a duty up for a host elsewhere to take.
+func (k *Keeper) handOver(ctx context.Context, c Claim) {
+	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
+	defer cancel()
+	k.opts.Log.Info("duty handed over", "group", c.Group, "token", c.Token, "reason", "the primary is in this host's failure domain", "domain", k.opts.Domain)
+	if err := k.release(ctx, c); err != nil {
+		k.opts.Log.Info("duty not released", "group", c.Group, "error", err.Error())
+	}
+}
+
 // take tries to become the holder. Only what the store is seen to hold counts.
 func (k *Keeper) take(ctx context.Context, known Claim) {
 	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
--- a/internal/duty/keeper_test.go
+++ b/internal/duty/keeper_test.go
@@ -69,11 +69,12 @@
 }
 
 func (h *fakeHosts) HeardAgo(topology.HostID) (time.Duration, bool) { return h.heard, true }
-func (h *fakeHosts) Live() []topology.HostID                        { return []topology.HostID{"a"} }
+func (h *fakeHosts) Live() []topology.Host                          { return []topology.Host{{ID: "a", Domain: "north"}} }
 func (h *fakeHosts) Connected() bool                                { return h.connected }
 
 func newKeeper(s *fakeStore, h *fakeHosts) *Keeper {
-	return New(Options{Self: "a", Name: "host-a", Boot: 1, Store: s, Hosts: h, Log: logr.Discard(), Changed: func() {}})
+	return New(Options{Self: "a", Name: "host-a", Boot: 1, Store: s, Hosts: h, Log: logr.Discard(), Changed: func() {},
+		Domain: "north", PrimaryDomain: func(topology.GroupID) topology.Domain { return "" }})
 }
 
 func TestRenewAfterALostAnswer(t *testing.T) {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -63,11 +63,19 @@
 	}
 }
 
+func liveIDs(g *Gossip) []topology.HostID {
+	var ids []topology.HostID
+	for _, h := range g.Live() {
+		ids = append(ids, h.ID)
+	}
+	return ids
+}
+
 func TestHostsFindEachOtherThroughASeed(t *testing.T) {
 	n := newNetwork("north", "south", "coast", "coast")
 	n.round()
 	for id, g := range n.hosts {
-		qt.Check(t, g.Live(), qt.DeepEquals, []topology.HostID{"a", "b", "c", "d"}, qt.Commentf("%s", id))
+		qt.Check(t, liveIDs(g), qt.DeepEquals, []topology.HostID{"a", "b", "c", "d"}, qt.Commentf("%s", id))
 	}
 }
 
@@ -126,7 +134,7 @@
 	qt.Check(t, n.hosts["a"].Sharers().Hosts, qt.HasLen, 2)
 	n.hosts["b"].Leave()
 	n.round()
-	qt.Check(t, n.hosts["a"].Live(), qt.DeepEquals, []topology.HostID{"a"})
+	qt.Check(t, liveIDs(n.hosts["a"]), qt.DeepEquals, []topology.HostID{"a"})
 	qt.Check(t, n.hosts["a"].Reachable(), qt.IsFalse)
 	qt.Check(t, n.hosts["a"].Sharers().Hosts, qt.HasLen, 1)
 }
--- a/internal/gossip/hosts.go
+++ b/internal/gossip/hosts.go
@@ -46,18 +46,23 @@
 }
 
 // Live implements duty.Hosts: the hosts heard of lately, this one included.
-func (g *Gossip) Live() []topology.HostID {
+func (g *Gossip) Live() []topology.Host {
 	now := steady.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	live := []topology.HostID{g.self.Addr}
+	return g.listLive(now)
+}
+
+// listLive needs g.mu.
+func (g *Gossip) listLive(now time.Time) []topology.Host {
+	list := []topology.Host{{ID: g.self.Addr, Domain: g.self.Domain, State: topology.HostLive}}
 	for id, k := range g.hosts {
 		if k.live(now) {
-			live = append(live, id)
+			list = append(list, topology.Host{ID: id, Domain: k.host.Domain, State: topology.HostLive})
 		}
 	}
-	slices.Sort(live)
-	return live
+	slices.SortFunc(list, func(a, b topology.Host) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return list
 }
 
 // Settled tells whether this host may take its share of the targets'
@@ -121,13 +126,7 @@
 
 // renewSharers needs g.mu.
 func (g *Gossip) renewSharers(now time.Time) {
-	list := []topology.Host{{ID: g.self.Addr, Domain: g.self.Domain, State: topology.HostLive}}
-	for id, k := range g.hosts {
-		if k.live(now) {
-			list = append(list, topology.Host{ID: id, Domain: k.host.Domain, State: topology.HostLive})
-		}
-	}
-	slices.SortFunc(list, func(a, b topology.Host) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	list := g.listLive(now)
 	if !slices.Equal(list, g.sharers.Hosts) {
 		g.sharers = Sharers{Hosts: list, Version: g.sharers.Version + 1}
 	}
--- a/internal/promotion/order.go
+++ b/internal/promotion/order.go
@@ -26,6 +26,7 @@
 		return
 	}
 	w.ordered = target
+	w.opts.Duty.Ordered(w.opts.Group)
 	reply := w.opts.Promoter.Promote(ctx, Order{Group: w.opts.Group, Target: target, Holder: w.opts.Name, Token: token})
 	values := []any{"group", w.opts.Group, "target", target, "token", token, "since_ms", steady.Now().Sub(w.started).Milliseconds()}
 	if reply.Err != nil {
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -38,6 +38,8 @@
 type Duty interface {
 	Token(topology.GroupID) (token uint64, mine bool)
 	Renew(ctx context.Context, id topology.GroupID) error
+	// Ordered is told of each order before it is given.
+	Ordered(topology.GroupID)
 	// PendingUntil returns until when an order of the holder before may still
 	// take effect.
 	PendingUntil(topology.GroupID) time.Time
