Promotion: after its pauses the order follows without another look at the leader

Ruled out: fewer looks before a silent leader is given up; one lost answer would replace a primary.

Change: an attempt goes on from its pauses to the order in one look at the leader. What Next decides by doesn't depend on whether the leader lives.

TestASilentPrimaryIsWaitedForTwiceOnly: three dials of the silent primary before, two after.

--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -179,8 +179,26 @@
 	return w.attempt(ctx, serves)
 }
 
-// attempt takes the next step to replace the leader.
+// stepsAtOnce bounds the steps of one look at the leader: pauses, then the order,
+// and one more for a replica that came back meanwhile.
+const stepsAtOnce = 3
+
+// attempt takes the next step to replace the leader, and after pauses the one
+// after that: whether they suffice doesn't depend on the leader, and another look
+// at a silent one would take as long as a proof may.
 func (w *Watcher) attempt(ctx context.Context, serves bool) time.Duration {
+	for range stepsAtOnce {
+		step := w.step(ctx, serves)
+		w.perform(ctx, step)
+		if _, paused := step.(Pause); !paused {
+			break
+		}
+	}
+	return busyInterval
+}
+
+// step looks at the others and decides.
+func (w *Watcher) step(ctx context.Context, serves bool) Step {
 	view := w.look(ctx)
 	view.Replace, view.LeaderServes = true, serves
 	step := Next(view)
@@ -191,8 +209,7 @@
 		step = Hold{Reason: "an earlier holder's order may be under way"}
 	}
 	w.logStep(step, &view)
-	w.perform(ctx, step)
-	return busyInterval
+	return step
 }
 
 func isPromote(s Step) bool {
