Promotion: a refused connection is no end of a replica's log

Change: an end counts only once the register shows it: at once for a leaving target, after 4 s for another one, whose entry a cut may have expired. It is void when the target is registered again. Whoever answers at a replica's address and isn't registered may have its log, so that it counts as unsure.

--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -202,3 +202,18 @@
 	}
 	return ""
 }
+
+// Occupant returns the target that is registered at an address.
+func (s *Store) Occupant(addr string) (topology.TargetID, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.register == nil {
+		return "", false
+	}
+	for id, m := range s.register.Members {
+		if m.Target.Addr == addr {
+			return id, true
+		}
+	}
+	return "", false
+}
--- a/internal/promotion/judge.go
+++ b/internal/promotion/judge.go
@@ -47,7 +47,7 @@
 		return false, ""
 	case e == nil:
 		return w.leader != "" || w.nobodyLeads(), "no target leads"
-	case reach == Dead || reach == Gone:
+	case reach == Dead || reach == Gone || reach == Replaced:
 		return true, "leader is dead"
 	case reach == Silent && e.silent >= silentLooks:
 		return true, "leader is silent"
--- a/internal/promotion/look.go
+++ b/internal/promotion/look.go
@@ -20,13 +20,16 @@
 		known[m.Target.ID] = true
 		e := w.probers[m.Target.ID]
 		if e != nil && e.target.Addr == m.Target.Addr {
-			e.target, e.vanished = m.Target, vanished[m.Target.ID]
-			continue
-		}
-		if e != nil {
-			e.drop()
+			e.target = m.Target
+		} else {
+			if e != nil {
+				e.drop()
+			}
+			e = &prober{target: m.Target, dialer: w.opts.Dialer, parse: w.opts.Parse}
+			w.probers[m.Target.ID] = e
 		}
-		w.probers[m.Target.ID] = &prober{target: m.Target, dialer: w.opts.Dialer, parse: w.opts.Parse}
+		occupant, taken := w.opts.Catalog.Occupant(m.Target.Addr)
+		e.vanished, e.replaced = vanished[m.Target.ID], taken && occupant != m.Target.ID
 	}
 	for id, e := range w.probers {
 		if !known[id] {
--- a/internal/promotion/next_test.go
+++ b/internal/promotion/next_test.go
@@ -232,3 +232,13 @@
 		t.Fatalf("%s has %d, acknowledged are %d", target, candidate.received, m.acked)
 	}
 }
+
+// The target that answers at a replica's address may have its log, and goes on
+// acknowledging, while the register doesn't know it yet.
+func TestNextHoldsForASuccessorThatNobodyKnows(t *testing.T) {
+	v := View{AckReplicas: 1, Leader: "p", Replace: true, Members: []Member{replica("a", at(1, 7), 0), {ID: "b", Reach: Replaced}}}
+	_, held := Next(v).(Hold)
+	qt.Check(t, held, qt.IsTrue)
+	v.Members[1].Reach = Gone // it is known, and a member of its own if it has the log
+	qt.Check(t, Next(v), qt.DeepEquals, Step(Promote{Target: "a"}))
+}
--- a/internal/promotion/prober.go
+++ b/internal/promotion/prober.go
@@ -20,7 +20,8 @@
 	lookDialTimeout = 200 * time.Millisecond
 	// goneAfter is how long a target must have vanished from the register for
 	// its silence to count as its death: one that lives and reaches the store
-	// is registered again within two seconds.
+	// is registered again within two seconds. With the time until it vanishes,
+	// three of its reports, that is longer than a usual cut.
 	goneAfter = 4 * time.Second
 	// recheckGone is the time between looks at a target that counts as dead
 	// after its silence. Each waits for the dial to time out.
@@ -37,13 +38,14 @@
 	parse  statement.StatusParser
 	conn   statement.Conn
 
-	deadSince  time.Time // when nobody was first found listening, zero while it lives
+	deadSince  time.Time // when it was first known to have ended, zero while it may live
 	logSince   topology.Position
 	doubtUntil time.Time // an order to resume may be carried out until then
 	mute       statement.Mute
 	silent     int           // looks without an answer in a row
 	vanished   time.Duration // since it was last registered, 0: it is
 	recheck    time.Time     // a silent one that vanished isn't dialed before
+	replaced   bool          // another target is registered at its address
 }
 
 // dial opens the connection if need be. ok is false if the target didn't take
@@ -70,28 +72,48 @@
 	if !errors.As(err, &failure) {
 		return Silent, false
 	}
+	ended := hasEnded(failure.Outcome, e.target.Leaving, e.vanished)
+	e.noteDeath(ended, now)
 	switch {
 	case failure.Outcome == statement.DialRefused:
-		e.dies(now)
 		return Dead, false
-	case failure.Outcome == statement.DialSilent && e.vanished > goneAfter:
-		e.dies(now)
+	case ended:
 		e.recheck = now.Add(recheckGone)
 		return Dead, false
 	case failure.Outcome == statement.DialSilent:
 		return Silent, false
 	case !serves:
 		return Silent, false
-	case failure.Code == statement.Misrouted:
+	case failure.Code == statement.Misrouted && e.replaced:
 		return Gone, false
+	case failure.Code == statement.Misrouted:
+		return Replaced, false
 	}
 	e.lives()
 	return Overloaded, false
 }
 
-// dies notes the first sign of its death.
-func (e *prober) dies(now time.Time) {
-	if e.deadSince.IsZero() {
+// hasEnded tells whether a target that didn't take a connection receives nothing
+// any more. To be refused is not enough: a cut may refuse, and a leaving target
+// stops listening before it ends and counts for acknowledgements until then. The
+// end of a leaving one shows in the register at once, that of another one late.
+func hasEnded(dial statement.DialOutcome, leaving bool, vanished time.Duration) bool {
+	switch dial {
+	case statement.DialRefused:
+		return vanished > goneAfter || leaving && vanished > 0
+	case statement.DialSilent:
+		return vanished > goneAfter
+	}
+	return false
+}
+
+// noteDeath notes since when the target is known to have ended. What was
+// concluded from an end is void if it hasn't.
+func (e *prober) noteDeath(ended bool, now time.Time) {
+	switch {
+	case !ended:
+		e.deadSince, e.logSince = time.Time{}, topology.Position{}
+	case e.deadSince.IsZero():
 		e.deadSince = now
 	}
 }
--- a/internal/promotion/types.go
+++ b/internal/promotion/types.go
@@ -44,10 +44,11 @@
 const (
 	Unseen     Reach = iota // not looked at yet
 	Answered                // Status is of this look
-	Dead                    // nobody listens at its address
+	Dead                    // nobody listens at its address; only with LogSince it has surely ended
 	Silent                  // no answer; it may work for others
 	Overloaded              // it lives, but had no connection or work slot to spare
-	Gone                    // another target has its address
+	Gone                    // the target that is registered at its address now answers there
+	Replaced                // a target that nobody knows answers there; it may have the log of this one
 )
 
 // Member is a target of the group as the latest look saw it.
