Fewer calls to the store, and a patience that leaves time for the answer

Change: that there is none is news; a host that starts asks others first, the seeds read; the first three readers are of different domains; how old a read may grow follows from the settings' bounds; a read is one attempt, and failed ones pause for longer each time; a duty of which nobody has told is taken after 0.8 s.

Change: the patience is the goal less what the target usually takes, at least a quarter of the goal.

--- a/cmd/nettlewalk/fleetstore.go
+++ b/cmd/nettlewalk/fleetstore.go
@@ -27,27 +27,24 @@
 		Name: platform.NameConfiguration, Decode: platform.DecodeConfiguration, Store: h.catalog, Log: log,
 	}
 	go h.watch(ctx, platform.KindConfiguration, configurations)
-	go configurations.Poll(ctx, h.store, platform.KindConfiguration, h.gossip.Rank)
+	go configurations.Poll(ctx, h.store, platform.KindConfiguration, catalog.ConfigurationSchedule(h.settings.ApplyWithin), h.gossip.Rank)
 	register := &catalog.RegisterFeed{Decode: platform.DecodeMember, Store: h.catalog, Log: log}
 	go h.watch(ctx, platform.KindTargets, register)
-	go register.Poll(ctx, h.store, platform.KindTargets, h.gossip.Rank)
+	go register.Poll(ctx, h.store, platform.KindTargets, catalog.RegisterSchedule(h.settings.DrainWithin), h.gossip.Rank)
 }
 
-const (
-	// watchers is how many of the hosts in contact watch the store. The others
-	// hear of news from them within milliseconds.
-	watchers  = 3
-	watchTick = 500 * time.Millisecond // between looks whether this host is to watch
-)
+// watchTick is the time between looks whether this host is to watch.
+const watchTick = 500 * time.Millisecond
 
-// watch watches a kind while this host is one of the watchers, which it is
-// alone when it is in contact with nobody.
+// watch watches a kind while this host is one of the first that read the store,
+// which it is alone when it is in contact with nobody. The others hear of news
+// from them within milliseconds.
 func (h *fleetHost) watch(ctx context.Context, kind string, sink storeclient.Sink) {
 	ticker := time.NewTicker(watchTick)
 	defer ticker.Stop()
 	stop := func() {}
 	for watching := false; ; {
-		if wanted := h.gossip.Rank() < watchers; wanted != watching {
+		if wanted := h.gossip.Rank() < catalog.Readers; wanted != watching {
 			watching = wanted
 			stop()
 			stop = func() {}
--- a/internal/catalog/poll.go
+++ b/internal/catalog/poll.go
@@ -4,39 +4,21 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"nettlewalk.example/nettlewalk/internal/platform"
+	"nettlewalk.example/nettlewalk/internal/result"
 	"nettlewalk.example/nettlewalk/internal/steady"
 )
 
-// Reads tells when the store was last read, by this host or by one that told
-// it. Hosts read the store beside their watches, which may stop delivering events; together
-// they read it once in each period, and a host that hears of no other's reads
-// does so alone.
+// Reads tells when the store was last read, by this host or by one that told it.
 type Reads struct {
 	Configuration time.Time // when the request was sent, on the steady clock
 	Register      time.Time
 }
 
-const (
-	// configurationPeriod is how old the newest read of the configuration may
-	// grow. With gossip and the ranks it stays well below the three seconds
-	// that an accepted configuration has to be in force.
-	configurationPeriod = 1200 * time.Millisecond
-	// registerPeriod is the same for the register. A leaving target ends seven
-	// seconds after it said so.
-	registerPeriod = 3 * time.Second
-	// rankDelay keeps hosts from reading at once: the first does, and the
-	// others only if they don't hear of it within a round of gossip.
-	rankDelay = 350 * time.Millisecond
-	// lastRank bounds the delay of large fleets.
-	lastRank = 3
-	pollTick = 100 * time.Millisecond // between looks whether a read is due
-)
-
-// due tells whether a host of the rank should read what was last read at a time.
-func due(last time.Time, period time.Duration, rank int, now time.Time) bool {
-	return now.Sub(last) >= period+time.Duration(min(rank, lastRank))*rankDelay
-}
+// pollTick is the time between looks whether a read is due.
+const pollTick = 100 * time.Millisecond
 
 // NoteReads takes when another host read the store.
 func (s *Store) NoteReads(r Reads) {
@@ -71,46 +53,46 @@
 
 // Poll reads the configuration whenever it is due, until ctx ends. rank is this
 // host's place among those that read.
-func (f *ConfigurationFeed) Poll(ctx context.Context, r Reader, kind string, rank func() int) {
-	poll(ctx, func() {
-		sent := steady.Now()
-		if !due(f.Store.Reads().Configuration, configurationPeriod, rank(), sent) {
-			return
-		}
-		ctx, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
+func (f *ConfigurationFeed) Poll(ctx context.Context, r Reader, kind string, schedule Schedule, rank func() int) {
+	last := func() time.Time { return f.Store.Reads().Configuration }
+	poll(ctx, schedule, last, rank, func(ctx context.Context, sent time.Time) error {
 		o, err := r.Get(ctx, kind, f.Name)
-		if err != nil {
+		switch {
+		case err == nil:
+			f.take(o)
+		case !isNotFound(err): // that there is none yet is news, too
 			f.Log.V(1).Info("configuration not read", "error", err.Error())
-			return
+			return err
 		}
-		f.take(o)
 		f.Store.NoteReads(Reads{Configuration: sent})
+		return nil
 	})
 }
 
+func isNotFound(err error) bool {
+	var coded *result.Error
+	return errors.As(err, &coded) && coded.Code == result.NotFound
+}
+
 // Poll reads the whole register whenever it is due, until ctx ends. The watch
 // goes on from the newest revision.
-func (f *RegisterFeed) Poll(ctx context.Context, r Reader, kind string, rank func() int) {
-	poll(ctx, func() {
-		sent := steady.Now()
-		if !due(f.Store.Reads().Register, registerPeriod, rank(), sent) {
-			return
-		}
-		ctx, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
+func (f *RegisterFeed) Poll(ctx context.Context, r Reader, kind string, schedule Schedule, rank func() int) {
+	last := func() time.Time { return f.Store.Reads().Register }
+	poll(ctx, schedule, last, rank, func(ctx context.Context, sent time.Time) error {
 		list, err := r.List(ctx, kind)
 		if err != nil {
 			f.Log.V(1).Info("register not read", "error", err.Error())
-			return
+			return err
 		}
 		f.Reset(kind, list)
 		f.Store.NoteReads(Reads{Register: sent})
+		return nil
 	})
 }
 
-// poll looks at every tick until ctx ends.
-func poll(ctx context.Context, look func()) {
+// poll reads whenever that is due, one attempt each time, until ctx ends.
+func poll(ctx context.Context, schedule Schedule, last func() time.Time, rank func() int, read func(ctx context.Context, sent time.Time) error) {
+	state := reader{schedule: schedule, begun: steady.Now()}
 	ticker := time.NewTicker(pollTick)
 	defer ticker.Stop()
 	for {
@@ -118,7 +100,14 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			look()
 		}
+		sent := steady.Now()
+		if !state.due(last(), rank(), sent) {
+			continue
+		}
+		attempt, cancel := context.WithTimeout(platform.WithoutRetry(ctx), readTimeout)
+		err := read(attempt, sent)
+		cancel()
+		state.ended(err == nil, steady.Now())
 	}
 }
--- a/internal/duty/claim.go
+++ b/internal/duty/claim.go
@@ -30,6 +30,11 @@
 	// still take effect: it gives none after 800 ms without contact, and an
 	// order has its effect within 1.2 s.
 	orderPending = 2 * time.Second
+	// unknownFor is how long a host waits for others to tell it of a claim before
+	// it takes a duty of which it knows none: some rounds of gossip. When all
+	// hosts start at once, each knows only a few others at first and would take
+	// itself for the first of them.
+	unknownFor = 800 * time.Millisecond
 	// rankPause keeps hosts from racing for a duty: each rank waits so much
 	// longer. A write to the store takes some milliseconds.
 	rankPause = 300 * time.Millisecond
@@ -55,7 +60,9 @@
 	}
 	patience := time.Duration(s.rank) * rankPause
 	switch {
-	case s.claim.Token == 0, s.claim.Released:
+	case s.claim.Token == 0:
+		return s.waited >= unknownFor+patience
+	case s.claim.Released:
 		return s.waited >= patience
 	case s.claim.Holder == s.self: // an earlier process of this host held it
 		return true
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -20,6 +20,7 @@
 	tick        = 200 * time.Millisecond // between looks whether a duty is to be taken
 	takeTimeout = 1500 * time.Millisecond
 	retryTake   = 500 * time.Millisecond // after a take that failed
+	readers     = 3                      // hosts that read all claims when they start, one a failure domain
 )
 
 // Store is the part of the platform's client that claims need.
@@ -38,6 +39,8 @@
 	Live() []topology.Host
 	// Connected tells whether hosts of most failure domains answered lately.
 	Connected() bool
+	// Rank is this host's place for what a few hosts do for all, 0 first.
+	Rank() int
 }
 
 // Options configures a Keeper.
@@ -193,7 +196,9 @@
 
 // Run takes duties that nobody holds until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
-	k.load(ctx)
+	if k.opts.Hosts.Rank() < readers {
+		k.load(ctx) // the others hear of it from these
+	}
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	for {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"testing"
 	"time"
 
@@ -259,3 +260,26 @@
 	qt.Check(t, second.Hosts, qt.HasLen, 2)
 	qt.Check(t, first.Hosts, qt.HasLen, 3)
 }
+
+// Three hosts read the store for all. One cut took the first three by address.
+func TestTheFirstHostsAreOfDifferentDomains(t *testing.T) {
+	n := newNetwork("north", "north", "north", "north", "south", "south", "coast")
+	n.round()
+	ranks := map[int]topology.Domain{}
+	for _, g := range n.hosts {
+		ranks[g.Rank()] = g.self.Domain
+	}
+	qt.Check(t, ranks, qt.HasLen, 7)
+	qt.Check(t, map[topology.Domain]bool{ranks[0]: true, ranks[1]: true, ranks[2]: true}, qt.HasLen, 3)
+}
+
+func TestAHostThatStartsAloneIsFirstOnlyAfterAWhile(t *testing.T) {
+	n := newNetwork("north")
+	g := n.hosts["a"]
+	g.opts.Seeds = []topology.HostID{"z"}
+	qt.Check(t, g.Rank(), qt.Equals, math.MaxInt)
+	g.begun = g.begun.Add(-helloFor)
+	qt.Check(t, g.Rank(), qt.Equals, 0)
+	g.begun, g.opts.Seeds = steady.Now(), []topology.HostID{"a"}
+	qt.Check(t, g.Rank(), qt.Equals, 0)
+}
--- a/internal/gossip/hosts.go
+++ b/internal/gossip/hosts.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -83,21 +84,55 @@
 	return false
 }
 
-// Rank returns this host's place among the live hosts, 0 if it is in contact
-// with none.
+// helloFor is how long a host that starts waits for an answer of another one
+// before it acts as if there were none: some tries to connect.
+const helloFor = 400 * time.Millisecond
+
+// Rank returns this host's place among the live hosts for what a few of them do
+// for all: 0 first. The first ones are of different failure domains. A host that is in
+// contact with none is the first, but not just after its start: then only the
+// seeds are, which the others ask.
 func (g *Gossip) Rank() int {
 	now := steady.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	rank, contact := 0, false
-	for id, k := range g.hosts {
-		contact = contact || now.Sub(k.answered) < contactFor
-		if id < g.self.Addr && k.live(now) {
-			rank++
+	live := g.listLive(now)
+	switch {
+	case g.inContact(now):
+		return rankOf(g.self.Addr, live)
+	case now.Sub(g.begun) < helloFor && !slices.Contains(g.opts.Seeds, g.self.Addr):
+		return math.MaxInt
+	}
+	return 0
+}
+
+// inContact needs g.mu.
+func (g *Gossip) inContact(now time.Time) bool {
+	for _, k := range g.hosts {
+		if now.Sub(k.answered) < contactFor {
+			return true
 		}
 	}
-	if !contact {
-		return 0
+	return false
+}
+
+// rankOf orders hosts, which are sorted by address, by their place within their
+// failure domain and then by address.
+func rankOf(self topology.HostID, hosts []topology.Host) int {
+	places := make([]int, len(hosts))
+	within, own := map[topology.Domain]int{}, 0
+	for i, h := range hosts {
+		places[i] = within[h.Domain]
+		within[h.Domain]++
+		if h.ID == self {
+			own = places[i]
+		}
+	}
+	rank := 0
+	for i, h := range hosts {
+		if places[i] < own || places[i] == own && h.ID < self {
+			rank++
+		}
 	}
 	return rank
 }
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -201,6 +201,16 @@
 	}
 }
 
+// Took returns how long the target's answers usually take, 0 if it isn't known.
+func (g *Group) Took(id topology.TargetID) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m := g.members[id]; m != nil {
+		return m.took
+	}
+	return 0
+}
+
 // Cover returns a position with every commit that was acknowledged longer ago
 // than age, and how old the newest knowledge of the leader's log is.
 func (g *Group) Cover(age time.Duration) (p topology.Position, ok bool) {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -170,9 +170,21 @@
 	}
 }
 
+// withoutRetry is the key of a context under which calls make one attempt.
+type withoutRetry struct{}
+
+// WithoutRetry returns a context under which each call makes one attempt, for
+// callers that come back by themselves.
+func WithoutRetry(ctx context.Context) context.Context {
+	return context.WithValue(ctx, withoutRetry{}, true)
+}
+
 // retry makes attempts until one is answered or the time is up. Use it only
 // for requests that may be repeated.
 func (c *Client) retry(ctx context.Context, r request) error {
+	if ctx.Value(withoutRetry{}) != nil {
+		return coded(c.once(ctx, r), result.PlatformDown)
+	}
 	delays := backoff.NewExponentialBackOff()
 	delays.InitialInterval = retryFirst
 	delays.MaxInterval = retryMax
--- a/internal/promotion/prober_test.go
+++ b/internal/promotion/prober_test.go
@@ -68,4 +68,3 @@
 	_, reach = e.command(context.Background(), statement.Status, 0)
 	qt.Check(t, reach, qt.Equals, Gone)
 }
-
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -85,7 +85,7 @@
 	switch {
 	case server.opts.Peers == nil, time.Until(r.deadline) < leastForward, len(r.asked) >= placement.MostAsked:
 		return "", false, false
-	case len(r.asked) > 0 && time.Since(r.arrived) > patience(&r.route):
+	case len(r.asked) > 0 && time.Since(r.arrived) > patience(&r.route, 0):
 		return "", false, false
 	}
 	id := r.route.Group
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -13,10 +13,10 @@
 	// ageMargin is taken off a route's bound on the age of reads: the answer is
 	// judged at the target, a little after the anchor was chosen.
 	ageMargin = 100 * time.Millisecond
-	// patienceFactor times a route's latency goal is how long a request may
-	// expect to wait for a connection. Callers give up a few goals after they
-	// asked; a refusal before leaves them time to ask another host.
-	patienceFactor = 2
+	// leastPatience is the part of a route's latency goal that a request waits at
+	// least, where the target takes longer than the goal itself: late answers are
+	// worth something, and a short queue keeps the target busy.
+	leastPatience = 4
 	// promotionTakes is how long a group is usually without a leader when its
 	// primary fails: half a second until the loss is certain, and some hundred
 	// milliseconds for the promotion.
@@ -71,12 +71,15 @@
 }
 
 // patience is how long a request of the route may expect to wait for a
-// connection before it is refused instead.
-func patience(r *catalog.Route) time.Duration {
+// connection to a target that usually takes so long, before it is refused
+// instead: what is left of its latency goal. Under a lasting load that a target
+// can't serve, this many are served either way, and a longer wait only makes all of
+// them late. Refused at once, the others have time to come back.
+func patience(r *catalog.Route, took time.Duration) time.Duration {
 	if r.LatencyGoal <= 0 {
 		return r.StatementTimeout
 	}
-	return min(patienceFactor*r.LatencyGoal, r.StatementTimeout)
+	return min(max(r.LatencyGoal-took, r.LatencyGoal/leastPatience), r.StatementTimeout)
 }
 
 // leaderPatience is how long a request waits for a leader after the loss of one.
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -133,7 +133,7 @@
 		if r.skip[c.ID] || c.Failing {
 			continue
 		}
-		conn, err := r.acquire(c.Pool)
+		conn, err := r.acquire(c.Pool, c.Took)
 		if err != nil {
 			continue
 		}
@@ -232,7 +232,7 @@
 			return "", nil, nil, r.session.refusal(statement.Busy, r.whyNoLeader())
 		}
 	}
-	conn, err := r.acquire(pool)
+	conn, err := r.acquire(pool, r.group.Took(id))
 	if err != nil {
 		r.note(id, err.Error())
 		return "", nil, nil, r.session.refusal(statement.Busy, err.Error())
@@ -250,10 +250,11 @@
 	return r.group.WaitLeader(ctx, until)
 }
 
-// acquire returns a connection of the pool, waiting for one where the request may.
-func (r *request) acquire(pool *share.Pool) (*share.Conn, error) {
+// acquire returns a connection of the pool, waiting for one where the request
+// may. took is how long the target's answers usually take.
+func (r *request) acquire(pool *share.Pool, took time.Duration) (*share.Conn, error) {
 	if !r.atOnce {
-		return pool.Acquire(r.deadline, patience(&r.route), r.route.Priority)
+		return pool.Acquire(r.deadline, patience(&r.route, took), r.route.Priority)
 	}
 	if conn := pool.TryAcquire(); conn != nil {
 		return conn, nil
