Promotion: what may still be carried out, and who may act, as plain values

The watcher's rules about earlier orders, pauses and its own standing stood among its I/O, so that no test could play two holders. They are pure now (orders, permitted); nothing else changes.

--- a/internal/promotion/look.go
+++ b/internal/promotion/look.go
@@ -95,7 +95,7 @@
 	w.tidied = now
 	view := w.look(ctx)
 	view.LeaderServes = true
-	if now.After(w.resumeAt) {
+	if w.orders.mayResume(now) {
 		w.perform(ctx, Next(view))
 	}
 }
--- a/internal/promotion/order.go
+++ b/internal/promotion/order.go
@@ -12,20 +12,18 @@
 
 // promote gives the order and waits until it has taken effect.
 func (w *Watcher) promote(ctx context.Context, target topology.TargetID) {
-	if w.tainted && target != w.ordered {
-		// An earlier order for another target may still come. It is refused only
-		// once a higher token has been seen.
+	if w.orders.needsToken(target) {
 		if err := w.opts.Duty.Renew(ctx, w.opts.Group); err != nil {
 			w.opts.Log.Info("promotion held", "group", w.opts.Group, "reason", "an earlier order may still be carried out, and no new token can be had", "error", err.Error())
 			return
 		}
-		w.tainted = false
+		w.orders.renewed()
 	}
 	token, mine := w.opts.Duty.Token(w.opts.Group)
 	if !mine || steady.Now().Sub(w.ticked) > frozenAfter {
 		return
 	}
-	w.ordered = target
+	w.orders.give(target)
 	w.opts.Duty.Ordered(w.opts.Group)
 	reply := w.opts.Promoter.Promote(ctx, Order{Group: w.opts.Group, Target: target, Holder: w.opts.Name, Token: token})
 	values := []any{"group", w.opts.Group, "target", target, "token", token, "since_ms", steady.Now().Sub(w.started).Milliseconds()}
@@ -34,13 +32,10 @@
 	}
 	w.opts.Log.Info("promotion ordered", append(values, "outcome", outcomeNames[reply.Outcome])...)
 	metrics.GetOrCreateCounter(`nettlewalk_promotions_total{outcome="` + outcomeNames[reply.Outcome] + `"}`).Inc()
+	w.orders.answered(reply.Outcome, steady.Now())
 	switch reply.Outcome {
 	case Accepted:
-		w.resumeAt = laterOf(w.resumeAt, steady.Now().Add(effectPending))
 		w.awaitEffect(ctx, target)
-	case Unanswered:
-		w.tainted = true
-		w.resumeAt = steady.Now().Add(doubtFor)
 	case Refused:
 		// Either another host used a higher token or the target isn't running.
 		if err := w.opts.Duty.Renew(ctx, w.opts.Group); err != nil {
@@ -49,13 +44,6 @@
 	}
 }
 
-func laterOf(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 var outcomeNames = [...]string{Accepted: "accepted", Refused: "refused", NotDone: "not_done", Unanswered: "unanswered"}
 
 // awaitEffect waits until the promoted target leads.
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -22,8 +22,6 @@
 	lookAgain    = 30 * time.Millisecond  // after the first sign of death
 	reportsCount = 800 * time.Millisecond // how long a host's report counts; it dials anew about as often
 	reportsFirm  = 500 * time.Millisecond // how long a host must have reported before it counts: no remains of a cut
-	// effectPending is how long an accepted order may take to have its effect.
-	effectPending = 2 * time.Second
 	// leaderKnownFor is how old this host's own proof of the last leader may be
 	// for a new holder to take it for the one that failed.
 	leaderKnownFor = 15 * time.Second
@@ -79,13 +77,10 @@
 	settled  time.Time         // when the last promotion took effect
 	tidied   time.Time
 	ticked   time.Time
-	token    uint64            // under which this host holds the duty, 0: it doesn't
-	resumeAt time.Time         // no pause may be ended before: an order may still be carried out
-	ordered  topology.TargetID // by the last order
-	tainted  bool              // that order got no answer and may still be carried out
-	started  time.Time         // of the present attempt, zero: there is none
-	reason   string            // of it
-	heldFor  string            // reason of the last hold that was logged
+	orders   orders
+	started  time.Time // of the present attempt, zero: there is none
+	reason   string    // of it
+	heldFor  string    // reason of the last hold that was logged
 	heldAt   time.Time
 
 	mu      sync.Mutex
@@ -103,7 +98,7 @@
 	for {
 		wait := restInterval
 		if token, mine := w.opts.Duty.Token(w.opts.Group); mine {
-			w.hold(token)
+			w.orders.hold(token, steady.Now())
 			wait = w.tick(ctx)
 		} else {
 			w.close()
@@ -117,21 +112,8 @@
 	}
 }
 
-// hold notes that this host holds the duty. When it begins to, an order of the
-// holder before may still be carried out, and the pauses that it rests on must
-// stay.
-func (w *Watcher) hold(token uint64) {
-	if w.token == 0 && token > firstToken {
-		w.resumeAt = steady.Now().Add(doubtFor)
-	}
-	w.token = token
-}
-
-// firstToken is that of a duty which nobody held before.
-const firstToken = 1
-
 func (w *Watcher) close() {
-	w.token = 0
+	w.orders.drop()
 	w.forget()
 }
 
@@ -201,22 +183,12 @@
 func (w *Watcher) step(ctx context.Context, serves bool) Step {
 	view := w.look(ctx)
 	view.Replace, view.LeaderServes = true, serves
-	step := Next(view)
-	switch {
-	case !w.opts.Contact.Connected():
-		step = Hold{Reason: "this host is cut off from most failure domains"}
-	case isPromote(step) && steady.Now().Before(w.opts.Duty.PendingUntil(w.opts.Group)):
-		step = Hold{Reason: "an earlier holder's order may be under way"}
-	}
+	right := standing{connected: w.opts.Contact.Connected(), pendingUntil: w.opts.Duty.PendingUntil(w.opts.Group)}
+	step := permitted(Next(view), right, steady.Now())
 	w.logStep(step, &view)
 	return step
 }
 
-func isPromote(s Step) bool {
-	_, ok := s.(Promote)
-	return ok
-}
-
 func (w *Watcher) logStep(step Step, view *View) {
 	values := []any{"group", w.opts.Group, "leader", w.leader, "since_ms", steady.Now().Sub(w.started).Milliseconds(), "members", view.Members}
 	switch s := step.(type) {
