--- a/internal/duty/claim.go
+++ b/internal/duty/claim.go
@@ -20,16 +20,16 @@
 }
 
 const (
-	// takeoverAfter is how long a holder must have been silent on the hosts'
+	// TakeoverAfter is how long a holder must have been silent on the hosts'
 	// own paths before another takes its duty: five rounds of gossip.
-	takeoverAfter = 1500 * time.Millisecond
+	TakeoverAfter = 1500 * time.Millisecond
 	// largeFleet is the number of hosts from which news of a holder take some
 	// rounds of gossip to reach all; then it must be silent for twice as long.
 	largeFleet = 12
-	// orderPending is how long after it was heard of last a holder's order may
+	// OrderPending is how long after it was heard of last a holder's order may
 	// still take effect: it gives none after 800 ms without contact, and an
 	// order has its effect within 1.2 s.
-	orderPending = 2 * time.Second
+	OrderPending = 2 * time.Second
 	// unknownFor is how long a host waits for others to tell it of a claim before
 	// it takes a duty of which it knows none: some rounds of gossip. When all
 	// hosts start at once, each knows only a few others at first and would take
@@ -67,7 +67,7 @@
 	case s.claim.Holder == s.self: // an earlier process of this host held it
 		return true
 	}
-	after := takeoverAfter
+	after := TakeoverAfter
 	if s.hosts > largeFleet {
 		after *= 2
 	}
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -183,7 +183,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.pending[known.Group] = now.Add(max(0, orderPending-heard))
+	k.pending[known.Group] = now.Add(max(0, OrderPending-heard))
 }
 
 // Holder returns who holds the group's duty.
--- a/internal/duty/keeper_test.go
+++ b/internal/duty/keeper_test.go
@@ -153,7 +153,7 @@
 		switch {
 		case takes && !s.connected:
 			t.Fatal("takes a duty while cut off")
-		case takes && !free && s.claim.Holder != "a" && s.heardAgo < takeoverAfter:
+		case takes && !free && s.claim.Holder != "a" && s.heardAgo < TakeoverAfter:
 			t.Fatalf("takes a duty whose holder was heard of %s ago", s.heardAgo)
 		case takes && !free && s.claim.Holder == "a" && s.claim.Boot == 1:
 			t.Fatal("takes its own duty")
--- a/internal/duty/place.go
+++ b/internal/duty/place.go
@@ -9,7 +9,7 @@
 
 const (
 	// handOverAfter is how long a host holds a duty at least before it hands it
-	// over: five times takeoverAfter and more, so that the hosts agree who holds it.
+	// over: five times TakeoverAfter and more, so that the hosts agree who holds it.
 	handOverAfter = 8 * time.Second
 	// restAfterOrder is how long after its last order a holder keeps the duty:
 	// twice as long as the order may still be carried out if its answer was lost.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -28,9 +28,9 @@
 	// liveFor is how long a host counts as live after it was heard of. Hosts
 	// restart within it, and their share of connections is kept for them.
 	liveFor = 8 * time.Second
-	// contactFor is how recently a host must have been sent a request that it
+	// ContactFor is how recently a host must have been sent a request that it
 	// answered, to count as in contact: two rounds.
-	contactFor = 800 * time.Millisecond
+	ContactFor = 800 * time.Millisecond
 	// forgetAfter is how long a silent host is still asked.
 	forgetAfter = 60 * time.Second
 )
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -102,7 +102,7 @@
 	qt.Check(t, n.hosts["a"].Connected(), qt.IsTrue)
 	for _, g := range n.hosts { // as if the last answers were old
 		for _, k := range g.hosts {
-			k.answered = k.answered.Add(-contactFor)
+			k.answered = k.answered.Add(-ContactFor)
 		}
 	}
 	n.cut["d"] = true
--- a/internal/gossip/hosts.go
+++ b/internal/gossip/hosts.go
@@ -23,7 +23,7 @@
 }
 
 // Connected tells whether hosts in more than half of the failure domains have
-// answered within contactFor. A host that isn't connected gives no orders, and
+// answered within ContactFor. A host that isn't connected gives no orders, and
 // takes no duty: those on the other side of a cut may have taken it.
 func (g *Gossip) Connected() bool {
 	now := steady.Now()
@@ -34,7 +34,7 @@
 		if !k.live(now) {
 			continue
 		}
-		near := now.Sub(k.answered) < contactFor
+		near := now.Sub(k.answered) < ContactFor
 		domains[k.host.Domain] = domains[k.host.Domain] || near
 	}
 	connected := 0
@@ -109,7 +109,7 @@
 // inContact needs g.mu.
 func (g *Gossip) inContact(now time.Time) bool {
 	for _, k := range g.hosts {
-		if now.Sub(k.answered) < contactFor {
+		if now.Sub(k.answered) < ContactFor {
 			return true
 		}
 	}
--- a/internal/promotion/look.go
+++ b/internal/promotion/look.go
@@ -96,7 +96,7 @@
 	view := w.look(ctx)
 	view.LeaderServes = true
 	if w.orders.mayResume(now) {
-		w.perform(ctx, Next(view))
+		w.perform(ctx, permitted(Next(view), w.standing(), steady.Now()))
 	}
 }
 
--- a/internal/promotion/orders.go
+++ b/internal/promotion/orders.go
@@ -18,15 +18,16 @@
 const (
 	// firstToken is that of a duty which nobody held before.
 	firstToken = 1
-	// effectPending is how long an accepted order may take to have its effect:
-	// twice the longest promotion of the deployments so far, and a second.
+	// effectPending is how long an accepted order may take to have its effect,
+	// three times the longest promotion of the users' deployments (600 ms).
 	effectPending = 2 * time.Second
 )
 
-// hold notes that this host holds the duty. When it begins to, an order of the
-// holder before may still be carried out, and the pauses that it rests on must stay.
+// hold notes the token under which this host holds the duty. With a new one, an
+// order of a holder before may still be carried out, and the pauses that it rests
+// on must stay. The duty may have been lost and taken again since the last call.
 func (o *orders) hold(token uint64, now time.Time) {
-	if o.token == 0 && token > firstToken {
+	if token != o.token && token > firstToken {
 		o.resumeAt = now.Add(doubtFor)
 	}
 	o.token = token
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -183,12 +183,17 @@
 func (w *Watcher) step(ctx context.Context, serves bool) Step {
 	view := w.look(ctx)
 	view.Replace, view.LeaderServes = true, serves
-	right := standing{connected: w.opts.Contact.Connected(), pendingUntil: w.opts.Duty.PendingUntil(w.opts.Group)}
-	step := permitted(Next(view), right, steady.Now())
+	step := permitted(Next(view), w.standing(), steady.Now())
 	w.logStep(step, &view)
 	return step
 }
 
+// standing is asked for right before a step: a host that was suspended has heard
+// of nobody since, and may have lost the duty meanwhile.
+func (w *Watcher) standing() standing {
+	return standing{connected: w.opts.Contact.Connected(), pendingUntil: w.opts.Duty.PendingUntil(w.opts.Group)}
+}
+
 func (w *Watcher) logStep(step Step, view *View) {
 	values := []any{"group", w.opts.Group, "leader", w.leader, "since_ms", steady.Now().Sub(w.started).Milliseconds(), "members", view.Members}
 	switch s := step.(type) {
