Logs: a statement that another host asked for has a line there when it fails

Change: the host asked writes a line for what it waited for or tried and didn't serve; a refusal at once is told by the asking host alone. TestAStatementForAnotherHostHasALine fails without.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -217,7 +217,10 @@
 	}
 	r.fromPeer = true
 	r.deadline = r.arrived.Add(min(args.Within, r.route.StatementTimeout))
-	answer, _ := r.run(context.Background())
+	answer, ok := r.run(context.Background())
+	if !ok && !r.atOnce { // that none was free at once is told by the asking host
+		r.logOutcome("statement for another host", &answer, false)
+	}
 	return answer
 }
 
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -145,7 +145,9 @@
 			return answer, false
 		}
 	}
-	r.logOutcome("start of a transaction", &refusal, false)
+	if mayWait { // that none was free at once is told by the asking host
+		r.logOutcome("start of a transaction", &refusal, false)
+	}
 	return r.session.fail(refusal, true), true
 }
 
