Promotion: a target that is registered again may live, before it is dialed again

Cause, found while reading: a silent target that counts as ended is dialed every 2 s only; in that time it went on counting as ended though the register had it back, and its log as no longer than before.

Change: the register's word voids the conclusion at once. TestAnEndIsVoidOnceTheTargetIsRegisteredAgain (silent) fails without. deadSince is endedSince, noteDeath noteEnd: what counts is the end of its log.

--- a/internal/promotion/look.go
+++ b/internal/promotion/look.go
@@ -29,7 +29,7 @@
 			w.probers[m.Target.ID] = e
 		}
 		occupant, taken := w.opts.Catalog.Occupant(m.Target.Addr)
-		e.vanished, e.replaced = vanished[m.Target.ID], taken && occupant != m.Target.ID
+		e.registered(vanished[m.Target.ID], taken && occupant != m.Target.ID)
 	}
 	for id, e := range w.probers {
 		if !known[id] {
@@ -78,7 +78,7 @@
 	w.leader, w.leaderAt = id, p.sent
 	w.opts.Belief.NoteLeading(id, p.sent, &statement.Answer{Position: p.position, HasPosition: true})
 	for _, other := range w.probers {
-		if !other.deadSince.IsZero() && other.logSince.IsZero() && p.sent.After(other.deadSince) {
+		if !other.endedSince.IsZero() && other.logSince.IsZero() && p.sent.After(other.endedSince) {
 			other.logSince = p.position
 		}
 	}
--- a/internal/promotion/prober.go
+++ b/internal/promotion/prober.go
@@ -38,7 +38,7 @@
 	parse  statement.StatusParser
 	conn   statement.Conn
 
-	deadSince  time.Time // when it was first known to have ended, zero while it may live
+	endedSince time.Time // when it was first known to have ended, zero while it may live
 	logSince   topology.Position
 	doubtUntil time.Time // an order to resume may be carried out until then
 	mute       statement.Mute
@@ -73,7 +73,7 @@
 		return Silent, false
 	}
 	ended := hasEnded(failure.Outcome, e.target.Leaving, e.vanished)
-	e.noteDeath(ended, now)
+	e.noteEnd(ended, now)
 	switch {
 	case failure.Outcome == statement.DialRefused:
 		return Dead, false
@@ -107,20 +107,34 @@
 	return false
 }
 
-// noteDeath notes since when the target is known to have ended. What was
-// concluded from an end is void if it hasn't.
-func (e *prober) noteDeath(ended bool, now time.Time) {
+// registered takes what the register says: for how long the target has been
+// missing, and whether another one is registered at its address. One that is
+// back may live, whatever was concluded before.
+func (e *prober) registered(missing time.Duration, replaced bool) {
+	e.vanished, e.replaced = missing, replaced
+	if missing == 0 {
+		e.recheck = time.Time{}
+		e.voidEnd()
+	}
+}
+
+// voidEnd drops what was concluded from the target's end.
+func (e *prober) voidEnd() { e.endedSince, e.logSince = time.Time{}, topology.Position{} }
+
+// noteEnd notes since when the target is known to have ended, if it has.
+func (e *prober) noteEnd(ended bool, now time.Time) {
 	switch {
 	case !ended:
-		e.deadSince, e.logSince = time.Time{}, topology.Position{}
-	case e.deadSince.IsZero():
-		e.deadSince = now
+		e.voidEnd()
+	case e.endedSince.IsZero():
+		e.endedSince = now
 	}
 }
 
-// lives notes a sign of life: what was concluded from its death is void.
+// lives notes a sign of life.
 func (e *prober) lives() {
-	e.deadSince, e.logSince, e.silent = time.Time{}, topology.Position{}, 0
+	e.voidEnd()
+	e.silent = 0
 }
 
 func (e *prober) drop() {
--- a/internal/promotion/prober_test.go
+++ b/internal/promotion/prober_test.go
@@ -42,20 +42,26 @@
 		e := &prober{dialer: dialer, target: topology.Target{ID: "r", Leaving: test.leaving}, vanished: test.vanished}
 		_, reach := e.command(context.Background(), statement.Status, 0)
 		qt.Check(t, reach, qt.Not(qt.Equals), Answered, qt.Commentf(test.name))
-		qt.Check(t, !e.deadSince.IsZero(), qt.Equals, test.ended, qt.Commentf(test.name))
+		qt.Check(t, !e.endedSince.IsZero(), qt.Equals, test.ended, qt.Commentf(test.name))
 	}
 }
 
-// An entry that expired with the store comes back if its target lives.
+// An entry that expired with the store comes back if its target lives. Its log
+// may have grown, though it is silent here.
 func TestAnEndIsVoidOnceTheTargetIsRegisteredAgain(t *testing.T) {
-	dialer := &failingDialer{statement.DialError{Outcome: statement.DialRefused, Cause: context.DeadlineExceeded}}
-	e := &prober{dialer: dialer, target: topology.Target{ID: "r"}, vanished: goneAfter + 1}
-	e.command(context.Background(), statement.Status, 0)
-	qt.Assert(t, e.deadSince.IsZero(), qt.IsFalse)
-	e.logSince, e.vanished = at(1, 5), 0
-	e.command(context.Background(), statement.Status, 0)
-	qt.Check(t, e.deadSince.IsZero(), qt.IsTrue)
-	qt.Check(t, e.logSince.IsZero(), qt.IsTrue)
+	for _, outcome := range []statement.DialOutcome{statement.DialRefused, statement.DialSilent} {
+		dialer := &failingDialer{statement.DialError{Outcome: outcome, Cause: context.DeadlineExceeded}}
+		e := &prober{dialer: dialer, target: topology.Target{ID: "r"}}
+		e.registered(goneAfter+1, false)
+		e.command(context.Background(), statement.Status, 0)
+		qt.Assert(t, e.endedSince.IsZero(), qt.IsFalse)
+		e.logSince = at(1, 5)
+		e.registered(0, false)
+		qt.Check(t, e.endedSince.IsZero(), qt.IsTrue)
+		qt.Check(t, e.logSince.IsZero(), qt.IsTrue)
+		_, reach := e.command(context.Background(), statement.Status, 0)
+		qt.Check(t, reach == Dead, qt.Equals, outcome == statement.DialRefused)
+	}
 }
 
 // A new target at the address is known by the register, or it isn't.
