--- a/cmd/nettlewalk/fleetstore.go
+++ b/cmd/nettlewalk/fleetstore.go
@@ -123,9 +123,3 @@
 	}
 	return h.catalog.PrimaryDomain(id, last)
 }
-
-// claimChanged tells other hosts and the group's watcher who holds a duty.
-func (h *fleetHost) claimChanged(id topology.GroupID) {
-	h.gossip.Kick()
-	h.watchers.Wake(id)
-}
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -56,8 +56,8 @@
 	// isn't known.
 	PrimaryDomain func(topology.GroupID) topology.Domain
 	Log           logr.Logger
-	// Changed is told when a claim of a group became known.
-	Changed func(topology.GroupID)
+	// Changed is told when a claim became known.
+	Changed func()
 }
 
 // Keeper holds duties for this host. Safe for concurrent use.
@@ -118,7 +118,7 @@
 	}
 	if newer {
 		k.opts.Log.Info("duty known", "group", c.Group, "holder", c.Name, "token", c.Token, "released", c.Released, "mine", k.isMine(c))
-		k.opts.Changed(c.Group)
+		k.opts.Changed()
 	}
 }
 
@@ -247,12 +247,8 @@
 		if now.Before(k.next[id]) {
 			continue
 		}
-		s := k.situation(id, now)
+		s := k.situation(id, live, now)
 		s.connected, s.hosts = connected, len(live)
-		if !decide(s) {
-			continue // not even the first host would
-		}
-		s.rank = rank(id, k.opts.Self, live, k.opts.PrimaryDomain(id))
 		if decide(s) {
 			k.next[id] = now.Add(retryTake)
 			known := k.claims[id]
@@ -263,10 +259,10 @@
 	return due
 }
 
-// situation returns all but the rank, which takes a look at every host. It needs k.mu.
-func (k *Keeper) situation(id topology.GroupID, now time.Time) situation {
+// situation needs k.mu.
+func (k *Keeper) situation(id topology.GroupID, live []topology.Host, now time.Time) situation {
 	c := k.claims[id]
-	s := situation{self: k.opts.Self, boot: k.opts.Boot, claim: c}
+	s := situation{self: k.opts.Self, boot: k.opts.Boot, claim: c, rank: rank(id, k.opts.Self, live, k.opts.PrimaryDomain(id))}
 	heard, ok := k.opts.Hosts.HeardAgo(c.Holder)
 	if !ok {
 		heard = now.Sub(k.begun)
--- a/internal/duty/place_test.go
+++ b/internal/duty/place_test.go
@@ -59,7 +59,7 @@
 	store := &fakeStore{}
 	hosts := &domainHosts{fakeHosts{connected: true}}
 	k := New(Options{
-		Self: "a", Name: "host-a", Boot: 1, Store: store, Hosts: hosts, Log: logr.Discard(), Changed: func(topology.GroupID) {},
+		Self: "a", Name: "host-a", Boot: 1, Store: store, Hosts: hosts, Log: logr.Discard(), Changed: func() {},
 		Domain: "north", PrimaryDomain: func(topology.GroupID) topology.Domain { return "north" },
 	})
 	k.SetGroups([]topology.GroupID{"g"})
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -60,8 +60,6 @@
 	ConfigurationRead, RegisterRead time.Duration
 	Claims                          []duty.Claim
 	Offers                          []Offer
-	// NoRegister: the host took a register a short while ago and wants no newer one yet.
-	NoRegister bool
 }
 
 // Offer says that a host has connections to targets of a group, which other
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -34,28 +34,10 @@
 		g.Kick()
 	}
 	if g.opts.Catalog.OfferRegister(news.NewRegister) {
-		g.tookRegister(len(news.NewRegister.Members))
 		g.opts.Log.Info("register learnt", "revision", news.NewRegister.Revision, "source", news.From.Name)
 	}
 }
 
-const (
-	// registerPause is the time between two registers that a host takes from
-	// others, for each target in it: the whole of it is sent, about 120 bytes a
-	// target, so that a host takes 60 KB a second at most. With the three targets
-	// of each of three groups it is 18 ms.
-	registerPause = 2 * time.Millisecond
-	// longestRegisterPause bounds it: a leaving target ends some seconds after it said so.
-	longestRegisterPause = 2 * time.Second
-)
-
-// tookRegister notes that a register of so many targets was taken.
-func (g *Gossip) tookRegister(targets int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.registerAfter = steady.Now().Add(min(time.Duration(targets)*registerPause, longestRegisterPause))
-}
-
 func (g *Gossip) noteAnswer(id topology.HostID, sent time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -71,9 +53,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	d.From = g.self
+	d.From.UpFor = steady.Now().Sub(g.begun)
 	now := steady.Now()
-	d.From.UpFor = now.Sub(g.begun)
-	d.NoRegister = now.Before(g.registerAfter)
 	reads := g.opts.Catalog.Reads()
 	d.ConfigurationRead, d.RegisterRead = now.Sub(reads.Configuration), now.Sub(reads.Register)
 	for id, k := range g.hosts {
@@ -202,10 +183,10 @@
 	if reply.Configuration > args.Configuration {
 		reply.NewConfiguration = g.opts.Catalog.Configuration()
 	}
-	if reply.Register > args.Register && !args.NoRegister {
+	if reply.Register > args.Register {
 		reply.NewRegister = g.opts.Catalog.Register()
 	}
-	if args.Configuration > reply.Configuration || args.Register > reply.Register && !reply.NoRegister {
+	if args.Configuration > reply.Configuration || args.Register > reply.Register {
 		g.ask(args.From.Addr)
 	}
 	return nil
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -82,8 +82,6 @@
 	// another process, or leaves.
 	sharers   Sharers
 	sharersAt time.Time
-	// registerAfter is when this host takes another register from others.
-	registerAfter time.Time
 }
 
 // last returns when a host was heard of, directly or through others.
--- a/internal/group/seek.go
+++ b/internal/group/seek.go
@@ -9,34 +9,23 @@
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
-// seek looks for the leader unless one is known or a search is under way. A host
-// that is to have no connections to the group leaves it to those that have: it
-// would look at nothing, 25 times a second for each group. Needs g.mu.
+// seek looks for the leader unless one is known or a search is under way.
+// Needs g.mu.
 func (g *Group) seek() {
-	if g.seeking || g.belief.leader != "" || !g.isHolder() {
+	if g.seeking || g.belief.leader != "" || len(g.members) == 0 {
 		return
 	}
 	g.seeking = true
 	go g.seekLoop()
 }
 
-// isHolder tells whether this host is to have connections to any target. Needs g.mu.
-func (g *Group) isHolder() bool {
-	for _, m := range g.members {
-		if m.pool.Load().Size > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 func (g *Group) seekLoop() {
 	for {
 		for id, pool := range g.pools() {
 			g.prove(id, pool)
 		}
 		g.mu.Lock()
-		if g.belief.leader != "" || !g.isHolder() {
+		if g.belief.leader != "" || len(g.members) == 0 {
 			g.seeking = false
 			g.mu.Unlock()
 			return
--- a/internal/promotion/judge.go
+++ b/internal/promotion/judge.go
@@ -25,11 +25,6 @@
 	r.at = now
 	w.reports[from] = r
 	w.mu.Unlock()
-	w.signal()
-}
-
-// signal makes Run look at once.
-func (w *Watcher) signal() {
 	select {
 	case w.wake <- struct{}{}:
 	default: // it looks soon anyway
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -17,7 +17,6 @@
 const (
 	restInterval = 100 * time.Millisecond // between looks at a leader that serves
 	busyInterval = 20 * time.Millisecond  // between steps of an attempt
-	idleInterval = 10 * time.Second       // between looks whether this host holds the duty; it is told when it does
 	tidyInterval = 2 * time.Second        // between looks for pauses left behind; each takes a work slot
 	silentLooks  = 2                      // looks without an answer that count as the leader's silence
 	lookAgain    = 30 * time.Millisecond  // after the first sign of death
@@ -97,7 +96,7 @@
 func (w *Watcher) Run(ctx context.Context) {
 	defer w.close()
 	for {
-		wait := idleInterval
+		wait := restInterval
 		if token, mine := w.opts.Duty.Token(w.opts.Group); mine {
 			w.orders.hold(token, steady.Now())
 			wait = w.tick(ctx)
--- a/internal/promotion/watchers.go
+++ b/internal/promotion/watchers.go
@@ -55,16 +55,6 @@
 	}
 }
 
-// Wake makes the group's watcher look whether this host holds the duty.
-func (d *Watchers) Wake(id topology.GroupID) {
-	d.mu.Lock()
-	w := d.watchers[id]
-	d.mu.Unlock()
-	if w != nil {
-		w.signal()
-	}
-}
-
 // Caller calls other hosts.
 type Caller interface {
 	Call(ctx context.Context, host topology.HostID, method string, args, reply any) error
