group: the time of the newest proof never goes back

Cause: a proof of the present leader that was sent before its newest one set provedAt back. A proof of another target, older than its own refutation but newer than that time, was then believed. Ruled out: order of refutations; they are compared with the time of arrival. Change: provedAt keeps the latest time.

--- a/internal/group/leaderview.go
+++ b/internal/group/leaderview.go
@@ -13,7 +13,7 @@
 	leader       topology.TargetID
 	lastLeader   topology.TargetID // the target that was most recently proved to lead
 	lastLeaderAt time.Time         // when the request that proved lastLeader was sent, by this host or another one
-	provedAt     time.Time         // when this host sent the latest request that proved leader (package steady)
+	provedAt     time.Time         // when this host sent the latest request that proved any leader (package steady); never goes back
 	leaderSince  time.Time         // when leader was first proved to lead
 	lostAt       time.Time         // when the previous leader was found not to lead, zero while a leader is known
 	demoted      bool              // the previous leader itself refused to begin a transaction, so another target most likely leads
@@ -33,7 +33,7 @@
 		v.anchors.Forget()
 		v.leader, v.leaderSince, changed = id, now, true
 	}
-	v.provedAt, v.lostAt = sent, time.Time{}
+	v.provedAt, v.lostAt = laterOf(v.provedAt, sent), time.Time{} // proofs may arrive out of order
 	v.recordLastLeader(id, sent)
 	if hasPosition {
 		v.anchors.RecordLeaderPosition(sent, position)
@@ -41,6 +41,13 @@
 	return changed
 }
 
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // recordLastLeader records which target led when a request was sent.
 func (v *leaderView) recordLastLeader(id topology.TargetID, sent time.Time) {
 	if sent.After(v.lastLeaderAt) {
