gossip, promotion: a holder acts only after lasting contact

Cause: a holder whose partition healed just as another host took its duty was in contact again up to two rounds before it heard of that. In that time it ended the pauses that the new holder's order relied on. Ruled out: the new holder's waiting time; the old holder's step comes after it. Change: contact is kept per failure domain as a series of answers without a gap of ContactWindow. Settled demands that it has lasted for NewsDelay (two rounds and an exchange); promotion asks for it before each step. Taking a duty still asks for contact only.

--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -43,9 +43,20 @@
 func (g *Gossip) recordAnswer(id topology.HostID, sentAt time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if k := g.hosts[id]; k != nil {
-		k.lastAnswered = laterOf(k.lastAnswered, sentAt)
+	k := g.hosts[id]
+	if k == nil {
+		return
+	}
+	k.lastAnswered = laterOf(k.lastAnswered, sentAt)
+	if k.host.Leaving {
+		return
+	}
+	contact := g.contacts[k.host.Domain]
+	if contact == nil {
+		contact = &Contact{}
+		g.contacts[k.host.Domain] = contact
 	}
+	contact.Record(sentAt, steady.Now())
 }
 
 // buildDigest returns the digest for the host at that address. Hosts and Claims
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -29,9 +29,6 @@
 	// It is longer than a restart takes, so that a restarting host keeps its
 	// share of the connections.
 	livenessTimeout = 8 * time.Second
-	// ContactWindow is how long a host counts as reachable after this host sent it a
-	// request that it answered: a little over two rounds.
-	ContactWindow = 800 * time.Millisecond
 	// forgetAfter is how long a silent host is still contacted.
 	forgetAfter = 60 * time.Second
 )
@@ -80,6 +77,7 @@
 	self       Host
 	hosts      map[topology.HostID]*knownHost
 	addrByHash map[uint64]topology.HostID // addresses in hosts, by hashAddr
+	contacts   map[topology.Domain]*Contact
 	// sharers is rebuilt once it is older than sharersMaxAge, and at the next call
 	// after a host joins, restarts or leaves.
 	sharers        Sharers
@@ -98,7 +96,7 @@
 // New returns a Gossip that knows the seed hosts. Call SetClaims before Run.
 func New(opts Options) *Gossip {
 	g := &Gossip{opts: opts, self: opts.Self, roundRequested: make(chan struct{}, 1), pullFrom: make(chan topology.HostID, 1), startedAt: steady.Now(),
-		hosts: map[topology.HostID]*knownHost{}, addrByHash: map[uint64]topology.HostID{}}
+		hosts: map[topology.HostID]*knownHost{}, addrByHash: map[uint64]topology.HostID{}, contacts: map[topology.Domain]*Contact{}}
 	g.AddHosts(opts.Seeds...)
 	return g
 }
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -103,8 +103,8 @@
 	n.runRounds()
 	qt.Check(t, n.hosts["a"].Connected(), qt.IsTrue)
 	for _, g := range n.hosts { // make the latest answers too old to count
-		for _, k := range g.hosts {
-			k.lastAnswered = k.lastAnswered.Add(-ContactWindow)
+		for _, c := range g.contacts {
+			c.last = c.last.Add(-ContactWindow)
 		}
 	}
 	n.partitioned["d"] = true
@@ -287,3 +287,37 @@
 	g.startedAt, g.opts.Seeds = steady.Now(), []topology.HostID{"a"}
 	qt.Check(t, g.Rank(), qt.Equals, 0)
 }
+
+// A holder whose partition has just healed may not have heard yet that another host
+// took its duty.
+func TestContactIsSettledOnlyAfterNewsDelay(t *testing.T) {
+	at := func(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
+	var c Contact
+	for ms := 0; ms <= 900; ms += 300 {
+		c.Record(at(ms), at(ms+5))
+		qt.Check(t, c.Connected(at(ms+5)), qt.IsTrue)
+		qt.Check(t, c.Settled(at(ms+5)), qt.Equals, ms > 700, qt.Commentf("at %d ms", ms))
+	}
+	qt.Check(t, c.Settled(at(1699)), qt.IsTrue)
+	qt.Check(t, c.Settled(at(1700)), qt.IsFalse)
+	c.Record(at(1600), at(2100)) // a late answer doesn't end the series
+	qt.Check(t, c.Settled(at(2200)), qt.IsTrue)
+	c.Record(at(2400), at(2405)) // the gap is ContactWindow
+	qt.Check(t, c.Settled(at(2406)), qt.IsFalse)
+	qt.Check(t, c.Settled(at(3105)), qt.IsFalse)
+	c.Record(at(3000), at(3005))
+	qt.Check(t, c.Settled(at(3106)), qt.IsTrue)
+}
+
+// Hosts of one domain take turns in answering, and the domain's contact lasts.
+func TestHostIsSettledAfterLongContact(t *testing.T) {
+	n := newFakeNetwork("north", "south", "coast")
+	n.runRounds()
+	g := n.hosts["a"]
+	qt.Check(t, g.Connected(), qt.IsTrue)
+	qt.Check(t, g.Settled(), qt.IsFalse)
+	for _, c := range g.contacts {
+		c.since = c.since.Add(-2 * NewsDelay)
+	}
+	qt.Check(t, g.Settled(), qt.IsTrue)
+}
--- a/internal/gossip/hosts.go
+++ b/internal/gossip/hosts.go
@@ -24,27 +24,33 @@
 
 // Connected reports whether hosts in more than half of the failure domains have
 // answered within ContactWindow; this host's own domain always counts. A host that
-// isn't connected sends no orders to targets and takes no duty: during a network
-// partition a host on the other side may have taken the duty.
-func (g *Gossip) Connected() bool {
+// isn't connected takes no duty.
+func (g *Gossip) Connected() bool { return g.inContactWithMost((*Contact).Connected) }
+
+// Settled reports whether this host has been connected to more than half of the
+// failure domains for longer than NewsDelay. A holder that isn't settled performs
+// no step of its duty and grants no lease: during a network partition a host on the
+// other side may have taken the duty, and news of that takes NewsDelay to arrive.
+func (g *Gossip) Settled() bool { return g.inContactWithMost((*Contact).Settled) }
+
+func (g *Gossip) inContactWithMost(reachable func(*Contact, time.Time) bool) bool {
 	now := steady.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	domains := map[topology.Domain]bool{g.self.Domain: true}
 	for _, k := range g.hosts {
-		if !k.isLive(now) {
-			continue
+		if k.isLive(now) && !domains[k.host.Domain] {
+			contact := g.contacts[k.host.Domain]
+			domains[k.host.Domain] = contact != nil && reachable(contact, now)
 		}
-		reachable := now.Sub(k.lastAnswered) < ContactWindow
-		domains[k.host.Domain] = domains[k.host.Domain] || reachable
 	}
-	connected := 0
-	for _, reachable := range domains {
-		if reachable {
-			connected++
+	n := 0
+	for _, ok := range domains {
+		if ok {
+			n++
 		}
 	}
-	return 2*connected > len(domains)
+	return 2*n > len(domains)
 }
 
 // Live implements duty.Hosts: the live hosts, this one included, sorted by address.
--- a/internal/promotion/holders_test.go
+++ b/internal/promotion/holders_test.go
@@ -85,10 +85,10 @@
 	holder         int    // holder of that claim
 	pendingUntil   time.Time
 	suspendedUntil time.Time
-	partitioned    bool      // no contact with any other host
-	peerHeardAt    time.Time // when this host last heard from the other one, directly or by gossip
-	answeredAt     time.Time // when the hosts outside the simulation last answered this host
-	nextStep       Step      // decided in one tick and performed in a later one
+	partitioned    bool           // no contact with any other host
+	peerHeardAt    time.Time      // when this host last heard from the other one, directly or by gossip
+	contact        gossip.Contact // with the hosts outside the simulation
+	nextStep       Step           // decided in one tick and performed in a later one
 	viewedAt       time.Time
 	awaitingUntil  time.Time // waits until then for its promotion to take effect
 	gossipedAt     time.Time // when the hosts outside the simulation last heard from this host, as known to all of them
@@ -130,7 +130,8 @@
 	w.storedClaim = claimState{token: 1, holder: 0}
 	w.gossipedClaim = w.storedClaim
 	for i := range w.hosts {
-		w.hosts[i] = &simHost{id: i, token: 1, peerHeardAt: w.now, answeredAt: w.now, gossipedAt: w.now}
+		w.hosts[i] = &simHost{id: i, token: 1, peerHeardAt: w.now, gossipedAt: w.now}
+		w.hosts[i].contact.Record(w.now, w.now)
 	}
 	return w
 }
@@ -258,7 +259,7 @@
 		w.gossipedClaim = w.storedClaim
 	}
 	if !h.partitioned {
-		h.answeredAt = w.now
+		h.contact.Record(w.now, w.now)
 		if w.chance(30, "a round of gossip") {
 			h.gossipedAt = w.now
 		}
@@ -295,10 +296,6 @@
 	w.learn(h, w.storedClaim)
 }
 
-// connected reports whether the hosts outside the simulation answered recently. After
-// a suspension, none has.
-func (h *simHost) connected(now time.Time) bool { return now.Sub(h.answeredAt) < gossip.ContactWindow }
-
 func (w *simulation) view(h *simHost) View {
 	v := View{AckReplicas: 1, Leader: w.leader.id, Replace: w.leader.down}
 	for _, r := range w.targets {
@@ -333,7 +330,7 @@
 		h.nextStep = NextStep(w.view(h))
 		return
 	}
-	auth := authority{connected: h.connected(w.now) || w.disabled.authority, pendingUntil: h.pendingUntil}
+	auth := authority{settled: h.contact.Settled(w.now) || w.disabled.authority, pendingUntil: h.pendingUntil}
 	if w.disabled.pending {
 		auth.pendingUntil = time.Time{}
 	}
--- a/internal/promotion/requeststate.go
+++ b/internal/promotion/requeststate.go
@@ -73,7 +73,7 @@
 
 // authority tells whether a host may act as the holder of a duty.
 type authority struct {
-	connected    bool      // hosts in most failure domains answered recently, so no other host has acquired the duty
+	settled      bool      // hosts in most failure domains have answered for a while, so this host knows if another one acquired the duty
 	pendingUntil time.Time // a request of the previous holder may take effect until then
 }
 
@@ -82,8 +82,8 @@
 func authorize(step Step, auth authority, now time.Time) Step {
 	_, isPromotion := step.(Promote)
 	switch {
-	case !auth.connected:
-		return Wait{Reason: "this host has no contact with most failure domains"}
+	case !auth.settled:
+		return Wait{Reason: "this host has no lasting contact with most failure domains"}
 	case isPromotion && now.Before(auth.pendingUntil):
 		return Wait{Reason: "a promotion request of the previous holder may still take effect"}
 	}
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -47,10 +47,10 @@
 
 // Contact tells whether this host may still act as the holder.
 type Contact interface {
-	// Connected reports whether hosts in most failure domains answered
-	// recently, so that no other host can have acquired the duty without this
+	// Settled reports whether hosts in most failure domains have been answering
+	// for so long that no other host can have acquired the duty without this
 	// host's knowledge.
-	Connected() bool
+	Settled() bool
 }
 
 // Options configures a Watcher.
@@ -199,7 +199,7 @@
 // right before a step: a host that was suspended has heard from no other host
 // since, and may have lost the duty.
 func (w *Watcher) currentAuthority() authority {
-	return authority{connected: w.opts.Contact.Connected(), pendingUntil: w.opts.Duty.PendingUntil(w.opts.Group)}
+	return authority{settled: w.opts.Contact.Settled(), pendingUntil: w.opts.Duty.PendingUntil(w.opts.Group)}
 }
 
 func (w *Watcher) logStep(step Step, view *View) {
--- a/internal/promotion/watcher_test.go
+++ b/internal/promotion/watcher_test.go
@@ -87,7 +87,7 @@
 func (permanentDuty) Renew(context.Context, topology.GroupID) error { return nil }
 func (permanentDuty) NoteRequest(topology.GroupID)                  {}
 func (permanentDuty) PendingUntil(topology.GroupID) time.Time       { return time.Time{} }
-func (permanentDuty) Connected() bool                               { return true }
+func (permanentDuty) Settled() bool                                 { return true }
 
 // Between the pauses and the promotion request, the watcher doesn't probe the
 // unresponsive primary again: the promotion is safe whether or not the primary is
