platform: an edit that got no connection had no effect

Ruled out: retries after a sent request; they still count as unknown. Result: TestEditThatGotNoConnectionIsNotApplied fails before and passes now.

--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +26,9 @@
 
 // attemptOnce waits for the call budget and makes one attempt.
 func (c *Client) attemptOnce(ctx context.Context, req request) error {
+	if ctx.Err() != nil {
+		return &errNotApplied{cause: ctx.Err()}
+	}
 	if err := c.waitForBudget(ctx); err != nil {
 		c.metrics.count(req, "over_budget")
 		return err
@@ -45,9 +50,6 @@
 // waitForBudget takes one call from the budget, waiting if necessary. It returns
 // a LimitReached error if the wait would exceed ctx's deadline.
 func (c *Client) waitForBudget(ctx context.Context) error {
-	if ctx.Err() != nil {
-		return ctx.Err()
-	}
 	if err := c.budget.Wait(ctx); err != nil {
 		limitReached := result.New(result.LimitReached, "this host's budget for platform calls is exhausted")
 		return limitReached.WithRetryAfter(time.Duration(float64(time.Second) / float64(c.budget.Limit())))
@@ -66,9 +68,11 @@
 	if len(req.Body) > 0 {
 		httpReq.Header.Set("Content-Type", "application/json")
 	}
-	resp, err := c.httpClient.Do(httpReq)
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	resp, err := c.httpClient.Do(httpReq.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
-		return classifyTransportError(err)
+		return classifyTransportError(err, connected.Load())
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
@@ -78,11 +82,13 @@
 	return c.interpretResponse(resp.StatusCode, body, req)
 }
 
-// classifyTransportError returns errNotApplied if the connection could not be
-// opened, so that the request was never sent, and errOutcomeUnknown otherwise.
-func classifyTransportError(err error) error {
+// classifyTransportError returns errNotApplied if the request was never sent:
+// it got no connection, or the dial that followed a broken one failed. Otherwise
+// it returns errOutcomeUnknown. connected tells whether the request got a
+// connection; without one, err may be that of a context that ended first.
+func classifyTransportError(err error, connected bool) error {
 	var opErr *net.OpError
-	if errors.As(err, &opErr) && opErr.Op == "dial" {
+	if !connected || errors.As(err, &opErr) && opErr.Op == "dial" {
 		return &errNotApplied{cause: err}
 	}
 	return &errOutcomeUnknown{cause: err}
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -155,3 +156,20 @@
 	c.Check(got.Primary, qt.Equals, topology.TargetID("t7"))
 	c.Check(got.Extra, qt.Equals, "kept")
 }
+
+// A deadline that passes during a dial ends a request that was never sent. The
+// operator must then be told that the edit had no effect.
+func TestEditThatGotNoConnectionIsNotApplied(t *testing.T) {
+	c := qt.New(t)
+	client := platform.New(platform.Options{Addr: "127.0.0.1:1", Caller: "h1", Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}})
+	c.Cleanup(client.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err := client.Edit(ctx, "customer", "a", 0, json.RawMessage(`{}`))
+	c.Check(codeOf(err), qt.Equals, result.PlatformDown, qt.Commentf("%v", err))
+	_, err = client.Edit(ctx, "customer", "a", 0, json.RawMessage(`{}`)) // ctx has ended before the call
+	c.Check(codeOf(err), qt.Equals, result.PlatformDown, qt.Commentf("%v", err))
+}
--- a/internal/platform/edit.go
+++ b/internal/platform/edit.go
@@ -125,6 +125,10 @@
 // mayBeAppliedAfter reports whether a request that failed with err may still have
 // reached the platform.
 func mayBeAppliedAfter(err error) bool {
+	var notAppliedErr *errNotApplied
+	if errors.As(err, &notAppliedErr) {
+		return false // its cause may be a context that ended
+	}
 	var unknownErr *errOutcomeUnknown
 	return errors.As(err, &unknownErr) || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
 }
