usage: a witness that restarted unnoticed gets its readings again

Cause: a witness that was killed and started again before a replication round saw the shorter list of hosts had lost its copies, while the list showed the same host. The readings of a dead holder, whose other copy was at the entry host, were sent again only after 20 s; if the entry host died meanwhile, statements were missing from the report. Ruled out: readings counted after the question (the meter is read before the answer is sent); hosts that didn't answer the report. Change: while readings aren't durable, their witnesses are asked every 500 ms which process they are; another process than the one that stored the copy makes all of the source's readings due.

--- a/internal/usage/intervals.go
+++ b/internal/usage/intervals.go
@@ -8,9 +8,10 @@
 	replicationIntervalPerHost = 2 * time.Millisecond  // the replication interval grows by this for each host
 	minReplicationInterval     = 50 * time.Millisecond // between replications to witnesses
 	maxReplicationInterval     = 1 * time.Second
-	holderSilenceTimeout       = 3 * time.Second // without a new reading of a holder, until entry hosts replicate its readings
-	witnessWriteGrace          = 5 * time.Second // beyond the holder's flush interval, until its witnesses write
-	retryInterval              = 2 * time.Second // after a failed write
+	confirmationInterval       = 500 * time.Millisecond // between questions to the witnesses of readings that are not durable yet
+	holderSilenceTimeout       = 3 * time.Second        // without a new reading of a holder, until entry hosts replicate its readings
+	witnessWriteGrace          = 5 * time.Second        // beyond the holder's flush interval, until its witnesses write
+	retryInterval              = 2 * time.Second        // after a failed write
 )
 
 // flushInterval returns the time between a host's platform writes. It grows with
--- a/internal/usage/keeper_test.go
+++ b/internal/usage/keeper_test.go
@@ -35,14 +35,16 @@
 		f.hosts = append(f.hosts, topology.Host{ID: id, Domain: topology.Domain(id[:1]), State: topology.HostLive})
 	}
 	for _, id := range ids {
-		f.start(c, id)
+		f.start(c, id, 1)
 	}
 	return f
 }
 
-func (f *fleet) start(c *qt.C, id topology.HostID) {
+// start starts a process of the host. It replaces an earlier one in the same
+// moment, so that the list of hosts doesn't change.
+func (f *fleet) start(c *qt.C, id topology.HostID, boot uint64) {
 	client := platform.New(platform.Options{Addr: f.platform.Addr, Caller: string(id)})
-	k := usage.NewKeeper(usage.Options{Self: id, Boot: 1, Client: client, Peers: f, Hosts: f.listedHosts})
+	k := usage.NewKeeper(usage.Options{Self: id, Boot: boot, Client: client, Peers: f, Hosts: f.listedHosts})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); k.Run(ctx) }()
@@ -171,6 +173,29 @@
 	c.Check(f.statements(c, "c1"), qt.Equals, uint64(4))
 }
 
+// A witness that restarts before the list of hosts shows it has lost its copy. The
+// reading of a dead holder, whose other copy is at an entry host, is copied again.
+func TestRestartedWitnessGetsReadingsAgain(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c, "a1", "b1", "c1")
+	f.platform.UpdateFaults(func(x *standin.Faults) { x.Outage = standin.OutageRefuse })
+	f.execute(c, "b1", "a1", 7)
+	source := usage.Source{Host: "a1", Boot: 1}
+	waitFor(c, "the reading is replicated", func() bool { return f.countHostsWithReading(source, 7) == 3 })
+	f.kill("a1")
+	unreplicated := func() int { return f.keepers["b1"].Dump().(usage.Dump).Unreplicated }
+	waitFor(c, "the entry host copies the readings of the dead holder", func() bool { return unreplicated() > 0 })
+	waitFor(c, "the copies are made", func() bool { return unreplicated() == 0 })
+	stop := f.stops["c1"]
+	f.start(c, "c1", 2)
+	stop()
+	restartedAt := time.Now()
+	waitFor(c, "the new process has the reading", func() bool { return f.countHostsWithReading(source, 7) == 2 })
+	c.Check(time.Since(restartedAt) < 2*time.Second, qt.IsTrue, qt.Commentf("%s", time.Since(restartedAt)))
+	f.kill("b1")
+	c.Check(f.statements(c, "c1"), qt.Equals, uint64(7))
+}
+
 func TestLeaveWritesAllReadings(t *testing.T) {
 	c := qt.New(t)
 	f := newFleet(c, "a1", "b1")
--- a/internal/usage/reading_store.go
+++ b/internal/usage/reading_store.go
@@ -21,6 +21,7 @@
 	// readings yet.
 	replicatedTo map[Source][]Source
 	replicatedAt map[Source]time.Time // last replication of each source
+	confirmedAt  map[Source]time.Time // when the witnesses of each source last answered
 	lastGrowth   map[Source]time.Time // time of the last new reading of each source
 	witnessed    map[Source]bool      // sources of which this host is a witness
 }
@@ -32,6 +33,7 @@
 		lastGrowth:   map[Source]time.Time{},
 		witnessed:    map[Source]bool{},
 		replicatedAt: map[Source]time.Time{},
+		confirmedAt:  map[Source]time.Time{},
 		replicatedTo: map[Source][]Source{},
 	}
 }
@@ -69,7 +71,7 @@
 // MarkReplicated records that the processes in receivers stored the readings of
 // a source as its witnesses.
 func (r *ReadingStore) MarkReplicated(source Source, readings []pool.Meter, receivers []Source, now time.Time) {
-	r.replicatedAt[source] = now
+	r.replicatedAt[source], r.confirmedAt[source] = now, now
 	previous, replicatedBefore := r.replicatedTo[source]
 	if !replicatedBefore {
 		r.replicatedTo[source] = receivers
@@ -85,6 +87,31 @@
 	r.replicated.MergeAll(readings)
 }
 
+// DueForConfirmation returns the sources whose replicated readings aren't durable
+// and whose witnesses have not answered for the duration after. A witness that
+// restarted in the meantime has lost its copy, and the list of hosts may not show it.
+func (r *ReadingStore) DueForConfirmation(now time.Time, after time.Duration) []Source {
+	var due []Source
+	for source := range r.replicatedTo {
+		if now.Sub(r.confirmedAt[source]) >= after && len(notCovered(r.replicated.Readings(source), &r.durable)) > 0 {
+			due = append(due, source)
+		}
+	}
+	return due
+}
+
+// MarkConfirmed records which processes the witnesses of a source are. If one of
+// them has restarted, the source's readings are sent again.
+func (r *ReadingStore) MarkConfirmed(source Source, processes []Source, now time.Time) {
+	r.confirmedAt[source] = now
+	restarted := func(old Source) bool {
+		return slices.ContainsFunc(processes, func(s Source) bool { return s.Host == old.Host && s.Boot != old.Boot })
+	}
+	if slices.ContainsFunc(r.replicatedTo[source], restarted) {
+		r.clearReplicated(source)
+	}
+}
+
 // clearReplicated discards the replication state of a source, so that all its
 // readings are sent again.
 func (r *ReadingStore) clearReplicated(source Source) {
@@ -181,6 +208,7 @@
 		r.durable.Drop(source)
 		r.clearReplicated(source)
 		delete(r.replicatedAt, source)
+		delete(r.confirmedAt, source)
 		delete(r.lastGrowth, source)
 		delete(r.witnessed, source)
 	}
--- a/internal/usage/replicate.go
+++ b/internal/usage/replicate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"nettlewalk.example/nettlewalk/internal/pool"
@@ -68,12 +69,32 @@
 	k.replicating.Lock()
 	defer k.replicating.Unlock()
 	k.witnesses.refresh(hosts)
+	k.confirmWitnesses(ctx)
 	for source, args := range k.takeDueReadings(silence, resendInterval(len(hosts)), k.witnesses.fleet()) {
 		durable, receivers := k.sendToWitnesses(ctx, k.witnesses.of(source), args)
 		k.finishReplication(source, args, durable, receivers)
 	}
 }
 
+// confirmWitnesses asks the witnesses of readings that are not durable yet which
+// processes they are.
+func (k *Keeper) confirmWitnesses(ctx context.Context) {
+	k.mu.Lock()
+	sources := k.store.DueForConfirmation(time.Now(), confirmationInterval)
+	k.mu.Unlock()
+	var calls sync.WaitGroup
+	for _, source := range sources {
+		witnesses := k.witnesses.of(source)
+		calls.Go(func() {
+			_, processes := k.sendToWitnesses(ctx, witnesses, &WitnessArgs{})
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			k.store.MarkConfirmed(source, processes, time.Now())
+		})
+	}
+	calls.Wait()
+}
+
 // takeDueReadings returns the readings to replicate, by source. It includes and
 // clears the notice of own readings that became durable.
 func (k *Keeper) takeDueReadings(silence, resendAfter time.Duration, fleet FleetView) map[Source]*WitnessArgs {
