--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -15,6 +15,7 @@
 	"nettlewalk.example/nettlewalk/internal/duty"
 	"nettlewalk.example/nettlewalk/internal/gossip"
 	"nettlewalk.example/nettlewalk/internal/group"
+	"nettlewalk.example/nettlewalk/internal/lease"
 	"nettlewalk.example/nettlewalk/internal/peer"
 	storeclient "nettlewalk.example/nettlewalk/internal/platform"
 	"nettlewalk.example/nettlewalk/internal/promotion"
@@ -40,6 +41,8 @@
 	watchers     *promotion.Watchers
 	groups       *group.Set
 	relay        *relay.Server
+	grantor      *lease.Grantor // nil if primaries are fenced
+	lessee       *lease.Lessee  // nil if primaries are fenced
 	holders      share.Holders
 	leaving      atomic.Bool
 	failedProbes atomic.Int64 // consecutive readiness probes answered with not ready
@@ -67,21 +70,31 @@
 	h.server = peer.NewServer(key, self, log.WithName("peer"))
 	resolve := func(id topology.HostID) (string, bool) { return string(id), true }
 	h.peers = peer.NewClient(key, self, resolve, nil)
-	h.gossip = gossip.New(gossip.Options{
+	gossipOptions := gossip.Options{
 		Self:    gossip.Host{Addr: self, Name: string(s.Host), Domain: s.Domain, Boot: bootID},
 		Seeds:   hostIDs(s.Seeds),
 		Catalog: h.catalog, Caller: h.peers, Offers: h.connectionOffers, OnOffers: h.learnLeaders, Log: log.WithName("gossip"),
-	})
+	}
+	if !s.PrimariesFenced {
+		gossipOptions.GrantLeases = func(id topology.HostID, ids []topology.GroupID) []lease.Lease { return h.grantor.Grant(id, ids) }
+		gossipOptions.OnLeases = func(leases []lease.Lease, sentAt time.Time) { h.lessee.Note(leases, sentAt) }
+	}
+	h.gossip = gossip.New(gossipOptions)
 	h.duty = duty.New(duty.Options{
 		Self: self, Name: string(s.Host), Boot: bootID, Domain: s.Domain, Store: h.store, Hosts: h.gossip,
 		PrimaryDomain: h.primaryDomain, Log: log.WithName("duty"), OnChange: h.gossip.TriggerRound,
 	})
 	h.gossip.SetClaims(h.duty)
-	h.groups = group.NewSet(group.SetOptions{
+	groupOptions := group.SetOptions{
 		Domain: s.Domain, Dialer: platform.TargetDialer{}, Catalog: h.catalog,
 		Size: h.connectionShare, OnSuspect: h.reportUnreachable,
 		Log: log.WithName("group"),
-	})
+	}
+	if !s.PrimariesFenced {
+		h.createLeases()
+		groupOptions.Leases = h.lessee.Table
+	}
+	h.groups = group.NewSet(groupOptions)
 	h.relay = relay.NewServer(relay.Options{
 		Catalog: h.catalog, Groups: h.groups, Accept: platform.NewCallerConn,
 		Peers: &relayPeers{Client: h.peers, host: h}, Log: log.WithName("relay"),
@@ -89,6 +102,27 @@
 	return h
 }
 
+// createLeases creates both sides of the leases on the leadership of groups.
+func (h *fleetHost) createLeases() {
+	log := h.log.WithName("lease")
+	h.grantor = lease.NewGrantor(lease.GrantorOptions{Duty: h.duty, Peers: h.peers, Log: log})
+	h.lessee = lease.NewLessee(lease.LesseeOptions{
+		Self: topology.HostID(h.settings.PeerAddr), Peers: h.peers, Grantor: h.grantor, Holder: h.duty.Holder,
+		Groups: func() []topology.GroupID { return h.groups.Connected() },
+		OnBegin: func(id topology.GroupID, _ topology.TargetID) {
+			if g := h.groups.Group(id); g != nil {
+				g.LeaseBegun()
+			}
+		},
+		OnEnd: func(id topology.GroupID) {
+			if g := h.groups.Group(id); g != nil {
+				g.LeaseEnded()
+			}
+		},
+		Log: log,
+	})
+}
+
 // run serves until ctx is canceled and then shuts down.
 func (h *fleetHost) run(ctx context.Context) error {
 	serveCtx, stop := context.WithCancel(context.Background())
@@ -101,6 +135,9 @@
 	go h.gossip.Run(serveCtx)
 	go h.duty.Run(serveCtx)
 	go h.groups.Run(serveCtx)
+	if h.lessee != nil {
+		go h.lessee.Run(serveCtx)
+	}
 	go h.updateGroupWatchers(serveCtx)
 	go h.gossipCatalogChanges(serveCtx)
 	go h.closeIdleSessionsWhileIsolated(serveCtx)
@@ -120,6 +157,11 @@
 	if err := h.server.Register(promotion.ServiceName, h.watchers.Service()); err != nil {
 		return nil, err
 	}
+	if h.lessee != nil {
+		if err := h.server.Register(lease.ServiceName, lease.NewService(h.grantor, h.lessee)); err != nil {
+			return nil, err
+		}
+	}
 	if err := h.server.Register(relay.ServiceName, h.relay.Service()); err != nil {
 		return nil, err
 	}
--- a/cmd/nettlewalk/fleetinspect.go
+++ b/cmd/nettlewalk/fleetinspect.go
@@ -17,6 +17,7 @@
 	"nettlewalk.example/nettlewalk/internal/duty"
 	"nettlewalk.example/nettlewalk/internal/gossip"
 	"nettlewalk.example/nettlewalk/internal/group"
+	"nettlewalk.example/nettlewalk/internal/lease"
 	"nettlewalk.example/nettlewalk/internal/steady"
 )
 
@@ -34,6 +35,10 @@
 	Hosts         []gossip.Host `json:"hosts"`
 	Duties        []duty.Claim  `json:"duties"`
 	Groups        []group.Dump  `json:"groups"`
+	// Leases are those of this host, Grants those that it granted. Both are absent
+	// if primaries are fenced.
+	Leases []lease.Dump      `json:"leases,omitempty"`
+	Grants []lease.GrantDump `json:"grants,omitempty"`
 }
 
 func (h *fleetHost) dump() fleetDump {
@@ -44,6 +49,9 @@
 	}
 	d.Configuration, d.Register = h.catalog.Versions()
 	d.StoreUp, _ = h.store.Reachable()
+	if h.lessee != nil {
+		d.Leases, d.Grants = h.lessee.Dump(), h.grantor.Dump()
+	}
 	return d
 }
 
--- a/cmd/nettlewalk/fleetready.go
+++ b/cmd/nettlewalk/fleetready.go
@@ -27,8 +27,14 @@
 // other failure domains probably can: it has lost contact with most failure
 // domains, and more than half of the groups have no known leader.
 func (h *fleetHost) isIsolated() bool {
+	if h.gossip.Connected() {
+		return false
+	}
+	if h.lessee != nil {
+		return true // leases end shortly after the contact with their holders
+	}
 	leaderless, total := h.groups.Leaderless() // includes groups whose connections other hosts hold for this one
-	return !h.gossip.Connected() && 2*leaderless > total
+	return 2*leaderless > total
 }
 
 const (
--- a/cmd/nettlewalk/fleetstore.go
+++ b/cmd/nettlewalk/fleetstore.go
@@ -110,11 +110,15 @@
 			continue // group.Set creates the group from the same change; the next pass finds it
 		}
 		h.watchers.Ensure(ctx, id, func() *promotion.Watcher {
-			return promotion.NewWatcher(promotion.Options{
+			options := promotion.Options{
 				Group: id, Name: string(h.settings.Host), Dialer: platform.TargetDialer{}, Parse: platform.ParseTargetStatus,
-				Promoter: platform.NewPromoter(h.settings.PromotionAddr), Duty: h.duty, Contact: h.gossip, Catalog: h.catalog, GroupView: groupState,
+				Promoter: platform.NewPromoter(h.settings.PromotionAddr), Duty: h.duty, Catalog: h.catalog, GroupView: groupState,
 				Hosts: func() int { return len(h.gossip.Live()) }, Log: h.log.WithName("promotion"),
-			})
+			}
+			if h.grantor != nil {
+				options.Leases = h.grantor
+			}
+			return promotion.NewWatcher(options)
 		})
 	}
 }
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -39,6 +39,9 @@
 	Live() []topology.Host
 	// Connected reports whether hosts in most failure domains answered recently.
 	Connected() bool
+	// Settled reports whether this host has heard of everything that concerns a
+	// duty which it acquired at the given time.
+	Settled(acquired time.Time) bool
 	// Rank returns this host's rank for work that a few hosts do for the whole
 	// fleet; 0 is first.
 	Rank() int
@@ -77,6 +80,8 @@
 	pendingUntil  map[topology.GroupID]time.Time
 	heldSince     map[topology.GroupID]time.Time // when this host acquired the duty
 	lastRequestAt map[topology.GroupID]time.Time // when this host sent its last promotion request
+	// acquiredAt is a time shortly before the store accepted this host's claim.
+	acquiredAt map[topology.GroupID]time.Time
 }
 
 // New returns a Keeper that knows no claims.
@@ -90,6 +95,7 @@
 		pendingUntil:  map[topology.GroupID]time.Time{},
 		heldSince:     map[topology.GroupID]time.Time{},
 		lastRequestAt: map[topology.GroupID]time.Time{},
+		acquiredAt:    map[topology.GroupID]time.Time{},
 	}
 }
 
@@ -161,6 +167,15 @@
 	return c.Token, k.isHeldHere(c)
 }
 
+// Settled reports whether this host holds the group's duty and would have heard if
+// another host had acquired it since.
+func (k *Keeper) Settled(id topology.GroupID) bool {
+	k.mu.Lock()
+	held, acquired := k.isHeldHere(k.claims[id]), k.acquiredAt[id]
+	k.mu.Unlock()
+	return held && k.opts.Hosts.Settled(acquired)
+}
+
 // NoteRequest records that this host is about to send a promotion request for the
 // group.
 func (k *Keeper) NoteRequest(id topology.GroupID) {
@@ -186,14 +201,24 @@
 		return
 	}
 	silentFor, ok := k.opts.Hosts.HeardAgo(superseded.Holder)
-	if !ok || superseded.Holder == k.opts.Self || superseded.Released {
+	switch {
+	case superseded.Released:
 		silentFor = 0
+	case !ok || superseded.Holder == k.opts.Self: // silent since this process started
+		silentFor = now.Sub(k.createdAt)
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.pendingUntil[superseded.Group] = now.Add(max(0, RequestEffectWindow-silentFor))
 }
 
+// recordAcquisition records that this host is about to write its claim.
+func (k *Keeper) recordAcquisition(id topology.GroupID) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.acquiredAt[id] = steady.Now()
+}
+
 // Holder returns the host that holds the group's duty, and false if none is known.
 func (k *Keeper) Holder(id topology.GroupID) (topology.HostID, bool) {
 	k.mu.Lock()
@@ -365,6 +390,7 @@
 		return err
 	}
 	k.recordPending(expected)
+	k.recordAcquisition(expected.Group)
 	if _, err = k.opts.Store.PutIf(ctx, object); err == nil {
 		k.Learn(claim)
 		return nil
--- a/internal/duty/keeper_test.go
+++ b/internal/duty/keeper_test.go
@@ -72,6 +72,7 @@
 func (h *fakeHosts) Live() []topology.Host                          { return []topology.Host{{ID: "a", Domain: "north"}} }
 func (h *fakeHosts) Rank() int                                      { return 0 }
 func (h *fakeHosts) Connected() bool                                { return h.connected }
+func (h *fakeHosts) Settled(time.Time) bool                         { return h.connected }
 
 func newKeeper(s *fakeStore, h *fakeHosts) *Keeper {
 	return New(Options{Self: "a", Name: "host-a", Boot: 1, Store: s, Hosts: h, Log: logr.Discard(), OnChange: func() {},
--- a/internal/gossip/contact.go
+++ b/internal/gossip/contact.go
@@ -30,8 +30,9 @@
 // Connected reports whether a request of the last ContactWindow was answered.
 func (c *Contact) Connected(now time.Time) bool { return now.Sub(c.last) < ContactWindow }
 
-// Settled reports whether the contact has lasted for longer than NewsDelay, so that
-// this host has heard what happened before the contact began.
-func (c *Contact) Settled(now time.Time) bool {
-	return c.Connected(now) && now.Sub(c.since) > NewsDelay
+// Settled reports whether this host has heard of everything that concerns a duty
+// which it acquired at the time acquired: the contact began before that, or has
+// lasted for longer than NewsDelay.
+func (c *Contact) Settled(acquired, now time.Time) bool {
+	return c.Connected(now) && (!c.since.After(acquired) || now.Sub(c.since) > NewsDelay)
 }
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -8,6 +8,7 @@
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
 	"nettlewalk.example/nettlewalk/internal/duty"
+	"nettlewalk.example/nettlewalk/internal/lease"
 	"nettlewalk.example/nettlewalk/internal/placement"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
@@ -86,4 +87,5 @@
 	Digest
 	NewConfiguration *catalog.Configuration
 	NewRegister      *catalog.Registry
+	Leases           []lease.Lease // on groups to which the caller has connections
 }
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -11,6 +11,7 @@
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
 	"nettlewalk.example/nettlewalk/internal/duty"
+	"nettlewalk.example/nettlewalk/internal/lease"
 	"nettlewalk.example/nettlewalk/internal/steady"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
@@ -30,6 +31,9 @@
 	g.mergeDigest(&reply.Digest)
 	g.mergeAges(&reply.Digest, sentAt)
 	g.recordAnswer(id, sentAt)
+	if len(reply.Leases) > 0 && g.opts.OnLeases != nil {
+		g.opts.OnLeases(reply.Leases, sentAt)
+	}
 	if g.opts.Catalog.OfferConfiguration(reply.NewConfiguration) {
 		g.opts.Log.Info("configuration in force", "version", reply.NewConfiguration.Version, "source", reply.From.Name, "routes", len(reply.NewConfiguration.Routes))
 		g.TriggerRound()
@@ -197,6 +201,7 @@
 	g := s.gossip
 	g.mergeDigest(args)
 	reply.Digest = g.buildDigest(args.From.Addr)
+	reply.Leases = g.grantLeases(args)
 	if reply.Configuration > args.Configuration {
 		reply.NewConfiguration = g.opts.Catalog.Configuration()
 	}
@@ -208,3 +213,20 @@
 	}
 	return nil
 }
+
+// grantLeases returns leases on the groups to which the caller has connections.
+func (g *Gossip) grantLeases(args *Digest) []lease.Lease {
+	if g.opts.GrantLeases == nil {
+		return nil
+	}
+	var ids []topology.GroupID
+	for _, o := range args.Offers {
+		if _, held := g.claims.Token(o.Group); held && o.Open > 0 {
+			ids = append(ids, o.Group)
+		}
+	}
+	if len(ids) == 0 {
+		return nil
+	}
+	return g.opts.GrantLeases(args.From.Addr, ids)
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -11,6 +11,7 @@
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
 	"nettlewalk.example/nettlewalk/internal/duty"
+	"nettlewalk.example/nettlewalk/internal/lease"
 	"nettlewalk.example/nettlewalk/internal/peer"
 	"nettlewalk.example/nettlewalk/internal/steady"
 	"nettlewalk.example/nettlewalk/internal/topology"
@@ -37,6 +38,8 @@
 type ClaimStore interface {
 	Learn(duty.Claim)
 	Claims() []duty.Claim
+	// Token returns the group's fencing token and whether this host holds the duty.
+	Token(topology.GroupID) (token uint64, held bool)
 }
 
 // Options configures a Gossip.
@@ -50,7 +53,12 @@
 	// OnOffers is called with the offers in another host's answer and the time at
 	// which the request was sent.
 	OnOffers func(offers []Offer, at time.Time)
-	Log      logr.Logger
+	// GrantLeases returns leases for another host on groups to which it has
+	// connections. OnLeases is called with the leases in another host's answer and
+	// the time at which the request was sent. Both are nil if no leases are needed.
+	GrantLeases func(topology.HostID, []topology.GroupID) []lease.Lease
+	OnLeases    func(leases []lease.Lease, sentAt time.Time)
+	Log         logr.Logger
 }
 
 // knownHost is what this host knows of another one.
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -40,6 +40,8 @@
 func (c *fakeClaims) Learn(claim duty.Claim) { c.list = append(c.list, claim) }
 func (c *fakeClaims) Claims() []duty.Claim   { return c.list }
 
+func (c *fakeClaims) Token(topology.GroupID) (token uint64, held bool) { return 0, false }
+
 func newFakeNetwork(domains ...topology.Domain) *fakeNetwork {
 	n := &fakeNetwork{hosts: map[topology.HostID]*Gossip{}, partitioned: map[topology.HostID]bool{}}
 	for i, d := range domains {
@@ -296,17 +298,17 @@
 	for ms := 0; ms <= 900; ms += 300 {
 		c.Record(at(ms), at(ms+5))
 		qt.Check(t, c.Connected(at(ms+5)), qt.IsTrue)
-		qt.Check(t, c.Settled(at(ms+5)), qt.Equals, ms > 700, qt.Commentf("at %d ms", ms))
+		qt.Check(t, c.Settled(at(-1000), at(ms+5)), qt.Equals, ms > 700, qt.Commentf("at %d ms", ms))
 	}
-	qt.Check(t, c.Settled(at(1699)), qt.IsTrue)
-	qt.Check(t, c.Settled(at(1700)), qt.IsFalse)
+	qt.Check(t, c.Settled(at(-1000), at(1699)), qt.IsTrue)
+	qt.Check(t, c.Settled(at(-1000), at(1700)), qt.IsFalse)
 	c.Record(at(1600), at(2100)) // a late answer doesn't end the series
-	qt.Check(t, c.Settled(at(2200)), qt.IsTrue)
+	qt.Check(t, c.Settled(at(-1000), at(2200)), qt.IsTrue)
 	c.Record(at(2400), at(2405)) // the gap is ContactWindow
-	qt.Check(t, c.Settled(at(2406)), qt.IsFalse)
-	qt.Check(t, c.Settled(at(3105)), qt.IsFalse)
+	qt.Check(t, c.Settled(at(-1000), at(2406)), qt.IsFalse)
+	qt.Check(t, c.Settled(at(-1000), at(3105)), qt.IsFalse)
 	c.Record(at(3000), at(3005))
-	qt.Check(t, c.Settled(at(3106)), qt.IsTrue)
+	qt.Check(t, c.Settled(at(-1000), at(3106)), qt.IsTrue)
 }
 
 // Hosts of one domain take turns in answering, and the domain's contact lasts.
@@ -315,9 +317,10 @@
 	n.runRounds()
 	g := n.hosts["a"]
 	qt.Check(t, g.Connected(), qt.IsTrue)
-	qt.Check(t, g.Settled(), qt.IsFalse)
+	qt.Check(t, g.Settled(time.Time{}), qt.IsFalse)
+	qt.Check(t, g.Settled(steady.Now()), qt.IsTrue) // a duty acquired during the contact
 	for _, c := range g.contacts {
 		c.since = c.since.Add(-2 * NewsDelay)
 	}
-	qt.Check(t, g.Settled(), qt.IsTrue)
+	qt.Check(t, g.Settled(time.Time{}), qt.IsTrue)
 }
--- a/internal/gossip/hosts.go
+++ b/internal/gossip/hosts.go
@@ -28,10 +28,13 @@
 func (g *Gossip) Connected() bool { return g.inContactWithMost((*Contact).Connected) }
 
 // Settled reports whether this host has been connected to more than half of the
-// failure domains for longer than NewsDelay. A holder that isn't settled performs
-// no step of its duty and grants no lease: during a network partition a host on the
-// other side may have taken the duty, and news of that takes NewsDelay to arrive.
-func (g *Gossip) Settled() bool { return g.inContactWithMost((*Contact).Settled) }
+// failure domains since the time acquired, when it acquired a duty, or for longer than
+// NewsDelay. A holder that isn't settled performs no step of its duty and grants no
+// lease: during a network partition a host on the other side may have taken the duty,
+// and news of that takes NewsDelay to arrive.
+func (g *Gossip) Settled(acquired time.Time) bool {
+	return g.inContactWithMost(func(c *Contact, now time.Time) bool { return c.Settled(acquired, now) })
+}
 
 func (g *Gossip) inContactWithMost(reachable func(*Contact, time.Time) bool) bool {
 	now := steady.Now()
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -26,11 +26,25 @@
 	ID     topology.GroupID
 	Domain topology.Domain // of this host
 	Dialer statement.Dialer
+	// Leases tells which target this host may use as the leader; nil if a target
+	// stops leading when it is replaced, so that a proof of leadership suffices.
+	Leases Leases
 	Log    logr.Logger
 	// OnSuspect is called on signs that a target is dead.
 	OnSuspect func(topology.GroupID, topology.TargetID, statement.DialOutcome)
 }
 
+// Leases tells which target this host may use as a group's leader. See lease.Table.
+type Leases interface {
+	// Target returns the target on whose leadership this host has a valid lease.
+	Target(topology.GroupID) (topology.TargetID, bool)
+	// Holds reports whether this host has a valid lease on the target's leadership.
+	Holds(topology.GroupID, topology.TargetID) bool
+	// Covers reports whether an answer of the target that has just arrived may be
+	// passed on as that of the leader.
+	Covers(topology.GroupID, topology.TargetID) bool
+}
+
 // member is one target of the group and this host's connections to it.
 type member struct {
 	info             catalog.Member
@@ -94,15 +108,45 @@
 }
 
 // Leader returns the leader and its connection pool, or false if no leader is
-// known.
+// known, or this host has no lease on the leader.
 func (g *Group) Leader() (topology.TargetID, *share.Pool, bool) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	m := g.members[g.view.leader]
-	if m == nil {
+	id := g.view.leader
+	m := g.members[id]
+	g.mu.Unlock()
+	if m == nil || !g.MayLead(id) {
 		return "", nil, false
 	}
-	return g.view.leader, m.pool, true
+	return id, m.pool, true
+}
+
+// MayLead reports whether this host may start something at the target that needs the
+// leader: it has a lease, or needs none.
+func (g *Group) MayLead(id topology.TargetID) bool {
+	return g.opts.Leases == nil || g.opts.Leases.Holds(g.opts.ID, id)
+}
+
+// CoversAnswer reports whether an answer of the target that has just arrived may be
+// passed on as that of the leader.
+func (g *Group) CoversAnswer(id topology.TargetID) bool {
+	return g.opts.Leases == nil || g.opts.Leases.Covers(g.opts.ID, id)
+}
+
+// LeaseBegun searches for the leader, on which a lease has begun.
+func (g *Group) LeaseBegun() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.startProbing()
+}
+
+// LeaseEnded records that this host has no lease on the leader.
+func (g *Group) LeaseEnded() {
+	g.mu.Lock()
+	id := g.view.leader
+	g.mu.Unlock()
+	if id != "" {
+		g.refuteLeader(id, steady.Now(), false)
+	}
 }
 
 // LastLeader returns the target that was most recently proved to lead, by this
@@ -153,8 +197,12 @@
 }
 
 // NoteLeading records a proof that the target led at the time sent, when the
-// proving request was sent. answer is the target's answer to that request.
+// proving request was sent. answer is the target's answer to that request. Without
+// a lease, where one is needed, it isn't a proof.
 func (g *Group) NoteLeading(id topology.TargetID, sent time.Time, answer *statement.Answer) {
+	if !g.MayLead(id) {
+		return
+	}
 	g.mu.Lock()
 	changed := g.view.recordLeading(id, sent, answer.Position, answer.HasPosition, steady.Now())
 	if changed {
--- a/internal/group/probe.go
+++ b/internal/group/probe.go
@@ -12,7 +12,7 @@
 // startProbing starts a search for the leader unless one is known or a search
 // is running. The caller must hold g.mu.
 func (g *Group) startProbing() {
-	if g.probing || g.view.leader != "" || len(g.members) == 0 {
+	if g.probing || g.view.leader != "" || len(g.members) == 0 || !g.hasLease() {
 		return
 	}
 	g.probing = true
@@ -27,7 +27,7 @@
 			g.probe(id, pool)
 		}
 		g.mu.Lock()
-		if g.view.leader != "" || len(g.members) == 0 {
+		if g.view.leader != "" || len(g.members) == 0 || !g.hasLease() {
 			g.probing = false
 			g.mu.Unlock()
 			return
@@ -37,6 +37,16 @@
 	}
 }
 
+// hasLease reports whether a proof of leadership can count: this host has a lease on
+// some target, or needs none.
+func (g *Group) hasLease() bool {
+	if g.opts.Leases == nil {
+		return true
+	}
+	_, ok := g.opts.Leases.Target(g.opts.ID)
+	return ok
+}
+
 func (g *Group) pools() map[topology.TargetID]*share.Pool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/group/set.go
+++ b/internal/group/set.go
@@ -31,6 +31,7 @@
 	// given the target's limit on connections from all hosts together.
 	Size      func(target topology.Target, limit int) int
 	OnSuspect func(topology.GroupID, topology.TargetID, statement.DialOutcome)
+	Leases    Leases // nil if no leases are needed, see Options
 	Log       logr.Logger
 }
 
@@ -99,12 +100,25 @@
 	defer s.mu.Unlock()
 	g := s.groups[id]
 	if g == nil {
-		g = New(Options{ID: id, Domain: s.opts.Domain, Dialer: s.opts.Dialer, Log: s.opts.Log, OnSuspect: s.opts.OnSuspect})
+		g = New(Options{ID: id, Domain: s.opts.Domain, Dialer: s.opts.Dialer, Leases: s.opts.Leases, Log: s.opts.Log, OnSuspect: s.opts.OnSuspect})
 		s.groups[id] = g
 	}
 	return g
 }
 
+// Connected returns the IDs of the groups to which this host has an open connection.
+func (s *Set) Connected() []topology.GroupID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var ids []topology.GroupID
+	for id, g := range s.groups {
+		if g.hasConnection() {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // Leaderless returns the number of groups without a proved leader and the
 // number of all groups.
 func (s *Set) Leaderless() (leaderless, total int) {
--- a/internal/promotion/holders_test.go
+++ b/internal/promotion/holders_test.go
@@ -88,7 +88,8 @@
 	partitioned    bool           // no contact with any other host
 	peerHeardAt    time.Time      // when this host last heard from the other one, directly or by gossip
 	contact        gossip.Contact // with the hosts outside the simulation
-	nextStep       Step           // decided in one tick and performed in a later one
+	acquiredAt     time.Time
+	nextStep       Step // decided in one tick and performed in a later one
 	viewedAt       time.Time
 	awaitingUntil  time.Time // waits until then for its promotion to take effect
 	gossipedAt     time.Time // when the hosts outside the simulation last heard from this host, as known to all of them
@@ -292,7 +293,7 @@
 // acquireDuty writes the host's claim to the store.
 func (w *simulation) acquireDuty(h *simHost) {
 	w.storedClaim = claimState{token: w.storedClaim.token + 1, holder: h.id}
-	w.claimedAt = w.now
+	w.claimedAt, h.acquiredAt = w.now, w.now
 	w.learn(h, w.storedClaim)
 }
 
@@ -330,7 +331,7 @@
 		h.nextStep = NextStep(w.view(h))
 		return
 	}
-	auth := authority{settled: h.contact.Settled(w.now) || w.disabled.authority, pendingUntil: h.pendingUntil}
+	auth := authority{settled: h.contact.Settled(h.acquiredAt, w.now) || w.disabled.authority, pendingUntil: h.pendingUntil}
 	if w.disabled.pending {
 		auth.pendingUntil = time.Time{}
 	}
@@ -369,7 +370,7 @@
 			return
 		}
 		w.acquireDuty(h)
-		h.requests.noteRenewal()
+		h.requests.noteRenewal(h.token)
 	}
 	h.requests.noteRequest(target)
 	w.tracef("host %d requests the promotion of %s, token %d", h.id, target, h.token)
--- a/internal/promotion/next.go
+++ b/internal/promotion/next.go
@@ -18,6 +18,9 @@
 	if !ok {
 		return Wait{Reason: "no replica that could be promoted responds"}
 	}
+	if v.EarlierRequest && candidate.Status.PausedTerm > 0 {
+		return Wait{Reason: "an earlier holder may have ordered the promotion of another target"}
+	}
 	others := v.otherReplicas(candidate.ID)
 	if n := countUncertain(others, candidate); n >= max(v.AckReplicas, 1) {
 		return Wait{Reason: fmt.Sprintf("%d replicas can't be paused and may have received more commits", n)}
@@ -70,6 +73,9 @@
 	if m.MayResume != other.MayResume {
 		return m.MayResume // its pause may end, so it can't be counted on as one of the paused replicas
 	}
+	if paused, otherPaused := m.Status.PausedTerm > 0, other.Status.PausedTerm > 0; paused != otherPaused {
+		return !paused // an earlier attempt chose the one that it didn't pause
+	}
 	return m.ID < other.ID
 }
 
--- a/internal/promotion/probe.go
+++ b/internal/promotion/probe.go
@@ -77,6 +77,7 @@
 		w.opts.Log.Info("leader found", "group", w.opts.Group, "target", id, "position", p.position.String())
 	}
 	w.leader, w.leaderProvedAt = id, p.sent
+	w.opts.GroupView.NoteReportedLeader(id, p.sent)
 	w.opts.GroupView.NoteLeading(id, p.sent, &statement.Answer{Position: p.position, HasPosition: true})
 	for _, other := range w.probers {
 		if !other.endedSince.IsZero() && other.logUpperBound.IsZero() && p.sent.After(other.endedSince) {
@@ -98,7 +99,7 @@
 	view := w.probeReplicas(ctx)
 	view.LeaderServes = true
 	if w.requests.mayResume(now) {
-		w.perform(ctx, authorize(NextStep(view), w.currentAuthority(), steady.Now()))
+		w.perform(ctx, authorize(NextStep(view), w.currentAuthority(""), steady.Now()))
 	}
 }
 
--- a/internal/promotion/prober.go
+++ b/internal/promotion/prober.go
@@ -178,11 +178,16 @@
 
 // command sends a control statement and returns the target's status from the answer.
 func (p *prober) command(ctx context.Context, kind statement.Kind, term uint64) (statement.TargetStatus, Reach) {
+	return p.commandWithin(ctx, probeTimeout, kind, term)
+}
+
+// commandWithin is like command with another timeout.
+func (p *prober) commandWithin(ctx context.Context, timeout time.Duration, kind statement.Kind, term uint64) (statement.TargetStatus, Reach) {
 	reach, ok := p.dial(ctx)
 	if !ok {
 		return statement.TargetStatus{}, reach
 	}
-	answers, err := p.conn.Exchange(time.Now().Add(probeTimeout), statement.Statement{ID: statement.ProxyRequestID, Kind: kind, Term: term})
+	answers, err := p.conn.Exchange(time.Now().Add(timeout), statement.Statement{ID: statement.ProxyRequestID, Kind: kind, Term: term})
 	if err != nil {
 		p.closeConn()
 		return statement.TargetStatus{}, Unresponsive
--- a/internal/promotion/promote.go
+++ b/internal/promotion/promote.go
@@ -17,7 +17,7 @@
 			w.opts.Log.Info("promotion delayed", "group", w.opts.Group, "reason", "an earlier request may still be carried out and renewing the token failed", "error", err.Error())
 			return
 		}
-		w.requests.noteRenewal()
+		w.noteRenewal()
 	}
 	token, held := w.opts.Duty.Token(w.opts.Group)
 	if !held || steady.Now().Sub(w.lastTickAt) > suspendedAfter {
@@ -25,7 +25,7 @@
 	}
 	w.requests.noteRequest(target)
 	w.opts.Duty.NoteRequest(w.opts.Group)
-	reply := w.opts.Promoter.Promote(ctx, Request{Group: w.opts.Group, Target: target, Holder: w.opts.Name, Token: token})
+	reply := w.opts.Promoter.Promote(ctx, Request{Group: w.opts.Group, Target: target, Holder: w.opts.Name, Token: token, NotAfter: w.lastTickAt.Add(suspendedAfter)})
 	values := []any{"group", w.opts.Group, "target", target, "token", token, "since_ms", steady.Now().Sub(w.attemptStartedAt).Milliseconds()}
 	if reply.Err != nil {
 		values = append(values, "error", reply.Err.Error())
@@ -40,7 +40,16 @@
 		// Either another host used a higher token, or the target isn't running.
 		if err := w.opts.Duty.Renew(ctx, w.opts.Group); err != nil {
 			w.opts.Log.Info("renewing duty failed", "group", w.opts.Group, "error", err.Error())
+			return
 		}
+		w.noteRenewal()
+	}
+}
+
+// noteRenewal records the token that this host has just got by renewing its duty.
+func (w *Watcher) noteRenewal() {
+	if token, held := w.opts.Duty.Token(w.opts.Group); held {
+		w.requests.noteRenewal(token)
 	}
 }
 
@@ -53,6 +62,7 @@
 	for ctx.Err() == nil && steady.Now().Sub(acceptedAt) < effectTimeout {
 		if w.checkLeadership(ctx, target, pr).leads {
 			w.lastPromotionAt = steady.Now()
+			w.grantLeases()
 			w.opts.Log.Info("promotion took effect", "group", w.opts.Group, "target", target, "took_ms", w.lastPromotionAt.Sub(acceptedAt).Milliseconds())
 			metrics.GetOrCreateHistogram("nettlewalk_promotion_seconds").Update(w.lastPromotionAt.Sub(w.attemptStartedAt).Seconds())
 			return
@@ -60,4 +70,7 @@
 		time.Sleep(attemptInterval)
 	}
 	w.opts.Log.Info("promotion has not taken effect yet", "group", w.opts.Group, "target", target)
+	if w.opts.Leases != nil {
+		w.requests.noteOutcome(Unanswered, steady.Now())
+	}
 }
--- a/internal/promotion/types.go
+++ b/internal/promotion/types.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"nettlewalk.example/nettlewalk/internal/statement"
 	"nettlewalk.example/nettlewalk/internal/topology"
@@ -14,6 +15,9 @@
 	Target topology.TargetID
 	Holder string // name of the host that holds the group's duty
 	Token  uint64 // fencing token; increases with every change of the holder
+	// NotAfter is the time, on the clock of package steady, after which the request
+	// must not be sent: the holder may have been suspended and replaced since.
+	NotAfter time.Time
 }
 
 // Outcome is the result of a promotion request.
@@ -73,7 +77,10 @@
 	Leader       topology.TargetID // last target proved to lead
 	LeaderServes bool              // the latest probe proved that the leader leads
 	Replace      bool              // the leader must be replaced
-	Members      []Member          // all targets but the leader
+	// EarlierRequest is set if an earlier holder may have ordered the promotion of a
+	// target that isn't paused, and the platform doesn't check tokens.
+	EarlierRequest bool
+	Members        []Member // all targets but the leader
 }
 
 // Step is an action that NextStep decides on.
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -40,17 +40,26 @@
 	Renew(ctx context.Context, id topology.GroupID) error
 	// NoteRequest is called before each promotion request.
 	NoteRequest(topology.GroupID)
+	// Settled reports whether hosts in most failure domains have been answering
+	// for so long that no other host can have acquired the duty without this
+	// host's knowledge.
+	Settled(topology.GroupID) bool
 	// PendingUntil returns the time until which a promotion request of the
 	// previous holder may still take effect.
 	PendingUntil(topology.GroupID) time.Time
 }
 
-// Contact tells whether this host may still act as the holder.
-type Contact interface {
-	// Settled reports whether hosts in most failure domains have been answering
-	// for so long that no other host can have acquired the duty without this
-	// host's knowledge.
-	Settled() bool
+// Leases grants leases on the leadership of groups. See lease.Grantor.
+type Leases interface {
+	// Allow lets this host grant leases on a target that was just proved to lead.
+	Allow(topology.GroupID, topology.TargetID)
+	// Stop ends granting.
+	Stop(topology.GroupID)
+	// Revoke ends granting and the leases that were granted. It doesn't wait.
+	Revoke(topology.GroupID)
+	// Outstanding returns the time until which leases may be valid though granting
+	// has stopped.
+	Outstanding(topology.GroupID) time.Time
 }
 
 // Options configures a Watcher.
@@ -61,9 +70,11 @@
 	Parse     statement.StatusParser
 	Promoter  Promoter
 	Duty      Duty
-	Contact   Contact
 	Catalog   *catalog.Store
 	GroupView *group.Group // what this host knows about the group's leader
+	// Leases grants hosts leases on the leader; nil if targets stop leading when
+	// they are replaced and the platform checks fencing tokens.
+	Leases Leases
 	// Hosts returns the number of live hosts, including this host.
 	Hosts func() int
 	Log   logr.Logger
@@ -119,6 +130,9 @@
 
 func (w *Watcher) close() {
 	w.requests.clearToken()
+	if w.opts.Leases != nil {
+		w.opts.Leases.Stop(w.opts.Group)
+	}
 	w.reset()
 }
 
@@ -146,6 +160,9 @@
 	}
 	serves, reach := w.probeLeader(ctx)
 	replace, reason := w.shouldReplace(serves, reach)
+	if serves && w.promotionMayBePending(ctx) {
+		replace, reason = true, "an earlier request may still promote another target"
+	}
 	if !serves {
 		w.clearReports() // they may stem from the same network partition and outlast it
 	}
@@ -154,6 +171,7 @@
 		if !serves {
 			return recheckInterval
 		}
+		w.grantLeases()
 		w.maintainReplicas(ctx)
 		return idleInterval
 	}
@@ -190,16 +208,31 @@
 func (w *Watcher) decideStep(ctx context.Context, serves bool) Step {
 	view := w.probeReplicas(ctx)
 	view.Replace, view.LeaderServes = true, serves
-	step := authorize(NextStep(view), w.currentAuthority(), steady.Now())
+	view.EarlierRequest = w.opts.Leases != nil && w.requests.predecessorPending(steady.Now())
+	wanted := NextStep(view)
+	promotion, isPromotion := wanted.(Promote)
+	if w.opts.Leases != nil {
+		if isPromotion {
+			w.opts.Leases.Revoke(w.opts.Group)
+		} else if serves {
+			w.grantLeases() // callers need the leader while the attempt can't go on
+		}
+	}
+	step := authorize(wanted, w.currentAuthority(promotion.Target), steady.Now())
 	w.logStep(step, &view)
 	return step
 }
 
-// currentAuthority tells whether this host may act as the holder. It must be called
-// right before a step: a host that was suspended has heard from no other host
-// since, and may have lost the duty.
-func (w *Watcher) currentAuthority() authority {
-	return authority{settled: w.opts.Contact.Settled(), pendingUntil: w.opts.Duty.PendingUntil(w.opts.Group)}
+// currentAuthority tells whether this host may act as the holder and promote the
+// target. It must be called right before a step: a host that was suspended has heard
+// from no other host since, and may have lost the duty.
+func (w *Watcher) currentAuthority(target topology.TargetID) authority {
+	a := authority{settled: w.opts.Duty.Settled(w.opts.Group), pendingUntil: w.opts.Duty.PendingUntil(w.opts.Group)}
+	if w.opts.Leases != nil {
+		a.leasesUntil = laterTime(w.requests.predecessorLeases, w.opts.Leases.Outstanding(w.opts.Group))
+		a.pendingRequest = w.requests.mayBePending(target, steady.Now())
+	}
+	return a
 }
 
 func (w *Watcher) logStep(step Step, view *View) {
--- a/internal/promotion/watcher_test.go
+++ b/internal/promotion/watcher_test.go
@@ -79,15 +79,14 @@
 	return s, err
 }
 
-// permanentDuty is a duty that this host always holds. It implements Duty and
-// Contact.
+// permanentDuty is a duty that this host always holds. It implements Duty.
 type permanentDuty struct{}
 
 func (permanentDuty) Token(topology.GroupID) (uint64, bool)         { return 1, true }
 func (permanentDuty) Renew(context.Context, topology.GroupID) error { return nil }
 func (permanentDuty) NoteRequest(topology.GroupID)                  {}
 func (permanentDuty) PendingUntil(topology.GroupID) time.Time       { return time.Time{} }
-func (permanentDuty) Settled() bool                                 { return true }
+func (permanentDuty) Settled(topology.GroupID) bool                 { return true }
 
 // Between the pauses and the promotion request, the watcher doesn't probe the
 // unresponsive primary again: the promotion is safe whether or not the primary is
@@ -104,7 +103,7 @@
 	view := group.New(group.Options{ID: "g", Dialer: targets, Log: logr.Discard()})
 	view.NoteReportedLeader("p", steady.Now())
 	w := NewWatcher(Options{
-		Group: "g", Dialer: targets, Parse: parsePausedTerm, Promoter: targets, Duty: permanentDuty{}, Contact: permanentDuty{},
+		Group: "g", Dialer: targets, Parse: parsePausedTerm, Promoter: targets, Duty: permanentDuty{},
 		Catalog: store, GroupView: view, Hosts: func() int { return 3 }, Log: logr.Discard(),
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -206,6 +206,9 @@
 	}
 	answer, retry := r.exchange(id, pool, conn, []statement.Statement{*r.st}, 0, r.deadline)
 	switch {
+	case answer.OK() && !r.group.CoversAnswer(id):
+		r.addStep(id, "lease ended before the answer arrived")
+		return r.session.refusal(statement.InDoubt, leaseEndedDetail), false
 	case answer.OK():
 		r.group.NoteLeading(id, sent, &answer)
 		r.session.raiseFloor(&answer)
@@ -215,6 +218,10 @@
 	return answer, retry
 }
 
+// leaseEndedDetail explains the refusal of an answer that arrived after this host's
+// lease on the leader had ended: another target may have become the leader.
+const leaseEndedDetail = "the lease on the leader ended before the answer arrived"
+
 // leaderConn returns a connection to the leader. It takes a free local connection,
 // else forwards the statement to another host, else waits for a local connection if
 // that can help. The connection is nil if another host ran the statement or no host
@@ -311,6 +318,10 @@
 			r.addStep(id, "no longer leads")
 			return r.session.refusal(statement.Busy, "the target no longer leads"), true
 		}
+		if !r.group.CoversAnswer(id) {
+			r.addStep(id, "lease ended before the answer arrived")
+			return r.session.refusal(statement.Busy, leaseEndedDetail), true
+		}
 	}
 	answer := answers[callerIndex]
 	answer.State = statement.Idle
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -25,8 +25,10 @@
 
 	group  *group.Group
 	target topology.TargetID
-	pool   *share.Pool
-	conn   *share.Conn // nil: not running, or run by another host
+	// atLeader is set if the transaction relies on target being the leader.
+	atLeader bool
+	pool     *share.Pool
+	conn     *share.Conn // nil: not running, or run by another host
 
 	peerHost topology.HostID // host that runs it; "": this one
 	peerKey  string          // identifies it on that host
@@ -154,9 +156,16 @@
 	return r.session.failWith(refusal, true), true
 }
 
+// leaseLostDetail explains the end of a transaction at a target that this host may no
+// longer use as the leader.
+const leaseLostDetail = "this host has no lease on the leader any more"
+
 // runOnConn runs a statement on the transaction's connection.
 func (s *session) runOnConn(r *request) statement.Answer {
 	t := s.tx
+	if t.atLeader && !t.group.MayLead(t.target) {
+		return s.failWith(s.refusal(statement.Aborted, leaseLostDetail), true)
+	}
 	prefix := s.state.replay(t.conn, r.preparedName)
 	sent := steady.Now()
 	answers, err := t.conn.Exchange(r.deadline, append(prefix, *r.st)...)
@@ -173,6 +182,9 @@
 	}
 	a := answers[len(prefix)]
 	r.addStep(t.target, a.Code.String())
+	if t.atLeader && !t.group.CoversAnswer(t.target) {
+		return s.failWith(s.refusal(statement.Aborted, leaseEndedDetail), a.State == statement.InTransaction)
+	}
 	if a.OK() {
 		t.wrote = t.wrote || r.writes
 		t.group.NoteServed(t.target, steady.Now().Sub(sent), &a)
@@ -260,7 +272,12 @@
 		return false
 	}
 	t := r.session.tx
-	t.group, t.target, t.pool, t.conn = r.group, id, pool, conn
+	t.group, t.target, t.pool, t.conn, t.atLeader = r.group, id, pool, conn, begin.Kind == statement.Begin
+	if t.atLeader && !r.group.CoversAnswer(id) {
+		r.addStep(id, "lease ended before the transaction began")
+		t.rollback()
+		return false
+	}
 	return true
 }
 
@@ -306,6 +323,10 @@
 func (s *session) commitOnConn(r *request) statement.Answer {
 	t := s.tx
 	s.tx = nil
+	if t.atLeader && !t.group.MayLead(t.target) {
+		t.rollback()
+		return s.refusal(statement.Aborted, leaseLostDetail)
+	}
 	sent := steady.Now()
 	answers, err := t.conn.Exchange(r.deadline, *r.st)
 	targetLatency[!t.readOnly].Update(steady.Now().Sub(sent).Seconds())
@@ -320,6 +341,13 @@
 	a := answers[0]
 	t.release(a.State == statement.Idle)
 	a.State = statement.Idle
+	if a.OK() && t.atLeader && !t.group.CoversAnswer(t.target) {
+		r.addStep(t.target, "lease ended before the answer arrived")
+		if t.wrote {
+			return s.refusal(statement.InDoubt, leaseEndedDetail)
+		}
+		return s.refusal(statement.Aborted, leaseEndedDetail)
+	}
 	if a.OK() && t.wrote {
 		t.group.NoteLeading(t.target, sent, &a)
 		s.raiseFloor(&a)
