gossip, hosts: half of the domains with the first one count as the majority; watchers start at once

After a restart of all hosts two of three groups had no watcher for 1.5 s: the watcher's loop looked before group.Set had created the group, and then waited. A host that is cut off for long forgot the silent hosts and took its own domain for the only one. Change: one half that includes the first domain by name is a majority; the domains of the settings count even if silent; a missing group is looked for every 20 ms.

--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -53,6 +53,8 @@
 	watchWait    = 20 * time.Second // each watch costs one call; the polls cover a watch that delivers no events
 	// groupCheckInterval is the interval between checks for groups without a watcher.
 	groupCheckInterval = 1500 * time.Millisecond
+	// missingGroupInterval is that interval while a configured group doesn't exist yet.
+	missingGroupInterval = 20 * time.Millisecond
 	// deadHostConnectionTimeout is how long targets keep the connections of a
 	// host that lost power, plus a margin.
 	deadHostConnectionTimeout = 3300 * time.Millisecond
@@ -73,6 +75,7 @@
 	gossipOptions := gossip.Options{
 		Self:    gossip.Host{Addr: self, Name: string(s.Host), Domain: s.Domain, Boot: bootID},
 		Seeds:   hostIDs(s.Seeds),
+		Domains: s.Domains,
 		Catalog: h.catalog, Caller: h.peers, Offers: h.connectionOffers, OnOffers: h.learnLeaders, Log: log.WithName("gossip"),
 	}
 	if !s.PrimariesFenced {
--- a/cmd/nettlewalk/fleetstore.go
+++ b/cmd/nettlewalk/fleetstore.go
@@ -82,32 +82,35 @@
 // updateGroupWatchers starts a promotion watcher for each configured group,
 // after each change of the catalog and at intervals.
 func (h *fleetHost) updateGroupWatchers(ctx context.Context) {
-	ticker := time.NewTicker(groupCheckInterval)
-	defer ticker.Stop()
 	for {
+		wait := groupCheckInterval
 		changed := h.catalog.Changed()
-		if c := h.catalog.Configuration(); c != nil {
-			h.ensureGroupWatchers(ctx, c)
+		if c := h.catalog.Configuration(); c != nil && !h.ensureGroupWatchers(ctx, c) {
+			wait = missingGroupInterval
 		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
-		case <-ticker.C:
+		case <-time.After(wait):
 		}
 	}
 }
 
-func (h *fleetHost) ensureGroupWatchers(ctx context.Context, c *catalog.Configuration) {
+// ensureGroupWatchers starts the missing watchers. It returns false if a group doesn't
+// exist yet: group.Set creates it from the same change.
+func (h *fleetHost) ensureGroupWatchers(ctx context.Context, c *catalog.Configuration) bool {
 	ids := make([]topology.GroupID, 0, len(c.Groups))
 	for id := range c.Groups {
 		ids = append(ids, id)
 	}
 	h.duty.SetGroups(ids)
+	complete := true
 	for _, id := range ids {
 		groupState := h.groups.Group(id)
 		if groupState == nil {
-			continue // group.Set creates the group from the same change; the next pass finds it
+			complete = false
+			continue
 		}
 		h.watchers.Ensure(ctx, id, func() *promotion.Watcher {
 			options := promotion.Options{
@@ -121,6 +124,7 @@
 			return promotion.NewWatcher(options)
 		})
 	}
+	return complete
 }
 
 // primaryDomain returns the failure domain of a group's primary, or "" if the
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -44,8 +44,12 @@
 
 // Options configures a Gossip.
 type Options struct {
-	Self    Host
-	Seeds   []topology.HostID
+	Self  Host
+	Seeds []topology.HostID
+	// Domains are the failure domains of the deployment. They count for Connected even
+	// if no host of them was ever heard from, so that a host that starts while it is
+	// cut off doesn't take its own domain for the only one.
+	Domains []topology.Domain
 	Catalog *catalog.Store
 	Caller  peer.Caller
 	// Offers returns what this host offers to others: its connections to targets.
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -115,6 +116,34 @@
 	qt.Check(t, n.hosts["a"].Connected(), qt.IsTrue)
 }
 
+// A cut-off host forgets the hosts that are silent for long, but not their domains.
+func TestCutOffHostNeverCountsAsConnected(t *testing.T) {
+	n := newFakeNetwork("north", "north", "south", "coast")
+	g := n.hosts["a"]
+	g.opts.Domains = []topology.Domain{"north", "south", "coast"}
+	n.runRounds()
+	qt.Check(t, g.Connected(), qt.IsTrue)
+	n.ageAllHosts(2 * livenessTimeout)
+	for _, c := range g.contacts {
+		c.last = c.last.Add(-2 * livenessTimeout)
+	}
+	qt.Check(t, g.Connected(), qt.IsFalse)
+}
+
+// Of two halves, one may go on: that with the first domain.
+func TestOneHalfOfTheDomainsIsEnough(t *testing.T) {
+	for _, test := range []struct {
+		reachable string
+		want      bool
+	}{{"ab", true}, {"cd", false}, {"ad", true}, {"bc", false}, {"a", false}, {"bcd", true}} {
+		domains := map[topology.Domain]bool{}
+		for _, d := range "abcd" {
+			domains[topology.Domain(d)] = strings.ContainsRune(test.reachable, d)
+		}
+		qt.Check(t, isMajority(domains), qt.Equals, test.want, qt.Commentf("%s", test.reachable))
+	}
+}
+
 // A duty holder that other hosts still see must not be taken for dead because the
 // network path from one host to it is broken.
 func TestHeardAgoCountsReportsOfOtherHosts(t *testing.T) {
--- a/internal/gossip/hosts.go
+++ b/internal/gossip/hosts.go
@@ -41,19 +41,34 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	domains := map[topology.Domain]bool{g.self.Domain: true}
+	for _, d := range g.opts.Domains {
+		domains[d] = domains[d] || false
+	}
 	for _, k := range g.hosts {
-		if k.isLive(now) && !domains[k.host.Domain] {
-			contact := g.contacts[k.host.Domain]
-			domains[k.host.Domain] = contact != nil && reachable(contact, now)
+		if k.isLive(now) {
+			domains[k.host.Domain] = domains[k.host.Domain] || false
 		}
 	}
-	n := 0
-	for _, ok := range domains {
+	for d := range domains {
+		contact := g.contacts[d]
+		domains[d] = d == g.self.Domain || contact != nil && reachable(contact, now)
+	}
+	return isMajority(domains)
+}
+
+// isMajority reports whether more than half of the domains are reachable, or one half
+// that includes the first by name. The other side of a partition then has neither.
+func isMajority(reachable map[topology.Domain]bool) bool {
+	n, first := 0, topology.Domain("")
+	for d, ok := range reachable {
 		if ok {
 			n++
 		}
+		if first == "" || d < first {
+			first = d
+		}
 	}
-	return 2*n > len(domains)
+	return 2*n > len(reachable) || 2*n == len(reachable) && reachable[first]
 }
 
 // Live implements duty.Hosts: the live hosts, this one included, sorted by address.
--- a/internal/promotion/leases.go
+++ b/internal/promotion/leases.go
@@ -57,6 +57,10 @@
 	leadershipDisputed   // an earlier holder may have ordered the promotion of another target
 )
 
+func (l leadership) String() string {
+	return [...]string{"unknown", "current", "current now", "superseded", "disputed"}[l]
+}
+
 // verifyTimeout bounds the question for the leader's term, which waits for a work slot
 // behind callers' statements.
 const verifyTimeout = 800 * time.Millisecond
@@ -70,10 +74,13 @@
 	}
 	status, reach := pr.commandWithin(ctx, verifyTimeout, statement.Status, 0)
 	if reach != Answered || !status.Primary {
+		w.opts.Log.Info("leader did not tell its term", "group", w.opts.Group, "target", w.leader, "reach", reach)
 		return leadershipUnknown
 	}
 	view := w.probeReplicas(ctx)
-	return compareLeader(status, &view, w.requests.predecessorPending(steady.Now()))
+	result := compareLeader(status, &view, w.requests.predecessorPending(steady.Now()))
+	w.opts.Log.Info("leader compared with the other targets", "group", w.opts.Group, "target", w.leader, "term", status.Term, "result", result.String(), "members", view.Members)
+	return result
 }
 
 // compareLeader compares the status of the leader with those of the other targets.
