--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -80,6 +80,7 @@
 		Catalog: h.catalog, Caller: h.peers, Offers: h.connectionOffers, OnOffers: h.learnLeaders, Log: log.WithName("gossip"),
 	}
 	if !s.PrimariesFenced {
+		gossipOptions.HostVotes = true
 		gossipOptions.GrantLeases = func(id topology.HostID, ids []topology.GroupID) []lease.Lease { return h.grantor.Grant(id, ids) }
 		gossipOptions.OnLeases = func(leases []lease.Lease, sentAt time.Time) { h.lessee.Note(leases, sentAt) }
 	}
--- a/internal/duty/claim.go
+++ b/internal/duty/claim.go
@@ -18,6 +18,34 @@
 	Boot     uint64           `json:"boot"`               // identifies the holder's process across restarts
 	Token    uint64           `json:"token"`              // fencing token
 	Released bool             `json:"released,omitempty"` // the holder gave the duty up
+	// Leadership is what the holder recorded for its successors. Update increases
+	// with each record under the same token.
+	Leadership
+	Update uint64 `json:"update,omitempty"`
+}
+
+// Leadership is a holder's knowledge of its group that its successor needs where
+// neither the platform nor a replaced primary tells it.
+type Leadership struct {
+	// Leader is the target that led last, and Term a lower bound of its term.
+	Leader topology.TargetID `json:"leader,omitempty"`
+	Term   uint64            `json:"term,omitempty"`
+	// Ordered is a target for which a promotion request was sent that may still be
+	// carried out.
+	Ordered topology.TargetID `json:"ordered,omitempty"`
+}
+
+// supersedes reports whether c is newer than old, a claim on the same group.
+func (c *Claim) supersedes(old *Claim) bool {
+	if c.Token != old.Token {
+		return c.Token > old.Token
+	}
+	return c.Update > old.Update || c.Released && !old.Released
+}
+
+// sameTenure reports whether both claims are of one holder under one token.
+func (c *Claim) sameTenure(other *Claim) bool {
+	return c.Token == other.Token && c.Holder == other.Holder && c.Boot == other.Boot
 }
 
 const (
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -115,7 +115,8 @@
 func (k *Keeper) Learn(c Claim) {
 	k.mu.Lock()
 	old := k.claims[c.Group]
-	newer := c.Token > old.Token || (c.Token == old.Token && c.Released && !old.Released)
+	newer := c.supersedes(&old)
+	newTenure := newer && !c.sameTenure(&old)
 	if newer {
 		if k.isHeldHere(c) && !k.isHeldHere(old) {
 			k.heldSince[c.Group] = steady.Now()
@@ -124,7 +125,7 @@
 		delete(k.unheldSince, c.Group)
 	}
 	k.mu.Unlock()
-	if newer && k.isHeldHere(c) {
+	if newTenure && k.isHeldHere(c) {
 		takeovers.Inc()
 	}
 	if newer {
@@ -220,6 +221,43 @@
 	k.acquiredAt[id] = steady.Now()
 }
 
+// Leadership returns what the holders of the group's duty recorded last.
+func (k *Keeper) Leadership(id topology.GroupID) Leadership {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.claims[id].Leadership
+}
+
+// Record records the group's state for the holders that follow. It spreads the record
+// to other hosts at once and returns when the store has it, or with an error. It does
+// nothing if this host doesn't hold the duty or the state is known.
+func (k *Keeper) Record(ctx context.Context, id topology.GroupID, state Leadership) error {
+	k.mu.Lock()
+	claim := k.claims[id]
+	if !k.isHeldHere(claim) || claim.Leadership == state {
+		k.mu.Unlock()
+		return nil
+	}
+	claim.Leadership = state
+	claim.Update++
+	k.claims[id] = claim
+	k.mu.Unlock()
+	k.opts.OnChange()
+	object, stored, err := k.readClaim(ctx, id)
+	if err != nil {
+		return err
+	}
+	if !stored.sameTenure(&claim) {
+		k.Learn(stored)
+		return ErrHeldByOther
+	}
+	if object.Value, err = json.Marshal(claim); err != nil {
+		return err
+	}
+	_, err = k.opts.Store.PutIf(ctx, object)
+	return err
+}
+
 // Holder returns the host that holds the group's duty, and false if none is known.
 func (k *Keeper) Holder(id topology.GroupID) (topology.HostID, bool) {
 	k.mu.Lock()
@@ -390,6 +428,10 @@
 		return ErrHeldByOther
 	}
 	claim := Claim{Group: expected.Group, Holder: k.opts.Self, Name: k.opts.Name, Boot: k.opts.Boot, Token: max(stored.Token, expected.Token) + 1}
+	claim.Leadership = stored.Leadership
+	if expected.supersedes(&stored) { // the last record didn't reach the store
+		claim.Leadership = expected.Leadership
+	}
 	if object.Value, err = json.Marshal(claim); err != nil {
 		return err
 	}
@@ -453,7 +495,7 @@
 	if err != nil {
 		return err
 	}
-	if stored != c {
+	if !stored.sameTenure(&c) || stored.Released {
 		return ErrHeldByOther
 	}
 	c.Released = true
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -45,22 +45,23 @@
 
 // recordAnswer records that the host answered a request sent at sentAt.
 func (g *Gossip) recordAnswer(id topology.HostID, sentAt time.Time) {
+	now := steady.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	k := g.hosts[id]
 	if k == nil {
 		return
 	}
-	k.lastAnswered = laterOf(k.lastAnswered, sentAt)
+	k.contact.Record(sentAt, now)
 	if k.host.Leaving {
 		return
 	}
-	contact := g.contacts[k.host.Domain]
-	if contact == nil {
-		contact = &Contact{}
-		g.contacts[k.host.Domain] = contact
+	domain := g.contacts[k.host.Domain]
+	if domain == nil {
+		domain = &Contact{}
+		g.contacts[k.host.Domain] = domain
 	}
-	contact.Record(sentAt, steady.Now())
+	domain.Record(sentAt, now)
 }
 
 // buildDigest returns the digest for the host at that address. Hosts and Claims
@@ -128,7 +129,7 @@
 	}
 	slices.SortFunc(d.Claims, func(a, b duty.Claim) int { return strings.Compare(string(a.Group), string(b.Group)) })
 	for _, c := range d.Claims {
-		_, _ = fmt.Fprintf(&hash, "%s %d %t\n", c.Group, c.Token, c.Released)
+		_, _ = fmt.Fprintf(&hash, "%s %d %t %d\n", c.Group, c.Token, c.Released, c.Update)
 	}
 	return hash.Sum64()
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -50,8 +50,12 @@
 	// if no host of them was ever heard from, so that a host that starts while it is
 	// cut off doesn't take its own domain for the only one.
 	Domains []topology.Domain
-	Catalog *catalog.Store
-	Caller  peer.Caller
+	// HostVotes makes the hosts of a domain share its vote, so that a partition that
+	// runs through a domain leaves at most one side connected. Otherwise a domain is
+	// reachable if any of its hosts is, and only fencing tokens keep two sides apart.
+	HostVotes bool
+	Catalog   *catalog.Store
+	Caller    peer.Caller
 	// Offers returns what this host offers to others: its connections to targets.
 	Offers func() []Offer
 	// OnOffers is called with the offers in another host's answer and the time at
@@ -70,7 +74,7 @@
 	host         Host
 	lastHeard    time.Time // when its latest digest arrived, zero if none did
 	lastReported time.Time // latest time at which other hosts report to have seen it
-	lastAnswered time.Time // send time of the latest request that it answered
+	contact      Contact
 	addedAt      time.Time // when this host first learned its address
 	silent       bool      // considered silent; set when that is logged
 	offers       []Offer
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
+	"pgregory.net/rapid"
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
 	"nettlewalk.example/nettlewalk/internal/duty"
@@ -22,7 +23,8 @@
 type fakeNetwork struct {
 	hosts       map[topology.HostID]*Gossip
 	partitioned map[topology.HostID]bool
-	delay       time.Duration // of each message, one way
+	partition   func(a, b topology.HostID) bool // whether two hosts are cut off from each other; nil: none
+	delay       time.Duration                   // of each message, one way
 }
 
 func (n *fakeNetwork) Call(_ context.Context, id topology.HostID, _ string, args, reply any) error {
@@ -30,6 +32,9 @@
 	if n.partitioned[id] || n.partitioned[digest.From.Addr] {
 		return errors.New("host is partitioned")
 	}
+	if n.partition != nil && n.partition(id, digest.From.Addr) {
+		return errors.New("hosts are cut off from each other")
+	}
 	time.Sleep(n.delay)
 	defer time.Sleep(n.delay)
 	return n.hosts[id].Service().Exchange(digest, reply.(*DigestReply))
@@ -106,9 +111,7 @@
 	n.runRounds()
 	qt.Check(t, n.hosts["a"].Connected(), qt.IsTrue)
 	for _, g := range n.hosts { // make the latest answers too old to count
-		for _, c := range g.contacts {
-			c.last = c.last.Add(-ContactWindow)
-		}
+		g.shiftContacts(-ContactWindow, 0)
 	}
 	n.partitioned["d"] = true
 	n.runRounds()
@@ -124,26 +127,53 @@
 	n.runRounds()
 	qt.Check(t, g.Connected(), qt.IsTrue)
 	n.ageAllHosts(2 * livenessTimeout)
+	g.shiftContacts(-2*livenessTimeout, 0)
+	qt.Check(t, g.Connected(), qt.IsFalse)
+}
+
+// shiftContacts changes the times of all contacts.
+func (g *Gossip) shiftContacts(last, since time.Duration) {
+	for _, k := range g.hosts {
+		k.contact.last, k.contact.since = k.contact.last.Add(last), k.contact.since.Add(since)
+	}
 	for _, c := range g.contacts {
-		c.last = c.last.Add(-2 * livenessTimeout)
+		c.last, c.since = c.last.Add(last), c.since.Add(since)
 	}
-	qt.Check(t, g.Connected(), qt.IsFalse)
 }
 
-// Of two halves, one may go on: that with the first domain.
+// Of two halves, one may go on: that with the first host of the first domain.
 func TestOneHalfOfTheDomainsIsEnough(t *testing.T) {
 	for _, test := range []struct {
 		reachable string
 		want      bool
 	}{{"ab", true}, {"cd", false}, {"ad", true}, {"bc", false}, {"a", false}, {"bcd", true}} {
-		domains := map[topology.Domain]bool{}
+		var voters []voter
 		for _, d := range "abcd" {
-			domains[topology.Domain(d)] = strings.ContainsRune(test.reachable, d)
+			voters = append(voters, voter{domain: topology.Domain(d), host: topology.HostID(d), reachable: strings.ContainsRune(test.reachable, d)})
 		}
-		qt.Check(t, isMajority(domains), qt.Equals, test.want, qt.Commentf("%s", test.reachable))
+		qt.Check(t, hasMajority(voters, nil), qt.Equals, test.want, qt.Commentf("%s", test.reachable))
 	}
 }
 
+// Whichever way a partition runs, also through failure domains, at most one side has
+// a majority. Guards against this failure: a domain with a host on each side counted
+// on both.
+func TestAtMostOneSideHasAMajority(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var voters, other []voter
+		domains := []topology.Domain{"a", "b", "c", "d", "e"}[:rapid.IntRange(1, 5).Draw(t, "domains")]
+		for i := range rapid.IntRange(1, 12).Draw(t, "hosts") {
+			v := voter{domain: rapid.SampledFrom(domains).Draw(t, "domain"), host: topology.HostID(rune('a' + i)), reachable: rapid.Bool().Draw(t, "side")}
+			voters = append(voters, v)
+			v.reachable = !v.reachable
+			other = append(other, v)
+		}
+		if hasMajority(voters, domains) && hasMajority(other, domains) {
+			t.Fatalf("both sides have a majority: %v", voters)
+		}
+	})
+}
+
 // A duty holder that other hosts still see must not be taken for dead because the
 // network path from one host to it is broken.
 func TestHeardAgoCountsReportsOfOtherHosts(t *testing.T) {
@@ -348,8 +378,25 @@
 	qt.Check(t, g.Connected(), qt.IsTrue)
 	qt.Check(t, g.Settled(time.Time{}), qt.IsFalse)
 	qt.Check(t, g.Settled(steady.Now()), qt.IsTrue) // a duty acquired during the contact
-	for _, c := range g.contacts {
-		c.since = c.since.Add(-2 * NewsDelay)
-	}
+	g.shiftContacts(0, -2*NewsDelay)
 	qt.Check(t, g.Settled(time.Time{}), qt.IsTrue)
 }
+
+// A partition that runs through a failure domain, as the one that was found in a hunt:
+// both sides had a host of north.
+func TestPartitionThroughADomainLeavesOneSideConnected(t *testing.T) {
+	n := newFakeNetwork("north", "north", "south", "west", "coast", "coast")
+	for _, g := range n.hosts {
+		g.opts.HostVotes = true
+	}
+	n.runRounds()
+	sideA := map[topology.HostID]bool{"a": true, "c": true, "d": true} // north, south, west
+	n.partition = func(x, y topology.HostID) bool { return sideA[x] != sideA[y] }
+	for _, g := range n.hosts {
+		g.shiftContacts(-ContactWindow, 0)
+	}
+	n.runRounds()
+	for id, g := range n.hosts {
+		qt.Check(t, g.Connected(), qt.Equals, sideA[id], qt.Commentf("%s", id))
+	}
+}
--- a/internal/gossip/hosts.go
+++ b/internal/gossip/hosts.go
@@ -22,13 +22,13 @@
 	return now.Sub(k.lastSeen()), true
 }
 
-// Connected reports whether hosts in more than half of the failure domains have
-// answered within ContactWindow; this host's own domain always counts. A host that
-// isn't connected takes no duty.
+// Connected reports whether this host is in contact with more than half of the fleet,
+// each failure domain having one vote that its hosts share. A host that isn't
+// connected takes no duty.
 func (g *Gossip) Connected() bool { return g.inContactWithMost((*Contact).Connected) }
 
 // Settled reports whether this host has been connected to more than half of the
-// failure domains since the time acquired, when it acquired a duty, or for longer than
+// fleet since the time acquired, when it acquired a duty, or for longer than
 // NewsDelay. A holder that isn't settled performs no step of its duty and grants no
 // lease: during a network partition a host on the other side may have taken the duty,
 // and news of that takes NewsDelay to arrive.
@@ -36,39 +36,91 @@
 	return g.inContactWithMost(func(c *Contact, now time.Time) bool { return c.Settled(acquired, now) })
 }
 
+// relayedContactWindow is how long a host of a large fleet counts as reachable after
+// anyone saw it. It is shorter than the time after which another host takes a duty
+// there (see duty.TakeoverAfter).
+const relayedContactWindow = 2 * time.Second
+
+// voteTimeout is how long a silent host keeps its share of its domain's vote: longer
+// than a partition usually lasts, since it may be on the other side of one.
+const voteTimeout = 30 * time.Second
+
+// inContactWithMost reports whether most votes are reachable. In a large fleet, where
+// few hosts are contacted in each round, the contact is that with any host of the
+// domain, and each host must have been seen by someone.
 func (g *Gossip) inContactWithMost(reachable func(*Contact, time.Time) bool) bool {
 	now := steady.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	domains := map[topology.Domain]bool{g.self.Domain: true}
-	for _, d := range g.opts.Domains {
-		domains[d] = domains[d] || false
-	}
-	for _, k := range g.hosts {
-		if k.isLive(now) {
-			domains[k.host.Domain] = domains[k.host.Domain] || false
+	large := len(g.hosts) > largeFleetThreshold
+	voters := []voter{{domain: g.self.Domain, host: g.self.Addr, reachable: true}}
+	for id, k := range g.hosts {
+		v := voter{domain: k.host.Domain, host: id}
+		switch {
+		case k.lastHeard.IsZero() || k.host.Leaving || now.Sub(k.lastSeen()) > voteTimeout:
+			continue
+		case !g.opts.HostVotes:
+			if !k.isLive(now) {
+				continue
+			}
+			v.reachable = g.domainReachable(v.domain, reachable, now)
+		case large:
+			v.reachable = now.Sub(k.lastSeen()) < relayedContactWindow && g.domainReachable(v.domain, reachable, now)
+		default:
+			v.reachable = reachable(&k.contact, now)
 		}
+		voters = append(voters, v)
 	}
-	for d := range domains {
-		contact := g.contacts[d]
-		domains[d] = d == g.self.Domain || contact != nil && reachable(contact, now)
-	}
-	return isMajority(domains)
+	return hasMajority(voters, g.opts.Domains)
 }
 
-// isMajority reports whether more than half of the domains are reachable, or one half
-// that includes the first by name. The other side of a partition then has neither.
-func isMajority(reachable map[topology.Domain]bool) bool {
-	n, first := 0, topology.Domain("")
-	for d, ok := range reachable {
-		if ok {
-			n++
+// domainReachable reports whether a domain is in contact. The caller holds g.mu.
+func (g *Gossip) domainReachable(d topology.Domain, reachable func(*Contact, time.Time) bool, now time.Time) bool {
+	contact := g.contacts[d]
+	return d == g.self.Domain || contact != nil && reachable(contact, now)
+}
+
+// voter is a host with a share of its domain's vote.
+type voter struct {
+	domain    topology.Domain
+	host      topology.HostID
+	reachable bool
+}
+
+// hasMajority reports whether more than half of the votes are reachable, or one half
+// that includes the first host of the first domain. Each domain has one vote, which
+// its hosts share, so that no two sides of a partition have a majority, also if it
+// runs through a domain. domains have a vote even without a voter.
+func hasMajority(voters []voter, domains []topology.Domain) bool {
+	type count struct{ hosts, reachable int }
+	counts := map[topology.Domain]*count{}
+	for _, d := range domains {
+		counts[d] = &count{}
+	}
+	first := voters[0]
+	for _, v := range voters {
+		c := counts[v.domain]
+		if c == nil {
+			c = &count{}
+			counts[v.domain] = c
+		}
+		c.hosts++
+		if v.reachable {
+			c.reachable++
 		}
-		if first == "" || d < first {
-			first = d
+		if v.domain < first.domain || v.domain == first.domain && v.host < first.host {
+			first = v
+		}
+	}
+	votes := 0.0
+	for _, c := range counts {
+		if c.hosts > 0 {
+			votes += float64(c.reachable) / float64(c.hosts)
 		}
 	}
-	return 2*n > len(reachable) || 2*n == len(reachable) && reachable[first]
+	const rounding = 1e-9
+	lead := 2*votes - float64(len(counts))
+	return lead > rounding || lead > -rounding && first.reachable
 }
 
 // Live implements duty.Hosts: the live hosts, this one included, sorted by address.
@@ -137,7 +189,7 @@
 // anyInContact reports whether any host answered within ContactWindow. The caller holds g.mu.
 func (g *Gossip) anyInContact(now time.Time) bool {
 	for _, k := range g.hosts {
-		if now.Sub(k.lastAnswered) < ContactWindow {
+		if k.contact.Connected(now) {
 			return true
 		}
 	}
--- a/internal/promotion/holders_test.go
+++ b/internal/promotion/holders_test.go
@@ -87,6 +87,8 @@
 	requests       requestState
 	token          uint64 // token of the newest claim that the host knows
 	holder         int    // holder of that claim
+	state          duty.Leadership
+	update         int
 	pendingUntil   time.Time
 	suspendedUntil time.Time
 	partitioned    bool           // no contact with any other host
@@ -104,6 +106,8 @@
 type claimState struct {
 	token  uint64
 	holder int
+	state  duty.Leadership // as recorded by the holders
+	update int             // increases with each record
 }
 
 // simulation contains a group, the platform and two hosts that may hold the duty.
@@ -196,7 +200,7 @@
 	}
 	w.highestToken = max(w.highestToken, c.token)
 	if w.find(c.target) != w.leader {
-		w.calls = append(w.calls, pendingCall{target: c.target, dueAt: w.now.Add(promotionDelay), accepted: true})
+		w.calls = append(w.calls, pendingCall{target: c.target, dueAt: w.now.Add(w.promotionDelay()), accepted: true})
 	}
 	return Accepted
 }
@@ -283,7 +287,7 @@
 	}
 	if !h.partitioned && !other.partitioned && !w.now.Before(other.suspendedUntil) {
 		h.peerHeardAt = w.now
-		w.learn(h, claimState{other.token, other.holder})
+		w.learn(h, claimState{other.token, other.holder, other.state, other.update})
 	}
 	silentFor := w.now.Sub(h.peerHeardAt)
 	if h.holder == h.id || h.partitioned || silentFor < duty.TakeoverAfter {
@@ -299,14 +303,14 @@
 }
 
 func (w *simulation) learn(h *simHost, c claimState) {
-	if c.token > h.token {
-		h.token, h.holder = c.token, c.holder
+	if c.token > h.token || c.token == h.token && c.update > h.update {
+		h.token, h.holder, h.state, h.update = c.token, c.holder, c.state, c.update
 	}
 }
 
 // acquireDuty writes the host's claim to the store.
 func (w *simulation) acquireDuty(h *simHost) {
-	w.storedClaim = claimState{token: w.storedClaim.token + 1, holder: h.id}
+	w.storedClaim = claimState{token: w.storedClaim.token + 1, holder: h.id, state: w.storedClaim.state}
 	w.claimedAt, h.acquiredAt = w.now, w.now
 	w.learn(h, w.storedClaim)
 }
@@ -330,10 +334,10 @@
 func (w *simulation) act(h *simHost) {
 	if h.holder != h.id {
 		h.requests.clearToken()
-		h.nextStep = nil
+		h.nextStep, h.leases.term = nil, 0
 		return
 	}
-	h.requests.noteToken(h.token, w.now)
+	h.requests.noteToken(h.token, h.state.Ordered, w.now)
 	if w.unfenced() && !w.awaitEffect(h) {
 		w.followLeader(h)
 	}
@@ -383,6 +387,12 @@
 				w.find(id).paused = 0
 			}
 		}
+	case Demote:
+		for _, id := range s.Targets {
+			if t := w.find(id); t.lingers && !t.down && w.chance(80, "demotion arrives") {
+				t.lingersUntil = w.now
+			}
+		}
 	case Promote:
 		if w.now.Sub(h.viewedAt) <= suspendedAfter {
 			w.requestPromotion(h, s.Target)
@@ -400,6 +410,9 @@
 		w.acquireDuty(h)
 		h.requests.noteRenewal(h.token)
 	}
+	if w.unfenced() && !w.recordOrder(h, target) {
+		return
+	}
 	h.requests.noteRequest(target)
 	w.tracef("host %d requests the promotion of %s, token %d", h.id, target, h.token)
 	c := pendingCall{target: target, token: h.token, dueAt: w.now}
@@ -419,6 +432,14 @@
 	}
 }
 
+// promotionDelay returns how long an accepted request takes to have its effect.
+func (w *simulation) promotionDelay() time.Duration {
+	if w.unfenced() {
+		return MinEffectDelay + time.Duration(rapid.IntRange(0, 4).Draw(w.t, "effect takes"))*simTick
+	}
+	return promotionDelay
+}
+
 // maxRequestDelay returns the longest delay of an unanswered request. Where leases are
 // given, holders don't rely on the platform to refuse late requests.
 func (w *simulation) maxRequestDelay() time.Duration {
@@ -461,8 +482,8 @@
 func TestReacquiredDutyKeepsPauses(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var requests requestState
-	requests.noteToken(firstToken, now)
+	requests.noteToken(firstToken, "", now)
 	qt.Check(t, requests.mayResume(now.Add(1)), qt.IsTrue)
-	requests.noteToken(firstToken+2, now)
+	requests.noteToken(firstToken+2, "", now)
 	qt.Check(t, requests.mayResume(now.Add(unresolvedWindow)), qt.IsFalse)
 }
--- a/internal/promotion/leases.go
+++ b/internal/promotion/leases.go
@@ -4,115 +4,160 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"nettlewalk.example/nettlewalk/internal/duty"
 	"nettlewalk.example/nettlewalk/internal/statement"
 	"nettlewalk.example/nettlewalk/internal/steady"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
 // grantLeases lets hosts have leases on the leader, which has just been proved to
-// lead, unless a promotion may take effect that this host doesn't know of.
+// lead, unless another target may be promoted at any time.
 func (w *Watcher) grantLeases() {
 	if w.opts.Leases == nil {
 		return
 	}
-	now := steady.Now()
-	if !w.requests.verified || w.requests.mayBePending(w.leader, now) {
+	if w.requests.verified != w.leader || w.otherPending(w.leader) {
 		w.opts.Leases.Stop(w.opts.Group)
 		return
 	}
 	w.opts.Leases.Allow(w.opts.Group, w.leader, w.requests.token)
 }
 
-// promotionMayBePending reports whether a request of this host or of an earlier holder
-// may still promote another target than the leader, on a platform that doesn't check
-// tokens. Nobody can have a lease meanwhile, so the promotion is completed. After each
-// acquisition of the duty it checks that the leader is the present one.
-func (w *Watcher) promotionMayBePending(ctx context.Context) bool {
+// otherPending reports whether a request may still promote another target than id.
+func (w *Watcher) otherPending(id topology.TargetID) bool {
+	pending := w.requests.pendingTarget(steady.Now())
+	return pending != "" && pending != id
+}
+
+// mustComplete reports whether a request may still promote another target than the
+// leader, on a platform that doesn't check tokens. Nobody can have a lease meanwhile,
+// so the promotion is completed. After each acquisition of the duty mustComplete checks
+// that the leader is the present one.
+func (w *Watcher) mustComplete(ctx context.Context) bool {
 	if w.opts.Leases == nil {
 		return false
 	}
-	if !w.requests.verified {
-		switch w.verifyLeader(ctx) {
-		case leadershipCurrent:
-			w.requests.verified = true
-		case leadershipCurrentNow:
-			w.requests.verified = steady.Now().After(w.opts.Duty.PendingUntil(w.opts.Group))
-		case leadershipSuperseded:
-			w.supersede(ctx, w.leader)
-		case leadershipDisputed:
-			return true
-		}
+	if w.requests.verified != w.leader {
+		w.verifyLeader(ctx)
 	}
-	return w.requests.mayBePending(w.leader, steady.Now())
+	w.settleRequests(ctx)
+	return w.otherPending(w.leader)
 }
 
-// leadership is the result of comparing the leader with the other targets.
-type leadership uint8
+// recordTimeout bounds the wait until the store has a record. Other hosts have received
+// it by gossip by then.
+const recordTimeout = 100 * time.Millisecond
 
-const (
-	leadershipUnknown leadership = iota // the leader didn't tell its term
-	leadershipCurrent
-	leadershipCurrentNow // an earlier holder's request may still take effect
-	leadershipSuperseded // another target has a higher term
-	leadershipDisputed   // an earlier holder may have ordered the promotion of another target
-)
+// recordOrder records that a request for the target is about to be sent, so that a
+// later holder knows of it. It returns false if the request must not be sent.
+func (w *Watcher) recordOrder(ctx context.Context, target topology.TargetID) bool {
+	if w.opts.Leases == nil {
+		return true
+	}
+	w.requests.noteSent(target, steady.Now())
+	return w.record(ctx, target) && steady.Now().Sub(w.lastTickAt) <= suspendedAfter
+}
 
-func (l leadership) String() string {
-	return [...]string{"unknown", "current", "current now", "superseded", "disputed"}[l]
+// record records the leader and the target that may be promoted. It returns false if
+// another host holds the duty.
+func (w *Watcher) record(ctx context.Context, ordered topology.TargetID) bool {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	err := w.opts.Duty.Record(ctx, w.opts.Group, duty.Leadership{Leader: w.leader, Term: w.leaderTerm, Ordered: ordered})
+	if err != nil {
+		w.opts.Log.Info("the store does not have the record of the group's state", "group", w.opts.Group, "ordered", ordered, "error", err.Error())
+	}
+	return !errors.Is(err, duty.ErrHeldByOther)
+}
+
+// noteEffect records that a promoted target leads, and grants leases on it.
+func (w *Watcher) noteEffect(ctx context.Context, target topology.TargetID) {
+	if w.opts.Leases == nil {
+		return
+	}
+	w.leaderTerm++
+	w.requests.verified = target
+	w.grantLeases()
+	ordered := target
+	if w.requests.noteSettled() {
+		ordered = ""
+	}
+	w.record(ctx, ordered)
+}
+
+// settleRequests records that no request may take effect any more, once that is so.
+func (w *Watcher) settleRequests(ctx context.Context) {
+	recorded := w.opts.Duty.Leadership(w.opts.Group).Ordered
+	if recorded != "" && w.requests.verified == w.leader && w.requests.pendingTarget(steady.Now()) == "" {
+		w.requests.unanswered = false
+		w.record(ctx, "")
+	}
 }
 
 // verifyTimeout bounds the question for the leader's term, which waits for a work slot
 // behind callers' statements.
 const verifyTimeout = 800 * time.Millisecond
 
-// verifyLeader compares the leader, as a new holder found it, with the other targets.
-// A target that was replaced may go on to lead.
-func (w *Watcher) verifyLeader(ctx context.Context) leadership {
+// verifyLeader compares the leader, as a new holder found it, with the other targets
+// and with the record of earlier holders. A target that was replaced may go on to lead.
+func (w *Watcher) verifyLeader(ctx context.Context) {
 	pr := w.probers[w.leader]
 	if pr == nil {
-		return leadershipUnknown
+		return
 	}
 	status, reach := pr.commandWithin(ctx, verifyTimeout, statement.Status, 0)
 	if reach != Answered || !status.Primary {
 		w.opts.Log.Info("leader did not tell its term", "group", w.opts.Group, "target", w.leader, "reach", reach)
-		return leadershipUnknown
+		return
 	}
 	view := w.probeReplicas(ctx)
-	result := compareLeader(status, &view, w.requests.predecessorPending(steady.Now()))
-	w.opts.Log.Info("leader compared with the other targets", "group", w.opts.Group, "target", w.leader, "term", status.Term, "result", result.String(), "members", view.Members)
-	return result
+	current := isCurrentLeader(status, &view, w.opts.Duty.Leadership(w.opts.Group).Term)
+	w.opts.Log.Info("leader compared with the other targets", "group", w.opts.Group, "target", w.leader, "term", status.Term, "current", current, "members", view.Members)
+	if !current {
+		w.findOtherLeader(ctx)
+		return
+	}
+	w.requests.verified, w.leaderTerm = w.leader, status.Term
+	w.record(ctx, w.requests.pendingTarget(steady.Now()))
 }
 
-// compareLeader compares the status of the leader with those of the other targets.
-// earlierRequest tells whether a request of an earlier holder may still be carried
-// out. A holder sends a request only after it paused all other replicas, so if all
-// answer and none is paused, no request is left.
-func compareLeader(leader statement.TargetStatus, v *View, earlierRequest bool) leadership {
-	result := leadershipCurrent
+// isCurrentLeader reports whether no target has a higher term than the leader, and
+// none had one when earlier holders recorded recordedTerm.
+func isCurrentLeader(leader statement.TargetStatus, v *View, recordedTerm uint64) bool {
 	for _, m := range v.Members {
-		if m.Reach != Answered {
-			if m.Reach != Reassigned && result == leadershipCurrent && earlierRequest {
-				result = leadershipCurrentNow
-			}
-			continue
-		}
-		if m.Status.Term > leader.Term || m.Status.Received.Term > leader.Term {
-			return leadershipSuperseded
-		}
-		if earlierRequest && m.Status.PausedTerm > 0 {
-			result = leadershipDisputed
+		if m.Reach == Answered && max(m.Status.Term, m.Status.Received.Term) > leader.Term {
+			return false
 		}
 	}
-	return result
+	return leader.Term >= recordedTerm
 }
 
-// supersede drops the leader and looks for the one of the highest term.
-func (w *Watcher) supersede(ctx context.Context, old topology.TargetID) {
-	w.opts.Log.Info("leader was replaced by an earlier holder", "group", w.opts.Group, "target", old)
+// findOtherLeader looks for a target that leads a later term.
+func (w *Watcher) findOtherLeader(ctx context.Context) {
 	for id, pr := range w.probers {
-		if id != old && w.checkLeadership(ctx, id, pr).leads {
+		if id != w.leader && w.leadsLaterTerm(ctx, pr) && w.checkLeadership(ctx, id, pr).leads {
 			return
 		}
 	}
-	w.leader = old
+}
+
+// leadsLaterTerm reports whether a target other than the last known leader reports that
+// it leads a later term. One that leads an earlier term was replaced.
+func (w *Watcher) leadsLaterTerm(ctx context.Context, pr *prober) bool {
+	known := max(w.leaderTerm, w.opts.Duty.Leadership(w.opts.Group).Term)
+	status, reach := pr.command(ctx, statement.Status, 0)
+	return reach == Answered && status.Primary && status.Term > known
+}
+
+// adoptRecordedLeader makes the target that earlier holders recorded the last known
+// leader, after this host acquired the duty.
+func (w *Watcher) adoptRecordedLeader() {
+	if w.opts.Leases == nil || w.leaderTerm > 0 {
+		return
+	}
+	if recorded := w.opts.Duty.Leadership(w.opts.Group); recorded.Leader != "" && w.probers[recorded.Leader] != nil {
+		w.leader, w.leaderTerm = recorded.Leader, recorded.Term
+	}
 }
--- a/internal/promotion/leases_sim_test.go
+++ b/internal/promotion/leases_sim_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	"nettlewalk.example/nettlewalk/internal/duty"
 	"nettlewalk.example/nettlewalk/internal/lease"
 	"nettlewalk.example/nettlewalk/internal/statement"
 	"nettlewalk.example/nettlewalk/internal/topology"
@@ -25,6 +26,7 @@
 type holderLeases struct {
 	grants  lease.Grants
 	leader  topology.TargetID // that the holder believes in
+	term    uint64            // lower bound of its term
 	replace bool              // the holder wants to replace a leader that serves
 	since   time.Time         // when that began
 	ordered topology.TargetID // whose promotion was accepted and has not been seen to take effect
@@ -92,71 +94,112 @@
 		return false
 	}
 	if t := w.find(l.ordered); w.leads(t) {
-		l.leader, l.replace, l.ordered, h.awaitingUntil = t.id, false, "", w.now
+		l.leader, l.replace, h.awaitingUntil = t.id, false, w.now
+		l.term++
+		h.requests.verified = t.id
+		ordered := l.ordered
+		if h.requests.noteSettled() {
+			ordered = ""
+		}
+		l.ordered = ""
+		w.record(h, ordered)
 		return false
 	}
 	if w.now.Before(h.awaitingUntil) {
 		return true
 	}
-	h.requests.noteOutcome(Unanswered, w.now)
+	h.requests.unanswered = true
 	l.ordered = ""
 	return false
 }
 
+// recordOrder records an order for the holders that follow.
+func (w *simulation) recordOrder(h *simHost, target topology.TargetID) bool {
+	h.requests.noteSent(target, w.now)
+	return w.record(h, target)
+}
+
+// record writes the holder's claim. It returns false if another host holds the duty. A
+// host that is cut off reaches the store as well.
+func (w *simulation) record(h *simHost, ordered topology.TargetID) bool {
+	state := duty.Leadership{Leader: h.leases.leader, Term: h.leases.term, Ordered: ordered}
+	if w.storedClaim.token != h.token {
+		return false
+	}
+	h.state, h.update = state, h.update+1
+	w.storedClaim.state, w.storedClaim.update = h.state, h.update
+	w.claimedAt = w.now
+	return true
+}
+
 // followLeader lets a holder prove the leader and grant leases, as Watcher.tick does.
 func (w *simulation) followLeader(h *simHost) {
 	l := &h.leases
 	if l.replace && w.now.Sub(l.since) > 3*time.Second {
 		l.replace = false
 	}
-	if !l.replace && w.chance(1, "planned change") {
+	if !l.replace && w.chance(3, "planned change") {
 		l.replace, l.since = true, w.now
 	}
-	if !h.requests.verified && w.leads(w.find(l.leader)) {
-		w.verifyLeader(h)
+	if l.term == 0 && h.state.Leader != "" && !w.off("record") {
+		l.leader, l.term = h.state.Leader, h.state.Term
 	}
-	if !w.leads(w.find(l.leader)) { // looks for another target that leads
-		for _, t := range w.targets {
-			if w.leads(t) && t.term >= w.find(l.leader).term {
-				l.leader = t.id
-				return
-			}
-		}
+	if !w.leads(w.find(l.leader)) {
+		w.findLeader(h)
 		return
 	}
-	granting := h.requests.verified && !h.requests.mayBePending(l.leader, w.now)
+	if h.requests.verified != l.leader {
+		w.verifyLeader(h)
+	}
+	pending := h.requests.pendingTarget(w.now)
+	if h.state.Ordered != "" && h.requests.verified == l.leader && pending == "" {
+		h.requests.unanswered = false
+		w.record(h, "")
+	}
+	otherPending := pending != "" && pending != l.leader
+	granting := h.requests.verified == l.leader && !(otherPending && !w.off("settle"))
 	_, promoting := h.nextStep.(Promote)
 	switch {
-	case !granting && !w.off("settle"):
+	case !granting:
 		l.grants.Stop()
 	case !promoting || w.off("stop"):
 		l.grants.Allow(l.leader, h.requests.token, w.now)
 	}
 }
 
+// findLeader makes the holder believe in another target that leads a later term, if
+// there is one.
+func (w *simulation) findLeader(h *simHost) {
+	known := max(h.leases.term, h.state.Term)
+	if w.off("record") {
+		known = 0
+	}
+	first := rapid.IntRange(0, len(w.targets)-1).Draw(w.t, "first probed")
+	for i := range w.targets {
+		t := w.targets[(first+i)%len(w.targets)]
+		if t.id != h.leases.leader && w.leads(t) && t.term > known {
+			h.leases.leader = t.id
+			return
+		}
+	}
+}
+
 // verifyLeader compares the leader that a new holder found with the other targets.
 func (w *simulation) verifyLeader(h *simHost) {
 	leader := w.find(h.leases.leader)
 	view := w.leaseView(h)
-	result := compareLeader(w.status(leader), &view, h.requests.predecessorPending(w.now))
-	w.tracef("host %d compares %s (term %d): %s", h.id, leader.id, leader.term, result)
-	switch result {
-	case leadershipCurrent:
-		h.requests.verified = true
-	case leadershipCurrentNow:
-		h.requests.verified = w.now.After(h.pendingUntil)
-	case leadershipSuperseded:
-		for _, t := range w.targets {
-			if w.leads(t) && t.term > leader.term {
-				h.leases.leader = t.id
-			}
-		}
-	case leadershipDisputed:
-		h.leases.replace, h.leases.since = true, w.now
+	recorded := h.state.Term
+	if w.off("record") {
+		recorded = 0
 	}
-	if w.off("verify") {
-		h.requests.verified = true
+	current := isCurrentLeader(w.status(leader), &view, recorded) || w.off("verify")
+	w.tracef("host %d compares %s (term %d) with term %d: %t", h.id, leader.id, leader.term, recorded, current)
+	if !current {
+		w.findLeader(h)
+		return
 	}
+	h.requests.verified, h.leases.term = leader.id, leader.term
+	w.record(h, h.requests.pendingTarget(w.now))
 }
 
 func (w *simulation) status(t *simTarget) statement.TargetStatus {
@@ -166,8 +209,12 @@
 // leaseView is what a holder sees that believes in its own leader.
 func (w *simulation) leaseView(h *simHost) View {
 	l := &h.leases
-	v := View{AckReplicas: 1, Leader: l.leader, EarlierRequest: h.requests.predecessorPending(w.now)}
-	v.Replace = w.find(l.leader).down || l.replace || h.requests.mayBePending(l.leader, w.now)
+	pending := h.requests.pendingTarget(w.now)
+	if w.off("pending request") {
+		pending = ""
+	}
+	v := View{AckReplicas: 1, Leader: l.leader, LeaderTerm: l.term, Ordered: pending}
+	v.Replace = w.find(l.leader).down || l.replace || pending != "" && pending != l.leader
 	for _, t := range w.targets {
 		m := Member{ID: t.id, Reach: Answered, Status: w.status(t)}
 		if t.down {
@@ -215,7 +262,8 @@
 	}
 	a.leasesUntil = outstanding
 	if p, ok := h.nextStep.(Promote); ok {
-		a.pendingRequest = h.requests.mayBePending(p.Target, w.now) && !w.off("pending request")
+		pending := h.requests.pendingTarget(w.now)
+		a.pendingRequest = pending != "" && pending != p.Target && !w.off("pending request")
 	}
 }
 
@@ -229,7 +277,7 @@
 func (w *simulation) runReaders() {
 	w.endLingering()
 	for _, r := range w.readers {
-		if w.chance(2, "reader fault") {
+		if w.chance(4, "reader fault") {
 			if w.chance(50, "reader is cut") {
 				r.partitioned = !r.partitioned
 			} else {
@@ -242,7 +290,7 @@
 		w.receiveReplies(r)
 		w.finishRead(r)
 		w.startRead(r)
-		if w.chance(20, "renews") {
+		if w.chance(40, "renews") {
 			w.renew(r)
 		}
 	}
@@ -330,7 +378,7 @@
 			target.term = w.term
 		}
 		for _, h := range w.hosts {
-			h.leases.leader = w.leader.id
+			h.leases.leader, h.leases.term = w.leader.id, w.term
 		}
 		w.run()
 	})
--- a/internal/promotion/next.go
+++ b/internal/promotion/next.go
@@ -8,6 +8,9 @@
 
 // NextStep decides the next step from the latest probe results.
 func NextStep(v View) Step {
+	if demote := v.lingeringPrimaries(); len(demote.Targets) > 0 {
+		return demote
+	}
 	if !v.Replace {
 		return endPauses(v)
 	}
@@ -18,8 +21,8 @@
 	if !ok {
 		return Wait{Reason: "no replica that could be promoted responds"}
 	}
-	if v.EarlierRequest && candidate.Status.PausedTerm > 0 {
-		return Wait{Reason: "an earlier holder may have ordered the promotion of another target"}
+	if v.Ordered != "" && candidate.ID != v.Ordered {
+		return Wait{Reason: "an earlier request may still promote another target"}
 	}
 	others := v.otherReplicas(candidate.ID)
 	if n := countUncertain(others, candidate); n >= max(v.AckReplicas, 1) {
@@ -36,6 +39,23 @@
 	return Promote{Target: candidate.ID}
 }
 
+// lingeringPrimaries returns a Demote step for the targets that report that they lead
+// a term that has ended. Until then they don't follow the present leader.
+func (v *View) lingeringPrimaries() Demote {
+	demote := Demote{Term: v.LeaderTerm}
+	for _, m := range v.Members {
+		if m.Reach == Answered { // the term of a pause isn't one that a target leads
+			demote.Term = max(demote.Term, m.Status.Term, m.Status.Received.Term)
+		}
+	}
+	for _, m := range v.Members {
+		if m.Reach == Answered && m.Status.Primary && m.ID != v.Leader && m.Status.Term < demote.Term {
+			demote.Targets = append(demote.Targets, m.ID)
+		}
+	}
+	return demote
+}
+
 // endPauses returns a Resume step for the pauses left by earlier attempts.
 func endPauses(v View) Step {
 	var paused []topology.TargetID
@@ -55,9 +75,12 @@
 // still end (MayResume) comes first, then the lowest ID.
 func chooseCandidate(v View) (best Member, ok bool) {
 	for _, m := range v.Members {
-		if m.ID == v.Leader || m.Reach != Answered || m.Leaving {
+		if m.ID == v.Leader || m.Reach != Answered || m.Leaving && m.ID != v.Ordered {
 			continue
 		}
+		if m.ID == v.Ordered {
+			return m, true
+		}
 		if !ok || m.preferredOver(best) {
 			best, ok = m, true
 		}
@@ -73,9 +96,6 @@
 	if m.MayResume != other.MayResume {
 		return m.MayResume // its pause may end, so it can't be counted on as one of the paused replicas
 	}
-	if paused, otherPaused := m.Status.PausedTerm > 0, other.Status.PausedTerm > 0; paused != otherPaused {
-		return !paused // an earlier attempt chose the one that it didn't pause
-	}
 	return m.ID < other.ID
 }
 
--- a/internal/promotion/next_test.go
+++ b/internal/promotion/next_test.go
@@ -247,3 +247,38 @@
 	v.Members[1].Reach = Reassigned // the target is registered, so it is a separate member if it has the log
 	qt.Check(t, NextStep(v), qt.DeepEquals, Step(Promote{Target: "a"}))
 }
+
+// A primary that was replaced and leads on doesn't follow the present leader.
+func TestNextStepDemotesReplacedPrimary(t *testing.T) {
+	replaced := replica("a", pos(1, 9), 0)
+	replaced.Status.Primary = true
+	v := View{AckReplicas: 1, Leader: "p", LeaderServes: true, LeaderTerm: 2, Members: []Member{replaced, replica("b", pos(1, 9), 0)}}
+	qt.Check(t, NextStep(v), qt.DeepEquals, Step(Demote{Term: 2, Targets: []topology.TargetID{"a"}}))
+	v.LeaderTerm = 0
+	v.Members[1] = replica("b", pos(2, 10), 0)
+	qt.Check(t, NextStep(v), qt.DeepEquals, Step(Demote{Term: 2, Targets: []topology.TargetID{"a"}}))
+	v.Members[1] = replica("b", pos(1, 9), 2) // the pause of an attempt: nothing has been replaced
+	_, demotes := NextStep(v).(Demote)
+	qt.Check(t, demotes, qt.IsFalse)
+}
+
+// While a request for one target may still be carried out, no other one is promoted.
+func TestNextStepPromotesOnlyTheOrderedTarget(t *testing.T) {
+	v := View{AckReplicas: 1, Leader: "p", Replace: true, Ordered: "a", Members: []Member{replica("a", pos(1, 7), 0), replica("b", pos(1, 7), 2)}}
+	qt.Check(t, NextStep(v), qt.DeepEquals, Step(Promote{Target: "a"}))
+	v.Members[1].Status.Received = pos(1, 8)
+	_, waits := NextStep(v).(Wait)
+	qt.Check(t, waits, qt.IsTrue, qt.Commentf("a lacks a commit"))
+	v.Members[0].Reach = Unresponsive
+	_, waits = NextStep(v).(Wait)
+	qt.Check(t, waits, qt.IsTrue, qt.Commentf("a doesn't respond, and b must not be promoted"))
+}
+
+func TestIsCurrentLeader(t *testing.T) {
+	leader := statement.TargetStatus{Primary: true, Term: 2}
+	v := View{Members: []Member{replica("a", pos(2, 7), 3), {ID: "b", Reach: Unresponsive}}}
+	qt.Check(t, isCurrentLeader(leader, &v, 2), qt.IsTrue)
+	qt.Check(t, isCurrentLeader(leader, &v, 3), qt.IsFalse, qt.Commentf("earlier holders knew of a later term"))
+	v.Members[0] = replica("a", pos(3, 7), 0)
+	qt.Check(t, isCurrentLeader(leader, &v, 2), qt.IsFalse, qt.Commentf("a replica follows a later term"))
+}
--- a/internal/promotion/probe.go
+++ b/internal/promotion/probe.go
@@ -46,6 +46,7 @@
 	if id, ago := w.opts.GroupView.LastLeader(); w.leader == "" && ago < lastLeaderMaxAge {
 		w.leader = id
 	}
+	w.adoptRecordedLeader()
 	if pr := w.probers[w.leader]; pr != nil {
 		p := w.checkLeadership(ctx, w.leader, pr)
 		if p.leads {
@@ -60,6 +61,9 @@
 		if id == w.leader {
 			continue
 		}
+		if w.opts.Leases != nil && w.leader != "" && !w.leadsLaterTerm(ctx, pr) {
+			continue
+		}
 		if w.checkLeadership(ctx, id, pr).leads {
 			return true, Answered
 		}
@@ -97,7 +101,7 @@
 	}
 	w.maintainedAt = now
 	view := w.probeReplicas(ctx)
-	view.LeaderServes = true
+	view.LeaderServes, view.LeaderTerm = true, w.leaderTerm
 	if w.requests.mayResume(now) {
 		w.perform(ctx, authorize(NextStep(view), w.currentAuthority(""), steady.Now()))
 	}
--- a/internal/promotion/promote.go
+++ b/internal/promotion/promote.go
@@ -23,6 +23,9 @@
 	if !held || steady.Now().Sub(w.lastTickAt) > suspendedAfter {
 		return
 	}
+	if !w.recordOrder(ctx, target) {
+		return
+	}
 	w.requests.noteRequest(target)
 	w.opts.Duty.NoteRequest(w.opts.Group)
 	reply := w.opts.Promoter.Promote(ctx, Request{Group: w.opts.Group, Target: target, Holder: w.opts.Name, Token: token, NotAfter: w.lastTickAt.Add(suspendedAfter)})
@@ -62,7 +65,7 @@
 	for ctx.Err() == nil && steady.Now().Sub(acceptedAt) < effectTimeout {
 		if w.checkLeadership(ctx, target, pr).leads {
 			w.lastPromotionAt = steady.Now()
-			w.grantLeases()
+			w.noteEffect(ctx, target)
 			w.opts.Log.Info("promotion took effect", "group", w.opts.Group, "target", target, "took_ms", w.lastPromotionAt.Sub(acceptedAt).Milliseconds())
 			metrics.GetOrCreateHistogram("nettlewalk_promotion_seconds").Update(w.lastPromotionAt.Sub(w.attemptStartedAt).Seconds())
 			return
@@ -70,7 +73,5 @@
 		time.Sleep(attemptInterval)
 	}
 	w.opts.Log.Info("promotion has not taken effect yet", "group", w.opts.Group, "target", target)
-	if w.opts.Leases != nil {
-		w.requests.noteOutcome(Unanswered, steady.Now())
-	}
+	w.requests.unanswered = true // its effect may still come
 }
--- a/internal/promotion/requeststate.go
+++ b/internal/promotion/requeststate.go
@@ -11,21 +11,25 @@
 // of this host and those of the previous holder. It reads no clock; the caller
 // passes the time.
 type requestState struct {
-	token          uint64            // token under which this host holds the duty, 0 if it doesn't
-	resumeAfter    time.Time         // no pause may be ended before this time
-	lastTarget     topology.TargetID // target of the last request
-	inDoubt        bool              // the last request got no answer and may still be carried out
-	inDoubtAt      time.Time         // when the latest request without an answer was sent
-	lastUnanswered topology.TargetID // its target
-
-	renewedToken uint64    // token that this host got for itself while it held the duty
-	acquiredAt   time.Time // when this host acquired the duty
-	verified     bool      // the leader has been compared with the other targets since then
+	token       uint64            // token under which this host holds the duty, 0 if it doesn't
+	resumeAfter time.Time         // no pause may be ended before this time
+	lastTarget  topology.TargetID // target of the last request
+	inDoubt     bool              // the last request got no answer and may still be carried out
+
+	// pending is a target whose promotion was requested, by this host or an earlier
+	// holder, and may still take effect until unresolvedWindow after pendingAt.
+	pending   topology.TargetID
+	pendingAt time.Time
+	// unanswered is set if a request for pending got no answer.
+	unanswered bool
+
+	renewedToken uint64 // token that this host got for itself while it held the duty
+	// verified is the leader that has been compared with the other targets, or promoted,
+	// since this host acquired the duty; "": none.
+	verified topology.TargetID
 	// predecessorLeases is the time until which leases of an earlier holder may be
-	// valid, and predecessorRequests tells whether there was one, whose requests may
-	// still be carried out.
-	predecessorLeases   time.Time
-	predecessorRequests bool
+	// valid.
+	predecessorLeases time.Time
 }
 
 const (
@@ -40,11 +44,12 @@
 	maxEffectDelay = 2 * time.Second
 )
 
-// noteToken records the token under which this host holds the duty. After a change
-// of the token, a request of a previous holder may still be carried out, so the
+// noteToken records the token under which this host holds the duty, and the target
+// that the holder before ordered, if the request may still be carried out. After a
+// change of the token, a request of a previous holder may still be carried out, so the
 // pauses that it relies on must stay, and its leases may be out. The token also
 // changes if this host lost the duty and acquired it again since the last call.
-func (r *requestState) noteToken(token uint64, now time.Time) {
+func (r *requestState) noteToken(token uint64, ordered topology.TargetID, now time.Time) {
 	if token == r.token {
 		return
 	}
@@ -55,10 +60,11 @@
 		r.token = token
 		return
 	}
-	r.token, r.verified = token, false
+	r.token, r.verified = token, ""
 	r.predecessorLeases = now.Add(lease.MaxLifetime)
-	r.predecessorRequests = token > firstToken
-	r.acquiredAt = now
+	if ordered != "" {
+		r.pending, r.pendingAt = ordered, now
+	}
 }
 
 // clearToken records that this host doesn't hold the duty.
@@ -75,30 +81,45 @@
 // noteRenewal records that this host has renewed its token.
 func (r *requestState) noteRenewal(token uint64) { r.inDoubt, r.renewedToken = false, token }
 
-// mayBePending reports whether a request without an answer may still be carried out
-// for a target other than id, on a platform that doesn't check tokens. Until then no
-// other target may be ordered, and no lease granted.
-func (r *requestState) mayBePending(id topology.TargetID, now time.Time) bool {
-	return !r.inDoubtAt.IsZero() && r.lastUnanswered != id && now.Sub(r.inDoubtAt) < unresolvedWindow
-}
-
-// predecessorPending reports whether a request of an earlier holder may still be
-// carried out.
-func (r *requestState) predecessorPending(now time.Time) bool {
-	return r.predecessorRequests && now.Sub(r.acquiredAt) < unresolvedWindow
+// pendingTarget returns the target whose promotion was requested and may still take
+// effect, or "". The platform doesn't refuse such a request where it doesn't check
+// tokens, so until then no other target may be promoted.
+func (r *requestState) pendingTarget(now time.Time) topology.TargetID {
+	if now.Sub(r.pendingAt) >= unresolvedWindow {
+		return ""
+	}
+	return r.pending
 }
 
 // noteRequest records the target of a request that is about to be sent.
 func (r *requestState) noteRequest(target topology.TargetID) { r.lastTarget = target }
 
+// noteSent records that a request for the target may take effect from now on.
+func (r *requestState) noteSent(target topology.TargetID, now time.Time) {
+	r.pending, r.pendingAt = target, now
+}
+
+// noteSettled records that no request may take effect any more. It returns false if
+// one that got no answer still may.
+func (r *requestState) noteSettled() bool {
+	if r.unanswered {
+		return false
+	}
+	r.pending = ""
+	return true
+}
+
 // noteOutcome records the outcome of the last request.
 func (r *requestState) noteOutcome(outcome Outcome, now time.Time) {
 	switch outcome {
 	case Accepted:
 		r.resumeAfter = laterTime(r.resumeAfter, now.Add(maxEffectDelay))
 	case Unanswered:
-		r.inDoubt, r.inDoubtAt, r.lastUnanswered = true, now, r.lastTarget
+		r.inDoubt, r.unanswered = true, true
+		r.noteSent(r.lastTarget, now)
 		r.resumeAfter = now.Add(unresolvedWindow)
+	default:
+		r.noteSettled()
 	}
 }
 
--- a/internal/promotion/types.go
+++ b/internal/promotion/types.go
@@ -77,10 +77,11 @@
 	Leader       topology.TargetID // last target proved to lead
 	LeaderServes bool              // the latest probe proved that the leader leads
 	Replace      bool              // the leader must be replaced
-	// EarlierRequest is set if an earlier holder may have ordered the promotion of a
-	// target that isn't paused, and the platform doesn't check tokens.
-	EarlierRequest bool
-	Members        []Member // all targets but the leader
+	LeaderTerm   uint64            // lower bound of the leader's term; 0: not known
+	// Ordered is a target whose promotion was requested and may still take effect at
+	// any time; no other one may be promoted. "": none.
+	Ordered topology.TargetID
+	Members []Member // all targets but the leader
 }
 
 // Step is an action that NextStep decides on.
@@ -100,6 +101,11 @@
 	// Promote requests the promotion of a target that has every acknowledged
 	// commit.
 	Promote struct{ Target topology.TargetID }
+	// Demote makes replaced primaries, which lead on, replicas of the present leader.
+	Demote struct {
+		Term    uint64
+		Targets []topology.TargetID
+	}
 	// Wait probes again soon, since no step is safe now.
 	Wait struct{ Reason string }
 )
@@ -109,3 +115,4 @@
 func (Pause) step()    {}
 func (Promote) step()  {}
 func (Wait) step()     {}
+func (Demote) step()   {}
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
+	"nettlewalk.example/nettlewalk/internal/duty"
 	"nettlewalk.example/nettlewalk/internal/group"
 	"nettlewalk.example/nettlewalk/internal/statement"
 	"nettlewalk.example/nettlewalk/internal/steady"
@@ -47,6 +48,11 @@
 	// PendingUntil returns the time until which a promotion request of the
 	// previous holder may still take effect.
 	PendingUntil(topology.GroupID) time.Time
+	// Leadership returns what the holders of the duty recorded last.
+	Leadership(topology.GroupID) duty.Leadership
+	// Record records the group's state for later holders. It spreads the record at
+	// once and returns when the store has it, or with an error.
+	Record(ctx context.Context, id topology.GroupID, state duty.Leadership) error
 }
 
 // Leases grants leases on the leadership of groups. See lease.Grantor.
@@ -89,6 +95,7 @@
 	wake    chan struct{} // makes Run probe at once
 
 	leader           topology.TargetID // last target proved to lead
+	leaderTerm       uint64            // lower bound of its term; 0: not known
 	leaderProvedAt   time.Time         // when the proof was requested, on the clock of package steady
 	lastPromotionAt  time.Time         // when the last promotion took effect
 	maintainedAt     time.Time
@@ -115,7 +122,7 @@
 	for {
 		wait := idleInterval
 		if token, held := w.opts.Duty.Token(w.opts.Group); held {
-			w.requests.noteToken(token, steady.Now())
+			w.requests.noteToken(token, w.opts.Duty.Leadership(w.opts.Group).Ordered, steady.Now())
 			wait = w.tick(ctx)
 		} else {
 			w.close()
@@ -143,7 +150,7 @@
 		pr.closeConn()
 		delete(w.probers, id)
 	}
-	w.leader = ""
+	w.leader, w.leaderTerm = "", 0
 }
 
 // tick probes the group once and performs a step. It returns the time until the next
@@ -161,7 +168,7 @@
 	}
 	serves, reach := w.probeLeader(ctx)
 	replace, reason := w.shouldReplace(serves, reach)
-	if serves && w.promotionMayBePending(ctx) {
+	if serves && w.mustComplete(ctx) {
 		replace, reason = true, "an earlier request may still promote another target"
 	}
 	if !serves {
@@ -208,8 +215,10 @@
 // decideStep probes the other targets and decides the next step.
 func (w *Watcher) decideStep(ctx context.Context, serves bool) Step {
 	view := w.probeReplicas(ctx)
-	view.Replace, view.LeaderServes = true, serves
-	view.EarlierRequest = w.opts.Leases != nil && w.requests.predecessorPending(steady.Now())
+	view.Replace, view.LeaderServes, view.LeaderTerm = true, serves, w.leaderTerm
+	if w.opts.Leases != nil {
+		view.Ordered = w.requests.pendingTarget(steady.Now())
+	}
 	wanted := NextStep(view)
 	promotion, isPromotion := wanted.(Promote)
 	if w.opts.Leases != nil {
@@ -231,7 +240,7 @@
 	a := authority{settled: w.opts.Duty.Settled(w.opts.Group), pendingUntil: w.opts.Duty.PendingUntil(w.opts.Group)}
 	if w.opts.Leases != nil {
 		a.leasesUntil = laterTime(w.requests.predecessorLeases, w.opts.Leases.Outstanding(w.opts.Group))
-		a.pendingRequest = w.requests.mayBePending(target, steady.Now())
+		a.pendingRequest = w.otherPending(target)
 	}
 	return a
 }
@@ -264,6 +273,11 @@
 			wg.Go(func() { w.probers[id].command(ctx, statement.Pause, s.Term) })
 		}
 		wg.Wait()
+	case Demote:
+		w.opts.Log.Info("demoting replaced primaries", "group", w.opts.Group, "term", s.Term, "targets", s.Targets)
+		for _, id := range s.Targets {
+			w.probers[id].command(ctx, statement.Demote, s.Term)
+		}
 	case Promote:
 		w.promote(ctx, s.Target)
 	}
--- a/internal/promotion/watcher_test.go
+++ b/internal/promotion/watcher_test.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
+	"nettlewalk.example/nettlewalk/internal/duty"
 	"nettlewalk.example/nettlewalk/internal/group"
 	"nettlewalk.example/nettlewalk/internal/statement"
 	"nettlewalk.example/nettlewalk/internal/steady"
@@ -85,8 +86,12 @@
 func (permanentDuty) Token(topology.GroupID) (uint64, bool)         { return 1, true }
 func (permanentDuty) Renew(context.Context, topology.GroupID) error { return nil }
 func (permanentDuty) NoteRequest(topology.GroupID)                  {}
-func (permanentDuty) PendingUntil(topology.GroupID) time.Time       { return time.Time{} }
-func (permanentDuty) Settled(topology.GroupID) bool                 { return true }
+func (permanentDuty) Leadership(topology.GroupID) duty.Leadership   { return duty.Leadership{} }
+func (permanentDuty) Record(context.Context, topology.GroupID, duty.Leadership) error {
+	return nil
+}
+func (permanentDuty) PendingUntil(topology.GroupID) time.Time { return time.Time{} }
+func (permanentDuty) Settled(topology.GroupID) bool           { return true }
 
 // Between the pauses and the promotion request, the watcher doesn't probe the
 // unresponsive primary again: the promotion is safe whether or not the primary is
