test/line: primaries that lead on after their replacement, lost answers of the promotion call

The stand-ins learn both: the bed can leave a replaced primary leading until DEMOTE, accept any token, and carry out calls seconds after their connection was closed. Also: the first holder of a duty has no predecessor whose leases it must wait for; a planned change 0.1 s after the first acquisition waited 0.8 s (found by the new test).

--- a/internal/promotion/requeststate.go
+++ b/internal/promotion/requeststate.go
@@ -61,7 +61,10 @@
 		return
 	}
 	r.token, r.verified = token, ""
-	r.predecessorLeases = now.Add(lease.MaxLifetime)
+	r.predecessorLeases = time.Time{}
+	if token > firstToken {
+		r.predecessorLeases = now.Add(lease.MaxLifetime)
+	}
 	if ordered != "" {
 		r.pending, r.pendingAt = ordered, now
 	}
--- a/test/line/bed.go
+++ b/test/line/bed.go
@@ -53,15 +53,28 @@
 	Members   []*Member
 
 	tb              testing.TB
+	opts            Options
+	lateOrders      int           // number of promotion calls to leave without an answer
+	lateBy          time.Duration // after which those calls are carried out
 	ipPrefix        string        // first three octets of the hosts' addresses
 	promotionDelay  time.Duration // delay between the promotion call and its effect
 	promotionServer *httptest.Server
 	mu              sync.Mutex
 	highestToken    uint64   // highest fencing token seen
 	promotions      []string // targets of the accepted promotion calls, in order
+	tokens          []uint64 // fencing tokens of all promotion calls, in order
 	closed          bool     // the test has ended: later promotions are ignored
 }
 
+// Options configures a Bed.
+type Options struct {
+	// Unfenced makes a replaced primary lead on until it is demoted, and the platform
+	// accept any fencing token.
+	Unfenced bool
+	// IgnoreDemote makes targets ignore DEMOTE.
+	IgnoreDemote bool
+}
+
 // Host is one host process of the product.
 type Host struct {
 	Name         string
@@ -75,9 +88,12 @@
 
 // NewBed starts all components and waits until the group has a leader. It stops
 // them when tb ends.
-func NewBed(tb testing.TB) *Bed {
+func NewBed(tb testing.TB) *Bed { return NewBedWith(tb, Options{}) }
+
+// NewBedWith is like NewBed with options.
+func NewBedWith(tb testing.TB, opts Options) *Bed {
 	tb.Helper()
-	b := &Bed{tb: tb, ipPrefix: testbed.IPPrefix(), promotionDelay: 100 * time.Millisecond}
+	b := &Bed{tb: tb, opts: opts, ipPrefix: testbed.IPPrefix(), promotionDelay: 100 * time.Millisecond}
 	var err error
 	b.Store, err = store.Start(store.Config{})
 	qt.Assert(tb, err, qt.IsNil)
@@ -111,7 +127,11 @@
 		qt.Assert(b.tb, err, qt.IsNil)
 		m := &Member{ID: id, Server: server}
 		b.tb.Cleanup(func() { _ = server.Close() })
-		m.Line, err = server.ServeLine(target.LineConfig{Group: "svc", Received: func(p topology.Position) bool { return b.receivedByReplica(m, p) }})
+		config := target.LineConfig{Group: "svc", Received: func(p topology.Position) bool { return b.receivedByReplica(m, p) }}
+		if !b.opts.IgnoreDemote {
+			config.Demoted = func() { b.demote(m) }
+		}
+		m.Line, err = server.ServeLine(config)
 		qt.Assert(b.tb, err, qt.IsNil)
 		b.tb.Cleanup(m.Line.Close)
 		m.Link = b.link(string(id), m.Line.Addr())
@@ -171,11 +191,21 @@
 	token, _ := strconv.ParseUint(r.Header.Get("X-Fencing-Token"), 10, 64)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if token < b.highestToken {
+	if token < b.highestToken && !b.opts.Unfenced {
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
-	b.highestToken = token
+	b.tokens = append(b.tokens, token)
+	b.highestToken = max(b.highestToken, token)
+	if b.lateOrders > 0 {
+		b.lateOrders--
+		time.AfterFunc(b.lateBy, func() { b.promote(topology.TargetID(body.Id)) })
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			conn.Close() // the caller gets no answer
+		}
+		return
+	}
 	b.promotions = append(b.promotions, body.Id)
 	time.AfterFunc(b.promotionDelay, func() { b.promote(topology.TargetID(body.Id)) })
 }
@@ -192,10 +222,14 @@
 		switch {
 		case m.ID == id:
 			newPrimary = m.Server
-		case !m.crashed:
+		case m.crashed, b.opts.Unfenced && m.Server.Status().Role == control.Primary: // leads on
+		default:
 			others = append(others, m.Server)
 		}
 	}
+	if newPrimary.Status().Role == control.Primary {
+		return // the present primary
+	}
 	if err := target.Promote(context.Background(), newPrimary, others); err != nil {
 		b.tb.Logf("promote %s: %v", id, err)
 	}
@@ -206,6 +240,36 @@
 	}
 }
 
+// demote makes a replaced primary follow the present one.
+func (b *Bed) demote(m *Member) {
+	go func() { // the caller holds a lock of the target's session
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		for _, other := range b.Members {
+			if other != m && !other.crashed && other.Server.Status().Role == control.Primary {
+				if err := target.Follow(m.Server, other.Server); err != nil {
+					b.tb.Logf("demote %s: %v", m.ID, err)
+				}
+			}
+		}
+	}()
+}
+
+// LoseAnswers leaves the next n promotion calls without an answer and carries them out
+// after the delay.
+func (b *Bed) LoseAnswers(n int, after time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lateOrders, b.lateBy = n, after
+}
+
+// Tokens returns the fencing tokens of all promotion calls, in order.
+func (b *Bed) Tokens() []uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]uint64(nil), b.tokens...)
+}
+
 // PrimaryReplaced reports whether the first target is no longer the primary.
 func (b *Bed) PrimaryReplaced() bool {
 	b.mu.Lock()
@@ -259,6 +323,7 @@
 [Bounds]
 GracePeriodS = 6
 DrainTimeoutMs = 7000
+FencingEnforced = %t
 [platform]
 Address = "%s"
 [Cloud]
@@ -275,7 +340,7 @@
 		dir := b.tb.TempDir()
 		h.settingsPath, h.logPath = filepath.Join(dir, "boot.toml"), filepath.Join(dir, "log")
 		text := fmt.Sprintf(settingsTemplate, i+1, i+1, b.ipPrefix, i+1, internalPort, internalPort, strings.Join(seeds, ","),
-			h.callerAddr, h.readyAddr, b.addr(i, peerPort), b.StoreLink.Addr(), strings.TrimPrefix(b.promotionServer.URL, "http://"))
+			h.callerAddr, h.readyAddr, b.addr(i, peerPort), !b.opts.Unfenced, b.StoreLink.Addr(), strings.TrimPrefix(b.promotionServer.URL, "http://"))
 		qt.Assert(b.tb, os.WriteFile(h.settingsPath, []byte(text), 0o600), qt.IsNil)
 		b.Hosts = append(b.Hosts, h)
 		b.Start(h)
--- a/test/standin/target/line.go
+++ b/test/standin/target/line.go
@@ -28,6 +28,9 @@
 	// is acknowledged only after that. If Received is nil, commits are
 	// acknowledged immediately.
 	Received func(topology.Position) bool
+	// Demoted makes the server a replica of the present primary, after a DEMOTE of a
+	// primary of a lower term. If Demoted is nil, DEMOTE has no effect.
+	Demoted func()
 }
 
 // Line serves the line protocol on the server's database, log and role.
@@ -344,6 +347,9 @@
 	term, _ := strconv.ParseUint(argument, 10, 64)
 	lineServer := s.line
 	status := s.srv.node.status()
+	if command == "DEMOTE" && status.Role == ctl.Primary && term > status.Term && lineServer.cfg.Demoted != nil {
+		lineServer.cfg.Demoted()
+	}
 	lineServer.mu.Lock()
 	defer lineServer.mu.Unlock()
 	switch command {
@@ -398,3 +404,9 @@
 	}
 	return nil
 }
+
+// Follow makes a server that was primary follow the primary of a later term.
+func Follow(s, primary *Server) error {
+	_, err := s.node.follow(primary.Status().Term, primary.cfg.ID)
+	return err
+}
