--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -126,6 +126,12 @@
 }
 
 func newFixture(t *testing.T, freshness catalog.Freshness) *fixture {
+	t.Helper()
+	return newFixtureWith(t, freshness, func(*group.Options) {})
+}
+
+// newFixtureWith returns a fixture with changed options of its group.
+func newFixtureWith(t *testing.T, freshness catalog.Freshness, change func(*group.Options)) *fixture {
 	t.Helper()
 	f := &fixture{
 		leader:  &fakeTarget{leads: true, logEnd: topology.Position{Term: 1, Offset: 10}},
@@ -134,10 +140,12 @@
 	f.config = &catalog.Configuration{Version: 1, Routes: map[string]catalog.Route{"db": {
 		Database: "db", Group: "g", Freshness: freshness, MaxAge: 2 * time.Second, StatementTimeout: time.Second, LatencyGoal: 100 * time.Millisecond,
 	}}}
-	f.group = group.New(group.Options{
+	options := group.Options{
 		ID: "g", Dialer: fakeDialer{"p": f.leader, "r": f.replica}, Log: logr.Discard(),
 		OnSuspect: func(topology.GroupID, topology.TargetID, statement.DialOutcome) {},
-	})
+	}
+	change(&options)
+	f.group = group.New(options)
 	t.Cleanup(f.group.Close)
 	member := func(id topology.TargetID) catalog.Member {
 		return catalog.Member{Target: topology.Target{ID: id, Group: "g", Addr: string(id)}}
