peer, gossip: a fleet that starts finds itself sooner; no offers without connections

Ruled out: the store, which answered within milliseconds. Change: peers are dialed for 200 ms; a host that started and has no answer yet tries every 100 ms. Where leases are needed, hosts offer no groups without connections: the claims name the leaders.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -18,8 +18,12 @@
 )
 
 const (
-	roundInterval   = 300 * time.Millisecond // between rounds; changes are also spread at once (see TriggerRound)
-	exchangeTimeout = 280 * time.Millisecond // of one exchange; covers several network round trips
+	roundInterval = 300 * time.Millisecond // between rounds; changes are also spread at once (see TriggerRound)
+	// startRoundInterval is the time between rounds of a host that has been up for less
+	// than startPhase and has got no answer yet.
+	startRoundInterval = 100 * time.Millisecond
+	startPhase         = 3 * time.Second
+	exchangeTimeout    = 280 * time.Millisecond // of one exchange; covers several network round trips
 	// fanout is how many hosts one round contacts, or largeFleetFanout when a
 	// host knows more than largeFleetThreshold others. A change reaches all hosts
 	// within a few rounds, and the cost per host doesn't grow with the fleet.
@@ -165,15 +169,16 @@
 
 // Run exchanges digests until ctx ends.
 func (g *Gossip) Run(ctx context.Context) {
-	ticker := time.NewTicker(roundInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(g.nextRoundIn())
+	defer timer.Stop()
 	g.startRound(ctx)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 			g.startRound(ctx)
+			timer.Reset(g.nextRoundIn())
 		case <-g.roundRequested:
 			g.startRound(ctx)
 		case id := <-g.pullFrom:
@@ -182,6 +187,18 @@
 	}
 }
 
+// nextRoundIn returns the time until the next regular round. A host that has just
+// started and got no answer yet tries more often: the others may be starting too.
+func (g *Gossip) nextRoundIn() time.Duration {
+	now := steady.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if now.Sub(g.startedAt) < startPhase && !g.anyInContact(now) {
+		return startRoundInterval
+	}
+	return roundInterval
+}
+
 // startRound starts an exchange with each host that selectPeers returns.
 func (g *Gossip) startRound(ctx context.Context) {
 	for _, id := range g.selectPeers() {
--- a/internal/group/set.go
+++ b/internal/group/set.go
@@ -145,13 +145,14 @@
 }
 
 // Offers returns this host's connections by group, without groups to which it
-// has no connection and whose last leader it doesn't know.
+// has no connection and whose last leader it doesn't know. Where leases are needed
+// the claims on duties name the last leader, and only connections count.
 func (s *Set) Offers() []Offer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var offers []Offer
 	for _, g := range s.groups {
-		if o := g.offer(); o.Open > 0 || o.Last != "" {
+		if o := g.offer(); o.Open > 0 || o.Last != "" && s.opts.Leases == nil {
 			offers = append(offers, o)
 		}
 	}
--- a/internal/peer/remote.go
+++ b/internal/peer/remote.go
@@ -13,7 +13,7 @@
 const (
 	maxLinksPerHost     = 2                      // a large answer on one doesn't delay calls on the other
 	secondLinkThreshold = 4                      // pending calls from which a second connection is worth its cost
-	dialTimeout         = 500 * time.Millisecond // hosts are within a few milliseconds of each other
+	dialTimeout         = 200 * time.Millisecond // hosts are within some tens of milliseconds of each other; one without power doesn't answer
 )
 
 // remoteHost holds the connections to another host.
