platform, catalog, duty, gossip: the store that comes back from an older copy (users' platform)

Cause: nothing read the store's era. After a restore revisions go back: the register stood still until the old revision was reached, a watch waited far above the store's revisions, targets registered since counted as gone, the holder's claim was lost, and after a restart of all hosts a token could be given out again. Ruled out: the configuration, whose version never went back. Change: the client notes the era of each answer, discards answers of earlier ones, reads a list again that spans two, ends watches when the era rises, and calls a write under a version of an earlier era unknown. The register compares by era and revision; entries that are missing for 5 s after a restore are no departures. A holder writes its claim again; tokens start at the era shifted by 32 bits. Hosts tell each other the era. Result: TestLineStoreComesBackFromAnOlderCopy (twice in a row, then with all hosts killed) and the tests of packages pass; without the era in the token TestTokenRisesWithTheErasOfTheStore fails. Not covered yet: the own interface's customers, templates, host list, floors and usage.

--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -79,6 +79,7 @@
 		Domains: s.Domains,
 		Catalog: h.catalog, Caller: h.peers, Offers: h.connectionOffers, OnOffers: h.learnLeaders, Log: log.WithName("gossip"),
 	}
+	gossipOptions.StoreEra, gossipOptions.OnStoreEra = h.store.Era, h.store.NoteEra
 	if !s.PrimariesFenced {
 		gossipOptions.HostVotes = true
 		gossipOptions.GrantLeases = func(id topology.HostID, ids []topology.GroupID) []lease.Lease { return h.grantor.Grant(id, ids) }
--- a/cmd/nettlewalk/fleetinspect.go
+++ b/cmd/nettlewalk/fleetinspect.go
@@ -29,6 +29,7 @@
 	Sessions      int           `json:"sessions"`
 	Configuration uint64        `json:"configuration"`
 	Register      uint64        `json:"register"`
+	StoreEra      uint64        `json:"store_era"` // number of times that the store came back from an older copy
 	ReadMS        int64         `json:"configuration_read_ms_ago"`
 	StoreUp       bool          `json:"store_up"`
 	Connected     bool          `json:"connected"` // in contact with most failure domains
@@ -47,7 +48,8 @@
 		ReadMS: msSinceRead(h.catalog.ReadTimes()), Connected: h.gossip.Connected(),
 		Hosts: h.gossip.Hosts(), Duties: h.duty.Claims(), Groups: h.groups.Dump(),
 	}
-	d.Configuration, d.Register = h.catalog.Versions()
+	configuration, register := h.catalog.Versions()
+	d.Configuration, d.Register, d.StoreEra = configuration, register.Revision, h.store.Era()
 	d.StoreUp, _ = h.store.Reachable()
 	if h.lessee != nil {
 		d.Leases, d.Grants = h.lessee.Dump(), h.grantor.Dump()
@@ -87,6 +89,7 @@
 		"nettlewalk_connections_open":   func() float64 { return h.sumOffers(func(o group.Offer) int { return o.Open }) },
 		"nettlewalk_connections_idle":   func() float64 { return h.sumOffers(func(o group.Offer) int { return o.Idle }) },
 		"nettlewalk_anchor_age_seconds": h.oldestAnchorAge,
+		"nettlewalk_store_era":          func() float64 { return float64(h.store.Era()) },
 		"nettlewalk_store_up":           func() float64 { up, _ := h.store.Reachable(); return boolGauge(up) },
 	}
 	for name, read := range gauges {
--- a/internal/catalog/feed.go
+++ b/internal/catalog/feed.go
@@ -77,8 +77,8 @@
 	Log    logr.Logger
 
 	mu            sync.Mutex
-	revision      uint64
-	listed        bool // whether a complete list was received
+	position      StorePosition // of the newest list or change
+	listed        bool          // whether a complete list was received
 	members       map[topology.TargetID]Member
 	loggedInvalid map[string]bool // names of invalid entries that were already logged
 }
@@ -87,14 +87,15 @@
 func (f *RegistryFeed) Revision(string) (uint64, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.revision, f.listed
+	return f.position.Revision, f.listed
 }
 
 // Reset implements platform.Sink.
 func (f *RegistryFeed) Reset(_ string, list platform.List) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.listed && list.Revision < f.revision {
+	position := StorePosition{list.Era, list.Revision}
+	if f.listed && f.position.After(position) {
 		return // a watch has already delivered a newer revision
 	}
 	f.members = map[topology.TargetID]Member{}
@@ -102,24 +103,25 @@
 		f.updateMemberLocked(o, false)
 	}
 	f.listed = true
-	f.publishLocked(list.Revision)
+	f.publishLocked(position)
 }
 
 // Apply implements platform.Sink.
 func (f *RegistryFeed) Apply(_ string, changes platform.Changes) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if changes.Revision < f.revision {
+	position := StorePosition{changes.Era, changes.Revision}
+	if f.position.After(position) {
 		return // a list has already delivered a newer revision
 	}
 	for _, c := range changes.Changes {
 		f.updateMemberLocked(c.Object, c.Deleted)
 	}
 	if len(changes.Changes) == 0 { // the revision advanced without a change to the registry
-		f.revision = changes.Revision
+		f.position = position
 		return
 	}
-	f.publishLocked(changes.Revision)
+	f.publishLocked(position)
 }
 
 // updateMemberLocked applies one object to the members. The caller must hold
@@ -158,7 +160,7 @@
 
 // publishLocked offers the current members to Store as a new snapshot. The
 // caller must hold f.mu.
-func (f *RegistryFeed) publishLocked(revision uint64) {
-	f.revision = revision
-	f.Store.OfferRegistry(&Registry{Revision: revision, Members: maps.Clone(f.members)})
+func (f *RegistryFeed) publishLocked(position StorePosition) {
+	f.position = position
+	f.Store.OfferRegistry(&Registry{Era: position.Era, Revision: position.Revision, Members: maps.Clone(f.members)})
 }
--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -13,6 +14,9 @@
 	// without announcing that it leaves is still used. Entries expire during a
 	// disturbance of the store and return within two seconds of its recovery.
 	unregisteredGrace = 3 * time.Second
+	// restoreGrace is how long a target that is missing in a registry which came back
+	// from an older copy still counts as registered: targets report every second or two.
+	restoreGrace = 5 * time.Second
 	// unregisteredRetention is how long a target that disappeared from the
 	// registry still counts as possibly holding acknowledged commits.
 	unregisteredRetention = 60 * time.Second
@@ -26,8 +30,11 @@
 	configUpdatedAt time.Time
 	registry        *Registry
 	unregistered    map[topology.TargetID]unregisteredMember
-	reads           ReadTimes
-	changed         chan struct{} // closed and replaced at each change
+	// unconfirmed holds the targets that the registry lacks since the store came back
+	// from an older copy, with the time of that. They count as registered.
+	unconfirmed map[topology.TargetID]unregisteredMember
+	reads       ReadTimes
+	changed     chan struct{} // closed and replaced at each change
 }
 
 // unregisteredMember is a target that is no longer registered.
@@ -38,7 +45,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{unregistered: map[topology.TargetID]unregisteredMember{}, changed: make(chan struct{})}
+	return &Store{unregistered: map[topology.TargetID]unregisteredMember{}, unconfirmed: map[topology.TargetID]unregisteredMember{}, changed: make(chan struct{})}
 }
 
 // Changed returns a channel that is closed at the next change.
@@ -77,16 +84,16 @@
 	return s.config
 }
 
-// Versions returns the numbers of the newest known snapshots, or 0 where none
-// is known.
-func (s *Store) Versions() (configuration, register uint64) {
+// Versions returns the version of the newest known configuration and the position of
+// the newest registry snapshot, or zero values where none is known.
+func (s *Store) Versions() (configuration uint64, register StorePosition) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.config != nil {
 		configuration = s.config.Version
 	}
 	if s.registry != nil {
-		register = s.registry.Revision
+		register = s.registry.Position()
 	}
 	return configuration, register
 }
@@ -98,10 +105,11 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.registry != nil && s.registry.Revision >= r.Revision {
+	if s.registry != nil && !r.Position().After(s.registry.Position()) {
 		return false
 	}
 	old := s.registry
+	r = s.withUnconfirmedLocked(old, r)
 	s.registry = r
 	if old == nil {
 		s.notifyLocked()
@@ -113,6 +121,49 @@
 	return true
 }
 
+// withUnconfirmedLocked returns the snapshot with the targets that are only missing
+// because the store came back from an older copy. The caller must hold s.mu.
+func (s *Store) withUnconfirmedLocked(old, next *Registry) *Registry {
+	now := steady.Now()
+	if old != nil && next.Era > old.Era {
+		for id, m := range old.Members {
+			if _, ok := next.Members[id]; !ok {
+				s.unconfirmed[id] = unregisteredMember{member: m, since: now}
+			}
+		}
+	}
+	merged := &Registry{Era: next.Era, Revision: next.Revision, Members: maps.Clone(next.Members)}
+	for id, v := range s.unconfirmed {
+		if _, ok := next.Members[id]; ok || now.Sub(v.since) >= restoreGrace {
+			delete(s.unconfirmed, id)
+			continue
+		}
+		merged.Members[id] = v.member
+	}
+	return merged
+}
+
+// expireUnconfirmedLocked removes the targets that have not been registered again since
+// the store came back from an older copy. The caller must hold s.mu.
+func (s *Store) expireUnconfirmedLocked(now time.Time) {
+	expired := false
+	for id, v := range s.unconfirmed {
+		if now.Sub(v.since) < restoreGrace {
+			continue
+		}
+		delete(s.unconfirmed, id)
+		if !expired {
+			expired = true
+			s.registry = &Registry{Era: s.registry.Era, Revision: s.registry.Revision, Members: maps.Clone(s.registry.Members)}
+		}
+		delete(s.registry.Members, id)
+		s.unregistered[id] = unregisteredMember{member: v.member, since: now}
+	}
+	if expired {
+		s.notifyLocked()
+	}
+}
+
 // updateUnregisteredLocked records the targets that disappeared from the
 // registry and reports whether any entry changed. The caller must hold s.mu.
 func (s *Store) updateUnregisteredLocked(old, next *Registry) (changed bool) {
@@ -148,6 +199,7 @@
 	if s.registry == nil {
 		return groups
 	}
+	s.expireUnconfirmedLocked(now)
 	for _, m := range s.registry.Members {
 		groups[m.Target.Group] = append(groups[m.Target.Group], m)
 	}
@@ -174,6 +226,7 @@
 	if s.registry == nil {
 		return nil, unregisteredFor
 	}
+	s.expireUnconfirmedLocked(now)
 	for _, m := range s.registry.Members {
 		if m.Target.Group == id {
 			members = append(members, m)
--- a/internal/catalog/store_test.go
+++ b/internal/catalog/store_test.go
@@ -113,3 +113,36 @@
 	}
 	qt.Check(t, steady.Now().Sub(s.ReadTimes().Configuration) < 5*time.Second, qt.IsTrue)
 }
+
+// A store that came back from an older copy has lower revisions and lacks what was
+// written since. Its registry is news all the same; a target that is missing in it for a
+// while has not left, one that stays missing has.
+func TestRegistryOfALaterEraIsNews(t *testing.T) {
+	member := func(id topology.TargetID, leaving bool) Member {
+		return Member{Target: topology.Target{ID: id, Group: "g", Addr: string(id), Leaving: leaving}}
+	}
+	s := NewStore()
+	s.OfferRegistry(&Registry{Revision: 90, Members: map[topology.TargetID]Member{"a": member("a", true), "new": member("new", false)}})
+	qt.Assert(t, s.OfferRegistry(&Registry{Era: 1, Revision: 40, Members: map[topology.TargetID]Member{"a": member("a", false)}}), qt.IsTrue)
+	qt.Check(t, s.OfferRegistry(&Registry{Revision: 95}), qt.IsFalse, qt.Commentf("an answer of the earlier era"))
+	qt.Check(t, s.Serving()["g"], qt.HasLen, 2)
+	_, gone := s.PossibleCommitHolders("g")
+	qt.Check(t, gone, qt.HasLen, 0)
+	qt.Assert(t, s.OfferRegistry(&Registry{Era: 1, Revision: 41, Members: map[topology.TargetID]Member{"a": member("a", true)}}), qt.IsTrue)
+	qt.Check(t, s.Serving()["g"], qt.HasLen, 2)
+	v := s.unconfirmed["new"]
+	v.since = v.since.Add(-restoreGrace)
+	s.unconfirmed["new"] = v
+	_, gone = s.PossibleCommitHolders("g")
+	qt.Check(t, gone, qt.HasLen, 1)
+	_, registered := s.Registry().Members["new"]
+	qt.Check(t, registered, qt.IsFalse)
+}
+
+// The configuration in force never goes back, whatever the store shows.
+func TestConfigurationSurvivesARestore(t *testing.T) {
+	s := NewStore()
+	s.OfferConfiguration(&Configuration{Version: 7})
+	qt.Check(t, s.OfferConfiguration(&Configuration{Version: 5}), qt.IsFalse)
+	qt.Check(t, s.Configuration().Version, qt.Equals, uint64(7))
+}
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -51,6 +51,19 @@
 
 // Registry is a snapshot of the target registry at one revision of the store.
 type Registry struct {
+	Era      uint64 // of the store; revisions compare within one era only
 	Revision uint64
 	Members  map[topology.TargetID]Member
 }
+
+// Position returns when the snapshot was taken in the store's history.
+func (r *Registry) Position() StorePosition { return StorePosition{r.Era, r.Revision} }
+
+// StorePosition is a revision in an era of the store. A store that came back from an
+// older copy of its objects is in a later era, and its revisions are lower.
+type StorePosition struct{ Era, Revision uint64 }
+
+// After reports whether p is later than other.
+func (p StorePosition) After(other StorePosition) bool {
+	return p.Era > other.Era || p.Era == other.Era && p.Revision > other.Revision
+}
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -28,6 +28,9 @@
 	Get(ctx context.Context, kind, name string) (platform.Object, error)
 	List(ctx context.Context, kind string) (platform.List, error)
 	PutIf(ctx context.Context, object platform.Object) (platform.Object, error)
+	// Era returns the store's newest era that is known. It rises when the store comes
+	// back from an older copy and has lost what was written since.
+	Era() uint64
 }
 
 // Hosts provides this host's view of the fleet.
@@ -82,7 +85,9 @@
 	lastRequestAt map[topology.GroupID]time.Time // when this host sent its last promotion request
 	// acquiredAt is a time shortly before the store accepted this host's claim.
 	acquiredAt map[topology.GroupID]time.Time
-	leaving    bool // Release was called: this host acquires no duty any more
+	// writtenIn is the era of the store in which this host's claim was written.
+	writtenIn map[topology.GroupID]uint64
+	leaving   bool // Release was called: this host acquires no duty any more
 }
 
 // New returns a Keeper that knows no claims.
@@ -97,6 +102,7 @@
 		heldSince:     map[topology.GroupID]time.Time{},
 		lastRequestAt: map[topology.GroupID]time.Time{},
 		acquiredAt:    map[topology.GroupID]time.Time{},
+		writtenIn:     map[topology.GroupID]uint64{},
 	}
 }
 
@@ -280,6 +286,9 @@
 			return
 		case <-ticker.C:
 		}
+		for _, held := range k.claimsToRewrite(steady.Now()) {
+			k.rewrite(ctx, held)
+		}
 		for _, known := range k.dueClaims(steady.Now()) {
 			k.acquire(ctx, known)
 		}
@@ -427,7 +436,7 @@
 		k.Learn(stored)
 		return ErrHeldByOther
 	}
-	claim := Claim{Group: expected.Group, Holder: k.opts.Self, Name: k.opts.Name, Boot: k.opts.Boot, Token: max(stored.Token, expected.Token) + 1}
+	claim := Claim{Group: expected.Group, Holder: k.opts.Self, Name: k.opts.Name, Boot: k.opts.Boot, Token: nextToken(max(stored.Token, expected.Token), k.opts.Store.Era())}
 	claim.Leadership = stored.Leadership
 	if expected.supersedes(&stored) { // the last record didn't reach the store
 		claim.Leadership = expected.Leadership
@@ -437,11 +446,52 @@
 	}
 	k.recordPending(expected)
 	k.recordAcquisition(expected.Group)
-	if _, err = k.opts.Store.PutIf(ctx, object); err == nil {
-		k.Learn(claim)
-		return nil
+	era := k.opts.Store.Era()
+	if _, err = k.opts.Store.PutIf(ctx, object); err != nil {
+		if err = k.verifyWrite(ctx, claim, err); err != nil {
+			return err
+		}
+	}
+	k.Learn(claim)
+	k.recordWritten(claim.Group, era)
+	return nil
+}
+
+// recordWritten records the era of the store in which this host's claim was written. If
+// the era has risen meanwhile, the claim is written again.
+func (k *Keeper) recordWritten(id topology.GroupID, era uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.writtenIn[id] = era
+}
+
+// claimsToRewrite returns the claims of this host that the store may have lost, since it
+// came back from an older copy. They are written again before another host could take
+// the duty: hosts know the holder from each other, not from the store.
+func (k *Keeper) claimsToRewrite(now time.Time) []Claim {
+	era := k.opts.Store.Era()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var list []Claim
+	for _, id := range k.groups {
+		c := k.claims[id]
+		if k.leaving || !k.isHeldHere(c) || k.writtenIn[id] >= era || now.Before(k.retryAt[id]) {
+			continue
+		}
+		k.retryAt[id] = now.Add(retryInterval)
+		list = append(list, c)
+	}
+	return list
+}
+
+// rewrite writes a claim of this host again, with a token of the store's new era.
+func (k *Keeper) rewrite(ctx context.Context, held Claim) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	k.opts.Log.Info("writing duty claim again", "group", held.Group, "token", held.Token, "era", k.opts.Store.Era(), "reason", "the store came back from an older copy")
+	if err := k.writeClaim(ctx, held); err != nil {
+		k.opts.Log.Info("writing duty claim again failed", "group", held.Group, "error", err.Error())
 	}
-	return k.verifyWrite(ctx, claim, err)
 }
 
 // verifyWrite reads the claim back after a failed write. It returns nil if the write
--- a/internal/duty/keeper_test.go
+++ b/internal/duty/keeper_test.go
@@ -18,6 +18,7 @@
 
 // fakeStore stores one object and can lose the response to a write.
 type fakeStore struct {
+	era        uint64
 	object     *platform.Object
 	revision   uint64
 	loseAnswer bool
@@ -62,6 +63,8 @@
 	s.object = &platform.Object{Kind: Kind, Name: string(c.Group), Version: s.revision, Value: value}
 }
 
+func (s *fakeStore) Era() uint64 { return s.era }
+
 // fakeHosts reports the same time since last contact for every host.
 type fakeHosts struct {
 	silentFor time.Duration
@@ -179,3 +182,54 @@
 	k.dueClaims(steady.Now()) // notes that nobody holds the duty
 	qt.Check(t, k.dueClaims(steady.Now().Add(time.Minute)), qt.HasLen, 0)
 }
+
+// Tokens never go down and none is used twice, also if the store has lost claims and
+// every host that knew of them has lost its memory.
+func TestTokenRisesWithTheErasOfTheStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		highest, era := uint64(0), uint64(0)
+		stored, copied := uint64(0), uint64(0)
+		known := []uint64{0, 0} // by host
+		for range rapid.IntRange(1, 40).Draw(t, "events") {
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0:
+				copied = stored
+			case 1: // the store comes back from the copy, perhaps twice
+				stored, era = copied, era+1
+			case 2: // all hosts restart and know what the store has
+				known = []uint64{stored, stored}
+			default:
+				h := rapid.IntRange(0, 1).Draw(t, "host")
+				if stored > known[h] { // the store has a newer claim: the host learns it
+					known[h] = stored
+				}
+				token := nextToken(max(stored, known[h]), era)
+				if token <= highest {
+					t.Fatalf("token %d after %d", token, highest)
+				}
+				highest, stored, known[h] = token, token, token
+				known[1-h] = token // told by gossip
+			}
+		}
+	})
+}
+
+// A claim that the store has lost is written again by its holder, with a higher token.
+func TestLostClaimIsWrittenAgain(t *testing.T) {
+	s := &fakeStore{}
+	k := newKeeper(s, &fakeHosts{connected: true})
+	k.SetGroups([]topology.GroupID{"g"})
+	qt.Assert(t, k.writeClaim(context.Background(), Claim{Group: "g"}), qt.IsNil)
+	before, _ := k.Token("g")
+	qt.Check(t, k.claimsToRewrite(steady.Now()), qt.HasLen, 0)
+	s.object, s.era = nil, 1 // the copy is older than the claim
+	lost := k.claimsToRewrite(steady.Now())
+	qt.Assert(t, lost, qt.HasLen, 1)
+	qt.Check(t, k.dueClaims(steady.Now()), qt.HasLen, 0, qt.Commentf("the duty isn't free"))
+	k.rewrite(context.Background(), lost[0])
+	after, held := k.Token("g")
+	qt.Check(t, held, qt.IsTrue)
+	qt.Check(t, after > before, qt.IsTrue)
+	qt.Check(t, s.object, qt.IsNotNil)
+	qt.Check(t, k.claimsToRewrite(steady.Now().Add(time.Minute)), qt.HasLen, 0)
+}
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -50,7 +50,10 @@
 type Digest struct {
 	From          Host
 	Configuration uint64 // version of the configuration that the sender has
-	Register      uint64 // revision of the target registry that the sender has
+	// Register is the position of the target registry that the sender has, and
+	// StoreEra the store's newest era that it knows of.
+	Register catalog.StorePosition
+	StoreEra uint64
 	// Sum is a checksum over Hosts and Claims. Both are omitted if the latest
 	// digest of the other host had the same Sum.
 	Sum   uint64
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -69,6 +69,9 @@
 func (g *Gossip) buildDigest(recipient topology.HostID) Digest {
 	d := Digest{Claims: g.claims.Claims(), Offers: g.opts.Offers()}
 	d.Configuration, d.Register = g.opts.Catalog.Versions()
+	if g.opts.StoreEra != nil {
+		d.StoreEra = g.opts.StoreEra()
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	d.From = g.self
@@ -136,6 +139,9 @@
 
 // mergeDigest merges the hosts and claims of another host's digest.
 func (g *Gossip) mergeDigest(d *Digest) {
+	if g.opts.OnStoreEra != nil {
+		g.opts.OnStoreEra(d.StoreEra)
+	}
 	g.AddHosts(d.Hosts...)
 	g.recordSender(d)
 	for _, c := range d.Claims {
@@ -206,10 +212,10 @@
 	if reply.Configuration > args.Configuration {
 		reply.NewConfiguration = g.opts.Catalog.Configuration()
 	}
-	if reply.Register > args.Register {
+	if reply.Register.After(args.Register) {
 		reply.NewRegister = g.opts.Catalog.Registry()
 	}
-	if args.Configuration > reply.Configuration || args.Register > reply.Register {
+	if args.Configuration > reply.Configuration || args.Register.After(reply.Register) {
 		g.requestPull(args.From.Addr)
 	}
 	return nil
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -70,7 +70,11 @@
 	// the time at which the request was sent. Both are nil if no leases are needed.
 	GrantLeases func(topology.HostID, []topology.GroupID) []lease.Lease
 	OnLeases    func(leases []lease.Lease, sentAt time.Time)
-	Log         logr.Logger
+	// StoreEra returns the store's newest era that this host knows of, and OnStoreEra
+	// is called with what another host knows. Both may be nil.
+	StoreEra   func() uint64
+	OnStoreEra func(era uint64)
+	Log        logr.Logger
 }
 
 // knownHost is what this host knows of another one.
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -99,7 +99,7 @@
 	for id, g := range n.hosts {
 		configuration, register := g.opts.Catalog.Versions()
 		qt.Check(t, configuration, qt.Equals, uint64(9), qt.Commentf("%s", id))
-		qt.Check(t, register, qt.Equals, uint64(5), qt.Commentf("%s", id))
+		qt.Check(t, register.Revision, qt.Equals, uint64(5), qt.Commentf("%s", id))
 	}
 	qt.Check(t, n.hosts["a"].claims.Claims()[0].Token, qt.Equals, uint64(2))
 }
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -22,6 +22,7 @@
 	kind      string
 	decode    func(body []byte) error // parses the body of a successful response
 	timeout   time.Duration           // 0 means Options.CallTimeout
+	noteEra   func(era uint64)        // called with the era of a successful answer; may be nil
 }
 
 // attemptOnce waits for the call budget and makes one attempt.
@@ -79,7 +80,17 @@
 	if err != nil {
 		return &errOutcomeUnknown{cause: err}
 	}
-	return c.interpretResponse(resp.StatusCode, body, req)
+	era, err := c.noteAnswerEra(resp.Header)
+	if err != nil {
+		return err
+	}
+	if err := c.interpretResponse(resp.StatusCode, body, req); err != nil {
+		return err
+	}
+	if req.noteEra != nil {
+		req.noteEra(era)
+	}
+	return nil
 }
 
 // classifyTransportError returns errNotApplied if the request was never sent:
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -49,6 +49,7 @@
 	httpClient   *http.Client
 	budget       *rate.Limiter
 	reachability *reachability
+	era          *eraTracker
 	metrics      *callMetrics
 }
 
@@ -72,6 +73,7 @@
 		httpClient:   &http.Client{Transport: transport},
 		budget:       rate.NewLimiter(rate.Inf, 0),
 		reachability: newReachability(time.Now()),
+		era:          newEraTracker(),
 	}
 	c.SetBudget(opts.Budget)
 	c.metrics = newCallMetrics(opts.Metrics, c.reachability)
@@ -108,12 +110,26 @@
 
 func (c *Client) get(ctx context.Context, kind, name string, stale bool) (object Object, err error) {
 	req := request{Call: c.dialect().Get(kind, name, stale), operation: "get", kind: kind, decode: c.decodeObjectInto(kind, &object)}
+	req.noteEra = func(era uint64) { object.Era = era }
 	return object, c.retry(ctx, req)
 }
 
+// errEraChanged ends a list whose pages are of different eras.
+var errEraChanged = errors.New("the platform came back from an older copy between two pages")
+
 // List returns all objects of a kind. Its Revision is that of the first page, so
-// that a watch from there repeats the changes made while later pages were read.
+// that a watch from there repeats the changes made while later pages were read. A list
+// that spans a change of the era is read again.
 func (c *Client) List(ctx context.Context, kind string) (List, error) {
+	for {
+		list, err := c.listOnce(ctx, kind)
+		if !errors.Is(err, errEraChanged) {
+			return list, err
+		}
+	}
+}
+
+func (c *Client) listOnce(ctx context.Context, kind string) (List, error) {
 	var list List
 	for nextPage := ""; ; {
 		var page List
@@ -122,11 +138,15 @@
 			page, err = c.dialect().DecodeList(kind, body)
 			return err
 		}
+		var era uint64
+		req.noteEra = func(answerEra uint64) { era = answerEra }
 		if err := c.retry(ctx, req); err != nil {
 			return List{}, err
 		}
 		if nextPage == "" {
-			list.Revision = page.Revision
+			list.Revision, list.Era = page.Revision, era
+		} else if era != list.Era {
+			return List{}, errEraChanged
 		}
 		list.Objects = append(list.Objects, page.Objects...)
 		if nextPage = page.NextPage; nextPage == "" {
@@ -145,16 +165,27 @@
 		changes, err = c.dialect().DecodeChanges(kind, body)
 		return err
 	}
-	return changes, c.attemptOnce(ctx, req)
+	var era uint64
+	req.noteEra = func(answerEra uint64) { era = answerEra }
+	err = c.attemptOnce(ctx, req)
+	changes.Era = era
+	return changes, err
 }
 
 // PutIf writes a value if the object has object.Version; version 0 means that the
 // object must not exist. It makes one attempt. After ErrConflict or PlatformDown
-// the write has not taken effect; after PlatformUnknown its outcome is unknown.
+// the write has not taken effect; after PlatformUnknown its outcome is unknown. It is
+// unknown also if object was read in an earlier era: its version may since have been
+// given to another content.
 func (c *Client) PutIf(ctx context.Context, object Object) (Object, error) {
 	var written Object
-	err := c.attemptOnce(ctx, c.putRequest(object, &written))
+	req := c.putRequest(object, &written)
+	req.noteEra = func(era uint64) { written.Era = era }
+	err := c.attemptOnce(ctx, req)
 	written.Value = object.Value
+	if err == nil && object.Version > 0 && written.Era != object.Era {
+		err = &errOutcomeUnknown{cause: errors.Newf("written in era %d under a version of era %d", written.Era, object.Era)}
+	}
 	return written, toResultError(err, result.PlatformUnknown)
 }
 
--- a/internal/platform/dialect.go
+++ b/internal/platform/dialect.go
@@ -39,6 +39,8 @@
 	// HadNoEffect reports whether a status of 500 or above guarantees that
 	// the request had no effect.
 	HadNoEffect(status int) bool
+	// EraHeader returns the name of the header that holds the platform's era.
+	EraHeader() string
 }
 
 // native is the dialect of the proxy's own platform API.
@@ -85,6 +87,8 @@
 
 func (native) HadNoEffect(int) bool { return false }
 
+func (native) EraHeader() string { return EraHeader }
+
 func objectPath(kind, name string) string {
 	return "/v1/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
 }
--- a/internal/platform/follow.go
+++ b/internal/platform/follow.go
@@ -29,8 +29,9 @@
 	delays.InitialInterval = retryInitialDelay
 	delays.MaxInterval = retryMaxDelay
 	mustList := false
+	era := c.Era() // of the sink's revision
 	for ctx.Err() == nil {
-		err := c.listOrWatch(ctx, kind, sink, mustList)
+		err := c.listOrWatch(ctx, kind, sink, mustList, &era)
 		if err == nil && !mustList {
 			delays.Reset()
 			continue
@@ -38,7 +39,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		mustList = errors.Is(err, ErrGone)
+		mustList = errors.Is(err, ErrGone) || mustList && err != nil
 		if err != nil {
 			c.opts.Log.V(1).Info("watching the platform failed", "kind", kind, "error", err.Error())
 		}
@@ -47,19 +48,26 @@
 }
 
 // listOrWatch makes one watch call, or lists the kind if mustList is set or the
-// sink has no full list yet.
-func (c *Client) listOrWatch(ctx context.Context, kind string, sink Sink, mustList bool) error {
+// sink has no full list yet. A watch ends when the era rises: its revision may lie far
+// above the platform's.
+func (c *Client) listOrWatch(ctx context.Context, kind string, sink Sink, mustList bool, era *uint64) error {
 	revision, complete := sink.Revision(kind)
 	if mustList || !complete {
 		list, err := c.List(ctx, kind)
 		if err != nil {
 			return err
 		}
+		*era = list.Era
 		sink.Reset(kind, list)
 		return nil
 	}
 	start := time.Now()
-	changes, err := c.Watch(ctx, kind, revision)
+	watchCtx, cancel := c.withinEra(ctx, *era)
+	defer cancel()
+	changes, err := c.Watch(watchCtx, kind, revision)
+	if c.Era() != *era || err == nil && changes.Era != *era {
+		return ErrGone
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/platform/wire.go
+++ b/internal/platform/wire.go
@@ -8,6 +8,10 @@
 // CallerHeader is the HTTP header that names the calling process.
 const CallerHeader = "Nettlewalk-Caller"
 
+// EraHeader is the HTTP header in all answers that tells how often the platform came
+// back from an older copy of its objects. Without it the era is 0.
+const EraHeader = "Nettlewalk-Platform-Era"
+
 // Object is one object of the platform. Versions increase across all objects of a
 // kind and continue to increase when an object is deleted and created again.
 type Object struct {
@@ -15,6 +19,9 @@
 	Name    string          `json:"name"`
 	Version uint64          `json:"version"`
 	Value   json.RawMessage `json:"value,omitempty"`
+	// Era is the platform's era when the object was read; versions compare within
+	// one era only. It isn't part of the body.
+	Era uint64 `json:"-"`
 }
 
 // List is one page of a kind's objects, sorted by name. Client.List returns the
@@ -23,6 +30,7 @@
 	Revision uint64   `json:"revision"` // of the kind when the page was read
 	Objects  []Object `json:"objects"`
 	NextPage string   `json:"next_page,omitempty"` // empty on the last page
+	Era      uint64   `json:"-"`                   // in which all pages were read
 }
 
 // Change is one write or deletion. Object.Version is the revision that it created.
@@ -36,6 +44,7 @@
 type Changes struct {
 	Revision uint64   `json:"revision"` // from which to watch next
 	Changes  []Change `json:"changes"`
+	Era      uint64   `json:"-"` // of Revision
 }
 
 // Failure is the body of an unsuccessful response. Current is set after a version
--- a/test/line/line_test.go
+++ b/test/line/line_test.go
@@ -1,6 +1,7 @@
 package line
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 	"strings"
@@ -12,6 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	control "nettlewalk.example/nettlewalk/internal/target"
 	store "nettlewalk.example/nettlewalk/test/standin/platform"
 	"nettlewalk.example/nettlewalk/test/testbed"
 )
@@ -267,3 +269,58 @@
 		t.Fatal("host still runs after the grace period")
 	}
 }
+
+// The store goes away for a moment and comes back from an older copy, twice. The
+// configuration in force stays, registrations that it has lost are no departures, the
+// duty stays where it is, and a promotion after it uses a higher token; then all hosts
+// are killed in the same moment as the store comes back a third time.
+func TestLineStoreComesBackFromAnOlderCopy(t *testing.T) {
+	b := NewBed(t)
+	copied := b.Store.Snapshot()
+	b.Configure(2, "db", "new")
+	for i := range b.Hosts {
+		b.Eventually("route is in effect", func() bool { return b.Dial(i, "new") != nil })
+	}
+	b.Eventually("a host holds the duty", b.DutyIsHeld)
+	for era := 1; era <= 2; era++ {
+		b.Store.Restore(copied, 300*time.Millisecond)
+		b.Eventually("all hosts know of the era", func() bool { return b.metric("nettlewalk_store_era") == float64(era*hostCount) })
+		for i := range b.Hosts {
+			qt.Check(t, b.Dial(i, "new"), qt.IsNotNil, qt.Commentf("the configuration went back on host %d", i))
+			qt.Check(t, b.Dial(i, "db").Exec(fmt.Sprintf("w%d-%d WRITE item x", era, i)), qt.Equals, "COMPLETE")
+		}
+		b.Eventually("the claim is written again", func() bool {
+			o, ok := b.Store.Object("nettlewalk-duties", "svc")
+			var claim struct{ Token uint64 }
+			return ok && json.Unmarshal(o.Value, &claim) == nil && claim.Token>>32 == uint64(era)
+		})
+	}
+	qt.Check(t, b.metric("nettlewalk_duties_held"), qt.Equals, 1.0)
+	b.Configure(3, "db", "new") // the operator writes again
+	b.Register(b.Members[0], "draining")
+	b.Eventually("another target is promoted", func() bool { return len(b.Promotions()) == 1 })
+	b.Eventually("writes succeed again", func() bool { return b.Dial(1, "db").Exec("w3 WRITE item y") == "COMPLETE" })
+	first := b.Tokens()
+
+	for _, h := range b.Hosts {
+		qt.Assert(t, h.Cmd.Process.Signal(syscall.SIGKILL), qt.IsNil)
+		<-h.Done
+	}
+	b.Store.Restore(copied, 100*time.Millisecond)
+	b.Configure(4, "db")
+	for _, m := range b.Members {
+		b.Register(m, "ready")
+	}
+	for _, h := range b.Hosts {
+		b.Start(h)
+	}
+	b.Eventually("writes succeed again", func() bool { return b.Dial(0, "db").Exec("w4 WRITE item z") == "COMPLETE" })
+	for _, m := range b.Members {
+		if m.Server.Status().Role == control.Primary {
+			b.Register(m, "draining")
+		}
+	}
+	b.Eventually("another target is promoted", func() bool { return len(b.Promotions()) == 2 })
+	tokens := b.Tokens()
+	qt.Check(t, tokens[len(tokens)-1] > first[len(first)-1], qt.IsTrue, qt.Commentf("tokens %v", tokens))
+}
--- a/test/standin/platform/api.go
+++ b/test/standin/platform/api.go
@@ -20,7 +20,9 @@
 // handler answers one API call that passed intercept.
 type handler func(w http.ResponseWriter, r *http.Request)
 
-func (s *Server) apiHandler() http.Handler {
+func (s *Server) apiHandler() http.Handler { return s.withEra(s.objectHandler()) }
+
+func (s *Server) objectHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/objects/{kind}/{name}", s.intercept("get", s.get))
 	mux.HandleFunc("GET /v1/objects/{kind}", s.intercept("list", s.list))
--- a/test/standin/platform/server.go
+++ b/test/standin/platform/server.go
@@ -39,6 +39,7 @@
 	reads         *rate.Limiter
 	writes        *rate.Limiter
 	faultsChanged chan struct{} // closed and replaced when the faults change
+	era           uint64        // number of restores from a copy
 }
 
 // Start starts both APIs, which are served until Close.
