--- a/internal/duty/claim.go
+++ b/internal/duty/claim.go
@@ -72,6 +72,14 @@
 	rankDelay = 300 * time.Millisecond
 )
 
+// tokenEraShift is the number of bits of a token below the store's era.
+const tokenEraShift = 32
+
+// nextToken returns the token of the next claim after one with the token last. Tokens of
+// a later era of the store are higher than all of earlier ones, also of claims that the
+// store and all hosts have lost.
+func nextToken(last, era uint64) uint64 { return max(last, era<<tokenEraShift) + 1 }
+
 // electionState is the input of shouldAcquire: what a host knows when it
 // decides whether to acquire a group's duty.
 type electionState struct {
