usage: an ended process stays ended when its host returns

An entry host knew its last reading, 158 of 158, and copied it while h1a was off the list; then the witness with the copy was restarted too. By then h1a was listed again under a new process that had metered nothing, so its dead process counted as alive and its readings were not due until 3 s of silence; the entry host reported that all was copied, was killed, and the report had 157. Change: a source once known to have ended stays so, and a host that answers under a new process ends its earlier one. Result: TestEndedProcessStaysEndedWhenItsHostReturns and TestAnswerOfANewProcessEndsTheEarlierOne failed before and pass.

--- a/internal/usage/reading_store.go
+++ b/internal/usage/reading_store.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -24,6 +25,11 @@
 	confirmedAt  map[Source]time.Time // when the witnesses of each source last answered
 	lastGrowth   map[Source]time.Time // time of the last new reading of each source
 	witnessed    map[Source]bool      // sources of which this host is a witness
+	// ended holds the sources that are known to have ended. Their hosts may be listed
+	// again under processes that have metered nothing.
+	ended map[Source]bool
+	// processes holds the newest boot number under which each witness answered.
+	processes map[topology.HostID]uint64
 }
 
 // NewReadingStore returns an empty store for the process self.
@@ -35,6 +41,8 @@
 		replicatedAt: map[Source]time.Time{},
 		confirmedAt:  map[Source]time.Time{},
 		replicatedTo: map[Source][]Source{},
+		ended:        map[Source]bool{},
+		processes:    map[topology.HostID]uint64{},
 	}
 }
 
@@ -72,6 +80,7 @@
 // a source as its witnesses.
 func (r *ReadingStore) MarkReplicated(source Source, readings []pool.Meter, receivers []Source, now time.Time) {
 	r.replicatedAt[source], r.confirmedAt[source] = now, now
+	r.noteProcesses(receivers)
 	previous, replicatedBefore := r.replicatedTo[source]
 	if !replicatedBefore {
 		r.replicatedTo[source] = receivers
@@ -104,6 +113,7 @@
 // them has restarted, the source's readings are sent again.
 func (r *ReadingStore) MarkConfirmed(source Source, processes []Source, now time.Time) {
 	r.confirmedAt[source] = now
+	r.noteProcesses(processes)
 	restarted := func(old Source) bool {
 		return slices.ContainsFunc(processes, func(s Source) bool { return s.Host == old.Host && s.Boot != old.Boot })
 	}
@@ -112,6 +122,13 @@
 	}
 }
 
+// noteProcesses records the processes of hosts that answered.
+func (r *ReadingStore) noteProcesses(processes []Source) {
+	for _, s := range processes {
+		r.processes[s.Host] = max(r.processes[s.Host], s.Boot)
+	}
+}
+
 // clearReplicated discards the replication state of a source, so that all its
 // readings are sent again.
 func (r *ReadingStore) clearReplicated(source Source) {
@@ -141,8 +158,10 @@
 	due := map[Source][]pool.Meter{}
 	latest := r.latestBoots()
 	for source := range r.known.sources {
-		ended := !fleet.Listed(source.Host) || source.Boot < latest[source.Host]
-		if source != r.self && !ended && now.Sub(r.lastGrowth[source]) < silence {
+		if !fleet.Listed(source.Host) || source.Boot < latest[source.Host] {
+			r.ended[source] = true
+		}
+		if source != r.self && !r.ended[source] && now.Sub(r.lastGrowth[source]) < silence {
 			continue
 		}
 		if now.Sub(r.replicatedAt[source]) >= resendAfter || !r.allReceived(source, fleet.Witnesses(source)) {
@@ -159,7 +178,7 @@
 // latestBoots returns the highest known boot number of each host. The boot number
 // grows with each start of a process.
 func (r *ReadingStore) latestBoots() map[topology.HostID]uint64 {
-	latest := make(map[topology.HostID]uint64, len(r.known.sources))
+	latest := maps.Clone(r.processes)
 	for source := range r.known.sources {
 		latest[source.Host] = max(latest[source.Host], source.Boot)
 	}
@@ -211,6 +230,7 @@
 		delete(r.confirmedAt, source)
 		delete(r.lastGrowth, source)
 		delete(r.witnessed, source)
+		delete(r.ended, source)
 	}
 }
 
--- a/internal/usage/reading_store_test.go
+++ b/internal/usage/reading_store_test.go
@@ -273,3 +273,31 @@
 	qt.Check(t, due, qt.HasLen, 1)
 	qt.Check(t, due[Source{"a1", 1}], qt.HasLen, 1)
 }
+
+// A process stays ended when its host is listed again under a new process that has
+// metered nothing yet. Otherwise its readings, whose copy a restarted witness has lost,
+// would wait until they count as silent, and die with the entry host.
+func TestEndedProcessStaysEndedWhenItsHostReturns(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	hosts := []topology.Host{{ID: "b1", Domain: "b", State: topology.HostLive}, {ID: "c1", Domain: "c", State: topology.HostLive}, {ID: "a1", Domain: "a", State: topology.HostLive}}
+	ended := Source{"a1", 1}
+	store := NewReadingStore(Source{"b1", 1})
+	store.ObserveMeter(pool.Meter{Host: "a1", Boot: 1, Customer: "x", Total: pool.Usage{Statements: 158}}, now)
+	due := store.DueForReplication(now, simSilence, simResendAfter, viewOf(hosts[:2]))
+	qt.Assert(t, due[ended], qt.HasLen, 1)
+	store.MarkReplicated(ended, due[ended], []Source{{"b1", 1}, {"c1", 1}}, now)
+	qt.Check(t, store.DueForReplication(now, simSilence, simResendAfter, viewOf(hosts)), qt.HasLen, 0)
+	store.MarkConfirmed(ended, []Source{{"b1", 1}, {"c1", 2}}, now)
+	qt.Check(t, store.DueForReplication(now, simSilence, simResendAfter, viewOf(hosts))[ended], qt.HasLen, 1)
+}
+
+// A witness that answers under a new process shows that its earlier process has ended.
+func TestAnswerOfANewProcessEndsTheEarlierOne(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	hosts := []topology.Host{{ID: "b1", Domain: "b", State: topology.HostLive}, {ID: "c1", Domain: "c", State: topology.HostLive}, {ID: "a1", Domain: "a", State: topology.HostLive}}
+	store := NewReadingStore(Source{"b1", 1})
+	store.ObserveMeter(pool.Meter{Host: "a1", Boot: 1, Customer: "x", Total: pool.Usage{Statements: 1}}, now)
+	qt.Check(t, store.DueForReplication(now, simSilence, simResendAfter, viewOf(hosts)), qt.HasLen, 0)
+	store.MarkConfirmed(store.self, []Source{{"a1", 2}}, now)
+	qt.Check(t, store.DueForReplication(now, simSilence, simResendAfter, viewOf(hosts))[Source{"a1", 1}], qt.HasLen, 1)
+}
