usage: readings of a holder that a call didn't reach are copied at once

Cause, the last of three behind TestUsageIsWholeAfterKills: an entry host that never saw the holder's host off the list, since it was back by the next list, took the dead process for a silent one for 3 s and was killed meanwhile with its last reading. Change: a call that didn't reach a host makes the readings of its processes due until a new one arrives.

--- a/cmd/nettlewalk/host.go
+++ b/cmd/nettlewalk/host.go
@@ -22,6 +22,7 @@
 	"nettlewalk.example/nettlewalk/internal/session"
 	"nettlewalk.example/nettlewalk/internal/settings"
 	"nettlewalk.example/nettlewalk/internal/target"
+	"nettlewalk.example/nettlewalk/internal/topology"
 	"nettlewalk.example/nettlewalk/internal/usage"
 )
 
@@ -125,7 +126,7 @@
 		Boot:      h.bootID,
 		Domain:    h.settings.Host.Domain,
 		Customers: h.store,
-		Fleet:     h.fleet,
+		Fleet:     meteredFleet{h.fleet, h.usage},
 		Executor:  h.executor,
 		State:     h.failover,
 		Floors:    h.floorClient,
@@ -146,6 +147,20 @@
 	})
 }
 
+// meteredFleet tells the usage keeper as well which hosts calls didn't reach.
+type meteredFleet struct {
+	fleet.View
+	usage *usage.Keeper
+}
+
+// RecordCall implements fleet.View.
+func (f meteredFleet) RecordCall(id topology.HostID, reachable bool) {
+	f.View.RecordCall(id, reachable)
+	if !reachable {
+		f.usage.NoteUnreachable(id)
+	}
+}
+
 // mappedDial returns a dial function that replaces published addresses by those
 // that the settings map them to.
 func mappedDial(addresses map[string]string) target.DialFunc {
--- a/internal/usage/keeper.go
+++ b/internal/usage/keeper.go
@@ -65,6 +65,13 @@
 	return &observer{Executor: next, keeper: k}
 }
 
+// NoteUnreachable records that a call didn't reach the host.
+func (k *Keeper) NoteUnreachable(id topology.HostID) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.store.NoteUnreachable(id)
+}
+
 func (k *Keeper) recordMeter(m pool.Meter) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/usage/reading_store.go
+++ b/internal/usage/reading_store.go
@@ -28,6 +28,9 @@
 	// ended holds the sources that are known to have ended. Their hosts may be listed
 	// again under processes that have metered nothing.
 	ended map[Source]bool
+	// unreachable holds the sources whose host a call didn't reach since their last
+	// reading. They may have ended.
+	unreachable map[Source]bool
 	// processes holds the newest boot number under which each witness answered.
 	processes map[topology.HostID]uint64
 }
@@ -42,6 +45,7 @@
 		confirmedAt:  map[Source]time.Time{},
 		replicatedTo: map[Source][]Source{},
 		ended:        map[Source]bool{},
+		unreachable:  map[Source]bool{},
 		processes:    map[topology.HostID]uint64{},
 	}
 }
@@ -63,6 +67,16 @@
 	}
 }
 
+// NoteUnreachable records that a call didn't reach the host. Its process may have ended
+// and be replaced before a list of hosts shows that, so its readings are due at once.
+func (r *ReadingStore) NoteUnreachable(id topology.HostID) {
+	for source := range r.known.sources {
+		if source.Host == id {
+			r.unreachable[source] = true
+		}
+	}
+}
+
 // MergeWitnessed merges what another host replicated to this host as a witness:
 // the readings, and those that are durable.
 func (r *ReadingStore) MergeWitnessed(readings, durable []pool.Meter, now time.Time) {
@@ -139,6 +153,7 @@
 func (r *ReadingStore) merge(m pool.Meter, now time.Time) {
 	if r.known.Merge(m) {
 		r.lastGrowth[sourceOf(m)] = now
+		delete(r.unreachable, sourceOf(m))
 	}
 }
 
@@ -151,7 +166,8 @@
 // DueForReplication returns the readings to send to the witnesses, by source.
 // Readings of this process and of ended processes are due immediately. Those of
 // other processes are due once no new reading has arrived for the duration
-// silence: until then the process replicates them itself. Witnesses also replicate to
+// silence, or a call didn't reach their host: until then the process replicates them
+// itself. Witnesses also replicate to
 // each other. Readings that have not become durable are due again after
 // resendAfter, and immediately if a witness was replaced.
 func (r *ReadingStore) DueForReplication(now time.Time, silence, resendAfter time.Duration, fleet FleetView) map[Source][]pool.Meter {
@@ -161,7 +177,7 @@
 		if !fleet.Listed(source.Host) || source.Boot < latest[source.Host] {
 			r.ended[source] = true
 		}
-		if source != r.self && !r.ended[source] && now.Sub(r.lastGrowth[source]) < silence {
+		if source != r.self && !r.ended[source] && !r.unreachable[source] && now.Sub(r.lastGrowth[source]) < silence {
 			continue
 		}
 		if now.Sub(r.replicatedAt[source]) >= resendAfter || !r.allReceived(source, fleet.Witnesses(source)) {
@@ -231,6 +247,7 @@
 		delete(r.lastGrowth, source)
 		delete(r.witnessed, source)
 		delete(r.ended, source)
+		delete(r.unreachable, source)
 	}
 }
 
--- a/internal/usage/reading_store_test.go
+++ b/internal/usage/reading_store_test.go
@@ -301,3 +301,21 @@
 	store.MarkConfirmed(store.self, []Source{{"a1", 2}}, now)
 	qt.Check(t, store.DueForReplication(now, simSilence, simResendAfter, viewOf(hosts))[Source{"a1", 1}], qt.HasLen, 1)
 }
+
+// A call that didn't reach a holder shows that its process may have ended, though its
+// host is listed: it may have been back before the next list. Its readings are due at
+// once, until a new one shows that it lives.
+func TestReadingsOfAnUnreachableHolderAreDueAtOnce(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	hosts := []topology.Host{{ID: "b1", Domain: "b", State: topology.HostLive}, {ID: "c1", Domain: "c", State: topology.HostLive}, {ID: "a1", Domain: "a", State: topology.HostLive}}
+	source := Source{"a1", 1}
+	store := NewReadingStore(Source{"b1", 1})
+	reading := pool.Meter{Host: "a1", Boot: 1, Customer: "x", Total: pool.Usage{Statements: 1}}
+	store.ObserveMeter(reading, now)
+	qt.Check(t, store.DueForReplication(now, simSilence, simResendAfter, viewOf(hosts)), qt.HasLen, 0)
+	store.NoteUnreachable("a1")
+	qt.Check(t, store.DueForReplication(now, simSilence, simResendAfter, viewOf(hosts))[source], qt.HasLen, 1)
+	reading.Total.Statements = 2
+	store.ObserveMeter(reading, now)
+	qt.Check(t, store.DueForReplication(now, simSilence, simResendAfter, viewOf(hosts)), qt.HasLen, 0)
+}
