--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -253,7 +253,7 @@
 	if err != nil {
 		return err
 	}
-	if !stored.sameTenure(&claim) {
+	if !stored.sameTenure(&claim) && stored.Token >= claim.Token { // a lower token: the store has lost this host's claim
 		k.Learn(stored)
 		return ErrHeldByOther
 	}
--- a/internal/duty/keeper_test.go
+++ b/internal/duty/keeper_test.go
@@ -233,3 +233,27 @@
 	qt.Check(t, s.object, qt.IsNotNil)
 	qt.Check(t, k.claimsToRewrite(steady.Now().Add(time.Minute)), qt.HasLen, 0)
 }
+
+// A record reaches the store, and the holders that follow take it over. A store that has
+// lost the claim doesn't make its holder believe that another host holds the duty.
+func TestRecordReachesLaterHolders(t *testing.T) {
+	s := &fakeStore{}
+	k := newKeeper(s, &fakeHosts{connected: true})
+	qt.Assert(t, k.writeClaim(context.Background(), Claim{Group: "g"}), qt.IsNil)
+	state := Leadership{Leader: "t1", Term: 3, Ordered: "t2"}
+	qt.Assert(t, k.Record(context.Background(), "g", state), qt.IsNil)
+	stored, err := decodeClaim(*s.object)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, stored.Leadership, qt.Equals, state)
+
+	s.object = nil
+	state.Ordered = ""
+	qt.Check(t, k.Record(context.Background(), "g", state), qt.IsNil)
+	next := New(Options{Self: "b", Name: "host-b", Boot: 1, Store: s, Hosts: &fakeHosts{connected: true, silentFor: time.Minute}, Log: logr.Discard(), OnChange: func() {},
+		Domain: "south", PrimaryDomain: func(topology.GroupID) topology.Domain { return "" }})
+	held := k.Claims()[0]
+	next.Learn(held)
+	qt.Assert(t, next.writeClaim(context.Background(), held), qt.IsNil)
+	qt.Check(t, next.Leadership("g"), qt.Equals, state)
+	qt.Check(t, k.Record(context.Background(), "g", Leadership{Leader: "t9"}), qt.Equals, ErrHeldByOther)
+}
