session: a host that drains closes its listeners before it sends callers away

Cause: the callers' notice came before the listeners were closed, so that a caller who reconnected at once was accepted and closed without an answer. Ruled out: another process on the same port; it also failed alone, in 400 repeats. Change: the listeners are closed first.

--- a/internal/session/server.go
+++ b/internal/session/server.go
@@ -55,7 +55,7 @@
 	connsBySecret map[uint32]*conn   // accepted sessions by cancel secret
 	openConns     map[*conn]struct{} // all connections, including those in startup
 	listeners     []net.Listener
-	drainStarted  bool // whether draining is closed
+	drainStarted  bool // whether Drain was called
 	connGroup     sync.WaitGroup
 }
 
@@ -173,10 +173,11 @@
 		return
 	}
 	s.drainStarted = true
-	close(s.draining)
+	// Closed first: a caller that is sent away must not be accepted here again.
 	for _, listener := range s.listeners {
 		_ = listener.Close()
 	}
+	close(s.draining)
 }
 
 // abortRemaining aborts all requests, then closes the remaining connections.
