--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -132,6 +132,9 @@
 			}
 		}
 	}
+	if len(s.unconfirmed) == 0 {
+		return next
+	}
 	merged := &Registry{Era: next.Era, Revision: next.Revision, Members: maps.Clone(next.Members)}
 	for id, v := range s.unconfirmed {
 		if _, ok := next.Members[id]; ok || now.Sub(v.since) >= restoreGrace {
--- a/internal/duty/acquire.go
+++ b/internal/duty/acquire.go
@@ -36,7 +36,7 @@
 
 // dueClaims returns the claims that this host should try to supersede now.
 func (k *Keeper) dueClaims(now time.Time) []Claim {
-	live, connected := k.opts.Hosts.Live(), k.opts.Hosts.Connected()
+	live, connected, largeFleet := k.opts.Hosts.Live(), k.opts.Hosts.Connected(), k.opts.Hosts.LargeFleet()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.leaving {
@@ -48,7 +48,7 @@
 			continue
 		}
 		s := k.electionState(id, live, now)
-		s.connected, s.liveHosts = connected, len(live)
+		s.connected, s.largeFleet = connected, largeFleet
 		if shouldAcquire(s) {
 			k.retryAt[id] = now.Add(retryInterval)
 			known := k.claims[id]
@@ -60,7 +60,7 @@
 }
 
 // electionState returns the input of shouldAcquire for the group. It leaves the
-// fields connected and liveHosts to the caller, which must hold k.mu.
+// fields connected and largeFleet to the caller, which must hold k.mu.
 func (k *Keeper) electionState(id topology.GroupID, live []topology.Host, now time.Time) electionState {
 	c := k.claims[id]
 	s := electionState{self: k.opts.Self, boot: k.opts.Boot, claim: c, rank: electionRank(id, k.opts.Self, live, k.opts.PrimaryDomain(id))}
--- a/internal/duty/claim.go
+++ b/internal/duty/claim.go
@@ -53,10 +53,6 @@
 	// another host acquires its duty: for this long, no host has heard from it
 	// directly or by gossip. It equals five rounds of gossip.
 	TakeoverAfter = 1500 * time.Millisecond
-	// largeFleetSize is the number of hosts above which news of a holder
-	// takes several rounds of gossip to reach every host. In a larger fleet
-	// the takeover time is doubled.
-	largeFleetSize = 12
 	// RequestEffectWindow is how long after the last sign of life from a
 	// holder one of its promotion requests may still take effect. A holder
 	// sends none after 800 ms without contact, and a request takes effect
@@ -84,7 +80,7 @@
 // decides whether to acquire a group's duty.
 type electionState struct {
 	connected       bool // hosts in most failure domains answered recently
-	liveHosts       int  // including this host
+	largeFleet      bool // see Hosts.LargeFleet
 	self            topology.HostID
 	boot            uint64
 	claim           Claim         // zero if no claim is known
@@ -108,9 +104,14 @@
 	case s.claim.Holder == s.self: // held by an earlier process of this host
 		return true
 	}
-	takeoverAfter := TakeoverAfter
-	if s.liveHosts > largeFleetSize {
-		takeoverAfter *= 2
+	return s.holderSilentFor >= TakeoverTime(s.largeFleet)+rankWait
+}
+
+// TakeoverTime returns how long a holder must have been silent before another host
+// acquires its duty.
+func TakeoverTime(largeFleet bool) time.Duration {
+	if largeFleet {
+		return 2 * TakeoverAfter
 	}
-	return s.holderSilentFor >= takeoverAfter+rankWait
+	return TakeoverAfter
 }
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -37,6 +37,9 @@
 	HeardAgo(topology.HostID) (time.Duration, bool)
 	// Live returns the live hosts, including this host.
 	Live() []topology.Host
+	// LargeFleet reports whether news of a holder takes several rounds of gossip to
+	// reach every host, so that its silence must have lasted longer.
+	LargeFleet() bool
 	// Connected reports whether hosts in most failure domains answered recently.
 	Connected() bool
 	// Settled reports whether this host has heard of everything that concerns a
--- a/internal/duty/keeper_test.go
+++ b/internal/duty/keeper_test.go
@@ -73,6 +73,7 @@
 
 func (h *fakeHosts) HeardAgo(topology.HostID) (time.Duration, bool) { return h.silentFor, true }
 func (h *fakeHosts) Live() []topology.Host                          { return []topology.Host{{ID: "a", Domain: "north"}} }
+func (h *fakeHosts) LargeFleet() bool                               { return false }
 func (h *fakeHosts) Rank() int                                      { return 0 }
 func (h *fakeHosts) Connected() bool                                { return h.connected }
 func (h *fakeHosts) Settled(time.Time) bool                         { return h.connected }
--- a/internal/duty/record.go
+++ b/internal/duty/record.go
@@ -58,6 +58,9 @@
 // the duty: hosts know the holder from each other, not from the store.
 func (k *Keeper) claimsToRewrite(now time.Time) []Claim {
 	era := k.opts.Store.Era()
+	if era == 0 {
+		return nil // the store never came back from a copy
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var list []Claim
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -26,6 +26,9 @@
 	Boot    uint64 // incarnation of its process
 	Leaving bool
 	UpFor   time.Duration // time since its process started
+	// Connected tells whether it was in contact with most of the fleet at its last
+	// round. Only hosts that share their domain's vote announce it.
+	Connected bool
 }
 
 // LastSeen holds the time since a host was last seen, directly or as reported by others.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -205,11 +205,23 @@
 
 // startRound starts an exchange with each host that selectPeers returns.
 func (g *Gossip) startRound(ctx context.Context) {
+	g.announceConnected()
 	for _, id := range g.selectPeers() {
 		go g.exchange(ctx, id)
 	}
 }
 
+// announceConnected notes for the digests whether this host is connected.
+func (g *Gossip) announceConnected() {
+	if !g.opts.HostVotes {
+		return
+	}
+	connected := g.Connected()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.self.Connected = connected
+}
+
 // selectPeers returns the hosts to contact in this round, drawn at random. It
 // removes hosts that have been silent for forgetAfter, except for the seeds.
 func (g *Gossip) selectPeers() []topology.HostID {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -151,7 +151,7 @@
 		for _, d := range "abcd" {
 			voters = append(voters, voter{domain: topology.Domain(d), host: topology.HostID(d), reachable: strings.ContainsRune(test.reachable, d)})
 		}
-		qt.Check(t, hasMajority(voters, nil), qt.Equals, test.want, qt.Commentf("%s", test.reachable))
+		qt.Check(t, isMajority(voters, nil), qt.Equals, test.want, qt.Commentf("%s", test.reachable))
 	}
 }
 
@@ -168,7 +168,7 @@
 			v.reachable = !v.reachable
 			other = append(other, v)
 		}
-		if hasMajority(voters, domains) && hasMajority(other, domains) {
+		if isMajority(voters, domains) && isMajority(other, domains) {
 			t.Fatalf("both sides have a majority: %v", voters)
 		}
 	})
@@ -400,3 +400,65 @@
 		qt.Check(t, g.Connected(), qt.Equals, sideA[id], qt.Commentf("%s", id))
 	}
 }
+
+// A host that starts on the smaller side of a partition knows only the hosts there and
+// must not count itself to a majority.
+func TestHostThatStartsInsideAPartitionTrustsSeniors(t *testing.T) {
+	n := newFakeNetwork("north", "north", "south", "west", "coast")
+	for _, g := range n.hosts {
+		g.opts.HostVotes = true
+		g.opts.Domains = []topology.Domain{"coast", "north", "south", "west"}
+	}
+	n.runRounds()
+	side := map[topology.HostID]bool{"a": true, "c": true, "z": true} // one of north, and south
+	n.partition = func(x, y topology.HostID) bool { return side[x] != side[y] }
+	for _, g := range n.hosts {
+		g.shiftContacts(-ContactWindow, 0)
+		g.startedAt = g.startedAt.Add(-2 * voteTimeout)
+	}
+	n.runRounds()
+	delete(n.hosts, "a") // restarts as z in the same domain
+	z := New(Options{
+		Self: Host{Addr: "z", Name: "host-z", Domain: "north"}, Seeds: []topology.HostID{"c"}, HostVotes: true,
+		Domains: []topology.Domain{"coast", "south"}, // few domains, so that its own count would do
+		Catalog: catalog.NewStore(), Caller: n, Offers: func() []Offer { return nil }, OnOffers: func([]Offer, time.Time) {}, Log: logr.Discard(),
+	})
+	z.SetClaims(&fakeClaims{})
+	n.hosts["z"] = z
+	for range 3 {
+		z.exchange(context.Background(), "c")
+	}
+	qt.Check(t, n.hosts["c"].Connected(), qt.IsFalse)
+	qt.Check(t, z.Connected(), qt.IsFalse)
+	z.startedAt = z.startedAt.Add(-voteTimeout)
+	qt.Check(t, z.Connected(), qt.IsTrue, qt.Commentf("by its own count"))
+}
+
+// In a large fleet a holder relies on contacts of other hosts for relayedContactWindow.
+// Others must not take its duty before that has passed, also if they know of some hosts
+// fewer than the holder.
+func TestTakeoverWaitsForRelayedContacts(t *testing.T) {
+	n := newLargeFakeNetwork()
+	g := n.hosts["a"]
+	g.opts.HostVotes = true
+	for id := range g.hosts {
+		if len(g.hosts) > largeFleetThreshold-3 {
+			delete(g.hosts, id)
+		}
+	}
+	qt.Check(t, g.LargeFleet(), qt.IsTrue)
+	qt.Check(t, relayedContactWindow+NewsDelay < duty.TakeoverTime(true), qt.IsTrue)
+	qt.Check(t, ContactWindow < duty.TakeoverTime(false), qt.IsTrue)
+}
+
+// A host that got no answer yet tries more often for a while.
+func TestStartingHostTriesMoreOften(t *testing.T) {
+	n := newFakeNetwork("north", "south")
+	g := n.hosts["b"]
+	qt.Check(t, g.nextRoundIn(), qt.Equals, startRoundInterval)
+	n.runRounds()
+	qt.Check(t, g.nextRoundIn(), qt.Equals, roundInterval)
+	g.shiftContacts(-ContactWindow, 0)
+	g.startedAt = g.startedAt.Add(-startPhase)
+	qt.Check(t, g.nextRoundIn(), qt.Equals, roundInterval)
+}
--- a/internal/gossip/hosts.go
+++ b/internal/gossip/hosts.go
@@ -45,13 +45,39 @@
 // than a partition usually lasts, since it may be on the other side of one.
 const voteTimeout = 30 * time.Second
 
-// inContactWithMost reports whether most votes are reachable. In a large fleet, where
-// few hosts are contacted in each round, the contact is that with any host of the
-// domain, and each host must have been seen by someone.
+// inContactWithMost reports whether most votes are reachable, as far as this host may
+// judge that. In a large fleet, where few hosts are contacted in each round, the contact
+// is that with any host of the domain, and each host must have been seen by someone.
 func (g *Gossip) inContactWithMost(reachable func(*Contact, time.Time) bool) bool {
 	now := steady.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.hasMajority(reachable, now) && (!g.opts.HostVotes || g.seniorsAgree(now))
+}
+
+// seniorsAgree reports whether this host knows the fleet well enough to count votes: it
+// has been up for voteTimeout, or a host that has been reports that it is connected, or
+// no host in contact has been up for so long. A host that starts on the smaller side of
+// a partition doesn't know the hosts of the other side. The caller holds g.mu.
+func (g *Gossip) seniorsAgree(now time.Time) bool {
+	if now.Sub(g.startedAt) >= voteTimeout {
+		return true
+	}
+	seniors := 0
+	for _, k := range g.hosts {
+		if !k.contact.Connected(now) || k.host.UpFor+now.Sub(k.lastHeard) < voteTimeout {
+			continue
+		}
+		seniors++
+		if k.host.Connected {
+			return true
+		}
+	}
+	return seniors == 0
+}
+
+// hasMajority reports whether most votes are reachable. The caller holds g.mu.
+func (g *Gossip) hasMajority(reachable func(*Contact, time.Time) bool, now time.Time) bool {
 	large := len(g.hosts) > largeFleetThreshold
 	voters := []voter{{domain: g.self.Domain, host: g.self.Addr, reachable: true}}
 	for id, k := range g.hosts {
@@ -71,7 +97,7 @@
 		}
 		voters = append(voters, v)
 	}
-	return hasMajority(voters, g.opts.Domains)
+	return isMajority(voters, g.opts.Domains)
 }
 
 // domainReachable reports whether a domain is in contact. The caller holds g.mu.
@@ -87,11 +113,11 @@
 	reachable bool
 }
 
-// hasMajority reports whether more than half of the votes are reachable, or one half
+// isMajority reports whether more than half of the votes are reachable, or one half
 // that includes the first host of the first domain. Each domain has one vote, which
 // its hosts share, so that no two sides of a partition have a majority, also if it
 // runs through a domain. domains have a vote even without a voter.
-func hasMajority(voters []voter, domains []topology.Domain) bool {
+func isMajority(voters []voter, domains []topology.Domain) bool {
 	type count struct{ hosts, reachable int }
 	counts := map[topology.Domain]*count{}
 	for _, d := range domains {
@@ -123,6 +149,27 @@
 	return lead > rounding || lead > -rounding && first.reachable
 }
 
+const (
+	// largeFleetLive is the number of live hosts above which duties are taken later.
+	largeFleetLive = 12
+	// largeFleetKnown is the same where hosts share their domain's vote, but the number
+	// of other hosts known, silent ones included. It is well below largeFleetThreshold,
+	// so that a host which knows of some fewer than a holder that relies on
+	// relayedContactWindow still waits long enough.
+	largeFleetKnown = 8
+)
+
+// LargeFleet implements duty.Hosts.
+func (g *Gossip) LargeFleet() bool {
+	now := steady.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.opts.HostVotes {
+		return len(g.hosts) > largeFleetKnown
+	}
+	return len(g.liveHosts(now)) > largeFleetLive
+}
+
 // Live implements duty.Hosts: the live hosts, this one included, sorted by address.
 func (g *Gossip) Live() []topology.Host {
 	now := steady.Now()
--- a/internal/lease/grantor.go
+++ b/internal/lease/grantor.go
@@ -28,6 +28,9 @@
 	// interestPeriod is how long a host that asked for leases is told that a new
 	// leader has been found.
 	interestPeriod = 5 * time.Second
+	// pruneInterval is the time between removals of the records of hosts that no
+	// longer ask.
+	pruneInterval = 10 * time.Second
 )
 
 // GrantorOptions configures a Grantor.
@@ -53,6 +56,22 @@
 	Grants
 	revokedAt map[topology.HostID]time.Time // start of the latest revocation call
 	askedAt   map[topology.HostID]time.Time // when each host last asked for a lease
+	prunedAt  time.Time
+}
+
+// prune removes the records of hosts that no longer ask, at intervals.
+func (s *groupGrants) prune(now time.Time) {
+	if now.Sub(s.prunedAt) < pruneInterval {
+		return
+	}
+	s.prunedAt = now
+	s.Outstanding(now) // removes ended leases
+	for host, at := range s.askedAt {
+		if now.Sub(at) >= interestPeriod {
+			delete(s.askedAt, host)
+			delete(s.revokedAt, host)
+		}
+	}
 }
 
 // NewGrantor returns a Grantor that grants nothing until Allow is called.
@@ -86,13 +105,12 @@
 	state := g.group(id)
 	changed := state.target != target
 	state.Allow(target, token, now)
+	state.prune(now)
 	var interested []topology.HostID
 	if changed {
 		for host, at := range state.askedAt {
 			if now.Sub(at) < interestPeriod {
 				interested = append(interested, host)
-			} else {
-				delete(state.askedAt, host)
 			}
 		}
 	}
@@ -116,7 +134,8 @@
 }
 
 // Revoke ends granting and asks the lessees to confirm that their leases have ended.
-// It returns without waiting. Outstanding tells what is left.
+// It returns without waiting. Outstanding tells what is left. Each lessee has an open
+// connection to the group, so their number is bounded by the targets' limits.
 func (g *Grantor) Revoke(id topology.GroupID) {
 	token, _ := g.opts.Duty.Token(id)
 	now := steady.Now()
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -186,3 +186,22 @@
 	g.Allow("g", "t2", 1)
 	qt.Check(t, g.Grant("a", []topology.GroupID{"g"}), qt.HasLen, 0, qt.Commentf("a holder without lasting contact grants nothing"))
 }
+
+// Hosts that asked for a lease in vain are told once one can be granted, and so is this
+// host itself.
+func TestHostsAreToldOfANewLeader(t *testing.T) {
+	f := &fakeHost{settled: true, lessees: map[topology.HostID]*Lessee{}}
+	told := 0
+	g := NewGrantor(GrantorOptions{Duty: f, Peers: f, OnAvailable: func() { told++ }, Log: logr.Discard()})
+	l := NewLessee(LesseeOptions{Log: logr.Discard()})
+	f.lessees["a"] = l
+	qt.Check(t, g.Grant("a", []topology.GroupID{"g"}), qt.HasLen, 0)
+	g.Allow("g", "t1", 1)
+	select {
+	case <-l.wake:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the host isn't told")
+	}
+	g.Allow("g", "t1", 1)
+	qt.Check(t, told, qt.Equals, 1)
+}
--- a/internal/lease/table.go
+++ b/internal/lease/table.go
@@ -20,21 +20,21 @@
 // Holds reports whether this host has a valid lease on the target's leadership. Only
 // then may it start something at the target that needs the leader.
 func (t *Table) Holds(id topology.GroupID, target topology.TargetID) bool {
-	now := steady.Now()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	h := t.groups[id]
-	return h != nil && h.lease.Target == target && h.ValidAt(now)
+	return t.check(id, target, (*Held).ValidAt)
 }
 
 // Covers reports whether an answer of the target that has just arrived may be passed
 // on as that of the leader.
 func (t *Table) Covers(id topology.GroupID, target topology.TargetID) bool {
+	return t.check(id, target, (*Held).CoversAt)
+}
+
+func (t *Table) check(id topology.GroupID, target topology.TargetID, allows func(*Held, time.Time) bool) bool {
 	now := steady.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := t.groups[id]
-	return h != nil && h.lease.Target == target && h.CoversAt(now)
+	return h != nil && h.lease.Target == target && allows(h, now)
 }
 
 // Target returns the target on whose leadership this host has a valid lease.
--- a/internal/platform/era.go
+++ b/internal/platform/era.go
@@ -57,9 +57,12 @@
 // noteAnswerEra records the era of an answer. It returns an error if the answer is one
 // of an older era, which may have been lost: its outcome is unknown.
 func (c *Client) noteAnswerEra(header http.Header) (uint64, error) {
-	era, err := strconv.ParseUint(header.Get(c.dialect().EraHeader()), 10, 64)
-	if err != nil {
-		era = 0 // the platform sends none
+	era := uint64(0) // if the platform sends none
+	if text := header.Get(c.dialect().EraHeader()); text != "" {
+		var err error
+		if era, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return 0, &errOutcomeUnknown{cause: errors.Wrap(err, "era of the answer")}
+		}
 	}
 	if c.era.note(era) {
 		c.opts.Log.Info("platform came back from an older copy", "era", era, "source", "an answer")
--- a/internal/promotion/leases.go
+++ b/internal/promotion/leases.go
@@ -57,7 +57,11 @@
 		return true
 	}
 	w.requests.noteSent(target, steady.Now())
-	return w.record(ctx, target) && steady.Now().Sub(w.lastTickAt) <= suspendedAfter
+	if w.record(ctx, target) && steady.Now().Sub(w.lastTickAt) <= suspendedAfter {
+		return true
+	}
+	w.requests.noteSettled() // nothing was sent
+	return false
 }
 
 // record records the leader and the target that may be promoted. It returns false if
--- a/internal/promotion/leases_sim_test.go
+++ b/internal/promotion/leases_sim_test.go
@@ -227,10 +227,6 @@
 		outstanding = laterTime(outstanding, h.requests.predecessorLeases)
 	}
 	a.leasesUntil = outstanding
-	if p, ok := h.nextStep.(Promote); ok {
-		pending := h.requests.pendingTarget(w.now)
-		a.pendingRequest = pending != "" && pending != p.Target && !w.off("pending request")
-	}
 }
 
 // off reports whether a mechanism is turned off. It is set by hand to check that the
--- a/internal/promotion/probe.go
+++ b/internal/promotion/probe.go
@@ -103,7 +103,7 @@
 	view := w.probeReplicas(ctx)
 	view.LeaderServes, view.LeaderTerm = true, w.leaderTerm
 	if w.requests.mayResume(now) {
-		w.perform(ctx, authorize(NextStep(view), w.currentAuthority(""), steady.Now()))
+		w.perform(ctx, authorize(NextStep(view), w.currentAuthority(), steady.Now()))
 	}
 }
 
--- a/internal/promotion/requeststate.go
+++ b/internal/promotion/requeststate.go
@@ -14,13 +14,17 @@
 	token       uint64            // token under which this host holds the duty, 0 if it doesn't
 	resumeAfter time.Time         // no pause may be ended before this time
 	lastTarget  topology.TargetID // target of the last request
-	inDoubt     bool              // the last request got no answer and may still be carried out
+	// inDoubt is set if the last request got no answer and the platform hasn't seen a
+	// higher token since, by which it would refuse that request where it checks tokens.
+	inDoubt bool
 
 	// pending is a target whose promotion was requested, by this host or an earlier
 	// holder, and may still take effect until unresolvedWindow after pendingAt.
 	pending   topology.TargetID
 	pendingAt time.Time
-	// unanswered is set if a request for pending got no answer.
+	// unanswered is set if a request for pending got no answer or showed no effect, and
+	// stays so until unresolvedWindow has passed: a higher token doesn't settle it where
+	// the platform checks none.
 	unanswered bool
 
 	renewedToken uint64 // token that this host got for itself while it held the duty
@@ -138,9 +142,6 @@
 	settled      bool      // hosts in most failure domains have answered for a while, so this host knows if another one acquired the duty
 	pendingUntil time.Time // a request of the previous holder may take effect until then
 	leasesUntil  time.Time // leases on the leader to be replaced may be valid until then
-	// pendingRequest is set if a request without an answer may still be carried out
-	// for another target than the one to be promoted.
-	pendingRequest bool
 }
 
 // authorize returns the step if the host may perform it now, otherwise a Wait with
@@ -152,8 +153,6 @@
 		return Wait{Reason: "this host has no lasting contact with most failure domains"}
 	case isPromotion && now.Before(auth.pendingUntil):
 		return Wait{Reason: "a promotion request of the previous holder may still take effect"}
-	case isPromotion && auth.pendingRequest:
-		return Wait{Reason: "a request without an answer may still promote another target"}
 	case isPromotion && now.Before(auth.leasesUntil.Add(-MinEffectDelay)):
 		return Wait{Reason: "a host that has not answered may still have a lease on the leader"}
 	}
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -220,27 +220,24 @@
 		view.Ordered = w.requests.pendingTarget(steady.Now())
 	}
 	wanted := NextStep(view)
-	promotion, isPromotion := wanted.(Promote)
 	if w.opts.Leases != nil {
-		if isPromotion {
+		if _, isPromotion := wanted.(Promote); isPromotion {
 			w.opts.Leases.Revoke(w.opts.Group)
 		} else if serves {
 			w.grantLeases() // callers need the leader while the attempt can't go on
 		}
 	}
-	step := authorize(wanted, w.currentAuthority(promotion.Target), steady.Now())
+	step := authorize(wanted, w.currentAuthority(), steady.Now())
 	w.logStep(step, &view)
 	return step
 }
 
-// currentAuthority tells whether this host may act as the holder and promote the
-// target. It must be called right before a step: a host that was suspended has heard
+// currentAuthority tells whether this host may act as the holder. It must be called right before a step: a host that was suspended has heard
 // from no other host since, and may have lost the duty.
-func (w *Watcher) currentAuthority(target topology.TargetID) authority {
+func (w *Watcher) currentAuthority() authority {
 	a := authority{settled: w.opts.Duty.Settled(w.opts.Group), pendingUntil: w.opts.Duty.PendingUntil(w.opts.Group)}
 	if w.opts.Leases != nil {
 		a.leasesUntil = laterTime(w.requests.predecessorLeases, w.opts.Leases.Outstanding(w.opts.Group))
-		a.pendingRequest = w.otherPending(target)
 	}
 	return a
 }
--- a/internal/usage/keeper.go
+++ b/internal/usage/keeper.go
@@ -69,7 +69,7 @@
 func (k *Keeper) NoteUnreachable(id topology.HostID) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.store.NoteUnreachable(id)
+	k.store.NoteUnreachable(id, time.Now())
 }
 
 func (k *Keeper) recordMeter(m pool.Meter) {
--- a/internal/usage/reading_store.go
+++ b/internal/usage/reading_store.go
@@ -27,10 +27,8 @@
 	witnessed    map[Source]bool      // sources of which this host is a witness
 	// ended holds the sources that are known to have ended. Their hosts may be listed
 	// again under processes that have metered nothing.
-	ended map[Source]bool
-	// unreachable holds the sources whose host a call didn't reach since their last
-	// reading. They may have ended.
-	unreachable map[Source]bool
+	ended         map[Source]bool
+	unreachableAt map[topology.HostID]time.Time // when a call last didn't reach each host
 	// processes holds the newest boot number under which each witness answered.
 	processes map[topology.HostID]uint64
 }
@@ -38,15 +36,15 @@
 // NewReadingStore returns an empty store for the process self.
 func NewReadingStore(self Source) *ReadingStore {
 	return &ReadingStore{
-		self:         self,
-		lastGrowth:   map[Source]time.Time{},
-		witnessed:    map[Source]bool{},
-		replicatedAt: map[Source]time.Time{},
-		confirmedAt:  map[Source]time.Time{},
-		replicatedTo: map[Source][]Source{},
-		ended:        map[Source]bool{},
-		unreachable:  map[Source]bool{},
-		processes:    map[topology.HostID]uint64{},
+		self:          self,
+		lastGrowth:    map[Source]time.Time{},
+		witnessed:     map[Source]bool{},
+		replicatedAt:  map[Source]time.Time{},
+		confirmedAt:   map[Source]time.Time{},
+		replicatedTo:  map[Source][]Source{},
+		ended:         map[Source]bool{},
+		unreachableAt: map[topology.HostID]time.Time{},
+		processes:     map[topology.HostID]uint64{},
 	}
 }
 
@@ -69,12 +67,13 @@
 
 // NoteUnreachable records that a call didn't reach the host. Its process may have ended
 // and be replaced before a list of hosts shows that, so its readings are due at once.
-func (r *ReadingStore) NoteUnreachable(id topology.HostID) {
-	for source := range r.known.sources {
-		if source.Host == id {
-			r.unreachable[source] = true
-		}
-	}
+func (r *ReadingStore) NoteUnreachable(id topology.HostID, now time.Time) { r.unreachableAt[id] = now }
+
+// mayHaveEnded reports whether the source is known to have ended, or a call didn't reach
+// its host since its last reading.
+func (r *ReadingStore) mayHaveEnded(source Source) bool {
+	unreachableAt, ok := r.unreachableAt[source.Host]
+	return r.ended[source] || ok && !unreachableAt.Before(r.lastGrowth[source])
 }
 
 // MergeWitnessed merges what another host replicated to this host as a witness:
@@ -113,9 +112,13 @@
 // DueForConfirmation returns the sources whose replicated readings aren't durable
 // and whose witnesses have not answered for the duration after. A witness that
 // restarted in the meantime has lost its copy, and the list of hosts may not show it.
+// Other processes that live confirm their own.
 func (r *ReadingStore) DueForConfirmation(now time.Time, after time.Duration) []Source {
 	var due []Source
 	for source := range r.replicatedTo {
+		if source != r.self && !r.mayHaveEnded(source) {
+			continue
+		}
 		if now.Sub(r.confirmedAt[source]) >= after && len(notCovered(r.replicated.Readings(source), &r.durable)) > 0 {
 			due = append(due, source)
 		}
@@ -153,7 +156,6 @@
 func (r *ReadingStore) merge(m pool.Meter, now time.Time) {
 	if r.known.Merge(m) {
 		r.lastGrowth[sourceOf(m)] = now
-		delete(r.unreachable, sourceOf(m))
 	}
 }
 
@@ -177,7 +179,7 @@
 		if !fleet.Listed(source.Host) || source.Boot < latest[source.Host] {
 			r.ended[source] = true
 		}
-		if source != r.self && !r.ended[source] && !r.unreachable[source] && now.Sub(r.lastGrowth[source]) < silence {
+		if source != r.self && !r.mayHaveEnded(source) && now.Sub(r.lastGrowth[source]) < silence {
 			continue
 		}
 		if now.Sub(r.replicatedAt[source]) >= resendAfter || !r.allReceived(source, fleet.Witnesses(source)) {
@@ -247,7 +249,6 @@
 		delete(r.lastGrowth, source)
 		delete(r.witnessed, source)
 		delete(r.ended, source)
-		delete(r.unreachable, source)
 	}
 }
 
--- a/internal/usage/reading_store_test.go
+++ b/internal/usage/reading_store_test.go
@@ -313,9 +313,9 @@
 	reading := pool.Meter{Host: "a1", Boot: 1, Customer: "x", Total: pool.Usage{Statements: 1}}
 	store.ObserveMeter(reading, now)
 	qt.Check(t, store.DueForReplication(now, simSilence, simResendAfter, viewOf(hosts)), qt.HasLen, 0)
-	store.NoteUnreachable("a1")
+	store.NoteUnreachable("a1", now.Add(time.Millisecond))
 	qt.Check(t, store.DueForReplication(now, simSilence, simResendAfter, viewOf(hosts))[source], qt.HasLen, 1)
 	reading.Total.Statements = 2
-	store.ObserveMeter(reading, now)
+	store.ObserveMeter(reading, now.Add(2*time.Millisecond))
 	qt.Check(t, store.DueForReplication(now, simSilence, simResendAfter, viewOf(hosts)), qt.HasLen, 0)
 }
