Prove the remaining lease mechanisms in tests of their own

Taking each new mechanism out on a scratch copy left four green: the anchor that needs a lease (its test compared a position that the view never returns), the period of a confirmation, offers of connected groups only, and the removal of a grantor's old records. Each now has a test that turns red without it. Load of the platform's stand-in is split from Restore so that a list over two eras can be played.

--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
 	"pgregory.net/rapid"
 
 	"nettlewalk.example/nettlewalk/internal/topology"
@@ -130,3 +131,24 @@
 	qt.Assert(t, got, qt.HasLen, 1)
 	qt.Check(t, got[0].ID, qt.Equals, topology.TargetID("a"))
 }
+
+// noLeases grants nothing. It implements Leases.
+type noLeases struct{}
+
+func (noLeases) Target(topology.GroupID) (topology.TargetID, bool) { return "", false }
+func (noLeases) Holds(topology.GroupID, topology.TargetID) bool    { return false }
+func (noLeases) Covers(topology.GroupID, topology.TargetID) bool   { return false }
+
+// Where leases are needed the claims name the last leaders, so hosts without connections
+// offer nothing and digests don't grow with the groups.
+func TestOffersWithLeasesAreOfConnectedGroups(t *testing.T) {
+	for _, leases := range []Leases{nil, noLeases{}} {
+		s := NewSet(SetOptions{Leases: leases, Log: logr.Discard()})
+		s.getOrCreate("g").NoteReportedLeader("a", start)
+		offered := 1
+		if leases != nil {
+			offered = 0
+		}
+		qt.Check(t, s.Offers(), qt.HasLen, offered)
+	}
+}
--- a/internal/lease/grantor.go
+++ b/internal/lease/grantor.go
@@ -97,8 +97,9 @@
 }
 
 // Allow lets this host grant leases on the target, which has just been proved to
-// lead the group, while it holds the duty under the token. Without another call, granting ends after proofMaxAge. Allow tells
-// the hosts that asked for a lease if the target is a new one.
+// lead the group, while it holds the duty under the token. Without another call,
+// granting ends after proofMaxAge. Allow tells the hosts that asked for a lease if the
+// target is a new one.
 func (g *Grantor) Allow(id topology.GroupID, target topology.TargetID, token uint64) {
 	now := steady.Now()
 	g.mu.Lock()
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -106,6 +106,8 @@
 	qt.Check(t, h.ValidAt(atMS(101)), qt.IsFalse)
 	h.Note(Lease{Group: "g", Target: "b", Token: 1}, atMS(110))
 	qt.Check(t, h.ValidAt(atMS(120)), qt.IsTrue)
+	h.Note(Lease{Group: "g", Target: "a", Token: 1}, atMS(105)) // an answer that was overtaken
+	qt.Check(t, h.Lease().Target, qt.Equals, topology.TargetID("b"))
 	h.Note(Lease{Group: "g", Target: "a", Token: 0}, atMS(115)) // of an earlier holder
 	qt.Check(t, h.Lease().Target, qt.Equals, topology.TargetID("b"))
 }
@@ -118,6 +120,46 @@
 	qt.Check(t, h.CoversAt(atMS(1000)), qt.IsFalse)
 }
 
+// A late confirmation of an earlier revocation doesn't end the record of a lease that
+// was granted since.
+func TestLateConfirmationKeepsANewerLease(t *testing.T) {
+	var g Grants
+	g.Allow("a", 1, atMS(0))
+	_, _ = g.Grant("h", 1, atMS(0))
+	g.Stop()
+	revoked := g.Period()
+	g.Allow("a", 1, atMS(10))
+	_, ok := g.Grant("h", 1, atMS(10))
+	qt.Assert(t, ok, qt.IsTrue)
+	g.ConfirmEnd("h", revoked)
+	g.Stop()
+	hosts, until := g.Outstanding(atMS(20))
+	qt.Check(t, hosts, qt.DeepEquals, []topology.HostID{"h"})
+	qt.Check(t, until, qt.Equals, atMS(10).Add(MaxLifetime))
+	g.ConfirmEnd("h", g.Period())
+	hosts, _ = g.Outstanding(atMS(20))
+	qt.Check(t, hosts, qt.HasLen, 0)
+}
+
+// The records of hosts that no longer ask are removed, so that they don't grow with all
+// hosts that ever did.
+func TestRecordsOfHostsThatLeftAreRemoved(t *testing.T) {
+	f := &fakeHost{settled: true}
+	g := NewGrantor(GrantorOptions{Duty: f, Peers: f, OnAvailable: func() {}, Log: logr.Discard()})
+	g.Allow("g", "t1", 1)
+	g.Grant("gone", []topology.GroupID{"g"})
+	state := g.groups["g"]
+	state.revokedAt["gone"] = steady.Now()
+	state.prunedAt = steady.Now().Add(-pruneInterval)
+	g.Allow("g", "t1", 1)
+	qt.Check(t, state.askedAt, qt.HasLen, 1, qt.Commentf("the host asked just now"))
+	state.askedAt["gone"] = steady.Now().Add(-interestPeriod)
+	state.prunedAt = steady.Now().Add(-pruneInterval)
+	g.Allow("g", "t1", 1)
+	qt.Check(t, state.askedAt, qt.HasLen, 0)
+	qt.Check(t, state.revokedAt, qt.HasLen, 0)
+}
+
 // fakeHost is a holder and lessees in one process. It implements Duty and peer.Caller.
 type fakeHost struct {
 	mu          sync.Mutex
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -15,6 +15,7 @@
 	"nettlewalk.example/nettlewalk/internal/platform"
 	"nettlewalk.example/nettlewalk/internal/result"
 	"nettlewalk.example/nettlewalk/internal/topology"
+	usersplatform "nettlewalk.example/nettlewalk/platform"
 	standin "nettlewalk.example/nettlewalk/test/standin/platform"
 )
 
@@ -242,6 +243,64 @@
 	c.Check(err, qt.IsNil)
 }
 
+// A watch whose revision the platform has reached again in a new era would miss what was
+// written before it. Only the era tells.
+func TestFollowAfterRevisionsWereGivenOutAgain(t *testing.T) {
+	c := qt.New(t)
+	s, client := startServer(c, standin.Faults{})
+	put(c, s, "customer", "a", 1)
+	copied := s.Snapshot()
+	put(c, s, "customer", "lost", 1)
+	sink := &recordingSink{}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go client.Follow(ctx, "customer", sink)
+	waitUntil(c, func() bool { return sink.value("lost") == "1" })
+	s.UpdateFaults(func(f *standin.Faults) { f.Outage = standin.OutageRefuse })
+	s.Load(copied)
+	put(c, s, "customer", "new", 1) // has the revision of the lost one
+	put(c, s, "customer", "newer", 1)
+	s.UpdateFaults(func(f *standin.Faults) { f.Outage = standin.OutageNone })
+	waitUntil(c, func() bool { return sink.value("newer") == "1" })
+	c.Check(sink.value("new"), qt.Equals, "1")
+	c.Check(sink.value("lost"), qt.Equals, "")
+}
+
+// loadingDialect loads a copy into the stand-in after it has decoded the first page.
+type loadingDialect struct {
+	usersplatform.StoreDialect
+	load func()
+}
+
+func (d loadingDialect) DecodeList(kind string, body []byte) (platform.List, error) {
+	list, err := d.StoreDialect.DecodeList(kind, body)
+	d.load()
+	return list, err
+}
+
+// A list whose pages are of two eras is read again.
+func TestListIsOfOneEra(t *testing.T) {
+	c := qt.New(t)
+	s, _ := startServer(c, standin.Faults{})
+	const objects = 600 // more than a page
+	for i := range objects {
+		put(c, s, "customer", fmt.Sprintf("%04d", i), "old")
+	}
+	copied := s.Snapshot()
+	for i := range objects {
+		put(c, s, "customer", fmt.Sprintf("%04d", i), "lost")
+	}
+	load := sync.OnceFunc(func() { s.Load(copied) })
+	client := platform.New(platform.Options{Addr: s.Addr, Dialect: loadingDialect{load: load}})
+	c.Cleanup(client.Close)
+	list, err := client.List(context.Background(), "customer")
+	c.Assert(err, qt.IsNil)
+	c.Assert(list.Objects, qt.HasLen, objects)
+	for _, o := range list.Objects {
+		c.Assert(string(o.Value), qt.Equals, `"old"`, qt.Commentf("%s", o.Name))
+	}
+}
+
 // recordingSink holds the objects that it was given, by name.
 type recordingSink struct {
 	mu       sync.Mutex
--- a/internal/promotion/next_test.go
+++ b/internal/promotion/next_test.go
@@ -262,16 +262,19 @@
 	qt.Check(t, demotes, qt.IsFalse)
 }
 
-// While a request for one target may still be carried out, no other one is promoted.
+// While a request for one target may still be carried out, no other one is promoted,
+// whichever would be preferred.
 func TestNextStepPromotesOnlyTheOrderedTarget(t *testing.T) {
-	v := View{AckReplicas: 1, Leader: "p", Replace: true, Ordered: "a", Members: []Member{replica("a", pos(1, 7), 0), replica("b", pos(1, 7), 2)}}
-	qt.Check(t, NextStep(v), qt.DeepEquals, Step(Promote{Target: "a"}))
-	v.Members[1].Status.Received = pos(1, 8)
+	v := View{AckReplicas: 1, Leader: "p", Replace: true, Ordered: "b", Members: []Member{replica("a", pos(1, 7), 2), replica("b", pos(1, 7), 0)}}
+	qt.Check(t, NextStep(v), qt.DeepEquals, Step(Promote{Target: "b"}))
+	v.Members[0].Status.Received = pos(1, 8)
 	_, waits := NextStep(v).(Wait)
-	qt.Check(t, waits, qt.IsTrue, qt.Commentf("a lacks a commit"))
-	v.Members[0].Reach = Unresponsive
+	qt.Check(t, waits, qt.IsTrue, qt.Commentf("b lacks a commit"))
+	v.Members[1].Reach = Reassigned // it has left
 	_, waits = NextStep(v).(Wait)
-	qt.Check(t, waits, qt.IsTrue, qt.Commentf("a doesn't respond, and b must not be promoted"))
+	qt.Check(t, waits, qt.IsTrue, qt.Commentf("b has left, and a must not be promoted"))
+	v.Ordered = ""
+	qt.Check(t, NextStep(v), qt.DeepEquals, Step(Promote{Target: "a"}))
 }
 
 func TestIsCurrentLeader(t *testing.T) {
--- a/internal/relay/lease_test.go
+++ b/internal/relay/lease_test.go
@@ -11,13 +11,15 @@
 	"nettlewalk.example/nettlewalk/internal/catalog"
 	"nettlewalk.example/nettlewalk/internal/group"
 	"nettlewalk.example/nettlewalk/internal/statement"
+	"nettlewalk.example/nettlewalk/internal/steady"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
 // fakeLeases is a lease on the target "p" that a test can end.
 type fakeLeases struct {
-	mu    sync.Mutex
-	ended bool
+	mu        sync.Mutex
+	ended     bool
+	uncovered bool // answers come after the end
 }
 
 func (l *fakeLeases) valid(id topology.TargetID) bool {
@@ -32,9 +34,11 @@
 	l.ended = true
 }
 
-func (l *fakeLeases) Target(topology.GroupID) (topology.TargetID, bool)    { return "p", l.valid("p") }
-func (l *fakeLeases) Holds(_ topology.GroupID, id topology.TargetID) bool  { return l.valid(id) }
-func (l *fakeLeases) Covers(_ topology.GroupID, id topology.TargetID) bool { return l.valid(id) }
+func (l *fakeLeases) Target(topology.GroupID) (topology.TargetID, bool)   { return "p", l.valid("p") }
+func (l *fakeLeases) Holds(_ topology.GroupID, id topology.TargetID) bool { return l.valid(id) }
+func (l *fakeLeases) Covers(_ topology.GroupID, id topology.TargetID) bool {
+	return l.valid(id) && !l.uncovered
+}
 
 // newLeaseFixture returns a session whose host needs leases and has one on the leader.
 func newLeaseFixture(t *testing.T, freshness catalog.Freshness) (*fixture, *fakeLeases) {
@@ -83,13 +87,40 @@
 // replaced primary.
 func TestProofWithoutLeaseIsNoAnchor(t *testing.T) {
 	f, leases := newLeaseFixture(t, catalog.BoundedAge)
-	before, ok := f.group.AnchorAge()
-	qt.Assert(t, ok, qt.IsTrue)
 	leases.end()
-	<-time.After(20 * time.Millisecond)
-	f.group.Refresh(0)
-	after, _ := f.group.AnchorAge()
-	qt.Check(t, after >= before+20*time.Millisecond, qt.IsTrue)
+	late := topology.Position{Term: 1, Offset: 99}
+	time.Sleep(20 * time.Millisecond) // all anchors are older than this
+	f.group.NoteLeading("p", steady.Now(), &statement.Answer{Position: late, HasPosition: true})
+	age, ok := f.group.AnchorAge()
+	qt.Check(t, !ok || age >= 20*time.Millisecond, qt.IsTrue)
+	leases.mu.Lock()
+	leases.ended = false
+	leases.mu.Unlock()
+	sent := steady.Now()
+	f.group.NoteLeading("p", sent, &statement.Answer{Position: late, HasPosition: true})
+	covering, _ := f.group.CoveringPosition(time.Minute)
+	qt.Check(t, covering.Offset > 0, qt.IsTrue)
+	age, _ = f.group.AnchorAge()
+	qt.Check(t, age <= steady.Now().Sub(sent), qt.IsTrue)
+}
+
+// A lease that has expired counts from that moment, before anything has noticed it.
+func TestExpiredLeaseStopsStatementsAtOnce(t *testing.T) {
+	f, leases := newLeaseFixture(t, catalog.LatestData)
+	leases.end()
+	f.noWait = true
+	qt.Check(t, f.serveStatement(write("a")).Code, qt.Equals, statement.Busy)
+	qt.Check(t, f.leader.receivedTexts(), qt.HasLen, 0)
+}
+
+// After the end of a lease the group counts the time without a leader, from which
+// requests learn whether waiting helps.
+func TestLeaseEndStartsTheTimeWithoutALeader(t *testing.T) {
+	f, leases := newLeaseFixture(t, catalog.LatestData)
+	leases.end()
+	f.group.LeaseEnded()
+	<-time.After(5 * time.Millisecond)
+	qt.Check(t, f.group.LeaderLoss().Duration > 0, qt.IsTrue)
 }
 
 // The answer of a read is discarded if the lease ended before it arrived.
@@ -149,3 +180,20 @@
 	_, _, ok = f.group.WaitLeader(context.Background(), time.Now().Add(5*time.Second))
 	qt.Check(t, ok, qt.IsTrue)
 }
+
+// A statement of a transaction whose answer the lease doesn't cover aborts it, and a
+// transaction doesn't begin at a target whose answer isn't covered.
+func TestUncoveredTransactionIsAborted(t *testing.T) {
+	f, leases := newLeaseFixture(t, catalog.LatestData)
+	f.serveStatement(begin)
+	qt.Assert(t, f.serveStatement(write("a")).OK(), qt.IsTrue)
+	leases.uncovered = true
+	qt.Check(t, f.serveStatement(read("b")).Code, qt.Equals, statement.Aborted)
+
+	f, leases = newLeaseFixture(t, catalog.LatestData)
+	leases.uncovered = true
+	f.noWait = true
+	f.serveStatement(begin)
+	qt.Check(t, f.serveStatement(write("a")).Code, qt.Equals, statement.Busy)
+	qt.Check(t, f.leader.receivedTexts(), qt.HasLen, 0)
+}
--- a/test/standin/platform/restore.go
+++ b/test/standin/platform/restore.go
@@ -39,14 +39,19 @@
 func (s *Server) Restore(from Snapshot, down time.Duration) {
 	s.UpdateFaults(func(f *Faults) { f.Outage = OutageRefuse })
 	time.Sleep(down)
+	s.Load(from)
+	s.UpdateFaults(func(f *Faults) { f.Outage = OutageNone })
+}
+
+// Load replaces all objects by the copy and begins a new era.
+func (s *Server) Load(from Snapshot) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, c := range s.collections {
 		close(c.changed) // wakes the watches, which then find the copy
 	}
 	s.collections = copyCollections(from.collections)
 	s.era++
-	s.mu.Unlock()
-	s.UpdateFaults(func(f *Faults) { f.Outage = OutageNone })
 }
 
 // Era returns how often the stand-in was restored.
