--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -181,6 +181,15 @@
 	c.Assert(err, qt.IsNil)
 }
 
+// follow follows the customers until the test ends.
+func follow(c *qt.C, client *platform.Client) *recordingSink {
+	sink := &recordingSink{}
+	ctx, cancel := context.WithCancel(context.Background())
+	c.Cleanup(cancel)
+	go client.Follow(ctx, "customer", sink)
+	return sink
+}
+
 // A platform that comes back from an older copy gives out revisions again. The client
 // tells so by the era, and a follower lists the kind again.
 func TestFollowAfterRestoreFromAnOlderCopy(t *testing.T) {
@@ -190,10 +199,7 @@
 	copied := s.Snapshot()
 	put(c, s, "customer", "lost", 1)
 	put(c, s, "customer", "a", 2)
-	sink := &recordingSink{}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go client.Follow(ctx, "customer", sink)
+	sink := follow(c, client)
 	waitUntil(c, func() bool { return sink.value("a") == "2" && sink.value("lost") == "1" })
 	s.ResetCalls()
 	s.Restore(copied, 50*time.Millisecond)
@@ -251,10 +257,7 @@
 	put(c, s, "customer", "a", 1)
 	copied := s.Snapshot()
 	put(c, s, "customer", "lost", 1)
-	sink := &recordingSink{}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go client.Follow(ctx, "customer", sink)
+	sink := follow(c, client)
 	waitUntil(c, func() bool { return sink.value("lost") == "1" })
 	s.UpdateFaults(func(f *standin.Faults) { f.Outage = standin.OutageRefuse })
 	s.Load(copied)
