gossip: count failed exchanges by reason; log why a host closes sessions

Failed exchanges are counted by reason, and `closing of idle sessions switched` carries the contact ages of the domains, the groups without a leader and the failed probes. No decision changes.

--- a/cmd/nettlewalk/fleetready.go
+++ b/cmd/nettlewalk/fleetready.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"time"
+
+	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
 func (h *fleetHost) isReady() bool {
@@ -60,11 +62,23 @@
 		}
 		closeIdle := h.isIsolated() && h.failedProbes.Load() >= probeFailureThreshold
 		if h.relay.SetDraining(closeIdle) {
-			h.log.Info("closing of idle sessions switched", "on", closeIdle, "sessions", h.relay.Sessions())
+			h.logIsolation(closeIdle)
 		}
 	}
 }
 
+// logIsolation logs that closing of idle sessions was switched, with the inputs of
+// isIsolated.
+func (h *fleetHost) logIsolation(closeIdle bool) {
+	leaderless, groups := h.groups.Leaderless()
+	contactAges := map[topology.Domain]int64{}
+	for domain, age := range h.gossip.ContactAges() {
+		contactAges[domain] = age.Milliseconds()
+	}
+	h.log.Info("closing of idle sessions switched", "on", closeIdle, "sessions", h.relay.Sessions(), "connected", h.gossip.Connected(),
+		"contact_ms_ago", contactAges, "leaderless", leaderless, "groups", groups, "failed_probes", h.failedProbes.Load())
+}
+
 const (
 	// deregistrationDelay is how long new callers still arrive after the
 	// readiness probe starts to fail: two probes one second apart, plus a margin.
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -25,6 +25,7 @@
 	var reply DigestReply
 	sentAt := steady.Now()
 	if err := g.opts.Caller.Call(ctx, id, exchangeMethod, &digest, &reply); err != nil {
+		countFailedExchange(ctx, err)
 		g.opts.Log.V(1).Info("gossip exchange failed", "addr", id, "error", err.Error())
 		return
 	}
--- a/internal/gossip/hosts.go
+++ b/internal/gossip/hosts.go
@@ -27,6 +27,19 @@
 // connected takes no duty.
 func (g *Gossip) Connected() bool { return g.inContactWithMost((*Contact).Connected) }
 
+// ContactAges returns the time since each failure domain was last in contact, by name.
+// A domain that never was is absent.
+func (g *Gossip) ContactAges() map[topology.Domain]time.Duration {
+	now := steady.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	ages := make(map[topology.Domain]time.Duration, len(g.contacts))
+	for domain, contact := range g.contacts {
+		ages[domain] = now.Sub(contact.last)
+	}
+	return ages
+}
+
 // Settled reports whether this host has been connected to more than half of the
 // fleet since the time acquired, when it acquired a duty, or for longer than
 // NewsDelay. A holder that isn't settled performs no step of its duty and grants no
--- /dev/null
+++ b/internal/gossip/metrics.go
@@ -0,0 +1,30 @@
+package gossip
+
+import (
+	"context"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+
+	"nettlewalk.example/nettlewalk/internal/result"
+)
+
+var (
+	exchangesUnreachable = metrics.NewCounter(`nettlewalk_gossip_exchanges_failed_total{reason="unreachable"}`)
+	exchangesTimedOut    = metrics.NewCounter(`nettlewalk_gossip_exchanges_failed_total{reason="timeout"}`)
+	exchangesBroken      = metrics.NewCounter(`nettlewalk_gossip_exchanges_failed_total{reason="broken"}`)
+)
+
+// countFailedExchange counts an exchange by the reason of its failure: nothing was
+// sent, no answer came in time, or the connection broke.
+func countFailedExchange(ctx context.Context, err error) {
+	var resultErr *result.Error
+	switch {
+	case errors.As(err, &resultErr) && resultErr.Code == result.HostUnreachable:
+		exchangesUnreachable.Inc()
+	case ctx.Err() != nil:
+		exchangesTimedOut.Inc()
+	default:
+		exchangesBroken.Inc()
+	}
+}
