--- /dev/null
+++ b/internal/gossip/spread_test.go
@@ -0,0 +1,153 @@
+package gossip
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+	"golang.org/x/time/rate"
+
+	"nettlewalk.example/nettlewalk/internal/catalog"
+	"nettlewalk.example/nettlewalk/internal/peer"
+	"nettlewalk.example/nettlewalk/internal/target"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// slowLink is a host's network link: its connections share a limited bandwidth for
+// the bytes that it receives.
+type slowLink struct {
+	limiter  *rate.Limiter // bytes per second
+	received atomic.Int64
+}
+
+// segmentBytes is how much a slowLink delivers at a time.
+const segmentBytes = 1500
+
+func newSlowLink(bytesPerSecond float64) *slowLink {
+	return &slowLink{limiter: rate.NewLimiter(rate.Limit(bytesPerSecond), segmentBytes)}
+}
+
+func (l *slowLink) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return &slowConn{Conn: conn, link: l}, nil
+}
+
+type slowConn struct {
+	net.Conn
+	link *slowLink
+}
+
+func (c *slowConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p[:min(len(p), segmentBytes)])
+	if n > 0 {
+		c.link.received.Add(int64(n))
+		_ = c.link.limiter.WaitN(context.Background(), n) // can't fail: n is at most the burst
+	}
+	return n, err
+}
+
+// realNetwork connects several Gossips by peer connections over loopback.
+type realNetwork struct {
+	t     *testing.T
+	addrs map[topology.HostID]string
+	hosts map[topology.HostID]*Gossip
+}
+
+var spreadTestKey = []byte("spread-test")
+
+// newRealNetwork starts one host per domain, named a, b, c and so on. dial gives the
+// dial functions of hosts whose link isn't plain loopback.
+func newRealNetwork(t *testing.T, domains []topology.Domain, dial map[topology.HostID]target.DialFunc) *realNetwork {
+	n := &realNetwork{t: t, addrs: map[topology.HostID]string{}, hosts: map[topology.HostID]*Gossip{}}
+	listeners := map[topology.HostID]net.Listener{}
+	for i := range domains {
+		id := topology.HostID(rune('a' + i))
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		qt.Assert(t, err, qt.IsNil)
+		listeners[id], n.addrs[id] = listener, listener.Addr().String()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	resolve := func(id topology.HostID) (string, bool) { addr, ok := n.addrs[id]; return addr, ok }
+	for i, domain := range domains {
+		id := topology.HostID(rune('a' + i))
+		client := peer.NewClient(spreadTestKey, id, resolve, dial[id])
+		t.Cleanup(client.Close)
+		g := New(Options{
+			Self: Host{Addr: id, Name: "host-" + string(id), Domain: domain}, Seeds: []topology.HostID{"a"}, Domains: domains,
+			Catalog: catalog.NewStore(), Caller: client, Offers: func() []Offer { return nil }, OnOffers: func([]Offer, time.Time) {}, Log: logr.Discard(),
+		})
+		g.SetClaims(&fakeClaims{})
+		server := peer.NewServer(spreadTestKey, id, logr.Discard())
+		qt.Assert(t, server.Register(ServiceName, g.Service()), qt.IsNil)
+		go func() { _ = server.Serve(ctx, listeners[id]) }()
+		go g.Run(ctx)
+		n.hosts[id] = g
+	}
+	return n
+}
+
+// eventually waits until the condition holds and fails the test after the limit.
+func (n *realNetwork) eventually(what string, limit time.Duration, condition func() bool) {
+	n.t.Helper()
+	for deadline := time.Now().Add(limit); !condition(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			n.t.Fatalf("not within %v: %s", limit, what)
+		}
+	}
+}
+
+func (n *realNetwork) connected() bool {
+	for _, g := range n.hosts {
+		if !g.Connected() {
+			return false
+		}
+	}
+	return true
+}
+
+// largeConfiguration returns a configuration with that many routes.
+func largeConfiguration(version uint64, routes int) *catalog.Configuration {
+	c := &catalog.Configuration{Version: version, Routes: map[string]catalog.Route{}, Groups: map[topology.GroupID]catalog.Group{}}
+	for i := range routes {
+		name := fmt.Sprintf("tenant%dx%d", i*7919%routes, i)
+		c.Routes[name] = catalog.Route{Database: name, Group: topology.GroupID(fmt.Sprintf("group-%d", i%8)), Freshness: catalog.OwnWrites,
+			MaxAge: 2500 * time.Millisecond, StatementTimeout: 800 * time.Millisecond, LatencyGoal: 200 * time.Millisecond, Priority: i % 3}
+	}
+	return c
+}
+
+// applyTimeout is the time within which a configuration must be in force on every host.
+const applyTimeout = 3 * time.Second
+
+// A configuration whose transfer takes longer than an exchange reaches a host behind a
+// slow link in time, and that host stays in contact meanwhile.
+func TestLargeConfigurationReachesHostBehindSlowLink(t *testing.T) {
+	link := newSlowLink(10e6 / 8)
+	n := newRealNetwork(t, []topology.Domain{"north", "south", "coast", "west"}, map[topology.HostID]target.DialFunc{"d": link.dial})
+	n.eventually("all hosts are connected", 5*time.Second, n.connected)
+	slow := n.hosts["d"]
+	const routes = 20_000
+	for _, id := range []topology.HostID{"a", "b", "c"} {
+		n.hosts[id].opts.Catalog.OfferConfiguration(largeConfiguration(2, routes))
+		n.hosts[id].TriggerRound()
+	}
+	disconnected := 0
+	n.eventually("the configuration is in force behind the slow link", applyTimeout, func() bool {
+		if !slow.Connected() {
+			disconnected++
+		}
+		version, _ := slow.opts.Catalog.Versions()
+		return version == 2
+	})
+	qt.Check(t, slow.opts.Catalog.Configuration().Routes, qt.HasLen, routes)
+	qt.Check(t, disconnected, qt.Equals, 0)
+}
