gossip: hosts fetch configurations and registries in parts, once

Cause: the answer to every exchange with a host that lacked a configuration held all of it (257 KB for 4,266 routes). The exchange was given up after 280 ms and a late answer discarded, so a host behind a link of 10 Mbit/s never completed one, while each round asked three more hosts for it. Its link stayed full, its exchanges all failed, and it took itself for cut off: it refused readiness checks and closed its sessions.

Now digests carry versions only. Hosts of an earlier version still get theirs with an exchange.

TestNewerRegisterIsPulledAtOnce looked at a channel that no longer exists; TestNewerRegisterIsFetchedAtOnce checks the same and that the fetch delivers the register.

--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -57,6 +57,9 @@
 	// StoreEra the store's newest era that it knows of.
 	Register catalog.StorePosition
 	StoreEra uint64
+	// Fetches tells that the sender fetches newer snapshots by itself and lets others
+	// fetch its own. Hosts of earlier versions don't.
+	Fetches bool
 	// Sum is a checksum over Hosts and Claims. Both are omitted if the latest
 	// digest of the other host had the same Sum.
 	Sum   uint64
@@ -87,10 +90,11 @@
 	d.Heard, d.ConfigurationRead, d.RegisterRead = nil, 0, 0
 }
 
-// DigestReply is the answer to a Digest: the digest of the answering host, plus the
-// configuration and the registry if the caller's are older.
+// DigestReply is the answer to a Digest: the digest of the answering host.
 type DigestReply struct {
 	Digest
+	// NewConfiguration and NewRegister are set for callers that don't fetch snapshots,
+	// if theirs are older.
 	NewConfiguration *catalog.Configuration
 	NewRegister      *catalog.Registry
 	Leases           []lease.Lease // on groups to which the caller has connections
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -35,13 +35,9 @@
 	if len(reply.Leases) > 0 && g.opts.OnLeases != nil {
 		g.opts.OnLeases(reply.Leases, sentAt)
 	}
-	if g.opts.Catalog.OfferConfiguration(reply.NewConfiguration) {
-		g.opts.Log.Info("configuration in force", "version", reply.NewConfiguration.Version, "source", reply.From.Name, "routes", len(reply.NewConfiguration.Routes))
-		g.TriggerRound()
-	}
-	if g.opts.Catalog.OfferRegistry(reply.NewRegister) {
-		g.opts.Log.Info("target register updated", "revision", reply.NewRegister.Revision, "source", reply.From.Name)
-	}
+	g.offerConfiguration(reply.NewConfiguration, reply.From.Name)
+	g.offerRegistry(reply.NewRegister, reply.From.Name)
+	g.wakeFetchers(&reply.Digest)
 }
 
 // recordAnswer records that the host answered a request sent at sentAt.
@@ -70,6 +66,7 @@
 func (g *Gossip) buildDigest(recipient topology.HostID) Digest {
 	d := Digest{Claims: g.claims.Claims(), Offers: g.opts.Offers()}
 	d.Configuration, d.Register = g.opts.Catalog.Versions()
+	d.Fetches = true
 	if g.opts.StoreEra != nil {
 		d.StoreEra = g.opts.StoreEra()
 	}
@@ -181,6 +178,7 @@
 		g.sharersBuiltAt = time.Time{}
 	}
 	k.host, k.lastHeard, k.silent, k.offers, k.lastSum = sender, now, false, d.Offers, d.Sum
+	k.configuration, k.register, k.fetchable = d.Configuration, d.Register, d.Fetches
 }
 
 // mergeHeard merges when another host last saw other hosts, as ages at sentAt.
@@ -202,24 +200,29 @@
 // Service returns the RPC service to register under ServiceName.
 func (g *Gossip) Service() *Service { return &Service{gossip: g} }
 
-// Exchange merges the caller's digest and answers with this host's own, plus the
-// configuration and the registry if the caller's are older. If the caller's are
-// newer, this host contacts the caller at once to fetch them.
+// Exchange merges the caller's digest and answers with this host's own. If the caller
+// has a newer configuration or registry, this host begins to fetch it.
 func (s *Service) Exchange(args *Digest, reply *DigestReply) error {
 	g := s.gossip
 	g.mergeDigest(args)
 	reply.Digest = g.buildDigest(args.From.Addr)
 	reply.Leases = g.grantLeases(args)
+	if !args.Fetches {
+		g.attachSnapshots(args, reply)
+	}
+	g.wakeFetchers(args)
+	return nil
+}
+
+// attachSnapshots adds newer snapshots to the answer for a host of an earlier version,
+// which doesn't fetch them.
+func (g *Gossip) attachSnapshots(args *Digest, reply *DigestReply) {
 	if reply.Configuration > args.Configuration {
 		reply.NewConfiguration = g.opts.Catalog.Configuration()
 	}
 	if reply.Register.After(args.Register) {
 		reply.NewRegister = g.opts.Catalog.Registry()
 	}
-	if args.Configuration > reply.Configuration || args.Register.After(reply.Register) {
-		g.requestPull(args.From.Addr)
-	}
-	return nil
 }
 
 // grantLeases returns leases on the groups to which the caller has connections.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -87,6 +87,11 @@
 	silent       bool      // considered silent; set when that is logged
 	offers       []Offer
 	lastSum      uint64 // Sum of its latest digest
+	// configuration and register are those that it had at its latest digest. Others can
+	// fetch them from it if fetchable is set.
+	configuration uint64
+	register      catalog.StorePosition
+	fetchable     bool
 }
 
 // Gossip exchanges digests with other hosts. Safe for concurrent use.
@@ -94,14 +99,16 @@
 	opts           Options
 	claims         ClaimStore
 	roundRequested chan struct{}
-	pullFrom       chan topology.HostID // a host with newer state, to be contacted at once
 	startedAt      time.Time
+	fetchers       [snapshotKinds]*fetcher
+	snapshots      snapshotCache
 
-	mu         sync.Mutex
+	mu         sync.Mutex // guards the fields below
 	self       Host
 	hosts      map[topology.HostID]*knownHost
 	addrByHash map[uint64]topology.HostID // addresses in hosts, by hashAddr
 	contacts   map[topology.Domain]*Contact
+	uploads    [snapshotKinds]uploads
 	// sharers is rebuilt once it is older than sharersMaxAge, and at the next call
 	// after a host joins, restarts or leaves.
 	sharers        Sharers
@@ -119,7 +126,7 @@
 
 // New returns a Gossip that knows the seed hosts. Call SetClaims before Run.
 func New(opts Options) *Gossip {
-	g := &Gossip{opts: opts, self: opts.Self, roundRequested: make(chan struct{}, 1), pullFrom: make(chan topology.HostID, 1), startedAt: steady.Now(),
+	g := &Gossip{opts: opts, self: opts.Self, roundRequested: make(chan struct{}, 1), startedAt: steady.Now(), fetchers: newFetchers(),
 		hosts: map[topology.HostID]*knownHost{}, addrByHash: map[uint64]topology.HostID{}, contacts: map[topology.Domain]*Contact{}}
 	g.AddHosts(opts.Seeds...)
 	return g
@@ -147,14 +154,6 @@
 	return k
 }
 
-// requestPull makes Run contact the host at once, unless a pull is already pending.
-func (g *Gossip) requestPull(id topology.HostID) {
-	select {
-	case g.pullFrom <- id:
-	default: // the pending pull also brings newer state
-	}
-}
-
 // Leave marks this host as leaving and announces that at once.
 func (g *Gossip) Leave() {
 	g.mu.Lock()
@@ -171,8 +170,11 @@
 	}
 }
 
-// Run exchanges digests until ctx ends.
+// Run exchanges digests and fetches newer snapshots until ctx ends.
 func (g *Gossip) Run(ctx context.Context) {
+	for _, f := range g.fetchers {
+		go g.runFetcher(ctx, f)
+	}
 	timer := time.NewTimer(g.nextRoundIn())
 	defer timer.Stop()
 	g.startRound(ctx)
@@ -185,8 +187,6 @@
 			timer.Reset(g.nextRoundIn())
 		case <-g.roundRequested:
 			g.startRound(ctx)
-		case id := <-g.pullFrom:
-			go g.exchange(ctx, id)
 		}
 	}
 }
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -27,19 +27,34 @@
 	delay       time.Duration                   // of each message, one way
 }
 
-func (n *fakeNetwork) Call(_ context.Context, id topology.HostID, _ string, args, reply any) error {
-	digest := args.(*Digest)
-	if n.partitioned[id] || n.partitioned[digest.From.Addr] {
-		return errors.New("host is partitioned")
+func (n *fakeNetwork) Call(_ context.Context, id topology.HostID, method string, args, reply any) error {
+	if method == fetchMethod {
+		fetch := args.(*FetchArgs)
+		if err := n.pass(fetch.From, id); err != nil {
+			return err
+		}
+		return n.hosts[id].Service().Fetch(fetch, reply.(*FetchReply))
 	}
-	if n.partition != nil && n.partition(id, digest.From.Addr) {
-		return errors.New("hosts are cut off from each other")
+	digest := args.(*Digest)
+	if err := n.pass(digest.From.Addr, id); err != nil {
+		return err
 	}
 	time.Sleep(n.delay)
 	defer time.Sleep(n.delay)
 	return n.hosts[id].Service().Exchange(digest, reply.(*DigestReply))
 }
 
+// pass returns an error if no message passes between the two hosts.
+func (n *fakeNetwork) pass(from, to topology.HostID) error {
+	if n.partitioned[to] || n.partitioned[from] {
+		return errors.New("host is partitioned")
+	}
+	if n.partition != nil && n.partition(to, from) {
+		return errors.New("hosts are cut off from each other")
+	}
+	return nil
+}
+
 // fakeClaims records the claims that it learns.
 type fakeClaims struct{ list []duty.Claim }
 
@@ -62,13 +77,25 @@
 	return n
 }
 
-// runRounds runs three rounds of exchanges on every host.
+// runRounds runs three rounds of exchanges on every host, each followed by the fetches
+// that it requested.
 func (n *fakeNetwork) runRounds() {
 	for range 3 {
 		for _, g := range n.hosts {
 			for _, id := range g.selectPeers() {
 				g.exchange(context.Background(), id)
 			}
+			g.runRequestedFetches()
+		}
+	}
+}
+
+func (g *Gossip) runRequestedFetches() {
+	for _, f := range g.fetchers {
+		select {
+		case <-f.wake:
+			g.fetchNewest(context.Background(), f)
+		default:
 		}
 	}
 }
@@ -262,18 +289,23 @@
 }
 
 // A host that receives a digest with a newer registry snapshot must fetch it at once.
-func TestNewerRegisterIsPulledAtOnce(t *testing.T) {
+func TestNewerRegisterIsFetchedAtOnce(t *testing.T) {
 	n := newFakeNetwork("north", "south")
 	n.runRounds()
 	a, b := n.hosts["a"], n.hosts["b"]
 	a.opts.Catalog.OfferRegistry(&catalog.Registry{Revision: 5})
 	a.exchange(context.Background(), "b")
 	select {
-	case id := <-b.pullFrom:
-		qt.Check(t, id, qt.Equals, topology.HostID("a"))
+	case <-b.fetchers[RegistrySnapshot].wake:
 	default:
-		t.Fatal("no host is contacted for the newer register")
+		t.Fatal("the newer register isn't fetched")
 	}
+	id, _, behind := b.pickSource(RegistrySnapshot, nil)
+	qt.Check(t, behind, qt.IsTrue)
+	qt.Check(t, id, qt.Equals, topology.HostID("a"))
+	qt.Check(t, b.fetchNewest(context.Background(), b.fetchers[RegistrySnapshot]), qt.IsTrue)
+	_, register := b.opts.Catalog.Versions()
+	qt.Check(t, register.Revision, qt.Equals, uint64(5))
 }
 
 // Hosts postpone their own reads of the store while another host's read is recent.
--- a/internal/gossip/metrics.go
+++ b/internal/gossip/metrics.go
@@ -28,3 +28,25 @@
 		exchangesBroken.Inc()
 	}
 }
+
+var (
+	// snapshotBytes counts the bytes of snapshots received from other hosts.
+	snapshotBytes = [snapshotKinds]*metrics.Counter{
+		metrics.NewCounter(`nettlewalk_snapshot_received_bytes_total{kind="configuration"}`),
+		metrics.NewCounter(`nettlewalk_snapshot_received_bytes_total{kind="registry"}`),
+	}
+	fetchesCompleted = metrics.NewCounter(`nettlewalk_snapshot_fetches_total{outcome="completed"}`)
+	fetchesBusy      = metrics.NewCounter(`nettlewalk_snapshot_fetches_total{outcome="busy"}`)
+	fetchesFailed    = metrics.NewCounter(`nettlewalk_snapshot_fetches_total{outcome="failed"}`)
+)
+
+func countFetch(err error) {
+	switch {
+	case err == nil:
+		fetchesCompleted.Inc()
+	case errors.Is(err, errSourceBusy):
+		fetchesBusy.Inc()
+	default:
+		fetchesFailed.Inc()
+	}
+}
--- a/internal/gossip/spread_test.go
+++ b/internal/gossip/spread_test.go
@@ -140,7 +140,7 @@
 		n.hosts[id].opts.Catalog.OfferConfiguration(largeConfiguration(2, routes))
 		n.hosts[id].TriggerRound()
 	}
-	disconnected := 0
+	disconnected, receivedBefore := 0, link.received.Load()
 	n.eventually("the configuration is in force behind the slow link", applyTimeout, func() bool {
 		if !slow.Connected() {
 			disconnected++
@@ -150,4 +150,8 @@
 	})
 	qt.Check(t, slow.opts.Catalog.Configuration().Routes, qt.HasLen, routes)
 	qt.Check(t, disconnected, qt.Equals, 0)
+	encoded, err := encodeSnapshot(largeConfiguration(2, routes))
+	qt.Assert(t, err, qt.IsNil)
+	received := link.received.Load() - receivedBefore
+	qt.Check(t, received < 2*int64(len(encoded.data)), qt.IsTrue, qt.Commentf("%d bytes for a snapshot of %d", received, len(encoded.data)))
 }
--- /dev/null
+++ b/internal/gossip/transfer_test.go
@@ -0,0 +1,163 @@
+package gossip
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"nettlewalk.example/nettlewalk/internal/catalog"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// snapshotOf returns an encoding that consists of that many chunks.
+func snapshotOf(version uint64, chunks int) *encodedSnapshot {
+	data := bytes.Repeat([]byte{byte(version)}, chunks*chunkBytes)
+	return &encodedSnapshot{data: data, sum: version}
+}
+
+// next makes one call of the download and adds its answer.
+func next(t testing.TB, u *uploads, from topology.HostID, d *download, current *encodedSnapshot, now time.Time) FetchReply {
+	reply := u.serve(&FetchArgs{From: from, Sum: d.sum, Offset: len(d.data)}, current, now)
+	if !reply.Busy {
+		qt.Assert(t, d.add(&reply), qt.IsNil)
+	}
+	return reply
+}
+
+// A host that needs longer for a configuration than the time between two versions would
+// otherwise begin again with each version and never have one.
+func TestReplacedSnapshotIsServedUntilItsDownloadEnds(t *testing.T) {
+	var u uploads
+	var d download
+	old, newer := snapshotOf(1, 3), snapshotOf(2, 3)
+	next(t, &u, "slow", &d, old, time.Unix(0, 0))
+	for range 2 {
+		next(t, &u, "slow", &d, newer, time.Unix(1, 0))
+	}
+	qt.Check(t, d.complete(), qt.IsTrue)
+	qt.Check(t, d.data, qt.DeepEquals, old.data)
+}
+
+func TestUploadsAreLimited(t *testing.T) {
+	var u uploads
+	now := time.Unix(0, 0)
+	current := snapshotOf(1, 3)
+	downloads := [maxUploads + 1]download{}
+	for i := range maxUploads {
+		qt.Check(t, next(t, &u, topology.HostID(rune('a'+i)), &downloads[i], current, now).Busy, qt.IsFalse)
+	}
+	qt.Check(t, next(t, &u, "late", &downloads[maxUploads], current, now).Busy, qt.IsTrue)
+	qt.Check(t, next(t, &u, "a", &downloads[0], current, now).Busy, qt.IsFalse)
+	next(t, &u, "a", &downloads[0], current, now) // the last part
+	qt.Check(t, downloads[0].complete(), qt.IsTrue)
+	qt.Check(t, next(t, &u, "late", &downloads[maxUploads], current, now).Busy, qt.IsFalse)
+	another := download{}
+	qt.Check(t, next(t, &u, "another", &another, current, now).Busy, qt.IsTrue)
+	qt.Check(t, next(t, &u, "another", &another, current, now.Add(uploadIdleTimeout)).Busy, qt.IsFalse)
+}
+
+// A snapshot of one chunk needs no upload of its own: the registry changes often.
+func TestSmallSnapshotIsServedBesideOtherUploads(t *testing.T) {
+	var u uploads
+	large, now := snapshotOf(1, 3), time.Unix(0, 0)
+	for i := range maxUploads {
+		next(t, &u, topology.HostID(rune('a'+i)), &download{}, large, now)
+	}
+	var d download
+	next(t, &u, "z", &d, snapshotOf(2, 1), now)
+	qt.Check(t, d.complete(), qt.IsTrue)
+}
+
+// A download goes on at another host that has the same bytes, and begins again at one
+// that has others.
+func TestDownloadContinuesAtAnotherHost(t *testing.T) {
+	var first, second, third uploads
+	var d download
+	now := time.Unix(0, 0)
+	next(t, &first, "z", &d, snapshotOf(1, 4), now)
+	next(t, &second, "z", &d, snapshotOf(1, 4), now)
+	qt.Check(t, d.data, qt.HasLen, 2*chunkBytes)
+	next(t, &third, "z", &d, snapshotOf(2, 4), now)
+	qt.Check(t, d.data, qt.HasLen, chunkBytes)
+	qt.Check(t, d.sum, qt.Equals, uint64(2))
+}
+
+func TestWrongPartsAreRefused(t *testing.T) {
+	for _, r := range []FetchReply{
+		{Sum: 1, Size: 0, Data: []byte("x")},
+		{Sum: 1, Size: -1, Data: []byte("x")},
+		{Sum: 1, Size: maxSnapshotBytes + 1, Data: []byte("x")},
+		{Sum: 1, Size: 10},
+		{Sum: 1, Size: 1, Data: []byte("xy")},
+	} {
+		var d download
+		qt.Check(t, d.add(&r), qt.IsNotNil, qt.Commentf("%+v", r))
+	}
+	d := download{sum: 1, size: 10, data: []byte("x")}
+	qt.Check(t, d.add(&FetchReply{Sum: 1, Size: 11, Data: []byte("y")}), qt.IsNotNil)
+	d = download{sum: 1, size: 1, data: []byte("x")}
+	_, err := d.encoded()
+	qt.Check(t, err, qt.ErrorMatches, "checksum of the snapshot is wrong")
+}
+
+// corruptingNetwork changes the data of fetched snapshots.
+type corruptingNetwork struct {
+	*fakeNetwork
+	corrupt bool
+}
+
+func (n *corruptingNetwork) Call(ctx context.Context, id topology.HostID, method string, args, reply any) error {
+	err := n.fakeNetwork.Call(ctx, id, method, args, reply)
+	if r, ok := reply.(*FetchReply); ok && err == nil && n.corrupt {
+		r.Data = append([]byte("x"), r.Data[1:]...)
+	}
+	return err
+}
+
+// A damaged snapshot isn't applied, and the host fetches it again.
+func TestDamagedSnapshotIsNotApplied(t *testing.T) {
+	n := newFakeNetwork("north", "south")
+	n.runRounds()
+	a, b := n.hosts["a"], n.hosts["b"]
+	c := &corruptingNetwork{fakeNetwork: n, corrupt: true}
+	b.opts.Caller = c
+	a.opts.Catalog.OfferConfiguration(largeConfiguration(7, 10))
+	a.exchange(context.Background(), "b")
+	f := b.fetchers[ConfigurationSnapshot]
+	qt.Check(t, b.fetchNewest(context.Background(), f), qt.IsFalse)
+	qt.Check(t, b.opts.Catalog.Configuration(), qt.IsNil)
+	c.corrupt = false
+	qt.Check(t, b.fetchNewest(context.Background(), f), qt.IsTrue)
+	qt.Check(t, b.opts.Catalog.Configuration(), qt.DeepEquals, a.opts.Catalog.Configuration())
+}
+
+// During a rolling upgrade, hosts of an earlier version still get snapshots with an
+// exchange, and pass them on with one.
+func TestHostsThatDontFetchGetSnapshotsWithAnExchange(t *testing.T) {
+	n := newFakeNetwork("north", "south")
+	n.runRounds()
+	a, b := n.hosts["a"], n.hosts["b"]
+	a.opts.Catalog.OfferConfiguration(&catalog.Configuration{Version: 9})
+	earlier := Digest{From: b.self}
+	var reply DigestReply
+	qt.Assert(t, a.Service().Exchange(&earlier, &reply), qt.IsNil)
+	qt.Check(t, reply.NewConfiguration.Version, qt.Equals, uint64(9))
+	b.recordSender(&Digest{From: a.self, Configuration: 9})
+	_, _, behind := b.pickSource(ConfigurationSnapshot, nil)
+	qt.Check(t, behind, qt.IsFalse, qt.Commentf("a host that doesn't fetch can't be fetched from"))
+}
+
+func FuzzDecodeSnapshot(f *testing.F) {
+	e, err := encodeSnapshot(largeConfiguration(1, 3))
+	qt.Assert(f, err, qt.IsNil)
+	f.Add(e.data)
+	f.Add(e.data[:len(e.data)/2])
+	f.Add([]byte{})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_ = decodeSnapshot(data, &catalog.Configuration{})
+		_ = decodeSnapshot(data, &catalog.Registry{})
+	})
+}
