--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -33,6 +33,7 @@
 		if err := n.pass(fetch.From, id); err != nil {
 			return err
 		}
+		time.Sleep(2 * n.delay)
 		return n.hosts[id].Service().Fetch(fetch, reply.(*FetchReply))
 	}
 	digest := args.(*Digest)
--- a/internal/gossip/snapshot.go
+++ b/internal/gossip/snapshot.go
@@ -2,15 +2,20 @@
 
 import (
 	"bytes"
+	"cmp"
 	"compress/flate"
 	"encoding/gob"
 	"io"
+	"maps"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
+	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
 // SnapshotKind is a kind of state that hosts fetch from each other as a whole.
@@ -32,20 +37,103 @@
 const maxSnapshotBytes = 64 << 20
 
 // encodedSnapshot is a snapshot as it is sent to other hosts: gob, compressed with
-// DEFLATE. The fastest level already makes a configuration five times smaller.
+// DEFLATE. All hosts encode a snapshot into the same bytes, so that a download can
+// continue at another host.
 type encodedSnapshot struct {
 	source any // the *catalog.Configuration or *catalog.Registry
 	data   []byte
 	sum    uint64 // checksum of data
 }
 
+// configurationData is a catalog.Configuration without maps, whose order gob would draw
+// at random.
+type configurationData struct {
+	Version         uint64
+	Routes          []catalog.Route // sorted by database
+	Groups          []catalog.Group // sorted by ID
+	TransactionIdle time.Duration
+}
+
+// registryData is the same for a catalog.Registry.
+type registryData struct {
+	Era, Revision uint64
+	Members       []catalog.Member // sorted by ID
+}
+
+// gob numbers types in the order in which a process first encodes or decodes them, and
+// sends the numbers. Encoding these types once at the start gives them the same numbers
+// in all processes of one build.
+func init() {
+	for _, data := range []any{configurationData{}, registryData{}} {
+		if err := gob.NewEncoder(io.Discard).Encode(data); err != nil {
+			panic(err) // can't happen: the types have only fields that gob supports
+		}
+	}
+}
+
+func newConfigurationData(c *catalog.Configuration) *configurationData {
+	return &configurationData{
+		Version:         c.Version,
+		Routes:          sortedValues(c.Routes),
+		Groups:          sortedValues(c.Groups),
+		TransactionIdle: c.TransactionIdle,
+	}
+}
+
+func (d *configurationData) configuration() *catalog.Configuration {
+	c := &catalog.Configuration{
+		Version:         d.Version,
+		Routes:          make(map[string]catalog.Route, len(d.Routes)),
+		Groups:          make(map[topology.GroupID]catalog.Group, len(d.Groups)),
+		TransactionIdle: d.TransactionIdle,
+	}
+	for _, r := range d.Routes {
+		c.Routes[r.Database] = r
+	}
+	for _, g := range d.Groups {
+		c.Groups[g.ID] = g
+	}
+	return c
+}
+
+func newRegistryData(r *catalog.Registry) *registryData {
+	return &registryData{Era: r.Era, Revision: r.Revision, Members: sortedValues(r.Members)}
+}
+
+func (d *registryData) registry() *catalog.Registry {
+	r := &catalog.Registry{Era: d.Era, Revision: d.Revision, Members: make(map[topology.TargetID]catalog.Member, len(d.Members))}
+	for _, m := range d.Members {
+		r.Members[m.Target.ID] = m
+	}
+	return r
+}
+
+// sortedValues returns the values of m in the order of their keys.
+func sortedValues[K cmp.Ordered, V any](m map[K]V) []V {
+	values := make([]V, 0, len(m))
+	for _, key := range slices.Sorted(maps.Keys(m)) {
+		values = append(values, m[key])
+	}
+	return values
+}
+
+// encodeSnapshot encodes a *catalog.Configuration or *catalog.Registry.
 func encodeSnapshot(source any) (*encodedSnapshot, error) {
+	var data any
+	switch s := source.(type) {
+	case *catalog.Configuration:
+		data = newConfigurationData(s)
+	case *catalog.Registry:
+		data = newRegistryData(s)
+	default:
+		return nil, errors.Newf("snapshot of type %T", source)
+	}
 	var buf bytes.Buffer
 	compressor, err := flate.NewWriter(&buf, flate.BestSpeed)
 	if err != nil {
 		return nil, err
 	}
-	if err := gob.NewEncoder(compressor).Encode(source); err != nil {
+	if err := gob.NewEncoder(compressor).Encode(data); err != nil {
 		return nil, errors.Wrap(err, "encode snapshot")
 	}
 	if err := compressor.Close(); err != nil {
@@ -54,7 +142,7 @@
 	return &encodedSnapshot{source: source, data: buf.Bytes(), sum: xxhash.Sum64(buf.Bytes())}, nil
 }
 
-// decodeSnapshot decodes data into target, a pointer to a zero value.
+// decodeSnapshot decodes data into target, a *configurationData or *registryData.
 func decodeSnapshot(data []byte, target any) error {
 	decompressor := flate.NewReader(bytes.NewReader(data))
 	defer decompressor.Close()
@@ -109,17 +197,19 @@
 // offerReceived decodes a received snapshot and offers it to the catalog.
 func (g *Gossip) offerReceived(kind SnapshotKind, e *encodedSnapshot, sender string) error {
 	if kind == RegistrySnapshot {
-		r := &catalog.Registry{}
-		if err := decodeSnapshot(e.data, r); err != nil {
+		var data registryData
+		if err := decodeSnapshot(e.data, &data); err != nil {
 			return err
 		}
+		r := data.registry()
 		e.source = r
 		g.offerRegistry(r, sender)
 	} else {
-		c := &catalog.Configuration{}
-		if err := decodeSnapshot(e.data, c); err != nil {
+		var data configurationData
+		if err := decodeSnapshot(e.data, &data); err != nil {
 			return err
 		}
+		c := data.configuration()
 		e.source = c
 		g.offerConfiguration(c, sender)
 	}
--- a/internal/gossip/transfer_test.go
+++ b/internal/gossip/transfer_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
+	"reflect"
 	"testing"
 	"time"
 
@@ -150,6 +152,55 @@
 	qt.Check(t, behind, qt.IsFalse, qt.Commentf("a host that doesn't fetch can't be fetched from"))
 }
 
+// Hosts that read the store by themselves must send the same bytes, or a download that
+// continues at another host begins again.
+func TestEncodingIsTheSameOnAllHosts(t *testing.T) {
+	registry := func() *catalog.Registry {
+		r := &catalog.Registry{Era: 1, Revision: 5, Members: map[topology.TargetID]catalog.Member{}}
+		for i := range 50 {
+			id := topology.TargetID(fmt.Sprintf("t%d", i))
+			r.Members[id] = catalog.Member{Target: topology.Target{ID: id, Addr: fmt.Sprintf("10.0.0.%d:1", i)}, Primary: i == 0, WorkSlots: 2}
+		}
+		return r
+	}
+	for _, pair := range [][2]any{{largeConfiguration(7, 100), largeConfiguration(7, 100)}, {registry(), registry()}} {
+		first, err := encodeSnapshot(pair[0])
+		qt.Assert(t, err, qt.IsNil)
+		second, err := encodeSnapshot(pair[1])
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, second.sum, qt.Equals, first.sum)
+	}
+}
+
+// Guards against a field that was added to a snapshot but not to its encoding.
+func TestSnapshotsSurviveEncoding(t *testing.T) {
+	configuration := largeConfiguration(7, 10)
+	configuration.TransactionIdle = time.Second
+	configuration.Groups["group-1"] = catalog.Group{ID: "group-1", MaxConnections: 16, AckReplicas: 1}
+	registry := &catalog.Registry{Era: 2, Revision: 5, Members: map[topology.TargetID]catalog.Member{
+		"t": {Target: topology.Target{ID: "t", Group: "g", Domain: "north", Addr: "a:1", Connections: 3, Slots: 2, Leaving: true}, Primary: true, WorkSlots: 4},
+	}}
+	checkAllFieldsSet(t, reflect.ValueOf(*configuration))
+	checkAllFieldsSet(t, reflect.ValueOf(*registry))
+	encoded, err := encodeSnapshot(configuration)
+	qt.Assert(t, err, qt.IsNil)
+	var configurationDecoded configurationData
+	qt.Assert(t, decodeSnapshot(encoded.data, &configurationDecoded), qt.IsNil)
+	qt.Check(t, configurationDecoded.configuration(), qt.DeepEquals, configuration)
+	encoded, err = encodeSnapshot(registry)
+	qt.Assert(t, err, qt.IsNil)
+	var registryDecoded registryData
+	qt.Assert(t, decodeSnapshot(encoded.data, &registryDecoded), qt.IsNil)
+	qt.Check(t, registryDecoded.registry(), qt.DeepEquals, registry)
+}
+
+// checkAllFieldsSet checks that no field of the struct has its zero value.
+func checkAllFieldsSet(t *testing.T, s reflect.Value) {
+	for i := range s.NumField() {
+		qt.Check(t, s.Field(i).IsZero(), qt.IsFalse, qt.Commentf("field %s", s.Type().Field(i).Name))
+	}
+}
+
 func FuzzDecodeSnapshot(f *testing.F) {
 	e, err := encodeSnapshot(largeConfiguration(1, 3))
 	qt.Assert(f, err, qt.IsNil)
@@ -157,7 +208,7 @@
 	f.Add(e.data[:len(e.data)/2])
 	f.Add([]byte{})
 	f.Fuzz(func(_ *testing.T, data []byte) {
-		_ = decodeSnapshot(data, &catalog.Configuration{})
-		_ = decodeSnapshot(data, &catalog.Registry{})
+		_ = decodeSnapshot(data, &configurationData{})
+		_ = decodeSnapshot(data, &registryData{})
 	})
 }
