gossip: a fetch doesn't depend on a single host

It continues elsewhere after a slow chunk, at most twice: otherwise the own link is slow, and leaving would only take up the upload limits of other hosts.

Retries after failures wait longer each time, up to a second; so do their log lines.

--- a/internal/gossip/fetch.go
+++ b/internal/gossip/fetch.go
@@ -18,19 +18,30 @@
 const (
 	// chunkTimeout limits the call for one chunk.
 	chunkTimeout = 2 * time.Second
-	// fetchRetryDelay is the mean time until a host is asked again after all hosts with
-	// the newest snapshot were busy or failed.
-	fetchRetryDelay = 100 * time.Millisecond
+	// slowChunk is the time for one chunk after which the download continues at another
+	// host, if there is one. It does so maxSlowSources times at most: if all hosts are
+	// slow, it is this host's own link.
+	slowChunk      = 250 * time.Millisecond
+	maxSlowSources = 2
+	// fetchRetryDelay is the mean time until hosts are asked again after all with the
+	// newest snapshot were busy. After failures it doubles up to maxFetchRetryDelay.
+	fetchRetryDelay    = 100 * time.Millisecond
+	maxFetchRetryDelay = time.Second
 )
 
-// errSourceBusy reports that a host serves enough other downloads.
-var errSourceBusy = errors.New("host serves other downloads")
+var (
+	// errSourceBusy reports that a host serves enough other downloads.
+	errSourceBusy = errors.New("host serves other downloads")
+	// errSourceSlow reports that the download should continue at another host.
+	errSourceSlow = errors.New("host is slow")
+)
 
 // fetcher downloads the snapshots of one kind, one at a time.
 type fetcher struct {
-	kind     SnapshotKind
-	wake     chan struct{} // another host has a newer snapshot
-	download download      // kept after a failure, to be continued from another host
+	kind        SnapshotKind
+	wake        chan struct{} // another host has a newer snapshot
+	download    download      // kept after a failure, to be continued from another host
+	slowSources int           // hosts that the download left because they were slow
 }
 
 func newFetchers() [snapshotKinds]*fetcher {
@@ -41,8 +52,7 @@
 	return list
 }
 
-// wakeFetchers makes the fetchers of the kinds run of which the digest's sender has a
-// newer snapshot.
+// wakeFetchers requests a fetch of each snapshot that is newer at the digest's sender.
 func (g *Gossip) wakeFetchers(d *Digest) {
 	configuration, register := g.opts.Catalog.Versions()
 	if d.Configuration > configuration {
@@ -68,71 +78,101 @@
 			return
 		case <-f.wake:
 		}
-		for !g.fetchNewest(ctx, f) {
+		for delay := fetchRetryDelay; ; {
+			result := g.fetchNewest(ctx, f)
+			if result == fetchDone {
+				break
+			}
+			if result == fetchFailed {
+				delay = min(2*delay, maxFetchRetryDelay)
+			}
 			select {
 			case <-ctx.Done():
 				return
-			case <-time.After(fetchRetryDelay/2 + rand.N(fetchRetryDelay)):
+			case <-time.After(delay/2 + rand.N(delay)):
 			}
 		}
 	}
 }
 
-// fetchNewest fetches the newest snapshot that any host announced. It tries each host
-// that has it once and returns false if none of them delivered it.
-func (g *Gossip) fetchNewest(ctx context.Context, f *fetcher) (done bool) {
+// fetchResult is the result of fetchNewest.
+type fetchResult int
+
+const (
+	fetchDone   fetchResult = iota // no host has a newer snapshot, or ctx ended
+	fetchBusy                      // the hosts that have it serve other downloads
+	fetchFailed                    // no host delivered it
+)
+
+// fetchNewest fetches snapshots until no host has a newer one. It asks each host once,
+// those with the newest snapshot first, and others only if all of those failed.
+func (g *Gossip) fetchNewest(ctx context.Context, f *fetcher) fetchResult {
 	tried := map[topology.HostID]bool{}
+	var busy catalog.StorePosition // newest snapshot of a busy host
 	for {
-		id, name, behind := g.pickSource(f.kind, tried)
-		if !behind {
-			return true
-		}
-		if id == "" {
-			return false
+		s := g.pickSource(f.kind, tried)
+		switch {
+		case !s.behind || ctx.Err() != nil:
+			return fetchDone
+		case s.host == "" || busy.After(s.position):
+			if busy != (catalog.StorePosition{}) {
+				return fetchBusy
+			}
+			return fetchFailed
 		}
-		tried[id] = true
+		tried[s.host] = true
 		before := g.ownPosition(f.kind)
-		err := g.fetchFrom(ctx, f, id, name)
+		err := g.fetchFrom(ctx, f, &s, tried)
 		countFetch(err)
 		switch {
 		case err == nil:
 			if g.ownPosition(f.kind).After(before) {
 				clear(tried)
 			}
-		case ctx.Err() != nil:
-			return true
-		case !errors.Is(err, errSourceBusy):
-			g.opts.Log.Info("snapshot not fetched", "kind", f.kind.String(), "peer", name, "addr", id,
+		case errors.Is(err, errSourceSlow): // another host has the same snapshot
+			f.slowSources++
+		case errors.Is(err, errSourceBusy):
+			busy = s.position
+		case ctx.Err() == nil:
+			g.opts.Log.Info("snapshot not fetched", "kind", f.kind.String(), "peer", s.name, "addr", s.host,
 				"received", len(f.download.data), "size", f.download.size, "error", err.Error())
 		}
 	}
 }
 
+// source is a host from which a snapshot can be fetched.
+type source struct {
+	host     topology.HostID // "": there is none
+	name     string
+	position catalog.StorePosition // of its snapshot
+	behind   bool                  // whether any host, tried or not, has a newer snapshot than this one
+}
+
 // pickSource returns a random host among those that announced the newest snapshot of the
-// kind, except for tried ones, or "" if there is none left. behind is false if no host
-// has a newer snapshot than this one.
-func (g *Gossip) pickSource(kind SnapshotKind, tried map[topology.HostID]bool) (id topology.HostID, name string, behind bool) {
-	newest := g.ownPosition(kind)
-	now := steady.Now()
+// kind, leaving out those that were tried.
+func (g *Gossip) pickSource(kind SnapshotKind, tried map[topology.HostID]bool) source {
+	own, now := g.ownPosition(kind), steady.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	count := 0
-	for candidate, k := range g.hosts {
+	var best source
+	count := 0 // of hosts with best.position
+	for id, k := range g.hosts {
 		position := k.position(kind)
-		if !k.fetchable || now.Sub(k.lastHeard) > livenessTimeout || newest.After(position) {
+		if !k.fetchable || now.Sub(k.lastHeard) > livenessTimeout || !position.After(own) {
 			continue
 		}
-		if position.After(newest) {
-			newest, id, name, count, behind = position, "", "", 0, true
-		}
-		if !behind || tried[candidate] {
+		best.behind = true
+		if tried[id] || best.position.After(position) {
 			continue
 		}
+		if position != best.position {
+			best.position, count = position, 0
+		}
 		if count++; rand.IntN(count) == 0 {
-			id, name = candidate, k.host.Name
+			best.host, best.name = id, k.host.Name
 		}
 	}
-	return id, name, behind
+	return best
 }
 
 // ownPosition returns the position of this host's snapshot of the kind. That of a
@@ -153,28 +193,51 @@
 	return catalog.StorePosition{Revision: k.configuration}
 }
 
-// fetchFrom downloads the host's snapshot and offers it to the catalog.
-func (g *Gossip) fetchFrom(ctx context.Context, f *fetcher, id topology.HostID, name string) error {
-	startedAt, d := steady.Now(), &f.download
+// fetchFrom downloads the host's snapshot and offers it to the catalog. It returns
+// errSourceSlow if the host is slow and one that wasn't tried has the same snapshot.
+func (g *Gossip) fetchFrom(ctx context.Context, f *fetcher, s *source, tried map[topology.HostID]bool) error {
+	d := &f.download
 	for !d.complete() {
 		args := FetchArgs{From: g.opts.Self.Addr, Kind: f.kind, Sum: d.sum, Offset: len(d.data)}
-		if err := g.fetchChunk(ctx, id, &args, d); err != nil {
+		sentAt := steady.Now()
+		if err := g.fetchChunk(ctx, s.host, &args, d); err != nil {
 			return err
 		}
+		isSlow := steady.Now().Sub(sentAt) > slowChunk && f.slowSources < maxSlowSources
+		if isSlow && !d.complete() && g.pickSource(f.kind, tried).position == s.position {
+			return errSourceSlow
+		}
 	}
 	received := *d
-	*d = download{}
+	*d, f.slowSources = download{}, 0
 	e, err := received.encoded()
 	if err != nil {
 		return err
 	}
-	if err := g.offerReceived(f.kind, e, name); err != nil {
+	position, err := g.offerReceived(f.kind, e, s.name)
+	if err != nil {
 		return err
 	}
-	g.opts.Log.V(1).Info("snapshot fetched", "kind", f.kind.String(), "peer", name, "bytes", received.size, "ms", steady.Now().Sub(startedAt).Milliseconds())
+	g.recordDelivered(f.kind, s, position)
 	return nil
 }
 
+// recordDelivered records which snapshot the host delivered if that is older than the
+// one that it had announced: it has restarted since.
+func (g *Gossip) recordDelivered(kind SnapshotKind, s *source, position catalog.StorePosition) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	k := g.hosts[s.host]
+	if k == nil || !s.position.After(position) || k.position(kind) != s.position {
+		return
+	}
+	if kind == RegistrySnapshot {
+		k.register = position
+		return
+	}
+	k.configuration = position.Revision
+}
+
 // fetchChunk makes one call and adds its data to the download.
 func (g *Gossip) fetchChunk(ctx context.Context, id topology.HostID, args *FetchArgs, d *download) error {
 	ctx, cancel := context.WithTimeout(ctx, chunkTimeout)
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -301,10 +301,10 @@
 	default:
 		t.Fatal("the newer register isn't fetched")
 	}
-	id, _, behind := b.pickSource(RegistrySnapshot, nil)
-	qt.Check(t, behind, qt.IsTrue)
-	qt.Check(t, id, qt.Equals, topology.HostID("a"))
-	qt.Check(t, b.fetchNewest(context.Background(), b.fetchers[RegistrySnapshot]), qt.IsTrue)
+	picked := b.pickSource(RegistrySnapshot, nil)
+	qt.Check(t, picked.behind, qt.IsTrue)
+	qt.Check(t, picked.host, qt.Equals, topology.HostID("a"))
+	qt.Check(t, b.fetchNewest(context.Background(), b.fetchers[RegistrySnapshot]), qt.Equals, fetchDone)
 	_, register := b.opts.Catalog.Versions()
 	qt.Check(t, register.Revision, qt.Equals, uint64(5))
 }
--- a/internal/gossip/metrics.go
+++ b/internal/gossip/metrics.go
@@ -37,6 +37,7 @@
 	}
 	fetchesCompleted = metrics.NewCounter(`nettlewalk_snapshot_fetches_total{outcome="completed"}`)
 	fetchesBusy      = metrics.NewCounter(`nettlewalk_snapshot_fetches_total{outcome="busy"}`)
+	fetchesSlow      = metrics.NewCounter(`nettlewalk_snapshot_fetches_total{outcome="slow"}`)
 	fetchesFailed    = metrics.NewCounter(`nettlewalk_snapshot_fetches_total{outcome="failed"}`)
 )
 
@@ -46,6 +47,8 @@
 		fetchesCompleted.Inc()
 	case errors.Is(err, errSourceBusy):
 		fetchesBusy.Inc()
+	case errors.Is(err, errSourceSlow):
+		fetchesSlow.Inc()
 	default:
 		fetchesFailed.Inc()
 	}
--- a/internal/gossip/snapshot.go
+++ b/internal/gossip/snapshot.go
@@ -194,27 +194,29 @@
 	return nil
 }
 
-// offerReceived decodes a received snapshot and offers it to the catalog.
-func (g *Gossip) offerReceived(kind SnapshotKind, e *encodedSnapshot, sender string) error {
+// offerReceived decodes a received snapshot, offers it to the catalog and returns its
+// position.
+func (g *Gossip) offerReceived(kind SnapshotKind, e *encodedSnapshot, sender string) (catalog.StorePosition, error) {
 	if kind == RegistrySnapshot {
 		var data registryData
 		if err := decodeSnapshot(e.data, &data); err != nil {
-			return err
+			return catalog.StorePosition{}, err
 		}
 		r := data.registry()
 		e.source = r
 		g.offerRegistry(r, sender)
-	} else {
-		var data configurationData
-		if err := decodeSnapshot(e.data, &data); err != nil {
-			return err
-		}
-		c := data.configuration()
-		e.source = c
-		g.offerConfiguration(c, sender)
+		g.snapshots.put(kind, e)
+		return r.Position(), nil
 	}
+	var data configurationData
+	if err := decodeSnapshot(e.data, &data); err != nil {
+		return catalog.StorePosition{}, err
+	}
+	c := data.configuration()
+	e.source = c
+	g.offerConfiguration(c, sender)
 	g.snapshots.put(kind, e)
-	return nil
+	return catalog.StorePosition{Revision: c.Version}, nil
 }
 
 // offerConfiguration offers a configuration of another host to the catalog.
--- a/internal/gossip/transfer.go
+++ b/internal/gossip/transfer.go
@@ -10,11 +10,11 @@
 )
 
 const (
-	// chunkBytes is how much of a snapshot one call returns. Exchanges that queue
-	// behind a chunk on a link of 2 Mbit/s wait for half of exchangeTimeout.
+	// chunkBytes is how much of a snapshot one call returns. Exchanges queue behind a
+	// chunk on a full link, and must not take longer than exchangeTimeout for that.
 	chunkBytes = 32 << 10
 	// maxUploads is how many hosts may fetch snapshots of more than one chunk from a
-	// host at the same time, for each kind.
+	// host at the same time, for each kind. The last chunk is never refused.
 	maxUploads = 2
 	// uploadIdleTimeout is the time without a call after which an upload no longer
 	// counts: the caller has given up.
--- a/internal/gossip/transfer_test.go
+++ b/internal/gossip/transfer_test.go
@@ -129,10 +129,10 @@
 	a.opts.Catalog.OfferConfiguration(largeConfiguration(7, 10))
 	a.exchange(context.Background(), "b")
 	f := b.fetchers[ConfigurationSnapshot]
-	qt.Check(t, b.fetchNewest(context.Background(), f), qt.IsFalse)
+	qt.Check(t, b.fetchNewest(context.Background(), f), qt.Equals, fetchFailed)
 	qt.Check(t, b.opts.Catalog.Configuration(), qt.IsNil)
 	c.corrupt = false
-	qt.Check(t, b.fetchNewest(context.Background(), f), qt.IsTrue)
+	qt.Check(t, b.fetchNewest(context.Background(), f), qt.Equals, fetchDone)
 	qt.Check(t, b.opts.Catalog.Configuration(), qt.DeepEquals, a.opts.Catalog.Configuration())
 }
 
@@ -148,8 +148,7 @@
 	qt.Assert(t, a.Service().Exchange(&earlier, &reply), qt.IsNil)
 	qt.Check(t, reply.NewConfiguration.Version, qt.Equals, uint64(9))
 	b.recordSender(&Digest{From: a.self, Configuration: 9})
-	_, _, behind := b.pickSource(ConfigurationSnapshot, nil)
-	qt.Check(t, behind, qt.IsFalse, qt.Commentf("a host that doesn't fetch can't be fetched from"))
+	qt.Check(t, b.pickSource(ConfigurationSnapshot, nil).behind, qt.IsFalse, qt.Commentf("a host that doesn't fetch can't be fetched from"))
 }
 
 // Hosts that read the store by themselves must send the same bytes, or a download that
