platform: a read of the store lasts as long as its data arrives

Cause: one fixed time bounded a whole call to the store (700 ms for a poll, 1 s otherwise), whatever the size of the answer. 2.3 MB (14,000 routes of 164 bytes) take 1.84 s at 10 Mbit/s, and 700 KB (4,266 routes) take 1.12 s at half of that.

Ruled out: a longer fixed time, which only moves the size at which it fails, and notices a silent store later. An answer by difference: the poll is there because a watch may stop delivering, so it must not rest on one.

Change: the time limits of an attempt count from the last data that arrived, and the transfer of one answer ends after 30 s. After a read a host pauses for twice the time that it took, so that polls of one kind take at most a third of a slow link: without it they would take all of it at 14,000 routes, where the read is as long as the period. A poll that gets no data now also counts as "store unreachable" in the log and in nettlewalk_store_up; the context of the caller hid that before.

--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -50,7 +50,7 @@
 }
 
 const (
-	storeTimeout = 1 * time.Second  // per call to the store, which usually answers in milliseconds
+	storeTimeout = 1 * time.Second  // without data from the store, which usually answers in milliseconds
 	watchWait    = 20 * time.Second // each watch costs one call; the polls cover a watch that delivers no events
 	// groupCheckInterval is the interval between checks for groups without a watcher.
 	groupCheckInterval = 1500 * time.Millisecond
--- a/internal/catalog/poll.go
+++ b/internal/catalog/poll.go
@@ -50,7 +50,8 @@
 	List(ctx context.Context, kind string) (platform.List, error)
 }
 
-// readTimeout bounds one read, which normally takes milliseconds.
+// readTimeout is how long a read may get no data. It normally ends within milliseconds,
+// but a large answer takes long over a slow link.
 const readTimeout = 700 * time.Millisecond
 
 // Poll reads the configuration whenever a read is due, until ctx ends. rank
@@ -97,6 +98,7 @@
 // ends.
 func poll(ctx context.Context, schedule Schedule, lastRead func() time.Time, rank func() int, read func(ctx context.Context, sent time.Time) error) {
 	scheduler := readScheduler{schedule: schedule, startedAt: steady.Now()}
+	readCtx := platform.WithCallTimeout(platform.WithoutRetry(ctx), readTimeout)
 	ticker := time.NewTicker(pollCheckInterval)
 	defer ticker.Stop()
 	for {
@@ -109,9 +111,7 @@
 		if !scheduler.due(lastRead(), rank(), sent) {
 			continue
 		}
-		readCtx, cancel := context.WithTimeout(platform.WithoutRetry(ctx), readTimeout)
 		err := read(readCtx, sent)
-		cancel()
-		scheduler.recordResult(err == nil, steady.Now())
+		scheduler.recordRead(err == nil, sent, steady.Now())
 	}
 }
--- a/internal/catalog/schedule.go
+++ b/internal/catalog/schedule.go
@@ -26,6 +26,10 @@
 	// rankDelay staggers the readers: the first one reads, and the others read
 	// only if they don't learn of that read within one gossip round.
 	rankDelay = 350 * time.Millisecond
+	// readPauseFactor is the pause after a read, as a multiple of the time that it took.
+	// A host spends at most a third of its time, and so of a slow link, on reads of one
+	// kind.
+	readPauseFactor = 2
 )
 
 // ConfigurationSchedule returns the schedule for configurations that must take
@@ -54,7 +58,7 @@
 type readScheduler struct {
 	schedule       Schedule
 	startedAt      time.Time     // when this process started polling
-	retryAt        time.Time     // no read before this time, after a failed read
+	retryAt        time.Time     // no read before this time, after a failed or long read
 	failureBackoff time.Duration // delay after the last read, if that read failed
 }
 
@@ -80,3 +84,11 @@
 	s.failureBackoff = min(max(2*s.failureBackoff, rankDelay), s.schedule.Period)
 	s.retryAt = now.Add(s.failureBackoff)
 }
+
+// recordRead records the end of a read whose request was sent at sentAt.
+func (s *readScheduler) recordRead(ok bool, sentAt, now time.Time) {
+	s.recordResult(ok, now)
+	if ok {
+		s.retryAt = now.Add(readPauseFactor * now.Sub(sentAt))
+	}
+}
--- a/internal/catalog/schedule_test.go
+++ b/internal/catalog/schedule_test.go
@@ -136,3 +136,40 @@
 	}
 	qt.Check(t, ctx.Err(), qt.IsNil)
 }
+
+// soleReader simulates a host whose reads nobody shares. Each takes the given time. It
+// returns the share of time spent on reads, and the longest time from an answer that just
+// missed a change to the end of the read that brings it.
+func soleReader(readTime, duration time.Duration) (share float64, maxDelay time.Duration) {
+	start := time.Unix(1000, 0)
+	scheduler := readScheduler{schedule: ConfigurationSchedule(3 * time.Second), startedAt: start}
+	var last time.Time // when the newest read was sent
+	var reading time.Duration
+	for now := start; now.Before(start.Add(duration)); now = now.Add(pollCheckInterval) {
+		if !scheduler.due(last, 0, now) {
+			continue
+		}
+		sent := now
+		now = now.Add(readTime)
+		scheduler.recordRead(true, sent, now)
+		if !last.IsZero() {
+			maxDelay = max(maxDelay, now.Sub(last))
+		}
+		last, reading = sent, reading+readTime
+	}
+	return float64(reading) / float64(duration), maxDelay
+}
+
+// Reads of a large configuration over a slow link must leave most of it to callers.
+func TestLongReadsLeaveTheLinkToOthers(t *testing.T) {
+	for _, readTime := range []time.Duration{10 * time.Millisecond, 560 * time.Millisecond, 1840 * time.Millisecond, 10 * time.Second} {
+		share, _ := soleReader(readTime, 10*time.Minute)
+		qt.Check(t, share < 0.34, qt.IsTrue, qt.Commentf("%s: %.2f", readTime, share))
+	}
+}
+
+// The pause after a read from a slow store must not make a change take effect too late.
+func TestSlowReadsBringChangesInTime(t *testing.T) {
+	_, delay := soleReader(readTimeout, 10*time.Minute)
+	qt.Check(t, delay <= 3*time.Second, qt.IsTrue, qt.Commentf("%s", delay))
+}
--- a/internal/catalog/slowlink_test.go
+++ b/internal/catalog/slowlink_test.go
@@ -91,8 +91,8 @@
 	for _, test := range []struct {
 		routes int
 		rate   rate.Limit
-	}{{14_000, slowLinkRate}, {4_266, slowLinkRate / 2}} {
-		t.Run(fmt.Sprint(test.routes), func(t *testing.T) {
+	}{{14_000, slowLinkRate}, {4_266, slowLinkRate / 2}, {4_266, slowLinkRate / 5}} {
+		t.Run(fmt.Sprintf("%d routes, %.0f bytes per second", test.routes, test.rate), func(t *testing.T) {
 			c := qt.New(t)
 			addr, reads := startStore(c, test.routes)
 			link := newSlowLink(test.rate)
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -21,7 +21,7 @@
 	operation string // get, list, put, delete or watch
 	kind      string
 	decode    func(body []byte) error // parses the body of a successful response
-	timeout   time.Duration           // 0 means Options.CallTimeout
+	timeout   time.Duration           // until the answer begins; 0 means Options.CallTimeout
 	noteEra   func(era uint64)        // called with the era of a successful answer; may be nil
 }
 
@@ -34,13 +34,9 @@
 		c.metrics.count(req, "over_budget")
 		return err
 	}
-	timeout := req.timeout
-	if timeout == 0 {
-		timeout = c.opts.CallTimeout
-	}
-	attemptCtx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	err := c.attempt(attemptCtx, req)
+	attemptCtx, progress, stop := c.limits(ctx, req).start(ctx)
+	defer stop()
+	err := c.attempt(attemptCtx, req, progress)
 	if ctx.Err() == nil { // an attempt that the caller canceled says nothing about the platform
 		c.reachability.record(!isRetryable(err), time.Now())
 	}
@@ -58,7 +54,7 @@
 	return nil
 }
 
-func (c *Client) attempt(ctx context.Context, req request) error {
+func (c *Client) attempt(ctx context.Context, req request, progress *progress) error {
 	httpReq, err := http.NewRequestWithContext(ctx, req.Method, "http://"+c.opts.Addr+req.Path, bytes.NewReader(req.Body))
 	if err != nil {
 		return errors.Wrap(err, "platform request")
@@ -76,7 +72,7 @@
 		return classifyTransportError(err, connected.Load())
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(progress.reader(resp.Body), maxResponseBytes))
 	if err != nil {
 		return &errOutcomeUnknown{cause: err}
 	}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -16,12 +16,13 @@
 )
 
 const (
-	defaultCallTimeout  = 2 * time.Second                    // for one attempt
+	defaultCallTimeout  = 2 * time.Second                    // until an answer begins, and without data after that
+	maxTransferTime     = 30 * time.Second                   // of one answer; ends one whose data trickles
 	defaultRetryTimeout = 5 * time.Second                    // for one call including its retries; a deadline of ctx may end it earlier
 	retryInitialDelay   = 50 * time.Millisecond              // before the second attempt
 	retryMaxDelay       = 1 * time.Second                    // upper limit of the exponential backoff
 	defaultWatchWait    = 3 * time.Second                    // a dead connection is detected after this time plus watchGrace
-	watchGrace          = 1 * time.Second                    // extra time for the response of a watch to arrive
+	watchGrace          = 1 * time.Second                    // extra time for the response of a watch to begin
 	listPageSize        = 100                                // objects per page
 	maxIdleConns        = 8                                  // idle connections kept open to the platform
 	dialTimeout         = 1 * time.Second                    // for opening a connection to the platform
@@ -36,7 +37,7 @@
 	Budget float64
 	// Dial opens connections; nil means plain TCP.
 	Dial        func(ctx context.Context, network, addr string) (net.Conn, error)
-	CallTimeout time.Duration // of one attempt; 0 means 2 s
+	CallTimeout time.Duration // until the platform answers, and between parts of its answer; 0 means 2 s
 	WatchWait   time.Duration // how long the platform holds a watch without changes; 0 means 3 s
 	Dialect     Dialect       // HTTP form of the API; nil means the proxy's own platform API
 	Metrics     *metrics.Set  // nil disables metrics
