customer: a list goes on after the pages that arrived

Cause: a page that took longer than pageTimeout (2 s) was discarded with all pages before it, and the list began again, at the next source. Pages have 256 KB, and up to 8 hosts share one source's link.

Ruled out: a longer time for a page, which leaves a silent source later; fewer hosts to a source, which deepens the tree and only moves the load at which it fails.

Change: the pages that arrived are kept, and the next attempt continues after them, at another source too; the list has the lowest revision of its pages, so that the deltas from there contain what a page lacks. After a late page the next ones of that list are half as large, 8 KB at least. A source that doesn't know MaxBytes answers as before.

Not measured: a real fleet, more than one source.

Left: an abandoned page is still transmitted, and a pull of deltas (256 KB a kind) still has a fixed time.

--- a/internal/customer/puller.go
+++ b/internal/customer/puller.go
@@ -8,7 +8,6 @@
 	"github.com/cockroachdb/errors"
 
 	"nettlewalk.example/nettlewalk/internal/peer"
-	"nettlewalk.example/nettlewalk/internal/platform"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
@@ -32,7 +31,8 @@
 type puller struct {
 	opts       SyncerOptions
 	role       func() TreeRole
-	firstRound chan struct{} // closed after the first round over the sources
+	firstRound chan struct{}           // closed after the first round over the sources
+	partial    map[string]*partialList // unfinished lists by kind; used by run only
 
 	mu              sync.Mutex
 	sourceAgeAtPull time.Duration // age of the source's configuration at pulledAt
@@ -45,7 +45,7 @@
 // newPuller returns a puller that is not running yet. Without seeds the first
 // round counts as failed from the start.
 func newPuller(opts SyncerOptions, role func() TreeRole) *puller {
-	p := &puller{opts: opts, role: role, firstRound: make(chan struct{})}
+	p := &puller{opts: opts, role: role, firstRound: make(chan struct{}), partial: map[string]*partialList{}}
 	if opts.SeedCaller == nil || len(opts.Seeds) == 0 {
 		p.endRound(false)
 	}
@@ -147,31 +147,39 @@
 	}
 }
 
-// readPages reads all objects of a kind from the source and replaces the local
-// collection with them.
+// readPages reads all objects of a kind and replaces the local collection with them. It
+// continues an earlier attempt that ended before the last page.
 func (p *puller) readPages(ctx context.Context, from source, kind string) error {
-	list := platform.List{}
-	args := &PageArgs{Kind: kind}
-	for first := true; ; first = false {
+	partial := p.partialList(kind)
+	for {
 		var page Page
+		args := &PageArgs{Kind: kind, After: partial.after, MaxBytes: partial.pageBytes}
+		startedAt := time.Now()
 		if err := p.call(ctx, from, "Page", pageTimeout, args, &page); err != nil {
+			if time.Since(startedAt) >= pageTimeout {
+				partial.notePageLate()
+			}
 			return err
 		}
-		if first {
-			list.Revision = page.Revision
-		}
-		for _, item := range page.Items {
-			object := platform.Object{Kind: kind, Name: item.Name, Version: item.Version, Value: item.Value}
-			list.Objects = append(list.Objects, object)
-		}
+		partial.add(page, time.Now())
 		if !page.More {
-			p.opts.Store.ResetAt(kind, list, time.Time{})
+			delete(p.partial, kind)
+			p.opts.Store.ResetAt(kind, partial.list, time.Time{})
 			return nil
 		}
-		args.After = page.Items[len(page.Items)-1].Name
 	}
 }
 
+// partialList returns the pages of a kind that were read so far, if any.
+func (p *puller) partialList(kind string) *partialList {
+	partial := p.partial[kind]
+	if partial == nil || time.Since(partial.lastPageAt) > partialListMaxAge {
+		partial = &partialList{lastPageAt: time.Now()}
+		p.partial[kind] = partial
+	}
+	return partial
+}
+
 // call invokes a method of the configuration service at the source.
 func (p *puller) call(ctx context.Context, to source, method string, timeout time.Duration, args, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
--- a/internal/customer/service.go
+++ b/internal/customer/service.go
@@ -12,6 +12,7 @@
 
 const (
 	maxResponseBytes = 256 << 10        // object data per response
+	minPageBytes     = 8 << 10          // object data per page, if a requester asks for less
 	maxPullWait      = 10 * time.Second // upper bound of PullArgs.Wait
 )
 
@@ -36,8 +37,9 @@
 
 // PageArgs requests the objects of a kind whose names sort after a name.
 type PageArgs struct {
-	Kind  string
-	After string
+	Kind     string
+	After    string
+	MaxBytes int // of object data; 0: as much as the source returns at most
 }
 
 // StatusArgs requests the versions of an object.
@@ -93,7 +95,7 @@
 
 // Page returns one page of the objects of a kind.
 func (s *Service) Page(args *PageArgs, reply *Page) error {
-	page, ok := s.store.Page(args.Kind, args.After, maxResponseBytes)
+	page, ok := s.store.Page(args.Kind, args.After, args.pageBytes())
 	if !ok {
 		return result.New(result.NoConfiguration, "this host has not loaded all objects of kind %s yet", args.Kind)
 	}
@@ -101,6 +103,13 @@
 	return nil
 }
 
+func (a *PageArgs) pageBytes() int {
+	if a.MaxBytes == 0 {
+		return maxResponseBytes
+	}
+	return min(max(a.MaxBytes, minPageBytes), maxResponseBytes)
+}
+
 // Status returns the latest and the active version of an object at this host.
 func (s *Service) Status(args *StatusArgs, reply *StatusReply) error {
 	var object platform.Object
