relay: ends of sessions are counted by reason

Change: SetDraining takes the reason, `session closed` logs it, nettlewalk_sessions_closed_total{reason} and nettlewalk_statements_after_close_total count. No decision changes.

Ruled out: a counter label per database or caller; the log has them.

Measured: go test -race ./internal/relay ./test/docs ./cmd/nettlewalk pass.

--- a/cmd/nettlewalk/fleetready.go
+++ b/cmd/nettlewalk/fleetready.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"time"
+
+	"nettlewalk.example/nettlewalk/internal/relay"
 )
 
 func (h *fleetHost) isReady() bool {
@@ -59,7 +61,11 @@
 			return
 		}
 		closeIdle := h.isIsolated() && h.failedProbes.Load() >= probeFailureThreshold
-		if h.relay.SetDraining(closeIdle) {
+		reason := relay.NotDraining
+		if closeIdle {
+			reason = relay.Isolated
+		}
+		if h.relay.SetDraining(reason) {
 			h.log.Info("closing of idle sessions switched", "on", closeIdle, "sessions", h.relay.Sessions())
 		}
 	}
@@ -86,7 +92,7 @@
 	defer cancel()
 	go h.duty.Release(releaseCtx)
 	time.Sleep(deregistrationDelay)
-	h.relay.SetDraining(true)
+	h.relay.SetDraining(relay.ShuttingDown)
 	_ = callers.Close()
 	time.Sleep(max(0, h.settings.GracePeriod/2-time.Since(start)))
 	h.relay.AbortTransactions()
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -1,9 +1,11 @@
 package relay
 
 import (
+	"io"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 
 	"nettlewalk.example/nettlewalk/internal/statement"
 )
@@ -25,3 +27,38 @@
 	metrics.GetOrCreateCounter(`nettlewalk_statements_total{kind="` + kind + `",code="` + a.Code.String() + `"}`).Inc()
 	metrics.GetOrCreateHistogram(`nettlewalk_statement_seconds{kind="` + kind + `"}`).Update(time.Since(r.arrivedAt).Seconds())
 }
+
+// closeReason tells why a session ended.
+type closeReason string
+
+const (
+	closedShuttingDown closeReason = "shutting_down" // by this host, between requests
+	closedIsolated     closeReason = "isolated"      // by this host, between requests
+	closedByCaller     closeReason = "caller_left"
+	closedByError      closeReason = "error"
+)
+
+// sessionsClosed counts the sessions that ended after they were established.
+var sessionsClosed = map[closeReason]*metrics.Counter{
+	closedShuttingDown: metrics.NewCounter(`nettlewalk_sessions_closed_total{reason="shutting_down"}`),
+	closedIsolated:     metrics.NewCounter(`nettlewalk_sessions_closed_total{reason="isolated"}`),
+	closedByCaller:     metrics.NewCounter(`nettlewalk_sessions_closed_total{reason="caller_left"}`),
+	closedByError:      metrics.NewCounter(`nettlewalk_sessions_closed_total{reason="error"}`),
+}
+
+// statementsAfterClose counts statements that arrived after this host had closed
+// their session. None of them ran.
+var statementsAfterClose = metrics.NewCounter("nettlewalk_statements_after_close_total")
+
+// closeReason returns why a session ends after an error of Next.
+func (s *Server) closeReason(err error) closeReason {
+	switch {
+	case errors.Is(err, ErrSessionEnded), errors.Is(err, io.EOF):
+		return closedByCaller
+	case !errors.Is(err, ErrNoMessage):
+		return closedByError
+	case s.drainReason() == ShuttingDown:
+		return closedShuttingDown
+	}
+	return closedIsolated // possibly in contact again meanwhile; a stop is never taken back
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -35,8 +35,8 @@
 	mu       sync.Mutex
 	sessions map[*session]bool
 
-	draining         atomic.Bool // idle sessions are closed
-	aborting         atomic.Bool // open transactions are aborted
+	draining         atomic.Int32 // a DrainReason
+	aborting         atomic.Bool  // open transactions are aborted
 	forwardedCounter *metrics.Counter
 	sampler          *lineSampler
 	forwardedTxs     *txTable
@@ -102,12 +102,22 @@
 	return len(s.sessions)
 }
 
-// SetDraining starts or stops draining. While draining, the server closes every
-// session that is between two requests and has no open transaction. SetDraining
-// reports whether the call changed the state.
-func (s *Server) SetDraining(on bool) (changed bool) {
-	changed = s.draining.Swap(on) != on
-	if changed && on {
+// DrainReason tells why a server drains.
+type DrainReason int32
+
+// The reasons to drain.
+const (
+	NotDraining  DrainReason = iota // idle sessions stay open
+	ShuttingDown                    // the host is about to stop
+	Isolated                        // the host can't serve most requests, others probably can
+)
+
+// SetDraining starts draining for a reason, or stops it with NotDraining. While
+// draining, the server closes every session that is between two requests and has no
+// open transaction. SetDraining reports whether the call changed the state.
+func (s *Server) SetDraining(reason DrainReason) (changed bool) {
+	changed = s.draining.Swap(int32(reason)) != int32(reason)
+	if changed && reason != NotDraining {
 		s.interruptSessions()
 	}
 	return changed
@@ -162,7 +172,8 @@
 	return true
 }
 
-func (s *Server) isDraining() bool         { return s.draining.Load() }
+func (s *Server) drainReason() DrainReason { return DrainReason(s.draining.Load()) }
+func (s *Server) isDraining() bool         { return s.drainReason() != NotDraining }
 func (s *Server) abortsTransactions() bool { return s.aborting.Load() }
 
 func (s *Server) transactionIdleTimeout() time.Duration {
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -60,6 +60,7 @@
 		}
 		answer := s.serve(ctx, &st)
 		if err := s.caller.Answer(&answer); err != nil {
+			sessionsClosed[closedByError].Inc()
 			s.log.Info("answer not delivered", "request", st.ID, "session", s.state.id, "database", s.database,
 				"code", answer.Code.String(), "result", int(answer.Code.Result()), "error", err.Error())
 			return
@@ -153,13 +154,16 @@
 // close ends a session after an error of Next. If this host closes the session, a
 // statement in flight gets no answer; the log then shows that it didn't run.
 func (s *session) close(err error) {
-	if !errors.Is(err, ErrNoMessage) {
-		return // closed by the caller
+	reason := s.server.closeReason(err)
+	sessionsClosed[reason].Inc()
+	if reason == closedByCaller || reason == closedByError {
+		return
 	}
-	s.log.Info("session closed", "session", s.state.id, "database", s.database, "reason", "draining",
+	s.log.Info("session closed", "session", s.state.id, "database", s.database, "reason", string(reason),
 		"last_request", s.lastStatementID, "idle_ms", time.Since(s.lastAnswerAt).Milliseconds())
 	s.caller.CloseWrite()
 	if st, err := s.caller.Next(time.Now().Add(lateStatementWait)); err == nil {
+		statementsAfterClose.Inc()
 		s.log.Info("statement arrived after its session was closed and did not run", "request", st.ID, "session", s.state.id,
 			"database", s.database, "last_request", s.lastStatementID)
 	}
--- a/internal/relay/session_test.go
+++ b/internal/relay/session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"testing"
 	"time"
 
@@ -48,7 +49,7 @@
 // answer, and waits for them no longer than closeGracePeriod.
 func TestDrainingSessionServesImmediateStatements(t *testing.T) {
 	f := newFixture(t, catalog.BoundedAge)
-	f.server.SetDraining(true)
+	f.server.SetDraining(ShuttingDown)
 	c := &scriptedCaller{statements: []statement.Statement{read("a"), read("b")}}
 	for i := range c.statements {
 		c.statements[i].ID = "q"
@@ -64,7 +65,7 @@
 // A statement that arrives after its session was closed is logged under its ID.
 func TestStatementArrivingAfterSessionCloseIsLogged(t *testing.T) {
 	f := newFixture(t, catalog.BoundedAge)
-	f.server.SetDraining(true)
+	f.server.SetDraining(ShuttingDown)
 	late := read("b")
 	late.ID = "late"
 	s := f.server.newSession(&scriptedCaller{lateStatements: []statement.Statement{late}})
@@ -75,11 +76,33 @@
 	qt.Check(t, lines[1], qt.Contains, `"request"="late"`)
 }
 
+// The log and the metrics tell why a session was closed and whether a statement
+// arrived too late.
+func TestSessionCloseIsCountedByReason(t *testing.T) {
+	late := read("b")
+	for reason, want := range map[DrainReason]closeReason{ShuttingDown: closedShuttingDown, Isolated: closedIsolated} {
+		f := newFixture(t, catalog.BoundedAge)
+		f.server.SetDraining(reason)
+		closed, arrived := sessionsClosed[want].Get(), statementsAfterClose.Get()
+		s := f.server.newSession(&scriptedCaller{lateStatements: []statement.Statement{late}})
+		var lines []string
+		s.log = funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{})
+		s.run(context.Background())
+		qt.Check(t, sessionsClosed[want].Get(), qt.Equals, closed+1)
+		qt.Check(t, statementsAfterClose.Get(), qt.Equals, arrived+1)
+		qt.Check(t, lines[0], qt.Contains, `"reason"="`+string(want)+`"`)
+	}
+	f := newFixture(t, catalog.BoundedAge)
+	qt.Check(t, f.server.closeReason(ErrSessionEnded), qt.Equals, closedByCaller)
+	qt.Check(t, f.server.closeReason(io.EOF), qt.Equals, closedByCaller)
+	qt.Check(t, f.server.closeReason(io.ErrUnexpectedEOF), qt.Equals, closedByError)
+}
+
 // A session that answered a moment ago is most likely in the middle of an operation.
 // It gets a grace period before it is closed, and only one.
 func TestActiveSessionGetsOneGracePeriod(t *testing.T) {
 	f := newFixture(t, catalog.BoundedAge)
-	f.server.SetDraining(true)
+	f.server.SetDraining(ShuttingDown)
 	f.lastAnswerAt = time.Now()
 	qt.Check(t, f.continueAfter(ErrNoMessage), qt.IsTrue)
 	qt.Check(t, f.continueAfter(ErrNoMessage), qt.IsFalse)
