platform: a statement that has begun to arrive is awaited

A draining host closed sessions in the middle of a statement: a caller on a slow link reads EOF while its statement is under way.

Cause: after the deadline only whole statements counted.

--- a/internal/relay/caller.go
+++ b/internal/relay/caller.go
@@ -24,8 +24,9 @@
 	Ready() error
 	// Refuse rejects the startup with an error.
 	Refuse(code statement.Code, detail string) error
-	// Next reads the next statement. It returns ErrNoMessage if none arrives before
-	// the deadline. A zero deadline means no time limit.
+	// Next reads the next statement. It returns ErrNoMessage if none begins to arrive
+	// before the deadline, or if its rest doesn't arrive within a limit. A zero
+	// deadline means no time limit.
 	Next(deadline time.Time) (statement.Statement, error)
 	// Answer sends the answer to the last statement.
 	Answer(a *statement.Answer) error
