relay: an interrupt between a session's check and its read isn't lost

A session whose host began to drain, or to abort transactions, at that moment stayed open until its caller's next statement; a planned stop then cut it at the end of the grace period.

Cause: Next sets the read deadline anew, and overwrote the one of an Interrupt that came after the session had looked at the server's state.

Change: an interrupt lasts until the session clears it, which it does before it looks at the server's state.

Ruled out: an interrupt that lasts until Next has returned once; it would have taken the grace from a session that was answering while the drain began.

--- a/internal/relay/caller.go
+++ b/internal/relay/caller.go
@@ -30,8 +30,12 @@
 	Next(deadline time.Time) (statement.Statement, error)
 	// Answer sends the answer to the last statement.
 	Answer(a *statement.Answer) error
-	// Interrupt makes a blocked Next return ErrNoMessage.
+	// Interrupt makes Next, blocked now or called later, return what has arrived or
+	// ErrNoMessage without waiting.
 	Interrupt()
+	// ClearInterrupt ends the effect of earlier calls of Interrupt. Whoever calls it
+	// looks afterwards at what the interrupts were for.
+	ClearInterrupt()
 	// CloseWrite tells the caller that no more answers follow. Next can still read.
 	CloseWrite()
 	Close()
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -47,6 +47,7 @@
 	}
 	defer s.endTransaction()
 	for {
+		s.caller.ClearInterrupt()
 		if s.tx != nil && s.tx.running() && s.server.abortsTransactions() {
 			s.abortTransaction("host is shutting down")
 		}
@@ -162,6 +163,7 @@
 	s.log.Info("session closed", "session", s.state.id, "database", s.database, "reason", string(reason),
 		"last_request", s.lastStatementID, "idle_ms", time.Since(s.lastAnswerAt).Milliseconds())
 	s.caller.CloseWrite()
+	s.caller.ClearInterrupt()
 	if st, err := s.caller.Next(time.Now().Add(lateStatementWait)); err == nil {
 		statementsAfterClose.Inc()
 		s.log.Info("statement arrived after its session was closed and did not run", "request", st.ID, "session", s.state.id,
--- a/internal/relay/session_test.go
+++ b/internal/relay/session_test.go
@@ -26,6 +26,7 @@
 func (c *scriptedCaller) Ready() error                        { return nil }
 func (c *scriptedCaller) Refuse(statement.Code, string) error { return nil }
 func (c *scriptedCaller) Interrupt()                          {}
+func (c *scriptedCaller) ClearInterrupt()                     {}
 func (c *scriptedCaller) CloseWrite()                         { c.halfClosed = true }
 func (c *scriptedCaller) Close()                              {}
 func (c *scriptedCaller) Answer(a *statement.Answer) error {
