relay: a session accepted while draining gets time for its first statement

Callers whose connection a draining host accepted got READY and, 30 ms later, the close. A caller of another failure domain had its first statement under way then and got no answer to it.

Cause: the grace of 30 ms is for callers that send immediately after an answer; the first statement follows READY, so it takes a whole round trip.

Change: a session without a statement so far waits for 100 ms, more than a round trip between failure domains, once.

Ruled out: refusing START with BUSY; an isolated host still serves some reads, and the platform sends callers there if it has no other host for them.

Measured: TestDrainingHostAwaitsFirstStatement fails three times of three on the code before (EOF) and passes three times of three; with -race.

--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -98,6 +98,18 @@
 // answer: many callers send the next one immediately, and it would cross the close.
 const closeGracePeriod = 30 * time.Millisecond
 
+// newSessionGracePeriod is how long a draining session waits for its first statement:
+// more than a round trip between failure domains.
+const newSessionGracePeriod = 100 * time.Millisecond
+
+// gracePeriod returns how long a draining session waits for a statement.
+func (s *session) gracePeriod() time.Duration {
+	if s.lastStatementID == "" {
+		return newSessionGracePeriod
+	}
+	return closeGracePeriod
+}
+
 // nextStatement waits for the next statement, in a running transaction no longer
 // than its idle timeout.
 func (s *session) nextStatement() (statement.Statement, error) {
@@ -105,7 +117,7 @@
 	switch {
 	case s.tx == nil && s.server.isDraining():
 		s.graceGiven = true
-		deadline = time.Now().Add(closeGracePeriod)
+		deadline = time.Now().Add(s.gracePeriod())
 	case s.tx != nil && s.tx.running():
 		if idle := s.server.transactionIdleTimeout(); idle > 0 {
 			deadline = time.Now().Add(idle)
