relay: a session that the host closes lingers until its caller's end

A message that arrived more than 60 ms after the close reset the connection, and answers that the caller had not received yet were lost with it.

Cause: after its half-close the session read one statement, for 60 ms at most, and closed the socket.

Change: it reads until the caller's end, for 1 s at most (lingerTimeout), and counts and logs each statement; none is run. After the first one it reads for 60 ms more: whoever keeps to the protocol has received the earlier answers by then and waits for the end. The half-close now comes before the log line. nettlewalk_session_linger_seconds shows whether callers end at once.

The protocol has one statement under way at a time, so a caller that keeps to it can't lose an answer this way unless something between holds bytes; not seen.

The scripted caller ends its session once it sees the close, and the test of the reasons also checks that nothing was run or answered.

--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -50,6 +50,9 @@
 // their session. None of them ran.
 var statementsAfterClose = metrics.NewCounter("nettlewalk_statements_after_close_total")
 
+// lingerSeconds measures how long callers take to end a session that this host closed.
+var lingerSeconds = metrics.NewHistogram("nettlewalk_session_linger_seconds")
+
 // closeReason returns why a session ends after an error of Next.
 func (s *Server) closeReason(err error) closeReason {
 	switch {
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -160,9 +160,13 @@
 	return true
 }
 
-// lateStatementWait is how long a session that this host closed still reads, to
-// detect a statement in flight: more than a round trip between failure domains.
-const lateStatementWait = 60 * time.Millisecond
+const (
+	// lingerTimeout limits how long a session that this host closed still reads.
+	lingerTimeout = time.Second
+	// lateStatementWait is how long it reads after a statement that arrived too late:
+	// whoever sends one has received the answers before it, and waits for the end.
+	lateStatementWait = 60 * time.Millisecond
+)
 
 // close ends a session after an error of Next. If this host closes the session, a
 // statement in flight gets no answer; the log then shows that it didn't run.
@@ -172,17 +176,39 @@
 	if reason == closedByCaller || reason == closedByError {
 		return
 	}
+	s.caller.CloseWrite() // before the log line, since nothing that arrives from here on is answered
 	s.log.Info("session closed", "session", s.state.id, "database", s.database, "reason", string(reason),
 		"last_request", s.lastStatementID, "idle_ms", time.Since(s.lastAnswerAt).Milliseconds())
-	s.caller.CloseWrite()
-	s.caller.ClearInterrupt()
-	if st, err := s.caller.Next(time.Now().Add(lateStatementWait)); err == nil {
-		statementsAfterClose.Inc()
-		s.log.Info("statement arrived after its session was closed and did not run", "request", st.ID, "session", s.state.id,
-			"database", s.database, "last_request", s.lastStatementID)
+	s.linger()
+}
+
+// linger reads until the caller ends the session too: unread or late messages would
+// reset the connection and discard answers that are still under way. It counts and
+// logs statements, and runs none.
+func (s *session) linger() {
+	start := time.Now()
+	defer func() { lingerSeconds.Update(time.Since(start).Seconds()) }()
+	for deadline := start.Add(lingerTimeout); time.Now().Before(deadline); {
+		s.caller.ClearInterrupt()
+		st, err := s.caller.Next(deadline)
+		switch {
+		case err == nil:
+			s.recordLateStatement(&st)
+			if end := time.Now().Add(lateStatementWait); end.Before(deadline) {
+				deadline = end
+			}
+		case !errors.Is(err, ErrNoMessage) && !errors.Is(err, ErrMalformed):
+			return
+		}
 	}
 }
 
+func (s *session) recordLateStatement(st *statement.Statement) {
+	statementsAfterClose.Inc()
+	s.log.Info("statement arrived after its session was closed and did not run", "request", st.ID, "session", s.state.id,
+		"database", s.database, "last_request", s.lastStatementID)
+}
+
 func (s *session) route() (catalog.Route, bool) {
 	c := s.server.opts.Catalog.Configuration()
 	if c == nil {
--- a/internal/relay/session_test.go
+++ b/internal/relay/session_test.go
@@ -35,8 +35,8 @@
 }
 func (c *scriptedCaller) Next(deadline time.Time) (statement.Statement, error) {
 	c.deadlines = append(c.deadlines, deadline)
-	if c.halfClosed && len(c.lateStatements) > 0 {
-		return c.lateStatements[0], nil
+	if c.halfClosed {
+		return c.nextLate()
 	}
 	if len(c.statements) == 0 {
 		return statement.Statement{}, ErrNoMessage
@@ -46,6 +46,16 @@
 	return st, nil
 }
 
+// nextLate returns the late statements, and then the caller's end.
+func (c *scriptedCaller) nextLate() (statement.Statement, error) {
+	if len(c.lateStatements) == 0 {
+		return statement.Statement{}, ErrSessionEnded
+	}
+	st := c.lateStatements[0]
+	c.lateStatements = c.lateStatements[1:]
+	return st, nil
+}
+
 // A draining session serves the statements that its caller sends right after an
 // answer, and waits for them no longer than closeGracePeriod.
 func TestDrainingSessionServesImmediateStatements(t *testing.T) {
@@ -85,13 +95,17 @@
 		f := newFixture(t, catalog.BoundedAge)
 		f.server.SetDraining(reason)
 		closed, arrived := sessionsClosed[want].Get(), statementsAfterClose.Get()
-		s := f.server.newSession(&scriptedCaller{lateStatements: []statement.Statement{late}})
+		c := &scriptedCaller{lateStatements: []statement.Statement{late}}
+		s := f.server.newSession(c)
 		var lines []string
 		s.log = funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{})
 		s.run(context.Background())
 		qt.Check(t, sessionsClosed[want].Get(), qt.Equals, closed+1)
 		qt.Check(t, statementsAfterClose.Get(), qt.Equals, arrived+1)
 		qt.Check(t, lines[0], qt.Contains, `"reason"="`+string(want)+`"`)
+		qt.Check(t, c.answers, qt.HasLen, 0)
+		qt.Check(t, f.leader.receivedTexts(), qt.HasLen, 0)
+		qt.Check(t, f.replica.receivedTexts(), qt.HasLen, 0)
 	}
 	f := newFixture(t, catalog.BoundedAge)
 	qt.Check(t, f.server.closeReason(ErrSessionEnded), qt.Equals, closedByCaller)
