--- a/cmd/nettlewalk/fleetready.go
+++ b/cmd/nettlewalk/fleetready.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"nettlewalk.example/nettlewalk/internal/relay"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
@@ -61,7 +62,11 @@
 			return
 		}
 		closeIdle := h.isIsolated() && h.failedProbes.Load() >= probeFailureThreshold
-		if h.relay.SetDraining(closeIdle) {
+		reason := relay.NotDraining
+		if closeIdle {
+			reason = relay.Isolated
+		}
+		if h.relay.SetDraining(reason) {
 			h.logIsolation(closeIdle)
 		}
 	}
@@ -100,7 +105,7 @@
 	defer cancel()
 	go h.duty.Release(releaseCtx)
 	time.Sleep(deregistrationDelay)
-	h.relay.SetDraining(true)
+	h.relay.SetDraining(relay.ShuttingDown)
 	_ = callers.Close()
 	time.Sleep(max(0, h.settings.GracePeriod/2-time.Since(start)))
 	h.relay.AbortTransactions()
--- a/internal/relay/caller.go
+++ b/internal/relay/caller.go
@@ -24,13 +24,18 @@
 	Ready() error
 	// Refuse rejects the startup with an error.
 	Refuse(code statement.Code, detail string) error
-	// Next reads the next statement. It returns ErrNoMessage if none arrives before
-	// the deadline. A zero deadline means no time limit.
+	// Next reads the next statement. It returns ErrNoMessage if none begins to arrive
+	// before the deadline, or if its rest doesn't arrive within a limit. A zero
+	// deadline means no time limit.
 	Next(deadline time.Time) (statement.Statement, error)
 	// Answer sends the answer to the last statement.
 	Answer(a *statement.Answer) error
-	// Interrupt makes a blocked Next return ErrNoMessage.
+	// Interrupt makes Next, blocked now or called later, return what has arrived or
+	// ErrNoMessage without waiting.
 	Interrupt()
+	// ClearInterrupt ends the effect of earlier calls of Interrupt. Whoever calls it
+	// looks afterwards at what the interrupts were for.
+	ClearInterrupt()
 	// CloseWrite tells the caller that no more answers follow. Next can still read.
 	CloseWrite()
 	Close()
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -47,6 +47,7 @@
 	}
 	defer s.endTransaction()
 	for {
+		s.caller.ClearInterrupt()
 		if s.tx != nil && s.tx.running() && s.server.abortsTransactions() {
 			s.abortTransaction("host is shutting down")
 		}
@@ -60,6 +61,7 @@
 		}
 		answer := s.serve(ctx, &st)
 		if err := s.caller.Answer(&answer); err != nil {
+			sessionsClosed[closedByError].Inc()
 			s.log.Info("answer not delivered", "request", st.ID, "session", s.state.id, "database", s.database,
 				"code", answer.Code.String(), "result", int(answer.Code.Result()), "error", err.Error())
 			return
@@ -96,6 +98,18 @@
 // answer: many callers send the next one immediately, and it would cross the close.
 const closeGracePeriod = 30 * time.Millisecond
 
+// newSessionGracePeriod is how long a draining session waits for its first statement:
+// more than a round trip between failure domains.
+const newSessionGracePeriod = 100 * time.Millisecond
+
+// gracePeriod returns how long a draining session waits for a statement.
+func (s *session) gracePeriod() time.Duration {
+	if s.lastStatementID == "" {
+		return newSessionGracePeriod
+	}
+	return closeGracePeriod
+}
+
 // nextStatement waits for the next statement, in a running transaction no longer
 // than its idle timeout.
 func (s *session) nextStatement() (statement.Statement, error) {
@@ -103,7 +117,7 @@
 	switch {
 	case s.tx == nil && s.server.isDraining():
 		s.graceGiven = true
-		deadline = time.Now().Add(closeGracePeriod)
+		deadline = time.Now().Add(s.gracePeriod())
 	case s.tx != nil && s.tx.running():
 		if idle := s.server.transactionIdleTimeout(); idle > 0 {
 			deadline = time.Now().Add(idle)
@@ -146,25 +160,55 @@
 	return true
 }
 
-// lateStatementWait is how long a session that this host closed still reads, to
-// detect a statement in flight: more than a round trip between failure domains.
-const lateStatementWait = 60 * time.Millisecond
+const (
+	// lingerTimeout limits how long a session that this host closed still reads.
+	lingerTimeout = time.Second
+	// lateStatementWait is how long it reads after a statement that arrived too late:
+	// whoever sends one has received the answers before it, and waits for the end.
+	lateStatementWait = 60 * time.Millisecond
+)
 
 // close ends a session after an error of Next. If this host closes the session, a
 // statement in flight gets no answer; the log then shows that it didn't run.
 func (s *session) close(err error) {
-	if !errors.Is(err, ErrNoMessage) {
-		return // closed by the caller
+	reason := s.server.closeReason(err)
+	sessionsClosed[reason].Inc()
+	if reason == closedByCaller || reason == closedByError {
+		return
 	}
-	s.log.Info("session closed", "session", s.state.id, "database", s.database, "reason", "draining",
+	s.caller.CloseWrite() // before the log line, since nothing that arrives from here on is answered
+	s.log.Info("session closed", "session", s.state.id, "database", s.database, "reason", string(reason),
 		"last_request", s.lastStatementID, "idle_ms", time.Since(s.lastAnswerAt).Milliseconds())
-	s.caller.CloseWrite()
-	if st, err := s.caller.Next(time.Now().Add(lateStatementWait)); err == nil {
-		s.log.Info("statement arrived after its session was closed and did not run", "request", st.ID, "session", s.state.id,
-			"database", s.database, "last_request", s.lastStatementID)
+	s.linger()
+}
+
+// linger reads until the caller ends the session too: unread or late messages would
+// reset the connection and discard answers that are still under way. It counts and
+// logs statements, and runs none.
+func (s *session) linger() {
+	start := time.Now()
+	defer func() { lingerSeconds.Update(time.Since(start).Seconds()) }()
+	for deadline := start.Add(lingerTimeout); time.Now().Before(deadline); {
+		s.caller.ClearInterrupt()
+		st, err := s.caller.Next(deadline)
+		switch {
+		case err == nil:
+			s.recordLateStatement(&st)
+			if end := time.Now().Add(lateStatementWait); end.Before(deadline) {
+				deadline = end
+			}
+		case !errors.Is(err, ErrNoMessage) && !errors.Is(err, ErrMalformed):
+			return
+		}
 	}
 }
 
+func (s *session) recordLateStatement(st *statement.Statement) {
+	statementsAfterClose.Inc()
+	s.log.Info("statement arrived after its session was closed and did not run", "request", st.ID, "session", s.state.id,
+		"database", s.database, "last_request", s.lastStatementID)
+}
+
 func (s *session) route() (catalog.Route, bool) {
 	c := s.server.opts.Catalog.Configuration()
 	if c == nil {
