session: test of statements that arrive as a drain begins

No fault was shown, and nothing is changed: the reader goroutine of a session doesn't depend on read deadlines, and closeWithError sends 57P01 (210, not run) and reads until the client's end.

--- a/internal/session/lifecycle_test.go
+++ b/internal/session/lifecycle_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/binary"
+	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -72,6 +74,43 @@
 	qt.Assert(t, <-drained, qt.IsNil)
 }
 
+// A statement that reaches the host as it begins to drain is either run and answered,
+// or refused with an error that promises that it did not run.
+func TestDrainAnswersOrRefusesEachReceivedStatement(t *testing.T) {
+	const clients = 60
+	router := &fakeRouter{}
+	srv, addr := startServer(t, router, nil)
+	all := make([]*rawClient, clients)
+	for i := range all {
+		all[i] = login(t, addr, "crew")
+	}
+	drained := make(chan error, 1)
+	for i, client := range all {
+		if i == clients/2 {
+			go func() { drained <- srv.Drain(testContext(t)) }()
+		}
+		client.send(simpleQuery(fmt.Sprintf("insert %d", i)))
+	}
+	ran, refused := 0, 0
+	for i, client := range all {
+		answer := client.until("E")
+		executed := slices.Contains(router.executedStatements(), fmt.Sprintf("insert %d", i))
+		switch answer {
+		case "INSERT 0 1 ZI E57P01":
+			ran++
+			qt.Check(t, executed, qt.IsTrue)
+		case "E57P01":
+			refused++
+			qt.Check(t, executed, qt.IsFalse)
+		default:
+			t.Errorf("statement %d: %s", i, answer)
+		}
+		_ = client.conn.Close()
+	}
+	t.Logf("%d statements ran, %d were refused", ran, refused)
+	qt.Check(t, <-drained, qt.IsNil)
+}
+
 func TestDrainAbortsRequestsAtItsDeadline(t *testing.T) {
 	router := &fakeRouter{}
 	blockSlowStatements(router)
