relay: an interrupt doesn't end a session's grace period

Callers got READY, or an answer, from a host that began to drain, sent their next statement at once, and read EOF.

Cause: SetDraining sets the state and then interrupts the sessions one after the other. A session that had seen the state and had begun its grace was interrupted later, and counted the grace as over.

Change: the grace period has an end; a session that is interrupted before it waits on.

--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -34,7 +34,7 @@
 	tx              *transaction      // nil: none is open
 	lastAnswerAt    time.Time         // when the last answer was sent; initially the start of the session
 	lastStatementID string            // ID of the last answered statement
-	graceGiven      bool              // the session is draining and has been given its grace period
+	graceUntil      time.Time         // end of the grace period since the last answer; zero: none was given
 	noWait          bool              // refuse forwarded statements rather than queue them
 	forPeer         bool              // serves a transaction of another host's session
 	log             logr.Logger
@@ -66,7 +66,7 @@
 				"code", answer.Code.String(), "result", int(answer.Code.Result()), "error", err.Error())
 			return
 		}
-		s.lastAnswerAt, s.graceGiven, s.lastStatementID = time.Now(), false, st.ID
+		s.lastAnswerAt, s.graceUntil, s.lastStatementID = time.Now(), time.Time{}, st.ID
 	}
 }
 
@@ -116,8 +116,10 @@
 	var deadline time.Time
 	switch {
 	case s.tx == nil && s.server.isDraining():
-		s.graceGiven = true
-		deadline = time.Now().Add(s.gracePeriod())
+		if s.graceUntil.IsZero() {
+			s.graceUntil = time.Now().Add(s.gracePeriod())
+		}
+		deadline = s.graceUntil
 	case s.tx != nil && s.tx.running():
 		if idle := s.server.transactionIdleTimeout(); idle > 0 {
 			deadline = time.Now().Add(idle)
@@ -150,13 +152,16 @@
 // of an operation: several statements with short pauses.
 const operationGap = 200 * time.Millisecond
 
-// grantGrace tells whether a draining session gets a grace period before it is
-// closed. A session gets only one after each answer.
+// grantGrace tells whether a draining session is in its grace period, which an
+// interrupt doesn't end. A session gets only one after each answer.
 func (s *session) grantGrace() bool {
-	if s.graceGiven || time.Since(s.lastAnswerAt) > operationGap {
+	if !s.graceUntil.IsZero() {
+		return time.Now().Before(s.graceUntil)
+	}
+	if time.Since(s.lastAnswerAt) > operationGap {
 		return false
 	}
-	s.graceGiven = true
+	s.graceUntil = time.Now().Add(s.gracePeriod())
 	return true
 }
 
