--- a/internal/relay/session_test.go
+++ b/internal/relay/session_test.go
@@ -128,3 +128,25 @@
 	f.lastAnswerAt, f.graceUntil = time.Now().Add(-time.Second), time.Time{}
 	qt.Check(t, f.continueAfter(ErrNoMessage), qt.IsFalse)
 }
+
+// interruptedCaller is interrupted whenever it waits for a statement.
+type interruptedCaller struct{ scriptedCaller }
+
+func (c *interruptedCaller) Next(time.Time) (statement.Statement, error) {
+	return statement.Statement{}, ErrNoMessage
+}
+
+// A drain that is over before a session notices its interrupt must not abort the
+// session's transaction as idle for too long.
+func TestInterruptDoesNotAbortTransaction(t *testing.T) {
+	f := newFixture(t, catalog.LatestData)
+	f.config.TransactionIdle = time.Minute
+	f.caller = &interruptedCaller{}
+	qt.Assert(t, f.serveStatement(begin).OK(), qt.IsTrue)
+	qt.Assert(t, f.serveStatement(read("a")).OK(), qt.IsTrue)
+	qt.Assert(t, f.tx.running(), qt.IsTrue)
+	_, err := f.nextStatement()
+	qt.Assert(t, f.continueAfter(err), qt.IsTrue)
+	qt.Check(t, f.tx.running(), qt.IsTrue)
+	qt.Check(t, f.serveStatement(read("b")).OK(), qt.IsTrue)
+}
