relay: an interrupt doesn't abort an open transaction

Cause: each end of a wait without a statement, outside a drain, counted as the idle timeout, also that of an interrupt whose drain was over by then.

Change: the transaction is aborted only if its idle timeout has passed.

Ruled out: a change while draining; idle transactions are then left until AbortTransactions, as before.

--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -33,6 +33,7 @@
 	floor           topology.Position // log position of the session's last acknowledged commit
 	tx              *transaction      // nil: none is open
 	lastAnswerAt    time.Time         // when the last answer was sent; initially the start of the session
+	idleUntil       time.Time         // when the running transaction is idle for too long; zero: no limit
 	lastStatementID string            // ID of the last answered statement
 	graceUntil      time.Time         // end of the grace period since the last answer; zero: none was given
 	noWait          bool              // refuse forwarded statements rather than queue them
@@ -114,6 +115,7 @@
 // than its idle timeout.
 func (s *session) nextStatement() (statement.Statement, error) {
 	var deadline time.Time
+	s.idleUntil = time.Time{}
 	switch {
 	case s.tx == nil && s.server.isDraining():
 		if s.graceUntil.IsZero() {
@@ -122,7 +124,8 @@
 		deadline = s.graceUntil
 	case s.tx != nil && s.tx.running():
 		if idle := s.server.transactionIdleTimeout(); idle > 0 {
-			deadline = time.Now().Add(idle)
+			s.idleUntil = time.Now().Add(idle)
+			deadline = s.idleUntil
 		}
 	}
 	return s.caller.Next(deadline)
@@ -142,12 +145,18 @@
 		return true
 	case s.tx == nil && s.server.isDraining():
 		return s.grantGrace()
-	case s.tx != nil && s.tx.running() && !s.server.isDraining():
+	case s.tx != nil && s.tx.running() && !s.server.isDraining() && s.idleForTooLong():
 		s.abortTransaction("idle for too long")
 	}
 	return true
 }
 
+// idleForTooLong tells whether the idle timeout has passed. An interrupt may end the
+// wait for a statement before.
+func (s *session) idleForTooLong() bool {
+	return !s.idleUntil.IsZero() && !time.Now().Before(s.idleUntil)
+}
+
 // A caller that got an answer less than operationGap ago is most likely in the middle
 // of an operation: several statements with short pauses.
 const operationGap = 200 * time.Millisecond
--- a/internal/relay/session_test.go
+++ b/internal/relay/session_test.go
@@ -149,4 +149,7 @@
 	qt.Assert(t, f.continueAfter(err), qt.IsTrue)
 	qt.Check(t, f.tx.running(), qt.IsTrue)
 	qt.Check(t, f.serveStatement(read("b")).OK(), qt.IsTrue)
+	f.idleUntil = time.Now().Add(-time.Millisecond) // the timeout has passed
+	qt.Assert(t, f.continueAfter(err), qt.IsTrue)
+	qt.Check(t, f.tx.failed, qt.IsTrue)
 }
