--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -33,8 +33,9 @@
 	floor           topology.Position // log position of the session's last acknowledged commit
 	tx              *transaction      // nil: none is open
 	lastAnswerAt    time.Time         // when the last answer was sent; initially the start of the session
+	idleUntil       time.Time         // when the running transaction is idle for too long; zero: no limit
 	lastStatementID string            // ID of the last answered statement
-	graceGiven      bool              // the session is draining and has been given its grace period
+	graceUntil      time.Time         // end of the grace period since the last answer; zero: none was given
 	noWait          bool              // refuse forwarded statements rather than queue them
 	forPeer         bool              // serves a transaction of another host's session
 	log             logr.Logger
@@ -66,7 +67,7 @@
 				"code", answer.Code.String(), "result", int(answer.Code.Result()), "error", err.Error())
 			return
 		}
-		s.lastAnswerAt, s.graceGiven, s.lastStatementID = time.Now(), false, st.ID
+		s.lastAnswerAt, s.graceUntil, s.lastStatementID = time.Now(), time.Time{}, st.ID
 	}
 }
 
@@ -114,13 +115,17 @@
 // than its idle timeout.
 func (s *session) nextStatement() (statement.Statement, error) {
 	var deadline time.Time
+	s.idleUntil = time.Time{}
 	switch {
 	case s.tx == nil && s.server.isDraining():
-		s.graceGiven = true
-		deadline = time.Now().Add(s.gracePeriod())
+		if s.graceUntil.IsZero() {
+			s.graceUntil = time.Now().Add(s.gracePeriod())
+		}
+		deadline = s.graceUntil
 	case s.tx != nil && s.tx.running():
 		if idle := s.server.transactionIdleTimeout(); idle > 0 {
-			deadline = time.Now().Add(idle)
+			s.idleUntil = time.Now().Add(idle)
+			deadline = s.idleUntil
 		}
 	}
 	return s.caller.Next(deadline)
@@ -140,23 +145,32 @@
 		return true
 	case s.tx == nil && s.server.isDraining():
 		return s.grantGrace()
-	case s.tx != nil && s.tx.running() && !s.server.isDraining():
+	case s.tx != nil && s.tx.running() && !s.server.isDraining() && s.idleForTooLong():
 		s.abortTransaction("idle for too long")
 	}
 	return true
 }
 
+// idleForTooLong tells whether the idle timeout has passed. An interrupt may end the
+// wait for a statement before.
+func (s *session) idleForTooLong() bool {
+	return !s.idleUntil.IsZero() && !time.Now().Before(s.idleUntil)
+}
+
 // A caller that got an answer less than operationGap ago is most likely in the middle
 // of an operation: several statements with short pauses.
 const operationGap = 200 * time.Millisecond
 
-// grantGrace tells whether a draining session gets a grace period before it is
-// closed. A session gets only one after each answer.
+// grantGrace tells whether a draining session is in its grace period, which an
+// interrupt doesn't end. A session gets only one after each answer.
 func (s *session) grantGrace() bool {
-	if s.graceGiven || time.Since(s.lastAnswerAt) > operationGap {
+	if !s.graceUntil.IsZero() {
+		return time.Now().Before(s.graceUntil)
+	}
+	if time.Since(s.lastAnswerAt) > operationGap {
 		return false
 	}
-	s.graceGiven = true
+	s.graceUntil = time.Now().Add(s.gracePeriod())
 	return true
 }
 
--- a/internal/relay/session_test.go
+++ b/internal/relay/session_test.go
@@ -39,6 +39,7 @@
 		return c.nextLate()
 	}
 	if len(c.statements) == 0 {
+		time.Sleep(time.Until(deadline))
 		return statement.Statement{}, ErrNoMessage
 	}
 	st := c.statements[0]
@@ -119,8 +120,36 @@
 	f := newFixture(t, catalog.BoundedAge)
 	f.server.SetDraining(ShuttingDown)
 	f.lastAnswerAt = time.Now()
+	f.lastStatementID = "q"
 	qt.Check(t, f.continueAfter(ErrNoMessage), qt.IsTrue)
+	qt.Check(t, time.Until(f.graceUntil) <= closeGracePeriod, qt.IsTrue)
+	f.graceUntil = time.Now().Add(-time.Millisecond) // it has passed
 	qt.Check(t, f.continueAfter(ErrNoMessage), qt.IsFalse)
-	f.lastAnswerAt, f.graceGiven = time.Now().Add(-time.Second), false
+	f.lastAnswerAt, f.graceUntil = time.Now().Add(-time.Second), time.Time{}
 	qt.Check(t, f.continueAfter(ErrNoMessage), qt.IsFalse)
 }
+
+// interruptedCaller is interrupted whenever it waits for a statement.
+type interruptedCaller struct{ scriptedCaller }
+
+func (c *interruptedCaller) Next(time.Time) (statement.Statement, error) {
+	return statement.Statement{}, ErrNoMessage
+}
+
+// A drain that is over before a session notices its interrupt must not abort the
+// session's transaction as idle for too long.
+func TestInterruptDoesNotAbortTransaction(t *testing.T) {
+	f := newFixture(t, catalog.LatestData)
+	f.config.TransactionIdle = time.Minute
+	f.caller = &interruptedCaller{}
+	qt.Assert(t, f.serveStatement(begin).OK(), qt.IsTrue)
+	qt.Assert(t, f.serveStatement(read("a")).OK(), qt.IsTrue)
+	qt.Assert(t, f.tx.running(), qt.IsTrue)
+	_, err := f.nextStatement()
+	qt.Assert(t, f.continueAfter(err), qt.IsTrue)
+	qt.Check(t, f.tx.running(), qt.IsTrue)
+	qt.Check(t, f.serveStatement(read("b")).OK(), qt.IsTrue)
+	f.idleUntil = time.Now().Add(-time.Millisecond) // the timeout has passed
+	qt.Assert(t, f.continueAfter(err), qt.IsTrue)
+	qt.Check(t, f.tx.failed, qt.IsTrue)
+}
