--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -57,9 +57,9 @@
 	// StoreEra the store's newest era that it knows of.
 	Register catalog.StorePosition
 	StoreEra uint64
-	// Fetches tells that the sender fetches newer snapshots by itself and lets others
+	// FetchesSnapshots tells that the sender fetches newer snapshots by itself and lets others
 	// fetch its own. Hosts of earlier versions don't.
-	Fetches bool
+	FetchesSnapshots bool
 	// Sum is a checksum over Hosts and Claims. Both are omitted if the latest
 	// digest of the other host had the same Sum.
 	Sum   uint64
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -66,7 +66,7 @@
 func (g *Gossip) buildDigest(recipient topology.HostID) Digest {
 	d := Digest{Claims: g.claims.Claims(), Offers: g.opts.Offers()}
 	d.Configuration, d.Register = g.opts.Catalog.Versions()
-	d.Fetches = true
+	d.FetchesSnapshots = true
 	if g.opts.StoreEra != nil {
 		d.StoreEra = g.opts.StoreEra()
 	}
@@ -178,7 +178,7 @@
 		g.sharersBuiltAt = time.Time{}
 	}
 	k.host, k.lastHeard, k.silent, k.offers, k.lastSum = sender, now, false, d.Offers, d.Sum
-	k.configuration, k.register, k.fetchable = d.Configuration, d.Register, d.Fetches
+	k.configuration, k.register, k.fetchable = d.Configuration, d.Register, d.FetchesSnapshots
 }
 
 // mergeHeard merges when another host last saw other hosts, as ages at sentAt.
@@ -207,7 +207,7 @@
 	g.mergeDigest(args)
 	reply.Digest = g.buildDigest(args.From.Addr)
 	reply.Leases = g.grantLeases(args)
-	if !args.Fetches {
+	if !args.FetchesSnapshots {
 		g.attachSnapshots(args, reply)
 	}
 	g.wakeFetchers(args)
--- a/internal/gossip/fetch.go
+++ b/internal/gossip/fetch.go
@@ -70,6 +70,9 @@
 	}
 }
 
+// reset forgets the download.
+func (f *fetcher) reset() { f.download, f.slowSources = download{}, 0 }
+
 // runFetcher fetches newer snapshots until ctx ends.
 func (g *Gossip) runFetcher(ctx context.Context, f *fetcher) {
 	for {
@@ -113,6 +116,7 @@
 		s := g.pickSource(f.kind, tried)
 		switch {
 		case !s.behind || ctx.Err() != nil:
+			f.reset()
 			return fetchDone
 		case s.host == "" || busy.After(s.position):
 			if busy != (catalog.StorePosition{}) {
@@ -209,7 +213,7 @@
 		}
 	}
 	received := *d
-	*d, f.slowSources = download{}, 0
+	f.reset()
 	e, err := received.encoded()
 	if err != nil {
 		return err
--- a/internal/gossip/fetch_test.go
+++ b/internal/gossip/fetch_test.go
@@ -65,7 +65,7 @@
 	for _, g := range []*Gossip{a, b} {
 		g.opts.Catalog.OfferConfiguration(&catalog.Configuration{Version: 2})
 	}
-	b.recordSender(&Digest{From: a.self, Configuration: 3, Fetches: true})
+	b.recordSender(&Digest{From: a.self, Configuration: 3, FetchesSnapshots: true})
 	for range 5 {
 		b.fetchNewest(context.Background(), b.fetchers[ConfigurationSnapshot])
 	}
