--- a/internal/gossip/spread_test.go
+++ b/internal/gossip/spread_test.go
@@ -155,3 +155,26 @@
 	received := link.received.Load() - receivedBefore
 	qt.Check(t, received < 2*int64(len(encoded.data)), qt.IsTrue, qt.Commentf("%d bytes for a snapshot of %d", received, len(encoded.data)))
 }
+
+// A configuration reaches many hosts in time although each serves few downloads at once.
+func TestLargeConfigurationReachesManyHosts(t *testing.T) {
+	const hosts, routes = 24, 5_000
+	var domains []topology.Domain
+	dial := map[topology.HostID]target.DialFunc{}
+	for i := range hosts {
+		domains = append(domains, []topology.Domain{"north", "south", "coast", "west"}[i%4])
+		dial[topology.HostID(rune('a'+i))] = newSlowLink(10e6 / 8).dial
+	}
+	n := newRealNetwork(t, domains, dial)
+	n.eventually("all hosts are connected", 10*time.Second, n.connected)
+	n.hosts["a"].opts.Catalog.OfferConfiguration(largeConfiguration(2, routes))
+	n.hosts["a"].TriggerRound()
+	n.eventually("the configuration is in force on all hosts", applyTimeout, func() bool {
+		for _, g := range n.hosts {
+			if version, _ := g.opts.Catalog.Versions(); version != 2 {
+				return false
+			}
+		}
+		return true
+	})
+}
