tests: a file for each job; tests for mechanisms that none guarded

Seven turned no test red: the offset at which a download continues (its test's chunks were all alike; sharpened), the numbering of gob types, the forgotten part of a download, the counts by reason, the growing retry delay, smaller pages and the age of an unfinished list.

--- a/internal/customer/pages_test.go
+++ b/internal/customer/pages_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -71,3 +72,29 @@
 	qt.Check(t, (&PageArgs{MaxBytes: partial.pageBytes}).pageBytes(), qt.Equals, minPageBytes)
 	qt.Check(t, (&PageArgs{MaxBytes: 1 << 30}).pageBytes(), qt.Equals, maxResponseBytes)
 }
+
+// After a late page the next ones are smaller, down to a limit.
+func TestLatePageMakesTheNextOnesSmaller(t *testing.T) {
+	p := &partialList{}
+	p.notePageLate()
+	qt.Check(t, p.pageBytes, qt.Equals, maxResponseBytes/2)
+	p.notePageLate()
+	qt.Check(t, p.pageBytes, qt.Equals, maxResponseBytes/4)
+	for range 10 {
+		p.notePageLate()
+	}
+	qt.Check(t, p.pageBytes, qt.Equals, minPageBytes)
+}
+
+// Sources know the changes since an old page no longer: the list begins again.
+func TestOldPartialListIsNotContinued(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &puller{partial: map[string]*partialList{}}
+		begun := p.partialList("customer")
+		begun.add(Page{Kind: "customer", Revision: 5, Items: []Item{{Name: "a", Version: 3}}}, time.Now())
+		time.Sleep(partialListMaxAge)
+		qt.Check(t, p.partialList("customer"), qt.Equals, begun)
+		time.Sleep(time.Second)
+		qt.Check(t, p.partialList("customer").after, qt.Equals, "")
+	})
+}
--- a/internal/gossip/fetch_test.go
+++ b/internal/gossip/fetch_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
@@ -110,3 +112,70 @@
 	version, _ := b.opts.Catalog.Versions()
 	qt.Check(t, version, qt.Equals, uint64(3))
 }
+
+// A host that receives a digest with a newer registry snapshot must fetch it at once.
+func TestNewerRegisterIsFetchedAtOnce(t *testing.T) {
+	n := newFakeNetwork("north", "south")
+	n.runRounds()
+	a, b := n.hosts["a"], n.hosts["b"]
+	a.opts.Catalog.OfferRegistry(&catalog.Registry{Revision: 5})
+	a.exchange(context.Background(), "b")
+	select {
+	case <-b.fetchers[RegistrySnapshot].wake:
+	default:
+		t.Fatal("the newer register isn't fetched")
+	}
+	picked := b.pickSource(RegistrySnapshot, nil)
+	qt.Check(t, picked.behind, qt.IsTrue)
+	qt.Check(t, picked.host, qt.Equals, topology.HostID("a"))
+	qt.Check(t, b.fetchNewest(context.Background(), b.fetchers[RegistrySnapshot]), qt.Equals, fetchDone)
+	_, register := b.opts.Catalog.Versions()
+	qt.Check(t, register.Revision, qt.Equals, uint64(5))
+}
+
+// A host that got the configuration from elsewhere keeps no part of an unfinished download.
+func TestOutdatedDownloadIsForgotten(t *testing.T) {
+	n := newFakeNetwork("north", "south")
+	n.runRounds()
+	b := n.hosts["b"]
+	b.recordSender(&Digest{From: n.hosts["a"].self, Configuration: 3, FetchesSnapshots: true})
+	f := b.fetchers[ConfigurationSnapshot]
+	f.download, f.slowSources = download{sum: 1, size: 10, data: []byte("part")}, 1
+	b.opts.Catalog.OfferConfiguration(&catalog.Configuration{Version: 3})
+	qt.Check(t, b.fetchNewest(context.Background(), f), qt.Equals, fetchDone)
+	qt.Check(t, f.download.data, qt.IsNil)
+	qt.Check(t, f.slowSources, qt.Equals, 0)
+}
+
+// refusingNetwork fails and counts all fetches.
+type refusingNetwork struct {
+	*fakeNetwork
+	fetches int
+}
+
+func (n *refusingNetwork) Call(context.Context, topology.HostID, string, any, any) error {
+	n.fetches++
+	return errors.New("refused")
+}
+
+// A host that nobody delivers a snapshot to asks less often, at most twice in
+// maxFetchRetryDelay.
+func TestFailedFetchesBackOff(t *testing.T) {
+	const duration = 20 * maxFetchRetryDelay
+	n := newFakeNetwork("north", "south")
+	n.runRounds()
+	b := n.hosts["b"]
+	refusing := &refusingNetwork{fakeNetwork: n}
+	b.opts.Caller = refusing
+	synctest.Test(t, func(t *testing.T) {
+		f := &fetcher{kind: ConfigurationSnapshot, wake: make(chan struct{}, 1)}
+		b.recordSender(&Digest{From: n.hosts["a"].self, Configuration: 3, FetchesSnapshots: true})
+		f.request()
+		ctx, cancel := context.WithTimeout(t.Context(), duration)
+		defer cancel()
+		b.runFetcher(ctx, f)
+	})
+	const untilLongest = 4 // fetches until the delay has grown to maxFetchRetryDelay
+	qt.Check(t, refusing.fetches <= untilLongest+int(2*duration/maxFetchRetryDelay), qt.IsTrue, qt.Commentf("%d fetches", refusing.fetches))
+	qt.Check(t, refusing.fetches > untilLongest, qt.IsTrue)
+}
--- a/internal/gossip/spread_test.go
+++ b/internal/gossip/spread_test.go
@@ -4,56 +4,19 @@
 	"context"
 	"fmt"
 	"net"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
-	"golang.org/x/time/rate"
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
 	"nettlewalk.example/nettlewalk/internal/peer"
 	"nettlewalk.example/nettlewalk/internal/target"
 	"nettlewalk.example/nettlewalk/internal/topology"
+	"nettlewalk.example/nettlewalk/test/slowlink"
 )
 
-// slowLink is a host's network link: its connections share a limited bandwidth for
-// the bytes that it receives.
-type slowLink struct {
-	limiter  *rate.Limiter // bytes per second
-	received atomic.Int64
-}
-
-// segmentBytes is how much a slowLink delivers at a time.
-const segmentBytes = 1500
-
-func newSlowLink(bytesPerSecond float64) *slowLink {
-	return &slowLink{limiter: rate.NewLimiter(rate.Limit(bytesPerSecond), segmentBytes)}
-}
-
-func (l *slowLink) dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
-	if err != nil {
-		return nil, err
-	}
-	return &slowConn{Conn: conn, link: l}, nil
-}
-
-type slowConn struct {
-	net.Conn
-	link *slowLink
-}
-
-func (c *slowConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p[:min(len(p), segmentBytes)])
-	if n > 0 {
-		c.link.received.Add(int64(n))
-		_ = c.link.limiter.WaitN(context.Background(), n) // can't fail: n is at most the burst
-	}
-	return n, err
-}
-
 // realNetwork connects several Gossips by peer connections over loopback.
 type realNetwork struct {
 	t     *testing.T
@@ -131,8 +94,8 @@
 // A configuration whose transfer takes longer than an exchange reaches a host behind a
 // slow link in time, and that host stays in contact meanwhile.
 func TestLargeConfigurationReachesHostBehindSlowLink(t *testing.T) {
-	link := newSlowLink(10e6 / 8)
-	n := newRealNetwork(t, []topology.Domain{"north", "south", "coast", "west"}, map[topology.HostID]target.DialFunc{"d": link.dial})
+	link := slowlink.New(slowlink.TenMbit)
+	n := newRealNetwork(t, []topology.Domain{"north", "south", "coast", "west"}, map[topology.HostID]target.DialFunc{"d": link.Dial})
 	n.eventually("all hosts are connected", 5*time.Second, n.connected)
 	slow := n.hosts["d"]
 	const routes = 20_000
@@ -140,7 +103,7 @@
 		n.hosts[id].opts.Catalog.OfferConfiguration(largeConfiguration(2, routes))
 		n.hosts[id].TriggerRound()
 	}
-	disconnected, receivedBefore := 0, link.received.Load()
+	disconnected, receivedBefore := 0, link.Received()
 	n.eventually("the configuration is in force behind the slow link", applyTimeout, func() bool {
 		if !slow.Connected() {
 			disconnected++
@@ -152,7 +115,7 @@
 	qt.Check(t, disconnected, qt.Equals, 0)
 	encoded, err := encodeSnapshot(largeConfiguration(2, routes))
 	qt.Assert(t, err, qt.IsNil)
-	received := link.received.Load() - receivedBefore
+	received := link.Received() - receivedBefore
 	qt.Check(t, received < 2*int64(len(encoded.data)), qt.IsTrue, qt.Commentf("%d bytes for a snapshot of %d", received, len(encoded.data)))
 }
 
@@ -163,7 +126,7 @@
 	dial := map[topology.HostID]target.DialFunc{}
 	for i := range hosts {
 		domains = append(domains, []topology.Domain{"north", "south", "coast", "west"}[i%4])
-		dial[topology.HostID(rune('a'+i))] = newSlowLink(10e6 / 8).dial
+		dial[topology.HostID(rune('a'+i))] = slowlink.New(slowlink.TenMbit).Dial
 	}
 	n := newRealNetwork(t, domains, dial)
 	n.eventually("all hosts are connected", 10*time.Second, n.connected)
--- a/internal/gossip/transfer_test.go
+++ b/internal/gossip/transfer_test.go
@@ -3,7 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"encoding/gob"
 	"fmt"
+	"io"
+	"os"
+	"os/exec"
 	"reflect"
 	"testing"
 	"time"
@@ -14,9 +18,12 @@
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
-// snapshotOf returns an encoding that consists of that many chunks.
+// snapshotOf returns an encoding that consists of that many chunks, each with other bytes.
 func snapshotOf(version uint64, chunks int) *encodedSnapshot {
-	data := bytes.Repeat([]byte{byte(version)}, chunks*chunkBytes)
+	var data []byte
+	for i := range chunks {
+		data = append(data, bytes.Repeat([]byte{byte(version) + byte(i)}, chunkBytes)...)
+	}
 	return &encodedSnapshot{data: data, sum: version}
 }
 
@@ -81,7 +88,7 @@
 	now := time.Unix(0, 0)
 	next(t, &first, "z", &d, snapshotOf(1, 4), now)
 	next(t, &second, "z", &d, snapshotOf(1, 4), now)
-	qt.Check(t, d.data, qt.HasLen, 2*chunkBytes)
+	qt.Check(t, bytes.Equal(d.data, snapshotOf(1, 4).data[:2*chunkBytes]), qt.IsTrue)
 	next(t, &third, "z", &d, snapshotOf(2, 4), now)
 	qt.Check(t, d.data, qt.HasLen, chunkBytes)
 	qt.Check(t, d.sum, qt.Equals, uint64(2))
@@ -171,6 +178,28 @@
 	}
 }
 
+// childEnv makes a process of the test binary print the checksum of a snapshot that it
+// encodes after other types.
+const childEnv = "GOSSIP_TEST_ENCODE"
+
+// What else a process encoded before must not change the bytes of its snapshots.
+func TestEncodingIsTheSameInAllProcesses(t *testing.T) {
+	if os.Getenv(childEnv) != "" {
+		qt.Assert(t, gob.NewEncoder(io.Discard).Encode(Digest{}), qt.IsNil)
+		e, err := encodeSnapshot(largeConfiguration(7, 10))
+		qt.Assert(t, err, qt.IsNil)
+		fmt.Printf("sum=%d\n", e.sum)
+		return
+	}
+	child := exec.Command(os.Args[0], "-test.run=^TestEncodingIsTheSameInAllProcesses$")
+	child.Env = append(os.Environ(), childEnv+"=1")
+	out, err := child.Output()
+	qt.Assert(t, err, qt.IsNil)
+	e, err := encodeSnapshot(largeConfiguration(7, 10))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, string(out), qt.Contains, fmt.Sprintf("sum=%d\n", e.sum))
+}
+
 // Guards against a field that was added to a snapshot but not to its encoding.
 func TestSnapshotsSurviveEncoding(t *testing.T) {
 	configuration := largeConfiguration(7, 10)
--- a/internal/peer/slowlink_test.go
+++ b/internal/peer/slowlink_test.go
@@ -10,41 +10,11 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
 	"go.uber.org/goleak"
-	"golang.org/x/time/rate"
 
 	"nettlewalk.example/nettlewalk/internal/topology"
+	"nettlewalk.example/nettlewalk/test/slowlink"
 )
 
-const (
-	slowLinkRate  = 10e6 / 8 // bytes per second: 10 Mbit/s
-	slowLinkChunk = 8 << 10  // bytes
-)
-
-// slowConn sends at slowLinkRate.
-type slowConn struct {
-	net.Conn
-	limiter *rate.Limiter
-}
-
-func (c *slowConn) Write(p []byte) (n int, err error) {
-	for n < len(p) {
-		part := p[n:min(len(p), n+slowLinkChunk)]
-		if err := c.limiter.WaitN(context.Background(), len(part)); err != nil {
-			return n, err
-		}
-		written, err := c.Conn.Write(part)
-		if n += written; err != nil {
-			return n, err
-		}
-	}
-	return n, nil
-}
-
-func slowDial(ctx context.Context, network, addr string) (net.Conn, error) {
-	conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
-	return &slowConn{Conn: conn, limiter: rate.NewLimiter(slowLinkRate, slowLinkChunk)}, err
-}
-
 // A connection must not be abandoned as silent while it transmits a large request.
 func TestLargeRequestOverSlowLinkKeepsItsConnection(t *testing.T) {
 	const requestBytes = 1 << 20 // takes 0.84 s
@@ -54,7 +24,7 @@
 	qt.Assert(t, server.Register("Echo", &echoService{}), qt.IsNil)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(context.Background(), l) }()
-	client := NewClient([]byte("key"), "a", func(topology.HostID) (string, bool) { return l.Addr().String(), true }, slowDial)
+	client := NewClient([]byte("key"), "a", func(topology.HostID) (string, bool) { return l.Addr().String(), true }, slowlink.New(slowlink.TenMbit).DialSending)
 	t.Cleanup(func() {
 		client.Close()
 		_ = l.Close()
