line protocol: customers in the configuration, keys of callers, connections by customer

The line protocol's path knew neither customers nor keys, so that nothing above it could tell callers apart. Nothing uses them yet: every session has the empty customer, and targets are told the same name as before.

Ruled out: an index of keys outside the configuration, which would have to be kept in step with it.

--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -25,6 +25,7 @@
 	StatementTimeout time.Duration // limit for one statement
 	LatencyGoal      time.Duration // latency objective for one operation
 	Priority         int           // 0 is the highest priority
+	Public           bool          // callers need no key
 }
 
 // Group is the configuration of one group.
@@ -34,12 +35,49 @@
 	AckReplicas    int // replicas that must receive a commit before it is acknowledged
 }
 
+// Customer is the configuration of one customer.
+type Customer struct {
+	ID       topology.CustomerID
+	Keys     []string // keys that identify the customer's callers, sorted
+	Rate     float64  // operations per second over all hosts together; 0: no limit
+	Burst    float64  // operations above Rate that may run at once
+	Priority int      // 0 is the highest priority
+}
+
 // Configuration is one complete version of the configuration.
 type Configuration struct {
 	Version         uint64
 	Routes          map[string]Route // by database name
 	Groups          map[topology.GroupID]Group
 	TransactionIdle time.Duration // idle time after which a transaction is ended; 0: no limit
+	// Customers is empty in deployments without customers. KeyOwners has the customer of
+	// each key. SetCustomers sets both.
+	Customers map[topology.CustomerID]Customer
+	KeyOwners map[string]topology.CustomerID
+}
+
+// SetCustomers sets the customers. Of two customers with the same key, the one that
+// comes first in the order of IDs gets it, so that all hosts decide alike.
+func (c *Configuration) SetCustomers(customers []Customer) {
+	if len(customers) == 0 {
+		return
+	}
+	c.Customers = make(map[topology.CustomerID]Customer, len(customers))
+	c.KeyOwners = make(map[string]topology.CustomerID, len(customers))
+	for _, customer := range customers {
+		c.Customers[customer.ID] = customer
+		for _, key := range customer.Keys {
+			if owner, taken := c.KeyOwners[key]; !taken || customer.ID < owner {
+				c.KeyOwners[key] = customer.ID
+			}
+		}
+	}
+}
+
+// CustomerByKey returns the customer that holds a key.
+func (c *Configuration) CustomerByKey(key string) (Customer, bool) {
+	id, ok := c.KeyOwners[key]
+	return c.Customers[id], ok
 }
 
 // Member is the registration of one target.
--- a/internal/gossip/snapshot.go
+++ b/internal/gossip/snapshot.go
@@ -52,6 +52,7 @@
 	Routes          []catalog.Route // sorted by database
 	Groups          []catalog.Group // sorted by ID
 	TransactionIdle time.Duration
+	Customers       []catalog.Customer // sorted by ID
 }
 
 // registryData is the same for a catalog.Registry.
@@ -77,6 +78,7 @@
 		Routes:          sortedValues(c.Routes),
 		Groups:          sortedValues(c.Groups),
 		TransactionIdle: c.TransactionIdle,
+		Customers:       sortedValues(c.Customers),
 	}
 }
 
@@ -93,6 +95,7 @@
 	for _, g := range d.Groups {
 		c.Groups[g.ID] = g
 	}
+	c.SetCustomers(d.Customers)
 	return c
 }
 
--- a/internal/gossip/transfer_test.go
+++ b/internal/gossip/transfer_test.go
@@ -205,6 +205,8 @@
 	configuration := largeConfiguration(7, 10)
 	configuration.TransactionIdle = time.Second
 	configuration.Groups["group-1"] = catalog.Group{ID: "group-1", MaxConnections: 16, AckReplicas: 1}
+	configuration.SetCustomers([]catalog.Customer{{ID: "customer-1", Keys: []string{"a", "b"}, Rate: 10, Burst: 5, Priority: 1}})
+	checkAllFieldsSet(t, reflect.ValueOf(configuration.Customers["customer-1"]))
 	registry := &catalog.Registry{Era: 2, Revision: 5, Members: map[topology.TargetID]catalog.Member{
 		"t": {Target: topology.Target{ID: "t", Group: "g", Domain: "north", Addr: "a:1", Connections: 3, Slots: 2, Leaving: true}, Primary: true, WorkSlots: 4},
 	}}
--- a/internal/group/probe.go
+++ b/internal/group/probe.go
@@ -68,7 +68,7 @@
 // probe asks a target over an idle connection whether it leads. It returns
 // false only if the target was asked and didn't answer.
 func (g *Group) probe(id topology.TargetID, pool *share.Pool) (answered bool) {
-	conn := pool.TryAcquire()
+	conn := pool.TryAcquireAny()
 	if conn == nil {
 		return true
 	}
--- a/internal/promotion/leases_test.go
+++ b/internal/promotion/leases_test.go
@@ -63,7 +63,7 @@
 func (g *unfencedGroup) Revoke(topology.GroupID)                {}
 func (g *unfencedGroup) Outstanding(topology.GroupID) time.Time { return time.Time{} }
 
-func (g *unfencedGroup) Dial(ctx context.Context, t topology.Target) (statement.Conn, error) {
+func (g *unfencedGroup) Dial(ctx context.Context, t topology.Target, _ topology.CustomerID) (statement.Conn, error) {
 	if t.ID == "new" {
 		<-ctx.Done()
 		return nil, &statement.DialError{Outcome: statement.DialTimedOut, Cause: ctx.Err()}
--- a/internal/promotion/prober.go
+++ b/internal/promotion/prober.go
@@ -66,7 +66,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeDialTimeout)
 	defer cancel()
-	conn, err := p.dialer.Dial(ctx, p.target)
+	conn, err := p.dialer.Dial(ctx, p.target, "")
 	responsive := p.handshakes.RecordDial(err, now)
 	if err == nil {
 		p.conn = conn
--- a/internal/promotion/prober_test.go
+++ b/internal/promotion/prober_test.go
@@ -14,7 +14,7 @@
 // failingDialer fails every dial with the same error.
 type failingDialer struct{ failure statement.DialError }
 
-func (d *failingDialer) Dial(context.Context, topology.Target) (statement.Conn, error) {
+func (d *failingDialer) Dial(context.Context, topology.Target, topology.CustomerID) (statement.Conn, error) {
 	return nil, &d.failure
 }
 
--- a/internal/promotion/watcher_test.go
+++ b/internal/promotion/watcher_test.go
@@ -28,7 +28,7 @@
 	requested chan Request
 }
 
-func (g *partitionedGroup) Dial(ctx context.Context, t topology.Target) (statement.Conn, error) {
+func (g *partitionedGroup) Dial(ctx context.Context, t topology.Target, _ topology.CustomerID) (statement.Conn, error) {
 	if t.ID != "p" {
 		return &partitionedGroupConn{g, t.ID}, nil
 	}
--- a/internal/relay/caller.go
+++ b/internal/relay/caller.go
@@ -15,11 +15,17 @@
 	ErrSessionEnded = errors.New("the caller ended the session")
 )
 
+// Startup is what a caller asks for when it connects.
+type Startup struct {
+	Database string
+	Key      string // identifies the customer; "": none was given
+}
+
 // Caller is the connection of one caller. Only Interrupt and Close are safe to
 // call concurrently with other methods.
 type Caller interface {
-	// ReadStartup reads the startup message and returns the requested database.
-	ReadStartup() (database string, err error)
+	// ReadStartup reads the startup message.
+	ReadStartup() (Startup, error)
 	// Ready tells the caller that the session is established.
 	Ready() error
 	// Refuse rejects the startup with an error.
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -27,6 +27,8 @@
 	// configuration refuses the statement.
 	Configuration uint64
 	Database      string
+	Key           string              // given by the caller; "": none
+	Customer      topology.CustomerID // for whom the operation runs; "": no customer
 	Statement     statement.Statement
 	Writes        bool
 	Uses          string              // name of the prepared statement that it runs; "": none
@@ -166,7 +168,7 @@
 // forwardArgs returns the statement with its session's state.
 func (r *request) forwardArgs() *RunArgs {
 	args := &RunArgs{
-		Configuration: r.session.server.configurationVersion(), Database: r.session.database, Statement: *r.st, Writes: r.writes, Uses: r.preparedName,
+		Configuration: r.session.server.configurationVersion(), Database: r.session.database, Key: r.session.key, Customer: r.session.customer, Statement: *r.st, Writes: r.writes, Uses: r.preparedName,
 		Floor: r.session.floor, Within: time.Until(r.deadline),
 	}
 	if r.preparedName != "" {
@@ -230,6 +232,7 @@
 
 // applyForwarded applies the state of another host's session to this session.
 func (s *session) applyForwarded(args *RunArgs) {
+	s.key, s.customer = args.Key, args.Customer
 	s.database, s.floor, s.noWait = args.Database, args.Floor, args.AtOnce
 	s.state.settings = s.state.settings[:0]
 	for _, v := range args.Settings {
--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -67,7 +67,7 @@
 		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue)
 		time.Sleep(time.Millisecond)
 	}
-	for pool.TryAcquire() != nil {
+	for pool.TryAcquire("") != nil {
 	}
 }
 
--- a/internal/relay/load_test.go
+++ b/internal/relay/load_test.go
@@ -27,7 +27,7 @@
 // idleDialer opens connections over which nothing is sent.
 type idleDialer struct{}
 
-func (idleDialer) Dial(context.Context, topology.Target) (statement.Conn, error) {
+func (idleDialer) Dial(context.Context, topology.Target, topology.CustomerID) (statement.Conn, error) {
 	return idleConn{}, nil
 }
 
@@ -50,7 +50,7 @@
 		inTime, late, refusedLate, refusedEarly := 0, 0, 0, 0
 		sendRequest := func() {
 			began := time.Now()
-			c, err := pool.Acquire(began.Add(route.StatementTimeout), maxQueueWait(&route, overloadServiceTime), 1)
+			c, err := pool.Acquire("", began.Add(route.StatementTimeout), maxQueueWait(&route, overloadServiceTime), 1)
 			waited := time.Since(began)
 			if err == nil {
 				time.Sleep(overloadServiceTime)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -102,7 +102,7 @@
 // fakeDialer opens connections to fake targets by target ID.
 type fakeDialer map[topology.TargetID]*fakeTarget
 
-func (d fakeDialer) Dial(_ context.Context, t topology.Target) (statement.Conn, error) {
+func (d fakeDialer) Dial(_ context.Context, t topology.Target, _ topology.CustomerID) (statement.Conn, error) {
 	f := d[t.ID]
 	if f == nil {
 		return nil, &statement.DialError{Outcome: statement.DialTimedOut, Cause: errors.New("cut")}
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -29,6 +29,8 @@
 	server          *Server
 	caller          Caller
 	database        string
+	key             string              // given by the caller; "": none
+	customer        topology.CustomerID // for whom the current operation runs; "": no customer
 	state           sessionState
 	floor           topology.Position // log position of the session's last acknowledged commit
 	tx              *transaction      // nil: none is open
@@ -73,7 +75,7 @@
 
 // start reads which database is requested. It refuses a name without a route.
 func (s *session) start() bool {
-	database, err := s.caller.ReadStartup()
+	startup, err := s.caller.ReadStartup()
 	if errors.Is(err, ErrMalformed) {
 		_ = s.caller.Refuse(statement.Malformed, "expected START database")
 		return false
@@ -81,7 +83,8 @@
 	if err != nil {
 		return false
 	}
-	s.database = database
+	database := startup.Database
+	s.database, s.key = database, startup.Key
 	if !s.server.awaitConfiguration() {
 		s.log.Info("session refused", "database", database, "code", statement.Busy.String(), "reason", "no configuration is known yet")
 		_ = s.caller.Refuse(statement.Busy, "no configuration is known yet")
--- a/internal/relay/session_test.go
+++ b/internal/relay/session_test.go
@@ -22,7 +22,7 @@
 	halfClosed     bool
 }
 
-func (c *scriptedCaller) ReadStartup() (string, error)        { return "db", nil }
+func (c *scriptedCaller) ReadStartup() (Startup, error)       { return Startup{Database: "db"}, nil }
 func (c *scriptedCaller) Ready() error                        { return nil }
 func (c *scriptedCaller) Refuse(statement.Code, string) error { return nil }
 func (c *scriptedCaller) Interrupt()                          {}
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -116,7 +116,7 @@
 		if r.skipped[c.ID] {
 			continue
 		}
-		conn := c.Pool.TryAcquire()
+		conn := c.Pool.TryAcquire(r.session.customer)
 		if conn == nil {
 			continue
 		}
@@ -229,7 +229,7 @@
 func (r *request) leaderConn(ctx context.Context) (topology.TargetID, *share.Pool, *share.Conn, statement.Answer) {
 	id, pool, known := r.group.Leader()
 	if known {
-		if conn := pool.TryAcquire(); conn != nil {
+		if conn := pool.TryAcquire(r.session.customer); conn != nil {
 			return id, pool, conn, statement.Answer{}
 		}
 		r.leaderConnsBusy = pool.Load().Open > 0
@@ -264,9 +264,9 @@
 // queued. meanLatency is how long the target usually takes to answer.
 func (r *request) acquire(pool *share.Pool, meanLatency time.Duration) (*share.Conn, error) {
 	if !r.noWait {
-		return pool.Acquire(r.deadline, maxQueueWait(&r.route, meanLatency), r.route.Priority)
+		return pool.Acquire(r.session.customer, r.deadline, maxQueueWait(&r.route, meanLatency), r.route.Priority)
 	}
-	if conn := pool.TryAcquire(); conn != nil {
+	if conn := pool.TryAcquire(r.session.customer); conn != nil {
 		return conn, nil
 	}
 	return nil, errNoFreeConn
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -230,7 +230,7 @@
 		if r.skipped[c.ID] || c.Failing {
 			continue
 		}
-		conn := c.Pool.TryAcquire()
+		conn := c.Pool.TryAcquire(r.session.customer)
 		if conn == nil {
 			continue
 		}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -50,6 +50,8 @@
 	VersionConflict    Code = 219 // another edit changed the object before this conditional edit
 	PlatformDown       Code = 220 // the platform is unreachable; nothing was changed
 
+	UnknownKey Code = 221 // no customer holds the caller's key, or it was removed
+
 	UnknownOutcome    Code = 300 // the connection broke after the request was sent
 	UnconfirmedCommit Code = 301 // committed at the primary, but not confirmed by a majority in time
 	HolderLost        Code = 302 // the host that holds the slot was lost after the request was sent
--- a/internal/result/sqlstate.go
+++ b/internal/result/sqlstate.go
@@ -48,6 +48,7 @@
 	{DeadlinePassed, "DeadlinePassed", "57014", "the deadline passed before it was sent", RetryNow},
 	{VersionConflict, "VersionConflict", "40001", "another edit won", RetryNow},
 	{PlatformDown, "PlatformDown", "57P03", "the platform can't be reached, nothing was sent", RetryLater},
+	{UnknownKey, "UnknownKey", "28000", "no customer holds the caller's key", RetryNever},
 
 	{UnknownOutcome, "UnknownOutcome", "08007", "the connection broke after the request was sent", RetryCheck},
 	{UnconfirmedCommit, "UnconfirmedCommit", "08007", "committed at the primary, not confirmed by a majority", RetryCheck},
--- a/internal/share/conn.go
+++ b/internal/share/conn.go
@@ -4,12 +4,16 @@
 	"time"
 
 	"nettlewalk.example/nettlewalk/internal/statement"
+	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
 // Conn is an open connection to a target, with the session state that the
 // target keeps for it. At most one request or transaction uses it at a time.
 type Conn struct {
 	statement.Conn
+	// Customer is the customer whose statements the connection runs, "" where there
+	// are no customers. The target was told it when the connection was opened.
+	Customer topology.CustomerID
 	// SessionID is the session whose settings and prepared statements the target
 	// keeps on this connection, 0 for none.
 	SessionID uint64
--- a/internal/share/load_test.go
+++ b/internal/share/load_test.go
@@ -43,7 +43,7 @@
 
 func (g *loadGenerator) request(priority int) {
 	began := time.Now()
-	c, err := g.pool.Acquire(began.Add(time.Second), loadMaxWait, priority)
+	c, err := g.pool.Acquire("", began.Add(time.Second), loadMaxWait, priority)
 	waited := time.Since(began)
 	g.mu.Lock()
 	outcome := &g.outcomes[priority]
--- a/internal/share/pool.go
+++ b/internal/share/pool.go
@@ -106,17 +106,25 @@
 	p.startDialing()
 }
 
-// TryAcquire returns an idle connection, or nil if there is none.
-func (p *Pool) TryAcquire() *Conn {
+// TryAcquireAny returns an idle connection of any customer, or nil if there is none.
+// No statement of a caller may run on it.
+func (p *Pool) TryAcquireAny() *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.popIdle(time.Now())
 }
 
-// Acquire returns a connection. It waits until the deadline at most, and no
+// TryAcquire returns an idle connection of the customer, or nil if there is none.
+func (p *Pool) TryAcquire(customer topology.CustomerID) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.popIdle(time.Now())
+}
+
+// Acquire returns a connection of the customer. It waits until the deadline at most, and no
 // longer than maxWait; a request whose expected wait exceeds either is refused
 // at once. Errors are ErrWaitTooLong, ErrClosed and ErrNoConnection.
-func (p *Pool) Acquire(deadline time.Time, maxWait time.Duration, priority int) (*Conn, error) {
+func (p *Pool) Acquire(customer topology.CustomerID, deadline time.Time, maxWait time.Duration, priority int) (*Conn, error) {
 	now := time.Now()
 	p.mu.Lock()
 	if c := p.popIdle(now); c != nil {
@@ -271,7 +279,7 @@
 	dialBackoff, rejectedBackoff := minDialBackoff, minRejectedBackoff
 	for {
 		dialStart := time.Now()
-		conn, err := p.opts.Dialer.Dial(p.ctx, p.opts.Target)
+		conn, err := p.opts.Dialer.Dial(p.ctx, p.opts.Target, "")
 		dialTimes.Update(time.Since(dialStart).Seconds())
 		p.opts.OnDial(p.opts.Target.ID, err)
 		if err == nil {
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -64,7 +64,7 @@
 	limit int
 }
 
-func (d *fakeDialer) Dial(context.Context, topology.Target) (statement.Conn, error) {
+func (d *fakeDialer) Dial(context.Context, topology.Target, topology.CustomerID) (statement.Conn, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.open >= d.limit {
@@ -105,7 +105,7 @@
 
 func TestPoolMaintainsSize(t *testing.T) {
 	p, d := newPool(t, 5, 3)
-	c := p.TryAcquire()
+	c := p.TryAcquire("")
 	p.Release(c, false)
 	eventually(t, func() bool { return p.Load().Idle == 3 })
 	p.SetSize(1)
@@ -114,10 +114,10 @@
 
 func TestPoolGrantsReleasedConnectionToWaiter(t *testing.T) {
 	p, _ := newPool(t, 1, 1)
-	c := p.TryAcquire()
+	c := p.TryAcquire("")
 	got := make(chan *Conn)
 	go func() {
-		c, _ := p.Acquire(time.Now().Add(time.Second), time.Second, 1)
+		c, _ := p.Acquire("", time.Now().Add(time.Second), time.Second, 1)
 		got <- c
 	}()
 	eventually(t, func() bool { return p.Load().Waiting == 1 })
@@ -129,24 +129,24 @@
 // refused at once.
 func TestPoolRefusesLongExpectedWaitAtOnce(t *testing.T) {
 	p, _ := newPool(t, 1, 1)
-	p.TryAcquire()
+	p.TryAcquire("")
 	p.mu.Lock()
 	p.meanHold = time.Hour // makes the expected wait long
 	p.mu.Unlock()
 	began := time.Now()
-	_, err := p.Acquire(began.Add(2*time.Hour), time.Minute, 1)
+	_, err := p.Acquire("", began.Add(2*time.Hour), time.Minute, 1)
 	qt.Check(t, err, qt.Equals, ErrWaitTooLong)
-	_, err = p.Acquire(began.Add(time.Minute), 2*time.Hour, 1)
+	_, err = p.Acquire("", began.Add(time.Minute), 2*time.Hour, 1)
 	qt.Check(t, err, qt.Equals, ErrWaitTooLong)
 	qt.Check(t, time.Since(began) < time.Minute, qt.IsTrue)
 }
 
 func TestPoolWithoutConnectionsRefuses(t *testing.T) {
 	p := NewPool(Options{Dialer: &fakeDialer{}, Size: 1, OnDial: func(topology.TargetID, error) {}})
-	_, err := p.Acquire(time.Now().Add(time.Second), time.Second, 1)
+	_, err := p.Acquire("", time.Now().Add(time.Second), time.Second, 1)
 	qt.Check(t, err, qt.Equals, ErrNoConnection)
 	p.Close()
-	_, err = p.Acquire(time.Now().Add(time.Second), time.Second, 1)
+	_, err = p.Acquire("", time.Now().Add(time.Second), time.Second, 1)
 	qt.Check(t, err, qt.Equals, ErrClosed)
 }
 
@@ -155,9 +155,9 @@
 // were held for 800 ms.
 func TestPoolEndsWaitAfterMaxWait(t *testing.T) {
 	p, _ := newPool(t, 1, 1)
-	p.TryAcquire()
+	p.TryAcquire("")
 	began := time.Now()
-	_, err := p.Acquire(began.Add(time.Minute), 30*time.Millisecond, 1)
+	_, err := p.Acquire("", began.Add(time.Minute), 30*time.Millisecond, 1)
 	qt.Check(t, err, qt.Equals, ErrWaitTooLong)
 	qt.Check(t, time.Since(began) < 10*time.Second, qt.IsTrue)
 }
--- a/internal/statement/code.go
+++ b/internal/statement/code.go
@@ -20,6 +20,7 @@
 	RunFailed               // run, but without effect
 	TimedOut                // the time limit passed; the statement may have run
 	InDoubt                 // sent, but no answer arrived; the statement may have run
+	NoAuth                  // not run: no customer holds the caller's key
 	Unrecognized            // a code that this version doesn't know; it guarantees nothing
 )
 
@@ -37,7 +38,7 @@
 // that the statement may be retried on another target.
 func (c Code) NotRun() bool {
 	switch c {
-	case Busy, Lagging, ReadOnly, UnknownPrepared, Misrouted, TooManyConnections:
+	case Busy, Lagging, ReadOnly, UnknownPrepared, Misrouted, TooManyConnections, NoAuth:
 		return true
 	}
 	return false
@@ -48,7 +49,7 @@
 	ReadOnly: result.NotPrimary, Misrouted: result.TargetDown, TooManyConnections: result.TooManyConnections,
 	UnknownPrepared: result.BadSetting, NoDatabase: result.UnknownCustomer, Malformed: result.BadProtocol,
 	RunFailed: result.TargetError, TimedOut: result.UnknownOutcome, InDoubt: result.UnknownOutcome,
-	Unrecognized: result.UnknownOutcome,
+	NoAuth: result.UnknownKey, Unrecognized: result.UnknownOutcome,
 }
 
 // Result returns the numbered result code of the same outcome.
@@ -63,7 +64,7 @@
 	OK: "ok", Busy: "busy", Aborted: "aborted", Lagging: "lagging", ReadOnly: "read_only",
 	Misrouted: "misrouted", TooManyConnections: "too_many", UnknownPrepared: "unknown_name", NoDatabase: "no_database",
 	Malformed: "malformed", RunFailed: "failed", TimedOut: "timed_out", InDoubt: "in_doubt",
-	Unrecognized: "unrecognized",
+	NoAuth: "no_auth", Unrecognized: "unrecognized",
 }
 
 // String returns the name used in logs and metrics.
--- a/internal/statement/conn.go
+++ b/internal/statement/conn.go
@@ -26,7 +26,9 @@
 
 // Dialer opens connections to targets. Its errors are of type *DialError.
 type Dialer interface {
-	Dial(ctx context.Context, target topology.Target) (Conn, error)
+	// Dial opens a connection for statements of one customer, "" where there are no
+	// customers.
+	Dial(ctx context.Context, target topology.Target, customer topology.CustomerID) (Conn, error)
 }
 
 // ConnError is the error of a connection that failed before all answers arrived.
