relay: callers of a deployment with customers need a customer's key

Cause: sessions carried a key that nobody looked at, so that any caller could run anything and a removed key went on working.

Change: internal/keys decides whether a key permits a request and how far the configuration is trusted (strict and lax revocation). A session checks its key at startup and before every statement except ROLLBACK, and sets session.customer, for which the statement then runs. In a transaction, a removed or moved key rolls back at the target; the transaction counts as failed until the caller ends it, because statements that follow would otherwise run one by one once the key is back. A host that runs a forwarded statement looks the key up by itself. A version that removes keys closes idle sessions with them and ends the transactions that a host runs for others. catalog.Store.ConfirmedAt gives the age on which trust is based: a read counts once the version that it found is known here, and not at all if it is older than what the store had returned before.

Ruled out: the age of the newest read alone, since a host learns of a read before it has fetched what the read found; the sender's customer in RunArgs, since the receiver may have a newer version; NOAUTH for a forwarded statement without a key, since hosts of the previous version send none for callers that have one (BUSY instead).

--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -16,6 +16,7 @@
 	"nettlewalk.example/nettlewalk/internal/duty"
 	"nettlewalk.example/nettlewalk/internal/gossip"
 	"nettlewalk.example/nettlewalk/internal/group"
+	"nettlewalk.example/nettlewalk/internal/keys"
 	"nettlewalk.example/nettlewalk/internal/lease"
 	"nettlewalk.example/nettlewalk/internal/peer"
 	storeclient "nettlewalk.example/nettlewalk/internal/platform"
@@ -103,7 +104,9 @@
 	h.groups = group.NewSet(groupOptions)
 	h.relay = relay.NewServer(relay.Options{
 		Catalog: h.catalog, Groups: h.groups, Accept: platform.NewCallerConn,
-		Peers: &relayPeers{Client: h.peers, host: h}, Log: log.WithName("relay"),
+		Peers:      &relayPeers{Client: h.peers, host: h},
+		Revocation: keys.Policy{Strict: s.Revocation.Strict, Timeout: s.Revocation.Timeout}, ConfirmedAt: h.catalog.ConfirmedAt,
+		Log: log.WithName("relay"),
 	})
 	return h
 }
@@ -146,6 +149,7 @@
 	}
 	go h.updateGroupWatchers(serveCtx)
 	go h.gossipCatalogChanges(serveCtx)
+	go h.relay.WatchKeys(serveCtx, h.catalog.Changed)
 	go h.closeIdleSessionsWhileIsolated(serveCtx)
 	go h.logStoreTransitions(serveCtx)
 	h.log.Info("serving", "callers", h.settings.CallerAddr, "peers", h.settings.PeerAddr, "metrics", h.settings.MetricsAddr)
--- a/internal/catalog/feed.go
+++ b/internal/catalog/feed.go
@@ -21,7 +21,8 @@
 
 	mu       sync.Mutex
 	revision uint64
-	listed   bool // whether a complete list was received
+	listed   bool          // whether a complete list was received
+	newest   StorePosition // of the newest object that this host received from the store
 }
 
 // Revision implements platform.Sink.
@@ -34,7 +35,7 @@
 // Reset implements platform.Sink.
 func (f *ConfigurationFeed) Reset(_ string, list platform.List) {
 	for _, o := range list.Objects {
-		f.applyObject(o)
+		f.applyObject(o, list.Era)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -45,7 +46,7 @@
 func (f *ConfigurationFeed) Apply(_ string, changes platform.Changes) {
 	for _, c := range changes.Changes {
 		if !c.Deleted {
-			f.applyObject(c.Object)
+			f.applyObject(c.Object, changes.Era)
 		}
 	}
 	f.mu.Lock()
@@ -53,20 +54,36 @@
 	f.revision = changes.Revision
 }
 
-// applyObject decodes the configuration object and offers it to Store. It
-// ignores objects of other names.
-func (f *ConfigurationFeed) applyObject(o platform.Object) {
+// applyObject decodes the configuration object, read in an era of the store, and offers
+// it to Store. It ignores objects of other names. The version is 0 if it isn't valid.
+func (f *ConfigurationFeed) applyObject(o platform.Object, era uint64) (version uint64) {
 	if o.Name != f.Name {
-		return
+		return 0
 	}
+	f.noteReceived(StorePosition{era, o.Version})
 	c, err := f.Decode(o.Value)
 	if err != nil {
 		f.Log.Error(err, "ignoring invalid configuration", "revision", o.Version)
-		return
+		return 0
 	}
 	if f.Store.OfferConfiguration(c) {
 		f.Log.Info("configuration in force", "version", c.Version, "revision", o.Version, "source", "store", "routes", len(c.Routes))
 	}
+	return c.Version
+}
+
+func (f *ConfigurationFeed) noteReceived(position StorePosition) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if position.After(f.newest) {
+		f.newest = position
+	}
+}
+
+func (f *ConfigurationFeed) newestReceived() StorePosition {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.newest
 }
 
 // RegistryFeed builds registry snapshots from objects in the store. It
--- a/internal/catalog/poll.go
+++ b/internal/catalog/poll.go
@@ -59,11 +59,21 @@
 func (f *ConfigurationFeed) Poll(ctx context.Context, r StoreReader, kind string, schedule Schedule, rank func() int) {
 	lastRead := func() time.Time { return f.Store.ReadTimes().Configuration }
 	poll(ctx, schedule, lastRead, rank, func(ctx context.Context, sent time.Time) error {
+		before := f.newestReceived()
 		o, err := r.Get(ctx, kind, f.Name)
 		switch {
 		case err == nil:
-			f.applyObject(o)
-		case !isNotFound(err): // a missing configuration is also a valid answer
+			if position := (StorePosition{o.Era, o.Version}); before.After(position) {
+				f.Log.Info("ignoring outdated read of the configuration", "revision", position.Revision, "era", position.Era,
+					"received_before", before.Revision)
+				return errOutdatedRead
+			}
+			if version := f.applyObject(o, o.Era); version > 0 {
+				f.Store.RecordConfirmation(version, sent)
+			}
+		case isNotFound(err): // a missing configuration is also a valid answer
+			f.Store.RecordConfirmation(0, sent)
+		default:
 			f.Log.V(1).Info("failed to read configuration from store", "error", err.Error())
 			return err
 		}
@@ -72,6 +82,11 @@
 	})
 }
 
+// errOutdatedRead reports that the store returned an object older than one that it had
+// returned before the request was sent, without having come back from an older copy. Such
+// a read doesn't count as one: it doesn't show that there is nothing newer.
+var errOutdatedRead = errors.New("the store returned an outdated object")
+
 func isNotFound(err error) bool {
 	var resultErr *result.Error
 	return errors.As(err, &resultErr) && resultErr.Code == result.NotFound
--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -32,9 +32,10 @@
 	unregistered    map[topology.TargetID]unregisteredMember
 	// unconfirmed holds the targets that the registry lacks since the store came back
 	// from an older copy, with the time of that. They count as registered.
-	unconfirmed map[topology.TargetID]unregisteredMember
-	reads       ReadTimes
-	changed     chan struct{} // closed and replaced at each change
+	unconfirmed   map[topology.TargetID]unregisteredMember
+	reads         ReadTimes
+	confirmations confirmations
+	changed       chan struct{} // closed and replaced at each change
 }
 
 // unregisteredMember is a target that is no longer registered.
@@ -72,6 +73,7 @@
 		return false
 	}
 	s.config, s.configUpdatedAt = c, steady.Now()
+	s.confirmations.learned(c.Version)
 	s.notifyLocked()
 	return true
 }
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -68,8 +68,12 @@
 	// ConfigurationRead and RegisterRead are the times since any host last read
 	// the configuration and the registry from the store, as far as the sender knows.
 	ConfigurationRead, RegisterRead time.Duration
-	Claims                          []duty.Claim // who holds which duty (see package duty)
-	Offers                          []Offer
+	// ConfigurationConfirmed is the age of the newest read of the store that is known to have
+	// found no version newer than Configuration. It is above 0 except from hosts of earlier
+	// versions.
+	ConfigurationConfirmed time.Duration
+	Claims                 []duty.Claim // who holds which duty (see package duty)
+	Offers                 []Offer
 }
 
 // Offer states that a host has connections to targets of a group. Other hosts may
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -65,6 +65,7 @@
 // are omitted if that host's latest digest had the same checksum.
 func (g *Gossip) buildDigest(recipient topology.HostID) Digest {
 	d := Digest{Claims: g.claims.Claims(), Offers: g.opts.Offers()}
+	confirmedAt := g.opts.Catalog.ConfirmedAt() // first: a version that arrives now may be newer than that time
 	d.Configuration, d.Register = g.opts.Catalog.Versions()
 	d.FetchesSnapshots = true
 	if g.opts.StoreEra != nil {
@@ -77,6 +78,7 @@
 	now := steady.Now()
 	reads := g.opts.Catalog.ReadTimes()
 	d.ConfigurationRead, d.RegisterRead = now.Sub(reads.Configuration), now.Sub(reads.Registry)
+	d.ConfigurationConfirmed = max(1, now.Sub(confirmedAt))
 	for id, k := range g.hosts {
 		if !k.lastHeard.IsZero() && !k.silent {
 			d.Hosts = append(d.Hosts, id)
@@ -155,6 +157,11 @@
 	g.opts.OnOffers(d.Offers, sentAt)
 	g.mergeHeard(d.Heard, sentAt)
 	g.opts.Catalog.RecordReadTimes(catalog.ReadTimes{Configuration: sentAt.Add(-d.ConfigurationRead), Registry: sentAt.Add(-d.RegisterRead)})
+	confirmed := d.ConfigurationConfirmed
+	if confirmed == 0 {
+		confirmed = d.ConfigurationRead // as well as a host of an earlier version knows
+	}
+	g.opts.Catalog.RecordConfirmation(d.Configuration, sentAt.Add(-confirmed))
 }
 
 // recordSender records that the sender of the digest was heard from just now.
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -147,8 +147,8 @@
 		if answer.OK() && r.writes {
 			r.session.raiseFloor(&answer)
 		}
-		if !answer.Code.NotRun() {
-			return answer, true
+		if !answer.Code.NotRun() || answer.Code == statement.NoAuth {
+			return answer, true // its configuration is at least as new as this host's
 		}
 		r.peerRefusal = answer.Detail
 		return answer, false
@@ -217,6 +217,9 @@
 	session := s.newSession(nil)
 	session.applyForwarded(args)
 	st := args.Statement
+	if a, refused := session.checkKey(&st); refused {
+		return a
+	}
 	r, refused := session.newRequest(&st, args.Writes, args.Uses)
 	if refused != nil {
 		return *refused
@@ -232,7 +235,7 @@
 
 // applyForwarded applies the state of another host's session to this session.
 func (s *session) applyForwarded(args *RunArgs) {
-	s.key, s.customer = args.Key, args.Customer
+	s.key = args.Key // authenticate finds its customer in this host's configuration
 	s.database, s.floor, s.noWait = args.Database, args.Floor, args.AtOnce
 	s.state.settings = s.state.settings[:0]
 	for _, v := range args.Settings {
--- a/internal/relay/hosted.go
+++ b/internal/relay/hosted.go
@@ -27,7 +27,9 @@
 type forwardedTx struct {
 	mu      sync.Mutex // serializes its statements
 	session *session
-	timer   *time.Timer // rolls the transaction back after the idle timeout
+	// credentials are those of its first statement.
+	credentials credentials
+	timer       *time.Timer // rolls the transaction back after the idle timeout
 }
 
 func newTxTable(s *Server) *txTable { return &txTable{server: s, open: map[string]*forwardedTx{}} }
@@ -47,13 +49,13 @@
 func (t *txTable) runStatement(args *RunArgs) statement.Answer {
 	entry := t.findOrCreate(args)
 	if entry == nil {
-		return statement.Answer{Code: statement.Aborted, Detail: "the transaction is unknown to this host", State: statement.Failed}
+		return t.answerUnknown(args, "the transaction is unknown to this host")
 	}
 	entry.mu.Lock()
 	defer entry.mu.Unlock()
 	s := entry.session
-	if s.tx == nil { // the idle timeout rolled it back
-		return statement.Answer{Code: statement.Aborted, Detail: "idle for too long", State: statement.Failed}
+	if s.tx == nil { // the idle timeout or a new version rolled it back meanwhile
+		return t.answerUnknown(args, "idle for too long")
 	}
 	entry.timer.Reset(t.idleTimeout())
 	s.applyForwarded(args)
@@ -82,7 +84,7 @@
 	s := t.server.newSession(nil)
 	s.forPeer = true
 	s.tx = &transaction{readOnly: args.Transaction.ReadOnly}
-	entry := &forwardedTx{session: s}
+	entry := &forwardedTx{session: s, credentials: credentials{database: args.Database, key: args.Key}}
 	entry.timer = time.AfterFunc(t.idleTimeout(), func() { t.expire(key, entry) })
 	t.open[key] = entry
 	return entry
@@ -129,7 +131,7 @@
 		s.tx.peerKey = s.server.instanceID + "/" + strconv.FormatUint(s.server.lastID.Add(1), 10)
 		s.tx.group = r.group
 		a, sent := r.sendToTransactionPeer(ctx, true, noWait)
-		if sent && (a.OK() || !a.Code.NotRun()) {
+		if sent && (a.OK() || !a.Code.NotRun() || a.Code == statement.NoAuth) {
 			return a, true
 		}
 		s.tx.peerHost, s.tx.peerKey, r.peerRefusal = "", "", a.Detail
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -34,6 +34,7 @@
 const (
 	closedShuttingDown closeReason = "shutting_down" // by this host, between requests
 	closedIsolated     closeReason = "isolated"      // by this host, between requests
+	closedKeyRemoved   closeReason = "key_removed"   // by this host, between requests
 	closedByCaller     closeReason = "caller_left"
 	closedByError      closeReason = "error"
 )
@@ -42,6 +43,7 @@
 var sessionsClosed = map[closeReason]*metrics.Counter{
 	closedShuttingDown: metrics.NewCounter(`nettlewalk_sessions_closed_total{reason="shutting_down"}`),
 	closedIsolated:     metrics.NewCounter(`nettlewalk_sessions_closed_total{reason="isolated"}`),
+	closedKeyRemoved:   metrics.NewCounter(`nettlewalk_sessions_closed_total{reason="key_removed"}`),
 	closedByCaller:     metrics.NewCounter(`nettlewalk_sessions_closed_total{reason="caller_left"}`),
 	closedByError:      metrics.NewCounter(`nettlewalk_sessions_closed_total{reason="error"}`),
 }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"nettlewalk.example/nettlewalk/internal/keys"
 	"nettlewalk.example/nettlewalk/internal/placement"
 	"nettlewalk.example/nettlewalk/internal/statement"
 )
@@ -24,7 +25,12 @@
 	Accept func(net.Conn) Caller
 	// Peers runs statements on other hosts; nil if there are none.
 	Peers Peers
-	Log   logr.Logger
+	// Revocation and ConfirmedAt decide how far keys are trusted. ConfirmedAt returns when
+	// the configuration was last confirmed to be the newest, on the steady clock; nil:
+	// always.
+	Revocation  keys.Policy
+	ConfirmedAt func() time.Time
+	Log         logr.Logger
 }
 
 // Server serves callers. It is safe for concurrent use.
@@ -39,6 +45,8 @@
 	aborting         atomic.Bool  // open transactions are aborted
 	forwardedCounter *metrics.Counter
 	sampler          *lineSampler
+	keySampler       *lineSampler // of refusals because of a key
+	trust            trustState
 	forwardedTxs     *txTable
 	peerLoads        placement.Loads // reported by other hosts
 	instanceID       string          // unique to this process among all hosts
@@ -51,6 +59,7 @@
 		instanceID:       rand.Text(),
 		sessions:         map[*session]bool{},
 		sampler:          newLineSampler(),
+		keySampler:       newLineSampler(),
 		forwardedCounter: metrics.GetOrCreateCounter("nettlewalk_statements_forwarded_total"),
 	}
 	s.forwardedTxs = newTxTable(s)
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,8 +30,10 @@
 	server          *Server
 	caller          Caller
 	database        string
-	key             string              // given by the caller; "": none
-	customer        topology.CustomerID // for whom the current operation runs; "": no customer
+	key             string                      // given by the caller; "": none
+	credentials     atomic.Pointer[credentials] // nil until the startup has been read
+	revoked         bool                        // the key was valid and is no longer
+	customer        topology.CustomerID         // for whom the current operation runs; "": no customer
 	state           sessionState
 	floor           topology.Position // log position of the session's last acknowledged commit
 	tx              *transaction      // nil: none is open
@@ -51,6 +54,7 @@
 	defer s.endTransaction()
 	for {
 		s.caller.ClearInterrupt()
+		s.updateRevoked()
 		if s.tx != nil && s.tx.running() && s.server.abortsTransactions() {
 			s.abortTransaction("host is shutting down")
 		}
@@ -95,6 +99,9 @@
 		_ = s.caller.Refuse(statement.NoDatabase, database)
 		return false
 	}
+	if s.refuseStartup() {
+		return false
+	}
 	return s.caller.Ready() == nil
 }
 
@@ -120,6 +127,8 @@
 	var deadline time.Time
 	s.idleUntil = time.Time{}
 	switch {
+	case s.revoked:
+		deadline = s.revokedDeadline()
 	case s.tx == nil && s.server.isDraining():
 		if s.graceUntil.IsZero() {
 			s.graceUntil = time.Now().Add(s.gracePeriod())
@@ -146,6 +155,8 @@
 	case s.tx != nil && s.server.abortsTransactions():
 		s.abortTransaction("host is shutting down")
 		return true
+	case s.revoked:
+		return s.continueRevoked()
 	case s.tx == nil && s.server.isDraining():
 		return s.grantGrace()
 	case s.tx != nil && s.tx.running() && !s.server.isDraining() && s.idleForTooLong():
@@ -189,6 +200,9 @@
 // statement in flight gets no answer; the log then shows that it didn't run.
 func (s *session) close(err error) {
 	reason := s.server.closeReason(err)
+	if s.revoked && errors.Is(err, ErrNoMessage) {
+		reason = closedKeyRemoved
+	}
 	sessionsClosed[reason].Inc()
 	if reason == closedByCaller || reason == closedByError {
 		return
@@ -237,10 +251,13 @@
 
 // serve answers one statement.
 func (s *session) serve(ctx context.Context, st *statement.Statement) statement.Answer {
+	if answer, refused := s.checkKey(st); refused {
+		return answer
+	}
 	if s.tx != nil && s.tx.failed && st.Kind != statement.Commit && st.Kind != statement.Rollback {
 		code := statement.Malformed
 		if s.tx.unreportedReason != "" { // the caller hasn't been told of the failure yet
-			code = statement.Aborted
+			code = s.tx.unreportedCode
 		}
 		answer := s.refusal(code, s.tx.unreportedReason)
 		s.tx.unreportedReason = ""
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -19,7 +19,8 @@
 	firstStatementID string // ID of its first statement after that; "": none yet
 	readOnly         bool   // declared so by the caller
 	failed           bool
-	unreportedReason string // of a failure that the caller hasn't been told of
+	unreportedReason string         // of a failure that the caller hasn't been told of
+	unreportedCode   statement.Code // of the answer that tells the caller
 	wrote            bool
 	route            *catalog.Route // route that it keeps; nil before its first statement
 
@@ -87,7 +88,7 @@
 func (s *session) abortTransaction(reason string) {
 	s.rollbackOnPeer()
 	s.tx.rollback()
-	s.tx.failed, s.tx.unreportedReason = true, reason
+	s.tx.failed, s.tx.unreportedReason, s.tx.unreportedCode = true, reason, statement.Aborted
 	s.log.Info("transaction aborted", "session", s.state.id, "database", s.database, "reason", reason,
 		"begun_by", s.tx.beginID, "first_statement", s.tx.firstStatementID, "last_request", s.lastStatementID)
 }
