--- a/cmd/nettlewalk/fleetinspect.go
+++ b/cmd/nettlewalk/fleetinspect.go
@@ -17,7 +17,9 @@
 	"nettlewalk.example/nettlewalk/internal/duty"
 	"nettlewalk.example/nettlewalk/internal/gossip"
 	"nettlewalk.example/nettlewalk/internal/group"
+	"nettlewalk.example/nettlewalk/internal/keys"
 	"nettlewalk.example/nettlewalk/internal/lease"
+	"nettlewalk.example/nettlewalk/internal/relay"
 	"nettlewalk.example/nettlewalk/internal/steady"
 )
 
@@ -36,6 +38,8 @@
 	Hosts         []gossip.Host `json:"hosts"`
 	Duties        []duty.Claim  `json:"duties"`
 	Groups        []group.Dump  `json:"groups"`
+	// Keys is absent if the configuration has no customers.
+	Keys *relay.KeysDump `json:"keys,omitempty"`
 	// Leases are those of this host, Grants those that it granted. Both are absent
 	// if primaries are fenced.
 	Leases []lease.Dump      `json:"leases,omitempty"`
@@ -47,6 +51,7 @@
 		Host: string(h.settings.Host), Ready: h.isReady(), Leaving: h.leaving.Load(), Sessions: h.relay.Sessions(),
 		ReadMS: msSinceRead(h.catalog.ReadTimes()), Connected: h.gossip.Connected(),
 		Hosts: h.gossip.Hosts(), Duties: h.duty.Claims(), Groups: h.groups.Dump(),
+		Keys: h.relay.DumpKeys(),
 	}
 	configuration, register := h.catalog.Versions()
 	d.Configuration, d.Register, d.StoreEra = configuration, register.Revision, h.store.Era()
@@ -81,16 +86,21 @@
 		"nettlewalk_configuration_read_seconds_ago": func() float64 {
 			return float64(msSinceRead(h.catalog.ReadTimes())) / 1000
 		},
-		"nettlewalk_hosts_live":         func() float64 { return float64(len(h.gossip.Live())) },
-		"nettlewalk_connected":          func() float64 { return boolGauge(h.gossip.Connected()) },
-		"nettlewalk_ready":              func() float64 { return boolGauge(h.isReady()) },
-		"nettlewalk_duties_held":        func() float64 { return float64(h.duty.HeldCount()) },
-		"nettlewalk_groups_leaderless":  func() float64 { n, _ := h.groups.Leaderless(); return float64(n) },
-		"nettlewalk_connections_open":   func() float64 { return h.sumOffers(func(o group.Offer) int { return o.Open }) },
-		"nettlewalk_connections_idle":   func() float64 { return h.sumOffers(func(o group.Offer) int { return o.Idle }) },
-		"nettlewalk_anchor_age_seconds": h.oldestAnchorAge,
-		"nettlewalk_store_era":          func() float64 { return float64(h.store.Era()) },
-		"nettlewalk_store_up":           func() float64 { up, _ := h.store.Reachable(); return boolGauge(up) },
+		"nettlewalk_configuration_confirmed_seconds_ago": func() float64 {
+			return steady.Now().Sub(h.catalog.ConfirmedAt()).Seconds()
+		},
+		"nettlewalk_configuration_unconfirmed": func() float64 { return boolGauge(h.relay.KeyTrust() > keys.Confirmed) },
+		"nettlewalk_keys_distrusted":           func() float64 { return boolGauge(h.relay.KeyTrust() == keys.Distrusted) },
+		"nettlewalk_hosts_live":                func() float64 { return float64(len(h.gossip.Live())) },
+		"nettlewalk_connected":                 func() float64 { return boolGauge(h.gossip.Connected()) },
+		"nettlewalk_ready":                     func() float64 { return boolGauge(h.isReady()) },
+		"nettlewalk_duties_held":               func() float64 { return float64(h.duty.HeldCount()) },
+		"nettlewalk_groups_leaderless":         func() float64 { n, _ := h.groups.Leaderless(); return float64(n) },
+		"nettlewalk_connections_open":          func() float64 { return h.sumOffers(func(o group.Offer) int { return o.Open }) },
+		"nettlewalk_connections_idle":          func() float64 { return h.sumOffers(func(o group.Offer) int { return o.Idle }) },
+		"nettlewalk_anchor_age_seconds":        h.oldestAnchorAge,
+		"nettlewalk_store_era":                 func() float64 { return float64(h.store.Era()) },
+		"nettlewalk_store_up":                  func() float64 { up, _ := h.store.Reachable(); return boolGauge(up) },
 	}
 	for name, read := range gauges {
 		metrics.GetOrCreateGauge(name, read)
--- a/internal/catalog/feed.go
+++ b/internal/catalog/feed.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"maps"
 	"sync"
+	"time"
 
 	"github.com/go-logr/logr"
 
@@ -23,6 +24,7 @@
 	revision uint64
 	listed   bool          // whether a complete list was received
 	newest   StorePosition // of the newest object that this host received from the store
+	ownRead  time.Time     // when this host's newest successful read was sent
 }
 
 // Revision implements platform.Sink.
@@ -67,7 +69,7 @@
 		return 0
 	}
 	if f.Store.OfferConfiguration(c) {
-		f.Log.Info("configuration in force", "version", c.Version, "revision", o.Version, "source", "store", "routes", len(c.Routes))
+		f.Log.Info("configuration in force", "version", c.Version, "revision", o.Version, "source", "store", "routes", len(c.Routes), "customers", len(c.Customers), "keys", len(c.KeyOwners))
 	}
 	return c.Version
 }
--- a/internal/catalog/poll.go
+++ b/internal/catalog/poll.go
@@ -57,8 +57,7 @@
 // Poll reads the configuration whenever a read is due, until ctx ends. rank
 // returns this host's rank among the hosts that read the store.
 func (f *ConfigurationFeed) Poll(ctx context.Context, r StoreReader, kind string, schedule Schedule, rank func() int) {
-	lastRead := func() time.Time { return f.Store.ReadTimes().Configuration }
-	poll(ctx, schedule, lastRead, rank, func(ctx context.Context, sent time.Time) error {
+	poll(ctx, schedule, f.lastRead, rank, func(ctx context.Context, sent time.Time) error {
 		before := f.newestReceived()
 		o, err := r.Get(ctx, kind, f.Name)
 		switch {
@@ -77,11 +76,26 @@
 			f.Log.V(1).Info("failed to read configuration from store", "error", err.Error())
 			return err
 		}
+		f.mu.Lock()
+		f.ownRead = sent
+		f.mu.Unlock()
 		f.Store.RecordReadTimes(ReadTimes{Configuration: sent})
 		return nil
 	})
 }
 
+// lastRead returns when the newest known read of the configuration was sent. Reads by
+// others don't count while this host has a configuration without its customers, which only
+// the store can complete.
+func (f *ConfigurationFeed) lastRead() time.Time {
+	if c := f.Store.Configuration(); c != nil && !c.CustomersKnown {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.ownRead
+	}
+	return f.Store.ReadTimes().Configuration
+}
+
 // errOutdatedRead reports that the store returned an object older than one that it had
 // returned before the request was sent, without having come back from an older copy. Such
 // a read doesn't count as one: it doesn't show that there is nothing newer.
--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -62,14 +62,15 @@
 	s.changed = make(chan struct{})
 }
 
-// OfferConfiguration stores c if it is newer than the known configuration.
+// OfferConfiguration stores c if it is newer than the known configuration, or the same
+// version with the customers that the known one lacks. The version never goes back.
 func (s *Store) OfferConfiguration(c *Configuration) (stored bool) {
 	if c == nil {
 		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.config != nil && s.config.Version >= c.Version {
+	if s.config != nil && s.config.Version >= c.Version && !completes(s.config, c) {
 		return false
 	}
 	s.config, s.configUpdatedAt = c, steady.Now()
@@ -78,6 +79,11 @@
 	return true
 }
 
+// completes reports whether next is the known version, received whole.
+func completes(known, next *Configuration) bool {
+	return next.Version == known.Version && next.CustomersKnown && !known.CustomersKnown
+}
+
 // Configuration returns the newest known configuration, or nil if none is
 // known.
 func (s *Store) Configuration() *Configuration {
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -54,6 +54,9 @@
 	// each key. SetCustomers sets both.
 	Customers map[topology.CustomerID]Customer
 	KeyOwners map[string]topology.CustomerID
+	// CustomersKnown is false if the configuration came through a host of an earlier
+	// version, which leaves out customers and public routes.
+	CustomersKnown bool
 }
 
 // SetCustomers sets the customers. Of two customers with the same key, the one that
--- a/internal/gossip/snapshot.go
+++ b/internal/gossip/snapshot.go
@@ -53,6 +53,7 @@
 	Groups          []catalog.Group // sorted by ID
 	TransactionIdle time.Duration
 	Customers       []catalog.Customer // sorted by ID
+	CustomersKnown  bool               // false from hosts of earlier versions
 }
 
 // registryData is the same for a catalog.Registry.
@@ -79,6 +80,7 @@
 		Groups:          sortedValues(c.Groups),
 		TransactionIdle: c.TransactionIdle,
 		Customers:       sortedValues(c.Customers),
+		CustomersKnown:  c.CustomersKnown,
 	}
 }
 
@@ -96,6 +98,7 @@
 		c.Groups[g.ID] = g
 	}
 	c.SetCustomers(d.Customers)
+	c.CustomersKnown = d.CustomersKnown
 	return c
 }
 
@@ -225,7 +228,7 @@
 // offerConfiguration offers a configuration of another host to the catalog.
 func (g *Gossip) offerConfiguration(c *catalog.Configuration, sender string) {
 	if g.opts.Catalog.OfferConfiguration(c) {
-		g.opts.Log.Info("configuration in force", "version", c.Version, "source", sender, "routes", len(c.Routes))
+		g.opts.Log.Info("configuration in force", "version", c.Version, "source", sender, "routes", len(c.Routes), "customers", len(c.Customers), "keys", len(c.KeyOwners))
 		g.TriggerRound()
 	}
 }
--- a/internal/gossip/transfer_test.go
+++ b/internal/gossip/transfer_test.go
@@ -203,7 +203,7 @@
 // Guards against a field that was added to a snapshot but not to its encoding.
 func TestSnapshotsSurviveEncoding(t *testing.T) {
 	configuration := largeConfiguration(7, 10)
-	configuration.TransactionIdle = time.Second
+	configuration.TransactionIdle, configuration.CustomersKnown = time.Second, true
 	configuration.Groups["group-1"] = catalog.Group{ID: "group-1", MaxConnections: 16, AckReplicas: 1}
 	configuration.SetCustomers([]catalog.Customer{{ID: "customer-1", Keys: []string{"a", "b"}, Rate: 10, Burst: 5, Priority: 1}})
 	checkAllFieldsSet(t, reflect.ValueOf(configuration.Customers["customer-1"]))
--- a/test/line/bed.go
+++ b/test/line/bed.go
@@ -60,10 +60,12 @@
 	promotionDelay  time.Duration // delay between the promotion call and its effect
 	promotionServer *httptest.Server
 	mu              sync.Mutex
-	highestToken    uint64   // highest fencing token seen
-	promotions      []string // targets of the accepted promotion calls, in order
-	tokens          []uint64 // fencing tokens of all promotion calls, in order
-	closed          bool     // the test has ended: later promotions are ignored
+	customers       map[string]bool // names of all customers so far
+	keys            map[string]bool // all keys so far
+	highestToken    uint64          // highest fencing token seen
+	promotions      []string        // targets of the accepted promotion calls, in order
+	tokens          []uint64        // fencing tokens of all promotion calls, in order
+	closed          bool            // the test has ended: later promotions are ignored
 }
 
 // Options configures a Bed.
@@ -73,6 +75,13 @@
 	Unfenced bool
 	// IgnoreDemote makes targets ignore DEMOTE.
 	IgnoreDemote bool
+	// MaxConnections is the limit for each target over all hosts; 0 means 16.
+	MaxConnections int
+	// ConfigApplyMS, StrictRevocation and RevokeTimeoutMS are settings of the hosts; 0
+	// means their default.
+	ConfigApplyMS    int
+	StrictRevocation bool
+	RevokeTimeoutMS  int
 }
 
 // Host is one host process of the product.
@@ -93,7 +102,10 @@
 // NewBedWith is like NewBed with options.
 func NewBedWith(tb testing.TB, opts Options) *Bed {
 	tb.Helper()
-	b := &Bed{tb: tb, opts: opts, ipPrefix: testbed.IPPrefix(), promotionDelay: 100 * time.Millisecond}
+	if opts.MaxConnections == 0 {
+		opts.MaxConnections = 16
+	}
+	b := &Bed{tb: tb, opts: opts, customers: map[string]bool{}, keys: map[string]bool{}, ipPrefix: testbed.IPPrefix(), promotionDelay: 100 * time.Millisecond}
 	var err error
 	b.Store, err = store.Start(store.Config{})
 	qt.Assert(tb, err, qt.IsNil)
@@ -127,7 +139,10 @@
 		qt.Assert(b.tb, err, qt.IsNil)
 		m := &Member{ID: id, Server: server}
 		b.tb.Cleanup(func() { _ = server.Close() })
-		config := target.LineConfig{Group: "svc", Received: func(p topology.Position) bool { return b.receivedByReplica(m, p) }}
+		config := target.LineConfig{
+			Group: "svc", Received: func(p topology.Position) bool { return b.receivedByReplica(m, p) },
+			KnowsCustomer: b.knowsCustomer, IsKey: b.isKey,
+		}
 		if !b.opts.IgnoreDemote {
 			config.Demoted = func() { b.demote(m) }
 		}
@@ -169,17 +184,26 @@
 // Configure writes a configuration with one route per database. Databases with
 // an even index get read-your-writes routes, the others primary routes.
 func (b *Bed) Configure(version int, databases ...string) {
+	b.configure(version, nil, databases...)
+}
+
+// configure is like Configure with customers, unless nil. A database named open is public.
+func (b *Bed) configure(version int, customers []map[string]any, databases ...string) {
 	var routes []map[string]any
 	for i, database := range databases {
 		kind := []string{"read_your_writes", "primary"}[i%2]
 		routes = append(routes, map[string]any{"DatabaseName": database, "Kind": kind, "Service": "svc",
-			"TimeoutMs": 3000, "TargetLatencyMs": 500, "MaxStalenessMs": 2000, "Priority": 1})
+			"TimeoutMs": 3000, "TargetLatencyMs": 500, "MaxStalenessMs": 2000, "Priority": 1, "Public": database == "open"})
 	}
-	_, err := b.Store.Put("config", "main", map[string]any{
+	body := map[string]any{
 		"Version": version, "Routes": routes,
-		"Services": []map[string]any{{"Name": "svc", "MaxConnections": 16, "SyncReplicas": 1}},
+		"Services": []map[string]any{{"Name": "svc", "MaxConnections": b.opts.MaxConnections, "SyncReplicas": 1}},
 		"Limits":   map[string]any{"TransactionIdleMs": 3000},
-	})
+	}
+	if customers != nil {
+		body["Tenants"] = customers
+	}
+	_, err := b.Store.Put("config", "main", body)
 	qt.Assert(b.tb, err, qt.IsNil)
 }
 
@@ -324,6 +348,9 @@
 GracePeriodS = 6
 DrainTimeoutMs = 7000
 FencingEnforced = %t
+StrictRevocation = %t
+ConfigApplyMs = %d
+RevokeTimeoutMs = %d
 [platform]
 Address = "%s"
 [Cloud]
@@ -340,7 +367,7 @@
 		dir := b.tb.TempDir()
 		h.settingsPath, h.logPath = filepath.Join(dir, "boot.toml"), filepath.Join(dir, "log")
 		text := fmt.Sprintf(settingsTemplate, i+1, i+1, b.ipPrefix, i+1, internalPort, internalPort, strings.Join(seeds, ","),
-			h.callerAddr, h.readyAddr, b.addr(i, peerPort), !b.opts.Unfenced, b.StoreLink.Addr(), strings.TrimPrefix(b.promotionServer.URL, "http://"))
+			h.callerAddr, h.readyAddr, b.addr(i, peerPort), !b.opts.Unfenced, b.opts.StrictRevocation, b.opts.ConfigApplyMS, b.opts.RevokeTimeoutMS, b.StoreLink.Addr(), strings.TrimPrefix(b.promotionServer.URL, "http://"))
 		qt.Assert(b.tb, os.WriteFile(h.settingsPath, []byte(text), 0o600), qt.IsNil)
 		b.Hosts = append(b.Hosts, h)
 		b.Start(h)
--- a/test/line/client.go
+++ b/test/line/client.go
@@ -17,18 +17,26 @@
 // Dial opens a session with host i. It returns nil if the connection or the
 // session is refused.
 func (b *Bed) Dial(i int, database string) *Client {
+	c, _ := b.DialKey(i, database, "test")
+	return c
+}
+
+// DialKey is like Dial with a key. It also returns the error code of a refusal, "" if
+// there was no answer.
+func (b *Bed) DialKey(i int, database, key string) (c *Client, code string) {
 	conn, err := net.DialTimeout("tcp", b.Hosts[i].callerAddr, time.Second)
 	if err != nil {
-		return nil
+		return nil, ""
 	}
-	c := &Client{conn: conn, reader: bufio.NewReader(conn)}
-	fmt.Fprintf(conn, "START %s test\r\n", database)
+	c = &Client{conn: conn, reader: bufio.NewReader(conn)}
+	fmt.Fprintf(conn, "START %s %s\r\n", database, key)
 	line, err := c.readLine()
 	if err != nil || !strings.HasPrefix(line, "READY") {
 		conn.Close()
-		return nil
+		code, _, _ = strings.Cut(strings.TrimPrefix(line, "ERROR "), " ")
+		return nil, code
 	}
-	return c
+	return c, ""
 }
 
 // Close closes the session's connection.
--- a/test/standin/target/line.go
+++ b/test/standin/target/line.go
@@ -6,7 +6,9 @@
 	"database/sql/driver"
 	"fmt"
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -31,6 +33,12 @@
 	// Demoted makes the server a replica of the present primary, after a DEMOTE of a
 	// primary of a lower term. If Demoted is nil, DEMOTE has no effect.
 	Demoted func()
+	// KnowsCustomer reports whether the name in a START message may be given. Others are
+	// refused. If it is nil, any name may be given.
+	KnowsCustomer func(name string) bool
+	// IsKey reports whether a word is the key of a customer, which no target may see. Nil:
+	// there are no keys.
+	IsKey func(word string) bool
 }
 
 // Line serves the line protocol on the server's database, log and role.
@@ -42,7 +50,10 @@
 	mu         sync.Mutex
 	conns      map[net.Conn]bool
 	pausedTerm uint64
-	runCounts  map[string]int // executions by request ID
+	runCounts  map[string]int             // executions by request ID
+	customers  map[string]map[string]bool // names given at START of the connections that ran a request ID
+	refused    []string                   // START messages with an unknown name
+	keysSeen   []string                   // messages that contained a key
 }
 
 // pausedReceiveLag is the receive lag of a paused replica, long enough that
@@ -59,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Line{srv: s, cfg: cfg, listener: listener, conns: map[net.Conn]bool{}, runCounts: map[string]int{}}
+	l := &Line{srv: s, cfg: cfg, listener: listener, conns: map[net.Conn]bool{}, runCounts: map[string]int{}, customers: map[string]map[string]bool{}}
 	go l.acceptLoop()
 	return l, nil
 }
@@ -79,6 +90,31 @@
 	return runs
 }
 
+// CustomersOf returns for which customers a request ID was executed, as named at the START
+// of the connections, in ascending order.
+func (l *Line) CustomersOf(id string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Sorted(maps.Keys(l.customers[id]))
+}
+
+// Violations returns the messages that named an unknown customer or contained a key.
+func (l *Line) Violations() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Concat(l.refused, l.keysSeen)
+}
+
+// noteKeys records a message that contains a key.
+func (l *Line) noteKeys(message string) {
+	if l.cfg.IsKey == nil || !slices.ContainsFunc(strings.Fields(message), l.cfg.IsKey) {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.keysSeen = append(l.keysSeen, message)
+}
+
 // Close closes the listener and every connection.
 func (l *Line) Close() {
 	l.listener.Close()
@@ -126,6 +162,7 @@
 type lineSession struct {
 	*session
 	line     *Line
+	customer string // named at START
 	reader   *bufio.Reader
 	prepared map[string]string // statement name to statement text
 	// generation identifies the database that the session has open. The session
@@ -147,6 +184,14 @@
 		fmt.Fprintf(conn, "ERROR MISROUTED -\r\n")
 		return
 	}
+	s.customer = fields[2]
+	if l.cfg.KnowsCustomer != nil && !l.cfg.KnowsCustomer(s.customer) {
+		l.mu.Lock()
+		l.refused = append(l.refused, startLine)
+		l.mu.Unlock()
+		fmt.Fprintf(conn, "ERROR MISROUTED -\r\n")
+		return
+	}
 	s.generation = l.srv.generation() // read before openDatabase, so that a rebuild in between is noticed
 	if s.openDatabase() != nil {
 		return
@@ -170,6 +215,7 @@
 
 func (s *lineSession) readLine() (string, error) {
 	line, err := s.reader.ReadString('\n')
+	s.line.noteKeys(line)
 	return strings.TrimSuffix(line, "\r\n"), err
 }
 
@@ -257,6 +303,10 @@
 		}
 		s.line.mu.Lock()
 		s.line.runCounts[id]++
+		if s.line.customers[id] == nil {
+			s.line.customers[id] = map[string]bool{}
+		}
+		s.line.customers[id][s.customer] = true
 		s.line.mu.Unlock()
 	}()
 	name, data, _ := strings.Cut(rest, " ")
