--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -32,9 +32,10 @@
 	unregistered    map[topology.TargetID]unregisteredMember
 	// unconfirmed holds the targets that the registry lacks since the store came back
 	// from an older copy, with the time of that. They count as registered.
-	unconfirmed map[topology.TargetID]unregisteredMember
-	reads       ReadTimes
-	changed     chan struct{} // closed and replaced at each change
+	unconfirmed   map[topology.TargetID]unregisteredMember
+	reads         ReadTimes
+	confirmations confirmations
+	changed       chan struct{} // closed and replaced at each change
 }
 
 // unregisteredMember is a target that is no longer registered.
@@ -61,21 +62,28 @@
 	s.changed = make(chan struct{})
 }
 
-// OfferConfiguration stores c if it is newer than the known configuration.
+// OfferConfiguration stores c if it is newer than the known configuration, or the same
+// version with the customers that the known one lacks. The version never goes back.
 func (s *Store) OfferConfiguration(c *Configuration) (stored bool) {
 	if c == nil {
 		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.config != nil && s.config.Version >= c.Version {
+	if s.config != nil && s.config.Version >= c.Version && !completes(s.config, c) {
 		return false
 	}
 	s.config, s.configUpdatedAt = c, steady.Now()
+	s.confirmations.learned(c.Version)
 	s.notifyLocked()
 	return true
 }
 
+// completes reports whether next is the known version, received whole.
+func completes(known, next *Configuration) bool {
+	return next.Version == known.Version && next.CustomersKnown && !known.CustomersKnown
+}
+
 // Configuration returns the newest known configuration, or nil if none is
 // known.
 func (s *Store) Configuration() *Configuration {
