--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -45,6 +45,7 @@
 	grantor      *lease.Grantor // nil if primaries are fenced
 	lessee       *lease.Lessee  // nil if primaries are fenced
 	holders      share.Holders
+	homes        homeCache
 	leaving      atomic.Bool
 	failedProbes atomic.Int64 // consecutive readiness probes answered with not ready
 }
@@ -74,7 +75,7 @@
 	resolve := func(id topology.HostID) (string, bool) { return string(id), true }
 	h.peers = peer.NewClient(key, self, resolve, nil)
 	gossipOptions := gossip.Options{
-		Self:    gossip.Host{Addr: self, Name: string(s.Host), Domain: s.Domain, Boot: bootID},
+		Self:    gossip.Host{Addr: self, Name: string(s.Host), Domain: s.Domain, Boot: bootID, Weight: s.CPUShare},
 		Seeds:   hostIDs(s.Seeds),
 		Domains: s.Domains,
 		Catalog: h.catalog, Caller: h.peers, Offers: h.connectionOffers, OnOffers: h.learnLeaders, Log: log.WithName("gossip"),
@@ -93,7 +94,7 @@
 	h.gossip.SetClaims(h.duty)
 	groupOptions := group.SetOptions{
 		Domain: s.Domain, Dialer: platform.TargetDialer{}, Catalog: h.catalog,
-		Size: h.connectionShare, OnSuspect: h.reportUnreachable,
+		Size: h.connectionShare, Customers: h.groupCustomers, OnSuspect: h.reportUnreachable,
 		Log: log.WithName("group"),
 	}
 	if !s.PrimariesFenced {
@@ -104,6 +105,7 @@
 	h.relay = relay.NewServer(relay.Options{
 		Catalog: h.catalog, Groups: h.groups, Accept: platform.NewCallerConn,
 		Peers: &relayPeers{Client: h.peers, host: h}, Log: log.WithName("relay"),
+		Homes: h.customerHomes, Self: self,
 	})
 	return h
 }
--- a/cmd/nettlewalk/fleetpeers.go
+++ b/cmd/nettlewalk/fleetpeers.go
@@ -88,6 +88,9 @@
 // that reads from a replica also knows the leader's positions.
 func (h *fleetHost) connectionShare(t topology.Target, limit int) int {
 	_, size := share.Plan(limit, len(h.gossip.Sharers().Hosts))
+	if c := h.catalog.Configuration(); c != nil && len(c.Customers) > 0 {
+		_, size = share.PlanForCustomers(limit, len(h.gossip.Sharers().Hosts))
+	}
 	holders := h.connectionHolders(t.Group)
 	if holders != nil && !slices.ContainsFunc(holders, h.isSelf) {
 		return 0
@@ -111,6 +114,9 @@
 		return nil
 	}
 	sharers := h.gossip.Sharers()
+	if len(c.Customers) > 0 {
+		return h.customerHolders(id, c, sharers)
+	}
 	n, _ := share.Plan(c.Groups[id].MaxConnections, len(sharers.Hosts))
 	if n >= len(sharers.Hosts) {
 		return nil
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -29,6 +29,7 @@
 	// Connected tells whether it was in contact with most of the fleet at its last
 	// round. Only hosts that share their domain's vote announce it.
 	Connected bool
+	Weight    float64 // the host's share of a processor core; 0: unknown
 }
 
 // LastSeen holds the time since a host was last seen, directly or as reported by others.
--- a/internal/gossip/hosts.go
+++ b/internal/gossip/hosts.go
@@ -193,10 +193,10 @@
 
 // liveHosts returns the list for Live. The caller holds g.mu.
 func (g *Gossip) liveHosts(now time.Time) []topology.Host {
-	list := []topology.Host{{ID: g.self.Addr, Domain: g.self.Domain, State: topology.HostLive}}
+	list := []topology.Host{{ID: g.self.Addr, Domain: g.self.Domain, State: topology.HostLive, Weight: g.self.Weight}}
 	for id, k := range g.hosts {
 		if k.isLive(now) {
-			list = append(list, topology.Host{ID: id, Domain: k.host.Domain, State: topology.HostLive})
+			list = append(list, topology.Host{ID: id, Domain: k.host.Domain, State: topology.HostLive, Weight: k.host.Weight})
 		}
 	}
 	slices.SortFunc(list, func(a, b topology.Host) int { return strings.Compare(string(a.ID), string(b.ID)) })
--- a/internal/group/choose.go
+++ b/internal/group/choose.go
@@ -20,6 +20,9 @@
 	Idle       int
 	Waiting    int
 	Latency    time.Duration // moving average of its response times
+	// Delay is how long the customer is expected to wait for a connection of its own:
+	// 0 if one is idle, or if connections don't belong to customers.
+	Delay time.Duration
 }
 
 const (
@@ -72,6 +75,7 @@
 	if c.Idle == 0 {
 		cost += c.Latency
 	}
+	cost += c.Delay
 	if !c.SameDomain {
 		cost += crossDomainPenalty
 	}
--- a/internal/group/dump.go
+++ b/internal/group/dump.go
@@ -15,6 +15,9 @@
 	Lagging     bool           `json:"lagging"`
 	LatencyMS   float64        `json:"took_ms"`
 	Load        share.Load     `json:"load"`
+	// Customers lists connections by customer, the most connections first, and is
+	// absent if connections don't belong to customers.
+	Customers []share.CustomerDump `json:"customers,omitempty"`
 }
 
 // Dump is the state of a group as seen by this host.
@@ -37,7 +40,7 @@
 	for id, m := range g.members {
 		d.Members = append(d.Members, MemberDump{
 			Target: m.info, Leads: id == g.view.leader, Unreachable: m.unreachable, Lagging: now.Before(m.lagBackoff.retryAt),
-			LatencyMS: float64(m.latency.Microseconds()) / 1000, Load: m.pool.Load(),
+			LatencyMS: float64(m.latency.Microseconds()) / 1000, Load: m.pool.Load(), Customers: m.pool.DumpCustomers(),
 		})
 	}
 	return d
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -66,7 +66,8 @@
 	mu          sync.Mutex
 	view        leaderView
 	members     map[topology.TargetID]*member
-	leaderFound chan struct{} // closed and replaced when a new leader is proved
+	customers   *share.Customers // nil if connections don't belong to customers
+	leaderFound chan struct{}    // closed and replaced when a new leader is proved
 	probing     bool
 }
 
@@ -77,6 +78,20 @@
 	return g
 }
 
+// SetCustomers makes the connections to the targets belong to customers, or to nobody
+// if c is nil. An unchanged configuration must be the same pointer.
+func (g *Group) SetCustomers(c *share.Customers) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.customers == c {
+		return
+	}
+	g.customers = c
+	for _, m := range g.members {
+		m.pool.SetCustomers(c)
+	}
+}
+
 // SetMembers sets the group's registered targets. sizeOf returns how many
 // connections to keep open to a target, 0 for none.
 func (g *Group) SetMembers(members []catalog.Member, sizeOf func(topology.Target) int) {
@@ -94,7 +109,7 @@
 		if m != nil {
 			m.pool.Close()
 		}
-		pool := share.NewPool(share.Options{Target: info.Target, Dialer: g.opts.Dialer, Size: sizeOf(info.Target), OnDial: g.recordDial})
+		pool := share.NewPool(share.Options{Target: info.Target, Dialer: g.opts.Dialer, Size: sizeOf(info.Target), OnDial: g.recordDial, Customers: g.customers})
 		g.members[info.Target.ID] = &member{info: info, pool: pool, latency: initialLatency}
 	}
 	for id, m := range g.members {
@@ -293,16 +308,19 @@
 	Pool *share.Pool
 }
 
-// Readers returns the targets that may serve a read which requires the position
-// after, best first. A target that recently refused a read counts as lagging
+// Readers is ReadersFor without a customer.
+func (g *Group) Readers(after topology.Position) []Choice { return g.ReadersFor(after, "") }
+
+// ReadersFor returns the targets that may serve a customer's read which requires the
+// position after, best first. A target that recently refused a read counts as lagging
 // unless it is known to have reached this position.
-func (g *Group) Readers(after topology.Position) []Choice {
+func (g *Group) ReadersFor(after topology.Position, customer topology.CustomerID) []Choice {
 	now := steady.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	candidates := make([]Candidate, 0, len(g.members))
 	for id, m := range g.members {
-		load := m.pool.Load()
+		load := m.pool.LoadFor(customer)
 		candidates = append(candidates, Candidate{
 			ID:         id,
 			IsLeader:   id == g.view.leader,
@@ -314,6 +332,7 @@
 			Idle:       load.Idle,
 			Waiting:    load.Waiting,
 			Latency:    m.latency,
+			Delay:      load.Delay,
 		})
 	}
 	ordered := Order(candidates)
--- a/internal/group/set.go
+++ b/internal/group/set.go
@@ -9,6 +9,7 @@
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
 	"nettlewalk.example/nettlewalk/internal/placement"
+	"nettlewalk.example/nettlewalk/internal/share"
 	"nettlewalk.example/nettlewalk/internal/statement"
 	"nettlewalk.example/nettlewalk/internal/steady"
 	"nettlewalk.example/nettlewalk/internal/topology"
@@ -29,7 +30,10 @@
 	Catalog *catalog.Store
 	// Size returns how many connections this host keeps open to a target,
 	// given the target's limit on connections from all hosts together.
-	Size      func(target topology.Target, limit int) int
+	Size func(target topology.Target, limit int) int
+	// Customers returns the customers of the connections to a group's targets, nil if
+	// there are none. It may be nil.
+	Customers func(topology.GroupID) *share.Customers
 	OnSuspect func(topology.GroupID, topology.TargetID, statement.DialOutcome)
 	Leases    Leases // nil if no leases are needed, see Options
 	Log       logr.Logger
@@ -90,6 +94,9 @@
 	serving := s.opts.Catalog.Serving()
 	for id, settings := range c.Groups {
 		g := s.getOrCreate(id)
+		if s.opts.Customers != nil {
+			g.SetCustomers(s.opts.Customers(id))
+		}
 		g.SetMembers(serving[id], func(t topology.Target) int { return s.opts.Size(t, settings.MaxConnections) })
 		go g.Refresh(maxAnchorAge)
 	}
@@ -164,8 +171,11 @@
 	defer g.mu.Unlock()
 	o := Offer{Group: g.opts.ID, Last: g.view.lastLeader, ProvedAgo: steady.Now().Sub(g.view.lastLeaderAt)}
 	for id, m := range g.members {
-		load := m.pool.Load()
+		load := m.pool.LoadFor("")
 		free := load.Idle - load.Waiting
+		if load.ByCustomer {
+			free += load.Size - load.Open // a customer's connection may be opened on demand
+		}
 		if id == g.view.leader {
 			o.Leads, o.LeaderIdle = load.Open > 0, free
 		}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -10,6 +10,7 @@
 	"nettlewalk.example/nettlewalk/internal/peer"
 	"nettlewalk.example/nettlewalk/internal/placement"
 	"nettlewalk.example/nettlewalk/internal/result"
+	"nettlewalk.example/nettlewalk/internal/share"
 	"nettlewalk.example/nettlewalk/internal/statement"
 	"nettlewalk.example/nettlewalk/internal/steady"
 	"nettlewalk.example/nettlewalk/internal/topology"
@@ -95,7 +96,13 @@
 	}
 	groupID := r.route.Group
 	offers := server.peerLoads.CurrentOffers(groupID, server.opts.Peers.Offers(groupID), steady.Now())
-	offer, ok := placement.Pick(offers, placement.Requirements{NeedsLeader: needsLeader, FreeOnly: needsFree, Exclude: r.askedHosts}, rand.IntN)
+	need := placement.Requirements{NeedsLeader: needsLeader, FreeOnly: needsFree, Exclude: r.askedHosts}
+	var offer placement.Offer
+	if homes := r.homes(); len(homes.Order) > 0 {
+		offer, ok = placement.PickHome(offers, need, homes.Order, homes.Count, rand.IntN)
+	} else {
+		offer, ok = placement.Pick(offers, need, rand.IntN)
+	}
 	if !ok {
 		return "", false, false
 	}
@@ -104,6 +111,30 @@
 	return offer.Host, needsFree || !lastAttempt, true
 }
 
+// homes returns the order in which holders serve the request's customer, without an
+// entry if there is none.
+func (r *request) homes() share.Homes {
+	opts := &r.session.server.opts
+	if opts.Homes == nil || r.session.customer == "" {
+		return share.Homes{}
+	}
+	return opts.Homes(r.route.Group, r.session.customer)
+}
+
+// mayOpen reports whether this host opens a connection for the request's customer
+// before another host is asked: it is a home host of the customer, or the request has
+// been forwarded to it.
+func (r *request) mayOpen() bool {
+	if r.session.customer == "" {
+		return false
+	}
+	if r.fromPeer || r.session.forPeer {
+		return true
+	}
+	homes := r.homes()
+	return homes.Contains(r.session.server.opts.Self)
+}
+
 // callPeer forwards a statement to another host and records the load that it reports.
 func (s *Server) callPeer(ctx context.Context, host topology.HostID, groupID topology.GroupID, args *RunArgs) (statement.Answer, error) {
 	s.forwardedCounter.Inc()
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -13,7 +13,9 @@
 	"github.com/go-logr/logr"
 
 	"nettlewalk.example/nettlewalk/internal/placement"
+	"nettlewalk.example/nettlewalk/internal/share"
 	"nettlewalk.example/nettlewalk/internal/statement"
+	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
 // Options configures a Server.
@@ -24,7 +26,12 @@
 	Accept func(net.Conn) Caller
 	// Peers runs statements on other hosts; nil if there are none.
 	Peers Peers
-	Log   logr.Logger
+	// Homes returns the order in which the holders of a group's connections serve a
+	// customer, without an entry if there is none. It may be nil.
+	Homes func(topology.GroupID, topology.CustomerID) share.Homes
+	// Self is the ID of this host in the results of Homes.
+	Self topology.HostID
+	Log  logr.Logger
 }
 
 // Server serves callers. It is safe for concurrent use.
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -111,7 +111,7 @@
 // first. The leader has every position, so it ends the list. The second result
 // tells whether the read may be retried.
 func (r *request) runOnReader(ctx context.Context, after topology.Position) (statement.Answer, bool) {
-	readers := withoutLagging(r.group.Readers(after))
+	readers := withoutLagging(r.group.ReadersFor(after, r.session.customer))
 	for _, c := range readers {
 		if r.skipped[c.ID] {
 			continue
@@ -128,8 +128,11 @@
 			return answer, false
 		}
 	}
-	if answer, ok := r.forward(ctx, r.onlyLeaderLeft(readers), len(readers) > 0); ok {
-		return answer, false
+	mayOpen := len(readers) > 0 && r.mayOpen()
+	if !mayOpen {
+		if answer, ok := r.forward(ctx, r.onlyLeaderLeft(readers), len(readers) > 0); ok {
+			return answer, false
+		}
 	}
 	for _, c := range readers {
 		if r.skipped[c.ID] || c.Failing {
@@ -141,6 +144,11 @@
 		}
 		return r.readFrom(&c, conn, after)
 	}
+	if mayOpen {
+		if answer, ok := r.forward(ctx, false, true); ok {
+			return answer, false
+		}
+	}
 	return r.runOnLeader(ctx, verifiedLeader)
 }
 
@@ -234,6 +242,14 @@
 		}
 		r.leaderConnsBusy = pool.Load().Open > 0
 	}
+	var conn *share.Conn
+	var err error
+	mayOpen := known && r.mayOpen()
+	if mayOpen {
+		if conn, err = r.acquire(pool, r.group.Latency(id)); err == nil {
+			return id, pool, conn, statement.Answer{}
+		}
+	}
 	if answer, ok := r.forward(ctx, r.needsLeader(), r.leaderConnsBusy); ok {
 		return "", nil, nil, answer
 	}
@@ -242,7 +258,9 @@
 			return "", nil, nil, r.session.refusal(statement.Busy, r.noLeaderDetail())
 		}
 	}
-	conn, err := r.acquire(pool, r.group.Latency(id))
+	if !mayOpen {
+		conn, err = r.acquire(pool, r.group.Latency(id))
+	}
 	if err != nil {
 		r.addStep(id, err.Error())
 		return "", nil, nil, r.session.refusal(statement.Busy, err.Error())
@@ -269,9 +287,17 @@
 	if conn := pool.TryAcquire(r.session.customer); conn != nil {
 		return conn, nil
 	}
+	if r.mayOpen() {
+		return pool.Acquire(r.session.customer, r.deadline, maxAtOnceWait, r.route.Priority)
+	}
 	return nil, errNoFreeConn
 }
 
+// maxAtOnceWait is how long a request that is to be served at once or refused waits for
+// a connection of its customer to be opened: the target's work for it, 12 ms, and as
+// much again for round trips and another dial.
+const maxAtOnceWait = 30 * time.Millisecond
+
 // errNoFreeConn refuses a request that may not be queued.
 var errNoFreeConn = errors.New("no connection to the target is free")
 
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -226,18 +226,28 @@
 // beginOnReader begins the transaction at the first target that has the position
 // and a free connection.
 func (r *request) beginOnReader(after topology.Position) bool {
-	for _, c := range withoutLagging(r.group.Readers(after)) {
+	begin := proxyStatement(statement.BeginReadOnly, "")
+	begin.After = after
+	readers := withoutLagging(r.group.ReadersFor(after, r.session.customer))
+	for _, c := range readers {
 		if r.skipped[c.ID] || c.Failing {
 			continue
 		}
 		conn := c.Pool.TryAcquire(r.session.customer)
-		if conn == nil {
+		if conn != nil && r.beginOnConn(c.ID, c.Pool, conn, begin) {
+			return true
+		}
+	}
+	if r.session.customer == "" || r.noWait && !r.mayOpen() {
+		return false
+	}
+	for _, c := range readers {
+		if r.skipped[c.ID] || c.Failing {
 			continue
 		}
-		begin := proxyStatement(statement.BeginReadOnly, "")
-		begin.After = after
-		if r.beginOnConn(c.ID, c.Pool, conn, begin) {
-			return true
+		conn, err := r.acquire(c.Pool, c.Latency)
+		if err == nil {
+			return r.beginOnConn(c.ID, c.Pool, conn, begin)
 		}
 	}
 	return false
--- /dev/null
+++ b/internal/share/bycustomer.go
@@ -0,0 +1,317 @@
+package share
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+
+	"nettlewalk.example/nettlewalk/internal/statement"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+var (
+	// replacements counts connections that were closed for another customer.
+	replacements = metrics.NewCounter("nettlewalk_connections_replaced_total")
+	// customerDials counts dials by why the connection was opened.
+	demandDials  = metrics.NewCounter(`nettlewalk_customer_dials_total{reason="demand"}`)
+	preopenDials = metrics.NewCounter(`nettlewalk_customer_dials_total{reason="ahead"}`)
+)
+
+// Customers is the configuration of a pool whose connections belong to customers.
+type Customers struct {
+	Known   map[topology.CustomerID]bool // connections of others are closed once they are idle
+	Preopen []topology.CustomerID        // customers of the connections to open ahead of demand
+}
+
+// SetCustomers makes the connections belong to customers, or to nobody if c is nil.
+func (p *Pool) SetCustomers(c *Customers) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c == p.customers {
+		return
+	}
+	p.customers, p.byCustomer = c, c != nil
+	kept := p.idle[:0:0]
+	for _, conn := range p.idle {
+		if p.mayKeep(conn) {
+			kept = append(kept, conn)
+			continue
+		}
+		p.closeConn(conn)
+	}
+	p.idle = kept
+	p.startDialing()
+}
+
+// mayKeep reports whether an idle connection's customer still exists.
+func (p *Pool) mayKeep(c *Conn) bool {
+	switch {
+	case c.Customer == "":
+		return true
+	case p.customers != nil:
+		return p.customers.Known[c.Customer]
+	}
+	return p.byCustomer
+}
+
+// CustomerLoad describes a pool as one customer sees it.
+type CustomerLoad struct {
+	Load
+	ByCustomer bool // connections belong to customers
+	// Delay is how long a request of the customer is expected to wait for a
+	// connection, including a dial; 0 if one is idle.
+	Delay time.Duration
+}
+
+// LoadFor returns the pool's load and the expected wait of a request of the customer.
+func (p *Pool) LoadFor(customer topology.CustomerID) CustomerLoad {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	load := CustomerLoad{Load: p.load(), ByCustomer: p.byCustomer}
+	if !p.byCustomer || p.hasIdle(customer) {
+		return load
+	}
+	u := p.use[customer]
+	if u == nil {
+		u = &customerUse{}
+	}
+	load.Delay = p.view().expectedCustomerWait(u, 1, p.untilDial(now))
+	return load
+}
+
+func (p *Pool) hasIdle(customer topology.CustomerID) bool {
+	for _, c := range p.idle {
+		if c.Customer == customer {
+			return true
+		}
+	}
+	return false
+}
+
+// MaxCustomersDumped bounds the customers in a state dump of one pool.
+const MaxCustomersDumped = 20
+
+// CustomerDump is the state of one customer's connections in a pool.
+type CustomerDump struct {
+	Customer topology.CustomerID `json:"customer"`
+	Open     int                 `json:"open"`
+	InUse    int                 `json:"in_use"`
+	Dialing  int                 `json:"dialing"`
+	Waiting  int                 `json:"waiting"`
+	Demand   float64             `json:"demand_per_s"`
+}
+
+// DumpCustomers returns the customers with the most connections, at most
+// MaxCustomersDumped, or nil if connections don't belong to customers.
+func (p *Pool) DumpCustomers() []CustomerDump {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.byCustomer {
+		return nil
+	}
+	list := make([]CustomerDump, 0, len(p.use))
+	for id, u := range p.use {
+		list = append(list, CustomerDump{id, u.open, u.inUse, u.dialing, u.waiting, u.demand(now)})
+	}
+	slices.SortFunc(list, func(a, b CustomerDump) int {
+		return cmp.Or(cmp.Compare(b.Open, a.Open), cmp.Compare(b.Waiting, a.Waiting), cmp.Compare(b.Demand, a.Demand), cmp.Compare(a.Customer, b.Customer))
+	})
+	return list[:min(len(list), MaxCustomersDumped)]
+}
+
+// useOf returns the entry of a customer and creates it if necessary. The caller holds
+// p.mu.
+func (p *Pool) useOf(customer topology.CustomerID, now time.Time) *customerUse {
+	u := p.use[customer]
+	if u == nil {
+		for id, other := range p.use {
+			if other.unused(now) {
+				delete(p.use, id)
+			}
+		}
+		u = &customerUse{ratedAt: now}
+		p.use[customer] = u
+	}
+	return u
+}
+
+// view returns the state on which decisions are based. The caller holds p.mu.
+func (p *Pool) view() *poolView {
+	v := &poolView{size: p.size, open: p.open, dialing: p.customerDials, use: p.use, hold: p.meanHold, dialTime: p.dialTime}
+	if p.dialing {
+		v.dialing++
+	}
+	for _, c := range p.idle {
+		v.idle = append(v.idle, idleConn{c.Customer, c.servedAt})
+	}
+	for _, w := range p.queue.waiters {
+		v.queue = append(v.queue, waitingRequest{w.customer, w.priority, w.arrivedAt})
+	}
+	if p.customers != nil {
+		v.preopen = p.customers.Preopen
+	}
+	return v
+}
+
+// untilDial returns how long until a dial is allowed. The caller holds p.mu.
+func (p *Pool) untilDial(now time.Time) time.Duration {
+	return max(p.dialPausedUntil.Sub(now), p.budget.untilAvailable(p.size, now), 0)
+}
+
+// scheduleDials starts the dials that the waiting requests need, then those ahead of
+// demand. The caller holds p.mu.
+func (p *Pool) scheduleDials(now time.Time) {
+	for !p.closed {
+		wait := p.untilDial(now)
+		if wait == 0 {
+			action, ok := nextDial(p.view(), now)
+			if ok {
+				p.startDial(action, now)
+				continue
+			}
+		}
+		if len(p.queue.waiters) > 0 || wait > 0 && p.open+p.customerDials < p.size {
+			p.recheckDials(max(wait, dialRecheckInterval))
+		}
+		return
+	}
+}
+
+// dialRecheckInterval is the time between checks whether a dial has become possible
+// for a waiting request by the passing of time alone.
+const dialRecheckInterval = 10 * time.Millisecond
+
+func (p *Pool) recheckDials(after time.Duration) {
+	if p.rechecking {
+		return
+	}
+	p.rechecking = true
+	time.AfterFunc(after, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.rechecking = false
+		if p.byCustomer {
+			p.scheduleDials(time.Now())
+		}
+	})
+}
+
+// startDial closes the connection to replace, if any, and dials. The caller holds p.mu.
+func (p *Pool) startDial(a dialAction, now time.Time) {
+	if a.replace >= 0 {
+		replacements.Inc()
+		p.closeConn(p.idle[a.replace])
+		p.idle = append(p.idle[:a.replace:a.replace], p.idle[a.replace+1:]...)
+	}
+	u := p.useOf(a.customer, now)
+	if u.waiting > 0 {
+		demandDials.Inc()
+	} else {
+		preopenDials.Inc()
+	}
+	u.dialing++
+	p.customerDials++
+	p.budget.take()
+	go p.dialFor(a.customer)
+}
+
+func (p *Pool) dialFor(customer topology.CustomerID) {
+	start := time.Now()
+	conn, err := p.opts.Dialer.Dial(p.ctx, p.opts.Target, customer)
+	now := time.Now()
+	dialTimes.Update(now.Sub(start).Seconds())
+	p.opts.OnDial(p.opts.Target.ID, err)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.customerDials--
+	u := p.useOf(customer, now)
+	u.dialing--
+	if err != nil {
+		p.pauseDials(err, now)
+	} else {
+		p.dialTime += (now.Sub(start) - p.dialTime) / holdEWMADivisor
+		p.dialBackoff, p.rejectedBackoff = minDialBackoff, minRejectedBackoff
+		c := &Conn{Conn: conn, Customer: customer, Prepared: map[string]string{}, lastUsed: now, servedAt: now}
+		p.open++
+		u.open++
+		p.keepOrClose(c, now)
+	}
+	if p.byCustomer {
+		p.scheduleDials(now)
+	} else {
+		p.startDialing()
+	}
+}
+
+// keepOrClose hands a free connection to a waiting request of its customer or keeps
+// it idle, unless the pool doesn't want it. The caller holds p.mu.
+func (p *Pool) keepOrClose(c *Conn, now time.Time) {
+	if p.closed || p.open > p.size || !p.mayKeep(c) {
+		p.closeConn(c)
+		return
+	}
+	p.grant(c, now)
+}
+
+// pauseDials delays further dials after a failed one. The caller holds p.mu.
+func (p *Pool) pauseDials(err error, now time.Time) {
+	var dialErr *statement.DialError
+	wait := p.dialBackoff
+	if errors.As(err, &dialErr) && (dialErr.Outcome == statement.DialRejected || dialErr.Outcome == statement.DialNoHandshake) {
+		wait, p.rejectedBackoff = p.rejectedBackoff, min(2*p.rejectedBackoff, maxRejectedBackoff)
+	} else {
+		p.dialBackoff = min(2*p.dialBackoff, maxDialBackoff)
+	}
+	p.dialPausedUntil = now.Add(wait)
+}
+
+// grantByCustomer hands a free connection to the first waiting request of its
+// customer, unless another customer gets it by replacement. The caller holds p.mu.
+func (p *Pool) grantByCustomer(c *Conn, now time.Time) {
+	if len(p.queue.waiters) > 0 && p.untilDial(now) == 0 {
+		if other, ok := p.view().converts(c.Customer, now); ok {
+			replacements.Inc()
+			p.closeConn(c)
+			p.startDial(dialAction{other, -1}, now)
+			return
+		}
+	}
+	if w := p.queue.popNextOf(c.Customer, now); w != nil {
+		p.takeFor(c, now)
+		p.history.add(w.priority, now)
+		w.granted <- c
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
+// takeFor records that a request of the connection's customer takes it. The caller
+// holds p.mu.
+func (p *Pool) takeFor(c *Conn, now time.Time) {
+	c.acquiredAt, c.probing = now, false
+	if u := p.use[c.Customer]; u != nil {
+		u.inUse++
+	}
+}
+
+// admitCustomer returns an error if a request of a customer can't be served or its
+// expected wait is too long. The caller holds p.mu.
+func (p *Pool) admitCustomer(u *customerUse, now, deadline time.Time, maxWait time.Duration, priority int) error {
+	switch {
+	case p.closed:
+		return ErrClosed
+	case p.size <= 0, p.open+p.customerDials == 0 && now.Before(p.dialPausedUntil):
+		return ErrNoConnection
+	}
+	share := p.history.remainingShare(priority, p.open, p.meanHold, now)
+	expected := p.view().expectedCustomerWait(u, share, p.untilDial(now))
+	if expected > maxWait || now.Add(expected).After(deadline) {
+		return ErrWaitTooLong
+	}
+	return nil
+}
--- a/internal/share/conn.go
+++ b/internal/share/conn.go
@@ -26,6 +26,8 @@
 
 	lastUsed   time.Time
 	acquiredAt time.Time // when it was last taken from the pool
+	servedAt   time.Time // when it was opened, or last returned by a request rather than a probe
+	probing    bool      // taken by a probe
 }
 
 // IdleFor returns how long the connection had been idle when it was acquired.
--- /dev/null
+++ b/internal/share/customers.go
@@ -0,0 +1,324 @@
+package share
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// The decisions of a pool whose connections belong to customers. Nothing in this
+// file has a lock, a clock or a connection.
+
+const (
+	// maxConcurrentDials bounds the dials in progress of one pool. Several hosts dial
+	// the same target, and each dial takes one of its few work slots.
+	maxConcurrentDials = 2
+	// dialsPerConnection bounds the dials of a pool per second, as a multiple of its
+	// size. Over all hosts these are about 49 dials of 12 ms a second at a target
+	// with 4 work slots, a seventh of its work. Without a bound, overload causes
+	// dials, which cause more overload.
+	dialsPerConnection = 1.0
+	// dialBurst is the number of dials, as a multiple of the pool's size, that may
+	// follow each other before that rate applies.
+	dialBurst = 0.5
+	// minReplaceIdle is how long a connection must have been idle before it is
+	// replaced. The statements of one operation are closer together.
+	minReplaceIdle = 100 * time.Millisecond
+	// replaceAnywayAfter is how long a request must have waited for a connection
+	// that is in steady use to be taken from another customer.
+	replaceAnywayAfter = 40 * time.Millisecond
+	// demandPeriod is the time constant with which a customer's demand decays: some
+	// times the interval between two statements of a small customer at a pool.
+	demandPeriod = 5 * time.Second
+	// minDemand is the demand, in requests per second, below which a customer
+	// doesn't want connections: one request three periods ago.
+	minDemand = 0.01
+	// customerShareDivisor limits the connections of one customer to
+	// 1/customerShareDivisor of the pool while other customers have demand.
+	// Transactions whose callers rest would otherwise hold all of them.
+	customerShareDivisor = 2
+	// initialDialTime is the assumed duration of a dial before the first: the
+	// target's work and some round trips.
+	initialDialTime = 15 * time.Millisecond
+)
+
+// customerUse is what a pool knows of one customer.
+type customerUse struct {
+	open    int // connections, idle and in use
+	inUse   int
+	dialing int // dials in progress
+	waiting int // requests in the queue
+
+	rate    float64 // requests per second as of ratedAt
+	ratedAt time.Time
+}
+
+// recordDemand records a request.
+func (u *customerUse) recordDemand(now time.Time) {
+	u.rate, u.ratedAt = u.demand(now)+1/demandPeriod.Seconds(), now
+}
+
+// demand returns the recent requests per second.
+func (u *customerUse) demand(now time.Time) float64 {
+	return u.rate * math.Exp(-now.Sub(u.ratedAt).Seconds()/demandPeriod.Seconds())
+}
+
+// unused reports whether the entry holds nothing that is worth keeping.
+func (u *customerUse) unused(now time.Time) bool {
+	return u.open+u.dialing+u.waiting == 0 && u.demand(now) < minDemand
+}
+
+// idleConn describes an idle connection.
+type idleConn struct {
+	customer topology.CustomerID
+	since    time.Time // when it last served a statement or was opened
+}
+
+// waiting describes a waiting request.
+type waitingRequest struct {
+	customer topology.CustomerID
+	priority int
+	since    time.Time
+}
+
+// poolView is the state of a pool on which a decision is based.
+type poolView struct {
+	size     int
+	open     int // connections, idle and in use
+	dialing  int // dials in progress
+	use      map[topology.CustomerID]*customerUse
+	idle     []idleConn
+	queue    []waitingRequest // in the order in which they are served
+	hold     time.Duration    // mean time for which a request holds a connection
+	dialTime time.Duration    // mean duration of a dial
+	// preopen lists the customers of the connections to open ahead of demand, most
+	// important first, once for each connection.
+	preopen []topology.CustomerID
+}
+
+// dialAction is a decision to open a connection.
+type dialAction struct {
+	customer topology.CustomerID
+	replace  int // index of the idle connection to close first; -1: none
+}
+
+// nextDial returns the connection to open next, or false if none should be opened
+// now. The caller has checked that the rate of dials allows one.
+func nextDial(v *poolView, now time.Time) (dialAction, bool) {
+	if v.dialing >= maxConcurrentDials {
+		return dialAction{}, false
+	}
+	examined := map[topology.CustomerID]bool{}
+	for _, w := range v.queue {
+		if examined[w.customer] {
+			continue
+		}
+		examined[w.customer] = true
+		if !v.wantsDial(w.customer, now) {
+			continue
+		}
+		if v.open+v.dialing < v.size {
+			return dialAction{w.customer, -1}, true
+		}
+		if i := v.victim(&w, now); i >= 0 {
+			return dialAction{w.customer, i}, true
+		}
+	}
+	if len(v.queue) > 0 || v.dialing > 0 || v.open >= v.size {
+		return dialAction{}, false // dials ahead of demand are one at a time
+	}
+	return v.preopenNext()
+}
+
+// wantsDial reports whether a connection should be opened for the waiting requests of
+// a customer: it has none, or waiting for those that it has takes longer than
+// opening another one.
+func (v *poolView) wantsDial(customer topology.CustomerID, now time.Time) bool {
+	u := v.use[customer]
+	if u.waiting <= u.dialing {
+		return false
+	}
+	if u.open+u.dialing == 0 {
+		return true
+	}
+	if u.open+u.dialing >= v.customerLimit(customer, now) {
+		return false
+	}
+	if v.waitsLong(customer, now) {
+		return u.dialing == 0
+	}
+	wait := time.Duration(u.waiting) * v.hold / time.Duration(u.open+u.dialing)
+	threshold := v.dialTime
+	if v.open+v.dialing >= v.size {
+		threshold += v.hold // another customer loses a connection
+	}
+	return wait > threshold
+}
+
+// waitsLong reports whether the first waiting request of a customer has waited for
+// longer than a connection is usually held: its connections are probably held by
+// transactions whose callers rest.
+func (v *poolView) waitsLong(customer topology.CustomerID, now time.Time) bool {
+	for _, w := range v.queue {
+		if w.customer == customer {
+			return now.Sub(w.since) >= max(replaceAnywayAfter, 2*v.hold)
+		}
+	}
+	return false
+}
+
+// customerLimit returns the maximum number of connections of a customer.
+func (v *poolView) customerLimit(customer topology.CustomerID, now time.Time) int {
+	for id, u := range v.use {
+		if id != customer && (u.waiting > 0 || u.demand(now) >= minDemand) {
+			return max(v.size/customerShareDivisor, 1)
+		}
+	}
+	return max(v.size-1, 1)
+}
+
+// victim returns the index of the idle connection to replace for a waiting request,
+// or -1 if none may be. It is the one whose customer most likely needs it last, and
+// of several of one customer that which was used least recently.
+func (v *poolView) victim(w *waitingRequest, now time.Time) int {
+	idleCount := map[topology.CustomerID]int{}
+	for _, c := range v.idle {
+		idleCount[c.customer]++
+	}
+	best, bestNeed := -1, math.Inf(1)
+	for i, c := range v.idle {
+		if c.customer == w.customer || v.use[c.customer].waiting > 0 {
+			continue
+		}
+		if now.Sub(c.since) < minReplaceIdle && now.Sub(w.since) < replaceAnywayAfter {
+			continue
+		}
+		need := v.use[c.customer].demand(now) / float64(idleCount[c.customer])
+		if best < 0 || need < bestNeed || need == bestNeed && c.since.Before(v.idle[best].since) {
+			best, bestNeed = i, need
+		}
+	}
+	return best
+}
+
+// preopenNext returns the first connection of preopen that isn't open.
+func (v *poolView) preopenNext() (dialAction, bool) {
+	counted := map[topology.CustomerID]int{}
+	for _, customer := range v.preopen {
+		counted[customer]++
+		u := v.use[customer]
+		if u == nil || u.open+u.dialing < counted[customer] {
+			return dialAction{customer, -1}, true
+		}
+	}
+	return dialAction{}, false
+}
+
+// converts reports whether a connection that has just become free is replaced for
+// another customer, although requests of its own customer wait: that other
+// customer has no connection or only ones that are held for long, its request has
+// waited long enough, and either the connection's customer has others or the request
+// is ahead in the queue.
+func (v *poolView) converts(customer topology.CustomerID, now time.Time) (other topology.CustomerID, ok bool) {
+	if v.dialing >= maxConcurrentDials || v.open+v.dialing > v.size {
+		return "", false
+	}
+	own := -1
+	for i, w := range v.queue {
+		if w.customer == customer {
+			if own < 0 {
+				own = i
+			}
+			continue
+		}
+		u := v.use[w.customer]
+		if u.dialing > 0 || now.Sub(w.since) < replaceAnywayAfter {
+			continue
+		}
+		if u.open > 0 && (!v.waitsLong(w.customer, now) || u.open >= v.customerLimit(w.customer, now)) {
+			continue
+		}
+		if own < 0 || v.use[customer].open > 1 || w.since.Before(v.queue[own].since) {
+			return w.customer, true
+		}
+	}
+	return "", false
+}
+
+// expectedCustomerWait estimates how long a new request of a customer without an idle
+// connection waits: for one of the customer's connections, or for a dial, whichever
+// is expected first. share is the part of the freed connections that goes to its
+// priority or less urgent ones.
+func (v *poolView) expectedCustomerWait(u *customerUse, share float64, untilDial time.Duration) time.Duration {
+	dialsAhead := 0
+	for _, other := range v.use {
+		if other != u && other.waiting > 0 && other.open+other.dialing == 0 {
+			dialsAhead++
+		}
+	}
+	dial := untilDial + v.dialTime*time.Duration(1+(dialsAhead+v.dialing)/maxConcurrentDials)
+	if u.open+u.dialing == 0 {
+		return dial
+	}
+	own := expectedWait(u.waiting, u.open+u.dialing, v.hold, share)
+	if u.open == 0 {
+		own += v.dialTime
+	}
+	return own
+}
+
+// dialBudget limits how often a pool dials. The zero value is full.
+type dialBudget struct {
+	used      float64 // dials, which become available again over time
+	updatedAt time.Time
+}
+
+// available returns how long until a dial is allowed; 0: now.
+func (b *dialBudget) untilAvailable(size int, now time.Time) time.Duration {
+	b.refill(size, now)
+	over := b.used + 1 - max(1, float64(size)*dialBurst)
+	if over <= 0 {
+		return 0
+	}
+	return time.Duration(over / (float64(max(size, 1)) * dialsPerConnection) * float64(time.Second))
+}
+
+func (b *dialBudget) take() { b.used++ }
+
+func (b *dialBudget) refill(size int, now time.Time) {
+	elapsed := max(now.Sub(b.updatedAt).Seconds(), 0)
+	b.used = max(0, b.used-elapsed*float64(max(size, 1))*dialsPerConnection)
+	b.updatedAt = now
+}
+
+// CustomerWeight is a customer with its part of the load that a host is to serve.
+type CustomerWeight struct {
+	ID     topology.CustomerID
+	Weight float64
+}
+
+// Preopen returns the customers of n connections to open ahead of demand, most
+// important first. Each further connection goes to the customer with the largest
+// weight for each of its connections, no customer getting more than a part of all.
+func Preopen(customers []CustomerWeight, n int) []topology.CustomerID {
+	counts := make([]int, len(customers))
+	limit := max(n/customerShareDivisor, 1)
+	var list []topology.CustomerID
+	for len(list) < n {
+		best, bestValue := -1, 0.0
+		for i, c := range customers {
+			value := max(c.Weight, 1e-9) / float64(counts[i]+1)
+			if counts[i] < limit && (best < 0 || value > bestValue || value == bestValue && c.ID < customers[best].ID) {
+				best, bestValue = i, value
+			}
+		}
+		if best < 0 {
+			break
+		}
+		counts[best]++
+		list = append(list, customers[best].ID)
+	}
+	return slices.Clip(list)
+}
--- a/internal/share/holders.go
+++ b/internal/share/holders.go
@@ -16,17 +16,36 @@
 	version uint64 // of the list of hosts
 	index   *fleet.Index
 	groups  map[topology.GroupID][]topology.Host
+	// weighted are the holders of groups whose connections belong to customers.
+	weighted map[topology.GroupID][]topology.Host
 }
 
-// ForGroup returns the n holders of a group among hosts. version must change whenever
-// hosts does. The caller must not modify the result.
-func (h *Holders) ForGroup(id topology.GroupID, n int, hosts []topology.Host, version uint64) []topology.Host {
+// WeightedForGroup is ForGroup where connections belong to customers, see
+// WeightedHolders.
+func (h *Holders) WeightedForGroup(id topology.GroupID, n int, hosts []topology.Host, version uint64) []topology.Host {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.update(hosts, version)
+	if len(h.weighted[id]) != n {
+		h.weighted[id] = WeightedHolders(id, n, hosts)
+	}
+	return h.weighted[id]
+}
+
+// update drops what was computed for another list of hosts. The caller holds h.mu.
+func (h *Holders) update(hosts []topology.Host, version uint64) {
 	if h.index == nil || h.version != version {
 		h.version, h.index = version, fleet.NewIndex(hosts)
-		h.groups = map[topology.GroupID][]topology.Host{}
+		h.groups, h.weighted = map[topology.GroupID][]topology.Host{}, map[topology.GroupID][]topology.Host{}
 	}
+}
+
+// ForGroup returns the n holders of a group among hosts. version must change whenever
+// hosts does. The caller must not modify the result.
+func (h *Holders) ForGroup(id topology.GroupID, n int, hosts []topology.Host, version uint64) []topology.Host {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.update(hosts, version)
 	if len(h.groups[id]) != n {
 		h.groups[id] = nil
 		for _, holder := range h.index.Holders(topology.Target{ID: topology.TargetID(id), Slots: n}) {
--- /dev/null
+++ b/internal/share/homes.go
@@ -0,0 +1,135 @@
+package share
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// homeHeadroom is how many times the connections that a customer's usual load takes
+// are kept for it at its homes. Load rises by half in a wave of a domain, and a home
+// serves several customers.
+const homeHeadroom = 2
+
+// Homes is the order in which a customer's holders of a group are asked. The first
+// Count are its home hosts.
+type Homes struct {
+	Order []topology.HostID
+	Count int
+}
+
+// Contains reports whether the host is a home host.
+func (h *Homes) Contains(host topology.HostID) bool {
+	return slices.Contains(h.Order[:h.Count], host)
+}
+
+// HomesOf returns the order of a group's holders for a customer with the given share
+// of the configured rates of all customers. It is the same on all hosts that know the
+// same holders, and the loss of a holder moves only the customers at home there.
+func HomesOf(group topology.GroupID, customer topology.CustomerID, holders []topology.HostID, share float64) Homes {
+	key := xxhash.Sum64String(string(group) + "\x00" + string(customer))
+	type ranked struct {
+		host  topology.HostID
+		score uint64
+	}
+	list := make([]ranked, len(holders))
+	for i, host := range holders {
+		list[i] = ranked{host, mix(key ^ xxhash.Sum64String(string(host)))}
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		if c := cmp.Compare(b.score, a.score); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.host, b.host)
+	})
+	h := Homes{Order: make([]topology.HostID, len(list)), Count: homeCount(share, len(list))}
+	for i, r := range list {
+		h.Order[i] = r.host
+	}
+	return h
+}
+
+// homeCount returns how many of the holders are home hosts of a customer with a share
+// of the load.
+func homeCount(share float64, holders int) int {
+	return min(max(int(math.Ceil(share*homeHeadroom*float64(holders))), 1), holders)
+}
+
+// unknownHostWeight is the weight of a host that announces none: that of a small host,
+// in processor cores.
+const unknownHostWeight = 0.2
+
+// WeightedHolders returns n hosts that hold a group's connections on behalf of all. A
+// host's chance is in proportion to its weight. The failure domains have equally many
+// holders, as far as they have hosts, so that the loss of one leaves most of them. The
+// loss of a host moves only the groups that it held.
+func WeightedHolders(group topology.GroupID, n int, hosts []topology.Host) []topology.Host {
+	type ranked struct {
+		topology.Host
+		score float64
+	}
+	key := xxhash.Sum64String(string(group))
+	list := make([]ranked, len(hosts))
+	for i, host := range hosts {
+		weight := host.Weight
+		if weight <= 0 {
+			weight = unknownHostWeight
+		}
+		uniform := (float64(mix(key^xxhash.Sum64String(string(host.ID)))>>11) + 0.5) / (1 << 53)
+		list[i] = ranked{host, -weight / math.Log(uniform)}
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.ID, b.ID))
+	})
+	var holders []topology.Host
+	byDomain := map[topology.Domain]int{}
+	for limit := 1; len(holders) < n && len(list) > 0; limit++ {
+		list = slices.DeleteFunc(list, func(r ranked) bool {
+			if len(holders) >= n || byDomain[r.Domain] >= limit {
+				return false
+			}
+			byDomain[r.Domain]++
+			holders = append(holders, r.Host)
+			return true
+		})
+	}
+	return holders
+}
+
+// CustomerShares returns each customer's share of the sum of the configured rates. A
+// customer without a rate counts as an average one.
+func CustomerShares(rates map[topology.CustomerID]float64) map[topology.CustomerID]float64 {
+	sum, rated := 0.0, 0
+	for _, rate := range rates {
+		if rate > 0 {
+			sum += rate
+			rated++
+		}
+	}
+	average := 1.0
+	if rated > 0 {
+		average = sum / float64(rated)
+	}
+	sum += average * float64(len(rates)-rated)
+	shares := make(map[topology.CustomerID]float64, len(rates))
+	for id, rate := range rates {
+		if rate <= 0 {
+			rate = average
+		}
+		shares[id] = rate / sum
+	}
+	return shares
+}
+
+// mix makes each bit of the result depend on every bit of x.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- a/internal/share/plan.go
+++ b/internal/share/plan.go
@@ -12,6 +12,23 @@
 	sharedHolderSize = 3
 )
 
+const (
+	// customerHolderSize is the number of connections of each holder where connections
+	// belong to customers: the customers at home at a holder must fit its connections.
+	customerHolderSize = 8
+	// minCustomerHolders is the number of holders that a small limit is divided among,
+	// so that the loss of one host doesn't leave a group without connections.
+	minCustomerHolders = 3
+)
+
+// PlanForCustomers is Plan where connections belong to customers: fewer holders with
+// more connections each.
+func PlanForCustomers(limit, hosts int) (holders, size int) {
+	usable := max(limit-limit/spareDivisor, 1)
+	holders = min(max(usable/customerHolderSize, minCustomerHolders), usable, max(hosts, 1))
+	return holders, usable / holders
+}
+
 // Plan returns how many hosts hold connections to one target and how many each
 // of them keeps open, given the target's limit on connections from all hosts
 // together.
--- a/internal/share/pool.go
+++ b/internal/share/pool.go
@@ -51,6 +51,8 @@
 	// OnDial is called with the result of each dial; a non-nil error is a
 	// *statement.DialError.
 	OnDial func(topology.TargetID, error)
+	// Customers is nil if connections don't belong to customers.
+	Customers *Customers
 }
 
 // Pool maintains connections to one target. It is safe for concurrent use.
@@ -66,14 +68,31 @@
 	queue    waitQueue
 	history  grantHistory
 	meanHold time.Duration // moving average of how long a request holds a connection
-	dialing  bool
+	dialing  bool          // connections without a customer are being opened
 	closed   bool
+
+	// The fields below are used while connections belong to customers, see
+	// bycustomer.go. use covers all customers with a connection.
+	byCustomer      bool
+	customers       *Customers // nil until SetCustomers
+	use             map[topology.CustomerID]*customerUse
+	customerDials   int           // in progress
+	dialTime        time.Duration // moving average of how long a dial takes
+	budget          dialBudget
+	dialPausedUntil time.Time // after a failed dial
+	dialBackoff     time.Duration
+	rejectedBackoff time.Duration
+	rechecking      bool // a timer will call scheduleDials
 }
 
 // NewPool returns a pool and starts to open its connections.
 func NewPool(opts Options) *Pool {
 	ctx, stop := context.WithCancel(context.Background())
-	p := &Pool{opts: opts, ctx: ctx, stop: stop, size: opts.Size, meanHold: initialMeanHold}
+	p := &Pool{
+		opts: opts, ctx: ctx, stop: stop, size: opts.Size, meanHold: initialMeanHold,
+		customers: opts.Customers, byCustomer: opts.Customers != nil, use: map[topology.CustomerID]*customerUse{},
+		dialTime: initialDialTime, dialBackoff: minDialBackoff, rejectedBackoff: minRejectedBackoff,
+	}
 	p.mu.Lock()
 	p.startDialing()
 	p.mu.Unlock()
@@ -91,6 +110,10 @@
 func (p *Pool) Load() Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.load()
+}
+
+func (p *Pool) load() Load {
 	return Load{Open: p.open, Idle: len(p.idle), Waiting: len(p.queue.waiters), Size: p.size, Hold: p.meanHold}
 }
 
@@ -111,14 +134,17 @@
 func (p *Pool) TryAcquireAny() *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.popIdle(time.Now())
+	if len(p.idle) == 0 {
+		return nil
+	}
+	return p.takeIdle(len(p.idle)-1, time.Now())
 }
 
 // TryAcquire returns an idle connection of the customer, or nil if there is none.
 func (p *Pool) TryAcquire(customer topology.CustomerID) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.popIdle(time.Now())
+	return p.popIdle(customer, time.Now())
 }
 
 // Acquire returns a connection of the customer. It waits until the deadline at most, and no
@@ -127,27 +153,47 @@
 func (p *Pool) Acquire(customer topology.CustomerID, deadline time.Time, maxWait time.Duration, priority int) (*Conn, error) {
 	now := time.Now()
 	p.mu.Lock()
-	if c := p.popIdle(now); c != nil {
+	if c := p.popIdle(customer, now); c != nil {
 		p.history.add(priority, now)
 		p.mu.Unlock()
 		return c, nil
 	}
-	if err := p.admit(now, deadline, maxWait, priority); err != nil {
+	if err := p.admit(customer, now, deadline, maxWait, priority); err != nil {
 		p.mu.Unlock()
 		return nil, err
 	}
 	if latest := now.Add(maxWait); latest.Before(deadline) {
 		deadline = latest
 	}
-	w := &waiter{priority: priority, arrivedAt: now, deadline: deadline, granted: make(chan *Conn, 1)}
-	p.queue.add(w)
+	w := &waiter{customer: customer, priority: priority, arrivedAt: now, deadline: deadline, granted: make(chan *Conn, 1)}
+	p.enqueue(w, now)
 	p.mu.Unlock()
 	return p.wait(w)
 }
 
+// enqueue makes a request wait. The caller holds p.mu.
+func (p *Pool) enqueue(w *waiter, now time.Time) {
+	p.queue.add(w)
+	if !p.byCustomer {
+		return
+	}
+	u := p.useOf(w.customer, now)
+	u.waiting++
+	w.onRemoved = func() { u.waiting-- }
+	p.scheduleDials(now)
+}
+
 // admit returns an error if a request can't be served or its expected wait is
 // too long.
-func (p *Pool) admit(now, deadline time.Time, maxWait time.Duration, priority int) error {
+func (p *Pool) admit(customer topology.CustomerID, now, deadline time.Time, maxWait time.Duration, priority int) error {
+	if customer != "" && !p.byCustomer { // the pool learns of a new configuration a moment later than the session
+		p.byCustomer = true
+	}
+	if p.byCustomer {
+		u := p.useOf(customer, now)
+		u.recordDemand(now)
+		return p.admitCustomer(u, now, deadline, maxWait, priority)
+	}
 	switch {
 	case p.closed:
 		return ErrClosed
@@ -195,21 +241,32 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.meanHold += (now.Sub(c.acquiredAt) - p.meanHold) / holdEWMADivisor
 	c.lastUsed = now
-	if !usable || p.closed || p.open > p.size {
+	if u := p.use[c.Customer]; u != nil && !c.probing {
+		u.inUse--
+	}
+	if !c.probing || !p.byCustomer {
+		p.meanHold += (now.Sub(c.acquiredAt) - p.meanHold) / holdEWMADivisor
+		c.servedAt = now
+	}
+	if !usable {
 		p.closeConn(c)
 		p.startDialing()
 		return
 	}
-	p.grant(c, now)
+	p.keepOrClose(c, now)
+	p.startDialing()
 }
 
 // grant hands a free connection to the first waiter, or keeps it idle if nobody
 // waits.
 func (p *Pool) grant(c *Conn, now time.Time) {
+	if p.byCustomer {
+		p.grantByCustomer(c, now)
+		return
+	}
 	if w := p.queue.popNext(now); w != nil {
-		c.acquiredAt = now
+		p.takeFor(c, now)
 		p.history.add(w.priority, now)
 		w.granted <- c
 		return
@@ -217,21 +274,36 @@
 	p.idle = append(p.idle, c)
 }
 
-// popIdle returns the most recently used idle connection, or nil if there is
-// none.
-func (p *Pool) popIdle(now time.Time) *Conn {
-	n := len(p.idle)
-	if n == 0 {
-		return nil
+// popIdle returns the most recently used idle connection of the customer, or nil if
+// there is none.
+func (p *Pool) popIdle(customer topology.CustomerID, now time.Time) *Conn {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if p.idle[i].Customer != customer {
+			continue
+		}
+		c := p.takeIdle(i, now)
+		p.takeFor(c, now)
+		if p.byCustomer {
+			p.use[customer].recordDemand(now)
+		}
+		return c
 	}
-	c := p.idle[n-1]
-	p.idle = p.idle[:n-1]
-	c.acquiredAt = now
+	return nil
+}
+
+// takeIdle removes and returns an idle connection, initially for a probe.
+func (p *Pool) takeIdle(i int, now time.Time) *Conn {
+	c := p.idle[i]
+	p.idle = append(p.idle[:i], p.idle[i+1:]...)
+	c.acquiredAt, c.probing = now, true
 	return c
 }
 
 func (p *Pool) closeConn(c *Conn) {
 	p.open--
+	if u := p.use[c.Customer]; u != nil {
+		u.open--
+	}
 	c.Close()
 }
 
@@ -261,12 +333,19 @@
 		close(w.granted)
 	}
 	p.queue.waiters = nil
+	for _, u := range p.use {
+		u.waiting = 0
+	}
 }
 
 // startDialing opens missing connections in the background, one at a time,
 // since each takes one of the target's few work slots for a while.
 func (p *Pool) startDialing() {
-	if p.dialing || p.closed || p.open >= p.size {
+	if p.byCustomer {
+		p.scheduleDials(time.Now())
+		return
+	}
+	if p.dialing || p.closed || p.open+p.customerDials >= p.size {
 		return
 	}
 	p.dialing = true
@@ -314,16 +393,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err == nil && conn != nil {
-		c := &Conn{Conn: conn, Prepared: map[string]string{}, lastUsed: now}
+		c := &Conn{Conn: conn, Prepared: map[string]string{}, lastUsed: now, servedAt: now}
 		p.open++
-		if p.closed {
-			p.closeConn(c)
-		} else {
-			p.grant(c, now)
-		}
+		p.useOf("", now).open++
+		p.keepOrClose(c, now)
 	}
-	if p.closed || p.open >= p.size || p.ctx.Err() != nil {
+	if p.closed || p.byCustomer || p.open+p.customerDials >= p.size || p.ctx.Err() != nil {
 		p.dialing = false
+		if p.byCustomer {
+			p.scheduleDials(now)
+		}
 		return false
 	}
 	return true
--- a/internal/share/queue.go
+++ b/internal/share/queue.go
@@ -1,13 +1,20 @@
 package share
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
 
 // waiter is a request that waits for a connection.
 type waiter struct {
+	customer  topology.CustomerID
 	priority  int // 0 is the most urgent
 	arrivedAt time.Time
 	deadline  time.Time
 	granted   chan *Conn // buffered for one connection; closed if the wait ends without one
+	onRemoved func()     // called when it leaves the queue; may be nil
 }
 
 // waitQueue holds waiters ordered by priority, then by arrival. It has no lock
@@ -36,7 +43,7 @@
 func (q *waitQueue) popNext(now time.Time) *waiter {
 	for len(q.waiters) > 0 {
 		w := q.waiters[0]
-		q.waiters = q.waiters[1:]
+		q.removeAt(0)
 		if now.Before(w.deadline) {
 			return w
 		}
@@ -45,11 +52,36 @@
 	return nil
 }
 
+// popNextOf is popNext for the requests of one customer.
+func (q *waitQueue) popNextOf(customer topology.CustomerID, now time.Time) *waiter {
+	for i := 0; i < len(q.waiters); {
+		w := q.waiters[i]
+		if w.customer != customer {
+			i++
+			continue
+		}
+		q.removeAt(i)
+		if now.Before(w.deadline) {
+			return w
+		}
+		close(w.granted)
+	}
+	return nil
+}
+
+func (q *waitQueue) removeAt(i int) {
+	w := q.waiters[i]
+	q.waiters = slices.Delete(q.waiters, i, i+1)
+	if w.onRemoved != nil {
+		w.onRemoved()
+	}
+}
+
 // remove removes a waiter and reports whether it was still in the queue.
 func (q *waitQueue) remove(w *waiter) bool {
 	for i, other := range q.waiters {
 		if other == w {
-			q.waiters = append(q.waiters[:i], q.waiters[i+1:]...)
+			q.removeAt(i)
 			return true
 		}
 	}
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -70,4 +70,6 @@
 	CallerAddr string    `json:"caller_addr"` // host:port for callers
 	AdminAddr  string    `json:"admin_addr"`  // host:port for operators
 	State      HostState `json:"state"`
+	// Weight is the host's part of the work relative to other hosts, 0 if unknown.
+	Weight float64 `json:"weight,omitempty"`
 }
