--- a/cmd/nettlewalk/fleetcustomers.go
+++ b/cmd/nettlewalk/fleetcustomers.go
@@ -53,6 +53,11 @@
 	c.homes, c.groups = map[homeKey]share.Homes{}, map[topology.GroupID]*share.Customers{}
 }
 
+// otherHolderWeight is the weight of a customer that isn't at home at a holder, as a part
+// of its share. A holder at which no customer is at home still needs connections, over
+// which it finds out which target leads.
+const otherHolderWeight = 1e-6
+
 // customerHolders returns the hosts that hold a group's connections, or nil if every
 // host does, where connections belong to customers.
 func (h *fleetHost) customerHolders(id topology.GroupID, c *catalog.Configuration, sharers gossip.Sharers) []topology.Host {
@@ -116,9 +121,13 @@
 	var weights []share.CustomerWeight
 	for id := range c.Customers {
 		homes := share.HomesOf(group, id, holders, h.homes.shares[id])
+		weight := h.homes.shares[id]
 		if homes.Contains(self) {
-			weights = append(weights, share.CustomerWeight{ID: id, Weight: h.homes.shares[id] / float64(homes.Count)})
+			weight /= float64(homes.Count)
+		} else {
+			weight *= otherHolderWeight
 		}
+		weights = append(weights, share.CustomerWeight{ID: id, Weight: weight})
 	}
 	_, size := share.PlanForCustomers(c.Groups[group].MaxConnections, len(sharers.Hosts))
 	customers := &share.Customers{Known: h.homes.others.Known, Preopen: share.Preopen(weights, size)}
--- a/internal/share/bycustomer.go
+++ b/internal/share/bycustomer.go
@@ -60,6 +60,7 @@
 // CustomerLoad describes a pool as one customer sees it.
 type CustomerLoad struct {
 	Load
+	Limit      int  // on statements in flight
 	ByCustomer bool // connections belong to customers
 	// Delay is how long a request of the customer is expected to wait for a
 	// connection, including a dial; 0 if one is idle.
@@ -71,15 +72,11 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	load := CustomerLoad{Load: p.load(), ByCustomer: p.byCustomer}
-	if !p.byCustomer || p.hasIdle(customer) {
+	load := CustomerLoad{Load: p.load(), ByCustomer: p.byCustomer, Limit: p.concurrency.max(p.size)}
+	if !p.byCustomer || p.hasIdle(customer) && p.active < p.concurrency.max(p.size) {
 		return load
 	}
-	u := p.use[customer]
-	if u == nil {
-		u = &customerUse{}
-	}
-	load.Delay = p.view().expectedCustomerWait(u, 1, p.untilDial(now))
+	load.Delay = p.view().expectedCustomerWait(customer, 0, 1, p.untilDial(now), now)
 	return load
 }
 
@@ -142,7 +139,10 @@
 
 // view returns the state on which decisions are based. The caller holds p.mu.
 func (p *Pool) view() *poolView {
-	v := &poolView{size: p.size, open: p.open, dialing: p.customerDials, use: p.use, hold: p.meanHold, dialTime: p.dialTime}
+	v := &poolView{
+		size: p.size, open: p.open, dialing: p.customerDials, active: p.active, limit: p.concurrency.max(p.size),
+		use: p.use, hold: p.meanHold, dialTime: p.dialTime,
+	}
 	if p.dialing {
 		v.dialing++
 	}
@@ -150,7 +150,7 @@
 		v.idle = append(v.idle, idleConn{c.Customer, c.servedAt})
 	}
 	for _, w := range p.queue.waiters {
-		v.queue = append(v.queue, waitingRequest{w.customer, w.priority, w.arrivedAt})
+		v.queue = append(v.queue, waitingRequest{w.customer, w.priority, w.arrivedAt, w.deadline})
 	}
 	if p.customers != nil {
 		v.preopen = p.customers.Preopen
@@ -236,7 +236,7 @@
 	} else {
 		p.dialTime += (now.Sub(start) - p.dialTime) / holdEWMADivisor
 		p.dialBackoff, p.rejectedBackoff = minDialBackoff, minRejectedBackoff
-		c := &Conn{Conn: conn, Customer: customer, Prepared: map[string]string{}, lastUsed: now, servedAt: now}
+		c := &Conn{Conn: conn, pool: p, Customer: customer, Prepared: map[string]string{}, lastUsed: now, servedAt: now}
 		p.open++
 		u.open++
 		p.keepOrClose(c, now)
@@ -281,35 +281,142 @@
 			return
 		}
 	}
-	if w := p.queue.popNextOf(c.Customer, now); w != nil {
-		p.takeFor(c, now)
+	p.idle = append(p.idle, c)
+	p.dispatch(now)
+}
+
+// dispatch serves waiting requests on idle connections of their customers, within the
+// limit on statements in flight. The caller holds p.mu.
+func (p *Pool) dispatch(now time.Time) {
+	p.queue.dropExpired(now)
+	for len(p.queue.waiters) > 0 && len(p.idle) > 0 {
+		i := p.view().nextWaiter(p.grants)
+		if i < 0 {
+			return
+		}
+		if p.active >= p.concurrency.max(p.size) {
+			p.concurrency.noteReached()
+			return
+		}
+		w := p.queue.waiters[i]
+		p.queue.removeAt(i)
+		c := p.popIdle(w.customer, now)
+		p.grants++
+		p.use[w.customer].lastGrant = p.grants
 		p.history.add(w.priority, now)
 		w.granted <- c
-		return
 	}
-	p.idle = append(p.idle, c)
 }
 
 // takeFor records that a request of the connection's customer takes it. The caller
 // holds p.mu.
 func (p *Pool) takeFor(c *Conn, now time.Time) {
-	c.acquiredAt, c.probing = now, false
+	c.acquiredAt, c.probing, c.active, c.usedInTx = now, false, true, false
+	p.active++
 	if u := p.use[c.Customer]; u != nil {
 		u.inUse++
 	}
 }
 
+// endUse records that the request to which the connection was given is done with it. The
+// caller holds p.mu.
+func (p *Pool) endUse(c *Conn, now time.Time) {
+	if c.probing {
+		if !p.byCustomer {
+			p.recordHold(c, now)
+		}
+		return
+	}
+	p.setActive(c, false)
+	p.setInTransaction(c, false)
+	if u := p.use[c.Customer]; u != nil {
+		u.inUse--
+	}
+	c.servedAt = now
+	if !p.byCustomer || !c.usedInTx { // a transaction lasts as long as its caller wants
+		p.recordHold(c, now)
+	}
+}
+
+func (p *Pool) recordHold(c *Conn, now time.Time) {
+	p.meanHold += (now.Sub(c.acquiredAt) - p.meanHold) / holdEWMADivisor
+}
+
+// setActive records whether a statement is in flight or about to be sent. The caller
+// holds p.mu.
+func (p *Pool) setActive(c *Conn, active bool) {
+	switch {
+	case active && !c.active:
+		p.active++
+	case !active && c.active:
+		p.active--
+	}
+	c.active = active
+}
+
+// setInTransaction records whether a transaction is open. The caller holds p.mu.
+func (p *Pool) setInTransaction(c *Conn, inTx bool) {
+	if u := p.use[c.Customer]; u != nil && c.inTx != inTx {
+		if inTx {
+			u.inTx++
+		} else {
+			u.inTx--
+		}
+	}
+	c.inTx = inTx
+	c.usedInTx = c.usedInTx || inTx
+}
+
+// beginExchange records that statements are sent. It returns false if the pool doesn't
+// observe this exchange.
+func (p *Pool) beginExchange(c *Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.byCustomer || c.probing {
+		return false
+	}
+	p.setActive(c, true)
+	return true
+}
+
+// endExchange records the answers of the target to statements that took the given time.
+// A transaction whose caller has yet to send the next statement isn't in flight.
+func (p *Pool) endExchange(c *Conn, batch []statement.Statement, answers []statement.Answer, took time.Duration) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	busy := slices.ContainsFunc(answers, func(a statement.Answer) bool { return a.Code == statement.Busy })
+	if busy || slices.ContainsFunc(batch, usesWorkSlot) {
+		p.concurrency.observe(took, busy, p.size, now)
+	}
+	if n := len(answers); n > 0 && answers[n-1].State != statement.Idle {
+		p.setInTransaction(c, true)
+		p.setActive(c, false)
+	}
+	p.dispatch(now)
+}
+
+// usesWorkSlot reports whether a statement takes a work slot of the target.
+func usesWorkSlot(st statement.Statement) bool {
+	switch st.Kind {
+	case statement.Read, statement.Write, statement.Execute, statement.Commit:
+		return true
+	}
+	return false
+}
+
 // admitCustomer returns an error if a request of a customer can't be served or its
 // expected wait is too long. The caller holds p.mu.
-func (p *Pool) admitCustomer(u *customerUse, now, deadline time.Time, maxWait time.Duration, priority int) error {
+func (p *Pool) admitCustomer(customer topology.CustomerID, now, deadline time.Time, maxWait time.Duration, priority int) error {
 	switch {
 	case p.closed:
 		return ErrClosed
 	case p.size <= 0, p.open+p.customerDials == 0 && now.Before(p.dialPausedUntil):
 		return ErrNoConnection
 	}
-	share := p.history.remainingShare(priority, p.open, p.meanHold, now)
-	expected := p.view().expectedCustomerWait(u, share, p.untilDial(now))
+	v := p.view()
+	share := p.history.remainingShare(priority, v.limit, p.meanHold, now)
+	expected := v.expectedCustomerWait(customer, priority, share, p.untilDial(now), now)
 	if expected > maxWait || now.Add(expected).After(deadline) {
 		return ErrWaitTooLong
 	}
--- a/internal/share/conn.go
+++ b/internal/share/conn.go
@@ -28,6 +28,23 @@
 	acquiredAt time.Time // when it was last taken from the pool
 	servedAt   time.Time // when it was opened, or last returned by a request rather than a probe
 	probing    bool      // taken by a probe
+
+	// The fields below are guarded by the pool's lock.
+	pool     *Pool
+	active   bool // a statement is in flight or about to be sent
+	inTx     bool // a transaction is open
+	usedInTx bool // a transaction was open since the connection was taken
+}
+
+// Exchange implements statement.Conn. The pool learns of the answers.
+func (c *Conn) Exchange(deadline time.Time, batch ...statement.Statement) ([]statement.Answer, error) {
+	if c.pool == nil || !c.pool.beginExchange(c) {
+		return c.Conn.Exchange(deadline, batch...)
+	}
+	sent := time.Now()
+	answers, err := c.Conn.Exchange(deadline, batch...)
+	c.pool.endExchange(c, batch, answers, time.Since(sent))
+	return answers, err
 }
 
 // IdleFor returns how long the connection had been idle when it was acquired.
--- a/internal/share/customers.go
+++ b/internal/share/customers.go
@@ -50,6 +50,9 @@
 	inUse   int
 	dialing int // dials in progress
 	waiting int // requests in the queue
+	inTx    int // connections with an open transaction
+	// lastGrant is the number of the customer's last grant among those to waiting requests.
+	lastGrant uint64
 
 	rate    float64 // requests per second as of ratedAt
 	ratedAt time.Time
@@ -65,6 +68,10 @@
 	return u.rate * math.Exp(-now.Sub(u.ratedAt).Seconds()/demandPeriod.Seconds())
 }
 
+// usable returns the connections, open or being opened, that become free after a
+// statement.
+func (u *customerUse) usable() int { return u.open + u.dialing - u.inTx }
+
 // unused reports whether the entry holds nothing that is worth keeping.
 func (u *customerUse) unused(now time.Time) bool {
 	return u.open+u.dialing+u.waiting == 0 && u.demand(now) < minDemand
@@ -76,11 +83,12 @@
 	since    time.Time // when it last served a statement or was opened
 }
 
-// waiting describes a waiting request.
+// waitingRequest describes a waiting request.
 type waitingRequest struct {
 	customer topology.CustomerID
 	priority int
 	since    time.Time
+	deadline time.Time
 }
 
 // poolView is the state of a pool on which a decision is based.
@@ -88,6 +96,8 @@
 	size     int
 	open     int // connections, idle and in use
 	dialing  int // dials in progress
+	active   int // statements in flight
+	limit    int // on statements in flight
 	use      map[topology.CustomerID]*customerUse
 	idle     []idleConn
 	queue    []waitingRequest // in the order in which they are served
@@ -137,7 +147,7 @@
 // opening another one.
 func (v *poolView) wantsDial(customer topology.CustomerID, now time.Time) bool {
 	u := v.use[customer]
-	if u.waiting <= u.dialing {
+	if u.waiting <= u.dialing || v.hasIdle(customer) {
 		return false
 	}
 	if u.open+u.dialing == 0 {
@@ -146,10 +156,13 @@
 	if u.open+u.dialing >= v.customerLimit(customer, now) {
 		return false
 	}
-	if v.waitsLong(customer, now) {
-		return u.dialing == 0
+	if u.usable() == 0 {
+		return true
+	}
+	if v.active >= v.limit {
+		return false // another connection would only wait as well
 	}
-	wait := time.Duration(u.waiting) * v.hold / time.Duration(u.open+u.dialing)
+	wait := time.Duration(u.waiting) * v.hold / time.Duration(u.usable())
 	threshold := v.dialTime
 	if v.open+v.dialing >= v.size {
 		threshold += v.hold // another customer loses a connection
@@ -157,16 +170,8 @@
 	return wait > threshold
 }
 
-// waitsLong reports whether the first waiting request of a customer has waited for
-// longer than a connection is usually held: its connections are probably held by
-// transactions whose callers rest.
-func (v *poolView) waitsLong(customer topology.CustomerID, now time.Time) bool {
-	for _, w := range v.queue {
-		if w.customer == customer {
-			return now.Sub(w.since) >= max(replaceAnywayAfter, 2*v.hold)
-		}
-	}
-	return false
+func (v *poolView) hasIdle(customer topology.CustomerID) bool {
+	return slices.ContainsFunc(v.idle, func(c idleConn) bool { return c.customer == customer })
 }
 
 // customerLimit returns the maximum number of connections of a customer.
@@ -189,9 +194,12 @@
 	}
 	best, bestNeed := -1, math.Inf(1)
 	for i, c := range v.idle {
-		if c.customer == w.customer || v.use[c.customer].waiting > 0 {
+		if c.customer == w.customer {
 			continue
 		}
+		if v.use[c.customer].waiting > 0 && (idleCount[c.customer] == 1 || now.Sub(w.since) < replaceAnywayAfter) {
+			continue // they wait for their turn under the limit on statements in flight
+		}
 		if now.Sub(c.since) < minReplaceIdle && now.Sub(w.since) < replaceAnywayAfter {
 			continue
 		}
@@ -234,10 +242,10 @@
 			continue
 		}
 		u := v.use[w.customer]
-		if u.dialing > 0 || now.Sub(w.since) < replaceAnywayAfter {
+		if u.usable() > 0 || now.Sub(w.since) < replaceAnywayAfter {
 			continue
 		}
-		if u.open > 0 && (!v.waitsLong(w.customer, now) || u.open >= v.customerLimit(w.customer, now)) {
+		if u.open > 0 && u.open >= v.customerLimit(w.customer, now) {
 			continue
 		}
 		if own < 0 || v.use[customer].open > 1 || w.since.Before(v.queue[own].since) {
@@ -247,26 +255,37 @@
 	return "", false
 }
 
-// expectedCustomerWait estimates how long a new request of a customer without an idle
-// connection waits: for one of the customer's connections, or for a dial, whichever
-// is expected first. share is the part of the freed connections that goes to its
-// priority or less urgent ones.
-func (v *poolView) expectedCustomerWait(u *customerUse, share float64, untilDial time.Duration) time.Duration {
+// expectedCustomerWait estimates how long a new request of a customer waits: for one of
+// the customer's connections, or for a dial if it has none that is used for single
+// statements, and for its turn under the limit on statements in flight. share is the
+// part of the freed connections that goes to its priority or less urgent ones.
+func (v *poolView) expectedCustomerWait(customer topology.CustomerID, priority int, share float64, untilDial time.Duration, now time.Time) time.Duration {
+	limitWait := v.limitWait(customer, priority, share)
+	if v.hasIdle(customer) {
+		return limitWait
+	}
+	u := v.use[customer]
+	if u == nil {
+		u = &customerUse{}
+	}
 	dialsAhead := 0
 	for _, other := range v.use {
-		if other != u && other.waiting > 0 && other.open+other.dialing == 0 {
+		if other != u && other.waiting > 0 && other.usable() == 0 {
 			dialsAhead++
 		}
 	}
 	dial := untilDial + v.dialTime*time.Duration(1+(dialsAhead+v.dialing)/maxConcurrentDials)
-	if u.open+u.dialing == 0 {
-		return dial
+	if v.open+v.dialing >= v.size && v.victim(&waitingRequest{customer: customer, since: now}, now) < 0 {
+		dial += replaceAnywayAfter
+	}
+	if u.usable() == 0 {
+		return max(dial, limitWait)
 	}
-	own := expectedWait(u.waiting, u.open+u.dialing, v.hold, share)
+	own := expectedWait(u.waiting, u.usable(), v.hold, share)
 	if u.open == 0 {
 		own += v.dialTime
 	}
-	return own
+	return max(own, limitWait)
 }
 
 // dialBudget limits how often a pool dials. The zero value is full.
--- a/internal/share/pool.go
+++ b/internal/share/pool.go
@@ -82,7 +82,10 @@
 	dialPausedUntil time.Time // after a failed dial
 	dialBackoff     time.Duration
 	rejectedBackoff time.Duration
-	rechecking      bool // a timer will call scheduleDials
+	rechecking      bool   // a timer will call scheduleDials
+	active          int    // connections with a statement in flight or about to be sent
+	grants          uint64 // to waiting requests
+	concurrency     concurrencyLimit
 }
 
 // NewPool returns a pool and starts to open its connections.
@@ -144,6 +147,10 @@
 func (p *Pool) TryAcquire(customer topology.CustomerID) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.byCustomer && p.active >= p.concurrency.max(p.size) {
+		p.concurrency.noteReached()
+		return nil
+	}
 	return p.popIdle(customer, time.Now())
 }
 
@@ -153,7 +160,11 @@
 func (p *Pool) Acquire(customer topology.CustomerID, deadline time.Time, maxWait time.Duration, priority int) (*Conn, error) {
 	now := time.Now()
 	p.mu.Lock()
-	if c := p.popIdle(customer, now); c != nil {
+	var c *Conn
+	if !p.byCustomer || p.active < p.concurrency.max(p.size) {
+		c = p.popIdle(customer, now)
+	}
+	if c != nil {
 		p.history.add(priority, now)
 		p.mu.Unlock()
 		return c, nil
@@ -190,9 +201,8 @@
 		p.byCustomer = true
 	}
 	if p.byCustomer {
-		u := p.useOf(customer, now)
-		u.recordDemand(now)
-		return p.admitCustomer(u, now, deadline, maxWait, priority)
+		p.useOf(customer, now).recordDemand(now)
+		return p.admitCustomer(customer, now, deadline, maxWait, priority)
 	}
 	switch {
 	case p.closed:
@@ -242,15 +252,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c.lastUsed = now
-	if u := p.use[c.Customer]; u != nil && !c.probing {
-		u.inUse--
-	}
-	if !c.probing || !p.byCustomer {
-		p.meanHold += (now.Sub(c.acquiredAt) - p.meanHold) / holdEWMADivisor
-		c.servedAt = now
-	}
+	p.endUse(c, now)
 	if !usable {
 		p.closeConn(c)
+		if p.byCustomer {
+			p.dispatch(now)
+		}
 		p.startDialing()
 		return
 	}
@@ -393,7 +400,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err == nil && conn != nil {
-		c := &Conn{Conn: conn, Prepared: map[string]string{}, lastUsed: now, servedAt: now}
+		c := &Conn{Conn: conn, pool: p, Prepared: map[string]string{}, lastUsed: now, servedAt: now}
 		p.open++
 		p.useOf("", now).open++
 		p.keepOrClose(c, now)
--- a/internal/share/queue.go
+++ b/internal/share/queue.go
@@ -52,21 +52,14 @@
 	return nil
 }
 
-// popNextOf is popNext for the requests of one customer.
-func (q *waitQueue) popNextOf(customer topology.CustomerID, now time.Time) *waiter {
-	for i := 0; i < len(q.waiters); {
-		w := q.waiters[i]
-		if w.customer != customer {
-			i++
-			continue
-		}
-		q.removeAt(i)
-		if now.Before(w.deadline) {
-			return w
+// dropExpired ends the wait of requests whose deadline has passed.
+func (q *waitQueue) dropExpired(now time.Time) {
+	for i := len(q.waiters) - 1; i >= 0; i-- {
+		if w := q.waiters[i]; !now.Before(w.deadline) {
+			q.removeAt(i)
+			close(w.granted)
 		}
-		close(w.granted)
 	}
-	return nil
 }
 
 func (q *waitQueue) removeAt(i int) {
