--- a/internal/relay/authenticate_test.go
+++ b/internal/relay/authenticate_test.go
@@ -64,6 +64,9 @@
 	v := &versions{config: f.config, changed: make(chan struct{})}
 	v.set(customers...)
 	f.server.opts.Catalog = v
+	// With customers, a holder has about 8 connections to a target. A pool of the
+	// fixture's 2 would open only 2 a second for customers that have none.
+	f.group.SetMembers([]catalog.Member{f.member("p"), f.member("r")}, func(topology.Target) int { return 8 })
 	f.key = key
 	f.credentials.Store(&credentials{database: f.database, key: key})
 	return v
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -14,7 +14,9 @@
 
 	"nettlewalk.example/nettlewalk/internal/keys"
 	"nettlewalk.example/nettlewalk/internal/placement"
+	"nettlewalk.example/nettlewalk/internal/share"
 	"nettlewalk.example/nettlewalk/internal/statement"
+	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
 // Options configures a Server.
@@ -30,7 +32,12 @@
 	// always.
 	Revocation  keys.Policy
 	ConfirmedAt func() time.Time
-	Log         logr.Logger
+	// Homes returns the order in which the holders of a group's connections serve a
+	// customer, without an entry if there is none. It may be nil.
+	Homes func(topology.GroupID, topology.CustomerID) share.Homes
+	// Self is the ID of this host in the results of Homes.
+	Self topology.HostID
+	Log  logr.Logger
 }
 
 // Server serves callers. It is safe for concurrent use.
