cross-domain routing by cost on the line protocol's path

If one is set, locality.Router decides where reads run (runOnReader, beginOnReader) and to which hosts statements are forwarded (pickPeer), refuses reads of other domains while own callers wait (runForwarded), counts bytes and statements across, logs changes of a share and shows all in the dump. Statements for the leader go through the holder with the fewest crossings. Without prices the router is nil and the former path is taken. Gossip rounds are unchanged: liveness and majorities need contact with all domains.

Estimates: single statements differ by more than a crossing costs.

--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -17,6 +17,7 @@
 	"nettlewalk.example/nettlewalk/internal/gossip"
 	"nettlewalk.example/nettlewalk/internal/group"
 	"nettlewalk.example/nettlewalk/internal/lease"
+	"nettlewalk.example/nettlewalk/internal/locality"
 	"nettlewalk.example/nettlewalk/internal/peer"
 	storeclient "nettlewalk.example/nettlewalk/internal/platform"
 	"nettlewalk.example/nettlewalk/internal/promotion"
@@ -42,8 +43,9 @@
 	watchers     *promotion.Watchers
 	groups       *group.Set
 	relay        *relay.Server
-	grantor      *lease.Grantor // nil if primaries are fenced
-	lessee       *lease.Lessee  // nil if primaries are fenced
+	grantor      *lease.Grantor   // nil if primaries are fenced
+	lessee       *lease.Lessee    // nil if primaries are fenced
+	locality     *locality.Router // nil if no prices are set
 	holders      share.Holders
 	leaving      atomic.Bool
 	failedProbes atomic.Int64 // consecutive readiness probes answered with not ready
@@ -61,8 +63,9 @@
 	deadHostConnectionTimeout = 3300 * time.Millisecond
 )
 
-func newFleetHost(path string, s *platform.Settings, log logr.Logger) *fleetHost {
+func newFleetHost(path string, s *platform.Settings, prices locality.Prices, log logr.Logger) *fleetHost {
 	h := &fleetHost{settingsPath: path, settings: s, log: log, catalog: catalog.NewStore(), watchers: promotion.NewWatchers()}
+	h.locality = locality.NewRouter(prices, s.Domain, log.WithName("locality"))
 	self := topology.HostID(s.PeerAddr)
 	bootID := rand.Uint64()
 	key := peerKey(s)
@@ -79,6 +82,7 @@
 		Domains: s.Domains,
 		Catalog: h.catalog, Caller: h.peers, Offers: h.connectionOffers, OnOffers: h.learnLeaders, Log: log.WithName("gossip"),
 	}
+	gossipOptions.PreferOwnDomain = h.locality != nil
 	gossipOptions.StoreEra, gossipOptions.OnStoreEra = h.store.Era, h.store.NoteEra
 	if !s.PrimariesFenced {
 		gossipOptions.HostVotes = true
@@ -103,7 +107,7 @@
 	h.groups = group.NewSet(groupOptions)
 	h.relay = relay.NewServer(relay.Options{
 		Catalog: h.catalog, Groups: h.groups, Accept: platform.NewCallerConn,
-		Peers: &relayPeers{Client: h.peers, host: h}, Log: log.WithName("relay"),
+		Peers: &relayPeers{Client: h.peers, host: h}, Locality: h.locality, Log: log.WithName("relay"),
 	})
 	return h
 }
--- a/cmd/nettlewalk/fleetinspect.go
+++ b/cmd/nettlewalk/fleetinspect.go
@@ -18,6 +18,7 @@
 	"nettlewalk.example/nettlewalk/internal/gossip"
 	"nettlewalk.example/nettlewalk/internal/group"
 	"nettlewalk.example/nettlewalk/internal/lease"
+	"nettlewalk.example/nettlewalk/internal/locality"
 	"nettlewalk.example/nettlewalk/internal/steady"
 )
 
@@ -40,6 +41,8 @@
 	// if primaries are fenced.
 	Leases []lease.Dump      `json:"leases,omitempty"`
 	Grants []lease.GrantDump `json:"grants,omitempty"`
+	// CrossDomain is absent if no prices are set.
+	CrossDomain []locality.Dump `json:"cross_domain,omitempty"`
 }
 
 func (h *fleetHost) dump() fleetDump {
@@ -54,6 +57,7 @@
 	if h.lessee != nil {
 		d.Leases, d.Grants = h.lessee.Dump(), h.grantor.Dump()
 	}
+	d.CrossDomain = h.locality.Dump()
 	return d
 }
 
--- a/cmd/nettlewalk/fleetpeers.go
+++ b/cmd/nettlewalk/fleetpeers.go
@@ -47,7 +47,7 @@
 func (p *relayPeers) Offers(id topology.GroupID) []placement.Offer {
 	var list []placement.Offer
 	for _, o := range p.host.gossip.Offers(id) {
-		list = append(list, placement.Offer{Host: o.Host, SameDomain: o.Domain == p.host.settings.Domain, Leads: o.Leads, Load: o.Load, RequestedAt: o.ReceivedAt})
+		list = append(list, placement.Offer{Host: o.Host, Domain: o.Domain, SameDomain: o.Domain == p.host.settings.Domain, Leads: o.Leads, Load: o.Load, RequestedAt: o.ReceivedAt})
 	}
 	return append(list, p.holdersWithoutOffer(id, list)...)
 }
@@ -61,7 +61,7 @@
 	for _, host := range p.host.connectionHolders(id) {
 		offered := slices.ContainsFunc(known, func(o placement.Offer) bool { return o.Host == host.ID })
 		if !offered && host.ID != topology.HostID(p.host.settings.PeerAddr) {
-			list = append(list, placement.Offer{Host: host.ID, SameDomain: host.Domain == p.host.settings.Domain, Leads: true})
+			list = append(list, placement.Offer{Host: host.ID, Domain: host.Domain, SameDomain: host.Domain == p.host.settings.Domain, Leads: true})
 		}
 	}
 	return list
@@ -115,6 +115,9 @@
 	if n >= len(sharers.Hosts) {
 		return nil
 	}
+	if h.locality != nil {
+		return h.holders.ForGroupByDomain(id, n, sharers.Hosts, sharers.Version)
+	}
 	return h.holders.ForGroup(id, n, sharers.Hosts, sharers.Version)
 }
 
--- a/internal/gossip/fetch.go
+++ b/internal/gossip/fetch.go
@@ -153,13 +153,14 @@
 }
 
 // pickSource returns a random host among those that announced the newest snapshot of the
-// kind, leaving out those that were tried.
+// kind, leaving out those that were tried. With PreferOwnDomain it returns one of this
+// host's domain if there is any.
 func (g *Gossip) pickSource(kind SnapshotKind, tried map[topology.HostID]bool) source {
 	own, now := g.ownPosition(kind), steady.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var best source
-	count := 0 // of hosts with best.position
+	count, nearFound := 0, false // count of hosts with best.position, of those in the domain once one is found
 	for id, k := range g.hosts {
 		position := k.position(kind)
 		if !k.fetchable || now.Sub(k.lastHeard) > livenessTimeout || !position.After(own) {
@@ -170,7 +171,13 @@
 			continue
 		}
 		if position != best.position {
-			best.position, count = position, 0
+			best.position, count, nearFound = position, 0, false
+		}
+		if near := g.opts.PreferOwnDomain && k.host.Domain == g.opts.Self.Domain; near != nearFound {
+			if nearFound {
+				continue
+			}
+			count, nearFound = 0, true
 		}
 		if count++; rand.IntN(count) == 0 {
 			best.host, best.name = id, k.host.Name
--- a/internal/gossip/fetch_test.go
+++ b/internal/gossip/fetch_test.go
@@ -179,3 +179,31 @@
 	qt.Check(t, refusing.fetches <= untilLongest+int(2*duration/maxFetchRetryDelay), qt.IsTrue, qt.Commentf("%d fetches", refusing.fetches))
 	qt.Check(t, refusing.fetches > untilLongest, qt.IsTrue)
 }
+
+// A snapshot of a large configuration crosses failure domains once for each host if all
+// hosts fetch it from anywhere. With PreferOwnDomain a host of the own domain is asked
+// first, and hosts elsewhere only if none of them has the snapshot.
+func TestSnapshotIsFetchedWithinTheDomainFirst(t *testing.T) {
+	n := newFakeNetwork("north", "south", "north", "south")
+	n.runRounds()
+	a := n.hosts["a"]
+	announce := func(version uint64, from ...topology.HostID) {
+		for _, id := range from {
+			a.recordSender(&Digest{From: n.hosts[id].self, Configuration: version, FetchesSnapshots: true})
+		}
+	}
+	announce(3, "b", "c", "d")
+	picked := func(tried map[topology.HostID]bool) map[topology.HostID]bool {
+		hosts := map[topology.HostID]bool{}
+		for range 200 {
+			hosts[a.pickSource(ConfigurationSnapshot, tried).host] = true
+		}
+		return hosts
+	}
+	qt.Check(t, picked(nil), qt.HasLen, 3)
+	a.opts.PreferOwnDomain = true
+	qt.Check(t, picked(nil), qt.DeepEquals, map[topology.HostID]bool{"c": true})
+	qt.Check(t, picked(map[topology.HostID]bool{"c": true}), qt.DeepEquals, map[topology.HostID]bool{"b": true, "d": true})
+	announce(4, "b") // what is newer counts more than where it is
+	qt.Check(t, picked(nil), qt.DeepEquals, map[topology.HostID]bool{"b": true})
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -58,8 +58,10 @@
 	// runs through a domain leaves at most one side connected. Otherwise a domain is
 	// reachable if any of its hosts is, and only fencing tokens keep two sides apart.
 	HostVotes bool
-	Catalog   *catalog.Store
-	Caller    peer.Caller
+	// PreferOwnDomain makes hosts fetch snapshots from hosts of their own domain first.
+	PreferOwnDomain bool
+	Catalog         *catalog.Store
+	Caller          peer.Caller
 	// Offers returns what this host offers to others: its connections to targets.
 	Offers func() []Offer
 	// OnOffers is called with the offers in another host's answer and the time at
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -8,6 +9,9 @@
 	"github.com/go-logr/logr"
 	"pgregory.net/rapid"
 
+	"nettlewalk.example/nettlewalk/internal/catalog"
+	"nettlewalk.example/nettlewalk/internal/statement"
+	"nettlewalk.example/nettlewalk/internal/steady"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
@@ -152,3 +156,25 @@
 		qt.Check(t, s.Offers(), qt.HasLen, offered)
 	}
 }
+
+// Which domains a statement crosses follows from where the targets are, also on a host
+// without connections to them.
+func TestDomainsOfTargets(t *testing.T) {
+	g := New(Options{ID: "g", Domain: "a", Dialer: nil, Log: logr.Discard(), OnSuspect: func(topology.GroupID, topology.TargetID, statement.DialOutcome) {}})
+	defer g.Close()
+	member := func(id topology.TargetID, domain topology.Domain, leaving bool) catalog.Member {
+		return catalog.Member{Target: topology.Target{ID: id, Group: "g", Addr: string(id), Domain: domain, Leaving: leaving}}
+	}
+	g.SetMembers([]catalog.Member{member("p", "a", false), member("q", "b", false), member("r", "b", false), member("s", "c", true)}, func(topology.Target) int { return 0 })
+	domains := g.Domains()
+	slices.Sort(domains)
+	qt.Check(t, domains, qt.DeepEquals, []topology.Domain{"a", "b"})
+	qt.Check(t, g.DomainOf("s"), qt.Equals, topology.Domain("c"))
+	qt.Check(t, g.DomainOf("unknown"), qt.Equals, topology.Domain(""))
+	qt.Check(t, g.LeaderDomain(), qt.Equals, topology.Domain(""))
+	g.NoteReportedLeader("q", steady.Now())
+	qt.Check(t, g.LeaderDomain(), qt.Equals, topology.Domain("b"))
+	open, free := g.Connections()
+	qt.Check(t, open, qt.Equals, 0)
+	qt.Check(t, free, qt.Equals, 0)
+}
--- a/internal/locality/observed.go
+++ b/internal/locality/observed.go
@@ -1,33 +1,24 @@
 package locality
 
-import (
-	"math"
-	"time"
-)
-
-const (
-	// smoothingTime is the time constant of the averages. It is longer than most
-	// statements take and short against the waves of the load, of about 15 s.
-	smoothingTime = 300 * time.Millisecond
-	// minSampleWeight lets hosts with many statements use the average of several.
-	minSampleWeight = 1.0 / 8
-)
+import "time"
+
+// observedWeight is the weight of one measurement in an average. Single statements
+// differ by more than a crossing costs, so that an average over fewer of them makes
+// work leave a domain in which nobody waits.
+const observedWeight = 1.0 / 8
 
 // Observed is a moving average of the time to the answer, with the time of the
 // newest measurement.
 type Observed struct {
-	mean time.Duration
-	at   time.Time // zero: nothing was measured
+	mean  time.Duration
+	count uint64
+	at    time.Time // zero: nothing was measured
 }
 
 // Add adds a measurement.
 func (o *Observed) Add(took time.Duration, now time.Time) {
-	if o.at.IsZero() {
-		o.mean, o.at = took, now
-		return
-	}
-	weight := max(minSampleWeight, 1-math.Exp(-now.Sub(o.at).Seconds()/smoothingTime.Seconds()))
-	o.mean += time.Duration(weight * float64(took-o.mean))
+	o.count++
+	o.mean += time.Duration(max(observedWeight, 1/float64(o.count)) * float64(took-o.mean))
 	if now.After(o.at) {
 		o.at = now
 	}
--- /dev/null
+++ b/internal/locality/router_test.go
@@ -0,0 +1,98 @@
+package locality
+
+import (
+	"fmt"
+	"math"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
+
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// Without prices nothing may be decided, measured or refused.
+func TestRouterWithoutPrices(t *testing.T) {
+	r := NewRouter(Prices{}, "a", logr.Discard())
+	qt.Assert(t, r, qt.IsNil)
+	leaves, required := r.Leaves("g", Reads, Places{Away: true}, ordinary)
+	qt.Check(t, leaves || required, qt.IsFalse)
+	r.Record("g", Reads, true, Served, time.Second)
+	r.RecordBytes("g", Reads, true, 100)
+	r.CountOwn("g")
+	qt.Check(t, r.Admit("g", "b", false, Capacity{Free: -1}), qt.IsTrue)
+	qt.Check(t, r.Dump(), qt.HasLen, 0)
+	qt.Check(t, r.Domain(), qt.Equals, topology.Domain(""))
+}
+
+// A share that rises must be logged with its inputs, in a bounded number of lines.
+func TestRouterRaisesShareAndLogsIt(t *testing.T) {
+	var mu sync.Mutex
+	var lines []string
+	log := funcr.New(func(_, args string) {
+		mu.Lock()
+		defer mu.Unlock()
+		lines = append(lines, args)
+	}, funcr.Options{})
+	r := NewRouter(simPrices, "a", log)
+	places := Places{Home: true, Away: true}
+	var wait sync.WaitGroup
+	for group := range 30 {
+		wait.Go(func() {
+			id := topology.GroupID(fmt.Sprint("g", group))
+			for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+				leaves, _ := r.Leaves(id, Reads, places, ordinary)
+				took := 400 * time.Millisecond
+				if leaves {
+					took = 20 * time.Millisecond
+				}
+				r.Record(id, Reads, leaves, Served, took)
+				r.RecordBytes(id, Reads, leaves, 900)
+			}
+		})
+	}
+	wait.Wait()
+	for group := range 30 {
+		qt.Check(t, r.Share(topology.GroupID(fmt.Sprint("g", group)), Reads) > 0.3, qt.IsTrue)
+	}
+	t.Logf("%d lines, first: %s", len(lines), lines[0])
+	qt.Check(t, len(lines) <= logLinesBurst+4*logLinesPerSecond, qt.IsTrue)
+	qt.Check(t, len(lines) > 0, qt.IsTrue)
+	qt.Check(t, r.Dump(), qt.HasLen, 30*int(kinds))
+}
+
+// Figures that single statements bring must not turn a short absence of targets into a
+// jump of the share.
+func TestShortAbsenceOfTargetsKeepsShare(t *testing.T) {
+	var s Share
+	now, _ := advance(&s, start, 5*time.Second, overloaded)
+	before := s.Value()
+	now, _ = advance(&s, now, UpdateInterval, func(now time.Time) Input {
+		in := overloaded(now)
+		in.Home.Available = false
+		return in
+	})
+	qt.Check(t, s.Value(), qt.Equals, 1.0)
+	advance(&s, now, UpdateInterval, overloaded)
+	qt.Check(t, s.Returning(), qt.IsFalse)
+	qt.Check(t, math.Abs(s.Value()-before) < 0.2, qt.IsTrue)
+}
+
+// The wait for a busy connection must count before it was measured.
+func TestEstimateUsesPresentQueue(t *testing.T) {
+	f := flow{base: 10 * time.Millisecond}
+	var w Work
+	f.estimate(&Places{Waiting: 3}, &w)
+	qt.Check(t, w.Home, qt.Equals, 40*time.Millisecond)
+	qt.Check(t, w.Queue, qt.Equals, 30*time.Millisecond)
+	w = Work{}
+	f.estimate(&Places{Waiting: 1, Latency: 30 * time.Millisecond}, &w)
+	qt.Check(t, w.Home, qt.Equals, 40*time.Millisecond)
+	qt.Check(t, w.Queue, qt.Equals, 20*time.Millisecond)
+	w = Work{}
+	f.estimate(&Places{}, &w)
+	qt.Check(t, w.Home, qt.Equals, time.Duration(0)) // the measured figure applies
+}
--- a/internal/locality/share.go
+++ b/internal/locality/share.go
@@ -140,6 +140,7 @@
 	RefusedOut Reason = "refused_elsewhere"
 	Stale      Reason = "stale_figures"
 	Unanswered Reason = "unanswered_elsewhere"
+	Probing    Reason = "not_measured_elsewhere"
 	Returning  Reason = "targets_returned"
 )
 
@@ -152,6 +153,10 @@
 // Required reports whether the domain has no targets, so that all work must leave.
 func (s *Share) Required() bool { return !s.updatedAt.IsZero() && !s.in.Home.Available }
 
+// Returning reports whether the domain's targets came back a short time ago, so that
+// part of the work still leaves.
+func (s *Share) Returning() bool { return s.returning > 0 && s.in.Home.Available }
+
 // Update computes the share anew.
 func (s *Share) Update(in Input, now time.Time) {
 	elapsed := UpdateInterval.Seconds()
@@ -171,7 +176,7 @@
 		if s.noHomeSince.IsZero() {
 			s.noHomeSince = now
 		}
-		s.value, s.returning, s.reason = 0, 1, NoTargets
+		s.returning, s.reason = 1, NoTargets // the value is kept: the absence may be short
 	case !in.Away.Available:
 		s.value, s.returning, s.noHomeSince, s.reason = 0, 0, time.Time{}, NoneAway
 	default:
@@ -208,6 +213,9 @@
 	if limit := max(probeShare, trust); s.value > limit {
 		s.value = max(limit, s.value-elapsed/decayTime.Seconds())
 		s.reason = Stale
+		if s.in.Away.MeasuredAt.IsZero() {
+			s.reason = Probing
+		}
 	}
 	if s.value = min(s.value, 1-probeShare); s.value < minShare {
 		s.value = 0
--- a/internal/placement/offer.go
+++ b/internal/placement/offer.go
@@ -18,6 +18,7 @@
 type Offer struct {
 	Load
 	Host       topology.HostID
+	Domain     topology.Domain
 	SameDomain bool // in the failure domain of the asking host
 	Leads      bool // the host has a connection to the target that it believes to lead
 	// RequestedAt is when the host was asked for its load. It is zero if the host holds
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"nettlewalk.example/nettlewalk/internal/locality"
 	"nettlewalk.example/nettlewalk/internal/peer"
 	"nettlewalk.example/nettlewalk/internal/placement"
 	"nettlewalk.example/nettlewalk/internal/result"
@@ -39,6 +41,10 @@
 	// AtOnce makes the host refuse the statement if no connection is free, rather
 	// than queue it.
 	AtOnce bool
+	// FromDomain is the sender's failure domain, and MustLeave tells that it has no place
+	// for the statement. Both are set only if the sender routes by cost.
+	FromDomain topology.Domain
+	MustLeave  bool
 	// Transaction is set if the statement belongs to a transaction that the
 	// receiving host runs.
 	Transaction Transaction
@@ -95,15 +101,21 @@
 	}
 	groupID := r.route.Group
 	offers := server.peerLoads.CurrentOffers(groupID, server.opts.Peers.Offers(groupID), steady.Now())
+	offers = r.offersByCost(offers, needsLeader, needsFree)
 	offer, ok := placement.Pick(offers, placement.Requirements{NeedsLeader: needsLeader, FreeOnly: needsFree, Exclude: r.askedHosts}, rand.IntN)
 	if !ok {
 		return "", false, false
 	}
-	r.askedHosts = append(r.askedHosts, offer.Host)
+	r.askedHosts, r.askedDomain = append(r.askedHosts, offer.Host), offer.Domain
 	lastAttempt := len(r.askedHosts) == placement.MaxHostsAsked || len(r.askedHosts) == len(offers)
+	if r.router() != nil { // offers are only those that its cost allows
+		lastAttempt = len(r.askedHosts) == placement.MaxHostsAsked || !slices.ContainsFunc(offers, r.isUnasked)
+	}
 	return offer.Host, needsFree || !lastAttempt, true
 }
 
+func (r *request) isUnasked(o placement.Offer) bool { return !slices.Contains(r.askedHosts, o.Host) }
+
 // callPeer forwards a statement to another host and records the load that it reports.
 func (s *Server) callPeer(ctx context.Context, host topology.HostID, groupID topology.GroupID, args *RunArgs) (statement.Answer, error) {
 	s.forwardedCounter.Inc()
@@ -128,7 +140,7 @@
 		if !ok {
 			return statement.Answer{}, false
 		}
-		if answer, ran := r.forwardTo(ctx, host, noWait); ran {
+		if answer, ran := r.forwardTo(ctx, host, noWait, needsLeader); ran {
 			return answer, true
 		}
 	}
@@ -136,23 +148,30 @@
 
 // forwardTo runs the statement on the given host. ran is false if it certainly
 // didn't run there, or is a read that may be repeated.
-func (r *request) forwardTo(ctx context.Context, host topology.HostID, noWait bool) (answer statement.Answer, ran bool) {
+func (r *request) forwardTo(ctx context.Context, host topology.HostID, noWait, needsLeader bool) (answer statement.Answer, ran bool) {
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
 	args := r.forwardArgs()
 	args.AtOnce = noWait
+	sentAt := time.Now()
 	answer, err := r.session.server.callPeer(ctx, host, r.route.Group, args)
 	if err == nil {
+		r.recordForwardBytes(args, &answer)
 		r.addStep(topology.TargetID(host), "forwarded: "+answer.Code.String()+" "+answer.Detail)
 		if answer.OK() && r.writes {
 			r.session.raiseFloor(&answer)
 		}
 		if !answer.Code.NotRun() {
+			r.recordForward(locality.Served, sentAt, needsLeader)
 			return answer, true
 		}
+		if !noWait || r.askedDomain != r.router().Domain() {
+			r.recordForward(locality.Refused, sentAt, needsLeader)
+		}
 		r.peerRefusal = answer.Detail
 		return answer, false
 	}
+	r.recordForward(locality.NoAnswer, sentAt, needsLeader)
 	r.addStep(topology.TargetID(host), "forwarding failed: "+err.Error())
 	var resultErr *result.Error
 	if !r.writes || (errors.As(err, &resultErr) && resultErr.Code == result.HostUnreachable) {
@@ -174,6 +193,9 @@
 	if r.preparedName != "" {
 		args.Prepared = r.session.state.prepared[r.preparedName]
 	}
+	if router := r.router(); router != nil {
+		args.FromDomain, args.MustLeave = router.Domain(), r.mustLeave
+	}
 	for _, v := range r.session.state.settings {
 		args.Settings = append(args.Settings, Setting{Text: v.text, Sequence: v.sequence})
 	}
@@ -211,6 +233,9 @@
 	if s.configurationVersion() < args.Configuration {
 		return statement.Answer{Code: statement.Busy, Detail: "the receiving host has an older configuration"}
 	}
+	if !s.acceptsForeign(args) {
+		return statement.Answer{Code: statement.Busy, Detail: foreignRefusedDetail}
+	}
 	if args.Transaction.Key != "" {
 		return s.forwardedTxs.runStatement(args)
 	}
@@ -233,6 +258,7 @@
 // applyForwarded applies the state of another host's session to this session.
 func (s *session) applyForwarded(args *RunArgs) {
 	s.key, s.customer = args.Key, args.Customer
+	s.foreign = args.FromDomain != "" && args.FromDomain != s.server.opts.Locality.Domain()
 	s.database, s.floor, s.noWait = args.Database, args.Floor, args.AtOnce
 	s.state.settings = s.state.settings[:0]
 	for _, v := range args.Settings {
--- a/internal/relay/hosted.go
+++ b/internal/relay/hosted.go
@@ -148,6 +148,7 @@
 	defer cancel()
 	a, err := r.session.server.callPeer(ctx, t.peerHost, r.route.Group, args)
 	if err == nil {
+		r.recordForwardBytes(args, &a)
 		r.addStep(topology.TargetID(t.peerHost), "transaction statement forwarded: "+a.Code.String())
 		return a, true
 	}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"nettlewalk.example/nettlewalk/internal/locality"
 	"nettlewalk.example/nettlewalk/internal/placement"
 	"nettlewalk.example/nettlewalk/internal/statement"
 )
@@ -24,7 +25,9 @@
 	Accept func(net.Conn) Caller
 	// Peers runs statements on other hosts; nil if there are none.
 	Peers Peers
-	Log   logr.Logger
+	// Locality decides about work that crosses failure domains; nil if nothing does.
+	Locality *locality.Router
+	Log      logr.Logger
 }
 
 // Server serves callers. It is safe for concurrent use.
@@ -41,7 +44,8 @@
 	sampler          *lineSampler
 	forwardedTxs     *txTable
 	peerLoads        placement.Loads // reported by other hosts
-	instanceID       string          // unique to this process among all hosts
+	wire             wireMeter
+	instanceID       string // unique to this process among all hosts
 }
 
 // NewServer returns a server without sessions.
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -40,6 +40,7 @@
 	graceUntil      time.Time         // end of the grace period since the last answer; zero: none was given
 	noWait          bool              // refuse forwarded statements rather than queue them
 	forPeer         bool              // serves a transaction of another host's session
+	foreign         bool              // serves a statement of another failure domain
 	log             logr.Logger
 }
 
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -31,6 +31,9 @@
 	skipped          map[topology.TargetID]bool // targets not to try again: lagging, full or unresponsive
 	steps            []string                   // attempts and decisions, for the log
 	askedHosts       []topology.HostID          // other hosts that it was forwarded to
+	askedDomain      topology.Domain            // of the last of them; "": unknown
+	mustLeave        bool                       // no host of the domain has a place for it
+	decidedAt        time.Time                  // when it was decided at which targets a read may run
 	// peerRefusal is why the host that it was last forwarded to refused it.
 	peerRefusal string
 	fromPeer    bool // another host forwarded it; it isn't forwarded again
@@ -112,7 +115,8 @@
 // tells whether the read may be retried.
 func (r *request) runOnReader(ctx context.Context, after topology.Position) (statement.Answer, bool) {
 	readers := withoutLagging(r.group.Readers(after))
-	for _, c := range readers {
+	first, rest := r.splitByCost(readers)
+	for _, c := range first {
 		if r.skipped[c.ID] {
 			continue
 		}
@@ -131,7 +135,7 @@
 	if answer, ok := r.forward(ctx, r.onlyLeaderLeft(readers), len(readers) > 0); ok {
 		return answer, false
 	}
-	for _, c := range readers {
+	for _, c := range first {
 		if r.skipped[c.ID] || c.Failing {
 			continue
 		}
@@ -141,6 +145,9 @@
 		}
 		return r.readFrom(&c, conn, after)
 	}
+	if len(rest) > 0 {
+		return r.runOutOfDomain(first, rest, after)
+	}
 	return r.runOnLeader(ctx, verifiedLeader)
 }
 
@@ -169,6 +176,7 @@
 		answerDeadline = readDeadline
 	}
 	answer, retry := r.exchange(id, c.Pool, conn, []statement.Statement{st}, 0, answerDeadline)
+	r.recordRead(c, &answer, retry)
 	if answer.Code == statement.TimedOut && answerDeadline.Before(r.deadline) {
 		r.skipTarget(id)
 		return r.session.refusal(statement.Busy, "the target did not answer in time"), true
@@ -300,18 +308,21 @@
 	r.tries++
 	prefix := r.session.state.replay(conn, r.preparedName)
 	sent := steady.Now()
-	answers, err := conn.Exchange(deadline, append(prefix, batch...)...)
+	prefixLength := len(prefix)
+	batch = append(prefix, batch...)
+	answers, err := conn.Exchange(deadline, batch...)
+	r.recordExchange(id, callerIndex > 0 || r.writes, batch, answers)
 	targetLatency[callerIndex > 0 || r.writes].Update(steady.Now().Sub(sent).Seconds())
 	pool.Release(conn, err == nil)
 	if err != nil {
 		return r.answerBroken(id, err)
 	}
-	for i := range prefix {
+	for i := range prefixLength {
 		if !answers[i].OK() {
 			return r.answerReplayFailed(conn, &answers[i])
 		}
 	}
-	answers = answers[len(prefix):]
+	answers = answers[prefixLength:]
 	if callerIndex > 0 {
 		r.group.NoteBeginAnswer(id, sent, &answers[0])
 		if !answers[0].OK() { // the statement ran without proof of leadership
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
@@ -168,7 +169,9 @@
 	}
 	prefix := s.state.replay(t.conn, r.preparedName)
 	sent := steady.Now()
-	answers, err := t.conn.Exchange(r.deadline, append(prefix, *r.st)...)
+	batch := append(prefix, *r.st)
+	answers, err := t.conn.Exchange(r.deadline, batch...)
+	r.recordExchange(t.target, t.atLeader, batch, answers)
 	targetLatency[!t.readOnly].Update(steady.Now().Sub(sent).Seconds())
 	if err != nil {
 		r.addStep(t.target, "connection broke: "+err.Error())
@@ -226,7 +229,8 @@
 // beginOnReader begins the transaction at the first target that has the position
 // and a free connection.
 func (r *request) beginOnReader(after topology.Position) bool {
-	for _, c := range withoutLagging(r.group.Readers(after)) {
+	first, rest := r.splitByCost(withoutLagging(r.group.Readers(after)))
+	for _, c := range slices.Concat(first, rest) {
 		if r.skipped[c.ID] || c.Failing {
 			continue
 		}
@@ -252,7 +256,9 @@
 	}
 	prefix := r.session.state.replay(conn, "")
 	sent := steady.Now()
-	answers, err := conn.Exchange(r.deadline, append(prefix, begin)...)
+	batch := append(prefix, begin)
+	answers, err := conn.Exchange(r.deadline, batch...)
+	r.recordExchange(id, begin.Kind == statement.Begin, batch, answers)
 	if err != nil {
 		pool.Release(conn, false)
 		r.group.NoteFailing(id)
@@ -329,6 +335,7 @@
 	}
 	sent := steady.Now()
 	answers, err := t.conn.Exchange(r.deadline, *r.st)
+	r.recordExchange(t.target, t.atLeader, []statement.Statement{*r.st}, answers)
 	targetLatency[!t.readOnly].Update(steady.Now().Sub(sent).Seconds())
 	if err != nil {
 		t.release(false)
--- a/internal/share/holders.go
+++ b/internal/share/holders.go
@@ -1,10 +1,12 @@
 package share
 
 import (
+	"maps"
 	"slices"
 	"sync"
 
 	"nettlewalk.example/nettlewalk/internal/fleet"
+	"nettlewalk.example/nettlewalk/internal/locality"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
@@ -18,9 +20,33 @@
 	groups  map[topology.GroupID][]topology.Host
 }
 
+// ForGroupByDomain is like ForGroup, but distributes the holders over the failure
+// domains by locality.Seats.
+func (h *Holders) ForGroupByDomain(id topology.GroupID, n int, hosts []topology.Host, version uint64) []topology.Host {
+	return h.forGroup(id, n, hosts, version, func() []topology.HostID {
+		count := map[topology.Domain]int{}
+		for _, host := range hosts {
+			count[host.Domain]++
+		}
+		var holders []topology.HostID
+		seats := locality.Seats(count, n)
+		for _, domain := range slices.Sorted(maps.Keys(seats)) {
+			holders = append(holders, h.index.Holders(topology.Target{ID: topology.TargetID(id), Domain: domain, Slots: seats[domain]})...)
+		}
+		return holders
+	})
+}
+
 // ForGroup returns the n holders of a group among hosts. version must change whenever
 // hosts does. The caller must not modify the result.
 func (h *Holders) ForGroup(id topology.GroupID, n int, hosts []topology.Host, version uint64) []topology.Host {
+	return h.forGroup(id, n, hosts, version, func() []topology.HostID {
+		return h.index.Holders(topology.Target{ID: topology.TargetID(id), Slots: n})
+	})
+}
+
+// forGroup returns the hosts that choose returns, from the cache if possible.
+func (h *Holders) forGroup(id topology.GroupID, n int, hosts []topology.Host, version uint64, choose func() []topology.HostID) []topology.Host {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.index == nil || h.version != version {
@@ -29,7 +55,7 @@
 	}
 	if len(h.groups[id]) != n {
 		h.groups[id] = nil
-		for _, holder := range h.index.Holders(topology.Target{ID: topology.TargetID(id), Slots: n}) {
+		for _, holder := range choose() {
 			i := slices.IndexFunc(hosts, func(host topology.Host) bool { return host.ID == holder })
 			h.groups[id] = append(h.groups[id], hosts[i])
 		}
