--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 
 	"nettlewalk.example/nettlewalk/internal/keys"
+	"nettlewalk.example/nettlewalk/internal/locality"
 	"nettlewalk.example/nettlewalk/internal/placement"
 	"nettlewalk.example/nettlewalk/internal/share"
 	"nettlewalk.example/nettlewalk/internal/statement"
@@ -37,7 +38,9 @@
 	Homes func(topology.GroupID, topology.CustomerID) share.Homes
 	// Self is the ID of this host in the results of Homes.
 	Self topology.HostID
-	Log  logr.Logger
+	// Locality decides about work that crosses failure domains; nil if nothing does.
+	Locality *locality.Router
+	Log      logr.Logger
 }
 
 // Server serves callers. It is safe for concurrent use.
@@ -56,7 +59,8 @@
 	trust            trustState
 	forwardedTxs     *txTable
 	peerLoads        placement.Loads // reported by other hosts
-	instanceID       string          // unique to this process among all hosts
+	wire             wireMeter
+	instanceID       string // unique to this process among all hosts
 }
 
 // NewServer returns a server without sessions.
