--- a/internal/relay/authenticate_test.go
+++ b/internal/relay/authenticate_test.go
@@ -357,6 +357,19 @@
 	}
 }
 
+// A transaction whose first statement hasn't run yet has no customer. A new version must not
+// end it as if its key had moved.
+func TestTransactionOfAnotherHostMayBeginDuringChange(t *testing.T) {
+	f := newFixture(t, catalog.LatestData)
+	v := f.withCustomers("", acme, bolt)
+	args := &RunArgs{Database: "db", Key: "k1", Statement: write("a"), Writes: true, Within: time.Second, Transaction: Transaction{Key: "k1", First: true}}
+	entry := f.server.forwardedTxs.findOrCreate(args)
+	v.set(acmeNoKey, boltBoth)
+	f.server.forwardedTxs.endUnlessPermitted("k1", entry)
+	qt.Check(t, f.server.forwardedTxs.count(), qt.Equals, 1)
+	f.server.forwardedTxs.expire("k1", entry)
+}
+
 // waitingCaller sends statements from a channel and can be interrupted.
 type waitingCaller struct {
 	scriptedCaller
@@ -419,10 +432,21 @@
 	c.closed = true
 }
 
+// exec returns the answer to a statement, or an unrecognized one if there is none in time.
 func (c *waitingCaller) exec(st statement.Statement) statement.Answer {
 	st.ID = "q"
-	c.statements <- st
-	return <-c.answered
+	timeout := time.After(5 * time.Second)
+	select {
+	case c.statements <- st:
+	case <-timeout:
+		return statement.Answer{Code: statement.Unrecognized}
+	}
+	select {
+	case a := <-c.answered:
+		return a
+	case <-timeout:
+		return statement.Answer{Code: statement.Unrecognized}
+	}
 }
 
 // serveCaller runs a session of the caller and returns a channel that is closed at its end.
--- a/internal/statement/code.go
+++ b/internal/statement/code.go
@@ -20,15 +20,16 @@
 	RunFailed               // run, but without effect
 	TimedOut                // the time limit passed; the statement may have run
 	InDoubt                 // sent, but no answer arrived; the statement may have run
-	NoAuth                  // not run: no customer holds the caller's key
 	Unrecognized            // a code that this version doesn't know; it guarantees nothing
+	NoAuth                  // not run: no customer holds the caller's key
+	codeCount               // hosts send each other the numbers: new codes come before this one only
 )
 
 // HadNoEffect reports whether the code guarantees that nothing of the caller's
 // attempt is kept.
 func (c Code) HadNoEffect() bool {
 	switch c {
-	case Busy, Aborted, Lagging, ReadOnly, Misrouted, TooManyConnections:
+	case Busy, Aborted, Lagging, ReadOnly, Misrouted, TooManyConnections, NoAuth:
 		return true
 	}
 	return false
