nettlewalk config check: findings on a configuration before it is sent

Cause: a route to no service, a key that another tenant has or a burst of 0 was found by refused callers.

--- a/cmd/nettlewalk/main.go
+++ b/cmd/nettlewalk/main.go
@@ -47,6 +47,7 @@
 	return []command{
 		serveCommand(),
 		checkCommand(),
+		configCommand(),
 		exampleCommand(),
 		versionCommand(),
 		statusCommand(),
