share, gossip: connections stay within a target's limit while hosts start

Cause: a host counted only hosts whose digest it had got itself. At 139 hosts that takes half a minute, and until then a starting or restarted host took the fleet for small and itself for one of few holders.

Change: hosts that others report count as sharers at once (Sharers), until they are heard or for 8 s. share.Allowed decides from the plan and the view: a host that joins running ones opens only what fits beside what the earlier process of each recent host may still have at the target, so none in a fleet with shared holders for its first 3.3 s; more than 12 hosts that all start wait for a list that has been unchanged for 0.6 s; a host that isn't a seed and has heard from nobody waits for 6 s. share.Pool varies its delays by a quarter and, with a connection open, waits up to 3.2 s after a refusal.

Measured (TestConnectionsStayWithinLimit, generated histories of 139 hosts, limit 73: cold starts, seeds last, 55 % restarted at once and twice, 75 % more hosts, 40 to 70 hosts, lists that lack 5 %): at most 69 connections wanted in 80 histories, no dial refused, 63 or 69 open after 12 s. Without reported hosts it fails with 813, without the rule for joining hosts with 131, without the wait for the first digest with 8,704, without the unchanged list with 87. TestSmallFleetOpensConnectionsSoon: 6 hosts at limit 16 and 8 at 32 have a connection within 2 s of their start, and a restarted one within 0.5 s. TestPoolDialsFullTargetRarely: without the longer delay 77 refused dials a minute instead of 26 at most.

Not covered: fleets cut apart for more than 8 s whose parts all reach the target; each part plans for itself then.

TestLargeConfigurationReachesManyHosts (3 s allowed) failed once in four runs of the package with -race at a load of 20 on 7 cores.

--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -56,9 +56,6 @@
 	groupCheckInterval = 1500 * time.Millisecond
 	// missingGroupInterval is that interval while a configured group doesn't exist yet.
 	missingGroupInterval = 20 * time.Millisecond
-	// deadHostConnectionTimeout is how long targets keep the connections of a
-	// host that lost power, plus a margin.
-	deadHostConnectionTimeout = 3300 * time.Millisecond
 )
 
 func newFleetHost(path string, s *platform.Settings, log logr.Logger) *fleetHost {
--- a/cmd/nettlewalk/fleetpeers.go
+++ b/cmd/nettlewalk/fleetpeers.go
@@ -12,6 +12,7 @@
 	"nettlewalk.example/nettlewalk/internal/promotion"
 	"nettlewalk.example/nettlewalk/internal/share"
 	"nettlewalk.example/nettlewalk/internal/statement"
+	"nettlewalk.example/nettlewalk/internal/steady"
 	"nettlewalk.example/nettlewalk/internal/topology"
 	"nettlewalk.example/nettlewalk/platform"
 )
@@ -87,15 +88,12 @@
 // The holders of a group are the same for all of its targets, so that a host
 // that reads from a replica also knows the leader's positions.
 func (h *fleetHost) connectionShare(t topology.Target, limit int) int {
-	_, size := share.Plan(limit, len(h.gossip.Sharers().Hosts))
+	sharers := h.gossip.Sharers()
+	_, size := share.Plan(limit, len(sharers.Hosts))
 	holders := h.connectionHolders(t.Group)
-	if holders != nil && !slices.ContainsFunc(holders, h.isSelf) {
-		return 0
-	}
-	if !h.gossip.AnyHostUpFor(deadHostConnectionTimeout) {
-		return 1
-	}
-	return size
+	planned := share.Planned{Size: size, Holder: holders == nil || slices.ContainsFunc(holders, h.isSelf)}
+	fleet := share.Fleet{Hosts: len(sharers.Hosts), Recent: sharers.Recent, JoinedFor: sharers.JoinedFor, Unchanged: steady.Now().Sub(sharers.ChangedAt)}
+	return share.Allowed(limit, planned, fleet)
 }
 
 func (h *fleetHost) isSelf(other topology.Host) bool {
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -140,7 +140,7 @@
 	if g.opts.OnStoreEra != nil {
 		g.opts.OnStoreEra(d.StoreEra)
 	}
-	g.AddHosts(d.Hosts...)
+	g.addReported(d.Hosts)
 	g.recordSender(d)
 	for _, c := range d.Claims {
 		g.claims.Learn(c)
@@ -166,6 +166,9 @@
 	if sender.Addr == g.self.Addr {
 		return
 	}
+	if g.firstHeardAt.IsZero() {
+		g.firstHeardAt = now
+	}
 	k := g.hosts[sender.Addr]
 	if k == nil {
 		k = g.addHost(sender.Addr, now)
@@ -177,7 +180,7 @@
 	if k.host.Leaving != sender.Leaving {
 		g.sharersBuiltAt = time.Time{}
 	}
-	k.host, k.lastHeard, k.silent, k.offers, k.lastSum = sender, now, false, d.Offers, d.Sum
+	k.host, k.lastHeard, k.reportedAt, k.silent, k.offers, k.lastSum = sender, now, time.Time{}, false, d.Offers, d.Sum
 	k.configuration, k.register, k.fetchable = d.Configuration, d.Register, d.FetchesSnapshots
 }
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -84,6 +84,7 @@
 	lastReported time.Time // latest time at which other hosts report to have seen it
 	contact      Contact
 	addedAt      time.Time // when this host first learned its address
+	reportedAt   time.Time // while it was never heard from: when another host last reported it to be running
 	silent       bool      // considered silent; set when that is logged
 	offers       []Offer
 	lastSum      uint64 // Sum of its latest digest
@@ -108,7 +109,9 @@
 	hosts      map[topology.HostID]*knownHost
 	addrByHash map[uint64]topology.HostID // addresses in hosts, by hashAddr
 	contacts   map[topology.Domain]*Contact
-	uploads    [snapshotKinds]uploads
+	// firstHeardAt is when the first digest of another host arrived.
+	firstHeardAt time.Time
+	uploads      [snapshotKinds]uploads
 	// sharers is rebuilt once it is older than sharersMaxAge, and at the next call
 	// after a host joins, restarts or leaves.
 	sharers        Sharers
@@ -124,6 +127,12 @@
 	return !k.lastHeard.IsZero() && now.Sub(k.lastSeen()) < livenessTimeout && !k.host.Leaving
 }
 
+// isReported reports whether another host has recently reported the host to be running
+// and this host hasn't heard from it yet.
+func (k *knownHost) isReported(now time.Time) bool {
+	return k.lastHeard.IsZero() && !k.reportedAt.IsZero() && now.Sub(k.reportedAt) < livenessTimeout
+}
+
 // New returns a Gossip that knows the seed hosts. Call SetClaims before Run.
 func New(opts Options) *Gossip {
 	g := &Gossip{opts: opts, self: opts.Self, roundRequested: make(chan struct{}, 1), startedAt: steady.Now(), fetchers: newFetchers(),
@@ -147,6 +156,26 @@
 	}
 }
 
+// addReported adds hosts that another host reports to be running.
+func (g *Gossip) addReported(addrs []topology.HostID) {
+	now := steady.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, addr := range addrs {
+		if addr == g.self.Addr {
+			continue
+		}
+		k := g.hosts[addr]
+		if k == nil {
+			k = g.addHost(addr, now)
+			g.sharersBuiltAt = time.Time{}
+		}
+		if k.lastHeard.IsZero() {
+			k.reportedAt = now
+		}
+	}
+}
+
 // addHost adds a host. The caller holds g.mu.
 func (g *Gossip) addHost(addr topology.HostID, now time.Time) *knownHost {
 	k := &knownHost{host: Host{Addr: addr}, addedAt: now}
--- a/internal/gossip/hosts.go
+++ b/internal/gossip/hosts.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"nettlewalk.example/nettlewalk/internal/share"
 	"nettlewalk.example/nettlewalk/internal/steady"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
@@ -199,28 +200,13 @@
 			list = append(list, topology.Host{ID: id, Domain: k.host.Domain, State: topology.HostLive})
 		}
 	}
-	slices.SortFunc(list, func(a, b topology.Host) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	sortHosts(list)
 	return list
 }
 
-// AnyHostUpFor reports whether this host may take its share of the targets'
-// connections, which is once it or any other host has been up for upFor. If all
-// hosts restart at once, the first one doesn't know the others yet. Without the
-// wait it would take every connection that their previous processes don't still
-// hold.
-func (g *Gossip) AnyHostUpFor(upFor time.Duration) bool {
-	now := steady.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if now.Sub(g.startedAt) >= upFor {
-		return true
-	}
-	for _, k := range g.hosts {
-		if !k.lastHeard.IsZero() && k.host.UpFor+now.Sub(k.lastHeard) >= upFor {
-			return true
-		}
-	}
-	return false
+// sortHosts sorts the hosts by address.
+func sortHosts(list []topology.Host) {
+	slices.SortFunc(list, func(a, b topology.Host) int { return strings.Compare(string(a.ID), string(b.ID)) })
 }
 
 // firstContactWait is how long a starting host waits for an answer from another
@@ -282,14 +268,36 @@
 // the cache to serve many requests.
 const sharersMaxAge = 100 * time.Millisecond
 
+const (
+	// recentUpTime is how long a host must have been up not to count as recent: targets
+	// keep the connections of its earlier process for that long.
+	recentUpTime = share.LingerTime
+	// aloneTime is how long a host that isn't a seed waits for a first digest of another
+	// one until it shares the targets' connections with nobody. The others may be starting
+	// later. If all of 139 hosts did that, they would want 64 connections each.
+	aloneTime = 6 * time.Second
+)
+
+// unknownDomain is the failure domain of a sharer from which this host hasn't heard yet.
+const unknownDomain topology.Domain = "?"
+
 // Sharers is the list of hosts that share the connections to the targets, with
 // their failure domains. A returned list is never modified.
 type Sharers struct {
 	Hosts   []topology.Host
 	Version uint64 // increases whenever the list changes
+	// ChangedAt is when the list last changed, other than by a failure domain that became
+	// known.
+	ChangedAt time.Time
+	Recent    int // hosts of the list that aren't known to have been up for recentUpTime
+	// JoinedFor is the time since this host first heard from another one, or since its
+	// start if it is a seed. It is negative while the host waits for that.
+	JoinedFor time.Duration
 }
 
-// Sharers returns the live hosts that aren't leaving, this one included.
+// Sharers returns the live hosts that aren't leaving, this one included, and those that
+// others have reported and from which this host hasn't heard yet. In a large fleet hosts
+// hear from each other in the course of half a minute, and must agree on the list earlier.
 func (g *Gossip) Sharers() Sharers {
 	now := steady.Now()
 	g.mu.Lock()
@@ -303,12 +311,44 @@
 // refreshSharers rebuilds the cached list. The caller holds g.mu.
 func (g *Gossip) refreshSharers(now time.Time) {
 	list := g.liveHosts(now)
+	joinedFor, recent := g.joinedFor(now), 0
+	if joinedFor < recentUpTime {
+		recent++
+	}
+	for id, k := range g.hosts {
+		switch {
+		case k.isLive(now):
+			if k.host.UpFor+now.Sub(k.lastHeard) < recentUpTime {
+				recent++
+			}
+		case k.isReported(now):
+			recent++
+			list = append(list, topology.Host{ID: id, Domain: unknownDomain, State: topology.HostLive})
+		}
+	}
+	sortHosts(list)
 	if !slices.Equal(list, g.sharers.Hosts) {
-		g.sharers = Sharers{Hosts: list, Version: g.sharers.Version + 1}
+		if !slices.EqualFunc(list, g.sharers.Hosts, func(x, y topology.Host) bool { return x.ID == y.ID }) {
+			g.sharers.ChangedAt = now
+		}
+		g.sharers.Hosts = list
+		g.sharers.Version++
 	}
+	g.sharers.Recent, g.sharers.JoinedFor = recent, joinedFor
 	g.sharersBuiltAt = now
 }
 
+// joinedFor returns Sharers.JoinedFor. The caller holds g.mu.
+func (g *Gossip) joinedFor(now time.Time) time.Duration {
+	switch {
+	case slices.Contains(g.opts.Seeds, g.self.Addr):
+		return now.Sub(g.startedAt)
+	case g.firstHeardAt.IsZero():
+		return now.Sub(g.startedAt) - aloneTime
+	}
+	return now.Sub(g.firstHeardAt)
+}
+
 // Hosts returns the announced state of every other known host.
 func (g *Gossip) Hosts() []Host {
 	g.mu.Lock()
--- a/internal/gossip/hosts_test.go
+++ b/internal/gossip/hosts_test.go
@@ -76,3 +76,37 @@
 	g.startedAt, g.opts.Seeds = steady.Now(), []topology.HostID{"a"}
 	qt.Check(t, g.Rank(), qt.Equals, 0)
 }
+
+// A host must count another one as a sharer as soon as a third host reports it. In a large
+// fleet it hears from all only in the course of half a minute, and meanwhile took itself
+// for one of few: 139 hosts wanted up to 1,000 connections within a limit of 73.
+func TestReportedHostsAreSharers(t *testing.T) {
+	n := newFakeNetwork("north", "south", "coast")
+	a, b, c := n.hosts["a"], n.hosts["b"], n.hosts["c"]
+	c.exchange(t.Context(), "b")
+	a.exchange(t.Context(), "b")
+	qt.Check(t, liveIDs(a), qt.DeepEquals, []topology.HostID{"a", "b"})
+	qt.Check(t, a.Sharers().Hosts, qt.HasLen, 3)
+	qt.Check(t, a.Sharers().Recent, qt.Equals, 3)
+	a.startedAt, b.startedAt = a.startedAt.Add(-recentUpTime), b.startedAt.Add(-recentUpTime)
+	a.exchange(t.Context(), "b")
+	a.sharersBuiltAt = time.Time{}
+	qt.Check(t, a.Sharers().Recent, qt.Equals, 1) // c, which it doesn't know to be up for long
+	a.hosts["c"].reportedAt = a.hosts["c"].reportedAt.Add(-livenessTimeout)
+	a.sharersBuiltAt = time.Time{}
+	qt.Check(t, a.Sharers().Hosts, qt.HasLen, 2)
+}
+
+// A host whose seeds start later must not take itself for the only one.
+func TestHostWaitsForItsSeeds(t *testing.T) {
+	n := newFakeNetwork("north", "south")
+	a, b := n.hosts["a"], n.hosts["b"]
+	qt.Check(t, a.Sharers().JoinedFor >= 0, qt.IsTrue) // a seed
+	qt.Check(t, b.Sharers().JoinedFor < 0, qt.IsTrue)
+	b.startedAt = b.startedAt.Add(-aloneTime)
+	b.sharersBuiltAt = time.Time{}
+	qt.Check(t, b.Sharers().JoinedFor >= 0, qt.IsTrue)
+	b.startedAt = steady.Now()
+	b.exchange(t.Context(), "a")
+	qt.Check(t, b.Sharers().JoinedFor >= 0, qt.IsTrue)
+}
--- a/internal/share/pool.go
+++ b/internal/share/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -22,6 +23,12 @@
 	// maxRejectedBackoff is the upper bound on that delay, which doubles with each
 	// further such refusal.
 	maxRejectedBackoff = 800 * time.Millisecond
+	// maxSurplusBackoff is that upper bound for a pool that has a connection already. It
+	// is as long as connections of lost hosts linger.
+	maxSurplusBackoff = 3200 * time.Millisecond
+	// backoffJitter is the part of a delay by which it is varied at random, so that hosts
+	// that were refused together don't dial together.
+	backoffJitter = 0.25
 	// initialMeanHold is the assumed time for which a request holds a
 	// connection, before the first measurement: a few milliseconds of work and
 	// a round trip.
@@ -294,7 +301,8 @@
 		var dialErr *statement.DialError
 		wait := dialBackoff
 		if errors.As(err, &dialErr) && (dialErr.Outcome == statement.DialRejected || dialErr.Outcome == statement.DialNoHandshake) {
-			wait, rejectedBackoff = rejectedBackoff, min(2*rejectedBackoff, maxRejectedBackoff)
+			longest := p.maxRejectedBackoff()
+			wait, rejectedBackoff = jittered(min(rejectedBackoff, longest)), min(2*rejectedBackoff, longest)
 		} else {
 			dialBackoff = min(2*dialBackoff, maxDialBackoff)
 		}
@@ -307,6 +315,21 @@
 	}
 }
 
+// maxRejectedBackoff returns the upper bound on the delay after a target refused a
+// connection because it was at its limit.
+func (p *Pool) maxRejectedBackoff() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open > 0 {
+		return maxSurplusBackoff
+	}
+	return maxRejectedBackoff
+}
+
+func jittered(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 + backoffJitter*(2*rand.Float64()-1)))
+}
+
 // addDialed adds a newly dialed connection and reports whether more are
 // missing.
 func (p *Pool) addDialed(conn statement.Conn, err error) bool {
