keys: a host that was frozen waits for news before it judges a key

Cause: a host that goes on after a freeze reads what callers sent meanwhile before any news. In lax mode it ran statements with a key that had been removed 2 s before, although it was not cut off.

Change: where the configuration is unconfirmed just after a freeze (four missed assessments of the trust, 1 s), requests that need a key are held until it is confirmed, 500 ms at most. A host that is cut off holds nothing after that.

Ruled out: holding requests whenever a lax configuration is unconfirmed, which would delay every request of a host that is cut off; closing all sessions after a freeze, which loses their requests.

--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -88,3 +88,19 @@
 	qt.Check(t, Hash("4f2a9c"), qt.HasLen, 2*hashBytes)
 	qt.Check(t, Hash("4f2a9c"), qt.Not(qt.Equals), Hash("4f2a9d"))
 }
+
+// A request is held only after a freeze, only until news arrives, and not for longer than
+// news takes. A host that is cut off must not hold requests.
+func TestRequestsAwaitNewsAfterFreeze(t *testing.T) {
+	const interval = 250 * time.Millisecond
+	start := time.Unix(1000, 0)
+	qt.Check(t, WasFrozen(time.Time{}, start, interval), qt.IsFalse)
+	qt.Check(t, WasFrozen(start, start.Add(2*interval), interval), qt.IsFalse)
+	qt.Check(t, WasFrozen(start, start.Add(5*interval), interval), qt.IsTrue)
+	for _, trust := range []Trust{Lax, Distrusted} {
+		qt.Check(t, AwaitsNews(trust, time.Time{}, start), qt.IsFalse)
+		qt.Check(t, AwaitsNews(trust, start, start), qt.IsTrue)
+		qt.Check(t, AwaitsNews(trust, start, start.Add(newsWait)), qt.IsFalse)
+	}
+	qt.Check(t, AwaitsNews(Confirmed, start, start), qt.IsFalse)
+}
--- a/internal/keys/trust.go
+++ b/internal/keys/trust.go
@@ -39,6 +39,28 @@
 	return Lax
 }
 
+const (
+	// frozenIntervals is the number of missed assessments after which the process counts as
+	// having been frozen. Under load a few are late.
+	frozenIntervals = 4
+	// newsWait is how long after a freeze requests are held until the configuration is
+	// confirmed: some rounds of gossip and the transfer of a configuration. Statements that
+	// arrived during the freeze would otherwise run with keys that were removed meanwhile.
+	newsWait = 500 * time.Millisecond
+)
+
+// WasFrozen reports whether the process didn't run between two assessments, which are due at
+// an interval. last is zero if now is the first one.
+func WasFrozen(last, now time.Time, interval time.Duration) bool {
+	return !last.IsZero() && now.Sub(last) > frozenIntervals*interval
+}
+
+// AwaitsNews reports whether requests are held until the configuration is confirmed. wokeAt
+// is the end of the last freeze, zero if there was none.
+func AwaitsNews(t Trust, wokeAt, now time.Time) bool {
+	return t != Confirmed && !wokeAt.IsZero() && now.Sub(wokeAt) < newsWait
+}
+
 // Outcome is the decision about one request.
 type Outcome uint8
 
--- a/internal/relay/authenticate.go
+++ b/internal/relay/authenticate.go
@@ -33,7 +33,8 @@
 	if v == keys.NotNeeded {
 		return nil
 	}
-	switch keys.Decide(v, s.trust.assess(s)) {
+	trust, _ := s.trust.assess(s)
+	switch keys.Decide(v, trust) {
 	case keys.Permit:
 		return nil
 	case keys.Unconfirmed:
@@ -53,6 +54,15 @@
 func (s *session) authenticate() *keyRefusal {
 	c := s.server.opts.Catalog.Configuration()
 	public := s.routeIsPublic(c)
+	if _, verdict := keys.Check(c, public, s.key); verdict == keys.NotNeeded {
+		if s.tx == nil || !s.tx.running() {
+			s.customer = ""
+		}
+		return nil
+	}
+	s.server.awaitNews()
+	c = s.server.opts.Catalog.Configuration()
+	public = s.routeIsPublic(c)
 	if s.tx != nil && s.tx.running() {
 		return s.server.judgeKey(keys.CheckBound(c, public, s.key, s.customer))
 	}
--- a/internal/relay/authenticate_test.go
+++ b/internal/relay/authenticate_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -116,6 +117,34 @@
 	qt.Check(t, f.refuseStartup(), qt.IsFalse)
 }
 
+// A statement that arrived while the process was frozen must wait for news, also in lax mode:
+// its key may have been removed meanwhile. A host that was not frozen doesn't wait.
+func TestStatementWaitsForNewsAfterFreeze(t *testing.T) {
+	f := newFixture(t, catalog.LatestData)
+	v := f.withCustomers("k1", acme)
+	f.caller = &scriptedCaller{}
+	policy := keys.Policy{Timeout: 5 * time.Second}
+	f.cutOff(policy, time.Minute)
+	began := time.Now()
+	qt.Check(t, f.serveStatement(write("a")).OK(), qt.IsTrue)
+	f.server.trust.assessedAt = steady.Now().Add(-6 * time.Second)
+	var confirmed atomic.Bool
+	f.server.opts.ConfirmedAt = func() time.Time {
+		if confirmed.Load() {
+			return steady.Now()
+		}
+		return steady.Now().Add(-time.Minute)
+	}
+	news := time.AfterFunc(50*time.Millisecond, func() {
+		v.set(acmeNoKey)
+		confirmed.Store(true)
+	})
+	defer news.Stop()
+	qt.Check(t, f.serveStatement(write("b")).Code, qt.Equals, statement.NoAuth)
+	qt.Check(t, f.leader.receivedTexts(), qt.DeepEquals, []string{"q WRITE a x"})
+	qt.Check(t, time.Since(began) < 5*time.Second, qt.IsTrue)
+}
+
 // refusingCaller records the refusal of its startup.
 type refusingCaller struct {
 	scriptedCaller
--- a/test/line/keys_test.go
+++ b/test/line/keys_test.go
@@ -266,3 +266,49 @@
 	b.ConfigureKeys(4, map[string][]string{"acme": {"ka3"}, "bolt": {"kb"}}) // the operator writes again
 	b.awaitKeys(map[string]string{"ka2": "NOAUTH", "ka3": ""})
 }
+
+// A host that was frozen must not run a statement with a key that was removed meanwhile,
+// although it reads the statement before any news. Also lax hosts wait for news then, because
+// they are not cut off.
+func TestLineFrozenHostRunsNothingWithRemovedKey(t *testing.T) {
+	for _, strict := range []bool{true, false} {
+		t.Run(fmt.Sprintf("strict=%t", strict), func(t *testing.T) { checkFrozenHost(t, strict) })
+	}
+}
+
+func checkFrozenHost(t *testing.T, strict bool) {
+	opts := revocationOptions
+	opts.StrictRevocation = strict
+	b := keysBed(t, opts)
+	const frozen = 2
+	process := b.Hosts[frozen].Cmd.Process
+	var sessions []*Client
+	for range 8 {
+		sessions = append(sessions, b.mustDial(frozen, "db", "ka"))
+	}
+	qt.Assert(t, sessions[0].Exec("f0 WRITE f 0"), qt.Equals, "COMPLETE")
+	qt.Assert(t, process.Signal(syscall.SIGSTOP), qt.IsNil)
+	b.ConfigureKeys(3, map[string][]string{"bolt": {"kb"}})
+	stoppedAt := time.Now()
+	for _, i := range []int{0, 1} {
+		b.Eventually("key is removed elsewhere", func() bool {
+			_, code := b.DialKey(i, "db", "ka")
+			return code == "NOAUTH"
+		})
+	}
+	for n, c := range sessions {
+		fmt.Fprintf(c.conn, "QUERY f1-%d WRITE f 1\r\n", n)
+	}
+	<-time.After(time.Until(stoppedAt.Add(time.Duration(opts.RevokeTimeoutMS+200) * time.Millisecond)))
+	qt.Assert(t, process.Signal(syscall.SIGCONT), qt.IsNil)
+	b.Eventually("the frozen host knows of the removal", func() bool {
+		_, code := b.DialKey(frozen, "db", "ka")
+		return code == "NOAUTH"
+	})
+	for n, c := range sessions {
+		for line, err := c.readLine(); err == nil && !strings.HasPrefix(line, "READY"); line, err = c.readLine() {
+			qt.Check(t, line, qt.Matches, "ERROR (BUSY|NOAUTH) .*")
+		}
+		qt.Check(t, b.runs(fmt.Sprintf("f1-%d", n)), qt.Equals, 0)
+	}
+}
