relay: a read leaves the domain if no target there can serve it

Cause: with prices, a read whose domain's replica lacked the session's last commit was refused as BUSY, since the other targets were tried only for their cost.

Change: once no target of the domain is left to try, the read goes on with the others at once. TestReadLeavesIfTheDomainLacksThePosition fails without it.

--- a/internal/relay/crossing_test.go
+++ b/internal/relay/crossing_test.go
@@ -233,3 +233,16 @@
 	t.Logf("measured %d of %d bytes", measured, sent.Len())
 	qt.Check(t, measured > sent.Len()*95/100 && measured < sent.Len()*105/100, qt.IsTrue)
 }
+
+// A read that the domain's target can't serve, as it lacks the session's last commit,
+// runs elsewhere whatever that costs. It was refused at first.
+func TestReadLeavesIfTheDomainLacksThePosition(t *testing.T) {
+	f := newCrossingFixture(t, catalog.OwnWrites, costlyBytes)
+	f.replica.mu.Lock()
+	f.replica.logEnd = topology.Position{Term: 1, Offset: 3}
+	f.replica.mu.Unlock()
+	for range 3 {
+		a := f.serveStatement(read("a"))
+		qt.Check(t, a.OK(), qt.IsTrue, qt.Commentf("%+v", a))
+	}
+}
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -116,19 +116,12 @@
 func (r *request) runOnReader(ctx context.Context, after topology.Position) (statement.Answer, bool) {
 	readers := withoutLagging(r.group.Readers(after))
 	first, rest := r.splitByCost(readers)
-	for _, c := range first {
-		if r.skipped[c.ID] {
-			continue
-		}
-		conn := c.Pool.TryAcquire(r.session.customer)
-		if conn == nil {
-			continue
-		}
-		answer, retry := r.readFrom(&c, conn, after)
-		if !retry {
-			return answer, false
-		}
-		if r.tries >= maxTries {
+	if answer, ended := r.readOnFree(first, after); ended {
+		return answer, false
+	}
+	if len(rest) > 0 && !slices.ContainsFunc(first, r.isUntried) { // no target of the domain can serve it
+		first, rest = rest, nil
+		if answer, ended := r.readOnFree(first, after); ended {
 			return answer, false
 		}
 	}
@@ -151,6 +144,25 @@
 	return r.runOnLeader(ctx, verifiedLeader)
 }
 
+// readOnFree runs a read at the first of the targets that has a free connection and
+// serves it. ended is false if none did and the read may be tried elsewhere.
+func (r *request) readOnFree(targets []group.Choice, after topology.Position) (answer statement.Answer, ended bool) {
+	for _, c := range targets {
+		if r.skipped[c.ID] {
+			continue
+		}
+		conn := c.Pool.TryAcquire(r.session.customer)
+		if conn == nil {
+			continue
+		}
+		answer, retry := r.readFrom(&c, conn, after)
+		if !retry || r.tries >= maxTries {
+			return answer, true
+		}
+	}
+	return statement.Answer{}, false
+}
+
 // withoutLagging drops the lagging targets if there is a leader, which has every
 // position: their refusals would only cost round trips.
 func withoutLagging(readers []group.Choice) []group.Choice {
