--- a/internal/share/admission_test.go
+++ b/internal/share/admission_test.go
@@ -163,6 +163,21 @@
 	qt.Check(t, action.replace, qt.Equals, 0)
 }
 
+// Under the limit on statements in flight, requests wait although their customers have idle
+// connections. A customer with several then gives one up for a customer without any.
+func TestWaitingCustomersGiveUpSecondConnection(t *testing.T) {
+	v := newView("b", "a", "a")
+	v.size, v.limit, v.active = 3, 1, 1
+	v.addWaiter("a", 1, 500, 2000)
+	v.addWaiter("b", 1, 500, 2000)
+	v.addWaiter("new", 1, 1000, 2000)
+	_, ok := nextDial(v, atMS(1000))
+	qt.Check(t, ok, qt.IsFalse)
+	action, ok := nextDial(v, atMS(1000).Add(replaceAnywayAfter))
+	qt.Check(t, ok, qt.IsTrue)
+	qt.Check(t, action, qt.Equals, dialAction{"new", 1})
+}
+
 // Dials in progress are bounded: opening connections takes work slots away from
 // statements.
 func TestDialsInProgressAreBounded(t *testing.T) {
--- a/internal/share/customers.go
+++ b/internal/share/customers.go
@@ -23,6 +23,10 @@
 	// dialBurst is the number of dials, as a multiple of the pool's size, that may
 	// follow each other before that rate applies.
 	dialBurst = 0.5
+	// minDialsPerSecond and minDialBurst apply to small pools, in which two customers
+	// who take turns would otherwise wait for a second.
+	minDialsPerSecond = 4.0
+	minDialBurst      = 4.0
 	// minReplaceIdle is how long a connection must have been idle before it is
 	// replaced. The statements of one operation are closer together.
 	minReplaceIdle = 100 * time.Millisecond
@@ -294,21 +298,24 @@
 	updatedAt time.Time
 }
 
-// available returns how long until a dial is allowed; 0: now.
+// untilAvailable returns how long until a dial is allowed; 0: now.
 func (b *dialBudget) untilAvailable(size int, now time.Time) time.Duration {
 	b.refill(size, now)
-	over := b.used + 1 - max(1, float64(size)*dialBurst)
+	over := b.used + 1 - max(minDialBurst, float64(size)*dialBurst)
 	if over <= 0 {
 		return 0
 	}
-	return time.Duration(over / (float64(max(size, 1)) * dialsPerConnection) * float64(time.Second))
+	return time.Duration(over / dialRate(size) * float64(time.Second))
 }
 
 func (b *dialBudget) take() { b.used++ }
 
+// dialRate returns how many dials a second a pool of the size may make.
+func dialRate(size int) float64 { return max(minDialsPerSecond, float64(size)*dialsPerConnection) }
+
 func (b *dialBudget) refill(size int, now time.Time) {
 	elapsed := max(now.Sub(b.updatedAt).Seconds(), 0)
-	b.used = max(0, b.used-elapsed*float64(max(size, 1))*dialsPerConnection)
+	b.used = max(0, b.used-elapsed*dialRate(size))
 	b.updatedAt = now
 }
 
--- a/internal/share/customers_load_test.go
+++ b/internal/share/customers_load_test.go
@@ -465,7 +465,7 @@
 			f.run(2, 1500, simDuration/2, func(r *rand.Rand) simRequest { return f.randomRequest(r, flooding) })
 		})
 		f.runMix(1, simRate, simDuration/2)
-		f.report(simDuration/2)
+		f.report(simDuration / 2)
 		others := f.summarize(slices.DeleteFunc(slices.Clone(f.ids), func(id topology.CustomerID) bool { return id == flooding }))
 		t.Logf("others %+v, flood %+v", others, f.summarize([]topology.CustomerID{flooding}))
 		f.check()
