--- a/internal/group/dump.go
+++ b/internal/group/dump.go
@@ -15,6 +15,7 @@
 	Lagging     bool           `json:"lagging"`
 	LatencyMS   float64        `json:"took_ms"`
 	Load        share.Load     `json:"load"`
+	Limit       int            `json:"limit,omitempty"` // on statements in flight; 0: none
 	// Customers lists connections by customer, the most connections first, and is
 	// absent if connections don't belong to customers.
 	Customers []share.CustomerDump `json:"customers,omitempty"`
@@ -38,9 +39,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for id, m := range g.members {
+		limit := 0
+		if load := m.pool.LoadFor(""); load.ByCustomer {
+			limit = load.Limit
+		}
 		d.Members = append(d.Members, MemberDump{
 			Target: m.info, Leads: id == g.view.leader, Unreachable: m.unreachable, Lagging: now.Before(m.lagBackoff.retryAt),
-			LatencyMS: float64(m.latency.Microseconds()) / 1000, Load: m.pool.Load(), Customers: m.pool.DumpCustomers(),
+			LatencyMS: float64(m.latency.Microseconds()) / 1000, Load: m.pool.Load(), Limit: limit, Customers: m.pool.DumpCustomers(),
 		})
 	}
 	return d
--- a/internal/share/bycustomer.go
+++ b/internal/share/bycustomer.go
@@ -20,6 +20,9 @@
 	preopenDials = metrics.NewCounter(`nettlewalk_customer_dials_total{reason="ahead"}`)
 )
 
+// dialWaits records how long requests waited whose customer had no connection.
+var dialWaits = metrics.NewHistogram("nettlewalk_customer_dial_wait_seconds")
+
 // Customers is the configuration of a pool whose connections belong to customers.
 type Customers struct {
 	Known   map[topology.CustomerID]bool // connections of others are closed once they are idle
--- a/internal/share/pool.go
+++ b/internal/share/pool.go
@@ -189,6 +189,7 @@
 		return
 	}
 	u := p.useOf(w.customer, now)
+	w.needsDial = u.usable() == 0
 	u.waiting++
 	w.onRemoved = func() { u.waiting-- }
 	p.scheduleDials(now)
@@ -221,7 +222,12 @@
 func (p *Pool) wait(w *waiter) (*Conn, error) {
 	timer := time.NewTimer(time.Until(w.deadline))
 	defer timer.Stop()
-	defer func() { waitTimes.Update(time.Since(w.arrivedAt).Seconds()) }()
+	defer func() {
+		waitTimes.Update(time.Since(w.arrivedAt).Seconds())
+		if w.needsDial {
+			dialWaits.Update(time.Since(w.arrivedAt).Seconds())
+		}
+	}()
 	select {
 	case c := <-w.granted:
 		return connOrTimeout(c)
--- a/internal/share/queue.go
+++ b/internal/share/queue.go
@@ -14,6 +14,7 @@
 	arrivedAt time.Time
 	deadline  time.Time
 	granted   chan *Conn // buffered for one connection; closed if the wait ends without one
+	needsDial bool       // its customer had no connection that is used for single statements
 	onRemoved func()     // called when it leaves the queue; may be nil
 }
 
