--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -20,6 +20,7 @@
 	"nettlewalk.example/nettlewalk/internal/peer"
 	storeclient "nettlewalk.example/nettlewalk/internal/platform"
 	"nettlewalk.example/nettlewalk/internal/promotion"
+	"nettlewalk.example/nettlewalk/internal/quota"
 	"nettlewalk.example/nettlewalk/internal/relay"
 	"nettlewalk.example/nettlewalk/internal/share"
 	"nettlewalk.example/nettlewalk/internal/topology"
@@ -44,6 +45,7 @@
 	relay        *relay.Server
 	grantor      *lease.Grantor // nil if primaries are fenced
 	lessee       *lease.Lessee  // nil if primaries are fenced
+	quota        *quota.Quota   // nil if the settings don't bound rates
 	holders      share.Holders
 	leaving      atomic.Bool
 	failedProbes atomic.Int64 // consecutive readiness probes answered with not ready
@@ -101,9 +103,10 @@
 		groupOptions.Leases = h.lessee.Table
 	}
 	h.groups = group.NewSet(groupOptions)
+	h.createQuota()
 	h.relay = relay.NewServer(relay.Options{
 		Catalog: h.catalog, Groups: h.groups, Accept: platform.NewCallerConn,
-		Peers: &relayPeers{Client: h.peers, host: h}, Log: log.WithName("relay"),
+		Peers: &relayPeers{Client: h.peers, host: h}, Quota: h.quota, Log: log.WithName("relay"),
 	})
 	return h
 }
@@ -129,6 +132,21 @@
 	})
 }
 
+// createQuota creates the limit on the customers' rates, if the settings bound them.
+func (h *fleetHost) createQuota() {
+	if h.settings.Quota.Window <= 0 {
+		return
+	}
+	h.quota = quota.New(quota.Options{
+		Self: topology.HostID(h.settings.PeerAddr), Domain: h.settings.Domain, Peers: h.peers,
+		Hosts: func() ([]topology.Host, uint64) {
+			sharers := h.gossip.Sharers()
+			return sharers.Hosts, sharers.Version
+		},
+		Reach: h.gossip.Reach, Configuration: h.catalog.Configuration, Bounds: quota.Bounds(h.settings.Quota), Log: h.log.WithName("quota"),
+	})
+}
+
 // run serves until ctx is canceled and then shuts down.
 func (h *fleetHost) run(ctx context.Context, hangup <-chan os.Signal) error {
 	serveCtx, stop := context.WithCancel(context.Background())
@@ -168,6 +186,11 @@
 			return nil, err
 		}
 	}
+	if h.quota != nil {
+		if err := h.server.Register(quota.ServiceName, h.quota.Service()); err != nil {
+			return nil, err
+		}
+	}
 	if err := h.server.Register(relay.ServiceName, h.relay.Service()); err != nil {
 		return nil, err
 	}
--- a/cmd/nettlewalk/fleetinspect.go
+++ b/cmd/nettlewalk/fleetinspect.go
@@ -18,6 +18,7 @@
 	"nettlewalk.example/nettlewalk/internal/gossip"
 	"nettlewalk.example/nettlewalk/internal/group"
 	"nettlewalk.example/nettlewalk/internal/lease"
+	"nettlewalk.example/nettlewalk/internal/quota"
 	"nettlewalk.example/nettlewalk/internal/steady"
 )
 
@@ -40,6 +41,9 @@
 	// if primaries are fenced.
 	Leases []lease.Dump      `json:"leases,omitempty"`
 	Grants []lease.GrantDump `json:"grants,omitempty"`
+	// Quota has the customers' limits with this host's tokens. It is absent if rates
+	// aren't bounded.
+	Quota *quota.Dump `json:"quota,omitempty"`
 }
 
 func (h *fleetHost) dump() fleetDump {
@@ -51,6 +55,9 @@
 	configuration, register := h.catalog.Versions()
 	d.Configuration, d.Register, d.StoreEra = configuration, register.Revision, h.store.Era()
 	d.StoreUp, _ = h.store.Reachable()
+	if h.quota != nil {
+		d.Quota = h.quota.Dump()
+	}
 	if h.lessee != nil {
 		d.Leases, d.Grants = h.lessee.Dump(), h.grantor.Dump()
 	}
--- a/internal/limit/account.go
+++ b/internal/limit/account.go
@@ -39,14 +39,14 @@
 	peakInFlight       int     // highest running+waiting since the last TakeDemand
 	arrivals           float64 // statements since the last TakeDemand
 	bucket             *rate.Limiter
-	retryPacer         *rate.Limiter // spaces the retry times of refused callers
+	retryPacer         Pacer // spaces the retry times of refused callers
 	reservations       reservations
 	meanServiceSeconds float64 // moving average of a statement's execution time
 }
 
 // NewAccount returns an Account without statements.
 func NewAccount(fleetLimits customer.Limits, share float64) *Account {
-	a := &Account{bucket: rate.NewLimiter(rate.Inf, 1), retryPacer: rate.NewLimiter(rate.Inf, 1), meanServiceSeconds: defaultServiceTime.Seconds()}
+	a := &Account{bucket: rate.NewLimiter(rate.Inf, 1), meanServiceSeconds: defaultServiceTime.Seconds()}
 	a.reservations.claimRate = 1
 	a.SetLimits(fleetLimits, share)
 	return a
@@ -153,10 +153,7 @@
 // capacity for it. Retry times are spaced at the rate at which capacity becomes
 // free, so that callers that retry on time do not compete with each other.
 func (a *Account) scheduleRetry(retry *RetryState, now time.Time, ratePerSecond float64) time.Duration {
-	ratePerSecond *= retryCapacityFraction
-	a.retryPacer.SetLimitAt(now, rate.Limit(ratePerSecond))
-	wait := a.retryPacer.ReserveN(now, 1).DelayFrom(now) + secondsToDuration(1/ratePerSecond)
-	wait = min(max(wait, minRetryAfter), maxRetryAfter)
+	wait := a.retryPacer.Next(now, ratePerSecond)
 	if retry.tracked {
 		retry.retryAt = now.Add(wait)
 		a.reservations.add(retry.retryAt)
--- /dev/null
+++ b/internal/quota/wallet.go
@@ -0,0 +1,171 @@
+package quota
+
+import (
+	"math"
+	"time"
+
+	"nettlewalk.example/nettlewalk/internal/limit"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// Decision is what happens to an operation.
+type Decision int
+
+// The decisions of Wallet.Admit.
+const (
+	Admitted Decision = iota // a token was spent
+	Wait                     // tokens have to be bought first
+	Refused                  // the customer is at its limit
+)
+
+const (
+	demandTimeConst = 1.0 // seconds, of the moving average of operations
+	// refillFraction is the part of the last purchase that is left when more tokens are
+	// bought, so that they arrive before the last one is spent.
+	refillFraction = 0.5
+	// previousPeriod is how long the seller of the last tokens is reported to another
+	// one: what it sold may still count in the window.
+	previousPeriod = 7 * time.Second
+)
+
+// Wallet has one customer's tokens at one host. It reads no clock and isn't safe for
+// concurrent use.
+type Wallet struct {
+	limit     Limit
+	version   uint64
+	limitAt   time.Time // when the limit last changed here
+	tokens    int
+	bought    int // tokens after the last purchase
+	expiresAt time.Time
+	credit    int
+	seq       uint64
+	demand    float64 // moving average of operations per second, refused ones included
+	arrivedAt time.Time
+	// blockedUntil is when tokens may be asked for again after a purchase of too few.
+	blockedUntil time.Time
+	pace         float64     // tokens per second to expect at the limit
+	pacer        limit.Pacer // spaces the retry times of refused callers
+	seller       topology.HostID
+	soldAt       time.Time
+}
+
+// NewWallet returns a wallet without tokens.
+func NewWallet() *Wallet { return &Wallet{} }
+
+// SetLimit records the limit in force. Tokens bought under a higher limit are discarded.
+func (w *Wallet) SetLimit(l Limit, version uint64, now time.Time) {
+	if version <= w.version {
+		return
+	}
+	if l != w.limit {
+		w.limitAt = now
+	}
+	if l.lowerThan(w.limit) {
+		w.tokens, w.credit = 0, 0
+	}
+	w.limit, w.version = l, version
+}
+
+// expire discards the tokens whose lifetime has passed.
+func (w *Wallet) expire(now time.Time) {
+	if !now.Before(w.expiresAt) {
+		w.tokens = 0
+	}
+}
+
+// Admit decides about one operation.
+func (w *Wallet) Admit(now time.Time) Decision {
+	w.recordArrival(now)
+	w.expire(now)
+	switch {
+	case w.tokens > 0:
+		w.tokens--
+		return Admitted
+	case now.Before(w.blockedUntil):
+		return Refused
+	}
+	return Wait
+}
+
+func (w *Wallet) recordArrival(now time.Time) {
+	w.decayDemand(now)
+	w.demand += 1 / demandTimeConst
+}
+
+func (w *Wallet) decayDemand(now time.Time) {
+	if elapsed := now.Sub(w.arrivedAt).Seconds(); elapsed > 0 {
+		w.demand *= math.Exp(-elapsed / demandTimeConst)
+		w.arrivedAt = now
+	}
+}
+
+// Credit records that an operation certainly didn't run.
+func (w *Wallet) Credit() { w.credit++ }
+
+// ShouldRefill reports whether it is time to buy tokens in advance.
+func (w *Wallet) ShouldRefill(now time.Time) bool {
+	return w.bought > 1 && float64(w.tokens) <= refillFraction*float64(w.bought) && !now.Before(w.blockedUntil)
+}
+
+// Request returns the request to send to a seller. Tokens of another seller are
+// discarded, since this one doesn't know of them.
+func (w *Wallet) Request(seller topology.HostID, need int, now time.Time) (r Request, previous topology.HostID) {
+	w.expire(now)
+	w.decayDemand(now)
+	if w.seller != "" && w.seller != seller {
+		w.tokens = 0
+		if now.Sub(w.soldAt) < previousPeriod {
+			previous = w.seller
+		}
+	}
+	w.seq++
+	r = Request{Seq: w.seq, Need: need, Held: w.tokens, Credit: w.credit, Demand: w.demand}
+	w.credit = 0
+	return r, previous
+}
+
+// Add records the answer of a seller to a request sent at sentAt. A grant under an older
+// configuration with a higher limit is discarded.
+func (w *Wallet) Add(seller topology.HostID, g Grant, limit Limit, version uint64, sentAt, now time.Time) {
+	if seller != w.seller {
+		w.tokens = 0
+		w.seller = seller
+	}
+	w.soldAt = now
+	if version < w.version && w.limit.lowerThan(limit) {
+		w.blockedUntil = now.Add(minRetry)
+		return
+	}
+	if expiresAt := sentAt.Add(TokenLifetime); now.Before(expiresAt) {
+		w.tokens += g.Tokens
+		w.expiresAt = expiresAt
+	}
+	w.bought = w.tokens
+	if g.RetryAfter > 0 {
+		w.blockedUntil, w.pace = now.Add(g.RetryAfter), g.Pace
+	}
+}
+
+// Spend spends a token for an operation that waited.
+func (w *Wallet) Spend(now time.Time) bool {
+	w.expire(now)
+	if w.tokens == 0 {
+		return false
+	}
+	w.tokens--
+	return true
+}
+
+// Blocked reports whether tokens may not be asked for yet.
+func (w *Wallet) Blocked(now time.Time) bool { return now.Before(w.blockedUntil) }
+
+// RetryAfter returns when a refused caller should retry. Each caller gets its own time,
+// spaced at the rate at which this host expects tokens.
+func (w *Wallet) RetryAfter(now time.Time) time.Duration {
+	return max(0, w.blockedUntil.Sub(now)) + w.pacer.Next(now, w.pace)
+}
+
+// Idle reports whether the wallet has nothing worth keeping.
+func (w *Wallet) Idle(now time.Time) bool {
+	return now.Sub(w.arrivedAt) > previousPeriod && !now.Before(w.expiresAt)
+}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -61,6 +61,8 @@
 type RunReply struct {
 	Answer statement.Answer
 	Load   placement.Load
+	// NeverRan is set if the statement certainly ran at no target.
+	NeverRan bool
 }
 
 // Peers runs statements on other hosts.
@@ -105,14 +107,18 @@
 }
 
 // callPeer forwards a statement to another host and records the load that it reports.
-func (s *Server) callPeer(ctx context.Context, host topology.HostID, groupID topology.GroupID, args *RunArgs) (statement.Answer, error) {
+func (r *request) callPeer(ctx context.Context, host topology.HostID, args *RunArgs) (statement.Answer, error) {
+	s, groupID := r.session.server, r.route.Group
 	s.forwardedCounter.Inc()
 	s.peerLoads.RecordSent(host, groupID, steady.Now())
 	var reply RunReply
 	if err := s.opts.Peers.Call(peer.WithConnectTimeout(ctx, peerConnectTimeout), host, runMethod, args, &reply); err != nil {
 		s.peerLoads.RecordFailure(host, groupID, steady.Now())
+		var resultErr *result.Error
+		r.mayHaveRun = r.mayHaveRun || !errors.As(err, &resultErr) || resultErr.Code != result.HostUnreachable
 		return statement.Answer{}, err
 	}
+	r.mayHaveRun = r.mayHaveRun || !reply.NeverRan
 	s.peerLoads.RecordAnswer(host, groupID, reply.Load, steady.Now())
 	return reply.Answer, nil
 }
@@ -141,7 +147,7 @@
 	defer cancel()
 	args := r.forwardArgs()
 	args.AtOnce = noWait
-	answer, err := r.session.server.callPeer(ctx, host, r.route.Group, args)
+	answer, err := r.callPeer(ctx, host, args)
 	if err == nil {
 		r.addStep(topology.TargetID(host), "forwarded: "+answer.Code.String()+" "+answer.Detail)
 		if answer.OK() && r.writes {
@@ -189,7 +195,7 @@
 // Run runs one statement as if its caller were connected to this host. It never
 // forwards the statement again.
 func (s *Service) Run(args *RunArgs, reply *RunReply) error {
-	reply.Answer = s.server.runForwarded(args)
+	reply.Answer, reply.NeverRan = s.server.runForwarded(args)
 	reply.Load = s.server.groupLoad(args.Database)
 	return nil
 }
@@ -207,19 +213,21 @@
 	return placement.Load{}
 }
 
-func (s *Server) runForwarded(args *RunArgs) statement.Answer {
+// runForwarded also reports whether the statement certainly ran at no target.
+func (s *Server) runForwarded(args *RunArgs) (a statement.Answer, neverRan bool) {
 	if s.configurationVersion() < args.Configuration {
-		return statement.Answer{Code: statement.Busy, Detail: "the receiving host has an older configuration"}
+		return statement.Answer{Code: statement.Busy, Detail: "the receiving host has an older configuration"}, true
 	}
 	if args.Transaction.Key != "" {
-		return s.forwardedTxs.runStatement(args)
+		a := s.forwardedTxs.runStatement(args)
+		return a, args.Transaction.First && a.Code.NotRun()
 	}
 	session := s.newSession(nil)
 	session.applyForwarded(args)
 	st := args.Statement
 	r, refused := session.newRequest(&st, args.Writes, args.Uses)
 	if refused != nil {
-		return *refused
+		return *refused, true
 	}
 	r.fromPeer = true
 	r.deadline = r.arrivedAt.Add(min(args.Within, r.route.StatementTimeout))
@@ -227,7 +235,7 @@
 	if !ok && !r.noWait { // the forwarding host logs the refusal of a no-wait statement
 		r.logOutcome("forwarded statement", &answer, false)
 	}
-	return answer
+	return answer, !r.mayHaveRun
 }
 
 // applyForwarded applies the state of another host's session to this session.
--- a/internal/relay/hosted.go
+++ b/internal/relay/hosted.go
@@ -146,7 +146,7 @@
 	args.Transaction = Transaction{Key: t.peerKey, ReadOnly: t.readOnly, First: first}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
-	a, err := r.session.server.callPeer(ctx, t.peerHost, r.route.Group, args)
+	a, err := r.callPeer(ctx, t.peerHost, args)
 	if err == nil {
 		r.addStep(topology.TargetID(t.peerHost), "transaction statement forwarded: "+a.Code.String())
 		return a, true
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 
 	"nettlewalk.example/nettlewalk/internal/placement"
+	"nettlewalk.example/nettlewalk/internal/quota"
 	"nettlewalk.example/nettlewalk/internal/statement"
 )
 
@@ -24,6 +25,8 @@
 	Accept func(net.Conn) Caller
 	// Peers runs statements on other hosts; nil if there are none.
 	Peers Peers
+	// Quota limits the rate of each customer's operations; nil: rates aren't limited.
+	Quota *quota.Quota
 	Log   logr.Logger
 }
 
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -40,6 +40,8 @@
 	// leaderConnsBusy is set if this host has connections to the leader, but all of
 	// them are in use.
 	leaderConnsBusy bool
+	// mayHaveRun is set unless the statement certainly ran at no target.
+	mayHaveRun bool
 }
 
 // serveSingle runs one statement outside a transaction.
@@ -48,7 +50,12 @@
 	if refused != nil {
 		return *refused
 	}
+	admission, refused := r.admit()
+	if refused != nil {
+		return *refused
+	}
 	answer, ok := r.run(ctx)
+	r.creditIfNotRun(admission)
 	s.server.countStatement(r, &answer)
 	r.logOutcome("statement", &answer, ok)
 	return answer
@@ -306,6 +313,7 @@
 	if err != nil {
 		return r.answerBroken(id, err)
 	}
+	r.mayHaveRun = r.mayHaveRun || !answers[len(prefix)+callerIndex].Code.NotRun()
 	for i := range prefix {
 		if !answers[i].OK() {
 			return r.answerReplayFailed(conn, &answers[i])
@@ -354,6 +362,7 @@
 	if !errors.As(err, &broken) {
 		broken = &statement.ConnError{Sent: true, Cause: err}
 	}
+	r.mayHaveRun = r.mayHaveRun || broken.Sent
 	r.group.NoteFailing(id)
 	code, retry := classifyBreak(broken, r.writes)
 	r.addStep(id, "connection broke: "+broken.Cause.Error())
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -6,6 +6,7 @@
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
 	"nettlewalk.example/nettlewalk/internal/group"
+	"nettlewalk.example/nettlewalk/internal/quota"
 	"nettlewalk.example/nettlewalk/internal/share"
 	"nettlewalk.example/nettlewalk/internal/statement"
 	"nettlewalk.example/nettlewalk/internal/steady"
@@ -32,6 +33,9 @@
 
 	peerHost topology.HostID // host that runs it; "": this one
 	peerKey  string          // identifies it on that host
+
+	admitted  bool             // it counts as an operation of its customer
+	admission *quota.Admission // nil: its customer has no limit
 }
 
 func (t *transaction) running() bool { return t.conn != nil || t.peerHost != "" }
@@ -112,7 +116,13 @@
 		return s.failWith(*refused, true)
 	}
 	if !s.tx.running() {
+		if refusal := r.admitTransaction(); refusal != nil {
+			return s.failWith(*refusal, true)
+		}
 		if a, answered := r.startTransaction(ctx); answered {
+			if !a.OK() {
+				r.creditIfNotRun(s.tx.admission)
+			}
 			return a
 		}
 	}
@@ -299,8 +309,12 @@
 		return a
 	}
 	if refused == nil && !s.tx.running() {
-		if refusal, ok := r.beginHere(ctx); !ok {
-			refused = &refusal
+		refused = r.admitTransaction()
+		if refused == nil {
+			if refusal, ok := r.beginHere(ctx); !ok {
+				refused = &refusal
+				r.creditIfNotRun(s.tx.admission)
+			}
 		}
 	}
 	if refused != nil {
