--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -140,8 +140,8 @@
 	h.quota = quota.New(quota.Options{
 		Self: topology.HostID(h.settings.PeerAddr), Domain: h.settings.Domain, Peers: h.peers,
 		Hosts: func() ([]topology.Host, uint64) {
-			sharers := h.gossip.Sharers()
-			return sharers.Hosts, sharers.Version
+			present := h.gossip.Present()
+			return present.Hosts, present.Version
 		},
 		Reach: h.gossip.Reach, Configuration: h.catalog.Configuration, Bounds: quota.Bounds(h.settings.Quota), Log: h.log.WithName("quota"),
 	})
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -103,12 +103,16 @@
 	fetchers       [snapshotKinds]*fetcher
 	snapshots      snapshotCache
 
-	mu         sync.Mutex // guards the fields below
-	self       Host
-	hosts      map[topology.HostID]*knownHost
-	addrByHash map[uint64]topology.HostID // addresses in hosts, by hashAddr
-	contacts   map[topology.Domain]*Contact
-	uploads    [snapshotKinds]uploads
+	mu             sync.Mutex // guards the fields below
+	self           Host
+	hosts          map[topology.HostID]*knownHost
+	addrByHash     map[uint64]topology.HostID // addresses in hosts, by hashAddr
+	contacts       map[topology.Domain]*Contact
+	uploads        [snapshotKinds]uploads
+	present        Sharers // see Present
+	presentBuiltAt time.Time
+	majorityCounts map[topology.Domain]int // known hosts by domain at majorityAt
+	majorityAt     time.Time               // when most votes were last in contact
 	// sharers is rebuilt once it is older than sharersMaxAge, and at the next call
 	// after a host joins, restarts or leaves.
 	sharers        Sharers
--- a/internal/quota/dump.go
+++ b/internal/quota/dump.go
@@ -12,13 +12,12 @@
 
 // Dump is the state of the limits at one host, for operators.
 type Dump struct {
-	// Shares are the parts of the limits that this host may sell as coordinator, as
-	// deputy and alone.
-	Shares    []float64      `json:"shares"`
-	Customers int            `json:"customers"` // with tokens or recent demand; Wallets has maxDumped at most
-	Wallets   []WalletDump   `json:"wallets"`
-	Ledgers   []LedgerDump   `json:"ledgers"`
-	Avoided   map[string]int `json:"avoided_ms"` // hosts that didn't answer, and for how long they aren't asked
+	// Votes are the parts of the limits that this host may sell as coordinator, by domain.
+	Votes     map[topology.Domain]float64 `json:"votes"`
+	Customers int                         `json:"customers"` // with tokens or recent demand; Wallets has maxDumped at most
+	Wallets   []WalletDump                `json:"wallets"`
+	Ledgers   []LedgerDump                `json:"ledgers"`
+	Avoided   []topology.HostID           `json:"avoided"` // hosts that didn't answer
 }
 
 // WalletDump is the state of one customer's tokens at this host.
@@ -53,7 +52,7 @@
 	now := q.opts.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	d := &Dump{Shares: slices.Clone(q.shares[:]), Customers: len(q.accounts), Wallets: []WalletDump{}, Ledgers: []LedgerDump{}, Avoided: map[string]int{}}
+	d := &Dump{Votes: map[topology.Domain]float64{}, Customers: len(q.accounts), Wallets: []WalletDump{}, Ledgers: []LedgerDump{}, Avoided: []topology.HostID{}}
 	for id, e := range q.accounts {
 		e.expire(now)
 		e.decayDemand(now)
@@ -74,10 +73,13 @@
 		return cmp.Or(cmp.Compare(b.Sales, a.Sales), cmp.Compare(a.Customer, b.Customer), cmp.Compare(a.Role, b.Role))
 	})
 	d.Ledgers = d.Ledgers[:min(len(d.Ledgers), maxDumped)]
-	for id, until := range q.avoided {
-		if ms := until.Sub(now).Milliseconds(); ms > 0 && len(d.Avoided) < maxDumped {
-			d.Avoided[string(id)] = int(ms)
-		}
+	for domain, v := range q.votes.domains {
+		d.Votes[domain] = v.part
+	}
+	for id := range q.avoided {
+		d.Avoided = append(d.Avoided, id)
 	}
+	slices.Sort(d.Avoided)
+	d.Avoided = d.Avoided[:min(len(d.Avoided), maxDumped)]
 	return d
 }
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -9,15 +9,15 @@
 
 const (
 	// TokenLifetime is how long a host may spend tokens, from when it asked for them.
-	TokenLifetime = 1 * time.Second
+	TokenLifetime = 2 * time.Second
 	// lifetimeMargin is how much longer the ledger counts sold tokens: clocks may differ
 	// by a few percent over the lifetime.
 	lifetimeMargin = 50 * time.Millisecond
 	// maxHorizon is the demand that a host may buy in advance, in time. It is below
 	// TokenLifetime, so that few tokens expire unspent.
-	maxHorizon = 700 * time.Millisecond
+	maxHorizon = 1400 * time.Millisecond
 	// advanceFraction is the part of the depth that may be unspent at hosts.
-	advanceFraction = 0.6
+	advanceFraction = 0.75
 	// scarceFraction is the part of the depth below which less is sold in advance, so
 	// that hosts without tokens find some.
 	scarceFraction = 0.25
@@ -43,6 +43,7 @@
 // Grant is the answer to a Request.
 type Grant struct {
 	Tokens     int
+	Keep       int           // tokens that the host may keep after operations that wait got theirs
 	RetryAfter time.Duration // when to ask again if Tokens is less than was needed
 	Pace       float64       // tokens per second that the host may expect, if RetryAfter is set
 }
@@ -60,41 +61,53 @@
 //
 // Its level and the unspent tokens at hosts are together at most the depth. Operations
 // of a window spend tokens that were unspent when it began, or that the ledger had then,
-// or that it got in the window, so they are at most depth + Rate x Window.
+// or that it got in the window, so they are at most depth + rate x Window (Bounds).
 type Ledger struct {
 	bounds  Bounds
 	limit   Limit
 	version uint64  // of the configuration that has the limit
 	share   float64 // part of the limit that this ledger may sell, between 0 and 1
 
-	level      float64
-	refilledAt time.Time
-	startedAt  time.Time
-	holdings   map[topology.HostID]*holding
-	unspent    int // sum of holdings
-	sweptAt    time.Time
-	saleRate   float64 // moving average of tokens sold per second
-	soldAt     time.Time
+	level       float64
+	refilledAt  time.Time
+	levelAtSale float64 // after the last sale
+	paused      bool
+	holdings    map[topology.HostID]*holding
+	unspent     int // sum of holdings
+	sweptAt     time.Time
+	saleRate    float64 // moving average of tokens sold per second
+	soldAt      time.Time
 }
 
 // NewLedger returns the ledger of a host that begins to sell tokens for a customer.
 func NewLedger(b Bounds, l Limit, version uint64, share float64, now time.Time) *Ledger {
 	g := &Ledger{bounds: b, limit: l, version: version, share: share, refilledAt: now, sweptAt: now, soldAt: now,
-		startedAt: now, holdings: map[topology.HostID]*holding{}}
+		holdings: map[topology.HostID]*holding{}}
 	g.level = share * b.start(l)
 	return g
 }
 
-// Restart records that another host may have sold tokens in the meantime. The ledger
-// begins again without a burst, and without tokens if it began less than a window ago.
+// Restart records that another host sold tokens in the meantime. What was added since the
+// last sale here may have been sold there, except for what a ledger begins with.
 func (g *Ledger) Restart(now time.Time) {
 	g.refill(now)
-	start := g.share * g.bounds.start(g.limit)
-	if now.Sub(g.startedAt) < g.bounds.Window {
-		start = 0
-	}
-	g.level = min(g.level, start)
-	g.startedAt = now
+	g.level = min(g.level, max(g.levelAtSale, g.share*g.bounds.start(g.limit)))
+}
+
+// HandOver gives up the tokens that are left, because another host sells from now on.
+// Nothing is added until the next sale.
+func (g *Ledger) HandOver(now time.Time) (tokens float64) {
+	g.refill(now)
+	tokens, g.level, g.levelAtSale, g.paused = g.level, 0, 0, true
+	return tokens
+}
+
+// TakeOver adds the tokens that another host gave up.
+func (g *Ledger) TakeOver(tokens float64, now time.Time) {
+	g.refill(now)
+	g.level += max(0, tokens)
+	g.refill(now)
+	g.levelAtSale = g.level
 }
 
 // SetLimit changes the limit to that of a newer configuration.
@@ -121,7 +134,10 @@
 func (g *Ledger) refill(now time.Time) {
 	g.sweep(now)
 	if elapsed := now.Sub(g.refilledAt); elapsed > 0 {
-		g.level += g.limit.Rate * g.share * elapsed.Seconds()
+		if g.paused {
+			elapsed = 0
+		}
+		g.level += g.bounds.rate(g.limit) * g.share * elapsed.Seconds()
 		g.refilledAt = now
 	}
 	g.level = max(0, min(g.level, g.share*g.bounds.depth(g.limit)-float64(g.unspent)))
@@ -146,6 +162,7 @@
 
 // Buy answers a host's request. A request that was overtaken by a later one gets nothing.
 func (g *Ledger) Buy(host topology.HostID, r Request, now time.Time) Grant {
+	g.sweep(now)
 	h := g.holdings[host]
 	if h == nil {
 		h = &holding{}
@@ -158,19 +175,22 @@
 	g.unspent += held - h.tokens
 	h.tokens, h.seq, h.askedAt = held, r.Seq, now
 	g.refill(now)
+	g.paused = false
 	if r.Credit > 0 {
 		g.level += float64(r.Credit)
 		g.refill(now)
 	}
 	n := min(int(g.level), max(0, r.Need-held)+g.advance(r))
 	g.level -= float64(n)
-	g.unspent += n
-	h.tokens += n
+	g.levelAtSale = g.level
+	// Operations that wait spend their tokens at once. Only the others remain unspent.
+	h.tokens = max(0, held+n-r.Need)
+	g.unspent += h.tokens - held
 	h.expiresAt = now.Add(TokenLifetime + lifetimeMargin)
 	g.recordSale(n, now)
-	grant := Grant{Tokens: n}
+	grant := Grant{Tokens: n, Keep: h.tokens}
 	if held+n < r.Need {
-		grant.RetryAfter, grant.Pace = g.retryAfter(), g.limit.Rate*g.share/float64(len(g.holdings))
+		grant.RetryAfter, grant.Pace = g.retryAfter(), g.bounds.rate(g.limit)*g.share/float64(len(g.holdings))
 	}
 	return grant
 }
@@ -178,10 +198,11 @@
 // advance returns how many tokens a host gets beyond those for waiting operations.
 func (g *Ledger) advance(r Request) int {
 	depth := g.share * g.bounds.depth(g.limit)
-	if depth <= 0 {
+	if depth <= 0 || r.Demand < minAdvanceDemand {
 		return 0
 	}
-	horizon := min(maxHorizon.Seconds(), advanceFraction*depth/max(g.saleRate, 1))
+	// Hosts spend their tokens gradually, so that on average half of them are unspent.
+	horizon := min(maxHorizon.Seconds(), 2*advanceFraction*depth/max(g.saleRate, 1))
 	horizon *= min(1, g.level/(scarceFraction*depth))
 	room := advanceFraction*depth - float64(g.unspent)
 	wanted := r.Demand*horizon - float64(r.Held)
@@ -191,7 +212,7 @@
 // retryAfter returns when a host that got too few tokens asks again: all hosts that ask
 // do so at the rate at which tokens become available, together.
 func (g *Ledger) retryAfter() time.Duration {
-	rate := g.limit.Rate * g.share
+	rate := g.bounds.rate(g.limit) * g.share
 	if rate <= 0 {
 		return maxRetry
 	}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -36,19 +36,36 @@
 	// buyTimeout limits one request for tokens. A round trip takes 2 ms; a small host
 	// under load adds some tens. Order confirmations have a goal of 100 ms.
 	buyTimeout = 50 * time.Millisecond
-	// maxWait limits how long an operation waits for tokens: two requests.
-	maxWait = 2 * buyTimeout
-	// avoidPeriod is how long a host that didn't answer isn't asked again. Each attempt
-	// costs an operation buyTimeout.
-	avoidPeriod = 1 * time.Second
+	// relayTimeout is that of a request that is passed on while its sender waits.
+	relayTimeout = 30 * time.Millisecond
+	// maxWait limits how long an operation waits for tokens: for the coordinator, and for
+	// a deputy that asks the coordinator.
+	maxWait = buyTimeout + relayTimeout + 20*time.Millisecond
+	// probeInterval is the time between checks of a host that didn't answer. It isn't
+	// asked for tokens until it answers one: each attempt would cost an operation
+	// buyTimeout.
+	probeInterval = 1 * time.Second
+	probeTimeout  = 200 * time.Millisecond
+	// cedeInterval is the time between two notes of a deputy to the coordinator for which
+	// it stands in, and cedePeriod how long each counts. cedeTimeout allows for a
+	// coordinator that is slow.
+	cedeInterval = 300 * time.Millisecond
+	cedePeriod   = 1200 * time.Millisecond
+	cedeTimeout  = 1 * time.Second
 	// reachMaxAge is how long the votes are used after they were counted. Gossip notices
 	// a loss of contact after 800 ms.
 	reachMaxAge = 100 * time.Millisecond
 	// reachRaiseDelay is how long this host must have been in contact with more votes
-	// before it sells with them: hosts that come into contact again use their deputies
-	// until avoidPeriod has passed.
-	reachRaiseDelay = avoidPeriod + 500*time.Millisecond
-	pruneInterval   = 5 * time.Second // between removals of idle wallets and ledgers
+	// before it sells with them. Hosts that come into contact again may have bought from
+	// others until then, who are told to stop by the first host that changes.
+	reachRaiseDelay = 600 * time.Millisecond
+	// yieldPeriod is how long a host passes requests on to one that told it to stop. Lists
+	// of hosts that are in contact agree after one or two seconds.
+	yieldPeriod   = 2 * time.Second
+	pruneInterval = 5 * time.Second // between removals of idle wallets and ledgers
+	// avoidedRetention is how long a host that didn't answer is remembered after a check
+	// was due without anybody wanting the host.
+	avoidedRetention = 30 * time.Second
 	// stopInterval is the least time between two requests to the same host to stop
 	// selling a customer's tokens.
 	stopInterval = 1 * time.Second
@@ -65,15 +82,28 @@
 
 	mu       sync.Mutex
 	accounts map[topology.CustomerID]*account
-	avoided  map[topology.HostID]time.Time // hosts that didn't answer, until when
+	avoided  map[topology.HostID]*avoidance // hosts that didn't answer
 	prunedAt time.Time
 	index    *fleet.Index
-	indexed  uint64 // version of the hosts in index
+	indexed  uint64                          // version of the hosts in index
+	chosen   map[topology.CustomerID]sellers // from index
 
-	ledgers       [roles]map[topology.CustomerID]*seller
-	reachAt       time.Time
-	reachRaisedAt [roles]time.Time
-	shares        [roles]float64
+	yielded map[topology.CustomerID]yielding
+	ledgers [roles]map[topology.CustomerID]*seller
+	votes   votes
+}
+
+// yielding tells which host sells a customer's tokens instead of this one, although this
+// one's list of hosts may not show that yet.
+type yielding struct {
+	to    topology.HostID
+	until time.Time
+}
+
+// avoidance is the state of a host that didn't answer.
+type avoidance struct {
+	probing bool
+	probeAt time.Time // when it is checked next, if it is wanted
 }
 
 // account is a customer's wallet with the operations that wait for tokens.
@@ -81,14 +111,21 @@
 	*Wallet
 	buying  bool
 	waiters []chan bool // gets whether the operation is admitted; buffered
-	sellers sellers
-	indexed uint64 // version of the hosts from which sellers were chosen
 }
 
 // seller is a ledger with the hosts that were asked to stop selling.
 type seller struct {
 	*Ledger
 	stopped map[topology.HostID]time.Time
+	ceded   map[topology.HostID]cession // votes with which other hosts stand in for this one
+	cededAt time.Time                   // when this host, standing in, last told the coordinator
+}
+
+// cession is a number of votes that another host sells with.
+type cession struct {
+	domain topology.Domain
+	votes  float64
+	until  time.Time
 }
 
 // New returns a Quota without tokens.
@@ -96,7 +133,7 @@
 	if opts.Now == nil {
 		opts.Now = steady.Now
 	}
-	q := &Quota{opts: opts, logLimit: rate.NewLimiter(refusalLinesPerSecond, refusalLinesBurst), accounts: map[topology.CustomerID]*account{}, avoided: map[topology.HostID]time.Time{}}
+	q := &Quota{opts: opts, logLimit: rate.NewLimiter(refusalLinesPerSecond, refusalLinesBurst), accounts: map[topology.CustomerID]*account{}, avoided: map[topology.HostID]*avoidance{}, yielded: map[topology.CustomerID]yielding{}}
 	for r := range q.ledgers {
 		q.ledgers[r] = map[topology.CustomerID]*seller{}
 	}
@@ -214,7 +251,7 @@
 	q.prune(now)
 	e := q.accounts[id]
 	if e == nil {
-		e = &account{Wallet: NewWallet()}
+		e = &account{Wallet: NewWallet(uint64(time.Now().UnixNano()))}
 		q.accounts[id] = e
 	}
 	return e
@@ -238,8 +275,13 @@
 			}
 		}
 	}
-	for id, until := range q.avoided {
-		if !now.Before(until) {
+	for id, y := range q.yielded {
+		if !now.Before(y.until) {
+			delete(q.yielded, id)
+		}
+	}
+	for id, a := range q.avoided {
+		if !a.probing && now.Sub(a.probeAt) > avoidedRetention {
 			delete(q.avoided, id)
 		}
 	}
@@ -261,6 +303,7 @@
 			e.waiters[0] <- true
 			e.waiters = e.waiters[1:]
 		}
+		e.Trim()
 		if len(e.waiters) == 0 || e.Blocked(now) {
 			for _, w := range e.waiters {
 				w <- false
@@ -277,7 +320,7 @@
 func (q *Quota) buyOnce(id topology.CustomerID, e *account) {
 	q.mu.Lock()
 	now := q.opts.Now()
-	s := q.sellersFor(id, e)
+	s := q.sellersFor(id)
 	var order []topology.HostID
 	for _, host := range append([]topology.HostID{s.coordinator}, s.deputies...) {
 		if host == q.opts.Self || host != "" && !q.avoids(host, now) {
@@ -306,7 +349,7 @@
 		q.sell(args, &reply)
 	} else {
 		purchaseCounter.Inc()
-		err = q.call(host, buyMethod, args, &reply)
+		err = q.call(host, buyMethod, args, &reply, buyTimeout)
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -318,39 +361,54 @@
 	return true
 }
 
-// call calls another host, and avoids it for a while if it doesn't answer.
-func (q *Quota) call(host topology.HostID, method string, args, reply any) error {
-	ctx, cancel := context.WithTimeout(context.Background(), buyTimeout)
+// call calls another host, and avoids it if it doesn't answer.
+func (q *Quota) call(host topology.HostID, method string, args, reply any, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	err := q.opts.Peers.Call(ctx, host, method, args, reply)
 	if err != nil {
 		unansweredCounter.Inc()
 		q.opts.Log.V(1).Info("no answer from a seller of tokens", "host", host, "method", method, "error", err.Error())
 		q.mu.Lock()
-		q.avoided[host] = q.opts.Now().Add(avoidPeriod)
+		q.avoided[host] = &avoidance{probeAt: q.opts.Now().Add(probeInterval)}
 		q.mu.Unlock()
 	}
 	return err
 }
 
-// avoids reports whether the host didn't answer recently. The caller holds q.mu.
+// avoids reports whether the host didn't answer and hasn't since. It checks the host
+// again if that is due. The caller holds q.mu.
 func (q *Quota) avoids(host topology.HostID, now time.Time) bool {
-	return now.Before(q.avoided[host])
+	a := q.avoided[host]
+	if a == nil {
+		return false
+	}
+	if !a.probing && !now.Before(a.probeAt) {
+		a.probing = true
+		go q.probe(host)
+	}
+	return true
 }
 
-// sellersFor returns the customer's sellers. The caller holds q.mu.
-func (q *Quota) sellersFor(id topology.CustomerID, e *account) sellers {
-	q.updateIndex()
-	if e.indexed != q.indexed || e.sellers.coordinator == "" {
-		e.sellers, e.indexed = chooseSellers(q.index, id, q.opts.Domain), q.indexed
+// probe checks whether a host answers again.
+func (q *Quota) probe(host topology.HostID) {
+	if q.call(host, pingMethod, &PingArgs{From: q.opts.Self}, &Confirmation{}, probeTimeout) == nil {
+		q.mu.Lock()
+		delete(q.avoided, host)
+		q.mu.Unlock()
 	}
-	return e.sellers
 }
 
-// updateIndex rebuilds the index if the hosts have changed. The caller holds q.mu.
-func (q *Quota) updateIndex() {
+// sellersFor returns the customer's sellers. The caller holds q.mu.
+func (q *Quota) sellersFor(id topology.CustomerID) sellers {
 	hosts, version := q.opts.Hosts()
 	if q.index == nil || version != q.indexed {
-		q.index, q.indexed = fleet.NewIndex(hosts), version
+		q.index, q.indexed, q.chosen = fleet.NewIndex(hosts), version, map[topology.CustomerID]sellers{}
+	}
+	s, ok := q.chosen[id]
+	if !ok {
+		s = chooseSellers(q.index, id, q.opts.Domain)
+		q.chosen[id] = s
 	}
+	return s
 }
--- a/internal/quota/sellers.go
+++ b/internal/quota/sellers.go
@@ -25,6 +25,12 @@
 	deputies    []topology.HostID // in the host's own domain, in the order in which they are asked
 }
 
+// outranks reports whether a comes before b as a customer's coordinator.
+func outranks(customer topology.CustomerID, a, b topology.HostID) bool {
+	index := fleet.NewIndex([]topology.Host{{ID: a, State: topology.HostLive}, {ID: b, State: topology.HostLive}})
+	return chooseSellers(index, customer, "").coordinator == a
+}
+
 // chooseSellers selects a customer's sellers by rendezvous hashing.
 func chooseSellers(index *fleet.Index, customer topology.CustomerID, domain topology.Domain) sellers {
 	id := topology.TargetID(customer)
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -12,6 +12,8 @@
 const (
 	buyMethod  = ServiceName + ".Buy"
 	stopMethod = ServiceName + ".Stop"
+	cedeMethod = ServiceName + ".Cede"
+	pingMethod = ServiceName + ".Ping"
 )
 
 // BuyArgs asks a seller for tokens.
@@ -45,8 +47,26 @@
 	Customer topology.CustomerID
 }
 
-// StopReply confirms that.
-type StopReply struct{ Done bool } // always true; gob can't encode a struct without fields
+// StopReply has the tokens that the sender may sell now instead.
+type StopReply struct {
+	Done   bool
+	Tokens float64
+}
+
+// CedeArgs tells a customer's coordinator that another host sells tokens with some votes,
+// because it got no answer from the coordinator.
+type CedeArgs struct {
+	From     topology.HostID
+	Domain   topology.Domain // of From
+	Customer topology.CustomerID
+	Votes    float64
+}
+
+// PingArgs asks for an answer.
+type PingArgs struct{ From topology.HostID }
+
+// Confirmation is a reply without content.
+type Confirmation struct{ Done bool } // always true; gob can't encode a struct without fields
 
 // Service is the RPC service.
 type Service struct{ quota *Quota }
@@ -67,15 +87,38 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	delete(q.avoided, args.From)
+	if outranks(args.Customer, args.From, q.opts.Self) {
+		q.yielded[args.Customer] = yielding{to: args.From, until: now.Add(yieldPeriod)}
+	}
 	for _, ledgers := range q.ledgers {
 		if l := ledgers[args.Customer]; l != nil {
-			l.Restart(now)
+			reply.Tokens += l.HandOver(now)
 		}
 	}
 	reply.Done = true
 	return nil
 }
 
+// Cede reduces what this host sells of a customer's tokens by the votes of another one.
+func (s *Service) Cede(args *CedeArgs, reply *Confirmation) error {
+	q := s.quota
+	now := q.opts.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if l := q.ledgers[coordinator][args.Customer]; l != nil {
+		l.ceded[args.From] = cession{domain: args.Domain, votes: args.Votes, until: now.Add(cedePeriod)}
+		l.SetShare(q.votes.of(coordinator, l.ceded, now), now)
+	}
+	reply.Done = true
+	return nil
+}
+
+// Ping confirms that this host answers.
+func (s *Service) Ping(_ *PingArgs, reply *Confirmation) error {
+	reply.Done = true
+	return nil
+}
+
 // maxRelays limits how often a request is passed on: from the second deputy to the first
 // to the coordinator. Hosts with different lists may pass it back and forth.
 const maxRelays = 2
@@ -86,23 +129,26 @@
 	now := q.opts.Now()
 	q.mu.Lock()
 	q.prune(now)
-	q.updateIndex()
-	s := chooseSellers(q.index, args.Customer, q.opts.Domain)
+	s := q.sellersFor(args.Customer)
 	if args.Alone {
 		q.sellAs(alone, args, reply, now)
 		q.mu.Unlock()
 		return
 	}
-	if s.coordinator == q.opts.Self {
+	coordinators := []topology.HostID{s.coordinator}
+	if y, ok := q.yielded[args.Customer]; ok && now.Before(y.until) && y.to != s.coordinator {
+		coordinators = []topology.HostID{y.to, s.coordinator}
+	}
+	if coordinators[0] == q.opts.Self {
 		q.sellAs(coordinator, args, reply, now)
 		q.mu.Unlock()
 		return
 	}
 	var before []topology.HostID // sellers that come before this host
 	standsIn := false
-	for _, host := range append([]topology.HostID{s.coordinator}, s.deputies...) {
+	for _, host := range append(coordinators, s.deputies...) {
 		if host == q.opts.Self {
-			standsIn = args.Domain == q.opts.Domain
+			standsIn = args.Domain == q.opts.Domain || host == s.coordinator
 			break
 		}
 		if host != args.From && !q.avoids(host, now) {
@@ -120,14 +166,18 @@
 			break
 		}
 		relayCounter.Inc()
-		if err := q.call(host, buyMethod, &relayed, reply); err == nil && reply.Seller != "" {
+		if err := q.call(host, buyMethod, &relayed, reply, relayTimeout); err == nil && reply.Seller != "" {
 			return
 		}
 	}
 	if standsIn {
 		q.mu.Lock()
 		defer q.mu.Unlock()
-		q.sellAs(deputy, args, reply, q.opts.Now())
+		as := deputy
+		if s.coordinator == q.opts.Self {
+			as = coordinator
+		}
+		q.sellAs(as, args, reply, q.opts.Now())
 	}
 }
 
@@ -139,14 +189,21 @@
 			limit, version = Limit{Rate: customer.Rate, Burst: customer.Burst}, c.Version
 		}
 	}
-	share := q.share(r, now)
+	q.votes.update(q.opts.Reach, now)
 	l := q.ledgers[r][args.Customer]
 	if l == nil {
-		l = &seller{Ledger: NewLedger(q.opts.Bounds, limit, version, share, now), stopped: map[topology.HostID]time.Time{}}
+		l = &seller{Ledger: NewLedger(q.opts.Bounds, limit, version, q.votes.of(r, nil, now), now),
+			stopped: map[topology.HostID]time.Time{}, ceded: map[topology.HostID]cession{}}
 		q.ledgers[r][args.Customer] = l
+		if args.Previous != "" && args.Previous != q.opts.Self && !q.avoids(args.Previous, now) {
+			l.level = min(l.level, 1) // the rest comes from the other host, see takeOver
+		}
 	}
 	l.SetLimit(limit, version, now)
-	l.SetShare(share, now)
+	l.SetShare(q.votes.of(r, l.ceded, now), now)
+	if r != coordinator {
+		q.cede(l, args.Customer, now)
+	}
 	if args.Previous != "" && args.Previous != q.opts.Self {
 		q.takeOver(l, args, now)
 	}
@@ -167,27 +224,33 @@
 		return
 	}
 	previous, stop := args.Previous, &StopArgs{From: q.opts.Self, Customer: args.Customer}
-	go func() { _ = q.call(previous, stopMethod, stop, &StopReply{}) }()
+	go func() {
+		var reply StopReply
+		if q.call(previous, stopMethod, stop, &reply, buyTimeout) == nil {
+			q.mu.Lock()
+			l.TakeOver(reply.Tokens, q.opts.Now())
+			q.mu.Unlock()
+		}
+	}()
 }
 
-// share returns the part of the limits that this host may sell in a role. A larger part
-// counts only after reachRaiseDelay. The caller holds q.mu.
-func (q *Quota) share(r role, now time.Time) float64 {
-	first := q.reachAt.IsZero()
-	if !first && now.Sub(q.reachAt) < reachMaxAge {
-		return q.shares[r]
-	}
-	q.reachAt = now
-	reach := q.opts.Reach()
-	for i, share := range [roles]float64{coordinator: reach.Fleet, deputy: reach.Domain, alone: reach.Self} {
-		switch {
-		case first || share <= q.shares[i]:
-			q.shares[i], q.reachRaisedAt[i] = share, time.Time{}
-		case q.reachRaisedAt[i].IsZero():
-			q.reachRaisedAt[i] = now
-		case now.Sub(q.reachRaisedAt[i]) >= reachRaiseDelay:
-			q.shares[i] = share
-		}
+// cede tells the coordinator that this host sells with its own votes. If the coordinator
+// is only slow, it sells without them then. The caller holds q.mu.
+func (q *Quota) cede(l *seller, customer topology.CustomerID, now time.Time) {
+	if now.Sub(l.cededAt) < cedeInterval {
+		return
+	}
+	l.cededAt = now
+	to := q.sellersFor(customer).coordinator
+	if to == "" || to == q.opts.Self {
+		return
 	}
-	return q.shares[r]
+	args := &CedeArgs{From: q.opts.Self, Domain: q.opts.Domain, Customer: customer, Votes: l.share}
+	go func() {
+		if q.call(to, cedeMethod, args, &Confirmation{}, cedeTimeout) == nil {
+			q.mu.Lock()
+			delete(q.avoided, to)
+			q.mu.Unlock()
+		}
+	}()
 }
--- a/internal/quota/wallet.go
+++ b/internal/quota/wallet.go
@@ -19,10 +19,18 @@
 )
 
 const (
-	demandTimeConst = 1.0 // seconds, of the moving average of operations
-	// refillFraction is the part of the last purchase that is left when more tokens are
-	// bought, so that they arrive before the last one is spent.
-	refillFraction = 0.5
+	// demandTimeConst is that of the moving average of operations, in seconds. A single
+	// operation must not count as a demand for which tokens are bought in advance.
+	demandTimeConst = 2.0
+	// purchaseTime is how long a purchase usually takes: a round trip between domains and
+	// the time of two small hosts. Tokens are bought in advance when those left cover it.
+	purchaseTime = 20 * time.Millisecond
+	// minAdvanceDemand is the least number of operations per second for which tokens are
+	// bought in advance: two in the lifetime of a token. Fewer would often expire.
+	minAdvanceDemand = 1.0
+	// maxAnswerTime is the age at which an answer is discarded. Tokens for operations that
+	// wait count as spent when they are sold, so they must be spent soon after.
+	maxAnswerTime = 150 * time.Millisecond
 	// previousPeriod is how long the seller of the last tokens is reported to another
 	// one: what it sold may still count in the window.
 	previousPeriod = 7 * time.Second
@@ -35,7 +43,7 @@
 	version   uint64
 	limitAt   time.Time // when the limit last changed here
 	tokens    int
-	bought    int // tokens after the last purchase
+	keep      int // of the last purchase
 	expiresAt time.Time
 	credit    int
 	seq       uint64
@@ -49,8 +57,10 @@
 	soldAt       time.Time
 }
 
-// NewWallet returns a wallet without tokens.
-func NewWallet() *Wallet { return &Wallet{} }
+// NewWallet returns a wallet without tokens. Its requests are numbered from firstSeq on,
+// which must be above the numbers of this host's earlier wallets for the customer, also of
+// those before a restart.
+func NewWallet(firstSeq uint64) *Wallet { return &Wallet{seq: firstSeq} }
 
 // SetLimit records the limit in force. Tokens bought under a higher limit are discarded.
 func (w *Wallet) SetLimit(l Limit, version uint64, now time.Time) {
@@ -104,7 +114,7 @@
 
 // ShouldRefill reports whether it is time to buy tokens in advance.
 func (w *Wallet) ShouldRefill(now time.Time) bool {
-	return w.bought > 1 && float64(w.tokens) <= refillFraction*float64(w.bought) && !now.Before(w.blockedUntil)
+	return w.demand >= minAdvanceDemand && float64(w.tokens) <= w.demand*purchaseTime.Seconds() && !now.Before(w.blockedUntil)
 }
 
 // Request returns the request to send to a seller. Tokens of another seller are
@@ -136,16 +146,20 @@
 		w.blockedUntil = now.Add(minRetry)
 		return
 	}
-	if expiresAt := sentAt.Add(TokenLifetime); now.Before(expiresAt) {
+	if now.Sub(sentAt) < maxAnswerTime {
 		w.tokens += g.Tokens
-		w.expiresAt = expiresAt
+		w.keep = g.Keep
+		w.expiresAt = sentAt.Add(TokenLifetime)
 	}
-	w.bought = w.tokens
 	if g.RetryAfter > 0 {
 		w.blockedUntil, w.pace = now.Add(g.RetryAfter), g.Pace
 	}
 }
 
+// Trim discards the tokens of operations that no longer wait: the seller counts them as
+// spent.
+func (w *Wallet) Trim() { w.tokens = min(w.tokens, w.keep) }
+
 // Spend spends a token for an operation that waited.
 func (w *Wallet) Spend(now time.Time) bool {
 	w.expire(now)
@@ -162,7 +176,11 @@
 // RetryAfter returns when a refused caller should retry. Each caller gets its own time,
 // spaced at the rate at which this host expects tokens.
 func (w *Wallet) RetryAfter(now time.Time) time.Duration {
-	return max(0, w.blockedUntil.Sub(now)) + w.pacer.Next(now, w.pace)
+	pace := w.pace
+	if pace <= 0 { // no seller has answered yet
+		pace = max(w.limit.Rate, 1)
+	}
+	return max(0, w.blockedUntil.Sub(now)) + w.pacer.Next(now, pace)
 }
 
 // Idle reports whether the wallet has nothing worth keeping.
--- a/internal/relay/quota_test.go
+++ b/internal/relay/quota_test.go
@@ -16,17 +16,19 @@
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
-// limitRate gives the fixture's session the customer "c" with a limit of one operation in
-// 100 s, so that nothing is added during a test. A ledger begins with three operations.
+// limitRate gives the fixture's session the customer "c" with a limit so low that nothing
+// is added during a test. A ledger begins with three operations.
 func limitRate(f *fixture) *quota.Quota {
 	f.config.Customers = map[topology.CustomerID]catalog.Customer{"c": {ID: "c", Rate: 0.01}}
 	q := quota.New(quota.Options{
 		Self: "a", Domain: "d", Hosts: func() ([]topology.Host, uint64) {
 			return []topology.Host{{ID: "a", Domain: "d", State: topology.HostLive}}, 1
 		},
-		Reach:         func() gossip.Reach { return gossip.Reach{Fleet: 1, Domain: 1, Self: 1} },
+		Reach: func() gossip.Reach {
+			return gossip.Reach{Domains: map[topology.Domain]float64{"d": 1}, Own: "d", Self: 1}
+		},
 		Configuration: f.Configuration,
-		Bounds:        quota.Bounds{Window: 5 * time.Second, Overage: 0.1, Slack: 41},
+		Bounds:        quota.Bounds{Window: 5 * time.Second, Overage: 0.1, Slack: 8.5},
 		Log:           logr.Discard(),
 	})
 	f.server.opts.Quota, f.customer = q, "c"
