--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -22,6 +22,7 @@
 	"nettlewalk.example/nettlewalk/internal/peer"
 	storeclient "nettlewalk.example/nettlewalk/internal/platform"
 	"nettlewalk.example/nettlewalk/internal/promotion"
+	"nettlewalk.example/nettlewalk/internal/quota"
 	"nettlewalk.example/nettlewalk/internal/relay"
 	"nettlewalk.example/nettlewalk/internal/share"
 	"nettlewalk.example/nettlewalk/internal/topology"
@@ -47,6 +48,7 @@
 	grantor      *lease.Grantor   // nil if primaries are fenced
 	lessee       *lease.Lessee    // nil if primaries are fenced
 	locality     *locality.Router // nil if no prices are set
+	quota        *quota.Quota     // nil if the settings don't bound rates
 	holders      share.Holders
 	homes        homeCache
 	leaving      atomic.Bool
@@ -104,11 +106,12 @@
 		groupOptions.Leases = h.lessee.Table
 	}
 	h.groups = group.NewSet(groupOptions)
+	h.createQuota()
 	h.relay = relay.NewServer(relay.Options{
 		Catalog: h.catalog, Groups: h.groups, Accept: platform.NewCallerConn,
 		Peers:      &relayPeers{Client: h.peers, host: h},
 		Revocation: keys.Policy{Strict: s.Revocation.Strict, Timeout: s.Revocation.Timeout}, ConfirmedAt: h.catalog.ConfirmedAt,
-		Homes: h.customerHomes, Self: self, Locality: h.locality,
+		Homes: h.customerHomes, Self: self, Locality: h.locality, Quota: h.quota,
 		Log: log.WithName("relay"),
 	})
 	return h
@@ -135,6 +138,21 @@
 	})
 }
 
+// createQuota creates the limit on the customers' rates, if the settings bound them.
+func (h *fleetHost) createQuota() {
+	if h.settings.Quota.Window <= 0 {
+		return
+	}
+	h.quota = quota.New(quota.Options{
+		Self: topology.HostID(h.settings.PeerAddr), Domain: h.settings.Domain, Peers: h.peers,
+		Hosts: func() ([]topology.Host, uint64) {
+			present := h.gossip.Present()
+			return present.Hosts, present.Version
+		},
+		Reach: h.gossip.Reach, Configuration: h.catalog.Configuration, Bounds: quota.Bounds(h.settings.Quota), Log: h.log.WithName("quota"),
+	})
+}
+
 // run serves until ctx is canceled and then shuts down.
 func (h *fleetHost) run(ctx context.Context, hangup <-chan os.Signal) error {
 	serveCtx, stop := context.WithCancel(context.Background())
@@ -175,6 +193,11 @@
 			return nil, err
 		}
 	}
+	if h.quota != nil {
+		if err := h.server.Register(quota.ServiceName, h.quota.Service()); err != nil {
+			return nil, err
+		}
+	}
 	if err := h.server.Register(relay.ServiceName, h.relay.Service()); err != nil {
 		return nil, err
 	}
--- a/cmd/nettlewalk/fleetinspect.go
+++ b/cmd/nettlewalk/fleetinspect.go
@@ -20,6 +20,7 @@
 	"nettlewalk.example/nettlewalk/internal/keys"
 	"nettlewalk.example/nettlewalk/internal/lease"
 	"nettlewalk.example/nettlewalk/internal/locality"
+	"nettlewalk.example/nettlewalk/internal/quota"
 	"nettlewalk.example/nettlewalk/internal/relay"
 	"nettlewalk.example/nettlewalk/internal/steady"
 )
@@ -47,6 +48,9 @@
 	Grants []lease.GrantDump `json:"grants,omitempty"`
 	// CrossDomain is absent if no prices are set.
 	CrossDomain []locality.Dump `json:"cross_domain,omitempty"`
+	// Quota has the customers' limits with this host's tokens. It is absent if rates
+	// aren't bounded.
+	Quota *quota.Dump `json:"quota,omitempty"`
 }
 
 func (h *fleetHost) dump() fleetDump {
@@ -59,6 +63,9 @@
 	configuration, register := h.catalog.Versions()
 	d.Configuration, d.Register, d.StoreEra = configuration, register.Revision, h.store.Era()
 	d.StoreUp, _ = h.store.Reachable()
+	if h.quota != nil {
+		d.Quota = h.quota.Dump()
+	}
 	if h.lessee != nil {
 		d.Leases, d.Grants = h.lessee.Dump(), h.grantor.Dump()
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -112,8 +112,12 @@
 	addrByHash map[uint64]topology.HostID // addresses in hosts, by hashAddr
 	contacts   map[topology.Domain]*Contact
 	// firstHeardAt is when the first digest of another host arrived.
-	firstHeardAt time.Time
-	uploads      [snapshotKinds]uploads
+	firstHeardAt   time.Time
+	uploads        [snapshotKinds]uploads
+	present        Sharers // see Present
+	presentBuiltAt time.Time
+	majorityCounts map[topology.Domain]int // known hosts by domain at majorityAt
+	majorityAt     time.Time               // when most votes were last in contact
 	// sharers is rebuilt once it is older than sharersMaxAge, and at the next call
 	// after a host joins, restarts or leaves.
 	sharers        Sharers
--- a/internal/relay/authenticate_test.go
+++ b/internal/relay/authenticate_test.go
@@ -79,6 +79,12 @@
 	f.server.opts.ConfirmedAt = func() time.Time { return steady.Now().Add(-age) }
 }
 
+// runForwarded returns the answer to a statement that another host forwards.
+func (f *fixture) runForwarded(args *RunArgs) statement.Answer {
+	a, _ := f.server.runForwarded(args)
+	return a
+}
+
 // A statement runs for the customer that holds the session's key at that moment.
 func TestStatementRunsForTheKeysCustomer(t *testing.T) {
 	f := newFixture(t, catalog.LatestData)
@@ -330,13 +336,13 @@
 	f := newFixture(t, catalog.LatestData)
 	v := f.withCustomers("", acme)
 	args := &RunArgs{Database: "db", Statement: write("a"), Writes: true, Within: time.Second}
-	qt.Check(t, f.server.runForwarded(args).Code, qt.Equals, statement.Busy)
+	qt.Check(t, f.runForwarded(args).Code, qt.Equals, statement.Busy)
 	args.Transaction = Transaction{Key: "b/1", First: true}
-	qt.Check(t, f.server.runForwarded(args).Code, qt.Equals, statement.Busy)
+	qt.Check(t, f.runForwarded(args).Code, qt.Equals, statement.Busy)
 	qt.Check(t, f.server.forwardedTxs.count(), qt.Equals, 0)
 	qt.Check(t, f.leader.receivedTexts(), qt.HasLen, 0)
 	v.set()
-	qt.Check(t, f.server.runForwarded(args).OK(), qt.IsTrue)
+	qt.Check(t, f.runForwarded(args).OK(), qt.IsTrue)
 }
 
 // eventually waits until the condition holds.
@@ -372,12 +378,12 @@
 		watchKeys(t, f, v)
 		for _, key := range []string{"k1", "k2"} {
 			args := &RunArgs{Database: "db", Key: key, Statement: write("a"), Writes: true, Within: time.Second, Transaction: Transaction{Key: key, First: true}}
-			qt.Assert(t, f.server.runForwarded(args).OK(), qt.IsTrue)
+			qt.Assert(t, f.runForwarded(args).OK(), qt.IsTrue)
 		}
 		v.set(next...)
 		eventually(t, name, func() bool { return f.server.forwardedTxs.count() == 1 })
 		args := &RunArgs{Database: "db", Key: "k1", Statement: commit, Within: time.Second, Transaction: Transaction{Key: "k1"}}
-		a := f.server.runForwarded(args)
+		a := f.runForwarded(args)
 		if name == "removed" {
 			qt.Check(t, a.Code, qt.Equals, statement.NoAuth)
 		} else {
@@ -385,7 +391,7 @@
 		}
 		qt.Check(t, a.State, qt.Equals, statement.Failed)
 		args = &RunArgs{Database: "db", Key: "k2", Statement: commit, Within: time.Second, Transaction: Transaction{Key: "k2"}}
-		qt.Check(t, f.server.runForwarded(args).OK(), qt.IsTrue, qt.Commentf("the other customer's transaction"))
+		qt.Check(t, f.runForwarded(args).OK(), qt.IsTrue, qt.Commentf("the other customer's transaction"))
 	}
 }
 
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -15,6 +15,7 @@
 	"nettlewalk.example/nettlewalk/internal/keys"
 	"nettlewalk.example/nettlewalk/internal/locality"
 	"nettlewalk.example/nettlewalk/internal/placement"
+	"nettlewalk.example/nettlewalk/internal/quota"
 	"nettlewalk.example/nettlewalk/internal/share"
 	"nettlewalk.example/nettlewalk/internal/statement"
 	"nettlewalk.example/nettlewalk/internal/topology"
@@ -40,7 +41,9 @@
 	Self topology.HostID
 	// Locality decides about work that crosses failure domains; nil if nothing does.
 	Locality *locality.Router
-	Log      logr.Logger
+	// Quota limits the rate of each customer's operations; nil: rates aren't limited.
+	Quota *quota.Quota
+	Log   logr.Logger
 }
 
 // Server serves callers. It is safe for concurrent use.
