peer: begin no dial once the client is being closed

Cause: a call that had looked up the host before Close began a dial after it, for which Close doesn't wait (sync.WaitGroup.Add beside Wait). TestLargeConfigurationReachesManyHosts (internal/gossip) failed once with a race between an exchange and the cleanup; it isn't shown that this was it, since neither 8 nor 6 further runs had the race again.

TestNoDialAfterClose fails without the check.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 
+	"github.com/cockroachdb/errors"
+
 	"nettlewalk.example/nettlewalk/internal/result"
 	"nettlewalk.example/nettlewalk/internal/target"
 	"nettlewalk.example/nettlewalk/internal/topology"
@@ -82,12 +84,26 @@
 	}
 }
 
+var errClientClosed = errors.New("the peer client of this host is closed")
+
+// beginDial adds a runDial goroutine to wg. It returns false once Close was called, which
+// waits for these goroutines.
+func (c *Client) beginDial() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return false
+	}
+	c.wg.Add(1)
+	return true
+}
+
 // lookupRemote returns the remoteHost of the host and creates it if necessary.
 func (c *Client) lookupRemote(host topology.HostID) (*remoteHost, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
-		return nil, result.New(result.HostUnreachable, "%s: the peer client of this host is closed", host)
+		return nil, result.New(result.HostUnreachable, "%s: %s", host, errClientClosed)
 	}
 	r := c.remotes[host]
 	if r == nil {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -286,3 +286,19 @@
 	_ = l.Close()
 	server.Close()
 }
+
+// A call that needs a connection while the client is being closed must not begin a dial
+// for which Close doesn't wait.
+func TestNoDialAfterClose(t *testing.T) {
+	dials := 0
+	client := NewClient([]byte("key"), "a", func(topology.HostID) (string, bool) { return "127.0.0.1:1", true }, func(context.Context, string, string) (net.Conn, error) {
+		dials++
+		return nil, errors.New("refused")
+	})
+	r, err := client.lookupRemote("b") // as a call does just before Close
+	qt.Assert(t, err, qt.IsNil)
+	client.Close()
+	_, err = r.acquireLink(context.Background())
+	qt.Check(t, err, qt.ErrorIs, errClientClosed)
+	qt.Check(t, dials, qt.Equals, 0)
+}
--- a/internal/peer/remote.go
+++ b/internal/peer/remote.go
@@ -94,8 +94,12 @@
 		return r.dialInProgress
 	}
 	d := &pendingDial{done: make(chan struct{})}
+	if !r.client.beginDial() {
+		d.err = errClientClosed
+		close(d.done)
+		return d
+	}
 	r.dialInProgress = d
-	r.client.wg.Add(1)
 	go r.runDial(d)
 	return d
 }
