locality: bytes to targets are counted on the connection; plainer names

Cause: the bytes of a read across domains were added up from the texts with an assumed length of keywords.

Seats is HoldersPerDomain, Rescues is SendsRefused.

--- a/internal/locality/paths.go
+++ b/internal/locality/paths.go
@@ -22,11 +22,11 @@
 	return n
 }
 
-// Seats distributes the n holders of a group over the domains, in proportion to their
+// HoldersPerDomain distributes the n holders of a group over the domains, in proportion to their
 // hosts. Each domain with hosts gets at least one if there are enough, so that its
 // statements don't have to leave it to reach a holder. No domain gets more than it has
 // hosts. All hosts with the same list compute the same result.
-func Seats(hosts map[topology.Domain]int, n int) map[topology.Domain]int {
+func HoldersPerDomain(hosts map[topology.Domain]int, n int) map[topology.Domain]int {
 	domains := make([]topology.Domain, 0, len(hosts))
 	total := 0
 	for domain, count := range hosts {
@@ -36,33 +36,33 @@
 		}
 	}
 	slices.Sort(domains)
-	seats := make(map[topology.Domain]int, len(domains))
+	holders := make(map[topology.Domain]int, len(domains))
 	if total == 0 {
-		return seats
+		return holders
 	}
 	n = min(n, total)
 	rest := n
 	if n >= len(domains) {
 		for _, domain := range domains {
-			seats[domain] = 1
+			holders[domain] = 1
 			rest--
 		}
 	}
 	for ; rest > 0; rest-- {
-		// The next seat goes to the domain that is furthest below its proportion.
+		// The next holder goes to the domain that is furthest below its proportion.
 		sort.SliceStable(domains, func(i, j int) bool {
-			return missing(hosts, seats, domains[i], n, total) > missing(hosts, seats, domains[j], n, total)
+			return missing(hosts, holders, domains[i], n, total) > missing(hosts, holders, domains[j], n, total)
 		})
-		seats[domains[0]]++
+		holders[domains[0]]++
 	}
-	return seats
+	return holders
 }
 
-// missing returns by how many seats, times total, a domain is below its proportion of
+// missing returns by how many holders, times total, a domain is below its proportion of
 // n, or a value below any such number if each of its hosts has one.
-func missing(hosts, seats map[topology.Domain]int, domain topology.Domain, n, total int) int {
-	if seats[domain] >= hosts[domain] {
+func missing(hosts, holders map[topology.Domain]int, domain topology.Domain, n, total int) int {
+	if holders[domain] >= hosts[domain] {
 		return -n*total - 1
 	}
-	return hosts[domain]*n - seats[domain]*total
+	return hosts[domain]*n - holders[domain]*total
 }
--- a/internal/locality/paths_test.go
+++ b/internal/locality/paths_test.go
@@ -22,15 +22,15 @@
 // leave it.
 func TestEveryDomainGetsHolders(t *testing.T) {
 	hosts := map[topology.Domain]int{"a": 35, "b": 35, "c": 35, "d": 34}
-	seats := Seats(hosts, 21)
+	holders := HoldersPerDomain(hosts, 21)
 	sum := 0
 	for domain := range hosts {
-		qt.Check(t, seats[domain] >= 5, qt.IsTrue)
-		sum += seats[domain]
+		qt.Check(t, holders[domain] >= 5, qt.IsTrue)
+		sum += holders[domain]
 	}
 	qt.Check(t, sum, qt.Equals, 21)
-	qt.Check(t, Seats(map[topology.Domain]int{"a": 60, "b": 6, "c": 1}, 10), qt.DeepEquals, map[topology.Domain]int{"a": 8, "b": 1, "c": 1})
-	qt.Check(t, Seats(map[topology.Domain]int{"a": 2, "b": 1}, 9), qt.DeepEquals, map[topology.Domain]int{"a": 2, "b": 1})
-	qt.Check(t, Seats(hosts, 2), qt.HasLen, 2)
-	qt.Check(t, Seats(nil, 2), qt.HasLen, 0)
+	qt.Check(t, HoldersPerDomain(map[topology.Domain]int{"a": 60, "b": 6, "c": 1}, 10), qt.DeepEquals, map[topology.Domain]int{"a": 8, "b": 1, "c": 1})
+	qt.Check(t, HoldersPerDomain(map[topology.Domain]int{"a": 2, "b": 1}, 9), qt.DeepEquals, map[topology.Domain]int{"a": 2, "b": 1})
+	qt.Check(t, HoldersPerDomain(hosts, 2), qt.HasLen, 2)
+	qt.Check(t, HoldersPerDomain(nil, 2), qt.HasLen, 0)
 }
--- a/internal/locality/router.go
+++ b/internal/locality/router.go
@@ -51,9 +51,9 @@
 	// slowFactor is how far the mean response time of a target must exceed the service
 	// time to count as slower: the means of 8 statements vary by a quarter.
 	slowFactor = 1.5
-	// sufferingFraction is the fraction of the goal that the expected time in the domain
+	// slowHomeFraction is the fraction of the goal that the expected time in the domain
 	// must reach for other domains to be tried on the assumption that they are faster.
-	sufferingFraction = 0.5
+	slowHomeFraction = 0.5
 	// logStep is the smallest change of a share that is logged while its reason stays.
 	logStep = 0.1
 	// logLinesPerSecond and logLinesBurst limit the lines about changes of shares.
@@ -154,16 +154,16 @@
 	return f.share.Leaves(w), false
 }
 
-// Rescues decides whether a statement that was refused in the domain is sent to another
+// SendsRefused decides whether a statement that was refused in the domain is sent to another
 // one, beyond the share.
-func (r *Router) Rescues(id topology.GroupID, kind Kind, w Work) bool {
+func (r *Router) SendsRefused(id topology.GroupID, kind Kind, w Work) bool {
 	if r == nil {
 		return false
 	}
 	now := steady.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.group(id, now).flows[kind].share.Rescues(w, now)
+	return r.group(id, now).flows[kind].share.SendsRefused(w, now)
 }
 
 // estimate sets the expected time in the domain from what is known at this moment.
@@ -193,7 +193,7 @@
 func (f *flow) unmeasured(goal time.Duration) time.Duration {
 	home := f.home.Figure().Expected
 	switch {
-	case goal > 0 && home > time.Duration(sufferingFraction*float64(goal)):
+	case goal > 0 && home > time.Duration(slowHomeFraction*float64(goal)):
 		return assumedService + assumedDistance
 	case f.base > 0:
 		return f.base + assumedDistance
--- a/internal/locality/share.go
+++ b/internal/locality/share.go
@@ -121,7 +121,7 @@
 	refused     float64 // part of the statements sent out that were refused, at refusedAt
 	refusedAt   time.Time
 	awayTrust   float64 // weight of the away figure
-	rescues     int     // statements sent out by Rescues since the last update
+	refusedSent int     // statements sent out by SendsRefused since the last update
 	asked       int     // statements since the last update
 	paying      int     // of these, for which leaving pays
 	demand      float64 // average of paying/asked
@@ -194,7 +194,7 @@
 	}
 	s.maxCredit = max(1, creditIntervals*s.value*float64(s.asked))
 	s.credit = min(s.credit, s.maxCredit)
-	s.asked, s.paying, s.rescues, s.awayTrust = 0, 0, 0, trust
+	s.asked, s.paying, s.refusedSent, s.awayTrust = 0, 0, 0, trust
 }
 
 // step changes the share by at most what its limits allow in the elapsed seconds.
@@ -297,27 +297,27 @@
 	return true
 }
 
-// Rescues decides whether a statement that the domain refused is sent to another one,
+// SendsRefused decides whether a statement that the domain refused is sent to another one,
 // beyond the share. A refusal costs more than bytes, but in a shortage everywhere it
 // would only move: so others must answer within the goal as far as is known, and have
 // refused little at the last update.
-func (s *Share) Rescues(w Work, now time.Time) bool {
+func (s *Share) SendsRefused(w Work, now time.Time) bool {
 	in := &s.in
 	switch {
 	case s.updatedAt.IsZero(), !in.Away.Available, in.Away.Short, now.Before(s.backoffEnd), s.unanswered >= unansweredLimit:
 		return false
 	case s.refused > maxRefused && now.Sub(s.refusedAt) < freshFor:
 		return false
-	case s.away > w.goal() || s.away > w.TimeLeft, s.awayTrust < minRescueTrust && s.rescues > 0:
+	case s.away > w.goal() || s.away > w.TimeLeft, s.awayTrust < minRefusedSentTrust && s.refusedSent > 0:
 		return false
 	}
-	s.rescues++
+	s.refusedSent++
 	return true
 }
 
-// minRescueTrust is the weight of the figure of other domains below which a single
+// minRefusedSentTrust is the weight of the figure of other domains below which a single
 // statement is sent there between two updates, to measure them.
-const minRescueTrust = 0.5
+const minRefusedSentTrust = 0.5
 
 // requiredCredit returns the credit that a statement needs to leave. More urgent
 // statements than the average may leave before the credit is earned, and less urgent
--- a/internal/locality/share_test.go
+++ b/internal/locality/share_test.go
@@ -224,8 +224,8 @@
 
 // A statement that its domain refuses is sent out beyond the share, as a refusal costs
 // more than bytes; but not where others are slow, refuse or don't answer.
-func TestRefusedStatementIsRescued(t *testing.T) {
-	rescues := func(change func(*Input)) int {
+func TestRefusedStatementLeaves(t *testing.T) {
+	sent := func(change func(*Input)) int {
 		var s Share
 		n := 0
 		for now := start; now.Before(start.Add(2 * time.Second)); now = now.Add(UpdateInterval) {
@@ -235,17 +235,17 @@
 			s.Update(in, now)
 			for range 20 {
 				qt.Assert(t, s.Leaves(ordinary), qt.IsFalse)
-				if s.Rescues(ordinary, now) {
+				if s.SendsRefused(ordinary, now) {
 					n++
 				}
 			}
 		}
 		return n
 	}
-	qt.Check(t, rescues(func(*Input) {}), qt.Equals, 200)
-	qt.Check(t, rescues(func(in *Input) { in.Away.MeasuredAt = time.Time{} }), qt.Equals, 10) // one for each update
-	qt.Check(t, rescues(func(in *Input) { in.Away.Expected = 2 * simGoal }), qt.Equals, 0)
-	qt.Check(t, rescues(func(in *Input) { in.Refused, in.Served = 3, 1 }), qt.Equals, 0)
-	qt.Check(t, rescues(func(in *Input) { in.Lost = unansweredLimit }), qt.Equals, 0)
-	qt.Check(t, rescues(func(in *Input) { in.Away.Short = true }), qt.Equals, 0)
+	qt.Check(t, sent(func(*Input) {}), qt.Equals, 200)
+	qt.Check(t, sent(func(in *Input) { in.Away.MeasuredAt = time.Time{} }), qt.Equals, 10) // one for each update
+	qt.Check(t, sent(func(in *Input) { in.Away.Expected = 2 * simGoal }), qt.Equals, 0)
+	qt.Check(t, sent(func(in *Input) { in.Refused, in.Served = 3, 1 }), qt.Equals, 0)
+	qt.Check(t, sent(func(in *Input) { in.Lost = unansweredLimit }), qt.Equals, 0)
+	qt.Check(t, sent(func(in *Input) { in.Away.Short = true }), qt.Equals, 0)
 }
--- a/internal/locality/sim_test.go
+++ b/internal/locality/sim_test.go
@@ -112,7 +112,7 @@
 	prices          Prices
 	blind           bool                     // hosts know the queue in their domain only from the answers of the last statements
 	factor          func(*simDomain) float64 // multiplies the load of a domain; nil: 1
-	rescued         int                      // statements that were refused in their domain and sent out
+	refusedSent     int                      // statements that were refused in their domain and sent out
 	crossings       int
 	updates         int         // of the first host
 	mutualUpdates   int         // of these, before which two domains sent each other work
@@ -296,9 +296,9 @@
 	s.after(simOneWay, func() { s.receive(h, to, arrived, append(asked, to)) })
 }
 
-// sendHome runs a statement at the domain's own target. mayRescue is set unless other
+// sendHome runs a statement at the domain's own target. mayLeave is set unless other
 // domains refused it before.
-func (s *sim) sendHome(h *simHost, arrived time.Time, mayRescue bool) {
+func (s *sim) sendHome(h *simHost, arrived time.Time, mayLeave bool) {
 	if !h.domain.hasTarget {
 		s.finish(h, arrived, false)
 		return
@@ -310,8 +310,8 @@
 			took = simDeadline
 		}
 		h.home.Add(took, s.now)
-		if !served && mayRescue && s.policy == byCost && h.share.Rescues(Work{Goal: simGoal, TimeLeft: simDeadline}, s.now) {
-			s.rescued++
+		if !served && mayLeave && s.policy == byCost && h.share.SendsRefused(Work{Goal: simGoal, TimeLeft: simDeadline}, s.now) {
+			s.refusedSent++
 			s.sendAway(h, arrived, nil)
 			return
 		}
--- a/internal/relay/crossing.go
+++ b/internal/relay/crossing.go
@@ -11,6 +11,7 @@
 	"nettlewalk.example/nettlewalk/internal/group"
 	"nettlewalk.example/nettlewalk/internal/locality"
 	"nettlewalk.example/nettlewalk/internal/placement"
+	"nettlewalk.example/nettlewalk/internal/share"
 	"nettlewalk.example/nettlewalk/internal/statement"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
@@ -82,7 +83,7 @@
 		return refusal, false
 	}
 	r.router().Record(r.route.Group, locality.Reads, false, locality.Refused, r.route.StatementTimeout)
-	if p := readPlaces(home, away); p.AwayShort || !r.router().Rescues(r.route.Group, locality.Reads, r.work()) {
+	if p := readPlaces(home, away); p.AwayShort || !r.router().SendsRefused(r.route.Group, locality.Reads, r.work()) {
 		return refusal, false
 	}
 	for _, c := range away {
@@ -113,9 +114,10 @@
 	}
 }
 
-// recordExchange records the bytes of an exchange with a target, and that the target
-// ran a statement of the own domain.
-func (r *request) recordExchange(id topology.TargetID, atLeader bool, sent []statement.Statement, answers []statement.Answer) {
+// recordExchange records the bytes of the last exchange on a connection to a target, and
+// that this host ran a statement of the own domain. The connection must not have been
+// released.
+func (r *request) recordExchange(id topology.TargetID, atLeader bool, conn *share.Conn) {
 	router := r.router()
 	if router == nil {
 		return
@@ -124,11 +126,8 @@
 		router.CountOwn(r.route.Group)
 	}
 	bytes := 0
-	for i := range sent {
-		bytes += lineBytes(&sent[i])
-	}
-	for i := range answers {
-		bytes += answerBytes(&answers[i])
+	if m, ok := conn.Conn.(statement.Meter); ok {
+		bytes = m.ExchangedBytes()
 	}
 	kind := locality.Reads
 	if atLeader {
@@ -138,28 +137,6 @@
 	router.RecordBytes(r.route.Group, kind, domain != "" && domain != router.Domain(), bytes)
 }
 
-// lineOverhead is the length of the keywords and separators of a message of the line
-// protocol, as platform writes and reads them.
-const lineOverhead = 12
-
-// lineBytes returns the length of a statement's message to a target.
-func lineBytes(st *statement.Statement) int {
-	n := lineOverhead + len(st.ID) + len(st.Text)
-	if st.Text == "" {
-		n += len(st.Name)
-	}
-	return n
-}
-
-// answerBytes returns the length of the answer's messages.
-func answerBytes(a *statement.Answer) int {
-	n := lineOverhead + len(a.Signature) + len(a.Detail)
-	for _, row := range a.Rows {
-		n += lineOverhead + len(row)
-	}
-	return n
-}
-
 // offersByCost returns the hosts to which a statement may be forwarded by its cost.
 // It notes for the receiving host whether the statement has to leave its domain.
 func (r *request) offersByCost(offers []placement.Offer, needsLeader, needsFree bool) []placement.Offer {
@@ -188,7 +165,7 @@
 		kind = locality.LeaderForwards
 	}
 	if len(home) > 0 && len(open) == 0 { // each refused it
-		if p.AwayShort || !router.Rescues(r.route.Group, kind, w) {
+		if p.AwayShort || !router.SendsRefused(r.route.Group, kind, w) {
 			return nil
 		}
 		return away
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -320,21 +320,19 @@
 	r.tries++
 	prefix := r.session.state.replay(conn, r.preparedName)
 	sent := steady.Now()
-	prefixLength := len(prefix)
-	batch = append(prefix, batch...)
-	answers, err := conn.Exchange(deadline, batch...)
-	r.recordExchange(id, callerIndex > 0 || r.writes, batch, answers)
+	answers, err := conn.Exchange(deadline, append(prefix, batch...)...)
+	r.recordExchange(id, callerIndex > 0 || r.writes, conn)
 	targetLatency[callerIndex > 0 || r.writes].Update(steady.Now().Sub(sent).Seconds())
 	pool.Release(conn, err == nil)
 	if err != nil {
 		return r.answerBroken(id, err)
 	}
-	for i := range prefixLength {
+	for i := range prefix {
 		if !answers[i].OK() {
 			return r.answerReplayFailed(conn, &answers[i])
 		}
 	}
-	answers = answers[prefixLength:]
+	answers = answers[len(prefix):]
 	if callerIndex > 0 {
 		r.group.NoteBeginAnswer(id, sent, &answers[0])
 		if !answers[0].OK() { // the statement ran without proof of leadership
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -169,9 +169,8 @@
 	}
 	prefix := s.state.replay(t.conn, r.preparedName)
 	sent := steady.Now()
-	batch := append(prefix, *r.st)
-	answers, err := t.conn.Exchange(r.deadline, batch...)
-	r.recordExchange(t.target, t.atLeader, batch, answers)
+	answers, err := t.conn.Exchange(r.deadline, append(prefix, *r.st)...)
+	r.recordExchange(t.target, t.atLeader, t.conn)
 	targetLatency[!t.readOnly].Update(steady.Now().Sub(sent).Seconds())
 	if err != nil {
 		r.addStep(t.target, "connection broke: "+err.Error())
@@ -256,9 +255,8 @@
 	}
 	prefix := r.session.state.replay(conn, "")
 	sent := steady.Now()
-	batch := append(prefix, begin)
-	answers, err := conn.Exchange(r.deadline, batch...)
-	r.recordExchange(id, begin.Kind == statement.Begin, batch, answers)
+	answers, err := conn.Exchange(r.deadline, append(prefix, begin)...)
+	r.recordExchange(id, begin.Kind == statement.Begin, conn)
 	if err != nil {
 		pool.Release(conn, false)
 		r.group.NoteFailing(id)
@@ -335,7 +333,7 @@
 	}
 	sent := steady.Now()
 	answers, err := t.conn.Exchange(r.deadline, *r.st)
-	r.recordExchange(t.target, t.atLeader, []statement.Statement{*r.st}, answers)
+	r.recordExchange(t.target, t.atLeader, t.conn)
 	targetLatency[!t.readOnly].Update(steady.Now().Sub(sent).Seconds())
 	if err != nil {
 		t.release(false)
--- a/internal/share/holders.go
+++ b/internal/share/holders.go
@@ -21,17 +21,17 @@
 }
 
 // ForGroupByDomain is like ForGroup, but distributes the holders over the failure
-// domains by locality.Seats.
+// domains by locality.HoldersPerDomain.
 func (h *Holders) ForGroupByDomain(id topology.GroupID, n int, hosts []topology.Host, version uint64) []topology.Host {
 	return h.forGroup(id, n, hosts, version, func() []topology.HostID {
-		count := map[topology.Domain]int{}
+		hostCount := map[topology.Domain]int{}
 		for _, host := range hosts {
-			count[host.Domain]++
+			hostCount[host.Domain]++
 		}
 		var holders []topology.HostID
-		seats := locality.Seats(count, n)
-		for _, domain := range slices.Sorted(maps.Keys(seats)) {
-			holders = append(holders, h.index.Holders(topology.Target{ID: topology.TargetID(id), Domain: domain, Slots: seats[domain]})...)
+		counts := locality.HoldersPerDomain(hostCount, n)
+		for _, domain := range slices.Sorted(maps.Keys(counts)) {
+			holders = append(holders, h.index.Holders(topology.Target{ID: topology.TargetID(id), Domain: domain, Slots: counts[domain]})...)
 		}
 		return holders
 	})
--- a/internal/statement/conn.go
+++ b/internal/statement/conn.go
@@ -24,6 +24,12 @@
 	Close()
 }
 
+// Meter is implemented by connections that measure what they exchange.
+type Meter interface {
+	// ExchangedBytes returns the bytes that the last Exchange sent and received.
+	ExchangedBytes() int
+}
+
 // Dialer opens connections to targets. Its errors are of type *DialError.
 type Dialer interface {
 	// Dial opens a connection for statements of one customer, "" where there are no
