--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -191,3 +191,61 @@
 		s.checkWindows(t, limit)
 	})
 }
+
+// A host whose list doesn't show yet that another one is the customer's coordinator passes
+// requests on to it, once told to stop. Otherwise both sell with the same votes.
+func TestStoppedHostPassesRequestsOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limit := Limit{Rate: 10, Burst: 10}
+		s := newSim(1, 4, 2, 1, limit)
+		id := s.customers[0]
+		a := s.hosts[s.coordinatorIndex(s.hosts[0].list)]
+		x := s.hosts[(a.index+1)%4]
+		x.list, x.version = []topology.Host{{ID: x.id, Domain: domainName(x.domain), State: topology.HostLive}}, x.version+1
+		buy := func() topology.HostID {
+			var reply BuyReply
+			args := BuyArgs{From: "h3", Domain: domainName(x.domain), Customer: id, Request: Request{Need: 1}, Limit: limit, Version: 1}
+			qt.Assert(t, x.quota.Service().Buy(&args, &reply), qt.IsNil)
+			return reply.Seller
+		}
+		qt.Check(t, buy(), qt.Equals, x.id)
+		qt.Assert(t, x.quota.Service().Stop(&StopArgs{From: a.id, Customer: id}, &StopReply{}), qt.IsNil)
+		qt.Check(t, buy(), qt.Equals, a.id)
+		time.Sleep(yieldPeriod)
+		qt.Check(t, buy(), qt.Equals, x.id)
+	})
+}
+
+// Only the first operation waits for a coordinator that doesn't answer; the others go to a
+// deputy until it answers a check.
+func TestOperationsDoNotWaitForASilentCoordinator(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSim(1, 6, 2, 1, Limit{Rate: 100, Burst: 100})
+		a := s.hosts[s.coordinatorIndex(s.hosts[0].list)]
+		a.dead, a.silent = true, true
+		x := s.hosts[(a.index+1)%6]
+		slow := 0
+		for range 10 {
+			begun := time.Now()
+			_, _, ok := x.quota.Admit(s.customers[0], begun.Add(time.Second))
+			qt.Check(t, ok, qt.IsTrue)
+			if time.Since(begun) > buyTimeout/2 {
+				slow++
+			}
+			time.Sleep(400 * time.Millisecond)
+		}
+		qt.Check(t, slow, qt.Equals, 1)
+		s.mu.Lock()
+		a.boot()
+		s.mu.Unlock()
+		seller := topology.HostID("")
+		for attempts := 0; (seller != a.id || len(x.quota.Dump().Avoided) > 0) && attempts < 10; attempts++ { // until a check is due and tokens are spent
+			_, _, _ = x.quota.Admit(s.customers[0], time.Now().Add(time.Second))
+			time.Sleep(probeInterval)
+			seller = x.quota.Dump().Wallets[0].Seller
+		}
+		qt.Check(t, seller, qt.Equals, a.id)
+		qt.Check(t, x.quota.Dump().Avoided, qt.HasLen, 0)
+		time.Sleep(time.Second)
+	})
+}
