relay: a busy home host asks the next holder before it makes a caller wait

Cause: a home host let a statement wait for as long as its route allows before it asked another holder.

Change: a home host waits at most 30 ms for a connection, asks other holders, and only then waits longer. The expected wait counts the dials ahead at the rate that is left once the burst is used up. Small pools may open 8 connections a second instead of 4.

Ruled out: a higher rate of dials alone; the home's dials were used up by more customers than fit its connections, while other holders had free ones.

--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -128,28 +128,32 @@
 			return answer, false
 		}
 	}
-	mayOpen := len(readers) > 0 && r.mayOpen()
-	if !mayOpen {
-		if answer, ok := r.forward(ctx, r.onlyLeaderLeft(readers), len(readers) > 0); ok {
-			return answer, false
+	if len(readers) > 0 && r.mayOpen() {
+		if c, conn := r.acquireReader(readers, r.acquireSoon); conn != nil {
+			return r.readFrom(c, conn, after)
 		}
 	}
+	if answer, ok := r.forward(ctx, r.onlyLeaderLeft(readers), len(readers) > 0); ok {
+		return answer, false
+	}
+	if c, conn := r.acquireReader(readers, r.acquire); conn != nil {
+		return r.readFrom(c, conn, after)
+	}
+	return r.runOnLeader(ctx, verifiedLeader)
+}
+
+// acquireReader returns the first of the targets to which acquire returns a connection,
+// and the connection, or nil if there is none.
+func (r *request) acquireReader(readers []group.Choice, acquire func(*share.Pool, time.Duration) (*share.Conn, error)) (*group.Choice, *share.Conn) {
 	for _, c := range readers {
 		if r.skipped[c.ID] || c.Failing {
 			continue
 		}
-		conn, err := r.acquire(c.Pool, c.Latency)
-		if err != nil {
-			continue
+		if conn, err := acquire(c.Pool, c.Latency); err == nil {
+			return &c, conn
 		}
-		return r.readFrom(&c, conn, after)
 	}
-	if mayOpen {
-		if answer, ok := r.forward(ctx, false, true); ok {
-			return answer, false
-		}
-	}
-	return r.runOnLeader(ctx, verifiedLeader)
+	return nil, nil
 }
 
 // withoutLagging drops the lagging targets if there is a leader, which has every
@@ -242,11 +246,8 @@
 		}
 		r.leaderConnsBusy = pool.Load().Open > 0
 	}
-	var conn *share.Conn
-	var err error
-	mayOpen := known && r.mayOpen()
-	if mayOpen {
-		if conn, err = r.acquire(pool, r.group.Latency(id)); err == nil {
+	if known && r.mayOpen() {
+		if conn, err := r.acquireSoon(pool, 0); err == nil {
 			return id, pool, conn, statement.Answer{}
 		}
 	}
@@ -258,9 +259,7 @@
 			return "", nil, nil, r.session.refusal(statement.Busy, r.noLeaderDetail())
 		}
 	}
-	if !mayOpen {
-		conn, err = r.acquire(pool, r.group.Latency(id))
-	}
+	conn, err := r.acquire(pool, r.group.Latency(id))
 	if err != nil {
 		r.addStep(id, err.Error())
 		return "", nil, nil, r.session.refusal(statement.Busy, err.Error())
@@ -288,11 +287,17 @@
 		return conn, nil
 	}
 	if r.mayOpen() {
-		return pool.Acquire(r.session.customer, r.deadline, maxAtOnceWait, r.route.Priority)
+		return r.acquireSoon(pool, meanLatency)
 	}
 	return nil, errNoFreeConn
 }
 
+// acquireSoon returns a connection of the pool if one is free, or can be opened, within
+// maxAtOnceWait.
+func (r *request) acquireSoon(pool *share.Pool, _ time.Duration) (*share.Conn, error) {
+	return pool.Acquire(r.session.customer, r.deadline, maxAtOnceWait, r.route.Priority)
+}
+
 // maxAtOnceWait is how long a request that is to be served at once or refused waits for
 // a connection of its customer to be opened: the target's work for it, 12 ms, and as
 // much again for round trips and another dial.
--- a/internal/share/admission_test.go
+++ b/internal/share/admission_test.go
@@ -124,10 +124,13 @@
 	v := newView("a")
 	qt.Check(t, v.expectedCustomerWait("new", 1, 1, 0, start), qt.Equals, 15*time.Millisecond)
 	qt.Check(t, v.expectedCustomerWait("new", 1, 1, 50*time.Millisecond, start), qt.Equals, 65*time.Millisecond)
+	qt.Check(t, v.expectedCustomerWait("new", 1, 1, 0, start), qt.Equals, 15*time.Millisecond)
 	v.addWaiter("x", 1, 0, 1000)
 	v.addWaiter("y", 1, 0, 1000)
 	qt.Check(t, v.expectedCustomerWait("new", 1, 1, 0, start), qt.Equals, 30*time.Millisecond)
 
+	qt.Check(t, v.expectedCustomerWait("new", 1, 1, 50*time.Millisecond, start), qt.Equals, 330*time.Millisecond) // 8 dials a second
+
 	full := newView()
 	full.size = 1
 	full.addIdle("steady", 0)
--- a/internal/share/customers.go
+++ b/internal/share/customers.go
@@ -25,7 +25,7 @@
 	dialBurst = 0.5
 	// minDialsPerSecond and minDialBurst apply to small pools, in which two customers
 	// who take turns would otherwise wait for a second.
-	minDialsPerSecond = 4.0
+	minDialsPerSecond = 8.0
 	minDialBurst      = 4.0
 	// minReplaceIdle is how long a connection must have been idle before it is
 	// replaced. The statements of one operation are closer together.
@@ -279,6 +279,9 @@
 		}
 	}
 	dial := untilDial + v.dialTime*time.Duration(1+(dialsAhead+v.dialing)/maxConcurrentDials)
+	if untilDial > 0 { // the rate of dials is used up, so that those ahead follow each other at this rate
+		dial += time.Duration(float64(dialsAhead) / dialRate(v.size) * float64(time.Second))
+	}
 	if v.open+v.dialing >= v.size && v.victim(&waitingRequest{customer: customer, since: now}, now) < 0 {
 		dial += replaceAnywayAfter
 	}
--- a/internal/share/customers_load_test.go
+++ b/internal/share/customers_load_test.go
@@ -434,8 +434,8 @@
 
 // More customers than connections are served without refusals and with few dials, at
 // the usual load and in a wave of 1.7 times that. Without home hosts, each holder opens
-// connections of all customers: 14 to 25 dials a second and target, and half of the
-// small customers' requests wait for one.
+// connections of all customers: 14 dials a second and target at the usual load, and half
+// of the small customers' requests wait for one.
 func TestSmallCustomersShareConnections(t *testing.T) {
 	for _, load := range []float64{1, 1.7} {
 		synctest.Test(t, func(t *testing.T) {
