--- a/test/standin/target/line.go
+++ b/test/standin/target/line.go
@@ -54,6 +54,8 @@
 	customers  map[string]map[string]bool // names given at START of the connections that ran a request ID
 	refused    []string                   // START messages with an unknown name
 	keysSeen   []string                   // messages that contained a key
+	open       map[string]int             // open connections by the customer named at START
+	overLimit  int                        // connections that were refused because of the limit
 }
 
 // pausedReceiveLag is the receive lag of a paused replica, long enough that
@@ -70,7 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Line{srv: s, cfg: cfg, listener: listener, conns: map[net.Conn]bool{}, runCounts: map[string]int{}, customers: map[string]map[string]bool{}}
+	l := &Line{srv: s, cfg: cfg, listener: listener, conns: map[net.Conn]bool{}, runCounts: map[string]int{}, customers: map[string]map[string]bool{}, open: map[string]int{}}
 	go l.acceptLoop()
 	return l, nil
 }
@@ -105,6 +107,27 @@
 	return slices.Concat(l.refused, l.keysSeen)
 }
 
+// OpenOf returns how many connections of a customer are open.
+func (l *Line) OpenOf(customer string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open[customer]
+}
+
+// RefusedAboveLimit returns how many connections were refused because of the limit.
+func (l *Line) RefusedAboveLimit() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.overLimit
+}
+
+// countOpen changes the number of open connections of a customer.
+func (l *Line) countOpen(customer string, by int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open[customer] += by
+}
+
 // noteKeys records a message that contains a key.
 func (l *Line) noteKeys(message string) {
 	if l.cfg.IsKey == nil || !slices.ContainsFunc(strings.Fields(message), l.cfg.IsKey) {
@@ -143,6 +166,9 @@
 		l.mu.Lock()
 		l.conns[conn] = true
 		overLimit := len(l.conns) > l.cfg.MaxConnections
+		if overLimit {
+			l.overLimit++
+		}
 		l.mu.Unlock()
 		go func() {
 			if overLimit {
@@ -192,6 +218,8 @@
 		fmt.Fprintf(conn, "ERROR MISROUTED -\r\n")
 		return
 	}
+	l.countOpen(s.customer, 1)
+	defer l.countOpen(s.customer, -1)
 	s.generation = l.srv.generation() // read before openDatabase, so that a rebuild in between is noticed
 	if s.openDatabase() != nil {
 		return
