gossip: contact every failure domain in each round where limits are divided by votes

Cause: with three hosts drawn at random, a domain of three is left out of all rounds of 0.8 s 4 % of the time (0.3 per round). It then counts as out of contact and its third of every customer's limit isn't sold for at least 0.6 s.

Ruled out: a longer window of contact, in which both sides of a cut would sell the same votes.

Change: where the settings bound rates, a round contacts a recently seen host of each other domain. TestEachRoundContactsEveryDomain fails without it.

--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -84,6 +84,7 @@
 		Catalog: h.catalog, Caller: h.peers, Offers: h.connectionOffers, OnOffers: h.learnLeaders, Log: log.WithName("gossip"),
 	}
 	gossipOptions.PreferOwnDomain = h.locality != nil
+	gossipOptions.ContactDomains = s.Quota.Window > 0 // limits are divided by the votes in contact
 	gossipOptions.StoreEra, gossipOptions.OnStoreEra = h.store.Era, h.store.NoteEra
 	if !s.PrimariesFenced {
 		gossipOptions.HostVotes = true
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -58,6 +58,10 @@
 	// runs through a domain leaves at most one side connected. Otherwise a domain is
 	// reachable if any of its hosts is, and only fencing tokens keep two sides apart.
 	HostVotes bool
+	// ContactDomains makes each round of a large fleet contact every failure domain. With
+	// hosts drawn at random, a domain of three is left out for ContactWindow 4 % of the
+	// time, and counts as out of contact.
+	ContactDomains bool
 	// PreferOwnDomain makes hosts fetch snapshots from hosts of their own domain first.
 	PreferOwnDomain bool
 	Catalog         *catalog.Store
@@ -277,10 +281,37 @@
 		ids = append(ids, id)
 	}
 	rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
-	if len(ids) > largeFleetThreshold {
-		return ids[:largeFleetFanout]
+	if len(ids) <= largeFleetThreshold {
+		return ids[:min(len(ids), fanout)]
 	}
-	return ids[:min(len(ids), fanout)]
+	if g.opts.ContactDomains {
+		return g.withEachDomain(ids, now)
+	}
+	return ids[:largeFleetFanout]
+}
+
+// withEachDomain returns one recently seen host of each other failure domain, and further
+// hosts up to largeFleetFanout. The caller holds g.mu.
+func (g *Gossip) withEachDomain(ids []topology.HostID, now time.Time) []topology.HostID {
+	var selected []topology.HostID
+	covered := map[topology.Domain]bool{g.self.Domain: true}
+	for _, id := range ids {
+		k := g.hosts[id]
+		if k.lastHeard.IsZero() || covered[k.host.Domain] || now.Sub(k.lastSeen()) >= relayedContactWindow {
+			continue
+		}
+		covered[k.host.Domain] = true
+		selected = append(selected, id)
+	}
+	for _, id := range ids {
+		if len(selected) >= largeFleetFanout {
+			break
+		}
+		if !slices.Contains(selected, id) {
+			selected = append(selected, id)
+		}
+	}
+	return selected
 }
 
 // laterOf returns the later of two times.
--- a/internal/gossip/reach_test.go
+++ b/internal/gossip/reach_test.go
@@ -111,3 +111,28 @@
 	qt.Check(t, g.Present().Version > version, qt.IsTrue)
 	qt.Check(t, g.Sharers().Hosts, qt.HasLen, 3)
 }
+
+// Each round of a large fleet contacts every other failure domain. A domain that is left
+// out of some rounds by chance counts as out of contact, and its part of every limit isn't
+// sold.
+func TestEachRoundContactsEveryDomain(t *testing.T) {
+	var domains []topology.Domain
+	for range 20 {
+		domains = append(domains, "x", "y", "z")
+	}
+	n := newFakeNetwork(domains...)
+	for range 10 {
+		n.runRounds()
+	}
+	g := n.hosts["a"]
+	g.opts.ContactDomains = true
+	for range 200 {
+		contacted := map[topology.Domain]bool{}
+		selected := g.selectPeers()
+		for _, id := range selected {
+			contacted[g.hosts[id].host.Domain] = true
+		}
+		qt.Assert(t, selected, qt.HasLen, largeFleetFanout)
+		qt.Assert(t, contacted["y"] && contacted["z"], qt.IsTrue)
+	}
+}
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -472,40 +472,42 @@
 // operations.
 func customersFor(limit Limit) int { return max(1, int(32/limit.Rate)) }
 
-// leastDuringCut is the part of the operations of 33 s that must be admitted if a domain is
-// cut off for 20 s of them. The goal is 0.99, which a customer with a burst of one second
-// reaches in most cases; a deputy begins with too few tokens for all. The smallest part
-// measured is 0.972, for a customer without a burst.
-const leastDuringCut = 0.96
+// leastAdmitted is the part of the operations at usual demand that must be admitted.
+const leastAdmitted = 0.99
 
 // Refusing a customer below its limit is service lost: at usual demand over 67 hosts
-// almost everything is admitted, also while one domain of three is cut off.
-func TestUsualDemandIsAdmitted(t *testing.T) {
-	for _, cut := range []string{"none", "both directions", "one direction"} {
-		for _, limit := range simLimits {
-			t.Run(cut+" "+strconv.FormatFloat(limit.Rate, 'f', -1, 64)+" "+strconv.FormatFloat(limit.Burst, 'f', -1, 64), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					s := newSim(7, 67, 3, customersFor(limit), limit)
-					s.demand, s.poll = evenly(s, limit.Rate/1.6), time.Second
-					const settled = 3 * time.Second
-					s.keep = func(at time.Duration) bool { return at > settled }
-					events := map[time.Duration]func(){}
-					if cut != "none" {
-						events[8*time.Second] = func() { s.cutDomain(2, cut == "both directions", true) }
-						events[28*time.Second] = func() { s.cutDomain(2, true, false) }
-					}
-					s.run(7, 36*time.Second, events)
-					s.checkWindows(t, limit)
-					least := 0.99
-					if cut != "none" {
-						least = leastDuringCut
-					}
-					if part := float64(s.admitted) / float64(s.offered); part < least {
-						t.Errorf("%.4f admitted", part)
-					}
+// almost everything is admitted.
+func TestUsualDemandIsAdmitted(t *testing.T) { checkUsualDemand(t, func(*sim, bool) {}) }
+
+// The same while one domain of three is cut off for 20 s of 33 s.
+func TestUsualDemandIsAdmittedDuringCut(t *testing.T) {
+	for _, both := range []bool{true, false} {
+		t.Run("both directions "+strconv.FormatBool(both), func(t *testing.T) {
+			checkUsualDemand(t, func(s *sim, off bool) { s.cutDomain(2, both || !off, off) })
+		})
+	}
+}
+
+// checkUsualDemand checks the part that is admitted at usual demand for each of the limits.
+// cut begins and ends a cut.
+func checkUsualDemand(t *testing.T, cut func(s *sim, off bool)) {
+	for _, limit := range simLimits {
+		t.Run(strconv.FormatFloat(limit.Rate, 'f', -1, 64)+" "+strconv.FormatFloat(limit.Burst, 'f', -1, 64), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSim(7, 67, 3, customersFor(limit), limit)
+				s.demand, s.poll = evenly(s, limit.Rate/1.6), time.Second
+				const settled = 3 * time.Second
+				s.keep = func(at time.Duration) bool { return at > settled }
+				s.run(7, 36*time.Second, map[time.Duration]func(){
+					8 * time.Second:  func() { cut(s, true) },
+					28 * time.Second: func() { cut(s, false) },
 				})
+				s.checkWindows(t, limit)
+				if part := float64(s.admitted) / float64(s.offered); part < leastAdmitted {
+					t.Errorf("%.4f admitted", part)
+				}
 			})
-		}
+		})
 	}
 }
 
