--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -85,7 +85,7 @@
 	h.gossip = gossip.New(gossipOptions)
 	h.duty = duty.New(duty.Options{
 		Self: self, Name: string(s.Host), Boot: bootID, Domain: s.Domain, Store: h.store, Hosts: h.gossip,
-		PrimaryDomain: h.primaryDomain, Log: log.WithName("duty"), OnChange: h.gossip.TriggerRound,
+		PrimaryDomain: h.primaryDomain, Log: log.WithName("duty"), OnChange: h.dutyChanged,
 	})
 	h.gossip.SetClaims(h.duty)
 	groupOptions := group.SetOptions{
@@ -105,6 +105,12 @@
 	return h
 }
 
+// dutyChanged spreads a change of who holds a duty.
+func (h *fleetHost) dutyChanged() {
+	h.gossip.TriggerRound()
+	h.watchers.DutyChanged()
+}
+
 // createLeases creates both sides of the leases on the leadership of groups.
 func (h *fleetHost) createLeases() {
 	log := h.log.WithName("lease")
--- a/cmd/nettlewalk/fleetstore.go
+++ b/cmd/nettlewalk/fleetstore.go
@@ -115,7 +115,7 @@
 		h.watchers.Ensure(ctx, id, func() *promotion.Watcher {
 			options := promotion.Options{
 				Group: id, Name: string(h.settings.Host), Dialer: platform.TargetDialer{}, Parse: platform.ParseTargetStatus,
-				Promoter: platform.NewPromoter(h.settings.PromotionAddr), Duty: h.duty, Catalog: h.catalog, GroupView: groupState,
+				Promoter: platform.NewPromoter(h.settings.PromotionAddr), Duty: h.duty, DutyAnnounced: true, Catalog: h.catalog, GroupView: groupState,
 				Hosts: func() int { return len(h.gossip.Live()) }, Log: h.log.WithName("promotion"),
 			}
 			if h.grantor != nil {
--- a/internal/duty/acquire.go
+++ b/internal/duty/acquire.go
@@ -36,6 +36,10 @@
 
 // dueClaims returns the claims that this host should try to supersede now.
 func (k *Keeper) dueClaims(now time.Time) []Claim {
+	candidates := k.unheldGroups(now)
+	if len(candidates) == 0 {
+		return nil
+	}
 	live, connected, largeFleet := k.opts.Hosts.Live(), k.opts.Hosts.Connected(), k.opts.Hosts.LargeFleet()
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -43,11 +47,9 @@
 		return nil
 	}
 	var due []Claim
-	for _, id := range k.groups {
-		if now.Before(k.retryAt[id]) {
-			continue
-		}
-		s := k.electionState(id, live, now)
+	for _, id := range candidates {
+		s := k.electionState(id, now)
+		s.rank = electionRank(id, k.opts.Self, live, k.opts.PrimaryDomain(id))
 		s.connected, s.largeFleet = connected, largeFleet
 		if shouldAcquire(s) {
 			k.retryAt[id] = now.Add(retryInterval)
@@ -59,11 +61,30 @@
 	return due
 }
 
+// unheldGroups returns the groups whose duty this host would acquire if it were connected
+// and ranked first. Nearly always there is none, and a rank needn't be computed for any.
+func (k *Keeper) unheldGroups(now time.Time) []topology.GroupID {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var list []topology.GroupID
+	for _, id := range k.groups {
+		if now.Before(k.retryAt[id]) {
+			continue
+		}
+		s := k.electionState(id, now)
+		s.connected = true
+		if shouldAcquire(s) {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
 // electionState returns the input of shouldAcquire for the group. It leaves the
-// fields connected and largeFleet to the caller, which must hold k.mu.
-func (k *Keeper) electionState(id topology.GroupID, live []topology.Host, now time.Time) electionState {
+// fields rank, connected and largeFleet to the caller, which must hold k.mu.
+func (k *Keeper) electionState(id topology.GroupID, now time.Time) electionState {
 	c := k.claims[id]
-	s := electionState{self: k.opts.Self, boot: k.opts.Boot, claim: c, rank: electionRank(id, k.opts.Self, live, k.opts.PrimaryDomain(id))}
+	s := electionState{self: k.opts.Self, boot: k.opts.Boot, claim: c}
 	silentFor, ok := k.opts.Hosts.HeardAgo(c.Holder)
 	if !ok {
 		silentFor = now.Sub(k.createdAt)
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -1,7 +1,10 @@
 package duty
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -75,6 +78,7 @@
 
 	mu          sync.Mutex
 	claims      map[topology.GroupID]Claim
+	claimList   []Claim // what Claims returns, nil after a change
 	groups      []topology.GroupID
 	unheldSince map[topology.GroupID]time.Time // when this host first saw that nobody holds the duty
 	retryAt     map[topology.GroupID]time.Time // earliest time of the next attempt to acquire or hand over
@@ -127,7 +131,7 @@
 		if k.isHeldHere(c) && !k.isHeldHere(old) {
 			k.heldSince[c.Group] = steady.Now()
 		}
-		k.claims[c.Group] = c
+		k.setClaim(c)
 		delete(k.unheldSince, c.Group)
 	}
 	k.mu.Unlock()
@@ -140,15 +144,20 @@
 	}
 }
 
-// Claims returns all known claims.
+// setClaim replaces a group's claim. The caller holds k.mu.
+func (k *Keeper) setClaim(c Claim) {
+	k.claims[c.Group] = c
+	k.claimList = nil
+}
+
+// Claims returns all known claims, sorted by group. Callers must not modify the list.
 func (k *Keeper) Claims() []Claim {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	list := make([]Claim, 0, len(k.claims))
-	for _, c := range k.claims {
-		list = append(list, c)
+	if k.claimList == nil {
+		k.claimList = slices.SortedFunc(maps.Values(k.claims), func(a, b Claim) int { return cmp.Compare(a.Group, b.Group) })
 	}
-	return list
+	return k.claimList
 }
 
 // HeldCount returns the number of duties that this host holds.
--- a/internal/duty/record.go
+++ b/internal/duty/record.go
@@ -27,7 +27,7 @@
 	}
 	claim.Leadership = state
 	claim.Update++
-	k.claims[id] = claim
+	k.setClaim(claim)
 	k.mu.Unlock()
 	k.opts.OnChange()
 	object, stored, err := k.readClaim(ctx, id)
--- a/internal/duty/release.go
+++ b/internal/duty/release.go
@@ -4,16 +4,22 @@
 	"context"
 	"encoding/json"
 	"time"
+
+	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
 // claimsToHandOver returns the claims that this host should release because it is
 // in the failure domain of the group's primary.
 func (k *Keeper) claimsToHandOver(now time.Time) []Claim {
+	held := k.heldGroups()
+	if len(held) == 0 {
+		return nil
+	}
 	live, connected := k.opts.Hosts.Live(), k.opts.Hosts.Connected()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var list []Claim
-	for _, id := range k.groups {
+	for _, id := range held {
 		if !k.isHeldHere(k.claims[id]) || now.Before(k.retryAt[id]) {
 			continue
 		}
@@ -31,6 +37,19 @@
 	return list
 }
 
+// heldGroups returns the groups whose duty this host holds.
+func (k *Keeper) heldGroups() []topology.GroupID {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var list []topology.GroupID
+	for _, id := range k.groups {
+		if k.isHeldHere(k.claims[id]) {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
 // handOver releases a duty so that a host in another failure domain can acquire it.
 func (k *Keeper) handOver(ctx context.Context, c Claim) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
--- a/internal/failover/rank.go
+++ b/internal/failover/rank.go
@@ -1,9 +1,6 @@
 package failover
 
 import (
-	"cmp"
-	"slices"
-
 	"github.com/cespare/xxhash/v2"
 
 	"nettlewalk.example/nettlewalk/internal/topology"
@@ -13,17 +10,16 @@
 // hashing of group and host. Hosts that know different sets of hosts may get the
 // same rank and act at the same time, which is safe.
 func Rank(group topology.GroupID, self topology.HostID, hosts []topology.HostID) int {
-	ordered := slices.Clone(hosts)
-	if !slices.Contains(ordered, self) {
-		ordered = append(ordered, self)
-	}
-	slices.SortFunc(ordered, func(a, b topology.HostID) int {
-		if c := cmp.Compare(rendezvousWeight(group, b), rendezvousWeight(group, a)); c != 0 {
-			return c
+	own, rank := rendezvousWeight(group, self), 0
+	for _, host := range hosts {
+		if host == self {
+			continue
 		}
-		return cmp.Compare(a, b)
-	})
-	return slices.Index(ordered, self)
+		if w := rendezvousWeight(group, host); w > own || w == own && host < self {
+			rank++
+		}
+	}
+	return rank
 }
 
 func rendezvousWeight(group topology.GroupID, host topology.HostID) uint64 {
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -1,10 +1,10 @@
 package gossip
 
 import (
+	"cmp"
 	"context"
-	"fmt"
 	"slices"
-	"strings"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -77,13 +77,9 @@
 	now := steady.Now()
 	reads := g.opts.Catalog.ReadTimes()
 	d.ConfigurationRead, d.RegisterRead = now.Sub(reads.Configuration), now.Sub(reads.Registry)
-	for id, k := range g.hosts {
-		if !k.lastHeard.IsZero() && !k.silent {
-			d.Hosts = append(d.Hosts, id)
-		}
-	}
+	d.Hosts = g.announcedHosts()
 	d.Heard = g.heardAges(d.Claims, now)
-	d.Sum = checksum(&d)
+	d.Sum = checksum(g.announcedHash, d.Claims)
 	if k := g.hosts[recipient]; k != nil && k.lastSum == d.Sum {
 		d.Hosts, d.Claims = nil, nil
 	}
@@ -119,22 +115,52 @@
 	return list
 }
 
-// checksum returns a hash of the digest's hosts, including its sender, and claims.
-// It sorts d.Claims.
-func checksum(d *Digest) uint64 {
+// announcedHosts returns the hosts that digests name as running: those that this host has
+// heard from and that aren't silent. The list and announcedHash are kept until one of these
+// hosts changes. The caller holds g.mu and doesn't modify the list.
+func (g *Gossip) announcedHosts() []topology.HostID {
+	if g.announced != nil {
+		return g.announced
+	}
+	list := make([]topology.HostID, 0, len(g.hosts))
+	for id, k := range g.hosts {
+		if !k.lastHeard.IsZero() && !k.silent {
+			list = append(list, id)
+		}
+	}
+	g.announced, g.announcedHash = list, hashHosts(append(slices.Clone(list), g.self.Addr))
+	return list
+}
+
+// hashHosts returns a hash of the hosts. It sorts them.
+func hashHosts(hosts []topology.HostID) xxhash.Digest {
 	var hash xxhash.Digest
-	hosts := append([]topology.HostID{d.From.Addr}, d.Hosts...)
 	slices.Sort(hosts)
 	for _, h := range hosts {
 		_, _ = hash.WriteString(string(h) + "\n")
 	}
-	slices.SortFunc(d.Claims, func(a, b duty.Claim) int { return strings.Compare(string(a.Group), string(b.Group)) })
-	for _, c := range d.Claims {
-		_, _ = fmt.Fprintf(&hash, "%s %d %t %d\n", c.Group, c.Token, c.Released, c.Update)
+	return hash
+}
+
+// checksum returns a hash of a digest's hosts, including its sender, of which hosts is the
+// hash already, and of its claims.
+func checksum(hosts xxhash.Digest, claims []duty.Claim) uint64 {
+	if !slices.IsSortedFunc(claims, compareGroups) {
+		claims = slices.SortedFunc(slices.Values(claims), compareGroups)
+	}
+	var line []byte
+	for _, c := range claims {
+		line = append(append(line[:0], c.Group...), ' ')
+		line = append(strconv.AppendUint(line, c.Token, 10), ' ')
+		line = append(strconv.AppendBool(line, c.Released), ' ')
+		line = append(strconv.AppendUint(line, c.Update, 10), '\n')
+		_, _ = hosts.Write(line)
 	}
-	return hash.Sum64()
+	return hosts.Sum64()
 }
 
+func compareGroups(a, b duty.Claim) int { return cmp.Compare(a.Group, b.Group) }
+
 // mergeDigest merges the hosts and claims of another host's digest.
 func (g *Gossip) mergeDigest(d *Digest) {
 	if g.opts.OnStoreEra != nil {
@@ -175,10 +201,10 @@
 	}
 	if k.silent || k.lastHeard.IsZero() || k.host.Boot != sender.Boot {
 		g.opts.Log.Info("host is live", "peer", sender.Name, "addr", sender.Addr, "domain", sender.Domain)
-		g.sharersBuiltAt = time.Time{}
+		g.listsBuiltAt, g.announced = time.Time{}, nil
 	}
 	if k.host.Leaving != sender.Leaving {
-		g.sharersBuiltAt = time.Time{}
+		g.listsBuiltAt = time.Time{}
 	}
 	k.host, k.lastHeard, k.reportedAt, k.silent, k.offers, k.lastSum = sender, now, time.Time{}, false, d.Offers, d.Sum
 	k.configuration, k.register, k.fetchable = d.Configuration, d.Register, d.FetchesSnapshots
@@ -192,7 +218,9 @@
 	for _, h := range list {
 		if k := g.hosts[g.addrByHash[h.Host]]; k != nil {
 			k.lastReported = laterOf(k.lastReported, sentAt.Add(-time.Duration(h.Ago)*heardAgeUnit))
-			k.silent = k.silent && now.Sub(k.lastReported) > livenessTimeout
+			if k.silent && now.Sub(k.lastReported) <= livenessTimeout {
+				k.silent, g.announced = false, nil
+			}
 		}
 	}
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
@@ -112,10 +113,14 @@
 	// firstHeardAt is when the first digest of another host arrived.
 	firstHeardAt time.Time
 	uploads      [snapshotKinds]uploads
-	// sharers is rebuilt once it is older than sharersMaxAge, and at the next call
-	// after a host joins, restarts or leaves.
-	sharers        Sharers
-	sharersBuiltAt time.Time
+	// announced and announcedHash are those of announcedHosts. announced is nil after a
+	// change.
+	announced     []topology.HostID
+	announcedHash xxhash.Digest
+	// lists is rebuilt once it is older than listsMaxAge, and at the next call after a
+	// host joins, restarts or leaves.
+	lists        hostLists
+	listsBuiltAt time.Time
 }
 
 // lastSeen returns when the host was last heard from, by this host or by others.
@@ -168,7 +173,7 @@
 		k := g.hosts[addr]
 		if k == nil {
 			k = g.addHost(addr, now)
-			g.sharersBuiltAt = time.Time{}
+			g.listsBuiltAt = time.Time{}
 		}
 		if k.lastHeard.IsZero() {
 			k.reportedAt = now
@@ -262,10 +267,11 @@
 		if now.Sub(laterOf(k.lastSeen(), k.addedAt)) > forgetAfter && !slices.Contains(g.opts.Seeds, id) {
 			delete(g.hosts, id)
 			delete(g.addrByHash, hashAddr(id))
+			g.announced = nil
 			continue
 		}
 		if !k.silent && !k.lastHeard.IsZero() && now.Sub(k.lastSeen()) > livenessTimeout {
-			k.silent = true
+			k.silent, g.announced = true, nil
 			g.opts.Log.Info("host is silent", "peer", k.host.Name, "addr", id)
 		}
 		ids = append(ids, id)
--- a/internal/gossip/hosts.go
+++ b/internal/gossip/hosts.go
@@ -181,15 +181,22 @@
 	if g.opts.HostVotes {
 		return len(g.hosts) > largeFleetKnown
 	}
-	return len(g.liveHosts(now)) > largeFleetLive
+	live := 1
+	for _, k := range g.hosts {
+		if k.isLive(now) {
+			live++
+		}
+	}
+	return live > largeFleetLive
 }
 
-// Live implements duty.Hosts: the live hosts, this one included, sorted by address.
+// Live implements duty.Hosts: the live hosts, this one included, sorted by address. A
+// returned list is never modified.
 func (g *Gossip) Live() []topology.Host {
 	now := steady.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.liveHosts(now)
+	return g.freshLists(now).live
 }
 
 // liveHosts returns the list for Live. The caller holds g.mu.
@@ -222,10 +229,9 @@
 	now := steady.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	live := g.liveHosts(now)
 	switch {
 	case g.anyInContact(now):
-		return rankOf(g.self.Addr, live)
+		return g.freshLists(now).rank
 	case now.Sub(g.startedAt) < firstContactWait && !slices.Contains(g.opts.Seeds, g.self.Addr):
 		return math.MaxInt
 	}
@@ -263,10 +269,10 @@
 	return rank
 }
 
-// sharersMaxAge is how long the cached list of sharers is used before silent hosts
-// are removed from it. It is a small part of livenessTimeout, and long enough for
+// listsMaxAge is how long the cached lists of hosts are used before silent hosts
+// are removed from them. It is a small part of livenessTimeout, and long enough for
 // the cache to serve many requests.
-const sharersMaxAge = 100 * time.Millisecond
+const listsMaxAge = 100 * time.Millisecond
 
 const (
 	// recentUpTime is how long a host must have been up not to count as recent: targets
@@ -302,15 +308,39 @@
 	now := steady.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.sharers.Hosts == nil || now.Sub(g.sharersBuiltAt) >= sharersMaxAge {
-		g.refreshSharers(now)
+	return g.freshLists(now).sharers
+}
+
+// hostLists are lists of the hosts that are rebuilt together.
+type hostLists struct {
+	live    []topology.Host // see Live
+	rank    int             // of this host in live, see rankOf
+	sharers Sharers
+}
+
+// freshLists returns the lists. It rebuilds them if they are older than listsMaxAge. The
+// caller holds g.mu.
+func (g *Gossip) freshLists(now time.Time) *hostLists {
+	if g.lists.live == nil || now.Sub(g.listsBuiltAt) >= listsMaxAge {
+		g.rebuildLists(now)
 	}
-	return g.sharers
+	return &g.lists
 }
 
-// refreshSharers rebuilds the cached list. The caller holds g.mu.
-func (g *Gossip) refreshSharers(now time.Time) {
-	list := g.liveHosts(now)
+// rebuildLists rebuilds the lists. The caller holds g.mu.
+func (g *Gossip) rebuildLists(now time.Time) {
+	live := g.liveHosts(now)
+	if !slices.Equal(live, g.lists.live) {
+		g.lists.live, g.lists.rank = live, rankOf(g.self.Addr, live)
+	}
+	g.listsBuiltAt = now
+	g.rebuildSharers(slices.Clip(live), now)
+}
+
+// rebuildSharers rebuilds the list of sharers from that of the live hosts. The caller holds
+// g.mu.
+func (g *Gossip) rebuildSharers(list []topology.Host, now time.Time) {
+	live := len(list)
 	joinedFor, recent := g.joinedFor(now), 0
 	if joinedFor < recentUpTime {
 		recent++
@@ -326,16 +356,17 @@
 			list = append(list, topology.Host{ID: id, Domain: unknownDomain, State: topology.HostLive})
 		}
 	}
-	sortHosts(list)
-	if !slices.Equal(list, g.sharers.Hosts) {
-		if !slices.EqualFunc(list, g.sharers.Hosts, func(x, y topology.Host) bool { return x.ID == y.ID }) {
-			g.sharers.ChangedAt = now
+	if len(list) > live {
+		sortHosts(list)
+	}
+	if !slices.Equal(list, g.lists.sharers.Hosts) {
+		if !slices.EqualFunc(list, g.lists.sharers.Hosts, func(x, y topology.Host) bool { return x.ID == y.ID }) {
+			g.lists.sharers.ChangedAt = now
 		}
-		g.sharers.Hosts = list
-		g.sharers.Version++
+		g.lists.sharers.Hosts = list
+		g.lists.sharers.Version++
 	}
-	g.sharers.Recent, g.sharers.JoinedFor = recent, joinedFor
-	g.sharersBuiltAt = now
+	g.lists.sharers.Recent, g.lists.sharers.JoinedFor = recent, joinedFor
 }
 
 // joinedFor returns Sharers.JoinedFor. The caller holds g.mu.
--- a/internal/gossip/hosts_test.go
+++ b/internal/gossip/hosts_test.go
@@ -40,12 +40,12 @@
 	g := n.hosts["a"]
 	first := g.Sharers()
 	g.mu.Lock()
-	g.sharersBuiltAt = g.sharersBuiltAt.Add(-sharersMaxAge)
+	g.listsBuiltAt = g.listsBuiltAt.Add(-listsMaxAge)
 	g.mu.Unlock()
 	qt.Check(t, g.Sharers().Version, qt.Equals, first.Version)
 	g.mu.Lock()
 	g.hosts["c"].lastHeard, g.hosts["c"].lastReported = time.Time{}, time.Time{}
-	g.sharersBuiltAt = g.sharersBuiltAt.Add(-sharersMaxAge)
+	g.listsBuiltAt = g.listsBuiltAt.Add(-listsMaxAge)
 	g.mu.Unlock()
 	second := g.Sharers()
 	qt.Check(t, second.Version > first.Version, qt.IsTrue)
@@ -90,10 +90,10 @@
 	qt.Check(t, a.Sharers().Recent, qt.Equals, 3)
 	a.startedAt, b.startedAt = a.startedAt.Add(-recentUpTime), b.startedAt.Add(-recentUpTime)
 	a.exchange(t.Context(), "b")
-	a.sharersBuiltAt = time.Time{}
+	a.listsBuiltAt = time.Time{}
 	qt.Check(t, a.Sharers().Recent, qt.Equals, 1) // c, which it doesn't know to be up for long
 	a.hosts["c"].reportedAt = a.hosts["c"].reportedAt.Add(-livenessTimeout)
-	a.sharersBuiltAt = time.Time{}
+	a.listsBuiltAt = time.Time{}
 	qt.Check(t, a.Sharers().Hosts, qt.HasLen, 2)
 }
 
@@ -104,7 +104,7 @@
 	qt.Check(t, a.Sharers().JoinedFor >= 0, qt.IsTrue) // a seed
 	qt.Check(t, b.Sharers().JoinedFor < 0, qt.IsTrue)
 	b.startedAt = b.startedAt.Add(-aloneTime)
-	b.sharersBuiltAt = time.Time{}
+	b.listsBuiltAt = time.Time{}
 	qt.Check(t, b.Sharers().JoinedFor >= 0, qt.IsTrue)
 	b.startedAt = steady.Now()
 	b.exchange(t.Context(), "a")
--- a/internal/group/probe.go
+++ b/internal/group/probe.go
@@ -12,7 +12,7 @@
 // startProbing starts a search for the leader unless one is known or a search
 // is running. The caller must hold g.mu.
 func (g *Group) startProbing() {
-	if g.probing || g.view.leader != "" || len(g.members) == 0 || !g.hasLease() {
+	if g.probing || g.view.leader != "" || !g.mayHoldConnection() || !g.hasLease() {
 		return
 	}
 	g.probing = true
@@ -27,7 +27,7 @@
 			g.probe(id, pool)
 		}
 		g.mu.Lock()
-		if g.view.leader != "" || len(g.members) == 0 || !g.hasLease() {
+		if g.view.leader != "" || !g.mayHoldConnection() || !g.hasLease() {
 			g.probing = false
 			g.mu.Unlock()
 			return
@@ -37,6 +37,18 @@
 	}
 }
 
+// mayHoldConnection reports whether this host has or may open a connection to any member.
+// Without one there is nothing to probe over: other hosts hold the group's connections for
+// this one. SetMembers starts a search when that changes. The caller must hold g.mu.
+func (g *Group) mayHoldConnection() bool {
+	for _, m := range g.members {
+		if load := m.pool.Load(); load.Size > 0 || load.Open > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // hasLease reports whether a proof of leadership can count: this host has a lease on
 // some target, or needs none.
 func (g *Group) hasLease() bool {
@@ -133,6 +145,15 @@
 	}
 }
 
+// needsRefresh reports whether Refresh would probe the leader.
+func (g *Group) needsRefresh(maxAge time.Duration) bool {
+	if latest, ok := g.AnchorAge(); ok && latest < maxAge {
+		return false
+	}
+	_, _, ok := g.Leader()
+	return ok
+}
+
 // Refresh probes the leader for a new anchor if the newest one is older than
 // maxAge.
 func (g *Group) Refresh(maxAge time.Duration) {
--- a/internal/group/set.go
+++ b/internal/group/set.go
@@ -91,7 +91,9 @@
 	for id, settings := range c.Groups {
 		g := s.getOrCreate(id)
 		g.SetMembers(serving[id], func(t topology.Target) int { return s.opts.Size(t, settings.MaxConnections) })
-		go g.Refresh(maxAnchorAge)
+		if g.needsRefresh(maxAnchorAge) {
+			go g.Refresh(maxAnchorAge)
+		}
 	}
 }
 
@@ -144,17 +146,28 @@
 	ProvedAgo time.Duration
 }
 
-// Offers returns this host's connections by group, without groups to which it
-// has no connection and whose last leader it doesn't know. Where leases are needed
+// maxLeaderReports is how many groups without a connection one list of offers names for
+// their last leader. A host gets about six lists a second, so that it hears of each of 200
+// groups every two seconds. A new holder of a duty uses what it heard in the last 15 s.
+const maxLeaderReports = 16
+
+// Offers returns this host's connections by group, and a random part of the groups to
+// which it has no connection and whose last leader it knows. Where leases are needed
 // the claims on duties name the last leader, and only connections count.
 func (s *Set) Offers() []Offer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var offers []Offer
-	for _, g := range s.groups {
-		if o := g.offer(); o.Open > 0 || o.Last != "" && s.opts.Leases == nil {
-			offers = append(offers, o)
+	reports := 0
+	for _, g := range s.groups { // map order is random
+		o := g.offer()
+		if o.Open == 0 {
+			if o.Last == "" || s.opts.Leases != nil || reports == maxLeaderReports {
+				continue
+			}
+			reports++
 		}
+		offers = append(offers, o)
 	}
 	return offers
 }
--- a/internal/promotion/leadercheck.go
+++ b/internal/promotion/leadercheck.go
@@ -25,6 +25,11 @@
 	r.lastAt = now
 	w.reports[from] = r
 	w.mu.Unlock()
+	w.wakeUp()
+}
+
+// wakeUp makes Run continue at once.
+func (w *Watcher) wakeUp() {
 	select {
 	case w.wake <- struct{}{}:
 	default: // a wake-up is already pending
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -17,6 +17,7 @@
 
 const (
 	idleInterval      = 100 * time.Millisecond // between probes of a leader that serves
+	unheldInterval    = 2 * time.Second        // between checks for the duty where changes of its holder are announced
 	attemptInterval   = 20 * time.Millisecond  // between steps of a promotion attempt
 	maintainInterval  = 2 * time.Second        // between probes of the replicas while the leader serves; a probe takes a work slot
 	missedProbesLimit = 2                      // consecutive unanswered probes after which the leader counts as unresponsive
@@ -82,6 +83,9 @@
 	// Leases grants hosts leases on the leader; nil if targets stop leading when
 	// they are replaced and the platform checks fencing tokens.
 	Leases Leases
+	// DutyAnnounced tells that Watchers.DutyChanged is called whenever a duty may have
+	// another holder. The watcher then checks seldom whether this host holds it.
+	DutyAnnounced bool
 	// Hosts returns the number of live hosts, including this host.
 	Hosts func() int
 	Log   logr.Logger
@@ -126,6 +130,9 @@
 			wait = w.tick(ctx)
 		} else {
 			w.close()
+			if w.opts.DutyAnnounced {
+				wait = unheldInterval
+			}
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/promotion/watcher_test.go
+++ b/internal/promotion/watcher_test.go
@@ -125,3 +125,54 @@
 	qt.Check(t, targets.paused["b"], qt.Equals, uint64(2))
 	qt.Check(t, targets.dials, qt.Equals, missedProbesLimit)
 }
+
+// switchedDuty is a duty that this host holds from some moment on. It counts how often it
+// is asked.
+type switchedDuty struct {
+	permanentDuty
+	mu    sync.Mutex
+	held  bool
+	asked int
+}
+
+func (d *switchedDuty) Token(topology.GroupID) (uint64, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.asked++
+	return 1, d.held
+}
+
+func (d *switchedDuty) hold() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.held = true
+}
+
+func (d *switchedDuty) timesAsked() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.asked
+}
+
+// A watcher of a duty that another host holds must not look ten times a second whether it
+// has changed, and must begin at once when it has.
+func TestWatcherSleepsUntilItsDutyChanges(t *testing.T) {
+	store := catalog.NewStore()
+	view := group.New(group.Options{ID: "g", Log: logr.Discard()})
+	d := &switchedDuty{}
+	ws := NewWatchers()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ws.Ensure(ctx, "g", func() *Watcher {
+		return NewWatcher(Options{Group: "g", Duty: d, DutyAnnounced: true, Catalog: store, GroupView: view, Hosts: func() int { return 3 }, Log: logr.Discard()})
+	})
+	time.Sleep(5 * idleInterval)
+	qt.Check(t, d.timesAsked() <= 1, qt.IsTrue, qt.Commentf("asked %d times", d.timesAsked()))
+	d.hold()
+	ws.DutyChanged()
+	began := time.Now()
+	for d.timesAsked() < 3 && time.Since(began) < unheldInterval/2 { // while it holds the duty, it probes at short intervals
+		time.Sleep(time.Millisecond)
+	}
+	qt.Check(t, d.timesAsked() >= 3, qt.IsTrue)
+}
--- a/internal/promotion/watchers.go
+++ b/internal/promotion/watchers.go
@@ -62,6 +62,15 @@
 	Call(ctx context.Context, host topology.HostID, method string, args, reply any) error
 }
 
+// DutyChanged makes all watchers check at once whether this host holds their duty.
+func (ws *Watchers) DutyChanged() {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	for _, w := range ws.watchers {
+		w.wakeUp()
+	}
+}
+
 // SendReport reports an unresponsive target to the host that holds the group's duty.
 func SendReport(ctx context.Context, peers PeerClient, holder topology.HostID, s UnresponsiveReport) error {
 	return errors.Wrap(peers.Call(ctx, holder, reportMethod, &s, &Empty{}), "report unresponsive target")
