--- a/internal/gossip/reach.go
+++ b/internal/gossip/reach.go
@@ -24,10 +24,10 @@
 	now := steady.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.present.Hosts != nil && now.Sub(g.presentBuiltAt) < sharersMaxAge {
+	if g.present.Hosts != nil && now.Sub(g.presentBuiltAt) < listsMaxAge {
 		return g.present
 	}
-	list := g.liveHosts(now)
+	list := slices.Clone(g.freshLists(now).live)
 	if len(g.hosts) <= reportedFleetLimit {
 		list = slices.DeleteFunc(list, func(h topology.Host) bool {
 			return h.ID != g.self.Addr && now.Sub(g.hosts[h.ID].lastSeen()) >= presentWindow
