gossip: digests also name hosts that others have seen

Cause: a digest named only hosts from which its sender had heard itself, and lists of hosts are left out only if both sides have the same. At 139 hosts it takes half a minute to hear from all, and each message held a whole list.

Ruled out: naming every known address. Hosts would report a dead one to each other for ever.

Change: a digest names hosts that anyone has seen, by the ages that hosts relay. These never get younger, so a dead host leaves all lists as before.

--- a/internal/gossip/digest_test.go
+++ b/internal/gossip/digest_test.go
@@ -63,3 +63,44 @@
 		qt.Check(t, g.hosts[id].silent, qt.IsFalse)
 	}
 }
+
+// Hosts must agree on the list of hosts soon after they start, as long as they differ it is
+// in every message. A host that is dead must still leave all lists.
+func TestHostsAgreeOnListsBeforeTheyHearFromAll(t *testing.T) {
+	var domains []topology.Domain
+	for i := range 3 * largeFleetHosts {
+		domains = append(domains, topology.Domain([]string{"north", "south", "coast"}[i%3]))
+	}
+	n := newFakeNetwork(domains...)
+	rounds := func(count int) {
+		for range count {
+			for id, g := range n.hosts {
+				for _, other := range g.selectPeers() {
+					if !n.partitioned[id] {
+						g.exchange(t.Context(), other)
+					}
+				}
+			}
+		}
+	}
+	rounds(12) // in 3.6 s
+	heard, agreeing := 0, 0
+	for _, g := range n.hosts {
+		heard += len(liveIDs(g))
+		if len(g.announcedHosts()) == len(domains)-1 {
+			agreeing++
+		}
+	}
+	t.Logf("hosts have heard from %d others on average, %d of %d name all others", heard/len(domains), agreeing, len(domains))
+	qt.Check(t, agreeing >= len(domains)*9/10, qt.IsTrue)
+	n.partitioned["z"] = true
+	for range 30 { // 9 s
+		n.ageAllHosts(roundInterval)
+		rounds(1)
+	}
+	for id, g := range n.hosts {
+		if id != "z" {
+			qt.Check(t, slices.Contains(g.announcedHosts(), "z"), qt.IsFalse)
+		}
+	}
+}
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -115,8 +115,11 @@
 	return list
 }
 
-// announcedHosts returns the hosts that digests name as running: those that this host has
-// heard from and that aren't silent. The list and announcedHash are kept until one of these
+// announcedHosts returns the hosts that digests name as running: those that were heard from,
+// by this host or by others, and aren't silent. If each host named only those that it has
+// heard from itself, lists would differ for half a minute after 139 hosts have started, and
+// be sent in every message. Relayed ages never get younger, so that hosts don't keep a dead
+// one alive for each other. The list and announcedHash are kept until one of these
 // hosts changes. The caller holds g.mu and doesn't modify the list.
 func (g *Gossip) announcedHosts() []topology.HostID {
 	if g.announced != nil {
@@ -124,7 +127,7 @@
 	}
 	list := make([]topology.HostID, 0, len(g.hosts))
 	for id, k := range g.hosts {
-		if !k.lastHeard.IsZero() && !k.silent {
+		if !k.lastSeen().IsZero() && !k.silent {
 			list = append(list, id)
 		}
 	}
@@ -217,6 +220,9 @@
 	defer g.mu.Unlock()
 	for _, h := range list {
 		if k := g.hosts[g.addrByHash[h.Host]]; k != nil {
+			if k.lastSeen().IsZero() {
+				g.announced = nil
+			}
 			k.lastReported = laterOf(k.lastReported, sentAt.Add(-time.Duration(h.Ago)*heardAgeUnit))
 			if k.silent && now.Sub(k.lastReported) <= livenessTimeout {
 				k.silent, g.announced = false, nil
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -270,9 +270,11 @@
 			g.announced = nil
 			continue
 		}
-		if !k.silent && !k.lastHeard.IsZero() && now.Sub(k.lastSeen()) > livenessTimeout {
+		if !k.silent && !k.lastSeen().IsZero() && now.Sub(k.lastSeen()) > livenessTimeout {
 			k.silent, g.announced = true, nil
-			g.opts.Log.Info("host is silent", "peer", k.host.Name, "addr", id)
+			if !k.lastHeard.IsZero() {
+				g.opts.Log.Info("host is silent", "peer", k.host.Name, "addr", id)
+			}
 		}
 		ids = append(ids, id)
 	}
