--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -34,10 +34,11 @@
 
 const (
 	// buyTimeout limits one request for tokens. A round trip takes 2 ms; a small host
-	// under load adds some tens. Order confirmations have a goal of 100 ms.
-	buyTimeout = 50 * time.Millisecond
+	// under load adds some tens, and a moment in which many are busy adds more. With 50 ms,
+	// such a moment made deputies take over from most coordinators, with nearly empty ledgers.
+	buyTimeout = 120 * time.Millisecond
 	// relayTimeout is that of a request that is passed on while its sender waits.
-	relayTimeout = 30 * time.Millisecond
+	relayTimeout = 100 * time.Millisecond
 	// maxWait limits how long an operation waits for tokens: for the coordinator, and for
 	// a deputy that asks the coordinator.
 	maxWait = buyTimeout + relayTimeout + 20*time.Millisecond
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -106,7 +106,8 @@
 	offers := server.peerLoads.CurrentOffers(groupID, server.opts.Peers.Offers(groupID), steady.Now())
 	need := placement.Requirements{NeedsLeader: needsLeader, FreeOnly: needsFree, Exclude: r.askedHosts}
 	var offer placement.Offer
-	if homes := r.homes(); len(homes.Order) > 0 {
+	homes := r.homes()
+	if len(homes.Order) > 0 {
 		offer, ok = placement.PickHome(offers, need, homes.Order, homes.Count, rand.IntN)
 	} else {
 		offers = r.offersByCost(offers, needsLeader, needsFree)
@@ -117,8 +118,14 @@
 	}
 	r.askedHosts, r.askedDomain = append(r.askedHosts, offer.Host), offer.Domain
 	lastAttempt := len(r.askedHosts) == placement.MaxHostsAsked || len(r.askedHosts) == len(offers)
-	if r.router() != nil { // offers are only those that its cost allows
-		lastAttempt = len(r.askedHosts) == placement.MaxHostsAsked || !slices.ContainsFunc(offers, r.isUnasked)
+	switch {
+	case lastAttempt:
+	case len(homes.Order) > 0: // a host may be the only one with connections that serve the statement
+		need.Exclude = r.askedHosts
+		_, more := placement.PickHome(offers, need, homes.Order, homes.Count, rand.IntN)
+		lastAttempt = !more
+	case r.router() != nil: // offers are only those that its cost allows
+		lastAttempt = !slices.ContainsFunc(offers, r.isUnasked)
 	}
 	return offer.Host, needsFree || !lastAttempt, true
 }
