peer: smaller receive buffer in the test of the send buffer

TestLargeRequestInSendBufferKeepsItsConnection failed once with -race at a load of 20 on 7 cores. Its stand-in for a slow link reads slowly behind a receive buffer of 512 KiB, whose content counts as delivered and takes up to 0.42 s at 10 Mbit/s, more than the 0.4 s of silence that are allowed; on a real link that buffer isn't behind the slow part.

--- a/internal/peer/sendqueue_linux_test.go
+++ b/internal/peer/sendqueue_linux_test.go
@@ -27,7 +27,9 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := conn.(*net.TCPConn).SetReadBuffer(256 << 10); err != nil {
+	// What waits in the receive buffer counts as delivered. It must be small beside what
+	// the link passes on within silenceTimeout.
+	if err := conn.(*net.TCPConn).SetReadBuffer(64 << 10); err != nil {
 		return nil, err
 	}
 	return l.link.Receive(conn), nil
