quota: the silence of a seller is forgotten when its check is overdue

Cause: a host that didn't answer during a partition was avoided until somebody wanted it and a check succeeded.

Ruled out: checks of all avoided hosts without demand, which need a goroutine for each.

TestOldSilenceIsForgotten fails without the change.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -64,6 +64,10 @@
 	// of hosts that are in contact agree after one or two seconds.
 	yieldPeriod   = 2 * time.Second
 	pruneInterval = 5 * time.Second // between removals of idle wallets and ledgers
+	// avoidanceMaxAge is how long after a check of a host was due its silence still counts.
+	// Hosts are checked only if they are wanted. Without a limit, a host that nobody wanted
+	// since a partition ended was avoided, and its deputies took over with empty ledgers.
+	avoidanceMaxAge = 2 * time.Second
 	// avoidedRetention is how long a host that didn't answer is remembered after a check
 	// was due without anybody wanting the host.
 	avoidedRetention = 30 * time.Second
@@ -384,6 +388,10 @@
 	if a == nil {
 		return false
 	}
+	if !a.probing && now.Sub(a.probeAt) > avoidanceMaxAge {
+		delete(q.avoided, host)
+		return false
+	}
 	if !a.probing && !now.Before(a.probeAt) {
 		a.probing = true
 		go q.probe(host)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -249,3 +249,15 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// A host that didn't answer during a partition, and that nobody has wanted since, must be
+// asked again as soon as it is wanted.
+func TestOldSilenceIsForgotten(t *testing.T) {
+	q := New(Options{Self: "a", Now: time.Now})
+	now := time.Now()
+	q.avoided["b"] = &avoidance{probing: true, probeAt: now}
+	q.avoided["c"] = &avoidance{probeAt: now}
+	qt.Check(t, q.avoids("c", now.Add(-time.Millisecond)), qt.IsTrue)
+	qt.Check(t, q.avoids("c", now.Add(avoidanceMaxAge+time.Millisecond)), qt.IsFalse)
+	qt.Check(t, q.avoids("b", now.Add(avoidanceMaxAge+time.Millisecond)), qt.IsTrue, qt.Commentf("it is being checked"))
+}
