--- a/internal/share/customers_test.go
+++ b/internal/share/customers_test.go
@@ -239,7 +239,8 @@
 		}
 		requests.Wait()
 		t.Logf("served %v with %d dials", served, dialer.dials)
-		qt.Check(t, dialer.dials <= 85, qt.IsTrue)
+		qt.Check(t, float64(dialer.dials) <= 10*dialRate(1)+minDialBurst, qt.IsTrue)
+		qt.Check(t, dialer.dials*5 <= served["a"]+served["b"], qt.IsTrue, qt.Commentf("at most one dial for five statements"))
 		qt.Check(t, served["a"] > 100 && served["b"] > 100, qt.IsTrue)
 	})
 }
