--- a/internal/relay/crossing_test.go
+++ b/internal/relay/crossing_test.go
@@ -193,9 +193,7 @@
 	takeAll(t, f.pool(t, "p"))
 	waiting := f.pool(t, "r")
 	go func() { _, _ = waiting.Acquire("", time.Now().Add(time.Second), time.Second, 0) }()
-	for deadline := time.Now().Add(5 * time.Second); waiting.Load().Waiting == 0; time.Sleep(time.Millisecond) {
-		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue)
-	}
+	eventually(t, "a caller waits", func() bool { return waiting.Load().Waiting > 0 })
 	args := RunArgs{Configuration: 1, Database: "db", Statement: read("a"), Within: 50 * time.Millisecond, AtOnce: true, FromDomain: "b"}
 	var reply RunReply
 	qt.Assert(t, f.server.Service().Run(&args, &reply), qt.IsNil)
--- a/internal/relay/customers_test.go
+++ b/internal/relay/customers_test.go
@@ -108,13 +108,10 @@
 // to be replaced at once.
 func (f *customerFixture) awaitReplaceable(t *testing.T) {
 	t.Helper()
-	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+	eventually(t, "connections of other customers can be replaced", func() bool {
 		readers := f.group.ReadersFor(topology.Position{}, "acme")
-		if !slices.ContainsFunc(readers, func(c group.Choice) bool { return c.Delay > maxAtOnceWait }) {
-			return
-		}
-		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue)
-	}
+		return !slices.ContainsFunc(readers, func(c group.Choice) bool { return c.Delay > maxAtOnceWait })
+	})
 }
 
 // A home host opens a connection of the customer, and doesn't use one of another customer
--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -63,10 +63,7 @@
 	t.Helper()
 	_, pool, ok := f.group.Leader()
 	qt.Assert(t, ok, qt.IsTrue)
-	for deadline := time.Now().Add(5 * time.Second); pool.Load().Open < 2; { // until the fixture's pool has opened both connections
-		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue)
-		time.Sleep(time.Millisecond)
-	}
+	eventually(t, "the fixture's pool has opened both connections", func() bool { return pool.Load().Open >= 2 })
 	for pool.TryAcquire("") != nil {
 	}
 }
--- a/internal/relay/hosted_test.go
+++ b/internal/relay/hosted_test.go
@@ -88,10 +88,7 @@
 	qt.Check(t, a.Code, qt.Equals, statement.Aborted)
 	qt.Check(t, a.State, qt.Equals, statement.Failed)
 	qt.Check(t, local.serveStatement(commit).Code, qt.Equals, statement.Aborted)
-	for deadline := time.Now().Add(5 * time.Second); remote.server.forwardedTxs.count() > 0; {
-		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue)
-		<-time.After(time.Millisecond)
-	}
+	eventually(t, "the other host rolls back", func() bool { return remote.server.forwardedTxs.count() == 0 })
 	for _, text := range remote.leader.receivedTexts() {
 		qt.Check(t, text, qt.Not(qt.Equals), "q COMMIT")
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -152,10 +152,7 @@
 	f.session.database = "db"
 	_, _, ok := f.group.WaitLeader(context.Background(), time.Now().Add(5*time.Second))
 	qt.Assert(t, ok, qt.IsTrue)
-	for deadline := time.Now().Add(5 * time.Second); len(f.group.Readers(topology.Position{})) < 2; {
-		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue)
-		<-time.After(time.Millisecond)
-	}
+	eventually(t, "both targets can be read", func() bool { return len(f.group.Readers(topology.Position{})) >= 2 })
 	return f
 }
 
