--- a/test/line/log.go
+++ b/test/line/log.go
@@ -47,3 +47,16 @@
 	}
 	return ""
 }
+
+// logWithoutStatements returns the log without the lines that the relay writes
+// for each statement.
+func logWithoutStatements(path string) string {
+	text, _ := os.ReadFile(path)
+	var kept []string
+	for line := range strings.SplitSeq(string(text), "\n") {
+		if !strings.Contains(line, `"logger":"relay"`) {
+			kept = append(kept, line)
+		}
+	}
+	return strings.Join(kept, "\n")
+}
