--- a/test/standin/target/replicate.go
+++ b/test/standin/target/replicate.go
@@ -223,3 +223,13 @@
 	n.notifyLocked()
 	return nil
 }
+
+// ConfirmsPosition reports whether the server confirms a log position to the primary of the
+// position's term. The server must have the entry and still be in that term:
+// after a change of primary, the entry may be truncated from the server's log
+// at any time.
+func (s *Server) ConfirmsPosition(p topology.Position) bool {
+	s.node.mu.Lock()
+	defer s.node.mu.Unlock()
+	return s.node.persisted.Term == p.Term && s.node.log.positionAt(p.Offset) == p
+}
