relay: hosts no longer send a customer that isn't believed

Cause: RunArgs named the customer for whom a statement runs, and the receiving host found the customer by the key instead. Ruled out: believing the sender, which may have an older configuration. The test now sends a request that names a customer, by the encoding of peer connections.

--- a/internal/relay/authenticate_forwarded_test.go
+++ b/internal/relay/authenticate_forwarded_test.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"bytes"
+	"encoding/gob"
 	"testing"
 	"time"
 
@@ -37,8 +39,12 @@
 func TestForwardedCustomerIsNotBelieved(t *testing.T) {
 	f := newFixture(t, catalog.LatestData)
 	f.withCustomers("", acme, bolt)
+	var sent bytes.Buffer
+	qt.Assert(t, gob.NewEncoder(&sent).Encode(struct{ Database, Key, Customer string }{"db", "k1", "bolt"}), qt.IsNil)
+	var received RunArgs
+	qt.Assert(t, gob.NewDecoder(&sent).Decode(&received), qt.IsNil)
 	s := f.server.newSession(nil)
-	s.applyForwarded(&RunArgs{Database: "db", Key: "k1", Customer: "bolt"})
+	s.applyForwarded(&received)
 	qt.Check(t, s.authenticate(), qt.IsNil)
 	qt.Check(t, s.customer, qt.Equals, topology.CustomerID("acme"))
 }
--- a/internal/relay/crossing.go
+++ b/internal/relay/crossing.go
@@ -335,7 +335,7 @@
 // textBytes returns the length of the texts of a call and its answer.
 func textBytes(args *RunArgs, a *statement.Answer) int {
 	statementBytes := func(st *statement.Statement) int { return len(st.ID) + len(st.Text) + len(st.Name) + len(st.Value) }
-	n := len(args.Database) + len(args.Key) + len(args.Customer) + len(args.Uses) + statementBytes(&args.Statement) + statementBytes(&args.Prepared)
+	n := len(args.Database) + len(args.Key) + len(args.Uses) + statementBytes(&args.Statement) + statementBytes(&args.Prepared)
 	for i := range args.Settings {
 		n += len(args.Settings[i].Text)
 	}
--- a/internal/relay/customers_test.go
+++ b/internal/relay/customers_test.go
@@ -187,7 +187,7 @@
 	f := newCustomerFixture(t, catalog.BoundedAge, share.Homes{Order: []topology.HostID{"b", "self"}, Count: 1})
 	f.awaitReplaceable(t)
 	var reply RunReply
-	args := RunArgs{Configuration: 1, Database: "db", Key: "k", Customer: "acme", Statement: write("a"), Writes: true, Within: time.Second, AtOnce: true}
+	args := RunArgs{Configuration: 1, Database: "db", Key: "k", Statement: write("a"), Writes: true, Within: time.Second, AtOnce: true}
 	qt.Assert(t, f.server.Service().Run(&args, &reply), qt.IsNil)
 	qt.Check(t, reply.Answer.OK(), qt.IsTrue, qt.Commentf("%+v", reply.Answer))
 	qt.Check(t, f.dialer.ranFor(), qt.DeepEquals, []topology.CustomerID{"acme"})
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -30,15 +30,16 @@
 	// configuration refuses the statement.
 	Configuration uint64
 	Database      string
-	Key           string              // given by the caller; "": none
-	Customer      topology.CustomerID // for whom the operation runs; "": no customer
-	Statement     statement.Statement
-	Writes        bool
-	Uses          string              // name of the prepared statement that it runs; "": none
-	Prepared      statement.Statement // the prepared statement of that name
-	Settings      []Setting           // in ascending Sequence
-	Floor         topology.Position   // log position that reads of the session must include
-	Within        time.Duration       // time left until the deadline
+	// Key is the one that the caller gave, "" if none. The receiving host finds the
+	// customer in its own configuration, so that an older one of the sender can't matter.
+	Key       string
+	Statement statement.Statement
+	Writes    bool
+	Uses      string              // name of the prepared statement that it runs; "": none
+	Prepared  statement.Statement // the prepared statement of that name
+	Settings  []Setting           // in ascending Sequence
+	Floor     topology.Position   // log position that reads of the session must include
+	Within    time.Duration       // time left until the deadline
 	// AtOnce makes the host refuse the statement if no connection is free, rather
 	// than queue it.
 	AtOnce bool
@@ -231,7 +232,7 @@
 // forwardArgs returns the statement with its session's state.
 func (r *request) forwardArgs() *RunArgs {
 	args := &RunArgs{
-		Configuration: r.session.server.configurationVersion(), Database: r.session.database, Key: r.session.key, Customer: r.session.customer, Statement: *r.st, Writes: r.writes, Uses: r.preparedName,
+		Configuration: r.session.server.configurationVersion(), Database: r.session.database, Key: r.session.key, Statement: *r.st, Writes: r.writes, Uses: r.preparedName,
 		Floor: r.session.floor, Within: time.Until(r.deadline),
 	}
 	if r.preparedName != "" {
--- a/internal/relay/quota_test.go
+++ b/internal/relay/quota_test.go
@@ -106,7 +106,7 @@
 func TestForwardedOperationCountsOnce(t *testing.T) {
 	f := newFixture(t, catalog.LatestData)
 	limitRate(f)
-	args := RunArgs{Database: "db", Key: "k", Customer: "c", Statement: write("a"), Writes: true, Within: time.Second}
+	args := RunArgs{Database: "db", Key: "k", Statement: write("a"), Writes: true, Within: time.Second}
 	for i := range 2 * startOperations {
 		var reply RunReply
 		qt.Assert(t, f.server.Service().Run(&args, &reply), qt.IsNil)
@@ -134,7 +134,7 @@
 	}
 	qt.Check(t, f.serveStatement(read("a")).Detail, qt.Contains, "rate limit", qt.Commentf("b doesn't tell that it ran nothing"))
 	var reply RunReply
-	args := RunArgs{Configuration: 2, Database: "db", Key: "k", Customer: "c", Statement: write("a"), Writes: true, Within: time.Second}
+	args := RunArgs{Configuration: 2, Database: "db", Key: "k", Statement: write("a"), Writes: true, Within: time.Second}
 	qt.Assert(t, f.server.Service().Run(&args, &reply), qt.IsNil)
 	qt.Check(t, reply.NeverRan, qt.IsTrue, qt.Commentf("this host's configuration is too old"))
 }
