gossip: reported hosts stay sharers while others see them

Cause: a host that was reported and never heard from counted for 8 s after the last list of hosts that named it, and lists stop as soon as all hosts have the same. Present could also dereference a host that was forgotten since the list was built, after a freeze.

Ruled out: sending lists on; that is what the checksum saves. For hosts of an earlier version, which name reads but no confirmations, the behaviour stays and its comment is corrected.

Measured: the new test fails without the change (2 sharers instead of 3); go test ./internal/gossip passes.

--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -188,7 +188,11 @@
 	g.opts.Catalog.RecordReadTimes(catalog.ReadTimes{Configuration: sentAt.Add(-d.ConfigurationRead), Registry: sentAt.Add(-d.RegisterRead)})
 	confirmed := d.ConfigurationConfirmed
 	if confirmed == 0 {
-		confirmed = d.ConfigurationRead // as well as a host of an earlier version knows
+		// A host of an earlier version may know of a read before it has the version that the
+		// read found, so that this confirms too much for that time. Such a host checks no
+		// keys at all, and without it strict hosts would refuse every key until most of the
+		// fleet is replaced.
+		confirmed = d.ConfigurationRead
 	}
 	g.opts.Catalog.RecordConfirmation(d.Configuration, sentAt.Add(-confirmed))
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -143,9 +143,10 @@
 }
 
 // isReported reports whether another host has recently reported the host to be running
-// and this host hasn't heard from it yet.
+// and this host hasn't heard from it yet. Lists of hosts stop as soon as all agree, so
+// that the ages of contacts count as well.
 func (k *knownHost) isReported(now time.Time) bool {
-	return k.lastHeard.IsZero() && !k.reportedAt.IsZero() && now.Sub(k.reportedAt) < livenessTimeout
+	return k.lastHeard.IsZero() && !k.reportedAt.IsZero() && now.Sub(laterOf(k.reportedAt, k.lastReported)) < livenessTimeout
 }
 
 // New returns a Gossip that knows the seed hosts. Call SetClaims before Run.
--- a/internal/gossip/hosts_test.go
+++ b/internal/gossip/hosts_test.go
@@ -97,6 +97,23 @@
 	qt.Check(t, a.Sharers().Hosts, qt.HasLen, 2)
 }
 
+// A host that others go on to see must stay a sharer although lists of hosts, which are the
+// same everywhere, aren't sent any more. It was dropped after livenessTimeout until this
+// host heard from it, and the holders of connections moved twice.
+func TestReportedHostsAreSharersWhileOthersSeeThem(t *testing.T) {
+	n := newFakeNetwork("north", "south", "coast")
+	a, c := n.hosts["a"], n.hosts["c"]
+	c.exchange(t.Context(), "b")
+	a.exchange(t.Context(), "b")
+	a.hosts["c"].reportedAt = a.hosts["c"].reportedAt.Add(-livenessTimeout)
+	a.mergeHeard([]LastSeen{{Host: hashAddr("c"), Ago: 100}}, steady.Now())
+	a.listsBuiltAt = time.Time{}
+	qt.Check(t, a.Sharers().Hosts, qt.HasLen, 3)
+	a.hosts["c"].lastReported = a.hosts["c"].lastReported.Add(-livenessTimeout)
+	a.listsBuiltAt = time.Time{}
+	qt.Check(t, a.Sharers().Hosts, qt.HasLen, 2)
+}
+
 // A host whose seeds start later must not take itself for the only one.
 func TestHostWaitsForItsSeeds(t *testing.T) {
 	n := newFakeNetwork("north", "south")
--- a/internal/gossip/reach.go
+++ b/internal/gossip/reach.go
@@ -19,7 +19,7 @@
 const presentWindow = 3 * time.Second
 
 // Present returns the live hosts that aren't leaving and that were seen recently, this one
-// included. Unlike Sharers, it leaves out a host that restarts.
+// included. Unlike Sharers, it leaves out a host that restarts. Only Hosts and Version are set.
 func (g *Gossip) Present() Sharers {
 	now := steady.Now()
 	g.mu.Lock()
@@ -30,7 +30,8 @@
 	list := slices.Clone(g.freshLists(now).live)
 	if len(g.hosts) <= reportedFleetLimit {
 		list = slices.DeleteFunc(list, func(h topology.Host) bool {
-			return h.ID != g.self.Addr && now.Sub(g.hosts[h.ID].lastSeen()) >= presentWindow
+			k := g.hosts[h.ID]
+			return h.ID != g.self.Addr && (k == nil || now.Sub(k.lastSeen()) >= presentWindow)
 		})
 	}
 	if !slices.Equal(list, g.present.Hosts) {
