gossip: lists of hosts carry their failure domains and weights

Cause: where connections belong to customers, a group's holders are chosen by domain and weight. Hosts that were only reported had neither, so that each host chose itself too often while all started. Ruled out: one connection each until all have been heard (half a minute with 139 hosts), and a change of the checksum, which hosts of earlier versions must agree on. Hosts of earlier versions send no places, and those that they alone report are chosen as before. Deployments without customers and prices choose by address alone and aren't affected.

--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -32,6 +32,14 @@
 	Weight    float64 // the host's share of a processor core; 0: unknown
 }
 
+// HostPlace is what the choice of holders depends on besides a host's address. Hosts that
+// chose without it for those that they haven't heard from yet, half of 139 in the first
+// seconds, would choose others than the rest of the fleet.
+type HostPlace struct {
+	Domain topology.Domain // "": unknown
+	Weight float64         // see Host
+}
+
 // LastSeen holds the time since a host was last seen, directly or as reported by others.
 type LastSeen struct {
 	Host uint64 // hashAddr of its address, which takes a third of the bytes
@@ -65,7 +73,9 @@
 	// digest of the other host had the same Sum.
 	Sum   uint64
 	Hosts []topology.HostID
-	Heard []LastSeen
+	// Places are those of Hosts, in the same order. Hosts of earlier versions send none.
+	Places []HostPlace
+	Heard  []LastSeen
 	// ConfigurationRead and RegisterRead are the times since any host last read
 	// the configuration and the registry from the store, as far as the sender knows.
 	ConfigurationRead, RegisterRead time.Duration
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -80,10 +80,11 @@
 	d.ConfigurationRead, d.RegisterRead = now.Sub(reads.Configuration), now.Sub(reads.Registry)
 	d.ConfigurationConfirmed = max(1, now.Sub(confirmedAt))
 	d.Hosts = g.announcedHosts()
+	d.Places = g.announcedPlaces
 	d.Heard = g.heardAges(d.Claims, now)
 	d.Sum = checksum(g.announcedHash, d.Claims)
 	if k := g.hosts[recipient]; k != nil && k.lastSum == d.Sum {
-		d.Hosts, d.Claims = nil, nil
+		d.Hosts, d.Places, d.Claims = nil, nil, nil
 	}
 	return d
 }
@@ -121,8 +122,8 @@
 // by this host or by others, and aren't silent. If each host named only those that it has
 // heard from itself, lists would differ for half a minute after 139 hosts have started, and
 // be sent in every message. Relayed ages never get younger, so that hosts don't keep a dead
-// one alive for each other. The list and announcedHash are kept until one of these
-// hosts changes. The caller holds g.mu and doesn't modify the list.
+// one alive for each other. The list, announcedPlaces and announcedHash are kept until one
+// of these hosts changes. The caller holds g.mu and doesn't modify the list.
 func (g *Gossip) announcedHosts() []topology.HostID {
 	if g.announced != nil {
 		return g.announced
@@ -133,6 +134,10 @@
 			list = append(list, id)
 		}
 	}
+	g.announcedPlaces = make([]HostPlace, 0, len(list))
+	for _, id := range list {
+		g.announcedPlaces = append(g.announcedPlaces, g.hosts[id].place())
+	}
 	g.announced, g.announcedHash = list, hashHosts(append(slices.Clone(list), g.self.Addr))
 	return list
 }
@@ -171,7 +176,7 @@
 	if g.opts.OnStoreEra != nil {
 		g.opts.OnStoreEra(d.StoreEra)
 	}
-	g.addReported(d.Hosts)
+	g.addReported(d.Hosts, d.Places)
 	g.recordSender(d)
 	for _, c := range d.Claims {
 		g.claims.Learn(c)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -92,6 +92,7 @@
 	contact      Contact
 	addedAt      time.Time // when this host first learned its address
 	reportedAt   time.Time // while it was never heard from: when another host last reported it to be running
+	reported     HostPlace // while it was never heard from: as others report it
 	silent       bool      // considered silent; set when that is logged
 	offers       []Offer
 	lastSum      uint64 // Sum of its latest digest
@@ -119,10 +120,11 @@
 	// firstHeardAt is when the first digest of another host arrived.
 	firstHeardAt time.Time
 	uploads      [snapshotKinds]uploads
-	// announced and announcedHash are those of announcedHosts. announced is nil after a
-	// change.
-	announced     []topology.HostID
-	announcedHash xxhash.Digest
+	// announced, announcedPlaces and announcedHash are those of announcedHosts. announced is
+	// nil after a change.
+	announced       []topology.HostID
+	announcedPlaces []HostPlace
+	announcedHash   xxhash.Digest
 	// lists is rebuilt once it is older than listsMaxAge, and at the next call after a
 	// host joins, restarts or leaves.
 	lists          hostLists
@@ -149,6 +151,14 @@
 	return k.lastHeard.IsZero() && !k.reportedAt.IsZero() && now.Sub(laterOf(k.reportedAt, k.lastReported)) < livenessTimeout
 }
 
+// place returns the host's place as it announced it, or else as others report it.
+func (k *knownHost) place() HostPlace {
+	if k.lastHeard.IsZero() {
+		return k.reported
+	}
+	return HostPlace{Domain: k.host.Domain, Weight: k.host.Weight}
+}
+
 // New returns a Gossip that knows the seed hosts. Call SetClaims before Run.
 func New(opts Options) *Gossip {
 	g := &Gossip{opts: opts, self: opts.Self, roundRequested: make(chan struct{}, 1), startedAt: steady.Now(), fetchers: newFetchers(),
@@ -172,12 +182,13 @@
 	}
 }
 
-// addReported adds hosts that another host reports to be running.
-func (g *Gossip) addReported(addrs []topology.HostID) {
+// addReported adds hosts that another host reports to be running. places is empty if that
+// host is of an earlier version.
+func (g *Gossip) addReported(addrs []topology.HostID, places []HostPlace) {
 	now := steady.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, addr := range addrs {
+	for i, addr := range addrs {
 		if addr == g.self.Addr {
 			continue
 		}
@@ -188,6 +199,9 @@
 		}
 		if k.lastHeard.IsZero() {
 			k.reportedAt = now
+			if len(places) == len(addrs) && places[i].Domain != "" && places[i] != k.reported {
+				k.reported, g.announced = places[i], nil
+			}
 		}
 	}
 }
--- a/internal/gossip/hosts.go
+++ b/internal/gossip/hosts.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strings"
@@ -284,7 +285,7 @@
 	aloneTime = 6 * time.Second
 )
 
-// unknownDomain is the failure domain of a sharer from which this host hasn't heard yet.
+// unknownDomain is the failure domain of a sharer that was reported without one.
 const unknownDomain topology.Domain = "?"
 
 // Sharers is the list of hosts that share the connections to the targets, with
@@ -353,7 +354,8 @@
 			}
 		case k.isReported(now):
 			recent++
-			list = append(list, topology.Host{ID: id, Domain: unknownDomain, State: topology.HostLive})
+			place := k.place()
+			list = append(list, topology.Host{ID: id, Domain: cmp.Or(place.Domain, unknownDomain), State: topology.HostLive, Weight: place.Weight})
 		}
 	}
 	if len(list) > live {
