relay: a key that moved during a transaction is answered ABORTED

Cause: a caller whose key moves to another customer in its transaction was told NOAUTH by the host that runs it, although the key is present, and callers don't repeat an operation after NOAUTH. For a transaction that runs on another host and was ended between statements it was ABORTED already, so the decision stood twice. Ruled out: going on under the earlier customer, whose key it no longer is. Nothing of the transaction is kept either way.

--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -41,7 +41,7 @@
 	Keys     []string // keys that identify the customer's callers, sorted
 	Rate     float64  // operations per second over all hosts together; 0: no limit
 	Burst    float64  // operations above Rate that may run at once
-	Priority int      // 0 is the highest priority
+	Priority int      // 0 is the highest. It decides nothing: requests wait by their route's priority.
 }
 
 // Configuration is one complete version of the configuration.
--- a/internal/relay/authenticate.go
+++ b/internal/relay/authenticate.go
@@ -41,7 +41,8 @@
 		return &keyRefusal{code: statement.Busy, detail: unconfirmedDetail, reason: "unconfirmed"}
 	}
 	if v == keys.Moved {
-		return &keyRefusal{code: statement.NoAuth, detail: "the key belongs to another customer now", reason: v.String()}
+		// The key is known, so that NOAUTH would be wrong; nothing of the transaction is kept.
+		return &keyRefusal{code: statement.Aborted, detail: "the key belongs to another customer now", reason: v.String()}
 	}
 	return &keyRefusal{code: statement.NoAuth, detail: "no customer has this key", reason: v.String()}
 }
--- a/internal/relay/authenticate_test.go
+++ b/internal/relay/authenticate_test.go
@@ -85,6 +85,11 @@
 	qt.Check(t, time.Since(began) < 5*time.Second, qt.IsTrue)
 }
 
+// endOfTransaction is the answer to a caller whose key was removed or moved during its
+// transaction. A key that moved is present, so that NOAUTH would be wrong, and callers
+// don't repeat an operation after it.
+var endOfTransaction = map[string]statement.Code{"removed": statement.NoAuth, "moved": statement.Aborted}
+
 // A transaction whose key was removed or moved must be rolled back at its target, and its
 // commit must be refused. Until the caller ends it, it counts as failed: otherwise the
 // rest of its statements would run one by one after the key is back.
@@ -101,7 +106,7 @@
 			qt.Assert(t, conn.inTransaction, qt.IsTrue, comment)
 			v.set(next...)
 			a := f.serveStatement(st)
-			qt.Check(t, a.Code, qt.Equals, statement.NoAuth, comment)
+			qt.Check(t, a.Code, qt.Equals, endOfTransaction[name], comment)
 			qt.Check(t, conn.inTransaction, qt.IsFalse, comment)
 			qt.Check(t, f.leader.receivedTexts(), qt.DeepEquals, []string{"q WRITE a x"}, comment)
 			if st.Kind == statement.Commit {
--- a/internal/relay/keywatch.go
+++ b/internal/relay/keywatch.go
@@ -86,7 +86,9 @@
 	if bound := keys.CheckBound(c, s.routeIsPublic(c), s.key, s.customer); bound == keys.Unknown || bound == keys.Moved {
 		transactionsEndedByKey.Inc()
 		s.abortTransaction("key " + bound.String())
-		s.tx.unreportedCode = statement.NoAuth
+		if bound == keys.Unknown {
+			s.tx.unreportedCode = statement.NoAuth // as judgeKey does
+		}
 	}
 }
 
--- a/internal/relay/keywatch_test.go
+++ b/internal/relay/keywatch_test.go
@@ -41,11 +41,7 @@
 		eventually(t, name, func() bool { return f.server.forwardedTxs.count() == 1 })
 		args := &RunArgs{Database: "db", Key: "k1", Statement: commit, Within: time.Second, Transaction: Transaction{Key: "k1"}}
 		a := f.runForwarded(args)
-		if name == "removed" {
-			qt.Check(t, a.Code, qt.Equals, statement.NoAuth)
-		} else {
-			qt.Check(t, a.Code, qt.Equals, statement.Aborted)
-		}
+		qt.Check(t, a.Code, qt.Equals, endOfTransaction[name])
 		qt.Check(t, a.State, qt.Equals, statement.Failed)
 		args = &RunArgs{Database: "db", Key: "k2", Statement: commit, Within: time.Second, Transaction: Transaction{Key: "k2"}}
 		qt.Check(t, f.runForwarded(args).OK(), qt.IsTrue, qt.Commentf("the other customer's transaction"))
@@ -104,7 +100,7 @@
 		v.set(next...)
 		eventually(t, name, func() bool { return transactionsEndedByKey.Get() == aborted+1 })
 		a := c.exec(write("b"))
-		qt.Check(t, a.Code, qt.Equals, statement.NoAuth, qt.Commentf("%s", name))
+		qt.Check(t, a.Code, qt.Equals, endOfTransaction[name], qt.Commentf("%s", name))
 		qt.Check(t, a.State, qt.Equals, statement.Failed)
 		qt.Check(t, f.leader.receivedTexts(), qt.DeepEquals, []string{"q WRITE a x"})
 		if name == "moved" {
--- a/test/line/keys_test.go
+++ b/test/line/keys_test.go
@@ -120,7 +120,7 @@
 		b.ConfigureKeys(version, map[string][]string{"acme": {"ka", "kb"}, "bolt": nil})
 		b.awaitKeys(map[string]string{"ka": "", "ka2": "NOAUTH", "kb": ""})
 		_, code, state = moved.Query(id("mrefused") + " WRITE " + id("moved") + " 2")
-		qt.Check(t, code, qt.Equals, "NOAUTH")
+		qt.Check(t, code, qt.Equals, "ABORTED")
 		qt.Check(t, state, qt.Equals, "E")
 		_, code, state = moved.Query(id("mend") + " ROLLBACK")
 		qt.Check(t, code, qt.Equals, "COMPLETE")
