share: same backoff after refused dials with and without customers

Cause: the delay after a target refused a connection was computed twice. Where connections belong to customers, pauseDials added no jitter and stopped at 0.8 s also for a pool that has a connection, so that hosts refused together dialled together and pools with connections dialled up to four times as often as dialMissing.

Ruled out: one shared state for both kinds of dials; dialMissing starts with the shortest delay each time connections are missing, and keeps that. Delays after other failures are as before.

Change: dialBackoff.next computes the delay for both. TestPoolDialsFullTargetRarely runs with customers as well, and TestRefusedPoolsDialApart is new.

--- a/internal/share/backoff_test.go
+++ b/internal/share/backoff_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,11 +19,15 @@
 // refused 13,044 connections.
 func TestPoolDialsFullTargetRarely(t *testing.T) {
 	const minute = time.Minute
-	for _, test := range []struct{ limit, maxRefused int }{{0, 95}, {1, 26}} {
+	customers := &Customers{Known: map[topology.CustomerID]bool{"a": true}, Preopen: []topology.CustomerID{"a", "a"}}
+	for _, test := range []struct {
+		limit, maxRefused int
+		customers         *Customers
+	}{{0, 95, nil}, {1, 26, nil}, {0, 95, customers}, {1, 26, customers}} {
 		synctest.Test(t, func(t *testing.T) {
 			d := &fakeDialer{limit: test.limit}
 			refused := 0
-			p := NewPool(Options{Dialer: d, Size: 2, OnDial: func(_ topology.TargetID, err error) {
+			p := NewPool(Options{Dialer: d, Size: 2, Customers: test.customers, OnDial: func(_ topology.TargetID, err error) {
 				var dialErr *statement.DialError
 				if errors.As(err, &dialErr) {
 					refused++
@@ -30,7 +35,7 @@
 			}})
 			time.Sleep(minute)
 			synctest.Wait()
-			qt.Check(t, refused <= test.maxRefused, qt.IsTrue, qt.Commentf("%d dials refused with %d connections open", refused, test.limit))
+			qt.Check(t, refused <= test.maxRefused, qt.IsTrue, qt.Commentf("%d dials refused with %d connections open, by customer: %t", refused, test.limit, test.customers != nil))
 			d.mu.Lock()
 			d.limit = 2
 			d.mu.Unlock()
@@ -42,3 +47,36 @@
 		})
 	}
 }
+
+// Hosts that a target at its limit refuses together must not dial together again, whether
+// connections belong to customers or not; each round of them would use up the room that
+// is left at once and be refused once more.
+func TestRefusedPoolsDialApart(t *testing.T) {
+	const pools = 20
+	for _, customers := range []*Customers{nil, {Preopen: []topology.CustomerID{"a"}}} {
+		synctest.Test(t, func(t *testing.T) {
+			var mu sync.Mutex
+			at := map[time.Time]int{}
+			start := time.Now()
+			for range pools {
+				p := NewPool(Options{Dialer: &fakeDialer{}, Size: 1, Customers: customers, OnDial: func(topology.TargetID, error) {
+					mu.Lock()
+					defer mu.Unlock()
+					at[time.Now()]++
+				}})
+				defer p.Close()
+			}
+			time.Sleep(10 * time.Second)
+			synctest.Wait()
+			mu.Lock()
+			defer mu.Unlock()
+			together := 0
+			for when, dials := range at {
+				if when.After(start) {
+					together = max(together, dials)
+				}
+			}
+			qt.Check(t, together > 0 && together <= pools/4, qt.IsTrue, qt.Commentf("%d of %d pools dialled together, by customer: %t", together, pools, customers != nil))
+		})
+	}
+}
--- a/internal/share/bycustomer.go
+++ b/internal/share/bycustomer.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cockroachdb/errors"
 
 	"nettlewalk.example/nettlewalk/internal/statement"
 	"nettlewalk.example/nettlewalk/internal/topology"
@@ -235,10 +234,10 @@
 	u := p.useOf(customer, now)
 	u.dialing--
 	if err != nil {
-		p.pauseDials(err, now)
+		p.dialPausedUntil = now.Add(p.backoff.next(err, p.open > 0))
 	} else {
 		p.dialTime += (now.Sub(start) - p.dialTime) / holdEWMADivisor
-		p.dialBackoff, p.rejectedBackoff = minDialBackoff, minRejectedBackoff
+		p.backoff = newDialBackoff()
 		c := &Conn{Conn: conn, pool: p, Customer: customer, Prepared: map[string]string{}, lastUsed: now}
 		p.open++
 		u.open++
@@ -261,18 +260,6 @@
 	p.grant(c, now)
 }
 
-// pauseDials delays further dials after a failed one. The caller holds p.mu.
-func (p *Pool) pauseDials(err error, now time.Time) {
-	var dialErr *statement.DialError
-	wait := p.dialBackoff
-	if errors.As(err, &dialErr) && (dialErr.Outcome == statement.DialRejected || dialErr.Outcome == statement.DialNoHandshake) {
-		wait, p.rejectedBackoff = p.rejectedBackoff, min(2*p.rejectedBackoff, maxRejectedBackoff)
-	} else {
-		p.dialBackoff = min(2*p.dialBackoff, maxDialBackoff)
-	}
-	p.dialPausedUntil = now.Add(wait)
-}
-
 // grantByCustomer hands a free connection to the first waiting request of its
 // customer, unless another customer gets it by replacement. The caller holds p.mu.
 func (p *Pool) grantByCustomer(c *Conn, now time.Time) {
--- a/internal/share/pool.go
+++ b/internal/share/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -14,21 +13,6 @@
 )
 
 const (
-	minDialBackoff = 100 * time.Millisecond // after the first failed dial; a target takes seconds to restart
-	maxDialBackoff = 1 * time.Second        // upper bound on the delay between dials
-	// minRejectedBackoff is the first delay after a target refused a connection
-	// because it was at its limit, or accepted it without a protocol response.
-	// Connections of hosts that lost power linger at the target for seconds.
-	minRejectedBackoff = 200 * time.Millisecond
-	// maxRejectedBackoff is the upper bound on that delay, which doubles with each
-	// further such refusal.
-	maxRejectedBackoff = 800 * time.Millisecond
-	// maxSurplusBackoff is that upper bound for a pool that has a connection already. It
-	// is as long as connections of lost hosts linger.
-	maxSurplusBackoff = 3200 * time.Millisecond
-	// backoffJitter is the part of a delay by which it is varied at random, so that hosts
-	// that were refused together don't dial together.
-	backoffJitter = 0.25
 	// initialMeanHold is the assumed time for which a request holds a
 	// connection, before the first measurement: a few milliseconds of work and
 	// a round trip.
@@ -87,8 +71,7 @@
 	dialTime        time.Duration // moving average of how long a dial takes
 	budget          dialBudget
 	dialPausedUntil time.Time // after a failed dial
-	dialBackoff     time.Duration
-	rejectedBackoff time.Duration
+	backoff         dialBackoff
 	rechecking      bool   // a timer will call scheduleDials
 	active          int    // connections with a statement in flight or about to be sent
 	grants          uint64 // to waiting requests
@@ -101,7 +84,7 @@
 	p := &Pool{
 		opts: opts, ctx: ctx, stop: stop, size: opts.Size, meanHold: initialMeanHold,
 		customers: opts.Customers, byCustomer: opts.Customers != nil, use: map[topology.CustomerID]*customerUse{},
-		dialTime: initialDialTime, dialBackoff: minDialBackoff, rejectedBackoff: minRejectedBackoff,
+		dialTime: initialDialTime, backoff: newDialBackoff(),
 	}
 	p.mu.Lock()
 	p.startDialing()
@@ -375,14 +358,14 @@
 // dialMissing dials until no connection is missing or the pool is closed, with
 // backoff after failures.
 func (p *Pool) dialMissing() {
-	dialBackoff, rejectedBackoff := minDialBackoff, minRejectedBackoff
+	backoff := newDialBackoff()
 	for {
 		dialStart := time.Now()
 		conn, err := p.opts.Dialer.Dial(p.ctx, p.opts.Target, "")
 		dialTimes.Update(time.Since(dialStart).Seconds())
 		p.opts.OnDial(p.opts.Target.ID, err)
 		if err == nil {
-			dialBackoff, rejectedBackoff = minDialBackoff, minRejectedBackoff
+			backoff = newDialBackoff()
 		}
 		if !p.addDialed(conn, err) {
 			return
@@ -390,38 +373,15 @@
 		if err == nil {
 			continue
 		}
-		var dialErr *statement.DialError
-		wait := dialBackoff
-		if errors.As(err, &dialErr) && (dialErr.Outcome == statement.DialRejected || dialErr.Outcome == statement.DialNoHandshake) {
-			longest := p.maxRejectedBackoff()
-			wait, rejectedBackoff = jittered(min(rejectedBackoff, longest)), min(2*rejectedBackoff, longest)
-		} else {
-			dialBackoff = min(2*dialBackoff, maxDialBackoff)
-		}
 		select {
 		case <-p.ctx.Done():
 			p.addDialed(nil, nil)
 			return
-		case <-time.After(wait):
+		case <-time.After(backoff.next(err, p.Load().Open > 0)):
 		}
 	}
 }
 
-// maxRejectedBackoff returns the upper bound on the delay after a target refused a
-// connection because it was at its limit.
-func (p *Pool) maxRejectedBackoff() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.open > 0 {
-		return maxSurplusBackoff
-	}
-	return maxRejectedBackoff
-}
-
-func jittered(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * (1 + backoffJitter*(2*rand.Float64()-1)))
-}
-
 // addDialed adds a newly dialed connection and reports whether more are
 // missing.
 func (p *Pool) addDialed(conn statement.Conn, err error) bool {
