share, group: pools forget customers that were removed

Cause: a request of a customer makes the connections belong to customers until the pool learns of the configuration. After SetCustomers(nil) one such request in flight did that for good, as Pool and Group return early if the configuration is the same: the pool kept that customer's connections and opened none ahead of demand. Waiting requests of customers were also served on connections that belong to nobody after SetCustomers(nil).

Ruled out: ignoring late requests once the customers were removed; customers that are configured again would then be served on connections of nobody until the next sync.

Change: the pool returns early only if its connections belong to what the configuration says, the group passes the configuration on at each sync, and SetCustomers(nil) ends the waits of customers. The random changes in TestConnectionsOnlyServeTheirCustomer now also remove the customers.

--- a/internal/group/customers_test.go
+++ b/internal/group/customers_test.go
@@ -5,7 +5,10 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
 
+	"nettlewalk.example/nettlewalk/internal/catalog"
+	"nettlewalk.example/nettlewalk/internal/share"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
@@ -38,3 +41,23 @@
 	qt.Check(t, first(0), qt.Equals, topology.TargetID("leader"))
 	qt.Check(t, first(30*time.Millisecond), qt.Equals, topology.TargetID("replica"))
 }
+
+// After the customers were removed, each further sync must undo what a late request of a
+// customer changed in a pool, although the configuration is the same.
+func TestGroupForgetsRemovedCustomersAfterLateRequest(t *testing.T) {
+	g := New(Options{ID: "g", Dialer: leadingDialer{}, Log: logr.Discard()})
+	defer g.Close()
+	g.SetCustomers(&share.Customers{Known: map[topology.CustomerID]bool{"a": true}})
+	g.SetMembers([]catalog.Member{{Target: topology.Target{ID: "t", Group: "g"}}}, func(topology.Target) int { return 1 })
+	g.SetCustomers(nil)
+	g.mu.Lock()
+	pool := g.members["t"].pool
+	g.mu.Unlock()
+	c, err := pool.Acquire("a", time.Now().Add(time.Second), time.Second, 1)
+	if err == nil {
+		pool.Release(c, true)
+	}
+	qt.Check(t, pool.LoadFor("a").ByCustomer, qt.IsTrue)
+	g.SetCustomers(nil)
+	qt.Check(t, pool.LoadFor("a").ByCustomer, qt.IsFalse)
+}
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -79,13 +79,11 @@
 }
 
 // SetCustomers makes the connections to the targets belong to customers, or to nobody
-// if c is nil. An unchanged configuration must be the same pointer.
+// if c is nil. An unchanged configuration must be the same pointer. It is passed on also
+// if unchanged, see share.Pool.SetCustomers.
 func (g *Group) SetCustomers(c *share.Customers) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.customers == c {
-		return
-	}
 	g.customers = c
 	for _, m := range g.members {
 		m.pool.SetCustomers(c)
--- a/internal/share/bycustomer.go
+++ b/internal/share/bycustomer.go
@@ -28,14 +28,20 @@
 	Preopen []topology.CustomerID        // customers of the connections to open ahead of demand
 }
 
-// SetCustomers makes the connections belong to customers, or to nobody if c is nil.
+// SetCustomers makes the connections belong to customers, or to nobody if c is nil. It
+// must be called again from time to time, also with an unchanged c: a request of a
+// customer that was in flight during SetCustomers(nil) makes them belong to customers
+// again until the next call.
 func (p *Pool) SetCustomers(c *Customers) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c == p.customers {
+	if c == p.customers && p.byCustomer == (c != nil) {
 		return
 	}
 	p.customers, p.byCustomer = c, c != nil
+	if c == nil {
+		p.queue.dropCustomers() // a connection that belongs to nobody must not serve them
+	}
 	kept := p.idle[:0:0]
 	for _, conn := range p.idle {
 		if p.mayKeep(conn) {
--- a/internal/share/customers_test.go
+++ b/internal/share/customers_test.go
@@ -69,6 +69,9 @@
 				ids = append(ids, topology.CustomerID(fmt.Sprintf("c%d", i)))
 			}
 			configure := func() *Customers {
+				if r.IntN(6) == 0 {
+					return nil // the customers were removed
+				}
 				c := &Customers{Known: map[topology.CustomerID]bool{}}
 				var weights []CustomerWeight
 				for _, id := range ids {
@@ -322,6 +325,30 @@
 	})
 }
 
+// A request of a customer that was in flight when the customers were removed must not make
+// the connections belong to customers for good: the pool would keep those of the customer
+// and open none ahead of demand.
+func TestPoolForgetsRemovedCustomersAfterLateRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dialer := &simTarget{slots: make(chan struct{}, simWorkSlots)}
+		customers := &Customers{Known: map[topology.CustomerID]bool{"a": true}, Preopen: []topology.CustomerID{"a", "a"}}
+		pool := NewPool(Options{Dialer: dialer, Size: 2, OnDial: func(topology.TargetID, error) {}, Customers: customers})
+		defer pool.Close()
+		time.Sleep(time.Second)
+		pool.SetCustomers(nil)
+		late, err := pool.Acquire("a", time.Now().Add(time.Second), time.Second, 1)
+		qt.Assert(t, err, qt.IsNil)
+		pool.Release(late, true)
+		qt.Check(t, pool.LoadFor("a").ByCustomer, qt.IsTrue)
+		pool.SetCustomers(nil)
+		time.Sleep(time.Second)
+		qt.Check(t, pool.LoadFor("a").ByCustomer, qt.IsFalse)
+		qt.Check(t, pool.TryAcquire("a"), qt.IsNil)
+		qt.Check(t, pool.Load().Idle, qt.Equals, 2)
+		qt.Check(t, pool.TryAcquire(""), qt.IsNotNil)
+	})
+}
+
 // While a target refuses connections, a pool doesn't dial it more often for the
 // requests that wait.
 func TestFailedDialsAreFarApart(t *testing.T) {
--- a/internal/share/queue.go
+++ b/internal/share/queue.go
@@ -63,6 +63,16 @@
 	}
 }
 
+// dropCustomers ends the wait of requests of customers.
+func (q *waitQueue) dropCustomers() {
+	for i := len(q.waiters) - 1; i >= 0; i-- {
+		if w := q.waiters[i]; w.customer != "" {
+			q.removeAt(i)
+			close(w.granted)
+		}
+	}
+}
+
 func (q *waitQueue) removeAt(i int) {
 	w := q.waiters[i]
 	q.waiters = slices.Delete(q.waiters, i, i+1)
