share: choose weighted holders without sorting all hosts

Cause: whenever the list of hosts changed, WeightedHolders hashed and sorted all hosts again for each group, while Holders.mu was held, which the routing of requests takes.

Ruled out: a bound on the score that avoids most logarithms; it is hard to prove equal for extreme weights, and hosts of different versions must choose alike.

Change: hash, weight and domain of each host are computed once per list. For a group only the best hosts of each domain are kept, as many as are needed, in one pass. The choice is made without the lock.

--- a/internal/share/holders.go
+++ b/internal/share/holders.go
@@ -19,19 +19,32 @@
 	index   *fleet.Index
 	groups  map[topology.GroupID][]topology.Host
 	// weighted are the holders of groups whose connections belong to customers.
-	weighted map[topology.GroupID][]topology.Host
+	weighted      map[topology.GroupID][]topology.Host
+	weightedIndex *weightedIndex // nil until it is needed
 }
 
 // WeightedForGroup is ForGroup where connections belong to customers, see
-// WeightedHolders.
+// WeightedHolders. The choice costs a pass over all hosts for each group whenever the list
+// changes, so that it is made without holding h.mu, which the routing of requests takes.
 func (h *Holders) WeightedForGroup(id topology.GroupID, n int, hosts []topology.Host, version uint64) []topology.Host {
 	h.mu.Lock()
-	defer h.mu.Unlock()
 	h.update(hosts, version)
-	if len(h.weighted[id]) != n {
-		h.weighted[id] = WeightedHolders(id, n, hosts)
+	if holders := h.weighted[id]; len(holders) == n {
+		h.mu.Unlock()
+		return holders
+	}
+	if h.weightedIndex == nil {
+		h.weightedIndex = newWeightedIndex(hosts)
+	}
+	index := h.weightedIndex
+	h.mu.Unlock()
+	holders := index.holders(id, n)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.weightedIndex == index { // otherwise the list has changed
+		h.weighted[id] = holders
 	}
-	return h.weighted[id]
+	return holders
 }
 
 // update drops what was computed for another list of hosts. The caller holds h.mu.
@@ -39,6 +52,7 @@
 	if h.index == nil || h.version != version {
 		h.version, h.index = version, fleet.NewIndex(hosts)
 		h.groups, h.weighted = map[topology.GroupID][]topology.Host{}, map[topology.GroupID][]topology.Host{}
+		h.weightedIndex = nil
 	}
 }
 
--- a/internal/share/homes.go
+++ b/internal/share/homes.go
@@ -68,38 +68,110 @@
 // holders, as far as they have hosts, so that the loss of one leaves most of them. The
 // loss of a host moves only the groups that it held.
 func WeightedHolders(group topology.GroupID, n int, hosts []topology.Host) []topology.Host {
-	type ranked struct {
-		topology.Host
-		score float64
-	}
-	key := xxhash.Sum64String(string(group))
-	list := make([]ranked, len(hosts))
+	return newWeightedIndex(hosts).holders(group, n)
+}
+
+// weightedIndex is what WeightedHolders needs of a list of hosts for any group. It isn't
+// modified once it is built.
+type weightedIndex struct {
+	hosts   []topology.Host
+	domains [][]weightedHost
+}
+
+type weightedHost struct {
+	position int // in hosts
+	hash     uint64
+	weight   float64
+}
+
+func newWeightedIndex(hosts []topology.Host) *weightedIndex {
+	x := &weightedIndex{hosts: hosts}
+	domains := map[topology.Domain]int{} // indexes into x.domains
 	for i, host := range hosts {
+		d, ok := domains[host.Domain]
+		if !ok {
+			d = len(x.domains)
+			domains[host.Domain] = d
+			x.domains = append(x.domains, nil)
+		}
 		weight := host.Weight
 		if weight <= 0 {
 			weight = unknownHostWeight
 		}
-		uniform := (float64(mix(key^xxhash.Sum64String(string(host.ID)))>>11) + 0.5) / (1 << 53)
-		list[i] = ranked{host, -weight / math.Log(uniform)}
+		x.domains[d] = append(x.domains[d], weightedHost{i, xxhash.Sum64String(string(host.ID)), weight})
+	}
+	return x
+}
+
+// scoredHost is a host with its score for one group.
+type scoredHost struct {
+	position int
+	score    float64
+}
+
+// compare orders the best host first.
+func (x *weightedIndex) compare(a, b scoredHost) int {
+	if c := cmp.Compare(b.score, a.score); c != 0 {
+		return c
+	}
+	return cmp.Compare(x.hosts[a.position].ID, x.hosts[b.position].ID)
+}
+
+// holders returns the n holders of a group, see WeightedHolders: the best host of each
+// domain, then the second best of each, and so on.
+func (x *weightedIndex) holders(group topology.GroupID, n int) []topology.Host {
+	key := xxhash.Sum64String(string(group))
+	rounds := x.rounds(n)
+	byRound := make([][]scoredHost, rounds)
+	best := make([]scoredHost, 0, rounds+1)
+	for _, domain := range x.domains {
+		best = x.best(key, domain, rounds, best[:0])
+		for round, host := range best {
+			byRound[round] = append(byRound[round], host)
+		}
 	}
-	slices.SortFunc(list, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.ID, b.ID))
-	})
 	var holders []topology.Host
-	byDomain := map[topology.Domain]int{}
-	for limit := 1; len(holders) < n && len(list) > 0; limit++ {
-		list = slices.DeleteFunc(list, func(r ranked) bool {
-			if len(holders) >= n || byDomain[r.Domain] >= limit {
-				return false
-			}
-			byDomain[r.Domain]++
-			holders = append(holders, r.Host)
-			return true
-		})
+	for _, list := range byRound {
+		slices.SortFunc(list, x.compare)
+		for _, host := range list[:min(len(list), n-len(holders))] {
+			holders = append(holders, x.hosts[host.position])
+		}
 	}
 	return holders
 }
 
+// rounds returns how many hosts of each domain are needed for n holders.
+func (x *weightedIndex) rounds(n int) int {
+	n = min(n, len(x.hosts))
+	for rounds := 0; ; rounds++ {
+		available := 0
+		for _, domain := range x.domains {
+			available += min(len(domain), rounds)
+		}
+		if available >= n {
+			return rounds
+		}
+	}
+}
+
+// best appends the at most n best of the hosts to list, which must be empty.
+func (x *weightedIndex) best(key uint64, hosts []weightedHost, n int, list []scoredHost) []scoredHost {
+	for _, host := range hosts {
+		uniform := (float64(mix(key^host.hash)>>11) + 0.5) / (1 << 53)
+		scored := scoredHost{host.position, -host.weight / math.Log(uniform)}
+		if len(list) == n && x.compare(list[n-1], scored) < 0 {
+			continue
+		}
+		i := len(list)
+		for i > 0 && x.compare(scored, list[i-1]) < 0 {
+			i--
+		}
+		list = slices.Insert(list, i, scored)
+		list = list[:min(len(list), n)]
+	}
+	return list
+}
+
 // CustomerShares returns each customer's share of the sum of the configured rates. A
 // customer without a rate counts as an average one.
 func CustomerShares(rates map[topology.CustomerID]float64) map[topology.CustomerID]float64 {
