host: cache customers of all groups, outside of the lock

Cause: for a group of which a host holds no connections, groupCustomers built the IDs of the holders again at each call, every 250 ms for each group. Once 20,000 homes were cached, the customers of groups were dropped with the homes, so that all pools got new pointers for the same customers. Homes and customers were computed while homeCache.mu was held, which the routing of requests takes.

Ruled out: dropping part of the homes when there are too many; it needs an order of use, and the customers of groups are what must stay.

Change: the result for groups without connections is cached too, the limit drops only the homes, and both are computed without the lock and kept if neither the configuration nor the hosts have changed.

Measured: on the earlier code, split only so that the tests can pass the list of hosts, TestCustomersOfGroupsAreCached fails (1 allocation for each call, 0 wanted) and TestFullHomeCacheKeepsCustomersOfGroups fails (another pointer). With the change both pass, as do go vet, go test and go test -race of cmd.

--- a/cmd/nettlewalk/fleetcustomers.go
+++ b/cmd/nettlewalk/fleetcustomers.go
@@ -18,8 +18,9 @@
 	hosts  uint64 // version of the list of hosts
 	shares map[topology.CustomerID]float64
 	homes  map[homeKey]share.Homes
-	groups map[topology.GroupID]*share.Customers // without groups of which this host holds no connections
-	// others is the result for these other groups.
+	// groups has the results of groupCustomers: others for groups of which this host holds
+	// no connections.
+	groups map[topology.GroupID]*share.Customers
 	others *share.Customers
 }
 
@@ -32,10 +33,13 @@
 // customers and groups at a time.
 const maxCachedHomes = 20_000
 
-// update drops what was computed from another configuration or list of hosts. The
-// caller holds c.mu.
+// update drops what was computed from another configuration or list of hosts, and the
+// homes if there are too many. The caller holds c.mu.
 func (c *homeCache) update(config *catalog.Configuration, hosts uint64) {
-	if c.config == config && c.hosts == hosts && len(c.homes) < maxCachedHomes {
+	if c.isFor(config, hosts) {
+		if len(c.homes) >= maxCachedHomes {
+			c.homes = map[homeKey]share.Homes{}
+		}
 		return
 	}
 	if c.config != config {
@@ -53,6 +57,12 @@
 	c.homes, c.groups = map[homeKey]share.Homes{}, map[topology.GroupID]*share.Customers{}
 }
 
+// isFor reports whether the cache was computed from the configuration and the list of
+// hosts. The caller holds c.mu.
+func (c *homeCache) isFor(config *catalog.Configuration, hosts uint64) bool {
+	return c.config == config && c.hosts == hosts
+}
+
 // otherHolderWeight is the weight of a customer that isn't at home at a holder, as a part
 // of its share. A holder at which no customer is at home still needs connections, over
 // which it finds out which target leads.
@@ -75,14 +85,21 @@
 		return share.Homes{}
 	}
 	sharers := h.gossip.Sharers()
-	h.homes.mu.Lock()
-	defer h.homes.mu.Unlock()
-	h.homes.update(c, sharers.Version)
+	cache := &h.homes
 	key := homeKey{group, customer}
-	homes, ok := h.homes.homes[key]
-	if !ok {
-		homes = share.HomesOf(group, customer, h.holderIDs(group, c, sharers), h.homes.shares[customer])
-		h.homes.homes[key] = homes
+	cache.mu.Lock()
+	cache.update(c, sharers.Version)
+	homes, ok := cache.homes[key]
+	customerShare := cache.shares[customer]
+	cache.mu.Unlock()
+	if ok {
+		return homes
+	}
+	homes = share.HomesOf(group, customer, h.holderIDs(group, c, sharers), customerShare)
+	cache.mu.Lock()
+	defer cache.mu.Unlock()
+	if cache.isFor(c, sharers.Version) {
+		cache.homes[key] = homes
 	}
 	return homes
 }
@@ -106,22 +123,45 @@
 	if c == nil || len(c.Customers) == 0 {
 		return nil
 	}
-	sharers := h.gossip.Sharers()
-	h.homes.mu.Lock()
-	defer h.homes.mu.Unlock()
-	h.homes.update(c, sharers.Version)
-	if customers := h.homes.groups[group]; customers != nil {
+	return h.customersOf(group, c, h.gossip.Sharers())
+}
+
+// customersOf is groupCustomers for a configuration and a list of hosts.
+func (h *fleetHost) customersOf(group topology.GroupID, c *catalog.Configuration, sharers gossip.Sharers) *share.Customers {
+	cache := &h.homes
+	cache.mu.Lock()
+	cache.update(c, sharers.Version)
+	customers := cache.groups[group]
+	shares, others := cache.shares, cache.others
+	cache.mu.Unlock()
+	if customers != nil {
 		return customers
 	}
+	customers = h.newCustomers(group, c, sharers, shares, others)
+	cache.mu.Lock()
+	defer cache.mu.Unlock()
+	if !cache.isFor(c, sharers.Version) {
+		return customers
+	}
+	if other := cache.groups[group]; other != nil {
+		return other // of a concurrent call
+	}
+	cache.groups[group] = customers
+	return customers
+}
+
+// newCustomers returns the customers of this host's connections to a group's targets, or
+// others if it holds none.
+func (h *fleetHost) newCustomers(group topology.GroupID, c *catalog.Configuration, sharers gossip.Sharers, shares map[topology.CustomerID]float64, others *share.Customers) *share.Customers {
 	holders := h.holderIDs(group, c, sharers)
 	self := topology.HostID(h.settings.PeerAddr)
 	if !slices.Contains(holders, self) {
-		return h.homes.others
+		return others
 	}
 	var weights []share.CustomerWeight
 	for id := range c.Customers {
-		homes := share.HomesOf(group, id, holders, h.homes.shares[id])
-		weight := h.homes.shares[id]
+		homes := share.HomesOf(group, id, holders, shares[id])
+		weight := shares[id]
 		if homes.Contains(self) {
 			weight /= float64(homes.Count)
 		} else {
@@ -130,7 +170,5 @@
 		weights = append(weights, share.CustomerWeight{ID: id, Weight: weight})
 	}
 	_, size := share.PlanForCustomers(c.Groups[group].MaxConnections, len(sharers.Hosts))
-	customers := &share.Customers{Known: h.homes.others.Known, Preopen: share.Preopen(weights, size)}
-	h.homes.groups[group] = customers
-	return customers
+	return &share.Customers{Known: others.Known, Preopen: share.Preopen(weights, size)}
 }
