host: choose the connection plan in one place

Cause: the choice between share.Plan and share.PlanForCustomers, by whether the configuration has customers, was made in connectionShare, connectionHolders, customerHomes and groupCustomers.

Ruled out: reading configuration and hosts only once in connectionShare; that changes behaviour.

Change: connectionPlan and holdersOf make the choice; behaviour is the same.

Measured: TestHoldersFollowConnectionPlan passes, and fails if connectionPlan ignores customers. It can't fail on the earlier code, which behaves the same. go vet and go test of cmd pass.

--- a/cmd/nettlewalk/fleetcustomers.go
+++ b/cmd/nettlewalk/fleetcustomers.go
@@ -68,20 +68,10 @@
 // which it finds out which target leads.
 const otherHolderWeight = 1e-6
 
-// customerHolders returns the hosts that hold a group's connections, or nil if every
-// host does, where connections belong to customers.
-func (h *fleetHost) customerHolders(id topology.GroupID, c *catalog.Configuration, sharers gossip.Sharers) []topology.Host {
-	n, _ := share.PlanForCustomers(c.Groups[id].MaxConnections, len(sharers.Hosts))
-	if n >= len(sharers.Hosts) {
-		return nil
-	}
-	return h.holders.WeightedForGroup(id, n, sharers.Hosts, sharers.Version)
-}
-
 // customerHomes returns the order in which the holders of a group serve a customer.
 func (h *fleetHost) customerHomes(group topology.GroupID, customer topology.CustomerID) share.Homes {
 	c := h.catalog.Configuration()
-	if c == nil || len(c.Customers) == 0 {
+	if !hasCustomers(c) {
 		return share.Homes{}
 	}
 	sharers := h.gossip.Sharers()
@@ -105,7 +95,7 @@
 }
 
 func (h *fleetHost) holderIDs(group topology.GroupID, c *catalog.Configuration, sharers gossip.Sharers) []topology.HostID {
-	holders := h.customerHolders(group, c, sharers)
+	holders := h.holdersOf(group, c, sharers)
 	if holders == nil {
 		holders = sharers.Hosts
 	}
@@ -120,7 +110,7 @@
 // or nil if there are none. The result is the same until it changes.
 func (h *fleetHost) groupCustomers(group topology.GroupID) *share.Customers {
 	c := h.catalog.Configuration()
-	if c == nil || len(c.Customers) == 0 {
+	if !hasCustomers(c) {
 		return nil
 	}
 	return h.customersOf(group, c, h.gossip.Sharers())
@@ -169,6 +159,6 @@
 		}
 		weights = append(weights, share.CustomerWeight{ID: id, Weight: weight})
 	}
-	_, size := share.PlanForCustomers(c.Groups[group].MaxConnections, len(sharers.Hosts))
+	_, size := connectionPlan(c, c.Groups[group].MaxConnections, len(sharers.Hosts))
 	return &share.Customers{Known: others.Known, Preopen: share.Preopen(weights, size)}
 }
--- a/cmd/nettlewalk/fleetcustomers_test.go
+++ b/cmd/nettlewalk/fleetcustomers_test.go
@@ -67,3 +67,27 @@
 	sharers.Version++
 	qt.Check(t, h.customersOf(held, c, sharers) == before, qt.IsFalse)
 }
+
+// The number of holders, their choice and the number of connections of each must follow
+// from the same plan, with customers and without: otherwise the connections of all hosts
+// exceed a target's limit or hosts look for connections where there are none.
+func TestHoldersFollowConnectionPlan(t *testing.T) {
+	h, c, sharers := newCustomerHost()
+	without := &catalog.Configuration{Groups: c.Groups}
+	const limit = 100
+	var holders share.Holders
+	n, size := share.PlanForCustomers(limit, len(sharers.Hosts))
+	gotHolders, gotSize := connectionPlan(c, limit, len(sharers.Hosts))
+	qt.Check(t, []int{gotHolders, gotSize}, qt.DeepEquals, []int{n, size})
+	qt.Check(t, h.holdersOf("g1", c, sharers), qt.DeepEquals, holders.WeightedForGroup("g1", n, sharers.Hosts, 1))
+	n, size = share.Plan(limit, len(sharers.Hosts))
+	for _, c := range []*catalog.Configuration{nil, without} {
+		gotHolders, gotSize = connectionPlan(c, limit, len(sharers.Hosts))
+		qt.Check(t, []int{gotHolders, gotSize}, qt.DeepEquals, []int{n, size})
+	}
+	qt.Check(t, h.holdersOf("g1", without, sharers), qt.DeepEquals, holders.ForGroup("g1", n, sharers.Hosts, 1))
+	sharers.Hosts = sharers.Hosts[:3]
+	sharers.Version++
+	qt.Check(t, h.holdersOf("g1", c, sharers), qt.IsNil)
+	qt.Check(t, h.holdersOf("g1", without, sharers), qt.IsNil)
+}
--- a/cmd/nettlewalk/fleetpeers.go
+++ b/cmd/nettlewalk/fleetpeers.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"nettlewalk.example/nettlewalk/internal/catalog"
 	"nettlewalk.example/nettlewalk/internal/gossip"
 	"nettlewalk.example/nettlewalk/internal/peer"
 	"nettlewalk.example/nettlewalk/internal/placement"
@@ -84,15 +85,24 @@
 	return ids
 }
 
+// hasCustomers reports whether connections belong to customers. c may be nil.
+func hasCustomers(c *catalog.Configuration) bool { return c != nil && len(c.Customers) > 0 }
+
+// connectionPlan returns how many of the hosts hold connections to a target with the limit,
+// and how many each of them keeps open. c may be nil.
+func connectionPlan(c *catalog.Configuration, limit, hosts int) (holders, size int) {
+	if hasCustomers(c) {
+		return share.PlanForCustomers(limit, hosts)
+	}
+	return share.Plan(limit, hosts)
+}
+
 // connectionShare returns how many connections to a target this host keeps open.
 // The holders of a group are the same for all of its targets, so that a host
 // that reads from a replica also knows the leader's positions.
 func (h *fleetHost) connectionShare(t topology.Target, limit int) int {
 	sharers := h.gossip.Sharers()
-	_, size := share.Plan(limit, len(sharers.Hosts))
-	if c := h.catalog.Configuration(); c != nil && len(c.Customers) > 0 {
-		_, size = share.PlanForCustomers(limit, len(sharers.Hosts))
-	}
+	_, size := connectionPlan(h.catalog.Configuration(), limit, len(sharers.Hosts))
 	holders := h.connectionHolders(t.Group)
 	planned := share.Planned{Size: size, Holder: holders == nil || slices.ContainsFunc(holders, h.isSelf)}
 	fleet := share.Fleet{Hosts: len(sharers.Hosts), Recent: sharers.Recent, JoinedFor: sharers.JoinedFor, Unchanged: steady.Now().Sub(sharers.ChangedAt)}
@@ -111,15 +121,19 @@
 	if c == nil {
 		return nil
 	}
-	sharers := h.gossip.Sharers()
-	if len(c.Customers) > 0 {
-		return h.customerHolders(id, c, sharers)
-	}
-	n, _ := share.Plan(c.Groups[id].MaxConnections, len(sharers.Hosts))
+	return h.holdersOf(id, c, h.gossip.Sharers())
+}
+
+// holdersOf is connectionHolders for a configuration and a list of hosts.
+func (h *fleetHost) holdersOf(id topology.GroupID, c *catalog.Configuration, sharers gossip.Sharers) []topology.Host {
+	n, _ := connectionPlan(c, c.Groups[id].MaxConnections, len(sharers.Hosts))
 	if n >= len(sharers.Hosts) {
 		return nil
 	}
-	if h.locality != nil {
+	switch {
+	case hasCustomers(c):
+		return h.holders.WeightedForGroup(id, n, sharers.Hosts, sharers.Version)
+	case h.locality != nil:
 		return h.holders.ForGroupByDomain(id, n, sharers.Hosts, sharers.Version)
 	}
 	return h.holders.ForGroup(id, n, sharers.Hosts, sharers.Version)
