share: comment names the counters it describes

Cause: the comment named customerDials, which is a field of Pool; the counters are demandDials and preopenDials. Ruled out: renaming the variables; their names are right. Change: the comment. No test: nothing else changes.

Measured: go vet and go test of internal/share pass.

--- a/internal/share/bycustomer.go
+++ b/internal/share/bycustomer.go
@@ -14,7 +14,7 @@
 var (
 	// replacements counts connections that were closed for another customer.
 	replacements = metrics.NewCounter("nettlewalk_connections_replaced_total")
-	// customerDials counts dials by why the connection was opened.
+	// demandDials and preopenDials count dials by why the connection was opened.
 	demandDials  = metrics.NewCounter(`nettlewalk_customer_dials_total{reason="demand"}`)
 	preopenDials = metrics.NewCounter(`nettlewalk_customer_dials_total{reason="ahead"}`)
 )
