--- a/internal/share/bycustomer.go
+++ b/internal/share/bycustomer.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cockroachdb/errors"
 
 	"nettlewalk.example/nettlewalk/internal/statement"
 	"nettlewalk.example/nettlewalk/internal/topology"
@@ -15,7 +14,7 @@
 var (
 	// replacements counts connections that were closed for another customer.
 	replacements = metrics.NewCounter("nettlewalk_connections_replaced_total")
-	// customerDials counts dials by why the connection was opened.
+	// demandDials and preopenDials count dials by why the connection was opened.
 	demandDials  = metrics.NewCounter(`nettlewalk_customer_dials_total{reason="demand"}`)
 	preopenDials = metrics.NewCounter(`nettlewalk_customer_dials_total{reason="ahead"}`)
 )
@@ -29,14 +28,20 @@
 	Preopen []topology.CustomerID        // customers of the connections to open ahead of demand
 }
 
-// SetCustomers makes the connections belong to customers, or to nobody if c is nil.
+// SetCustomers makes the connections belong to customers, or to nobody if c is nil. It
+// must be called again from time to time, also with an unchanged c: a request of a
+// customer that was in flight during SetCustomers(nil) makes them belong to customers
+// again until the next call.
 func (p *Pool) SetCustomers(c *Customers) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c == p.customers {
+	if c == p.customers && p.byCustomer == (c != nil) {
 		return
 	}
 	p.customers, p.byCustomer = c, c != nil
+	if c == nil {
+		p.queue.dropCustomers() // a connection that belongs to nobody must not serve them
+	}
 	kept := p.idle[:0:0]
 	for _, conn := range p.idle {
 		if p.mayKeep(conn) {
@@ -235,10 +240,10 @@
 	u := p.useOf(customer, now)
 	u.dialing--
 	if err != nil {
-		p.pauseDials(err, now)
+		p.dialPausedUntil = now.Add(p.backoff.next(err, p.open > 0))
 	} else {
 		p.dialTime += (now.Sub(start) - p.dialTime) / holdEWMADivisor
-		p.dialBackoff, p.rejectedBackoff = minDialBackoff, minRejectedBackoff
+		p.backoff = newDialBackoff()
 		c := &Conn{Conn: conn, pool: p, Customer: customer, Prepared: map[string]string{}, lastUsed: now}
 		p.open++
 		u.open++
@@ -261,18 +266,6 @@
 	p.grant(c, now)
 }
 
-// pauseDials delays further dials after a failed one. The caller holds p.mu.
-func (p *Pool) pauseDials(err error, now time.Time) {
-	var dialErr *statement.DialError
-	wait := p.dialBackoff
-	if errors.As(err, &dialErr) && (dialErr.Outcome == statement.DialRejected || dialErr.Outcome == statement.DialNoHandshake) {
-		wait, p.rejectedBackoff = p.rejectedBackoff, min(2*p.rejectedBackoff, maxRejectedBackoff)
-	} else {
-		p.dialBackoff = min(2*p.dialBackoff, maxDialBackoff)
-	}
-	p.dialPausedUntil = now.Add(wait)
-}
-
 // grantByCustomer hands a free connection to the first waiting request of its
 // customer, unless another customer gets it by replacement. The caller holds p.mu.
 func (p *Pool) grantByCustomer(c *Conn, now time.Time) {
