peer: a failed query of the send buffer is no progress

Cause: if the ioctl failed, the send buffer counted as empty, so that bytes which had only reached it counted as acknowledged, and a silent peer as alive. Ruled out: a backlog of unknown size as a large one; progress could then be claimed from any further write.

Change: the query returns whether it succeeded, and monitor notes no progress if not. The comment on sendProgress names the platforms on which bytes in the send buffer count as delivered.

Measured: with the query's result taken as known, as before, TestUnknownSendQueueIsNoProgress fails (the failed query counts as progress); with the mend go test ./internal/peer passes. GOOS=darwin go vet ./internal/peer passes as well.

--- a/internal/peer/counted.go
+++ b/internal/peer/counted.go
@@ -10,11 +10,11 @@
 // A read that gets no data for readTimeout fails.
 type countedConn struct {
 	net.Conn
-	readTimeout  time.Duration // 0: no timeout
-	lastReceived atomic.Int64  // monotonic time since processStart at which data last arrived
-	accepted     atomic.Int64  // bytes passed to Write
-	written      atomic.Int64  // those of them that Conn has taken
-	sendQueue    func() int64  // see sendQueueFunc
+	readTimeout  time.Duration             // 0: no timeout
+	lastReceived atomic.Int64              // monotonic time since processStart at which data last arrived
+	accepted     atomic.Int64              // bytes passed to Write
+	written      atomic.Int64              // those of them that Conn has taken
+	sendQueue    func() (n int64, ok bool) // see sendQueueFunc
 }
 
 // writeChunkBytes is how much is written at a time, so that the progress of a large write
@@ -60,14 +60,17 @@
 }
 
 // delivery returns how many bytes the peer has acknowledged, and how many that were passed
-// to Write it hasn't.
-func (c *countedConn) delivery() (delivered, backlog int64) {
-	written := c.written.Load()
-	delivered = written
+// to Write it hasn't. ok is false if that is unknown.
+func (c *countedConn) delivery() (delivered, backlog int64, ok bool) {
+	delivered = c.written.Load()
 	if c.sendQueue != nil {
-		delivered -= c.sendQueue()
+		queued, ok := c.sendQueue()
+		if !ok {
+			return 0, 0, false
+		}
+		delivered -= queued
 	}
-	return delivered, c.accepted.Load() - delivered
+	return delivered, c.accepted.Load() - delivered, true
 }
 
 // quietFor returns the time since data last arrived.
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -143,7 +143,7 @@
 			}
 			heartbeatCall = nil
 		}
-		if progress.note(l.conn.delivery()) {
+		if progress.check(l.conn) {
 			l.lastProgressAt.Store(int64(time.Since(processStart)))
 		}
 		heartbeatAge := time.Duration(-1)
--- a/internal/peer/progress.go
+++ b/internal/peer/progress.go
@@ -15,11 +15,19 @@
 //
 // Progress ends at the latest when the backlog has been sent, so a connection whose peer
 // hangs is still abandoned, silenceTimeout after that. Bytes that only moved to a kernel
-// buffer of this host aren't progress.
+// buffer of this host aren't progress, except where their number can't be found out (see
+// sendqueue_other.go): there, bytes in the send buffer count as delivered.
 type sendProgress struct {
 	delivered, backlog int64 // at the latest check
 }
 
+// check notes the present state of the connection. A state that can't be found out is no
+// progress.
+func (p *sendProgress) check(c *countedConn) (progress bool) {
+	delivered, backlog, ok := c.delivery()
+	return ok && p.note(delivered, backlog)
+}
+
 // note records the state of the connection and reports whether the peer acknowledged bytes
 // of a large backlog since the previous check.
 func (p *sendProgress) note(delivered, backlog int64) (progress bool) {
--- a/internal/peer/sendqueue_linux.go
+++ b/internal/peer/sendqueue_linux.go
@@ -8,8 +8,9 @@
 )
 
 // sendQueueFunc returns a function that returns the number of bytes in the connection's
-// send buffer that the peer hasn't acknowledged, or nil if that can't be found out.
-func sendQueueFunc(conn net.Conn) func() int64 {
+// send buffer that the peer hasn't acknowledged, and false if the kernel doesn't tell it.
+// It returns nil for connections without a file descriptor.
+func sendQueueFunc(conn net.Conn) func() (n int64, ok bool) {
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
 		return nil
@@ -18,13 +19,10 @@
 	if err != nil {
 		return nil
 	}
-	return func() int64 {
-		queued := 0
-		_ = raw.Control(func(fd uintptr) { // fails only on a closed connection, which is found elsewhere
-			if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
-				queued = n
-			}
-		})
-		return int64(queued)
+	return func() (int64, bool) {
+		var queued int
+		var queryErr error
+		err := raw.Control(func(fd uintptr) { queued, queryErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+		return int64(queued), err == nil && queryErr == nil
 	}
 }
--- a/internal/peer/sendqueue_linux_test.go
+++ b/internal/peer/sendqueue_linux_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -66,3 +68,68 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, out == sent, qt.IsTrue)
 }
+
+// opaqueConn is a connection whose state can't be queried while opaque is set.
+type opaqueConn struct {
+	*net.TCPConn
+	opaque atomic.Bool
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *opaqueConn) SyscallConn() (syscall.RawConn, error) {
+	raw, err := c.TCPConn.SyscallConn()
+	return &opaqueRawConn{raw, c}, err
+}
+
+type opaqueRawConn struct {
+	syscall.RawConn
+	conn *opaqueConn
+}
+
+// Control implements syscall.RawConn.
+func (c *opaqueRawConn) Control(f func(fd uintptr)) error {
+	if c.conn.opaque.Load() {
+		f(^uintptr(0)) // queries fail
+		return nil
+	}
+	return c.RawConn.Control(f)
+}
+
+// A failed query of the send buffer must not make the bytes in it count as acknowledged by a
+// peer that is silent.
+func TestUnknownSendQueueIsNoProgress(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = l.Close() }()
+	raw, err := net.Dial("tcp", l.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	peer, err := l.Accept() // reads nothing
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = peer.Close() }()
+	conn := &opaqueConn{TCPConn: raw.(*net.TCPConn)}
+	c := newCountedConn(conn, 0)
+	written := make(chan error, 1)
+	go func() {
+		_, err := c.Write(make([]byte, 32<<20)) // more than the buffers of both sides
+		written <- err
+	}()
+	var p sendProgress
+	quietSince, end := time.Now(), time.Now().Add(10*time.Second)
+	for time.Since(quietSince) < 200*time.Millisecond && time.Now().Before(end) {
+		if p.check(c) {
+			quietSince = time.Now()
+		}
+		time.Sleep(time.Millisecond)
+	}
+	queued, ok := c.sendQueue()
+	qt.Check(t, ok, qt.IsTrue)
+	qt.Check(t, queued > 0, qt.IsTrue)
+	conn.opaque.Store(true)
+	qt.Check(t, p.check(c), qt.IsFalse)
+	conn.opaque.Store(false)
+	qt.Check(t, p.check(c), qt.IsFalse)
+	_ = conn.Close()
+	_, ok = c.sendQueue()
+	qt.Check(t, ok, qt.IsFalse)
+	qt.Check(t, <-written, qt.IsNotNil)
+}
