duty, promotion: a change of one duty wakes only its watcher

Cause: OnChange didn't tell the group, so that each claim learnt woke the watchers of all groups: with G groups, G claims woke G watchers each. Ruled out: a change that concerns several groups; Learn and Record change one claim each.

Change: Options.OnChange gets the group's ID, and Watchers.DutyChanged wakes that group's watcher. The comments on OnChange and Record say that Record calls it, too. test/fleetcost sets OnChange and follows the new type.

Measured: with all watchers woken, as before, TestDutyChangeWakesOnlyItsWatcher fails (the watchers of the other groups check three times instead of once); with an OnChange that isn't told the group, TestChangesNameTheirGroup fails. With the mend go test of internal/duty, internal/promotion and cmd/nettlewalk passes; the first test ran ten times more without a failure.

--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -118,10 +118,10 @@
 	return h
 }
 
-// dutyChanged spreads a change of who holds a duty.
-func (h *fleetHost) dutyChanged() {
+// dutyChanged spreads a change of the claim on a group's duty.
+func (h *fleetHost) dutyChanged(id topology.GroupID) {
 	h.gossip.TriggerRound()
-	h.watchers.DutyChanged()
+	h.watchers.DutyChanged(id)
 }
 
 // createLeases creates both sides of the leases on the leadership of groups.
--- a/internal/duty/handover_test.go
+++ b/internal/duty/handover_test.go
@@ -61,7 +61,7 @@
 	store := &fakeStore{}
 	hosts := &domainHosts{fakeHosts{connected: true}}
 	k := New(Options{
-		Self: "a", Name: "host-a", Boot: 1, Store: store, Hosts: hosts, Log: logr.Discard(), OnChange: func() {},
+		Self: "a", Name: "host-a", Boot: 1, Store: store, Hosts: hosts, Log: logr.Discard(), OnChange: func(topology.GroupID) {},
 		Domain: "north", PrimaryDomain: func(topology.GroupID) topology.Domain { return "north" },
 	})
 	k.SetGroups([]topology.GroupID{"g"})
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -66,8 +66,9 @@
 	// it is unknown.
 	PrimaryDomain func(topology.GroupID) topology.Domain
 	Log           logr.Logger
-	// OnChange is called after Learn has stored a newer claim.
-	OnChange func()
+	// OnChange is called with the claim's group after Learn has stored a newer claim, and
+	// after Record has changed this host's own.
+	OnChange func(topology.GroupID)
 }
 
 // Keeper acquires, renews and releases duties for this host and stores the claims
@@ -140,7 +141,7 @@
 	}
 	if newer {
 		k.opts.Log.Info("duty claim learned", "group", c.Group, "holder", c.Name, "token", c.Token, "released", c.Released, "mine", k.isHeldHere(c))
-		k.opts.OnChange()
+		k.opts.OnChange(c.Group)
 	}
 }
 
--- a/internal/duty/keeper_test.go
+++ b/internal/duty/keeper_test.go
@@ -79,7 +79,7 @@
 func (h *fakeHosts) Settled(time.Time) bool                         { return h.connected }
 
 func newKeeper(s *fakeStore, h *fakeHosts) *Keeper {
-	return New(Options{Self: "a", Name: "host-a", Boot: 1, Store: s, Hosts: h, Log: logr.Discard(), OnChange: func() {},
+	return New(Options{Self: "a", Name: "host-a", Boot: 1, Store: s, Hosts: h, Log: logr.Discard(), OnChange: func(topology.GroupID) {},
 		Domain: "north", PrimaryDomain: func(topology.GroupID) topology.Domain { return "" }})
 }
 
@@ -250,7 +250,7 @@
 	s.object = nil
 	state.Ordered = ""
 	qt.Check(t, k.Record(context.Background(), "g", state), qt.IsNil)
-	next := New(Options{Self: "b", Name: "host-b", Boot: 1, Store: s, Hosts: &fakeHosts{connected: true, silentFor: time.Minute}, Log: logr.Discard(), OnChange: func() {},
+	next := New(Options{Self: "b", Name: "host-b", Boot: 1, Store: s, Hosts: &fakeHosts{connected: true, silentFor: time.Minute}, Log: logr.Discard(), OnChange: func(topology.GroupID) {},
 		Domain: "south", PrimaryDomain: func(topology.GroupID) topology.Domain { return "" }})
 	held := k.Claims()[0]
 	next.Learn(held)
@@ -258,3 +258,18 @@
 	qt.Check(t, next.Leadership("g"), qt.Equals, state)
 	qt.Check(t, k.Record(context.Background(), "g", Leadership{Leader: "t9"}), qt.Equals, ErrHeldByOther)
 }
+
+// The host wakes only the watcher of the group that a change names, so that each change must
+// name its own group, and nothing that is known already may count as one.
+func TestChangesNameTheirGroup(t *testing.T) {
+	store := &fakeStore{}
+	k := newKeeper(store, &fakeHosts{connected: true})
+	var changed []topology.GroupID
+	k.opts.OnChange = func(id topology.GroupID) { changed = append(changed, id) }
+	k.Learn(Claim{Group: "x", Holder: "b", Token: 1})
+	k.Learn(Claim{Group: "x", Holder: "b", Token: 1})
+	k.Learn(Claim{Group: "y", Holder: "a", Boot: 1, Token: 1})
+	_ = k.Record(t.Context(), "x", Leadership{Ordered: "t"}) // held by another host
+	_ = k.Record(t.Context(), "y", Leadership{Ordered: "t"}) // the store's answer doesn't matter here
+	qt.Check(t, changed, qt.DeepEquals, []topology.GroupID{"x", "y", "y"})
+}
--- a/internal/duty/record.go
+++ b/internal/duty/record.go
@@ -17,7 +17,8 @@
 
 // Record records the group's state for the holders that follow. It spreads the record
 // to other hosts at once and returns when the store has it, or with an error. It does
-// nothing if this host doesn't hold the duty or the state is known.
+// nothing if this host doesn't hold the duty or the state is known; otherwise it calls
+// Options.OnChange, as Learn does.
 func (k *Keeper) Record(ctx context.Context, id topology.GroupID, state Leadership) error {
 	k.mu.Lock()
 	claim := k.claims[id]
@@ -29,7 +30,7 @@
 	claim.Update++
 	k.setClaim(claim)
 	k.mu.Unlock()
-	k.opts.OnChange()
+	k.opts.OnChange(id)
 	object, stored, err := k.readClaim(ctx, id)
 	if err != nil {
 		return err
--- a/internal/promotion/watcher_test.go
+++ b/internal/promotion/watcher_test.go
@@ -169,10 +169,41 @@
 	time.Sleep(5 * idleInterval)
 	qt.Check(t, d.timesAsked() <= 1, qt.IsTrue, qt.Commentf("asked %d times", d.timesAsked()))
 	d.hold()
-	ws.DutyChanged()
+	ws.DutyChanged("g")
 	began := time.Now()
 	for d.timesAsked() < 3 && time.Since(began) < unheldInterval/2 { // while it holds the duty, it probes at short intervals
 		time.Sleep(time.Millisecond)
 	}
 	qt.Check(t, d.timesAsked() >= 3, qt.IsTrue)
 }
+
+// A change of one duty must not wake the watchers of all groups: with G groups, the G claims
+// that a host learns at its start would cause G*G checks.
+func TestDutyChangeWakesOnlyItsWatcher(t *testing.T) {
+	ws := NewWatchers()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	duties := map[topology.GroupID]*switchedDuty{}
+	for _, id := range []topology.GroupID{"a", "b", "c"} {
+		d := &switchedDuty{}
+		duties[id] = d
+		ws.Ensure(ctx, id, func() *Watcher {
+			return NewWatcher(Options{Group: id, Duty: d, DutyAnnounced: true, Catalog: catalog.NewStore(), GroupView: group.New(group.Options{ID: id, Log: logr.Discard()}), Log: logr.Discard()})
+		})
+	}
+	began := time.Now()
+	for _, d := range duties {
+		for d.timesAsked() < 1 && time.Since(began) < unheldInterval/2 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	ws.DutyChanged("a")
+	ws.DutyChanged("unknown")
+	for duties["a"].timesAsked() < 2 && time.Since(began) < unheldInterval/2 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond) // in which others would have checked, too
+	qt.Check(t, duties["a"].timesAsked(), qt.Equals, 2)
+	qt.Check(t, duties["b"].timesAsked(), qt.Equals, 1)
+	qt.Check(t, duties["c"].timesAsked(), qt.Equals, 1)
+}
--- a/internal/promotion/watchers.go
+++ b/internal/promotion/watchers.go
@@ -62,11 +62,13 @@
 	Call(ctx context.Context, host topology.HostID, method string, args, reply any) error
 }
 
-// DutyChanged makes all watchers check at once whether this host holds their duty.
-func (ws *Watchers) DutyChanged() {
+// DutyChanged makes the group's watcher, if there is one, check at once whether this host
+// holds the duty.
+func (ws *Watchers) DutyChanged(id topology.GroupID) {
 	ws.mu.Lock()
-	defer ws.mu.Unlock()
-	for _, w := range ws.watchers {
+	w := ws.watchers[id]
+	ws.mu.Unlock()
+	if w != nil {
 		w.wakeUp()
 	}
 }
--- a/test/fleetcost/fleet.go
+++ b/test/fleetcost/fleet.go
@@ -131,7 +131,7 @@
 			}
 			return h.catalog.PrimaryDomain(id, last)
 		},
-		Log: logr.Discard(), OnChange: func() { h.gossip.TriggerRound(); h.watchers.DutyChanged() },
+		Log: logr.Discard(), OnChange: func(id topology.GroupID) { h.gossip.TriggerRound(); h.watchers.DutyChanged(id) },
 	})
 	h.gossip.SetClaims(h.duty)
 	h.groups = group.NewSet(group.SetOptions{
