group: the number of leader reports in a list follows the number of groups

Cause: lists named 16 groups without a connection each. At about six lists a second and the 15 s after which receivers don't use a report, this covers 1,440 groups; the design size is 14,000. Ruled out: dropping reports older than 15 s; other uses of the last leader have no such bound.

Change: the count follows from the number of groups and LastLeaderMaxAge, now defined in this package and used by promotion, so that each group is named twice within it: 16 up to 720 groups, 312 at 14,000. The reports are no longer sorted for each list; groups take turns in the order of their creation.

Measured: with 16 in each list, as before, TestLeaderReportsAreBounded fails: at 1,440 and 14,000 groups lists have 16 reports instead of 32 and 312, and 45 of them name 720 groups. With the mend it passes, and so do internal/group, internal/promotion and cmd/nettlewalk. The test now allows half the lists for each group. BenchmarkOffersOfManyGroups, 14,000 groups, one run each: 18.8 ms and 4.5 MB for each list before, 3.7 ms and 0.12 MB now. The size of the lists on the wire wasn't measured.

--- a/internal/group/cost_test.go
+++ b/internal/group/cost_test.go
@@ -49,22 +49,33 @@
 	qt.Check(t, id, qt.Equals, topology.TargetID("t"))
 }
 
-// Reports of leaders in the offers must not grow with the groups, and each group must be
-// reported within a number of lists that a host gets within a few seconds.
+// Each group must be reported within the time after which receivers don't use a report, also
+// at the design size, while the lists of small deployments stay small.
 func TestLeaderReportsAreBounded(t *testing.T) {
+	for groups, reports := range map[int]int{10: 10, 100: 16, 200: 16, 720: 16, 1440: 32, 14_000: 312} {
+		s := NewSet(SetOptions{Log: logr.Discard()})
+		for i := range groups {
+			s.getOrCreate(topology.GroupID(fmt.Sprint("g", i))).NoteReportedLeader("t", steady.Now())
+		}
+		reported := map[topology.GroupID]bool{}
+		for range 6 * 15 / reportRounds { // a host gets about 6 lists a second
+			offers := s.Offers()
+			qt.Check(t, offers, qt.HasLen, reports)
+			for _, o := range offers {
+				reported[o.Group] = true
+			}
+		}
+		qt.Check(t, reported, qt.HasLen, groups)
+	}
+}
+
+// Offers are listed for each message to another host, several times a second.
+func BenchmarkOffersOfManyGroups(b *testing.B) {
 	s := NewSet(SetOptions{Log: logr.Discard()})
-	for i := range 200 {
-		id := topology.GroupID(fmt.Sprint("g", i))
-		s.groups[id] = New(Options{ID: id, Log: logr.Discard()})
-		s.groups[id].NoteReportedLeader("t", steady.Now())
+	for i := range 14_000 {
+		s.getOrCreate(topology.GroupID(fmt.Sprint("g", i))).NoteReportedLeader("t", steady.Now())
 	}
-	reported := map[topology.GroupID]bool{}
-	for range 6 * 15 { // 15 s, after which a new holder of a duty doesn't use a report
-		offers := s.Offers()
-		qt.Check(t, offers, qt.HasLen, maxLeaderReports)
-		for _, o := range offers {
-			reported[o.Group] = true
-		}
+	for b.Loop() {
+		s.Offers()
 	}
-	qt.Check(t, reported, qt.HasLen, 200)
 }
--- a/internal/group/set.go
+++ b/internal/group/set.go
@@ -1,9 +1,7 @@
 package group
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -47,8 +45,8 @@
 
 	mu     sync.Mutex
 	groups map[topology.GroupID]*Group
-	// nextReport is the index of the next group without a connection whose last leader is
-	// reported, see nextReports.
+	order  []*Group // the groups in the order of their creation, in which reports take turns
+	// nextReport is the index in order from which Offers looks for groups to report.
 	nextReport int
 }
 
@@ -116,6 +114,7 @@
 	if g == nil {
 		g = New(Options{ID: id, Domain: s.opts.Domain, Dialer: s.opts.Dialer, Leases: s.opts.Leases, Log: s.opts.Log, OnSuspect: s.opts.OnSuspect})
 		s.groups[id] = g
+		s.order = append(s.order, g)
 	}
 	return g
 }
@@ -158,42 +157,47 @@
 	ProvedAgo time.Duration
 }
 
-// maxLeaderReports is how many groups without a connection one list of offers names for
-// their last leader. A host gets about six lists a second, so that it hears of each of 200
-// groups every two seconds. A new holder of a duty uses what it heard in the last 15 s.
-const maxLeaderReports = 16
+// LastLeaderMaxAge is how old the last proof of leadership may be for the new holder of a
+// group's duty to assume that its target is the leader.
+const LastLeaderMaxAge = 15 * time.Second
+
+const (
+	// listsPerSecond is how many lists of offers a host gets at least.
+	listsPerSecond = 6
+	// reportRounds is how often each group is named within LastLeaderMaxAge. Lists of several
+	// hosts name some groups at the same time and others late.
+	reportRounds = 2
+	// minLeaderReports applies to small deployments. Up to 720 groups it suffices.
+	minLeaderReports = 16
+)
+
+// leaderReports returns how many groups without a connection one list of offers names for
+// their last leader.
+func leaderReports(groups int) int {
+	const lists = listsPerSecond * int(LastLeaderMaxAge/time.Second)
+	return max(minLeaderReports, (reportRounds*groups+lists-1)/lists)
+}
 
 // Offers returns this host's connections by group, and in turn a part of the groups to
-// which it has no connection and whose last leader it knows. Where leases are needed
-// the claims on duties name the last leader, and only connections count.
+// which it has no connection and whose last leader it knows. Drawn at random, a few of 200
+// groups were not reported for 15 s. Where leases are needed the claims on duties name the
+// last leader, and only connections count.
 func (s *Set) Offers() []Offer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var offers, reports []Offer
-	for _, g := range s.groups {
-		switch o := g.offer(); {
+	limit, first := leaderReports(len(s.order)), s.nextReport
+	for i := range s.order {
+		index := (first + i) % len(s.order)
+		switch o := s.order[index].offer(); {
 		case o.Open > 0:
 			offers = append(offers, o)
-		case o.Last != "" && s.opts.Leases == nil:
+		case o.Last != "" && s.opts.Leases == nil && len(reports) < limit:
 			reports = append(reports, o)
+			s.nextReport = (index + 1) % len(s.order)
 		}
 	}
-	return append(offers, s.nextReports(reports)...)
-}
-
-// nextReports returns the reports whose turn it is. Drawn at random, a few of 200 groups
-// were not reported for 15 s. The caller holds s.mu.
-func (s *Set) nextReports(reports []Offer) []Offer {
-	if len(reports) <= maxLeaderReports {
-		return reports
-	}
-	slices.SortFunc(reports, func(a, b Offer) int { return cmp.Compare(a.Group, b.Group) })
-	next := make([]Offer, 0, maxLeaderReports)
-	for i := range maxLeaderReports {
-		next = append(next, reports[(s.nextReport+i)%len(reports)])
-	}
-	s.nextReport = (s.nextReport + maxLeaderReports) % len(reports)
-	return next
+	return append(offers, reports...)
 }
 
 func (g *Group) offer() Offer {
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -26,7 +26,7 @@
 	reportMinDuration = 500 * time.Millisecond // how long a host must keep reporting before it counts; rules out remains of a healed partition
 	// lastLeaderMaxAge is how old the last proof of leadership may be for a new
 	// holder to assume that its target is the leader to be replaced.
-	lastLeaderMaxAge  = 15 * time.Second
+	lastLeaderMaxAge  = group.LastLeaderMaxAge
 	effectTimeout     = 2500 * time.Millisecond // for an accepted promotion to take effect; it takes some hundred ms
 	promotionCooldown = 1 * time.Second         // between the effect of a promotion and the next attempt
 	// waitLogInterval is the time between log lines with the same reason to wait.
