group: MaxAnchorAge is exported where it is defined

Cause: a file of its own held only an exported name for the constant maxAnchorAge. Ruled out: a literal in package relay; the bound must follow the age at which leaders are probed.

Nothing else changes, so there is no test that would fail without it.

--- a/internal/group/set.go
+++ b/internal/group/set.go
@@ -17,10 +17,10 @@
 
 const (
 	syncInterval = 250 * time.Millisecond // upper bound on the delay until removed targets are dropped
-	// maxAnchorAge is the age of the newest anchor (see package freshness) at
-	// which the leader is probed for a new one: a small fraction of the
-	// routes' staleness bounds.
-	maxAnchorAge = 300 * time.Millisecond
+	// MaxAnchorAge is the age of the newest anchor (see package freshness) at which the
+	// leader is probed for a new one: a small fraction of the routes' staleness bounds.
+	// Reads that may be no older than that can't be served by replicas.
+	MaxAnchorAge = 300 * time.Millisecond
 )
 
 // SetOptions configures a Set.
@@ -101,8 +101,8 @@
 			g.SetCustomers(s.opts.Customers(id))
 		}
 		g.SetMembers(serving[id], func(t topology.Target) int { return s.opts.Size(t, settings.MaxConnections) })
-		if g.needsRefresh(maxAnchorAge) {
-			go g.Refresh(maxAnchorAge)
+		if g.needsRefresh(MaxAnchorAge) {
+			go g.Refresh(MaxAnchorAge)
 		}
 	}
 }
