nettlewalk: errors found in a configuration have an error type of their own

Cause: config check returned a usageError for errors in the configuration, only because of its exit code. Ruled out: another name for usageError; the other commands use it for what it says.

Change: errorsFoundError, which leads to the same exit code by wrapping a usageError.

Measured: with usageError, as before, TestConfigCheckTellsFindingsFromUnreadableInput fails; with the mend go test ./cmd/nettlewalk passes.

--- a/cmd/nettlewalk/configcheck.go
+++ b/cmd/nettlewalk/configcheck.go
@@ -32,6 +32,14 @@
 	return command{Subcommand: cmd, run: func() error { return checkConfiguration(os.Stdout, file, against, asJSON, strict) }}
 }
 
+// errorsFoundError reports that a configuration has errors.
+type errorsFoundError struct{ summary string }
+
+func (e *errorsFoundError) Error() string { return e.summary }
+
+// Unwrap gives it the exit code of invalid input.
+func (e *errorsFoundError) Unwrap() error { return &usageError{e.summary} }
+
 // checkConfiguration prints the findings on a configuration, one on each line. Its error
 // leads to the command's exit code.
 func checkConfiguration(out io.Writer, file, against string, asJSON, strict bool) error {
@@ -58,7 +66,7 @@
 	summary := fmt.Sprintf("%s: %d errors, %d warnings", cmp.Or(file, "standard input"), faults, warnings)
 	switch {
 	case faults > 0:
-		return &usageError{summary}
+		return &errorsFoundError{summary}
 	case strict && warnings > 0:
 		return errors.New(summary)
 	}
--- a/cmd/nettlewalk/configcheck_test.go
+++ b/cmd/nettlewalk/configcheck_test.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 )
 
@@ -45,3 +46,18 @@
 	}
 	qt.Check(t, exitCode(checkConfiguration(&bytes.Buffer{}, filepath.Join(t.TempDir(), "missing"), "", false, false)), qt.Equals, exitBadInput)
 }
+
+// Errors in a configuration and input that can't be read have the same exit code, but must
+// stay distinguishable in the code.
+func TestConfigCheckTellsFindingsFromUnreadableInput(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "new")
+	qt.Assert(t, os.WriteFile(file, []byte(`{"Version": 0}`), 0o600), qt.IsNil)
+	var found *errorsFoundError
+	err := checkConfiguration(&bytes.Buffer{}, file, "", false, false)
+	qt.Check(t, errors.As(err, &found), qt.IsTrue)
+	qt.Check(t, err, qt.ErrorMatches, ".*/new: 1 errors, 0 warnings")
+	qt.Check(t, exitCode(err), qt.Equals, exitBadInput)
+	err = checkConfiguration(&bytes.Buffer{}, file+"-missing", "", false, false)
+	qt.Check(t, errors.As(err, &found), qt.IsFalse)
+	qt.Check(t, exitCode(err), qt.Equals, exitBadInput)
+}
