locality: groups that haven't been used for an hour are removed

Cause: the router kept the figures and gauges of each group for ever, also after its removal from the configuration. Ruled out: removal by the configuration, which the router doesn't know; and removal of all unused groups at once, since statements wait for the router's lock meanwhile.

Change: once a minute a use of the router removes up to two groups that nothing has used for an hour, with their gauges. A group that is used again begins anew.

Measured: without the call that removes them TestUnusedGroupsAreRemoved fails, since groups and gauges stay; with the mend go test ./internal/locality passes.

--- a/internal/locality/router.go
+++ b/internal/locality/router.go
@@ -59,6 +59,14 @@
 	// logLinesPerSecond and logLinesBurst limit the lines about changes of shares.
 	logLinesPerSecond = 2
 	logLinesBurst     = 20
+	// unusedRetention is how long a group that nothing uses is kept, such as one that was
+	// removed from the configuration. Its measured times are without weight long before.
+	unusedRetention = 1 * time.Hour
+	// cleanupInterval is the time between removals of unused groups, and maxRemovals how many
+	// each removes: statements wait meanwhile, and each metric is searched for in a list of
+	// all of them.
+	cleanupInterval = 1 * time.Minute
+	maxRemovals     = 2
 )
 
 // Router keeps the share and the intake of each group, and measures what they need.
@@ -73,6 +81,7 @@
 
 	mu         sync.Mutex
 	groups     map[topology.GroupID]*groupFlows
+	cleanedAt  time.Time
 	suppressed int // log lines since the last one
 }
 
@@ -80,6 +89,7 @@
 type groupFlows struct {
 	flows  [kinds]flow
 	intake *Intake
+	usedAt time.Time
 }
 
 // flow is one kind of work of a group.
@@ -209,12 +219,40 @@
 		g.intake.countedAt = now
 		r.groups[id] = g
 		for kind := range kinds {
-			metrics.GetOrCreateGauge(fmt.Sprintf(`nettlewalk_cross_domain_share{group=%q,kind=%q}`, id, kind), func() float64 { return r.Share(id, kind) })
+			metrics.GetOrCreateGauge(shareMetric(id, kind), func() float64 { return r.Share(id, kind) })
 		}
 	}
+	g.usedAt = now
+	r.removeUnused(now)
 	return g
 }
 
+func shareMetric(id topology.GroupID, kind Kind) string {
+	return fmt.Sprintf(`nettlewalk_cross_domain_share{group=%q,kind=%q}`, id, kind)
+}
+
+// removeUnused removes groups that haven't been used for unusedRetention, with their
+// metrics. The caller holds r.mu.
+func (r *Router) removeUnused(now time.Time) {
+	if now.Sub(r.cleanedAt) < cleanupInterval {
+		return
+	}
+	r.cleanedAt = now
+	removed := 0
+	for id, g := range r.groups {
+		if now.Sub(g.usedAt) < unusedRetention {
+			continue
+		}
+		delete(r.groups, id)
+		for kind := range kinds {
+			metrics.UnregisterMetric(shareMetric(id, kind))
+		}
+		if removed++; removed == maxRemovals {
+			return
+		}
+	}
+}
+
 // Share returns the share of a group's work of a kind.
 func (r *Router) Share(id topology.GroupID, kind Kind) float64 {
 	if r == nil {
--- a/internal/locality/router_test.go
+++ b/internal/locality/router_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
 	"github.com/go-logr/logr/funcr"
@@ -97,6 +99,41 @@
 	qt.Check(t, w.Home, qt.Equals, time.Duration(0)) // the measured figure applies
 }
 
+// Groups that were removed from the configuration must not stay in memory and in the metrics
+// for ever, and their removal must not hold up statements for long. Groups in use must stay.
+func TestUnusedGroupsAreRemoved(t *testing.T) {
+	r := NewRouter(simPrices, "a", logr.Discard())
+	use := func(id topology.GroupID, now time.Time) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.group(id, now)
+	}
+	shares := func() (n int) {
+		for _, name := range metrics.ListMetricNames() {
+			if strings.HasPrefix(name, `nettlewalk_cross_domain_share{group="unused-`) {
+				n++
+			}
+		}
+		return n
+	}
+	const unused = maxRemovals + 2
+	for i := range unused {
+		use(topology.GroupID(fmt.Sprint("unused-", i)), start)
+	}
+	use("used", start)
+	use("used", start.Add(unusedRetention-1))
+	qt.Check(t, r.groups, qt.HasLen, unused+1)
+	qt.Check(t, shares(), qt.Equals, unused*int(kinds))
+	now := start.Add(unusedRetention + cleanupInterval)
+	use("used", now)
+	qt.Check(t, r.groups, qt.HasLen, unused-maxRemovals+1)
+	use("used", now.Add(cleanupInterval))
+	qt.Check(t, r.groups, qt.HasLen, 1)
+	qt.Check(t, shares(), qt.Equals, 0)
+	use("unused-0", now.Add(cleanupInterval)) // back in the configuration
+	qt.Check(t, shares(), qt.Equals, int(kinds))
+}
+
 // The decision is made for each read and each forwarded statement.
 func BenchmarkRouter(b *testing.B) {
 	r := NewRouter(simPrices, "a", logr.Discard())
