share: connections are replaced while a target is at its limit

Cause: a pool below its size opened a further connection for a customer without one, and never closed an idle one for it.

Ruled out: a shorter pause, which makes hosts redial a full target more often, as they did before. After a replacement is refused, since another host took the room, the pool pauses replacements as well.

Measured: the new test fails without the change (10 s without a connection) and passes with it, within 80 ms; go test -race ./internal/share and go test ./internal/relay ./internal/group pass. The simulated target now says that it is at its limit, as targets do.

--- a/internal/share/admission_test.go
+++ b/internal/share/admission_test.go
@@ -153,7 +153,7 @@
 	v.addWaiter("new", 1, 1000, 2000)
 	action, ok := nextDial(v, atMS(1000))
 	qt.Check(t, ok, qt.IsTrue)
-	qt.Check(t, action, qt.Equals, dialAction{"new", 2})
+	qt.Check(t, action, qt.Equals, dialAction{customer: "new", replace: 2, replaces: true})
 
 	v = newView()
 	v.size = 1
@@ -178,7 +178,7 @@
 	qt.Check(t, ok, qt.IsFalse)
 	action, ok := nextDial(v, atMS(1000).Add(replaceAnywayAfter))
 	qt.Check(t, ok, qt.IsTrue)
-	qt.Check(t, action, qt.Equals, dialAction{"new", 1})
+	qt.Check(t, action, qt.Equals, dialAction{customer: "new", replace: 1, replaces: true})
 }
 
 // Dials in progress are bounded: opening connections takes work slots away from
--- a/internal/share/backoff.go
+++ b/internal/share/backoff.go
@@ -50,6 +50,12 @@
 	return jittered(wait)
 }
 
+// atLimit reports whether a dial failed because the target is at its limit on connections.
+func atLimit(err error) bool {
+	var dialErr *statement.DialError
+	return errors.As(err, &dialErr) && dialErr.Outcome == statement.DialRejected && dialErr.Code == statement.TooManyConnections
+}
+
 func jittered(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (1 + backoffJitter*(2*rand.Float64()-1)))
 }
--- a/internal/share/backoff_test.go
+++ b/internal/share/backoff_test.go
@@ -80,3 +80,40 @@
 		})
 	}
 }
+
+// A customer without a connection must get one by replacement if the target is at its limit
+// and the pool's own connections are idle. Guards against this failure: a pool below its size
+// only dialled for a further connection, which the target refused for as long as the others
+// kept theirs, and the customer was served nothing for 30 s.
+func TestCustomerIsServedWhileTargetIsFull(t *testing.T) {
+	const size = 8
+	synctest.Test(t, func(t *testing.T) {
+		d := &fakeDialer{limit: size - 1}
+		var preopen []topology.CustomerID
+		for range size {
+			preopen = append(preopen, "a")
+		}
+		refused := 0
+		p := NewPool(Options{Dialer: d, Size: size, Customers: &Customers{Preopen: preopen, Known: map[topology.CustomerID]bool{"a": true, "b": true, "c": true}}, OnDial: func(_ topology.TargetID, err error) {
+			if err != nil {
+				refused++
+			}
+		}})
+		defer p.Close()
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		qt.Assert(t, p.Load().Open, qt.Equals, size-1)
+		for _, customer := range []topology.CustomerID{"b", "c"} {
+			start := time.Now()
+			conn, err := p.Acquire(customer, start.Add(10*time.Second), 10*time.Second, 1)
+			qt.Assert(t, err, qt.IsNil, qt.Commentf("%s after %v", customer, time.Since(start)))
+			qt.Check(t, time.Since(start) <= 2*replaceAnywayAfter, qt.IsTrue, qt.Commentf("%s after %v", customer, time.Since(start)))
+			p.Release(conn, true)
+			time.Sleep(time.Second)
+		}
+		before := refused
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		qt.Check(t, refused-before <= 26, qt.IsTrue, qt.Commentf("%d dials refused", refused-before))
+	})
+}
--- a/internal/share/bycustomer.go
+++ b/internal/share/bycustomer.go
@@ -84,7 +84,7 @@
 	if !p.byCustomer || p.hasIdle(customer) && p.active < p.concurrency.max(p.size) {
 		return load
 	}
-	load.Delay = p.view().expectedCustomerWait(customer, 0, 1, p.untilDial(now), now)
+	load.Delay = p.view(now).expectedCustomerWait(customer, 0, 1, p.untilDial(now), now)
 	return load
 }
 
@@ -146,10 +146,10 @@
 }
 
 // view returns the state on which decisions are based. The caller holds p.mu.
-func (p *Pool) view() *poolView {
+func (p *Pool) view(now time.Time) *poolView {
 	v := &poolView{
 		size: p.size, open: p.open, dialing: p.customerDials, active: p.active, limit: p.concurrency.max(p.size),
-		use: p.use, hold: p.meanHold, dialTime: p.dialTime,
+		use: p.use, hold: p.meanHold, dialTime: p.dialTime, full: now.Before(p.fullUntil),
 	}
 	if p.dialing {
 		v.dialing++
@@ -166,7 +166,8 @@
 	return v
 }
 
-// untilDial returns how long until a dial is allowed. The caller holds p.mu.
+// untilDial returns how long until a dial is allowed, as far as it needs no room at the
+// target. The caller holds p.mu.
 func (p *Pool) untilDial(now time.Time) time.Duration {
 	return max(p.dialPausedUntil.Sub(now), p.budget.untilAvailable(p.size, now), 0)
 }
@@ -177,14 +178,17 @@
 	for !p.closed {
 		wait := p.untilDial(now)
 		if wait == 0 {
-			action, ok := nextDial(p.view(), now)
+			action, ok := nextDial(p.view(now), now)
 			if ok {
 				p.startDial(action, now)
 				continue
 			}
 		}
-		if len(p.queue.waiters) > 0 || wait > 0 && p.open+p.customerDials < p.size {
+		switch {
+		case len(p.queue.waiters) > 0:
 			p.recheckDials(max(wait, dialRecheckInterval))
+		case p.open+p.customerDials < p.size && (wait > 0 || now.Before(p.fullUntil)):
+			p.recheckDials(max(wait, p.fullUntil.Sub(now), dialRecheckInterval))
 		}
 		return
 	}
@@ -225,10 +229,11 @@
 	u.dialing++
 	p.customerDials++
 	p.budget.take()
-	go p.dialFor(a.customer)
+	go p.dialFor(a)
 }
 
-func (p *Pool) dialFor(customer topology.CustomerID) {
+func (p *Pool) dialFor(a dialAction) {
+	customer := a.customer
 	start := time.Now()
 	conn, err := p.opts.Dialer.Dial(p.ctx, p.opts.Target, customer)
 	now := time.Now()
@@ -240,10 +245,18 @@
 	u := p.useOf(customer, now)
 	u.dialing--
 	if err != nil {
-		p.dialPausedUntil = now.Add(p.backoff.next(err, p.open > 0))
+		wait := p.backoff.next(err, p.open > 0)
+		if atLimit(err) {
+			p.fullUntil = now.Add(wait)
+		}
+		if !atLimit(err) || a.replaces { // another host took the room: it may not be tried again at once
+			p.dialPausedUntil = now.Add(wait)
+		}
 	} else {
 		p.dialTime += (now.Sub(start) - p.dialTime) / holdEWMADivisor
-		p.backoff = newDialBackoff()
+		if !a.replaces { // otherwise it doesn't show that the target has room
+			p.backoff, p.fullUntil = newDialBackoff(), time.Time{}
+		}
 		c := &Conn{Conn: conn, pool: p, Customer: customer, Prepared: map[string]string{}, lastUsed: now}
 		p.open++
 		u.open++
@@ -270,10 +283,10 @@
 // customer, unless another customer gets it by replacement. The caller holds p.mu.
 func (p *Pool) grantByCustomer(c *Conn, now time.Time) {
 	if len(p.queue.waiters) > 0 && p.untilDial(now) == 0 {
-		if other, ok := p.view().converts(c.Customer, now); ok {
+		if other, ok := p.view(now).converts(c.Customer, now); ok {
 			replacements.Inc()
 			p.closeConn(c)
-			p.startDial(dialAction{other, -1}, now)
+			p.startDial(dialAction{customer: other, replace: -1, replaces: true}, now)
 			return
 		}
 	}
@@ -286,7 +299,7 @@
 func (p *Pool) dispatch(now time.Time) {
 	p.queue.dropExpired(now)
 	for len(p.queue.waiters) > 0 && len(p.idle) > 0 {
-		i := p.view().nextWaiter(p.grants)
+		i := p.view(now).nextWaiter(p.grants)
 		if i < 0 {
 			return
 		}
@@ -407,10 +420,10 @@
 	switch {
 	case p.closed:
 		return ErrClosed
-	case p.size <= 0, p.open+p.customerDials == 0 && now.Before(p.dialPausedUntil):
+	case p.size <= 0, p.open+p.customerDials == 0 && (now.Before(p.dialPausedUntil) || now.Before(p.fullUntil)):
 		return ErrNoConnection
 	}
-	v := p.view()
+	v := p.view(now)
 	share := p.history.remainingShare(priority, v.limit, p.meanHold, now)
 	expected := v.expectedCustomerWait(customer, priority, share, p.untilDial(now), now)
 	if expected > maxWait || now.Add(expected).After(deadline) {
--- a/internal/share/customers.go
+++ b/internal/share/customers.go
@@ -98,10 +98,11 @@
 // poolView is the state of a pool on which a decision is based.
 type poolView struct {
 	size     int
-	open     int // connections, idle and in use
-	dialing  int // dials in progress
-	active   int // statements in flight
-	limit    int // on statements in flight
+	full     bool // the target has no room for further connections
+	open     int  // connections, idle and in use
+	dialing  int  // dials in progress
+	active   int  // statements in flight
+	limit    int  // on statements in flight
 	use      map[topology.CustomerID]*customerUse
 	idle     []idleConn
 	queue    []waitingRequest // in the order in which they are served
@@ -115,7 +116,8 @@
 // dialAction is a decision to open a connection.
 type dialAction struct {
 	customer topology.CustomerID
-	replace  int // index of the idle connection to close first; -1: none
+	replace  int  // index of the idle connection to close first; -1: none
+	replaces bool // a connection is closed for it
 }
 
 // nextDial returns the connection to open next, or false if none should be opened
@@ -133,19 +135,22 @@
 		if !v.wantsDial(w.customer, now) {
 			continue
 		}
-		if v.open+v.dialing < v.size {
-			return dialAction{w.customer, -1}, true
+		if v.mayAdd() {
+			return dialAction{customer: w.customer, replace: -1}, true
 		}
 		if i := v.victim(&w, now); i >= 0 {
-			return dialAction{w.customer, i}, true
+			return dialAction{customer: w.customer, replace: i, replaces: true}, true
 		}
 	}
-	if len(v.queue) > 0 || v.dialing > 0 || v.open >= v.size {
+	if len(v.queue) > 0 || v.dialing > 0 || !v.mayAdd() {
 		return dialAction{}, false // dials ahead of demand are one at a time
 	}
 	return v.preopenNext()
 }
 
+// mayAdd reports whether the pool may have another connection without closing one.
+func (v *poolView) mayAdd() bool { return v.open+v.dialing < v.size && !v.full }
+
 // wantsDial reports whether a connection should be opened for the waiting requests of
 // a customer: it has none, or waiting for those that it has takes longer than
 // opening another one.
@@ -168,7 +173,7 @@
 	}
 	wait := time.Duration(u.waiting) * v.hold / time.Duration(u.usable())
 	threshold := v.dialTime
-	if v.open+v.dialing >= v.size {
+	if !v.mayAdd() {
 		threshold += v.hold // another customer loses a connection
 	}
 	return wait > threshold
@@ -222,7 +227,7 @@
 		counted[customer]++
 		u := v.use[customer]
 		if u == nil || u.open+u.dialing < counted[customer] {
-			return dialAction{customer, -1}, true
+			return dialAction{customer: customer, replace: -1}, true
 		}
 	}
 	return dialAction{}, false
@@ -282,7 +287,7 @@
 	if untilDial > 0 { // the rate of dials is used up, so that those ahead follow each other at this rate
 		dial += time.Duration(float64(dialsAhead) / dialRate(v.size) * float64(time.Second))
 	}
-	if v.open+v.dialing >= v.size && v.victim(&waitingRequest{customer: customer, since: now}, now) < 0 {
+	if !v.mayAdd() && v.victim(&waitingRequest{customer: customer, since: now}, now) < 0 {
 		dial += replaceAnywayAfter
 	}
 	if u.usable() == 0 {
--- a/internal/share/pool.go
+++ b/internal/share/pool.go
@@ -71,11 +71,14 @@
 	dialTime        time.Duration // moving average of how long a dial takes
 	budget          dialBudget
 	dialPausedUntil time.Time // after a failed dial
-	backoff         dialBackoff
-	rechecking      bool   // a timer will call scheduleDials
-	active          int    // connections with a statement in flight or about to be sent
-	grants          uint64 // to waiting requests
-	concurrency     concurrencyLimit
+	// fullUntil is until when the target is taken to be at its limit, after it refused a
+	// connection for that reason. Until then connections are only replaced.
+	fullUntil   time.Time
+	backoff     dialBackoff
+	rechecking  bool   // a timer will call scheduleDials
+	active      int    // connections with a statement in flight or about to be sent
+	grants      uint64 // to waiting requests
+	concurrency concurrencyLimit
 }
 
 // NewPool returns a pool and starts to open its connections.
--- a/internal/share/sim_target_test.go
+++ b/internal/share/sim_target_test.go
@@ -49,7 +49,7 @@
 	if s.open >= simLimit {
 		s.refused++
 		s.mu.Unlock()
-		return nil, &statement.DialError{Outcome: statement.DialRejected, Cause: errors.New("too many connections")}
+		return nil, &statement.DialError{Outcome: statement.DialRejected, Code: statement.TooManyConnections, Cause: errors.New("too many connections")}
 	}
 	s.open++
 	s.maxOpen = max(s.maxOpen, s.open)
