relay: transactions given up by their session are rolled back at the host that runs them

Cause: a receiver with an older configuration refuses each statement with BUSY, also one of a transaction that it runs. The session then forgot which host runs the transaction, so that its ROLLBACK sent nothing, and the receiver kept the transaction and its connection until the idle timeout. The same happened after a refused commit and a lost answer to the first statement.

Ruled out: letting statements of a running transaction pass the version check. A rollback passes it already, as its request names no configuration; a comment says so now. A commit is followed by a rollback only if its answer says that it did not run, never if the answer was lost. A first statement that was answered needs no rollback: the host that runs it has ended the transaction.

Change: runOnPeer, finishBeginOnPeer and commitOnPeer call rollbackOnPeer. Callers get the same answers. The test of the idle timeout now also loses the rollback, so that it still tests the timeout.

Measured: without the change, both new tests fail after 5 s with the transaction still open; without the part in commitOnPeer, the first fails for COMMIT. With it they pass.

--- a/internal/relay/hosted.go
+++ b/internal/relay/hosted.go
@@ -168,11 +168,13 @@
 }
 
 // runOnPeer runs a statement of a transaction that another host runs. A failure
-// ends the transaction: the other host rolls it back after the idle timeout.
+// ends the transaction. The other host is told to roll it back, since it may have refused
+// the statement without looking at the transaction.
 func (s *session) runOnPeer(ctx context.Context, r *request) statement.Answer {
 	a, _ := r.sendToTransactionPeer(ctx, false, false)
 	if a.State != statement.InTransaction {
-		s.tx.failed, s.tx.peerHost = true, ""
+		s.rollbackOnPeer()
+		s.tx.failed = true
 		a.State = statement.Failed
 	}
 	s.tx.wrote = s.tx.wrote || (a.OK() && r.writes)
@@ -180,10 +182,14 @@
 }
 
 // commitOnPeer forwards the commit, exactly once. If its answer is lost and the
-// transaction wrote, the outcome is in doubt.
+// transaction wrote, the outcome is in doubt. Only a commit that certainly didn't run is
+// followed by a rollback.
 func (s *session) commitOnPeer(ctx context.Context, r *request) statement.Answer {
 	wrote := s.tx.wrote
 	a, sent := r.sendToTransactionPeer(ctx, false, false)
+	if a.Code.NotRun() {
+		s.rollbackOnPeer()
+	}
 	s.tx = nil
 	if r.answerLost && sent && wrote {
 		a.Code = statement.InDoubt
@@ -198,6 +204,9 @@
 // finishBeginOnPeer applies the answer to a transaction's first statement.
 func (s *session) finishBeginOnPeer(r *request, a statement.Answer) statement.Answer {
 	if a.State != statement.InTransaction {
+		if r.answerLost { // the other host may run it
+			s.rollbackOnPeer()
+		}
 		s.tx.failed, s.tx.peerHost = true, ""
 		a.State = statement.Failed
 	}
@@ -209,7 +218,8 @@
 
 // rollbackOnPeer rolls back the transaction on the host that runs it, without
 // waiting for the answer. If the request is lost, that host rolls back after the
-// idle timeout.
+// idle timeout. The request names no configuration, so that a host with an older one
+// doesn't refuse it.
 func (s *session) rollbackOnPeer() {
 	if s.tx.peerHost == "" {
 		return
--- a/internal/relay/hosted_test.go
+++ b/internal/relay/hosted_test.go
@@ -18,6 +18,7 @@
 type servicePeers struct {
 	service        *Service
 	loseNextAnswer bool // the next answer is lost
+	loseRollbacks  bool // rollbacks don't arrive
 }
 
 func (p *servicePeers) Offers(topology.GroupID) []placement.Offer {
@@ -25,6 +26,9 @@
 }
 
 func (p *servicePeers) Call(_ context.Context, _ topology.HostID, _ string, args, reply any) error {
+	if p.loseRollbacks && args.(*RunArgs).Statement.Kind == statement.Rollback {
+		return errors.New("cut off")
+	}
 	err := p.service.Run(args.(*RunArgs), reply.(*RunReply))
 	if p.loseNextAnswer {
 		p.loseNextAnswer = false
@@ -76,11 +80,49 @@
 	}
 }
 
+// A host that refuses a statement or the commit because its configuration is older is told
+// to roll back. Otherwise the transaction keeps a connection until the idle timeout.
+func TestTransactionRefusedForOlderConfigurationIsRolledBack(t *testing.T) {
+	for _, test := range []struct {
+		st    statement.Statement
+		state statement.State
+	}{{write("b"), statement.Failed}, {commit, statement.Idle}} {
+		local, remote, _ := newHostPair(t)
+		remote.config.TransactionIdle = time.Minute
+		local.serveStatement(begin)
+		qt.Assert(t, local.serveStatement(write("a")).State, qt.Equals, statement.InTransaction)
+		local.config.Version++
+		a := local.serveStatement(test.st)
+		qt.Check(t, a.Code, qt.Equals, statement.Busy)
+		qt.Check(t, a.State, qt.Equals, test.state)
+		eventually(t, "the other host rolls back", func() bool { return remote.server.forwardedTxs.count() == 0 })
+		qt.Check(t, remote.leader.receivedTexts(), qt.DeepEquals, []string{"q WRITE a x"})
+		if test.state == statement.Failed {
+			a = local.serveStatement(statement.Statement{Kind: statement.Rollback})
+			qt.Check(t, a.OK(), qt.IsTrue)
+		}
+	}
+}
+
+// If the answer to the first statement is lost, the other host runs a transaction that its
+// session has given up.
+func TestTransactionWithLostFirstAnswerIsRolledBack(t *testing.T) {
+	local, remote, peers := newHostPair(t)
+	remote.config.TransactionIdle = time.Minute
+	local.serveStatement(begin)
+	peers.loseNextAnswer = true
+	a := local.serveStatement(write("a"))
+	qt.Check(t, a.Code, qt.Equals, statement.Aborted)
+	qt.Check(t, a.State, qt.Equals, statement.Failed)
+	eventually(t, "the other host rolls back", func() bool { return remote.server.forwardedTxs.count() == 0 })
+}
+
 // A lost answer aborts the transaction with a guarantee that nothing is kept, and
-// the other host rolls back after the idle timeout.
+// the other host rolls back after the idle timeout if the request to do so is lost too.
 func TestLostStatementAnswerFromPeerAbortsTransaction(t *testing.T) {
 	local, remote, peers := newHostPair(t)
 	remote.config.TransactionIdle = 50 * time.Millisecond
+	peers.loseRollbacks = true
 	local.serveStatement(begin)
 	local.serveStatement(write("a"))
 	peers.loseNextAnswer = true
