relay: with routing by cost, only the last eligible host asked queues a statement

Cause: offersByCost leaves out hosts that were asked, but their number was still compared to that of the offers. Of three eligible hosts the second one asked queued the statement, although the third, not asked yet, might have had a free connection.

Ruled out: comparing only without routing by cost, which would keep two rules for the same question.

Change: without home hosts, an attempt is the last one if no offer is left that was not asked.

Measured: without the change, the new test fails: the second host is asked to queue the read. With it go test ./internal/relay passes.

--- a/internal/relay/crossing_test.go
+++ b/internal/relay/crossing_test.go
@@ -163,6 +163,25 @@
 	}
 }
 
+// Of three holders that the cost allows, only the last one asked queues the statement. The
+// second one did, although the third one might have had a free connection.
+func TestOnlyTheLastHolderAskedQueues(t *testing.T) {
+	for _, priced := range []bool{true, false} {
+		f := newCrossingFixture(t, catalog.BoundedAge, costlyBytes)
+		noConnections(f)
+		if !priced {
+			f.server.opts.Locality = nil
+		}
+		peers := &recordingPeers{answer: busy, offers: []placement.Offer{offerIn("a", "b", 3), offerIn("a", "c", 3), offerIn("a", "d", 3)}}
+		f.server.opts.Peers = peers
+		f.serveStatement(read("a"))
+		qt.Assert(t, peers.asked, qt.HasLen, 3)
+		for i, want := range []bool{true, true, false} {
+			qt.Check(t, peers.args[i].AtOnce, qt.Equals, want, qt.Commentf("priced %v, host %d", priced, i))
+		}
+	}
+}
+
 // noConnections leaves a host that knows the targets but has no connections to them.
 func noConnections(f *fixture) {
 	f.group.SetMembers([]catalog.Member{
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -118,14 +118,14 @@
 		return "", false, false
 	}
 	r.askedHosts, r.askedDomain = append(r.askedHosts, offer.Host), offer.Domain
-	lastAttempt := len(r.askedHosts) == placement.MaxHostsAsked || len(r.askedHosts) == len(offers)
+	lastAttempt := len(r.askedHosts) == placement.MaxHostsAsked
 	switch {
 	case lastAttempt:
 	case len(homes.Order) > 0: // a host may be the only one with connections that serve the statement
 		need.Exclude = r.askedHosts
 		_, more := placement.PickHome(offers, need, homes.Order, homes.Count, rand.IntN)
 		lastAttempt = !more
-	case r.router() != nil: // offers are only those that its cost allows
+	default: // offersByCost may have left out hosts that were asked
 		lastAttempt = !slices.ContainsFunc(offers, r.isUnasked)
 	}
 	return offer.Host, needsFree || !lastAttempt, true
