relay: transaction starts without an answer are recorded as unanswered

Cause: beginOnPeer derived the outcome for the router from the answer that it makes up when there is none. A host that could not be reached counted as a refusal, with the whole statement timeout as its time, and a lost answer as a statement that was served, in a very short time if the connection broke.

Ruled out: using request.answerLost, which stays set when another host is asked next.

Change: sendToTransactionPeer also returns whether the host answered; without an answer the outcome is NoAnswer with the time that passed, as in forwardTo. Who is asked and what callers are answered stay as they were. The stub of peers is guarded, since a rollback is sent beside the session.

Measured: without the change, the new test fails in both parts: 1000 ms instead of 0.01 ms within the domain for hosts out of reach, and an assumed time elsewhere of 2.5 ms, as for served statements, instead of 12.5 ms for lost answers. With it, it passes, and so does go test -race ./internal/relay.

--- a/internal/relay/crossing_test.go
+++ b/internal/relay/crossing_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
 
@@ -16,6 +17,7 @@
 	"nettlewalk.example/nettlewalk/internal/group"
 	"nettlewalk.example/nettlewalk/internal/locality"
 	"nettlewalk.example/nettlewalk/internal/placement"
+	"nettlewalk.example/nettlewalk/internal/result"
 	"nettlewalk.example/nettlewalk/internal/share"
 	"nettlewalk.example/nettlewalk/internal/statement"
 	"nettlewalk.example/nettlewalk/internal/steady"
@@ -182,6 +184,45 @@
 	}
 }
 
+// A transaction whose first statement gets no answer is recorded with the time that it
+// took, and not as served. A host that couldn't be reached was recorded as if it had kept the
+// caller waiting until the timeout, and a lost answer as a fast one.
+func TestTransactionStartWithoutAnswerIsRecordedAsSuch(t *testing.T) {
+	figures := func(peers Peers) locality.Dump {
+		f := newCrossingFixture(t, catalog.BoundedAge, costlyBytes)
+		noConnections(f)
+		f.server.opts.Peers = peers
+		start := func() {
+			f.serveStatement(statement.Statement{Kind: statement.BeginReadOnly})
+			f.serveStatement(read("a"))
+			f.serveStatement(statement.Statement{Kind: statement.Rollback})
+		}
+		for range 20 { // enough to know the time of a statement without a shortage
+			start()
+		}
+		time.Sleep(locality.UpdateInterval)
+		start()
+		for _, d := range f.server.opts.Locality.Dump() {
+			if d.Kind == locality.Forwards.String() {
+				return d
+			}
+		}
+		t.Fatal("nothing was recorded")
+		return locality.Dump{}
+	}
+	offers := []placement.Offer{offerIn("b", "far", 3)}
+	for i := range 100 { // a host that didn't answer isn't asked again for a while
+		offers = append(offers, offerIn("a", topology.HostID(fmt.Sprint("near-", i)), 3))
+	}
+	served := figures(&stubPeers{offers: offers, answer: statement.Answer{Signature: "sig", State: statement.Failed}})
+	lost := figures(&stubPeers{offers: offers, err: errors.New("the connection broke")})
+	unreachable := figures(&stubPeers{offers: offers, err: result.New(result.HostUnreachable, "b")})
+	t.Logf("served %+v, lost %+v, unreachable %+v", served, lost, unreachable)
+	// Without answers, the time elsewhere is an assumption that doesn't follow the domain's.
+	qt.Check(t, lost.AwayMS > served.AwayMS+1, qt.IsTrue)
+	qt.Check(t, unreachable.HomeMS < 500, qt.IsTrue)
+}
+
 // noConnections leaves a host that knows the targets but has no connections to them.
 func noConnections(f *fixture) {
 	f.group.SetMembers([]catalog.Member{
--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -20,12 +21,15 @@
 	offers []placement.Offer
 	answer statement.Answer
 	err    error
+	mu     sync.Mutex // a rollback is sent beside the session
 	calls  int
 }
 
 func (p *stubPeers) Offers(topology.GroupID) []placement.Offer { return p.offers }
 func (p *stubPeers) Call(_ context.Context, _ topology.HostID, _ string, _, reply any) error {
+	p.mu.Lock()
 	p.calls++
+	p.mu.Unlock()
 	reply.(*RunReply).Answer = p.answer
 	return p.err
 }
--- a/internal/relay/hosted.go
+++ b/internal/relay/hosted.go
@@ -132,22 +132,28 @@
 		s.tx.peerKey = s.server.instanceID + "/" + strconv.FormatUint(s.server.lastID.Add(1), 10)
 		s.tx.group = r.group
 		sentAt := time.Now()
-		a, sent := r.sendToTransactionPeer(ctx, true, noWait)
-		if sent && (a.OK() || !a.Code.NotRun() || a.Code == statement.NoAuth) {
+		a, sent, answered := r.sendToTransactionPeer(ctx, true, noWait)
+		ended := sent && (!a.Code.NotRun() || a.Code == statement.NoAuth)
+		switch {
+		case !answered:
+			r.recordForward(locality.NoAnswer, sentAt, needsLeader)
+		case ended:
 			r.recordForward(locality.Served, sentAt, needsLeader)
-			return a, true
-		}
-		if !noWait || r.askedDomain != r.router().Domain() {
+		case !noWait || r.askedDomain != r.router().Domain():
 			r.recordForward(locality.Refused, sentAt, needsLeader)
 		}
+		if ended {
+			return a, true
+		}
 		s.tx.peerHost, s.tx.peerKey, r.peerRefusal = "", "", a.Detail
 	}
 }
 
 // sendToTransactionPeer runs a statement of a transaction on the host that runs
-// the transaction. sent is false if nothing was sent. With noWait, that host
-// refuses the first statement if it has no free connection.
-func (r *request) sendToTransactionPeer(ctx context.Context, first, noWait bool) (a statement.Answer, sent bool) {
+// the transaction. sent is false if nothing was sent, and answered is
+// false if no answer arrived. With noWait, that host refuses the first statement if it has
+// no free connection.
+func (r *request) sendToTransactionPeer(ctx context.Context, first, noWait bool) (a statement.Answer, sent, answered bool) {
 	t := r.session.tx
 	args := r.forwardArgs()
 	args.AtOnce = noWait
@@ -158,20 +164,20 @@
 	if err == nil {
 		r.recordForwardBytes(args, &a)
 		r.addStep(topology.TargetID(t.peerHost), "transaction statement forwarded: "+a.Code.String())
-		return a, true
+		return a, true, true
 	}
 	r.addStep(topology.TargetID(t.peerHost), "transaction statement lost: "+err.Error())
 	r.answerLost = true
 	var resultErr *result.Error
 	sent = !errors.As(err, &resultErr) || resultErr.Code != result.HostUnreachable
-	return statement.Answer{Code: statement.Aborted, Detail: err.Error(), State: statement.Failed}, sent
+	return statement.Answer{Code: statement.Aborted, Detail: err.Error(), State: statement.Failed}, sent, false
 }
 
 // runOnPeer runs a statement of a transaction that another host runs. A failure
 // ends the transaction. The other host is told to roll it back, since it may have refused
 // the statement without looking at the transaction.
 func (s *session) runOnPeer(ctx context.Context, r *request) statement.Answer {
-	a, _ := r.sendToTransactionPeer(ctx, false, false)
+	a, _, _ := r.sendToTransactionPeer(ctx, false, false)
 	if a.State != statement.InTransaction {
 		s.rollbackOnPeer()
 		s.tx.failed = true
@@ -186,7 +192,7 @@
 // followed by a rollback.
 func (s *session) commitOnPeer(ctx context.Context, r *request) statement.Answer {
 	wrote := s.tx.wrote
-	a, sent := r.sendToTransactionPeer(ctx, false, false)
+	a, sent, _ := r.sendToTransactionPeer(ctx, false, false)
 	if a.Code.NotRun() {
 		s.rollbackOnPeer()
 	}
