quota: an earlier seller that was not reached is told to stop again

Cause: the time of the request to stop was noted before the call, also if the call was left out because the host was avoided, and stayed when the call failed. Purchases that reported the earlier seller after that did not stop it, so that two hosts could sell with the same votes. The entries were never removed while the ledger was in use.

Ruled out: deleting the entry if the call fails or is left out. Each purchase would then call Restart and take tokens from the ledger while the earlier seller is silent.

Change: the entry also holds whether the host was told, or is being told. A host that was not is told once it is no longer avoided; until then purchases only cause the usual checks of an avoided host. Entries are removed with idle ledgers once no host reports the earlier seller any more (8 s), when they no longer have an effect.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -74,6 +74,9 @@
 	// stopInterval is the least time between two requests to the same host to stop
 	// selling a customer's tokens.
 	stopInterval = 1 * time.Second
+	// stoppedRetention is how long it is remembered which host was asked to stop. Hosts
+	// don't report an earlier seller for longer.
+	stoppedRetention = previousPeriod + stopInterval
 	// refusalLinesPerSecond and refusalLinesBurst limit the log lines about refusals.
 	refusalLinesPerSecond = 1
 	refusalLinesBurst     = 10
@@ -121,11 +124,17 @@
 // seller is a ledger with the hosts that were asked to stop selling.
 type seller struct {
 	*Ledger
-	stopped map[topology.HostID]time.Time
+	stopped map[topology.HostID]*stopping
 	ceded   map[topology.HostID]cession // votes with which other hosts stand in for this one
 	cededAt time.Time                   // when this host, standing in, last told the coordinator
 }
 
+// stopping is the state of another host that sold the customer's tokens before.
+type stopping struct {
+	at   time.Time // when the ledger took its sales into account
+	told bool      // it was told to stop, or is being told
+}
+
 // cession is a number of votes that another host sells with.
 type cession struct {
 	domain topology.Domain
@@ -277,6 +286,12 @@
 		for id, s := range ledgers {
 			if s.Idle(now) {
 				delete(ledgers, id)
+				continue
+			}
+			for host, stop := range s.stopped {
+				if now.Sub(stop.at) > stoppedRetention {
+					delete(s.stopped, host)
+				}
 			}
 		}
 	}
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -193,7 +193,7 @@
 	l := q.ledgers[r][args.Customer]
 	if l == nil {
 		l = &seller{Ledger: NewLedger(q.opts.Bounds, limit, version, q.votes.of(r, nil, now), now),
-			stopped: map[topology.HostID]time.Time{}, ceded: map[topology.HostID]cession{}}
+			stopped: map[topology.HostID]*stopping{}, ceded: map[topology.HostID]cession{}}
 		q.ledgers[r][args.Customer] = l
 		if args.Previous != "" && args.Previous != q.opts.Self && !q.avoids(args.Previous, now) {
 			l.level = min(l.level, 1) // the rest comes from the other host, see takeOver
@@ -212,25 +212,32 @@
 	salesCounters[r].Inc()
 }
 
-// takeOver tells the host that sold the customer's tokens before to stop. The caller
-// holds q.mu.
+// takeOver tells the host that sold the customer's tokens before to stop. A host that
+// doesn't answer is told again once it isn't avoided any more. The caller holds q.mu.
 func (q *Quota) takeOver(l *seller, args *BuyArgs, now time.Time) {
-	if at, ok := l.stopped[args.Previous]; ok && (now.Sub(at) < stopInterval || now.Sub(at) < args.PreviousAge) {
-		return
+	previous := args.Previous
+	s := l.stopped[previous]
+	isNew := s == nil || now.Sub(s.at) >= stopInterval && now.Sub(s.at) >= args.PreviousAge
+	if isNew || !s.told && !q.avoids(previous, now) {
+		s = &stopping{at: now}
+		l.stopped[previous] = s
+		l.Restart(now)
 	}
-	l.stopped[args.Previous] = now
-	l.Restart(now)
-	if q.avoids(args.Previous, now) {
+	if s.told || q.avoids(previous, now) {
 		return
 	}
-	previous, stop := args.Previous, &StopArgs{From: q.opts.Self, Customer: args.Customer}
+	s.told = true
+	stop := &StopArgs{From: q.opts.Self, Customer: args.Customer}
 	go func() {
 		var reply StopReply
-		if q.call(previous, stopMethod, stop, &reply, buyTimeout) == nil {
-			q.mu.Lock()
-			l.TakeOver(reply.Tokens, q.opts.Now())
-			q.mu.Unlock()
+		err := q.call(previous, stopMethod, stop, &reply, buyTimeout)
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		if err != nil {
+			s.told = false
+			return
 		}
+		l.TakeOver(reply.Tokens, q.opts.Now())
 	}()
 }
 
