quota: tokens sold in advance depend on the present rate of sales

Cause: advance used the moving average of sales as it was at the last sale. After a pause, it was that of the time before the pause, so that the first host that asked got tokens for too short a time.

Ruled out: a limit on what is unspent at hosts that relies on the undecayed average; room limits it, and the tests of the windows pass.

Change: advance uses sales(now).

--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -180,7 +180,7 @@
 		g.level += float64(r.Credit)
 		g.refill(now)
 	}
-	n := min(int(g.level), max(0, r.Need-held)+g.advance(r))
+	n := min(int(g.level), max(0, r.Need-held)+g.advance(r, now))
 	g.level -= float64(n)
 	g.levelAtSale = g.level
 	// Operations that wait spend their tokens at once. Only the others remain unspent.
@@ -196,13 +196,13 @@
 }
 
 // advance returns how many tokens a host gets beyond those for waiting operations.
-func (g *Ledger) advance(r Request) int {
+func (g *Ledger) advance(r Request, now time.Time) int {
 	depth := g.share * g.bounds.depth(g.limit)
 	if depth <= 0 || r.Demand < minAdvanceDemand {
 		return 0
 	}
 	// Hosts spend their tokens gradually, so that on average half of them are unspent.
-	horizon := min(maxHorizon.Seconds(), 2*advanceFraction*depth/max(g.saleRate, 1))
+	horizon := min(maxHorizon.Seconds(), 2*advanceFraction*depth/max(g.sales(now), 1))
 	horizon *= min(1, g.level/(scarceFraction*depth))
 	room := advanceFraction*depth - float64(g.unspent)
 	wanted := r.Demand*horizon - float64(r.Held)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -261,3 +261,17 @@
 	qt.Check(t, q.avoids("c", now.Add(avoidanceMaxAge+time.Millisecond)), qt.IsFalse)
 	qt.Check(t, q.avoids("b", now.Add(avoidanceMaxAge+time.Millisecond)), qt.IsTrue, qt.Commentf("it is being checked"))
 }
+
+// What is sold in advance after a pause depends on the sales of the last moments, not on
+// those before the pause. Hosts got few tokens with the first request after one, and asked
+// again soon.
+func TestAdvanceAfterAPauseIgnoresEarlierSales(t *testing.T) {
+	advance := func(needed int) int {
+		g := NewLedger(testBounds, Limit{Rate: 500}, 1, 1, at(0))
+		for i := range 20 {
+			g.Buy("a", Request{Seq: uint64(i + 1), Need: needed}, at(time.Duration(i)*100*time.Millisecond))
+		}
+		return g.Buy("b", Request{Seq: 1, Demand: 20}, at(20*time.Second)).Tokens
+	}
+	qt.Check(t, advance(50), qt.Equals, advance(0))
+}
