relay: expected waits at holders use the sizes of holders from share

Cause: the number of connections by which waiting statements are divided was a copy of the size that share.Plan gives without customers. With customers, holders have 8, so that waits at them were overestimated 2.7 times and statements left the domain too early.

Ruled out: the planned size for the fleet as it is, which the relay does not know; the number only divides a queue of a host that reports how many wait, not how many connections it has.

Change: share exports SharedHolderSize and CustomerHolderSize; the relay takes the second one if the configuration has customers, as the plan of connections does.

Measured: with the fixed 3, the new test fails: 2 statements for each connection instead of 0.75.

--- a/internal/relay/crossing.go
+++ b/internal/relay/crossing.go
@@ -16,9 +16,14 @@
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
-// typicalHolderConns is the number of connections of a holder, by which the statements
-// that wait there are divided. share.Plan gives holders as many in large fleets.
-const typicalHolderConns = 3
+// typicalHolderConns returns the number of connections of a holder in a large fleet, by
+// which the statements that wait there are divided. With customers it is larger.
+func (s *Server) typicalHolderConns() int {
+	if c := s.opts.Catalog.Configuration(); c != nil && len(c.Customers) > 0 {
+		return share.CustomerHolderSize
+	}
+	return share.SharedHolderSize
+}
 
 // router returns what decides about work that crosses failure domains, nil if nothing
 // does.
@@ -154,7 +159,7 @@
 		offers = slices.DeleteFunc(slices.Clone(offers), func(o placement.Offer) bool { return !o.Leads })
 	}
 	home, away, crossings := splitOffers(offers, router.Domain(), targets, r.askedHosts)
-	p := forwardPlaces(home, away, needsLeader)
+	p := forwardPlaces(home, away, needsLeader, r.session.server.typicalHolderConns())
 	p.Crossings = crossings
 	// This host's own connections are a place in the domain if its targets are.
 	p.Home = p.Home || needsFree && locality.Crossings(router.Domain(), router.Domain(), targets) == 0
@@ -196,8 +201,9 @@
 	return home, away, crossings
 }
 
-// forwardPlaces describes the hosts to which a statement may be forwarded.
-func forwardPlaces(home, away []placement.Offer, needsLeader bool) locality.Places {
+// forwardPlaces describes the hosts to which a statement may be forwarded. holderConns is
+// how many connections each of them typically has.
+func forwardPlaces(home, away []placement.Offer, needsLeader bool, holderConns int) locality.Places {
 	free := func(o *placement.Offer) int {
 		if needsLeader {
 			return o.LeaderIdle
@@ -209,7 +215,7 @@
 	for i := range home {
 		waiting := 0.0
 		if n := free(&home[i]); n <= 0 && !home[i].RequestedAt.IsZero() {
-			waiting = float64(1-n) / typicalHolderConns
+			waiting = float64(1-n) / float64(holderConns)
 		}
 		if i == 0 || waiting < p.Waiting {
 			p.Waiting = waiting
--- a/internal/relay/crossing_test.go
+++ b/internal/relay/crossing_test.go
@@ -223,6 +223,20 @@
 	qt.Check(t, unreachable.HomeMS < 500, qt.IsTrue)
 }
 
+// The wait at a holder follows from the connections that share.Plan and PlanForCustomers
+// give it. With customers it was overestimated, as if holders had 3 connections.
+func TestExpectedWaitFollowsTheHolderSize(t *testing.T) {
+	f := newFixture(t, catalog.LatestData)
+	waiting := func() float64 {
+		return forwardPlaces([]placement.Offer{offerIn("a", "b", -5)}, nil, false, f.server.typicalHolderConns()).Waiting
+	}
+	_, size := share.Plan(40, 1000)
+	qt.Check(t, waiting(), qt.Equals, 6/float64(size))
+	f.withCustomers("k1", acme)
+	_, size = share.PlanForCustomers(64, 1000)
+	qt.Check(t, waiting(), qt.Equals, 6/float64(size))
+}
+
 // noConnections leaves a host that knows the targets but has no connections to them.
 func noConnections(f *fixture) {
 	f.group.SetMembers([]catalog.Member{
--- a/internal/share/plan.go
+++ b/internal/share/plan.go
@@ -5,17 +5,17 @@
 	// free, 1/spareDivisor: a killed host's connections linger for seconds
 	// while its successor opens its own.
 	spareDivisor = 8
-	// sharedHolderSize is the number of connections of each holder in a fleet
+	// SharedHolderSize is the number of connections of each holder in a fleet
 	// that is too large for one connection per host within the limit. Some
 	// hosts then hold connections for the others. A holder needs at least this
 	// many to serve transactions besides single statements.
-	sharedHolderSize = 3
+	SharedHolderSize = 3
 )
 
 const (
-	// customerHolderSize is the number of connections of each holder where connections
+	// CustomerHolderSize is the number of connections of each holder where connections
 	// belong to customers: the customers at home at a holder must fit its connections.
-	customerHolderSize = 8
+	CustomerHolderSize = 8
 	// minCustomerHolders is the number of holders that a small limit is divided among,
 	// so that the loss of one host doesn't leave a group without connections.
 	minCustomerHolders = 3
@@ -25,7 +25,7 @@
 // more connections each.
 func PlanForCustomers(limit, hosts int) (holders, size int) {
 	usable := max(limit-limit/spareDivisor, 1)
-	holders = min(max(usable/customerHolderSize, minCustomerHolders), usable, max(hosts, 1))
+	holders = min(max(usable/CustomerHolderSize, minCustomerHolders), usable, max(hosts, 1))
 	return holders, usable / holders
 }
 
@@ -38,5 +38,5 @@
 	if hosts <= usable {
 		return hosts, usable / hosts
 	}
-	return max(usable/sharedHolderSize, 1), min(sharedHolderSize, usable)
+	return max(usable/SharedHolderSize, 1), min(SharedHolderSize, usable)
 }
