relay: acquireSoon without an ignored argument

Cause: acquireSoon took a latency that it ignored, only to have the signature that acquireReader calls.

Ruled out: a wait that depends on the latency. maxAtOnceWait covers the time to open a connection, not that of the statement.

Change: the argument is gone; the one caller that needs the signature adapts it. The behaviour is the same, so that there is no new test.

Measured: go test ./internal/relay passes.

--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -133,7 +133,8 @@
 		}
 	}
 	if len(readers) > 0 && r.mayOpen() {
-		if c, conn := r.acquireReader(first, r.acquireSoon); conn != nil {
+		acquire := func(pool *share.Pool, _ time.Duration) (*share.Conn, error) { return r.acquireSoon(pool) }
+		if c, conn := r.acquireReader(first, acquire); conn != nil {
 			return r.readFrom(c, conn, after)
 		}
 	}
@@ -274,7 +275,7 @@
 		r.leaderConnsBusy = pool.Load().Open > 0
 	}
 	if known && r.mayOpen() {
-		if conn, err := r.acquireSoon(pool, 0); err == nil {
+		if conn, err := r.acquireSoon(pool); err == nil {
 			return id, pool, conn, statement.Answer{}
 		}
 	}
@@ -314,14 +315,14 @@
 		return conn, nil
 	}
 	if r.mayOpen() {
-		return r.acquireSoon(pool, meanLatency)
+		return r.acquireSoon(pool)
 	}
 	return nil, errNoFreeConn
 }
 
 // acquireSoon returns a connection of the pool if one is free, or can be opened, within
-// maxAtOnceWait.
-func (r *request) acquireSoon(pool *share.Pool, _ time.Duration) (*share.Conn, error) {
+// maxAtOnceWait. Unlike in acquire, the wait doesn't depend on the target's latency.
+func (r *request) acquireSoon(pool *share.Pool) (*share.Conn, error) {
 	return pool.Acquire(r.session.customer, r.deadline, maxAtOnceWait, r.route.Priority)
 }
 
