--- a/internal/relay/crossing_test.go
+++ b/internal/relay/crossing_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
 
@@ -16,6 +17,7 @@
 	"nettlewalk.example/nettlewalk/internal/group"
 	"nettlewalk.example/nettlewalk/internal/locality"
 	"nettlewalk.example/nettlewalk/internal/placement"
+	"nettlewalk.example/nettlewalk/internal/result"
 	"nettlewalk.example/nettlewalk/internal/share"
 	"nettlewalk.example/nettlewalk/internal/statement"
 	"nettlewalk.example/nettlewalk/internal/steady"
@@ -163,6 +165,78 @@
 	}
 }
 
+// Of three holders that the cost allows, only the last one asked queues the statement. The
+// second one did, although the third one might have had a free connection.
+func TestOnlyTheLastHolderAskedQueues(t *testing.T) {
+	for _, priced := range []bool{true, false} {
+		f := newCrossingFixture(t, catalog.BoundedAge, costlyBytes)
+		noConnections(f)
+		if !priced {
+			f.server.opts.Locality = nil
+		}
+		peers := &recordingPeers{answer: busy, offers: []placement.Offer{offerIn("a", "b", 3), offerIn("a", "c", 3), offerIn("a", "d", 3)}}
+		f.server.opts.Peers = peers
+		f.serveStatement(read("a"))
+		qt.Assert(t, peers.asked, qt.HasLen, 3)
+		for i, want := range []bool{true, true, false} {
+			qt.Check(t, peers.args[i].AtOnce, qt.Equals, want, qt.Commentf("priced %v, host %d", priced, i))
+		}
+	}
+}
+
+// A transaction whose first statement gets no answer is recorded with the time that it
+// took, and not as served. A host that couldn't be reached was recorded as if it had kept the
+// caller waiting until the timeout, and a lost answer as a fast one.
+func TestTransactionStartWithoutAnswerIsRecordedAsSuch(t *testing.T) {
+	figures := func(peers Peers) locality.Dump {
+		f := newCrossingFixture(t, catalog.BoundedAge, costlyBytes)
+		noConnections(f)
+		f.server.opts.Peers = peers
+		start := func() {
+			f.serveStatement(statement.Statement{Kind: statement.BeginReadOnly})
+			f.serveStatement(read("a"))
+			f.serveStatement(statement.Statement{Kind: statement.Rollback})
+		}
+		for range 20 { // enough to know the time of a statement without a shortage
+			start()
+		}
+		time.Sleep(locality.UpdateInterval)
+		start()
+		for _, d := range f.server.opts.Locality.Dump() {
+			if d.Kind == locality.Forwards.String() {
+				return d
+			}
+		}
+		t.Fatal("nothing was recorded")
+		return locality.Dump{}
+	}
+	offers := []placement.Offer{offerIn("b", "far", 3)}
+	for i := range 100 { // a host that didn't answer isn't asked again for a while
+		offers = append(offers, offerIn("a", topology.HostID(fmt.Sprint("near-", i)), 3))
+	}
+	served := figures(&stubPeers{offers: offers, answer: statement.Answer{Signature: "sig", State: statement.Failed}})
+	lost := figures(&stubPeers{offers: offers, err: errors.New("the connection broke")})
+	unreachable := figures(&stubPeers{offers: offers, err: result.New(result.HostUnreachable, "b")})
+	t.Logf("served %+v, lost %+v, unreachable %+v", served, lost, unreachable)
+	// Without answers, the time elsewhere is an assumption that doesn't follow the domain's.
+	qt.Check(t, lost.AwayMS > served.AwayMS+1, qt.IsTrue)
+	qt.Check(t, unreachable.HomeMS < 500, qt.IsTrue)
+}
+
+// The wait at a holder follows from the connections that share.Plan and PlanForCustomers
+// give it. With customers it was overestimated, as if holders had 3 connections.
+func TestExpectedWaitFollowsTheHolderSize(t *testing.T) {
+	f := newFixture(t, catalog.LatestData)
+	waiting := func() float64 {
+		return forwardPlaces([]placement.Offer{offerIn("a", "b", -5)}, nil, false, f.server.typicalHolderConns()).Waiting
+	}
+	_, size := share.Plan(40, 1000)
+	qt.Check(t, waiting(), qt.Equals, 6/float64(size))
+	f.withCustomers("k1", acme)
+	_, size = share.PlanForCustomers(64, 1000)
+	qt.Check(t, waiting(), qt.Equals, 6/float64(size))
+}
+
 // noConnections leaves a host that knows the targets but has no connections to them.
 func noConnections(f *fixture) {
 	f.group.SetMembers([]catalog.Member{
