capacity: holders of a target share its capacity

About six holders limited their statements at a target independently, and the target's queue decided the order. A coordinator for each group polls the holders every 100 ms while something waits and allocates statements in flight by priority and customer; a pool's limit is the lesser of its own and its allocation.

Ruled out: a holder's reserved one counts as one of the capacity.

--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"nettlewalk.example/nettlewalk/internal/capacity"
 	"nettlewalk.example/nettlewalk/internal/catalog"
 	"nettlewalk.example/nettlewalk/internal/duty"
 	"nettlewalk.example/nettlewalk/internal/gossip"
@@ -34,6 +35,7 @@
 type fleetHost struct {
 	settingsPath string // path of the settings file
 	settings     *platform.Settings
+	options      serveOptions
 	log          logr.Logger
 
 	store        *storeclient.Client
@@ -49,6 +51,7 @@
 	lessee       *lease.Lessee    // nil if primaries are fenced
 	locality     *locality.Router // nil if no prices are set
 	quota        *quota.Quota     // nil if the settings don't bound rates
+	capacity     *capacity.Coordinator
 	holders      share.Holders
 	homes        homeCache
 	leaving      atomic.Bool
@@ -64,9 +67,9 @@
 	missingGroupInterval = 20 * time.Millisecond
 )
 
-func newFleetHost(path string, s *platform.Settings, prices locality.Prices, log logr.Logger) *fleetHost {
-	h := &fleetHost{settingsPath: path, settings: s, log: log, catalog: catalog.NewStore(), watchers: promotion.NewWatchers()}
-	h.locality = locality.NewRouter(prices, s.Domain, log.WithName("locality"))
+func newFleetHost(path string, s *platform.Settings, options serveOptions, log logr.Logger) *fleetHost {
+	h := &fleetHost{settingsPath: path, settings: s, options: options, log: log, catalog: catalog.NewStore(), watchers: promotion.NewWatchers()}
+	h.locality = locality.NewRouter(options.prices, s.Domain, log.WithName("locality"))
 	self := topology.HostID(s.PeerAddr)
 	bootID := rand.Uint64()
 	key := peerKey(s)
@@ -100,6 +103,7 @@
 	groupOptions := group.SetOptions{
 		Domain: s.Domain, Dialer: platform.TargetDialer{}, Catalog: h.catalog,
 		Size: h.connectionShare, Customers: h.groupCustomers, OnSuspect: h.reportUnreachable,
+		SharedHolders: h.sharedHolders, OnWaiting: func(id topology.GroupID) { h.capacity.NoteWaiting(id) },
 		Log: log.WithName("group"),
 	}
 	if !s.PrimariesFenced {
@@ -164,6 +168,7 @@
 func (h *fleetHost) run(ctx context.Context, hangup <-chan os.Signal) error {
 	serveCtx, stop := context.WithCancel(context.Background())
 	defer stop()
+	h.createCapacity(serveCtx)
 	callers, err := h.listen(serveCtx)
 	if err != nil {
 		return err
@@ -205,6 +210,9 @@
 			return nil, err
 		}
 	}
+	if err := h.server.Register(capacity.ServiceName, h.capacity.Service()); err != nil {
+		return nil, err
+	}
 	if err := h.server.Register(relay.ServiceName, h.relay.Service()); err != nil {
 		return nil, err
 	}
--- a/cmd/nettlewalk/fleetinspect.go
+++ b/cmd/nettlewalk/fleetinspect.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/integrii/flaggy"
 
+	"nettlewalk.example/nettlewalk/internal/capacity"
 	"nettlewalk.example/nettlewalk/internal/catalog"
 	"nettlewalk.example/nettlewalk/internal/duty"
 	"nettlewalk.example/nettlewalk/internal/gossip"
@@ -51,6 +52,8 @@
 	// Quota has the customers' limits with this host's tokens. It is absent if rates
 	// aren't bounded.
 	Quota *quota.Dump `json:"quota,omitempty"`
+	// Capacity has the groups whose targets' capacity this host divides now.
+	Capacity []capacity.Dump `json:"capacity,omitempty"`
 }
 
 func (h *fleetHost) dump() fleetDump {
@@ -66,6 +69,7 @@
 	if h.quota != nil {
 		d.Quota = h.quota.Dump()
 	}
+	d.Capacity = h.capacity.Dump()
 	if h.lessee != nil {
 		d.Leases, d.Grants = h.lessee.Dump(), h.grantor.Dump()
 	}
@@ -110,6 +114,7 @@
 		"nettlewalk_connections_open":          func() float64 { return h.sumOffers(func(o group.Offer) int { return o.Open }) },
 		"nettlewalk_connections_idle":          func() float64 { return h.sumOffers(func(o group.Offer) int { return o.Idle }) },
 		"nettlewalk_anchor_age_seconds":        h.oldestAnchorAge,
+		"nettlewalk_capacity_coordinated":      func() float64 { return float64(h.capacity.Coordinated()) },
 		"nettlewalk_store_era":                 func() float64 { return float64(h.store.Era()) },
 		"nettlewalk_store_up":                  func() float64 { up, _ := h.store.Reachable(); return boolGauge(up) },
 	}
--- a/internal/group/dump.go
+++ b/internal/group/dump.go
@@ -19,6 +19,8 @@
 	// Customers lists connections by customer, the most connections first, and is
 	// absent if connections don't belong to customers.
 	Customers []share.CustomerDump `json:"customers,omitempty"`
+	// Shared is absent if the target's capacity isn't shared between its holders.
+	Shared *share.SharedDump `json:"shared,omitempty"`
 }
 
 // Dump is the state of a group as seen by this host.
@@ -45,7 +47,7 @@
 		}
 		d.Members = append(d.Members, MemberDump{
 			Target: m.info, Leads: id == g.view.leader, Unreachable: m.unreachable, Lagging: now.Before(m.lagBackoff.retryAt),
-			LatencyMS: float64(m.latency.Microseconds()) / 1000, Load: m.pool.Load(), Limit: limit, Customers: m.pool.DumpCustomers(),
+			LatencyMS: float64(m.latency.Microseconds()) / 1000, Load: m.pool.Load(), Limit: limit, Customers: m.pool.DumpCustomers(), Shared: m.pool.DumpShared(),
 		})
 	}
 	return d
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -49,6 +49,7 @@
 type member struct {
 	info             catalog.Member
 	pool             *share.Pool
+	sharing          sharing // of pool
 	lagBackoff       lagBackoff
 	applied          topology.Position          // last reported position; only a hint, as a target may be rebuilt and then be behind it
 	failingUntil     time.Time                  // other targets are tried first until then
--- a/internal/group/set.go
+++ b/internal/group/set.go
@@ -34,9 +34,14 @@
 	// Customers returns the customers of the connections to a group's targets, nil if
 	// there are none. It may be nil.
 	Customers func(topology.GroupID) *share.Customers
-	OnSuspect func(topology.GroupID, topology.TargetID, statement.DialOutcome)
-	Leases    Leases // nil if no leases are needed, see Options
-	Log       logr.Logger
+	// SharedHolders returns how many hosts share the capacity of a group's targets, 0 if
+	// it isn't shared. OnWaiting is called without blocking when requests wait for it, see
+	// share.Sharing. Both may be nil.
+	SharedHolders func(topology.GroupID) int
+	OnWaiting     func(topology.GroupID)
+	OnSuspect     func(topology.GroupID, topology.TargetID, statement.DialOutcome)
+	Leases        Leases // nil if no leases are needed, see Options
+	Log           logr.Logger
 }
 
 // Set maintains the groups in the catalog. It is safe for concurrent use.
@@ -101,6 +106,9 @@
 			g.SetCustomers(s.opts.Customers(id))
 		}
 		g.SetMembers(serving[id], func(t topology.Target) int { return s.opts.Size(t, settings.MaxConnections) })
+		if s.opts.SharedHolders != nil {
+			g.setSharing(s.opts.SharedHolders(id), s.opts.OnWaiting)
+		}
 		if g.needsRefresh(MaxAnchorAge) {
 			go g.Refresh(MaxAnchorAge)
 		}
--- a/internal/relay/crossing.go
+++ b/internal/relay/crossing.go
@@ -95,7 +95,7 @@
 		if !r.isUntried(c) {
 			continue
 		}
-		if conn := c.Pool.TryAcquire(r.session.customer); conn != nil {
+		if conn := c.Pool.TryAcquireFor(r.session.customer, r.route.Priority); conn != nil {
 			return r.readFrom(&c, conn, after)
 		}
 	}
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -171,7 +171,7 @@
 		if r.skipped[c.ID] {
 			continue
 		}
-		conn := c.Pool.TryAcquire(r.session.customer)
+		conn := c.Pool.TryAcquireFor(r.session.customer, r.route.Priority)
 		if conn == nil {
 			continue
 		}
@@ -269,7 +269,7 @@
 func (r *request) leaderConn(ctx context.Context) (topology.TargetID, *share.Pool, *share.Conn, statement.Answer) {
 	id, pool, known := r.group.Leader()
 	if known {
-		if conn := pool.TryAcquire(r.session.customer); conn != nil {
+		if conn := pool.TryAcquireFor(r.session.customer, r.route.Priority); conn != nil {
 			return id, pool, conn, statement.Answer{}
 		}
 		r.leaderConnsBusy = pool.Load().Open > 0
@@ -311,7 +311,7 @@
 	if !r.noWait {
 		return pool.Acquire(r.session.customer, r.deadline, maxQueueWait(&r.route, meanLatency), r.route.Priority)
 	}
-	if conn := pool.TryAcquire(r.session.customer); conn != nil {
+	if conn := pool.TryAcquireFor(r.session.customer, r.route.Priority); conn != nil {
 		return conn, nil
 	}
 	if r.mayOpen() {
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -247,7 +247,7 @@
 		if r.skipped[c.ID] || c.Failing {
 			continue
 		}
-		conn := c.Pool.TryAcquire(r.session.customer)
+		conn := c.Pool.TryAcquireFor(r.session.customer, r.route.Priority)
 		if conn != nil && r.beginOnConn(c.ID, c.Pool, conn, begin) {
 			return true
 		}
--- a/internal/share/bycustomer.go
+++ b/internal/share/bycustomer.go
@@ -80,8 +80,8 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	load := CustomerLoad{Load: p.load(), ByCustomer: p.byCustomer, Limit: p.concurrency.max(p.size)}
-	if !p.byCustomer || p.hasIdle(customer) && p.active < p.concurrency.max(p.size) {
+	load := CustomerLoad{Load: p.load(), ByCustomer: p.byCustomer, Limit: p.limit(now)}
+	if !p.byCustomer || p.hasIdle(customer) && p.active < p.limit(now) {
 		return load
 	}
 	load.Delay = p.view(now).expectedCustomerWait(customer, 0, 1, p.untilDial(now), now)
@@ -148,7 +148,7 @@
 // view returns the state on which decisions are based. The caller holds p.mu.
 func (p *Pool) view(now time.Time) *poolView {
 	v := &poolView{
-		size: p.size, open: p.open, dialing: p.customerDials, active: p.active, limit: p.concurrency.max(p.size),
+		size: p.size, open: p.open, dialing: p.customerDials, active: p.active, limit: p.limit(now),
 		use: p.use, hold: p.meanHold, dialTime: p.dialTime, full: now.Before(p.fullUntil),
 	}
 	if p.dialing {
@@ -303,16 +303,18 @@
 		if i < 0 {
 			return
 		}
-		if p.active >= p.concurrency.max(p.size) {
-			p.concurrency.noteReached()
+		if p.active >= p.limit(now) {
+			p.noteReached()
+			p.noteWaiting(now)
 			return
 		}
 		w := p.queue.waiters[i]
 		p.queue.removeAt(i)
 		c := p.popIdle(w.customer, now)
 		p.grants++
-		p.use[w.customer].lastGrant = p.grants
+		p.useOf(w.customer, now).lastGrant = p.grants
 		p.history.add(w.priority, now)
+		p.noteStart(w.customer, w.priority, now)
 		w.granted <- c
 	}
 }
@@ -381,7 +383,7 @@
 func (p *Pool) beginExchange(c *Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.byCustomer || c.probing {
+	if !p.isLimited() || c.probing {
 		return false
 	}
 	p.setActive(c, true)
@@ -398,6 +400,9 @@
 	if busy || slices.ContainsFunc(batch, usesWorkSlot) {
 		p.concurrency.observe(took, busy, p.size, now)
 	}
+	if busy && p.sharing != nil {
+		p.sharing.refused++
+	}
 	if n := len(answers); n > 0 && answers[n-1].State != statement.Idle {
 		p.setInTransaction(c, true)
 		p.setActive(c, false)
--- a/internal/share/concurrency.go
+++ b/internal/share/concurrency.go
@@ -38,6 +38,10 @@
 	// previous baselinePeriod, 0 if there was none.
 	baseline      [2]time.Duration
 	baselineStart time.Time
+	// slowness is the mean response time of the last window as a percentage of the usual
+	// one, 0 if unknown.
+	slowness   int
+	slownessAt time.Time
 }
 
 // max returns how many statements may be in flight for a pool of the size.
@@ -77,6 +81,10 @@
 	if l.count >= limitWindowCount {
 		mean := l.sum / time.Duration(l.count)
 		usual := l.usual()
+		l.slowness, l.slownessAt = 0, now
+		if usual > 0 {
+			l.slowness = int(100 * mean / usual)
+		}
 		if usual > 0 && float64(mean) > slowFactor*float64(usual) {
 			factor = max(slowFactor*float64(usual)/float64(mean), maxDecrease)
 		}
--- a/internal/share/pool.go
+++ b/internal/share/pool.go
@@ -79,6 +79,7 @@
 	active      int    // connections with a statement in flight or about to be sent
 	grants      uint64 // to waiting requests
 	concurrency concurrencyLimit
+	sharing     *sharing // nil while the target's capacity isn't shared
 }
 
 // NewPool returns a pool and starts to open its connections.
@@ -136,15 +137,23 @@
 	return p.takeIdle(len(p.idle)-1, time.Now())
 }
 
-// TryAcquire returns an idle connection of the customer, or nil if there is none.
-func (p *Pool) TryAcquire(customer topology.CustomerID) *Conn {
+// TryAcquire is TryAcquireFor for the most urgent requests.
+func (p *Pool) TryAcquire(customer topology.CustomerID) *Conn { return p.TryAcquireFor(customer, 0) }
+
+// TryAcquireFor returns an idle connection of the customer, or nil if there is none.
+func (p *Pool) TryAcquireFor(customer topology.CustomerID, priority int) *Conn {
+	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.byCustomer && p.active >= p.concurrency.max(p.size) {
-		p.concurrency.noteReached()
+	if p.isLimited() && p.active >= p.limit(now) {
+		p.noteReached()
 		return nil
 	}
-	return p.popIdle(customer, time.Now())
+	c := p.popIdle(customer, now)
+	if c != nil {
+		p.noteStart(customer, priority, now)
+	}
+	return c
 }
 
 // Acquire returns a connection of the customer. It waits until the deadline at most, and no
@@ -154,11 +163,12 @@
 	now := time.Now()
 	p.mu.Lock()
 	var c *Conn
-	if !p.byCustomer || p.active < p.concurrency.max(p.size) {
+	if !p.isLimited() || p.active < p.limit(now) {
 		c = p.popIdle(customer, now)
 	}
 	if c != nil {
 		p.history.add(priority, now)
+		p.noteStart(customer, priority, now)
 		p.mu.Unlock()
 		return c, nil
 	}
@@ -178,6 +188,7 @@
 // enqueue makes a request wait. The caller holds p.mu.
 func (p *Pool) enqueue(w *waiter, now time.Time) {
 	p.queue.add(w)
+	p.noteWaiting(now)
 	if !p.byCustomer {
 		return
 	}
@@ -204,7 +215,11 @@
 	case p.open == 0:
 		return ErrNoConnection
 	}
-	expected := expectedWait(p.queue.countAhead(priority), p.open, p.meanHold, p.history.remainingShare(priority, p.open, p.meanHold, now))
+	usable := p.open
+	if p.sharing != nil {
+		usable = min(usable, p.limit(now))
+	}
+	expected := expectedWait(p.queue.countAhead(priority), usable, p.meanHold, p.history.remainingShare(priority, usable, p.meanHold, now))
 	if expected > maxWait || now.Add(expected).After(deadline) {
 		return ErrWaitTooLong
 	}
@@ -254,7 +269,7 @@
 	p.endUse(c, now)
 	if !usable {
 		p.closeConn(c)
-		if p.byCustomer {
+		if p.isLimited() {
 			p.dispatch(now)
 		}
 		p.startDialing()
@@ -271,6 +286,11 @@
 		p.grantByCustomer(c, now)
 		return
 	}
+	if p.sharing != nil {
+		p.idle = append(p.idle, c)
+		p.dispatch(now)
+		return
+	}
 	if w := p.queue.popNext(now); w != nil {
 		p.takeFor(c, now)
 		p.history.add(w.priority, now)
--- a/internal/share/sim_target_test.go
+++ b/internal/share/sim_target_test.go
@@ -20,8 +20,9 @@
 	maxOpen int
 	refused int // dials
 	dials   int
-	working int // work slots in use and statements that wait for one
-	shed    int // statements
+	working int           // work slots in use and statements that wait for one
+	shed    int           // statements
+	busy    time.Duration // work of all slots
 }
 
 // work takes a work slot. It returns false if the queue for one is full.
@@ -38,6 +39,7 @@
 	time.Sleep(d)
 	<-s.slots
 	s.mu.Lock()
+	s.busy += d
 	s.working--
 	s.mu.Unlock()
 	return true
