--- a/internal/capacity/figures.go
+++ b/internal/capacity/figures.go
@@ -48,12 +48,16 @@
 func PriorityIndex(priority int) int { return min(max(priority, 0), Priorities-1) }
 
 // SetCustomers sets the demand of the customers, each of which must be listed once for
-// each priority. It reorders list.
+// each priority. It reorders list. Waiting must have been set: where nothing waits, only the
+// number of customers counts, since each is served as it asks.
 func (f *Figures) SetCustomers(list []CustomerDemand) {
 	slices.SortFunc(list, func(a, b CustomerDemand) int {
 		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Customer, b.Customer))
 	})
-	f.Customers = slices.Clone(list[:min(len(list), listedCustomers)])
+	f.Customers = nil
+	if f.waits() {
+		f.Customers = slices.Clone(list[:min(len(list), listedCustomers)])
+	}
 	f.Others = len(list) - len(f.Customers)
 }
 
