--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -10,6 +10,7 @@
 	"nettlewalk.example/nettlewalk/internal/customer"
 	"nettlewalk.example/nettlewalk/internal/fleet"
 	"nettlewalk.example/nettlewalk/internal/pool"
+	"nettlewalk.example/nettlewalk/internal/retry"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
@@ -45,7 +46,7 @@
 
 	mu          sync.Mutex // guards the fields below
 	groups      map[topology.GroupID]*group
-	retryBudget RetryBudget
+	retryBudget retry.Budget
 }
 
 // New returns a router with the given configuration.
