--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -64,9 +64,10 @@
 	missingGroupInterval = 20 * time.Millisecond
 )
 
-func newFleetHost(path string, s *platform.Settings, prices locality.Prices, log logr.Logger) *fleetHost {
+func newFleetHost(path string, s *platform.Settings, prices locality.Prices, retryBudget feature, log logr.Logger) *fleetHost {
 	h := &fleetHost{settingsPath: path, settings: s, log: log, catalog: catalog.NewStore(), watchers: promotion.NewWatchers()}
 	h.locality = locality.NewRouter(prices, s.Domain, log.WithName("locality"))
+	recovery := func() bool { return retryBudget.enabled(h.catalog.Configuration()) }
 	self := topology.HostID(s.PeerAddr)
 	bootID := rand.Uint64()
 	key := peerKey(s)
@@ -99,7 +100,7 @@
 	h.gossip.SetClaims(h.duty)
 	groupOptions := group.SetOptions{
 		Domain: s.Domain, Dialer: platform.TargetDialer{}, Catalog: h.catalog,
-		Size: h.connectionShare, Customers: h.groupCustomers, OnSuspect: h.reportUnreachable,
+		Size: h.connectionShare, Customers: h.groupCustomers, OnSuspect: h.reportUnreachable, Recovery: recovery,
 		Log: log.WithName("group"),
 	}
 	if !s.PrimariesFenced {
@@ -113,6 +114,7 @@
 		Peers:      &relayPeers{Client: h.peers, host: h},
 		Revocation: keys.Policy{Strict: s.Revocation.Strict, Timeout: s.Revocation.Timeout}, ConfirmedAt: h.catalog.ConfirmedAt,
 		Homes: h.customerHomes, Self: self, Locality: h.locality, Quota: h.quota,
+		RetryBudget: recovery, Hosts: func() int { return len(h.gossip.Sharers().Hosts) },
 		Log: log.WithName("relay"),
 	})
 	return h
--- a/cmd/nettlewalk/main.go
+++ b/cmd/nettlewalk/main.go
@@ -34,7 +34,7 @@
 	for _, c := range commands {
 		flaggy.AttachSubcommand(c.attachChildren(), 1)
 	}
-	if err := flaggy.DefaultParser.Parse(); err != nil {
+	if err := flaggy.DefaultParser.ParseArgs(withFeatureValues(os.Args[1:])); err != nil {
 		exit(&usageError{"invalid flag: " + err.Error()})
 	}
 	if run := selectedCommand(commands); run != nil {
--- a/internal/group/choose.go
+++ b/internal/group/choose.go
@@ -16,6 +16,8 @@
 	Leaving    bool
 	Failing    bool // a connection to it broke recently
 	Lagging    bool // recently lacked a required position
+	HeldOff    bool // another target is to serve this read: slow start, or ejected
+	Probe      bool // ejected, and this read is to show whether it has recovered
 	Open       int  // this host's open connections to it
 	Idle       int
 	Waiting    int
@@ -35,7 +37,7 @@
 )
 
 // Order returns the candidates in the order in which a read that any of them
-// may serve should try them: by rank, then by expected latency. Lagging,
+// may serve should try them: by rank, then by expected latency. A probed candidate comes first. Held-off, lagging,
 // leaving and failing candidates come last, in this order. Order drops
 // candidates without open connections, and leaving ones unless they lead or are
 // the only candidate.
@@ -59,11 +61,15 @@
 func (c *Candidate) rank() int {
 	switch {
 	case c.Failing:
-		return 3
+		return 4
 	case c.Leaving:
-		return 2
+		return 3
 	case c.Lagging:
+		return 2
+	case c.HeldOff:
 		return 1
+	case c.Probe:
+		return -1
 	}
 	return 0
 }
--- a/internal/group/dump.go
+++ b/internal/group/dump.go
@@ -19,6 +19,8 @@
 	// Customers lists connections by customer, the most connections first, and is
 	// absent if connections don't belong to customers.
 	Customers []share.CustomerDump `json:"customers,omitempty"`
+	// Recovery is absent if slow start and outlier ejection aren't in force.
+	Recovery *RecoveryDump `json:"recovery,omitempty"`
 }
 
 // Dump is the state of a group as seen by this host.
@@ -35,7 +37,7 @@
 	if age, ok := g.AnchorAge(); ok {
 		d.AnchorAgeMS = age.Milliseconds()
 	}
-	now := steady.Now()
+	now, recoveryOn := steady.Now(), g.recoveryOn()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for id, m := range g.members {
@@ -46,6 +48,7 @@
 		d.Members = append(d.Members, MemberDump{
 			Target: m.info, Leads: id == g.view.leader, Unreachable: m.unreachable, Lagging: now.Before(m.lagBackoff.retryAt),
 			LatencyMS: float64(m.latency.Microseconds()) / 1000, Load: m.pool.Load(), Limit: limit, Customers: m.pool.DumpCustomers(),
+			Recovery: g.dumpRecovery(id, recoveryOn, now),
 		})
 	}
 	return d
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -32,6 +33,8 @@
 	Log    logr.Logger
 	// OnSuspect is called on signs that a target is dead.
 	OnSuspect func(topology.GroupID, topology.TargetID, statement.DialOutcome)
+	// Recovery tells whether slow start and outlier ejection are in force; nil: never.
+	Recovery func() bool
 }
 
 // Leases tells which target this host may use as a group's leader. See lease.Table.
@@ -56,6 +59,7 @@
 	unreachable      bool                       // the last dial failed
 	handshakes       statement.HandshakeMonitor // dials that were accepted without a protocol response
 	latency          time.Duration              // moving average of the response times
+	answeredAt       time.Time                  // when it last answered a statement
 }
 
 // Group is this host's view of a group of targets, with its connections to
@@ -69,11 +73,13 @@
 	customers   *share.Customers // nil if connections don't belong to customers
 	leaderFound chan struct{}    // closed and replaced when a new leader is proved
 	probing     bool
+	recovery    recovery
+	draw        func() float64 // from 0 to 1
 }
 
 // New returns a group without members.
 func New(opts Options) *Group {
-	g := &Group{opts: opts, members: map[topology.TargetID]*member{}, leaderFound: make(chan struct{})}
+	g := &Group{opts: opts, members: map[topology.TargetID]*member{}, leaderFound: make(chan struct{}), draw: rand.Float64}
 	g.view.lostAt, g.view.demoted = steady.Now(), true // most likely a target leads and only has to be found
 	return g
 }
@@ -93,6 +99,7 @@
 // SetMembers sets the group's registered targets. sizeOf returns how many
 // connections to keep open to a target, 0 for none.
 func (g *Group) SetMembers(members []catalog.Member, sizeOf func(topology.Target) int) {
+	recoveryOn := g.recoveryOn()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	kept := map[topology.TargetID]bool{}
@@ -106,17 +113,21 @@
 		}
 		if m != nil {
 			m.pool.Close()
+			g.forgetAnswers(info.Target.ID)
 		}
 		pool := share.NewPool(share.Options{Target: info.Target, Dialer: g.opts.Dialer, Size: sizeOf(info.Target), OnDial: g.recordDial, Customers: g.customers})
 		g.members[info.Target.ID] = &member{info: info, pool: pool, latency: initialLatency}
+		g.noteRegistered(info.Target.ID, recoveryOn)
 	}
 	for id, m := range g.members {
 		if !kept[id] {
 			m.pool.Close()
 			delete(g.members, id)
+			g.forgetAnswers(id)
 			g.view.recordNotLeading(id, steady.Now(), steady.Now(), false)
 		}
 	}
+	g.endList()
 	g.startProbing()
 }
 
@@ -216,9 +227,11 @@
 	if !g.MayLead(id) {
 		return
 	}
+	recoveryOn := g.recoveryOn()
 	g.mu.Lock()
 	changed := g.view.recordLeading(id, sent, answer.Position, answer.HasPosition, steady.Now())
 	if changed {
+		g.notePromoted(id, recoveryOn)
 		close(g.leaderFound)
 		g.leaderFound = make(chan struct{})
 	}
@@ -260,11 +273,16 @@
 // NoteServed records a statement that the target answered, and its response
 // time.
 func (g *Group) NoteServed(id topology.TargetID, took time.Duration, answer *statement.Answer) {
+	recoveryOn := g.recoveryOn()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if m := g.members[id]; m != nil {
 		m.latency += (took - m.latency) / latencyEWMADivisor
 		m.lagBackoff.reset()
+		if recoveryOn {
+			m.answeredAt = steady.Now()
+			g.noteAnswer(id, took)
+		}
 		if answer.HasPosition {
 			m.applied = topology.Later(m.applied, answer.Position)
 		}
@@ -313,7 +331,7 @@
 // position after, best first. A target that recently refused a read counts as lagging
 // unless it is known to have reached this position.
 func (g *Group) ReadersFor(after topology.Position, customer topology.CustomerID) []Choice {
-	now := steady.Now()
+	now, recoveryOn := steady.Now(), g.recoveryOn()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	candidates := make([]Candidate, 0, len(g.members))
@@ -333,6 +351,9 @@
 			Delay:      load.Delay,
 		})
 	}
+	if recoveryOn {
+		g.holdOff(candidates, now)
+	}
 	ordered := Order(candidates)
 	choices := make([]Choice, 0, len(ordered))
 	for _, c := range ordered {
--- a/internal/group/probe.go
+++ b/internal/group/probe.go
@@ -88,7 +88,7 @@
 	answers, err := conn.Exchange(time.Now().Add(probeTimeout), LeaderProbe()...)
 	pool.Release(conn, err == nil && answers[1].State == statement.Idle)
 	if err != nil {
-		g.recordUnansweredProbe(id, pool)
+		g.recordUnansweredProbe(id, pool, sent)
 		return false
 	}
 	g.recordAnsweredProbe(id)
@@ -99,8 +99,12 @@
 // recordUnansweredProbe counts a probe without an answer. At
 // maxUnansweredProbes in a row the target counts as silent: its idle
 // connections are closed, since they have most likely gone silent too, and it
-// no longer counts as the leader.
-func (g *Group) recordUnansweredProbe(id topology.TargetID, pool *share.Pool) {
+// no longer counts as the leader. With outlier ejection a probe doesn't count if the target
+// answered a statement since it was sent: answers to statements decide.
+func (g *Group) recordUnansweredProbe(id topology.TargetID, pool *share.Pool, sent time.Time) {
+	if g.recoveryOn() && g.answeredAfter(id, sent) {
+		return
+	}
 	g.NoteFailing(id)
 	g.mu.Lock()
 	member := g.members[id]
@@ -111,11 +115,20 @@
 	}
 	g.mu.Unlock()
 	if limitReached {
+		g.noteDown(id)
 		pool.DropIdle()
 		g.refuteLeader(id, steady.Now(), false)
 	}
 }
 
+// answeredAfter reports whether the target answered a statement after the given time.
+func (g *Group) answeredAfter(id topology.TargetID, sent time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.members[id]
+	return m != nil && m.answeredAt.After(sent)
+}
+
 // recordAnsweredProbe resets the count of unanswered probes.
 func (g *Group) recordAnsweredProbe(id topology.TargetID) {
 	g.mu.Lock()
--- a/internal/group/reachability.go
+++ b/internal/group/reachability.go
@@ -15,6 +15,7 @@
 	unresponsive := g.recordHandshake(id, err)
 	var dialErr *statement.DialError
 	if !errors.As(err, &dialErr) {
+		g.noteUp(id)
 		dialCounter("opened").Inc()
 		return
 	}
@@ -64,11 +65,13 @@
 // answers.
 func (g *Group) NoteUnreachable(id topology.TargetID) {
 	g.NoteFailing(id)
+	g.noteDown(id)
 	g.refuteLeader(id, steady.Now(), false)
 }
 
 // NoteFailing records that a connection to the target broke.
 func (g *Group) NoteFailing(id topology.TargetID) {
+	g.NoteClosed(id)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if m := g.members[id]; m != nil {
--- a/internal/group/set.go
+++ b/internal/group/set.go
@@ -36,7 +36,9 @@
 	Customers func(topology.GroupID) *share.Customers
 	OnSuspect func(topology.GroupID, topology.TargetID, statement.DialOutcome)
 	Leases    Leases // nil if no leases are needed, see Options
-	Log       logr.Logger
+	// Recovery tells whether slow start and outlier ejection are in force; nil: never.
+	Recovery func() bool
+	Log      logr.Logger
 }
 
 // Set maintains the groups in the catalog. It is safe for concurrent use.
@@ -112,7 +114,7 @@
 	defer s.mu.Unlock()
 	g := s.groups[id]
 	if g == nil {
-		g = New(Options{ID: id, Domain: s.opts.Domain, Dialer: s.opts.Dialer, Leases: s.opts.Leases, Log: s.opts.Log, OnSuspect: s.opts.OnSuspect})
+		g = New(Options{ID: id, Domain: s.opts.Domain, Dialer: s.opts.Dialer, Leases: s.opts.Leases, Log: s.opts.Log, OnSuspect: s.opts.OnSuspect, Recovery: s.opts.Recovery})
 		s.groups[id] = g
 		s.order = append(s.order, g)
 	}
--- a/internal/outlier/detector.go
+++ b/internal/outlier/detector.go
@@ -118,7 +118,10 @@
 	}
 	c.record(failed, now)
 	if d.ejected == "" {
-		if f = d.figures(id, now); failed && others > 0 && f.isOutlier() {
+		if !failed || others == 0 {
+			return "", None, f
+		}
+		if f = d.figures(id, now); f.isOutlier() {
 			d.ejected, d.good = id, 0
 			return id, Ejected, f
 		}
@@ -136,7 +139,10 @@
 		}
 		return "", None, f
 	}
-	if f = d.figures(d.ejected, now); failed && f.othersFailAlike() {
+	if !failed {
+		return "", None, f
+	}
+	if f = d.figures(d.ejected, now); f.othersFailAlike() {
 		changed, d.ejected = d.ejected, ""
 		return changed, Cleared, f
 	}
--- a/internal/relay/crossing.go
+++ b/internal/relay/crossing.go
@@ -54,7 +54,7 @@
 	if !r.session.foreign || len(home) == 0 { // a statement of another domain doesn't leave again
 		leaves, _ = router.Leaves(r.route.Group, locality.Reads, readPlaces(home, away), r.work())
 	}
-	if leaves || !slices.ContainsFunc(home, r.isUntried) {
+	if leaves || !slices.ContainsFunc(home, r.isPreferred) {
 		return slices.Concat(away, home), nil
 	}
 	return home, away
@@ -64,7 +64,7 @@
 
 // readPlaces describes the targets for reads.
 func readPlaces(home, away []group.Choice) locality.Places {
-	isUsable := func(c group.Choice) bool { return !c.Failing }
+	isUsable := func(c group.Choice) bool { return !c.Failing && !c.HeldOff }
 	p := locality.Places{Home: slices.ContainsFunc(home, isUsable), Away: slices.ContainsFunc(away, isUsable)}
 	p.AwayShort = p.Away && !slices.ContainsFunc(away, func(c group.Choice) bool { return c.Idle > 0 || c.Waiting == 0 })
 	best := false
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -47,6 +47,8 @@
 	// for the statement. Both are set only if the sender routes by cost.
 	FromDomain topology.Domain
 	MustLeave  bool
+	// Again is set if a target may have got the statement before. It then earns no retry.
+	Again bool
 	// Transaction is set if the statement belongs to a transaction that the
 	// receiving host runs.
 	Transaction Transaction
@@ -117,6 +119,9 @@
 	if !ok {
 		return "", false, false
 	}
+	if !r.chargeAsking() {
+		return "", false, false
+	}
 	r.askedHosts, r.askedDomain = append(r.askedHosts, offer.Host), offer.Domain
 	lastAttempt := len(r.askedHosts) == placement.MaxHostsAsked
 	switch {
@@ -128,6 +133,7 @@
 	default: // offersByCost may have left out hosts that were asked
 		lastAttempt = !slices.ContainsFunc(offers, r.isUnasked)
 	}
+	lastAttempt = lastAttempt || !r.coversRetry() // another host won't be asked
 	return offer.Host, needsFree || !lastAttempt, true
 }
 
@@ -234,6 +240,7 @@
 	args := &RunArgs{
 		Configuration: r.session.server.configurationVersion(), Database: r.session.database, Key: r.session.key, Statement: *r.st, Writes: r.writes, Uses: r.preparedName,
 		Floor: r.session.floor, Within: time.Until(r.deadline),
+		Again: r.wasSent(),
 	}
 	if r.preparedName != "" {
 		args.Prepared = r.session.state.prepared[r.preparedName]
@@ -297,6 +304,7 @@
 		return *refused, true
 	}
 	r.fromPeer = true
+	r.earned = earnedBefore(args)
 	r.deadline = r.arrivedAt.Add(min(args.Within, r.route.StatementTimeout))
 	answer, ok := r.run(context.Background())
 	if !ok && !r.noWait { // the forwarding host logs the refusal of a no-wait statement
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -43,7 +43,11 @@
 	Locality *locality.Router
 	// Quota limits the rate of each customer's operations; nil: rates aren't limited.
 	Quota *quota.Quota
-	Log   logr.Logger
+	// RetryBudget tells whether the retry budget is in force; nil: never. Hosts returns how
+	// many hosts this host sees; nil: only itself.
+	RetryBudget func() bool
+	Hosts       func() int
+	Log         logr.Logger
 }
 
 // Server serves callers. It is safe for concurrent use.
@@ -63,6 +67,7 @@
 	forwardedTxs     *txTable
 	peerLoads        placement.Loads // reported by other hosts
 	wire             wireMeter
+	retries          *retryBudget
 	instanceID       string // unique to this process among all hosts
 }
 
@@ -77,6 +82,7 @@
 		forwardedCounter: metrics.GetOrCreateCounter("nettlewalk_statements_forwarded_total"),
 	}
 	s.forwardedTxs = newTxTable(s)
+	s.retries = newRetryBudget(&s.opts)
 	return s
 }
 
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -45,6 +45,13 @@
 	leaderConnsBusy bool
 	// mayHaveRun is set unless the statement certainly ran at no target.
 	mayHaveRun bool
+	// earned is the part of what a first sending earns that this host needn't or may not
+	// earn any more for the statement.
+	earned float64
+	// budgetRefused is set if the retry budget refused a sending to a target or to another
+	// host, and outOfBudget if the statement isn't sent to a target again.
+	budgetRefused, outOfBudget bool
+	failedAnswer               *statement.Answer // of the first target, if it failed the read
 }
 
 // serveSingle runs one statement outside a transaction.
@@ -87,6 +94,9 @@
 	now := time.Now()
 	r := &request{session: s, st: st, route: route, group: g, writes: writes, preparedName: preparedName, arrivedAt: now, noWait: s.noWait}
 	r.deadline = now.Add(route.StatementTimeout)
+	if s.forPeer {
+		r.earned = forwardedPart
+	}
 	if s.tx != nil {
 		if s.tx.firstStatementID == "" {
 			s.tx.firstStatementID = st.ID
@@ -98,7 +108,13 @@
 
 // run tries targets until one answers. ok is false if the answer is an error.
 func (r *request) run(ctx context.Context) (answer statement.Answer, ok bool) {
-	for r.tries < maxTries && time.Now().Before(r.deadline) {
+	answer, _ = r.tryTargets(ctx)
+	answer = r.finalAnswer(answer)
+	return answer, answer.OK()
+}
+
+func (r *request) tryTargets(ctx context.Context) (answer statement.Answer, ok bool) {
+	for r.tries < maxTries && time.Now().Before(r.deadline) && !r.budgetSpent() {
 		covered, known := r.group.CoveringPosition(r.route.MaxAge - maxAgeMargin)
 		dest, after := chooseDestination(r.writes, r.route.Freshness, r.session.floor, covered, known)
 		var retry bool
@@ -111,6 +127,9 @@
 			return answer, answer.OK()
 		}
 	}
+	if r.outOfBudget && answer.Code.NotRun() {
+		return r.budgetRefusal(), false
+	}
 	if answer.Code == statement.OK || answer.Code == statement.Lagging {
 		answer = r.session.refusal(statement.Busy, "no target could serve the statement in time")
 	}
@@ -123,21 +142,26 @@
 func (r *request) runOnReader(ctx context.Context, after topology.Position) (statement.Answer, bool) {
 	readers := withoutLagging(r.group.ReadersFor(after, r.session.customer))
 	first, rest := r.splitByCost(readers)
-	if answer, ended := r.readOnFree(first, after); ended {
+	preferred, heldOff := splitHeldOff(first)
+	if answer, ended := r.readOnFree(preferred, after); ended {
 		return answer, false
 	}
-	if len(rest) > 0 && !slices.ContainsFunc(first, r.isUntried) { // no target of the domain can serve it
-		first, rest = rest, nil
-		if answer, ended := r.readOnFree(first, after); ended {
+	if len(rest) > 0 && !slices.ContainsFunc(first, r.isPreferred) { // no target of the domain can serve it
+		first, rest = slices.Concat(rest, heldOff), nil
+		preferred, heldOff = splitHeldOff(first)
+		if answer, ended := r.readOnFree(preferred, after); ended {
 			return answer, false
 		}
 	}
 	if len(readers) > 0 && r.mayOpen() {
 		acquire := func(pool *share.Pool, _ time.Duration) (*share.Conn, error) { return r.acquireSoon(pool) }
-		if c, conn := r.acquireReader(first, acquire); conn != nil {
+		if c, conn := r.acquireReader(preferred, acquire); conn != nil {
 			return r.readFrom(c, conn, after)
 		}
 	}
+	if answer, ended := r.readOnFree(heldOff, after); ended {
+		return answer, false
+	}
 	if answer, ok := r.forward(ctx, r.onlyLeaderLeft(readers), len(readers) > 0); ok {
 		return answer, false
 	}
@@ -176,7 +200,7 @@
 			continue
 		}
 		answer, retry := r.readFrom(&c, conn, after)
-		if !retry || r.tries >= maxTries {
+		if !retry || r.tries >= maxTries || r.budgetSpent() {
 			return answer, true
 		}
 	}
@@ -208,6 +232,9 @@
 		answerDeadline = readDeadline
 	}
 	answer, retry := r.exchange(id, c.Pool, conn, []statement.Statement{st}, 0, answerDeadline)
+	if r.outOfBudget {
+		return answer, false
+	}
 	r.recordRead(c, &answer, retry)
 	if answer.Code == statement.TimedOut && answerDeadline.Before(r.deadline) {
 		r.skipTarget(id)
@@ -222,6 +249,12 @@
 			r.skipTarget(id)
 			return answer, true
 		}
+	case statement.RunFailed:
+		if r.retriesFailedRead(id, after) {
+			r.failedAnswer = &answer
+			r.skipTarget(id)
+			return answer, true
+		}
 	}
 	return answer, retry
 }
@@ -353,9 +386,14 @@
 func (r *request) exchange(id topology.TargetID, pool *share.Pool, conn *share.Conn, batch []statement.Statement, callerIndex int, deadline time.Time) (statement.Answer, bool) {
 	if !isUsable(conn) { // not counted as a try: each dead connection is found only once
 		pool.Release(conn, false)
+		r.group.NoteClosed(id)
 		r.addStep(id, "connection was closed")
 		return r.session.refusal(statement.Busy, "connection was closed while idle"), true
 	}
+	if !r.chargeSending() {
+		pool.Release(conn, true)
+		return r.budgetRefusal(), false
+	}
 	r.tries++
 	prefix := r.session.state.replay(conn, r.preparedName)
 	sent := steady.Now()
@@ -391,6 +429,9 @@
 		r.addStep(id, "ok")
 		return answer, false
 	}
+	if answer.Code == statement.RunFailed {
+		r.group.NoteFailedAnswer(id)
+	}
 	r.addStep(id, answer.Code.String())
 	return answer, answer.Code == statement.Lagging || answer.Code == statement.ReadOnly
 }
@@ -417,6 +458,9 @@
 	}
 	r.mayHaveRun = r.mayHaveRun || broken.Sent
 	r.group.NoteFailing(id)
+	if broken.Sent {
+		r.group.NoteFailedAnswer(id)
+	}
 	code, retry := classifyBreak(broken, r.writes)
 	r.addStep(id, "connection broke: "+broken.Cause.Error())
 	return r.session.refusal(code, broken.Error()), retry
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -179,6 +179,7 @@
 		return s.failWith(s.refusal(statement.Aborted, leaseLostDetail), true)
 	}
 	prefix := s.state.replay(t.conn, r.preparedName)
+	r.earnInTransaction()
 	sent := steady.Now()
 	answers, err := t.conn.Exchange(r.deadline, append(prefix, *r.st)...)
 	r.recordExchange(t.target, t.atLeader, t.conn)
@@ -186,6 +187,7 @@
 	if err != nil {
 		r.addStep(t.target, "connection broke: "+err.Error())
 		t.group.NoteFailing(t.target)
+		t.group.NoteFailedAnswer(t.target)
 		return s.failWith(s.refusal(statement.Aborted, err.Error()), false)
 	}
 	for i := range prefix {
@@ -202,6 +204,9 @@
 		t.wrote = t.wrote || r.writes
 		t.group.NoteServed(t.target, steady.Now().Sub(sent), &a)
 	}
+	if a.Code == statement.RunFailed {
+		t.group.NoteFailedAnswer(t.target)
+	}
 	if a.State != statement.InTransaction {
 		if a.Code == statement.ReadOnly {
 			t.group.NoteNotLeading(t.target, sent)
@@ -215,13 +220,16 @@
 func (r *request) beginHere(ctx context.Context) (refusal statement.Answer, ok bool) {
 	readOnly := r.session.tx.readOnly && r.route.Freshness != catalog.LatestData
 	refusal = r.session.refusal(statement.Busy, "no target could begin the transaction in time")
-	for r.tries < maxTries && time.Now().Before(r.deadline) {
+	for r.tries < maxTries && time.Now().Before(r.deadline) && !r.budgetSpent() {
 		if readOnly {
 			covered, known := r.group.CoveringPosition(r.route.MaxAge - maxAgeMargin)
 			if dest, after := chooseDestination(false, r.route.Freshness, r.session.floor, covered, known); dest == anyReader {
 				if r.beginOnReader(after) {
 					return statement.Answer{}, true
 				}
+				if r.outOfBudget {
+					break
+				}
 			}
 		}
 		id, pool, conn, refused := r.leaderConn(ctx)
@@ -269,9 +277,14 @@
 
 // beginOnConn begins the transaction on the given connection.
 func (r *request) beginOnConn(id topology.TargetID, pool *share.Pool, conn *share.Conn, begin statement.Statement) bool {
+	if !r.chargeSending() {
+		pool.Release(conn, true)
+		return false
+	}
 	r.tries++
 	if !isUsable(conn) {
 		pool.Release(conn, false)
+		r.group.NoteClosed(id)
 		return false
 	}
 	prefix := r.session.state.replay(conn, "")
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -48,8 +48,12 @@
 	return b.tokens-1 >= b.reserve*urgentPart
 }
 
-// SetReserve changes the reserve. A larger reserve is filled by later first sendings.
-func (b *Budget) SetReserve(reserve float64) { b.reserve, b.tokens = reserve, min(b.tokens, reserve) }
+// SetReserve changes the reserve. What it rises by can be used at once, so that the bound on
+// retries holds only for callers that raise it once.
+func (b *Budget) SetReserve(reserve float64) {
+	b.tokens = min(b.tokens+max(reserve-b.reserve, 0), reserve)
+	b.reserve = reserve
+}
 
 // Tokens returns how many retries the budget covers, and its reserve.
 func (b *Budget) Tokens() (tokens, reserve float64) { return b.tokens, b.reserve }
