--- a/internal/relay/retries.go
+++ b/internal/relay/retries.go
@@ -267,9 +267,16 @@
 func (r *request) finalAnswer(a statement.Answer) statement.Answer {
 	switch {
 	case a.OK():
+		return a
 	case r.failedAnswer != nil:
 		return *r.failedAnswer
-	case r.budgetRefused && r.mayHaveRun && a.Code.NotRun():
+	case !a.Code.NotRun():
+		return a
+	}
+	if r.outOfBudget {
+		a = r.budgetRefusal()
+	}
+	if r.budgetRefused && r.mayHaveRun {
 		a.Code = statement.InDoubt
 	}
 	return a
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -127,9 +127,6 @@
 			return answer, answer.OK()
 		}
 	}
-	if r.outOfBudget && answer.Code.NotRun() {
-		return r.budgetRefusal(), false
-	}
 	if answer.Code == statement.OK || answer.Code == statement.Lagging {
 		answer = r.session.refusal(statement.Busy, "no target could serve the statement in time")
 	}
