--- a/cmd/nettlewalk/fleetcapacity.go
+++ b/cmd/nettlewalk/fleetcapacity.go
@@ -5,36 +5,9 @@
 	"slices"
 
 	"nettlewalk.example/nettlewalk/internal/capacity"
-	"nettlewalk.example/nettlewalk/internal/locality"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
-// serveOptions are the flags of the serve command that concern a host on the users'
-// platform.
-type serveOptions struct {
-	prices         locality.Prices
-	sharedCapacity switchMode
-}
-
-// switchMode is the value of a flag that enables a part of the proxy.
-type switchMode string
-
-const (
-	switchOn   switchMode = "on"
-	switchOff  switchMode = "off"
-	switchAuto switchMode = "auto" // on where the configuration has customers
-)
-
-// validate returns an error if the value isn't one of the three. flag is the name of the
-// flag.
-func (m switchMode) validate(flag string) error {
-	switch m {
-	case switchOn, switchOff, switchAuto:
-		return nil
-	}
-	return &usageError{flag + ": must be on, off or auto"}
-}
-
 // createCapacity creates the coordinator of the capacity that holders of targets share.
 func (h *fleetHost) createCapacity(ctx context.Context) {
 	h.capacity = capacity.NewCoordinator(ctx, capacity.Options{
@@ -52,13 +25,7 @@
 
 // sharesCapacity reports whether the capacity of targets is shared between their holders.
 func (h *fleetHost) sharesCapacity() bool {
-	switch h.options.sharedCapacity {
-	case switchOn:
-		return true
-	case switchOff:
-		return false
-	}
-	return hasCustomers(h.catalog.Configuration())
+	return h.options.sharedCapacity.enabled(h.catalog.Configuration())
 }
 
 // capacityHolders returns the hosts that hold connections to a group's targets.
--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -104,7 +104,8 @@
 		Domain: s.Domain, Dialer: platform.TargetDialer{}, Catalog: h.catalog,
 		Size: h.connectionShare, Customers: h.groupCustomers, OnSuspect: h.reportUnreachable,
 		SharedHolders: h.sharedHolders, OnWaiting: func(id topology.GroupID) { h.capacity.NoteWaiting(id) },
-		Log: log.WithName("group"),
+		Recovery: h.budgetsRetries,
+		Log:      log.WithName("group"),
 	}
 	if !s.PrimariesFenced {
 		h.createLeases()
@@ -117,11 +118,18 @@
 		Peers:      &relayPeers{Client: h.peers, host: h},
 		Revocation: keys.Policy{Strict: s.Revocation.Strict, Timeout: s.Revocation.Timeout}, ConfirmedAt: h.catalog.ConfirmedAt,
 		Homes: h.customerHomes, Self: self, Locality: h.locality, Quota: h.quota,
+		RetryBudget: h.budgetsRetries, Hosts: func() int { return len(h.gossip.Sharers().Hosts) },
 		Log: log.WithName("relay"),
 	})
 	return h
 }
 
+// budgetsRetries reports whether the retry budget, slow start and outlier ejection are in
+// force.
+func (h *fleetHost) budgetsRetries() bool {
+	return h.options.retryBudget.enabled(h.catalog.Configuration())
+}
+
 // dutyChanged spreads a change of the claim on a group's duty.
 func (h *fleetHost) dutyChanged(id topology.GroupID) {
 	h.gossip.TriggerRound()
--- a/cmd/nettlewalk/serve.go
+++ b/cmd/nettlewalk/serve.go
@@ -19,17 +19,16 @@
 	var path string
 	var metricsPort int
 	var options serveOptions
-	sharedCapacity := string(switchAuto)
+	features := newFeatureFlags()
 	cmd := flaggy.NewSubcommand("serve")
 	cmd.Description = "Run a host until SIGTERM or SIGINT, then drain it before exit"
 	cmd.String(&path, "c", "config", "settings file; default: the file named by "+platform.ConfigPathEnv+", in the platform's format")
 	cmd.Int(&metricsPort, "m", "metrics-port", "port of metrics and the state dump on the platform; 0: the first internal port")
 	cmd.Float64(&options.prices.Gigabyte, "", "cross-domain-byte-price", "on the platform: price of one gigabyte sent between failure domains, in the currency of the delay price; 0 and no delay price: routing by cost is off")
 	cmd.Float64(&options.prices.Second, "", "cross-domain-delay-price", "on the platform: price of one second that one caller waits. Only the ratio matters: with 0.02 for a gigabyte and 0.0004 for a second, 1 kB is worth 50 us of waiting")
-	cmd.String(&sharedCapacity, "", "shared-capacity", "on the platform: hosts divide the statements in flight at a target between them; on, off, or auto: where the configuration has customers")
+	features.addTo(cmd)
 	return command{Subcommand: cmd, run: func() error {
-		options.sharedCapacity = switchMode(sharedCapacity)
-		if err := options.sharedCapacity.validate("shared-capacity"); err != nil {
+		if err := features.apply(&options); err != nil {
 			return err
 		}
 		if err := options.prices.Validate(); err != nil {
--- a/internal/group/dump.go
+++ b/internal/group/dump.go
@@ -21,6 +21,8 @@
 	Customers []share.CustomerDump `json:"customers,omitempty"`
 	// Shared is absent if the target's capacity isn't shared between its holders.
 	Shared *share.SharedDump `json:"shared,omitempty"`
+	// Recovery is absent if slow start and outlier ejection aren't in force.
+	Recovery *RecoveryDump `json:"recovery,omitempty"`
 }
 
 // Dump is the state of a group as seen by this host.
@@ -37,7 +39,7 @@
 	if age, ok := g.AnchorAge(); ok {
 		d.AnchorAgeMS = age.Milliseconds()
 	}
-	now := steady.Now()
+	now, recoveryOn := steady.Now(), g.recoveryOn()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for id, m := range g.members {
@@ -48,6 +50,7 @@
 		d.Members = append(d.Members, MemberDump{
 			Target: m.info, Leads: id == g.view.leader, Unreachable: m.unreachable, Lagging: now.Before(m.lagBackoff.retryAt),
 			LatencyMS: float64(m.latency.Microseconds()) / 1000, Load: m.pool.Load(), Limit: limit, Customers: m.pool.DumpCustomers(), Shared: m.pool.DumpShared(),
+			Recovery: g.dumpRecovery(id, recoveryOn, now),
 		})
 	}
 	return d
