relay: refused callers are told when to return

Ruled out: parsing the text of another host's refusal; the time travels in statement.Answer.RetryAfter, a new gob field. Promising a slot at each host that is asked to serve at once or refuse: another host is asked next, and the slot would stay empty.

Change: request.addRetryTime adds 'retry after N ms' to a BUSY that certainly didn't run, at the host of the session, with the holder's time if it gave one.

--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -24,6 +24,7 @@
 	"nettlewalk.example/nettlewalk/internal/promotion"
 	"nettlewalk.example/nettlewalk/internal/quota"
 	"nettlewalk.example/nettlewalk/internal/relay"
+	"nettlewalk.example/nettlewalk/internal/retryafter"
 	"nettlewalk.example/nettlewalk/internal/share"
 	"nettlewalk.example/nettlewalk/internal/topology"
 	"nettlewalk.example/nettlewalk/platform"
@@ -64,7 +65,7 @@
 	missingGroupInterval = 20 * time.Millisecond
 )
 
-func newFleetHost(path string, s *platform.Settings, prices locality.Prices, log logr.Logger) *fleetHost {
+func newFleetHost(path string, s *platform.Settings, prices locality.Prices, retryTimes retryafter.Mode, log logr.Logger) *fleetHost {
 	h := &fleetHost{settingsPath: path, settings: s, log: log, catalog: catalog.NewStore(), watchers: promotion.NewWatchers()}
 	h.locality = locality.NewRouter(prices, s.Domain, log.WithName("locality"))
 	self := topology.HostID(s.PeerAddr)
@@ -113,7 +114,8 @@
 		Peers:      &relayPeers{Client: h.peers, host: h},
 		Revocation: keys.Policy{Strict: s.Revocation.Strict, Timeout: s.Revocation.Timeout}, ConfirmedAt: h.catalog.ConfirmedAt,
 		Homes: h.customerHomes, Self: self, Locality: h.locality, Quota: h.quota,
-		Log: log.WithName("relay"),
+		RetryTimes: relay.RetryTimes{Mode: retryTimes, Hosts: func() int { return len(h.gossip.Live()) }},
+		Log:        log.WithName("relay"),
 	})
 	return h
 }
--- a/cmd/nettlewalk/fleetinspect.go
+++ b/cmd/nettlewalk/fleetinspect.go
@@ -51,6 +51,8 @@
 	// Quota has the customers' limits with this host's tokens. It is absent if rates
 	// aren't bounded.
 	Quota *quota.Dump `json:"quota,omitempty"`
+	// RetryTimes is absent if refused callers aren't told when to return.
+	RetryTimes *relay.RetryTimesDump `json:"retry_times,omitempty"`
 }
 
 func (h *fleetHost) dump() fleetDump {
@@ -58,7 +60,7 @@
 		Host: string(h.settings.Host), Ready: h.isReady(), Leaving: h.leaving.Load(), Sessions: h.relay.Sessions(),
 		ReadMS: msSinceRead(h.catalog.ReadTimes()), Connected: h.gossip.Connected(),
 		Hosts: h.gossip.Hosts(), Duties: h.duty.Claims(), Groups: h.groups.Dump(),
-		Keys: h.relay.DumpKeys(),
+		Keys: h.relay.DumpKeys(), RetryTimes: h.relay.DumpRetryTimes(),
 	}
 	configuration, register := h.catalog.Versions()
 	d.Configuration, d.Register, d.StoreEra = configuration, register.Revision, h.store.Era()
--- a/cmd/nettlewalk/serve.go
+++ b/cmd/nettlewalk/serve.go
@@ -13,6 +13,7 @@
 
 	"nettlewalk.example/nettlewalk/internal/eventlog"
 	"nettlewalk.example/nettlewalk/internal/locality"
+	"nettlewalk.example/nettlewalk/internal/retryafter"
 	"nettlewalk.example/nettlewalk/platform"
 )
 
@@ -20,18 +21,24 @@
 	var path string
 	var metricsPort int
 	var prices locality.Prices
+	retryTimes := string(retryafter.Auto)
 	cmd := flaggy.NewSubcommand("serve")
 	cmd.Description = "Run a host until SIGTERM or SIGINT, then drain it before exit"
 	cmd.String(&path, "c", "config", "settings file; default: the file named by "+platform.ConfigPathEnv+", in the platform's format")
 	cmd.Int(&metricsPort, "m", "metrics-port", "port of metrics and the state dump on the platform; 0: the first internal port")
 	cmd.Float64(&prices.Gigabyte, "", "cross-domain-byte-price", "on the platform: price of one gigabyte sent between failure domains, in the currency of the delay price; 0 and no delay price: routing by cost is off")
 	cmd.Float64(&prices.Second, "", "cross-domain-delay-price", "on the platform: price of one second that one caller waits. Only the ratio matters: with 0.02 for a gigabyte and 0.0004 for a second, 1 kB is worth 50 us of waiting")
+	cmd.String(&retryTimes, "", "retry-times", "tell refused callers on the platform when to return: on, off, or auto (where the configuration has customers)")
 	return command{Subcommand: cmd, run: func() error {
+		mode, err := retryafter.ParseMode(retryTimes)
+		if err != nil {
+			return &usageError{"--retry-times: " + err.Error()}
+		}
 		if err := prices.Validate(); err != nil {
 			return &usageError{err.Error()}
 		}
 		if onPlatform(path) {
-			return serveOnPlatform(metricsPort, prices)
+			return serveOnPlatform(metricsPort, prices, mode)
 		}
 		return serve(path)
 	}}
@@ -45,7 +52,7 @@
 const logFlushTimeout = 200 * time.Millisecond
 
 // serveOnPlatform runs a host with the platform's settings file.
-func serveOnPlatform(metricsPort int, prices locality.Prices) error {
+func serveOnPlatform(metricsPort int, prices locality.Prices, retryTimes retryafter.Mode) error {
 	// Without a handler SIGHUP ends the process, also at its start and while it drains.
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
@@ -63,7 +70,7 @@
 	out := eventlog.NewWriter(os.Stdout)
 	defer out.Flush(logFlushTimeout)
 	log := eventlog.New(out, 0).WithValues("host", s.Host)
-	return newFleetHost(path, s, prices, log).run(ctx, hangup)
+	return newFleetHost(path, s, prices, retryTimes, log).run(ctx, hangup)
 }
 
 func serve(path string) error {
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -282,6 +283,30 @@
 	return 0
 }
 
+const (
+	// assumedWorkSlots is for targets that don't register how many statements they run at
+	// once.
+	assumedWorkSlots = 4
+	// minStatementTime bounds the rate that is assumed for targets that were hardly used.
+	minStatementTime = time.Millisecond
+)
+
+// StatementRate returns how many statements per second the group's targets can run for all
+// hosts together, or only its fastest one, which stands for the leader.
+func (g *Group) StatementRate(oneTarget bool) float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	sum, fastest := 0.0, 0.0
+	for _, m := range g.members {
+		rate := float64(cmp.Or(m.info.WorkSlots, assumedWorkSlots)) / max(m.latency, minStatementTime).Seconds()
+		sum, fastest = sum+rate, max(fastest, rate)
+	}
+	if oneTarget {
+		return fastest
+	}
+	return sum
+}
+
 // CoveringPosition returns a position that includes every commit acknowledged more than
 // age ago. It returns false if no such position is known.
 func (g *Group) CoveringPosition(age time.Duration) (p topology.Position, ok bool) {
--- a/internal/relay/authenticate.go
+++ b/internal/relay/authenticate.go
@@ -14,6 +14,7 @@
 
 const (
 	unconfirmedDetail  = "the configuration can't be confirmed"
+	unconfirmedReason  = "unconfirmed"
 	notForwardedDetail = "the forwarding host sent no key"
 )
 
@@ -38,7 +39,7 @@
 	case keys.Permit:
 		return nil
 	case keys.Unconfirmed:
-		return &keyRefusal{code: statement.Busy, detail: unconfirmedDetail, reason: "unconfirmed"}
+		return &keyRefusal{code: statement.Busy, detail: unconfirmedDetail, reason: unconfirmedReason}
 	}
 	if v == keys.Moved {
 		// The key is known, so that NOAUTH would be wrong; nothing of the transaction is kept.
@@ -122,9 +123,9 @@
 		s.endTransaction()
 	case s.tx != nil:
 		s.rollbackOnPeer()
-		return s.failWith(s.refusal(refusal.code, refusal.detail), true)
+		return s.failWith(s.refusal(refusal.code, s.keyRefusalDetail(refusal)), true)
 	}
-	return s.refusal(refusal.code, refusal.detail)
+	return s.refusal(refusal.code, s.keyRefusalDetail(refusal))
 }
 
 // refuseStartup refuses a session whose caller has no valid key, and reports whether it
@@ -136,7 +137,7 @@
 		return false
 	}
 	s.logKeyRefusal(refusal, "startup", "")
-	_ = s.caller.Refuse(refusal.code, refusal.detail) // a failure means that the caller has left
+	_ = s.caller.Refuse(refusal.code, s.keyRefusalDetail(refusal)) // a failure means that the caller has left
 	return true
 }
 
@@ -144,7 +145,7 @@
 var keyRefusals = map[string]*metrics.Counter{
 	keys.Unknown.String(): metrics.NewCounter(`nettlewalk_key_refusals_total{reason="unknown"}`),
 	keys.Moved.String():   metrics.NewCounter(`nettlewalk_key_refusals_total{reason="moved"}`),
-	"unconfirmed":         metrics.NewCounter(`nettlewalk_key_refusals_total{reason="unconfirmed"}`),
+	unconfirmedReason:     metrics.NewCounter(`nettlewalk_key_refusals_total{reason="unconfirmed"}`),
 	"not_forwarded":       metrics.NewCounter(`nettlewalk_key_refusals_total{reason="not_forwarded"}`),
 }
 
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -203,6 +203,9 @@
 	if err == nil {
 		r.recordForwardBytes(args, &answer)
 		r.addStep(topology.TargetID(host), "forwarded: "+answer.Code.String()+" "+answer.Detail)
+		if answer.OK() {
+			r.session.server.retrySchedules.noteServed(r.route.Group, needsLeader)
+		}
 		if answer.OK() && r.writes {
 			r.session.raiseFloor(&answer)
 		}
@@ -214,6 +217,7 @@
 			r.recordForward(locality.Refused, sentAt, needsLeader)
 		}
 		r.peerRefusal = answer.Detail
+		r.peerRetryAfter, r.peerRetryAt = answer.RetryAfter, time.Now()
 		return answer, false
 	}
 	r.recordForward(locality.NoAnswer, sentAt, needsLeader)
@@ -299,6 +303,7 @@
 	r.fromPeer = true
 	r.deadline = r.arrivedAt.Add(min(args.Within, r.route.StatementTimeout))
 	answer, ok := r.run(context.Background())
+	r.addRetryTime(&answer)
 	if !ok && !r.noWait { // the forwarding host logs the refusal of a no-wait statement
 		r.logOutcome("forwarded statement", &answer, false)
 	}
--- a/internal/relay/hosted.go
+++ b/internal/relay/hosted.go
@@ -146,6 +146,7 @@
 			return a, true
 		}
 		s.tx.peerHost, s.tx.peerKey, r.peerRefusal = "", "", a.Detail
+		r.peerRetryAfter, r.peerRetryAt = a.RetryAfter, time.Now()
 	}
 }
 
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -91,17 +91,21 @@
 // promotion takes and its end can't be predicted. If the last leader itself reported
 // that it was deposed, a new leader exists and only has to be found.
 func maxLeaderWait(route *catalog.Route, loss group.LeaderLoss) time.Duration {
-	expected := promotionDuration
-	if loss.Demoted {
-		expected = leaderDiscoveryTime
-	}
-	remaining := expected - loss.Duration
+	remaining := expectedLeaderLoss(loss) - loss.Duration
 	if remaining <= 0 || remaining > route.StatementTimeout {
 		return 0
 	}
 	return min(remaining+leaderWaitMargin, route.StatementTimeout)
 }
 
+// expectedLeaderLoss returns how long the group is expected to be without a known leader.
+func expectedLeaderLoss(loss group.LeaderLoss) time.Duration {
+	if loss.Demoted {
+		return leaderDiscoveryTime
+	}
+	return promotionDuration
+}
+
 const (
 	// leaderDiscoveryTime is the longest time that it takes to find an existing
 	// leader: some probes of each target.
--- a/internal/relay/quota.go
+++ b/internal/relay/quota.go
@@ -1,9 +1,6 @@
 package relay
 
 import (
-	"fmt"
-	"time"
-
 	"nettlewalk.example/nettlewalk/internal/quota"
 	"nettlewalk.example/nettlewalk/internal/statement"
 )
@@ -19,8 +16,7 @@
 	if ok {
 		return admission, nil
 	}
-	ms := (retryAfter + time.Millisecond - 1) / time.Millisecond
-	a := s.refusal(statement.Busy, fmt.Sprintf("rate limit reached; retry after %d ms", ms))
+	a := s.refusal(statement.Busy, "rate limit reached; "+retryHint(retryAfter))
 	s.server.countStatement(r, &a)
 	return nil, &a
 }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -43,7 +43,9 @@
 	Locality *locality.Router
 	// Quota limits the rate of each customer's operations; nil: rates aren't limited.
 	Quota *quota.Quota
-	Log   logr.Logger
+	// RetryTimes decides whether refused callers are told when to return.
+	RetryTimes RetryTimes
+	Log        logr.Logger
 }
 
 // Server serves callers. It is safe for concurrent use.
@@ -59,6 +61,8 @@
 	forwardedCounter *metrics.Counter
 	sampler          *lineSampler
 	keySampler       *lineSampler // of refusals because of a key
+	retrySampler     *lineSampler // of retry times
+	retrySchedules   retrySchedules
 	trust            trustState
 	forwardedTxs     *txTable
 	peerLoads        placement.Loads // reported by other hosts
@@ -74,6 +78,7 @@
 		sessions:         map[*session]bool{},
 		sampler:          newLineSampler(),
 		keySampler:       newLineSampler(),
+		retrySampler:     newLineSampler(),
 		forwardedCounter: metrics.GetOrCreateCounter("nettlewalk_statements_forwarded_total"),
 	}
 	s.forwardedTxs = newTxTable(s)
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -92,7 +92,7 @@
 	s.database, s.key = database, startup.Key
 	if !s.server.awaitConfiguration() {
 		s.log.Info("session refused", "database", database, "code", statement.Busy.String(), "reason", "no configuration is known yet")
-		_ = s.caller.Refuse(statement.Busy, "no configuration is known yet")
+		_ = s.caller.Refuse(statement.Busy, s.withUnconfirmedTime("no configuration is known yet"))
 		return false
 	}
 	if _, ok := s.route(); !ok {
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -36,8 +36,11 @@
 	decidedAt        time.Time                  // when it was decided at which targets a read may run
 	// peerRefusal is why the host that it was last forwarded to refused it.
 	peerRefusal string
-	fromPeer    bool // another host forwarded it; it isn't forwarded again
-	noWait      bool // it is refused rather than queued
+	// peerRetryAfter is the retry time that host gave at peerRetryAt, 0 if none.
+	peerRetryAfter time.Duration
+	peerRetryAt    time.Time
+	fromPeer       bool // another host forwarded it; it isn't forwarded again
+	noWait         bool // it is refused rather than queued
 	// answerLost is set if a call to another host ended without its answer.
 	answerLost bool
 	// leaderConnsBusy is set if this host has connections to the leader, but all of
@@ -59,6 +62,7 @@
 	}
 	answer, ok := r.run(ctx)
 	r.creditIfNotRun(admission)
+	r.addRetryTime(&answer)
 	s.server.countStatement(r, &answer)
 	r.logOutcome("statement", &answer, ok)
 	return answer
@@ -388,6 +392,7 @@
 	answer.State = statement.Idle
 	if answer.OK() {
 		r.group.NoteServed(id, steady.Now().Sub(sent), &answer)
+		r.session.server.retrySchedules.noteServed(r.route.Group, callerIndex > 0 || r.writes)
 		r.addStep(id, "ok")
 		return answer, false
 	}
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -130,11 +130,13 @@
 	}
 	if s.tx.peerHost != "" {
 		a := s.runOnPeer(ctx, r)
+		r.addRetryTime(&a)
 		s.server.countStatement(r, &a)
 		r.logOutcome("transaction statement", &a, a.OK())
 		return a
 	}
 	a := s.runOnConn(r)
+	r.addRetryTime(&a)
 	s.server.countStatement(r, &a)
 	if !a.OK() {
 		r.logOutcome("transaction statement", &a, false)
@@ -162,6 +164,7 @@
 			return answer, false
 		}
 	}
+	r.addRetryTime(&refusal)
 	if mayWait { // the forwarding host logs the refusal of a no-wait statement
 		r.logOutcome("transaction start", &refusal, false)
 	}
@@ -201,6 +204,7 @@
 	if a.OK() {
 		t.wrote = t.wrote || r.writes
 		t.group.NoteServed(t.target, steady.Now().Sub(sent), &a)
+		s.server.retrySchedules.noteServed(r.route.Group, t.atLeader)
 	}
 	if a.State != statement.InTransaction {
 		if a.Code == statement.ReadOnly {
@@ -329,6 +333,7 @@
 			if refusal, ok := r.beginHere(ctx); !ok {
 				refused = &refusal
 				r.creditIfNotRun(s.tx.admission)
+				r.addRetryTime(refused)
 			}
 		}
 	}
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -1,6 +1,10 @@
 package statement
 
-import "nettlewalk.example/nettlewalk/internal/topology"
+import (
+	"time"
+
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
 
 // Kind is the operation that a statement requests.
 type Kind uint8
@@ -66,6 +70,9 @@
 	State       State
 	Position    topology.Position // in the target's log; valid if HasPosition
 	HasPosition bool
+	// RetryAfter is when the caller of a refused statement should return, in answers from
+	// one host to another; 0: that host doesn't tell, negative: too late for the caller.
+	RetryAfter time.Duration
 }
 
 // OK reports whether the statement succeeded.
