session: hints for refusals on the PostgreSQL path that have none

Nearly all transient refusals have one (routing.finalError, pool, limit); those given up at once after a target's own refusal, those of other slices and of a draining host have not.

Ruled out: retryafter.Schedule. Nothing is known here of priorities or of when the reason ends; limit.Pacer suffices to keep callers apart.

Measured: go test ./internal/session passes. Without the switch or the regard to advice TestHintIsAddedOnlyWhereEnabledAndUseful fails; without the pacing, or if callers that are told none take times, TestHintsAreSpreadAndBounded.

--- a/cmd/nettlewalk/host.go
+++ b/cmd/nettlewalk/host.go
@@ -18,6 +18,7 @@
 	"nettlewalk.example/nettlewalk/internal/peer"
 	"nettlewalk.example/nettlewalk/internal/platform"
 	"nettlewalk.example/nettlewalk/internal/pool"
+	"nettlewalk.example/nettlewalk/internal/retryafter"
 	"nettlewalk.example/nettlewalk/internal/routing"
 	"nettlewalk.example/nettlewalk/internal/session"
 	"nettlewalk.example/nettlewalk/internal/settings"
@@ -29,6 +30,7 @@
 // host is a proxy process with all of its components.
 type host struct {
 	settings *settings.Settings
+	hints    bool // all refusals for which waiting helps have a hint
 	log      logr.Logger
 	bootID   uint64 // distinguishes this process from earlier processes of the same host
 	dial     target.DialFunc
@@ -54,9 +56,10 @@
 }
 
 // newHost creates and connects the components. It opens no listeners or connections.
-func newHost(s *settings.Settings, log logr.Logger) *host {
+func newHost(s *settings.Settings, retryTimes retryafter.Mode, log logr.Logger) *host {
 	h := &host{
 		settings: s,
+		hints:    retryTimes == retryafter.On,
 		log:      log,
 		bootID:   uint64(time.Now().UnixNano()),
 		dial:     mappedDial(s.AddressMap),
@@ -144,6 +147,7 @@
 		DefaultDeadline: h.settings.Callers.Deadline,
 		MaxMessageBytes: h.settings.Callers.MaxMessageBytes,
 		MaxSessions:     h.settings.Callers.MaxSessions,
+		RetryTimes:      h.hints,
 	})
 }
 
--- a/cmd/nettlewalk/serve.go
+++ b/cmd/nettlewalk/serve.go
@@ -28,7 +28,7 @@
 	cmd.Int(&metricsPort, "m", "metrics-port", "port of metrics and the state dump on the platform; 0: the first internal port")
 	cmd.Float64(&prices.Gigabyte, "", "cross-domain-byte-price", "on the platform: price of one gigabyte sent between failure domains, in the currency of the delay price; 0 and no delay price: routing by cost is off")
 	cmd.Float64(&prices.Second, "", "cross-domain-delay-price", "on the platform: price of one second that one caller waits. Only the ratio matters: with 0.02 for a gigabyte and 0.0004 for a second, 1 kB is worth 50 us of waiting")
-	cmd.String(&retryTimes, "", "retry-times", "tell refused callers on the platform when to return: on, off, or auto (where the configuration has customers)")
+	cmd.String(&retryTimes, "", "retry-times", "tell refused callers when to return: on, off, or auto (on the platform, where the configuration has customers)")
 	return command{Subcommand: cmd, run: func() error {
 		mode, err := retryafter.ParseMode(retryTimes)
 		if err != nil {
@@ -40,7 +40,7 @@
 		if onPlatform(path) {
 			return serveOnPlatform(metricsPort, prices, mode)
 		}
-		return serve(path)
+		return serve(path, mode)
 	}}
 }
 
@@ -73,7 +73,7 @@
 	return newFleetHost(path, s, prices, retryTimes, log).run(ctx, hangup)
 }
 
-func serve(path string) error {
+func serve(path string, retryTimes retryafter.Mode) error {
 	s, err := loadSettings(path)
 	if err != nil {
 		return err
@@ -82,7 +82,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	log := newLogger(s.Log.Level).WithValues("instance", s.Host.ID, "domain", s.Host.Domain)
-	return newHost(s, log).run(ctx)
+	return newHost(s, retryTimes, log).run(ctx)
 }
 
 // newLogger returns a logger that writes JSON lines to standard error.
--- a/internal/result/page.go
+++ b/internal/result/page.go
@@ -14,6 +14,11 @@
 ` + "`nettlewalk_refusals_total{code=\"N\"}`" + `. An error that a target answers is passed
 on whole, with its own SQLSTATE.
 
+With ` + "`nettlewalk serve --retry-times on`" + ` each refusal to repeat "after the hint" has one
+of at most a second, unless the session's deadline is shorter, and 210 has the hint
+` + "`retry after 0 ms`" + `: another host serves. On the users' platform's protocol ` + "`BUSY`" + ` ends with
+the same words, see [retry-after.md](design/retry-after.md).
+
 This page is generated: ` + "`go test ./internal/result -run ErrorsPage -update`" + `.
 
 What may be concluded from a group:
--- a/internal/session/conn.go
+++ b/internal/session/conn.go
@@ -213,7 +213,9 @@
 	}
 	log.Info("session ended with an error", "code", int(refusal.Code), "detail", refusal.Detail, "remote", c.net.RemoteAddr().String(),
 		"customer", c.scope.customer, "user", c.user.Name)
-	c.out.send(errorResponse(severityFatal, refusal))
+	response := errorResponse(severityFatal, refusal)
+	c.addHint(response, refusal)
+	c.out.send(response)
 	if c.out.flush() == nil {
 		c.linger()
 	}
--- a/internal/session/errors.go
+++ b/internal/session/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -25,7 +26,7 @@
 		Detail:              err.Detail,
 	}
 	if err.RetryAfter > 0 {
-		response.Hint = fmt.Sprintf("retry after %d ms", max(1, err.RetryAfter.Milliseconds()))
+		response.Hint = hintText(max(time.Millisecond, err.RetryAfter))
 	}
 	return response
 }
--- a/internal/session/refuse.go
+++ b/internal/session/refuse.go
@@ -25,6 +25,7 @@
 	refusal := result.As(err, result.UnknownOutcome)
 	c.logRefusal(refusal)
 	response := errorResponse(severityError, refusal)
+	c.addHint(response, refusal)
 	if refusal.Code == result.NotFound {
 		response.Code = sqlStateInvalidStatementName
 	}
--- a/internal/session/server.go
+++ b/internal/session/server.go
@@ -44,12 +44,15 @@
 	StartupTimeout         time.Duration // limit from accept to the first ReadyForQuery
 	IdleTransactionTimeout time.Duration // a transaction without a statement for longer is rolled back
 	MaxSessions            int           // limit for open connections
+	// RetryTimes gives refusals without a hint one, if waiting helps.
+	RetryTimes bool
 }
 
 // Server serves client connections. It is safe for concurrent use.
 type Server struct {
-	opts     Options
-	draining chan struct{} // closed by Drain
+	opts      Options
+	draining  chan struct{} // closed by Drain
+	hintPacer hintPacer
 
 	mu            sync.Mutex
 	connsBySecret map[uint32]*conn   // accepted sessions by cancel secret
