--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -25,6 +25,7 @@
 	"nettlewalk.example/nettlewalk/internal/promotion"
 	"nettlewalk.example/nettlewalk/internal/quota"
 	"nettlewalk.example/nettlewalk/internal/relay"
+	"nettlewalk.example/nettlewalk/internal/retryafter"
 	"nettlewalk.example/nettlewalk/internal/share"
 	"nettlewalk.example/nettlewalk/internal/topology"
 	"nettlewalk.example/nettlewalk/platform"
@@ -119,7 +120,8 @@
 		Revocation: keys.Policy{Strict: s.Revocation.Strict, Timeout: s.Revocation.Timeout}, ConfirmedAt: h.catalog.ConfirmedAt,
 		Homes: h.customerHomes, Self: self, Locality: h.locality, Quota: h.quota,
 		RetryBudget: h.budgetsRetries, Hosts: func() int { return len(h.gossip.Sharers().Hosts) },
-		Log: log.WithName("relay"),
+		RetryTimes: relay.RetryTimes{Mode: retryafter.Mode(options.retryTimes), Hosts: func() int { return len(h.gossip.Live()) }},
+		Log:        log.WithName("relay"),
 	})
 	return h
 }
--- a/cmd/nettlewalk/fleetinspect.go
+++ b/cmd/nettlewalk/fleetinspect.go
@@ -56,6 +56,8 @@
 	Capacity []capacity.Dump `json:"capacity,omitempty"`
 	// Retries is absent if the retry budget isn't in force.
 	Retries *relay.RetriesDump `json:"retries,omitempty"`
+	// RetryTimes is absent if refused callers aren't told when to return.
+	RetryTimes *relay.RetryTimesDump `json:"retry_times,omitempty"`
 }
 
 func (h *fleetHost) dump() fleetDump {
@@ -63,7 +65,7 @@
 		Host: string(h.settings.Host), Ready: h.isReady(), Leaving: h.leaving.Load(), Sessions: h.relay.Sessions(),
 		ReadMS: msSinceRead(h.catalog.ReadTimes()), Connected: h.gossip.Connected(),
 		Hosts: h.gossip.Hosts(), Duties: h.duty.Claims(), Groups: h.groups.Dump(),
-		Keys: h.relay.DumpKeys(), Retries: h.relay.DumpRetries(),
+		Keys: h.relay.DumpKeys(), Retries: h.relay.DumpRetries(), RetryTimes: h.relay.DumpRetryTimes(),
 	}
 	configuration, register := h.catalog.Versions()
 	d.Configuration, d.Register, d.StoreEra = configuration, register.Revision, h.store.Era()
--- a/cmd/nettlewalk/serve.go
+++ b/cmd/nettlewalk/serve.go
@@ -12,6 +12,7 @@
 	"github.com/integrii/flaggy"
 
 	"nettlewalk.example/nettlewalk/internal/eventlog"
+	"nettlewalk.example/nettlewalk/internal/retryafter"
 	"nettlewalk.example/nettlewalk/platform"
 )
 
@@ -37,7 +38,7 @@
 		if onPlatform(path) {
 			return serveOnPlatform(metricsPort, options)
 		}
-		return serve(path)
+		return serve(path, options)
 	}}
 }
 
@@ -70,7 +71,7 @@
 	return newFleetHost(path, s, options, log).run(ctx, hangup)
 }
 
-func serve(path string) error {
+func serve(path string, options serveOptions) error {
 	s, err := loadSettings(path)
 	if err != nil {
 		return err
@@ -79,7 +80,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	log := newLogger(s.Log.Level).WithValues("instance", s.Host.ID, "domain", s.Host.Domain)
-	return newHost(s, log).run(ctx)
+	return newHost(s, retryafter.Mode(options.retryTimes), log).run(ctx)
 }
 
 // newLogger returns a logger that writes JSON lines to standard error.
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -47,7 +47,9 @@
 	// many hosts this host sees; nil: only itself.
 	RetryBudget func() bool
 	Hosts       func() int
-	Log         logr.Logger
+	// RetryTimes decides whether refused callers are told when to return.
+	RetryTimes RetryTimes
+	Log        logr.Logger
 }
 
 // Server serves callers. It is safe for concurrent use.
@@ -63,6 +65,8 @@
 	forwardedCounter *metrics.Counter
 	sampler          *lineSampler
 	keySampler       *lineSampler // of refusals because of a key
+	retrySampler     *lineSampler // of retry times
+	retrySchedules   retrySchedules
 	trust            trustState
 	forwardedTxs     *txTable
 	peerLoads        placement.Loads // reported by other hosts
@@ -79,6 +83,7 @@
 		sessions:         map[*session]bool{},
 		sampler:          newLineSampler(),
 		keySampler:       newLineSampler(),
+		retrySampler:     newLineSampler(),
 		forwardedCounter: metrics.GetOrCreateCounter("nettlewalk_statements_forwarded_total"),
 	}
 	s.forwardedTxs = newTxTable(s)
