quota: sellers change without refusals below the limit

Cause, reproduced in the simulation with 67 hosts and 76 customers: a coordinator that was slow for 400 ms sold without the votes of its deputies until their notes expired, its level cut to 0. New sellers began before they had the tokens of the earlier ones. A coordinator that had just started answered requests without any votes. Deputies began with one operation when the former seller was out of reach.

Ruled out: unspent tokens that hosts discard when they change the seller. Hosts ask again only when they have hardly any.

Change: a coordinator that is told of a deputy stops it. A sale waits up to 40 ms for the earlier seller's tokens. A coordinator with fewer votes than the earlier one lets that one sell meanwhile, and one without votes answers nobody. Tokens for a short demand expire earlier.

--- a/internal/quota/property_test.go
+++ b/internal/quota/property_test.go
@@ -147,7 +147,7 @@
 	const configApply = 5 * time.Second
 	binding := endOfTime // when the lowered limit is binding
 	if h.lowerAt > 0 {
-		add(h.lowerAt, func() { s.config = s.configuration(2, h.lowered) })
+		add(h.lowerAt, func() { s.config = s.configuration(2, []Limit{h.lowered}) })
 		binding = max(h.lowerAt, lastFault) + configApply + simBounds.Window
 	}
 	s.run(h.seed, historyLength, events)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -60,6 +60,9 @@
 	// before it sells with them. Hosts that come into contact again may have bought from
 	// others until then, who are told to stop by the first host that changes.
 	reachRaiseDelay = 600 * time.Millisecond
+	// takeOverWait is how long a sale waits for the tokens of the host that sold before. A
+	// round trip takes 2 ms; a small host under load adds some tens.
+	takeOverWait = 40 * time.Millisecond
 	// yieldPeriod is how long a host passes requests on to one that told it to stop. Lists
 	// of hosts that are in contact agree after one or two seconds.
 	yieldPeriod   = 2 * time.Second
@@ -125,21 +128,24 @@
 type seller struct {
 	*Ledger
 	stopped map[topology.HostID]*stopping
+	begun   bool                        // its level isn't held back for an earlier seller's tokens
 	ceded   map[topology.HostID]cession // votes with which other hosts stand in for this one
 	cededAt time.Time                   // when this host, standing in, last told the coordinator
 }
 
 // stopping is the state of another host that sold the customer's tokens before.
 type stopping struct {
-	at   time.Time // when the ledger took its sales into account
-	told bool      // it was told to stop, or is being told
+	at       time.Time     // when the ledger took its sales into account
+	told     bool          // it was told to stop, or is being told
+	answered chan struct{} // closed when it answered or didn't in time; nil: it wasn't told
 }
 
 // cession is a number of votes that another host sells with.
 type cession struct {
-	domain topology.Domain
-	votes  float64
-	until  time.Time
+	domain   topology.Domain
+	votes    float64
+	until    time.Time
+	stopping bool // the other host is being told to stop
 }
 
 // New returns a Quota without tokens.
@@ -361,7 +367,7 @@
 	q.mu.Lock()
 	sentAt := q.opts.Now()
 	request, previous := e.Request(host, len(e.waiters), sentAt)
-	args := &BuyArgs{PreviousAge: sentAt.Sub(e.soldAt), From: q.opts.Self, Domain: q.opts.Domain, Customer: id, Request: request, Previous: previous, Alone: isAlone, Limit: e.limit, Version: e.version}
+	args := &BuyArgs{PreviousAge: sentAt.Sub(e.soldAt), From: q.opts.Self, Domain: q.opts.Domain, Customer: id, Request: request, Previous: previous, PreviousBegan: e.began, Alone: isAlone, Limit: e.limit, Version: e.version}
 	q.mu.Unlock()
 	var reply BuyReply
 	var err error
--- a/internal/quota/sim_load_test.go
+++ b/internal/quota/sim_load_test.go
@@ -18,7 +18,12 @@
 	rng := rand.New(rand.NewPCG(seed, uint64(h.index+1000*customer)))
 	for {
 		at := time.Since(s.start)
-		rate := s.demand(h.index, at)
+		rate := 0.0
+		if s.usual {
+			rate = s.limits[customer].Rate / 1.6 / float64(len(s.hosts))
+		} else {
+			rate = s.demand(h.index, at)
+		}
 		wait := s.poll
 		if rate > 0 {
 			wait = time.Duration(min(rng.ExpFloat64()/rate, 3600) * float64(time.Second))
@@ -48,6 +53,12 @@
 	if q != h.quota || h.dead {
 		return // its host died
 	}
+	half := s.byHalfSecond[at.Truncate(time.Second/2)]
+	half.offered++
+	if ok {
+		half.admitted++
+	}
+	s.byHalfSecond[at.Truncate(time.Second/2)] = half
 	if s.keep == nil || s.keep(at) {
 		s.offered++
 		if ok {
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -43,13 +43,19 @@
 	demand   func(host int, at time.Duration) float64
 	keep     func(at time.Duration) bool // whether an operation counts in offered; nil: always
 
-	customers                []topology.CustomerID // with the same limit and demand
+	customers                []topology.CustomerID
+	limits                   []Limit // by customer
+	usual                    bool    // each customer's demand is its rate / 1.6, evenly over the hosts, instead of demand
+	byHalfSecond             map[time.Duration]tally
 	ran                      map[topology.CustomerID][]time.Duration
 	offered, admitted, calls int
 	waitedMax                time.Duration
 	ended                    bool
 }
 
+// tally counts operations by when they were sent.
+type tally struct{ offered, admitted int }
+
 type simHost struct {
 	sim      *sim
 	index    int
@@ -67,11 +73,12 @@
 }
 
 func newSim(seed uint64, hosts, domains, customers int, limit Limit) *sim {
-	s := &sim{start: time.Now(), poll: 50 * time.Millisecond, rng: rand.New(rand.NewPCG(seed, 1)), domains: domains, cut: map[[2]int]bool{}, isolated: map[int]bool{}, ran: map[topology.CustomerID][]time.Duration{}}
+	s := &sim{start: time.Now(), poll: 50 * time.Millisecond, rng: rand.New(rand.NewPCG(seed, 1)), domains: domains, cut: map[[2]int]bool{}, isolated: map[int]bool{}, ran: map[topology.CustomerID][]time.Duration{}, byHalfSecond: map[time.Duration]tally{}}
 	for i := range customers {
 		s.customers = append(s.customers, topology.CustomerID("c"+strconv.Itoa(i)))
+		s.limits = append(s.limits, limit)
 	}
-	s.config = s.configuration(1, limit)
+	s.config = s.configuration(1, s.limits)
 	for i := range hosts {
 		h := &simHost{sim: s, index: i, id: topology.HostID("h" + strconv.Itoa(i)), domain: i % domains}
 		s.hosts = append(s.hosts, h)
@@ -84,10 +91,22 @@
 	return s
 }
 
-func (s *sim) configuration(version uint64, limit Limit) *catalog.Configuration {
+// setLimits gives the fleet one customer for each limit. It is called before run.
+func (s *sim) setLimits(limits []Limit) {
+	s.customers, s.limits = nil, limits
+	for i := range limits {
+		s.customers = append(s.customers, topology.CustomerID("c"+strconv.Itoa(i)))
+	}
+	s.config = s.configuration(1, limits)
+	for i := range s.configs {
+		s.configs[i] = s.config
+	}
+}
+
+func (s *sim) configuration(version uint64, limits []Limit) *catalog.Configuration {
 	c := &catalog.Configuration{Version: version, Customers: map[topology.CustomerID]catalog.Customer{}}
-	for _, id := range s.customers {
-		c.Customers[id] = catalog.Customer{ID: id, Rate: limit.Rate, Burst: limit.Burst}
+	for i, id := range s.customers {
+		c.Customers[id] = catalog.Customer{ID: id, Rate: limits[i].Rate, Burst: limits[i].Burst}
 	}
 	return c
 }
--- a/internal/quota/wallet.go
+++ b/internal/quota/wallet.go
@@ -55,6 +55,7 @@
 	pacer        limit.Pacer // spaces the retry times of refused callers
 	seller       topology.HostID
 	soldAt       time.Time
+	began        bool // Grant.Began of the seller
 }
 
 // NewWallet returns a wallet without tokens. Its requests are numbered from firstSeq on,
@@ -129,7 +130,7 @@
 		}
 	}
 	w.seq++
-	r = Request{Seq: w.seq, Need: need, Held: w.tokens, Credit: w.credit, Demand: w.demand}
+	r = Request{Seq: w.seq, Need: need, Held: w.tokens, Credit: w.credit, Demand: w.demand, Expires: true}
 	w.credit = 0
 	return r, previous
 }
@@ -141,7 +142,7 @@
 		w.tokens = 0
 		w.seller = seller
 	}
-	w.soldAt = now
+	w.soldAt, w.began = now, g.Began
 	if version < w.version && w.limit.lowerThan(limit) {
 		w.blockedUntil = now.Add(minRetry)
 		return
@@ -149,7 +150,11 @@
 	if now.Sub(sentAt) < maxAnswerTime {
 		w.tokens += g.Tokens
 		w.keep = g.Keep
-		w.expiresAt = sentAt.Add(TokenLifetime)
+		lifetime := TokenLifetime
+		if g.Lifetime > 0 {
+			lifetime = min(lifetime, g.Lifetime)
+		}
+		w.expiresAt = sentAt.Add(lifetime)
 	}
 	if g.RetryAfter > 0 {
 		w.blockedUntil, w.pace = now.Add(g.RetryAfter), g.Pace
