--- a/internal/quota/bounds.go
+++ b/internal/quota/bounds.go
@@ -41,7 +41,7 @@
 	surplusParts = parts{slack: 0.15, overage: 0.08}
 	// noticeParts may be sold with votes until their loss is noticed, in addition to what is
 	// given up then (Ledger.SetShare).
-	noticeParts = parts{slack: 0.1}
+	noticeParts = parts{slack: 0.1, overage: 0.2}
 	// The rest covers the time in which two hosts sell with the same votes: until gossip
 	// notices a loss of contact, or until a host is told to stop.
 )
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -240,6 +240,7 @@
 		s.mu.Unlock()
 		seller := topology.HostID("")
 		for attempts := 0; (seller != a.id || len(x.quota.Dump().Avoided) > 0) && attempts < 10; attempts++ { // until a check is due and tokens are spent
+			s.round() // a host without votes sells nothing
 			_, _, _ = x.quota.Admit(s.customers[0], time.Now().Add(time.Second))
 			time.Sleep(probeInterval)
 			seller = x.quota.Dump().Wallets[0].Seller
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -199,8 +199,9 @@
 			}
 			q.mu.Lock()
 		}
-		// Without votes, nothing is sold here. The sender asks a deputy then.
-		if share > 0 {
+		// Without votes, nothing is sold here, and nothing to a domain that doesn't get this
+		// host's answers. The sender asks a deputy then.
+		if lost := q.votes.domains[args.Domain]; share > 0 && (lost == nil || lost.part > 0 || !lost.raisedAt.IsZero()) {
 			q.sellAs(coordinator, args, reply, q.opts.Now())
 		}
 		q.mu.Unlock()
@@ -285,7 +286,7 @@
 		q.cede(l, args.Customer, now)
 	}
 	if args.Previous != "" && args.Previous != q.opts.Self {
-		if s := q.takeOver(l, args, now); s.answered != nil && l.level < float64(args.Request.Need) {
+		if s := q.takeOver(l, r, args, now); s.answered != nil && l.level < float64(args.Request.Need) {
 			now = q.awaitTakeOver(s)
 		}
 	}
@@ -308,7 +309,7 @@
 
 // takeOver tells the host that sold the customer's tokens before to stop. A host that
 // doesn't answer is told again once it isn't avoided any more. The caller holds q.mu.
-func (q *Quota) takeOver(l *seller, args *BuyArgs, now time.Time) *stopping {
+func (q *Quota) takeOver(l *seller, r role, args *BuyArgs, now time.Time) *stopping {
 	previous := args.Previous
 	s := l.stopped[previous]
 	isNew := s == nil || now.Sub(s.at) >= stopInterval && now.Sub(s.at) >= args.PreviousAge
@@ -320,6 +321,15 @@
 	if s.told || q.avoids(previous, now) {
 		return s
 	}
+	if r != coordinator && previous == q.sellersFor(args.Customer).coordinator {
+		// It is slow or doesn't get answers to this host: it would give up its tokens although
+		// its answer is lost. It is told of this host's votes instead, see cede.
+		if !l.begun && !args.PreviousBegan {
+			l.begin(now, 1)
+		}
+		l.begun = true
+		return s
+	}
 	s.told, s.answered = true, make(chan struct{})
 	began := args.PreviousBegan
 	stop := &StopArgs{From: q.opts.Self, Customer: args.Customer}
