relay: a holder's retry time that has passed is replaced by the host's own

Cause: the host of the session may wait for a leader after the holder's refusal. The holder's time passed meanwhile, and 'retry after 0 ms' sent callers back at once (seen with real processes, all targets crashed).

Change: the time is passed on only if it lies ahead.

Measured: TestPassedTimeOfHolderIsReplaced and TestLineRefusedCallersAreToldWhenToReturn pass; before, the latter's log had 0 ms.

--- a/internal/relay/retrytimes.go
+++ b/internal/relay/retrytimes.go
@@ -177,8 +177,11 @@
 		s.tellRetryTime(a, decidedByPeer, a.RetryAfter, a.RetryAfter > 0)
 		a.RetryAfter = 0
 		return
-	case r.peerRetryAfter != 0:
-		s.tellRetryTime(a, decidedByPeer, r.peerRetryAfter-now.Sub(r.peerRetryAt), r.peerRetryAfter > 0)
+	case r.peerRetryAfter < 0:
+		s.tellRetryTime(a, decidedByPeer, 0, false)
+		return
+	case r.peerRetryAfter > now.Sub(r.peerRetryAt): // otherwise it passed while this host waited for a leader
+		s.tellRetryTime(a, decidedByPeer, r.peerRetryAfter-now.Sub(r.peerRetryAt), true)
 		return
 	}
 	refusal := r.retryRefusal(now)
--- a/internal/relay/retrytimes_test.go
+++ b/internal/relay/retrytimes_test.go
@@ -231,6 +231,20 @@
 	}
 }
 
+// A time of the holder that passes while this host waits for a leader would send callers back
+// at once and together.
+func TestPassedTimeOfHolderIsReplaced(t *testing.T) {
+	f := newFixture(t, catalog.LatestData)
+	f.server.opts.RetryTimes.Mode = retryafter.On
+	f.useConnections(t)
+	r, refused := f.newRequest(&statement.Statement{ID: "q", Kind: statement.Write}, true, "")
+	qt.Assert(t, refused, qt.IsNil)
+	r.peerRetryAfter, r.peerRetryAt = 50*time.Millisecond, time.Now().Add(-60*time.Millisecond)
+	a := f.refusal(statement.Busy, "full")
+	r.addRetryTime(&a)
+	qt.Check(t, checkTold(t, a, time.Second) > 0, qt.IsTrue, qt.Commentf("%s", a.Detail))
+}
+
 // Without times, all callers of a host that is cut off would return together when it has
 // contact again.
 func TestUnconfirmedConfigurationTellsTimes(t *testing.T) {
