--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -12,7 +12,6 @@
 	"nettlewalk.example/nettlewalk/internal/catalog"
 	"nettlewalk.example/nettlewalk/internal/duty"
 	"nettlewalk.example/nettlewalk/internal/lease"
-	"nettlewalk.example/nettlewalk/internal/steady"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
@@ -23,7 +22,7 @@
 	digest := g.buildDigest(id)
 	digest.clearAges()
 	var reply DigestReply
-	sentAt := steady.Now()
+	sentAt := g.now()
 	if err := g.opts.Caller.Call(ctx, id, exchangeMethod, &digest, &reply); err != nil {
 		countFailedExchange(ctx, err)
 		g.opts.Log.V(1).Info("gossip exchange failed", "addr", id, "error", err.Error())
@@ -42,7 +41,7 @@
 
 // recordAnswer records that the host answered a request sent at sentAt.
 func (g *Gossip) recordAnswer(id topology.HostID, sentAt time.Time) {
-	now := steady.Now()
+	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	k := g.hosts[id]
@@ -74,8 +73,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	d.From = g.self
-	d.From.UpFor = steady.Now().Sub(g.startedAt)
-	now := steady.Now()
+	d.From.UpFor = g.now().Sub(g.startedAt)
+	now := g.now()
 	reads := g.opts.Catalog.ReadTimes()
 	d.ConfigurationRead, d.RegisterRead = now.Sub(reads.Configuration), now.Sub(reads.Registry)
 	d.ConfigurationConfirmed = max(1, now.Sub(confirmedAt))
@@ -205,7 +204,7 @@
 // recordSender records that the sender of the digest was heard from just now.
 func (g *Gossip) recordSender(d *Digest) {
 	sender := d.From
-	now := steady.Now()
+	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if sender.Addr == g.self.Addr {
@@ -231,7 +230,7 @@
 
 // mergeHeard merges when another host last saw other hosts, as ages at sentAt.
 func (g *Gossip) mergeHeard(list []LastSeen, sentAt time.Time) {
-	now := steady.Now()
+	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, h := range list {
--- a/internal/gossip/fetch.go
+++ b/internal/gossip/fetch.go
@@ -9,7 +9,6 @@
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
 	"nettlewalk.example/nettlewalk/internal/result"
-	"nettlewalk.example/nettlewalk/internal/steady"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
@@ -20,7 +19,8 @@
 	chunkTimeout = 2 * time.Second
 	// slowChunk is the time for one chunk after which the download continues at another
 	// host, if there is one. It does so maxSlowSources times at most: if all hosts are
-	// slow, it is this host's own link.
+	// slow, it is this host's own link. The time in which the other host encodes the
+	// snapshot doesn't count: the next one would have to encode it as well.
 	slowChunk      = 250 * time.Millisecond
 	maxSlowSources = 2
 	// fetchRetryDelay is the mean time until hosts are asked again after all with the
@@ -156,7 +156,7 @@
 // kind, leaving out those that were tried. With PreferOwnDomain it returns one of this
 // host's domain if there is any.
 func (g *Gossip) pickSource(kind SnapshotKind, tried map[topology.HostID]bool) source {
-	own, now := g.ownPosition(kind), steady.Now()
+	own, now := g.ownPosition(kind), g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var best source
@@ -209,12 +209,16 @@
 func (g *Gossip) fetchFrom(ctx context.Context, f *fetcher, s *source, tried map[topology.HostID]bool) error {
 	d := &f.download
 	for !d.complete() {
+		if !s.position.After(g.ownPosition(f.kind)) {
+			f.reset()
+			return nil // the snapshot has arrived from elsewhere, for instance from the store
+		}
 		args := FetchArgs{From: g.opts.Self.Addr, Kind: f.kind, Sum: d.sum, Offset: len(d.data)}
-		sentAt := steady.Now()
-		if err := g.fetchChunk(ctx, s.host, &args, d); err != nil {
+		transfer, err := g.fetchChunk(ctx, s.host, &args, d)
+		if err != nil {
 			return err
 		}
-		isSlow := steady.Now().Sub(sentAt) > slowChunk && f.slowSources < maxSlowSources
+		isSlow := transfer > slowChunk && f.slowSources < maxSlowSources
 		if isSlow && !d.complete() && g.pickSource(f.kind, tried).position == s.position {
 			return errSourceSlow
 		}
@@ -249,23 +253,26 @@
 	k.configuration = position.Revision
 }
 
-// fetchChunk makes one call and adds its data to the download.
-func (g *Gossip) fetchChunk(ctx context.Context, id topology.HostID, args *FetchArgs, d *download) error {
+// fetchChunk makes one call and adds its data to the download. transfer is how long the
+// call took, without the time in which the other host encoded the snapshot.
+func (g *Gossip) fetchChunk(ctx context.Context, id topology.HostID, args *FetchArgs, d *download) (transfer time.Duration, err error) {
 	ctx, cancel := context.WithTimeout(ctx, chunkTimeout)
 	defer cancel()
 	var reply FetchReply
+	sentAt := g.now()
 	if err := g.opts.Caller.Call(ctx, id, fetchMethod, args, &reply); err != nil {
-		return err
+		return 0, err
 	}
+	transfer = g.now().Sub(sentAt) - max(reply.Prepared, 0)
 	if reply.Busy {
-		return errSourceBusy
+		return 0, errSourceBusy
 	}
 	snapshotBytes[args.Kind].Add(len(reply.Data))
 	if err := d.add(&reply); err != nil {
 		*d = download{}
-		return err
+		return 0, err
 	}
-	return nil
+	return transfer, nil
 }
 
 // Fetch returns a part of this host's snapshot of a kind.
@@ -278,12 +285,15 @@
 	if source == nil {
 		return result.New(result.NotFound, "this host has no %s", args.Kind)
 	}
-	current, err := g.snapshots.get(args.Kind, source)
+	current, took, err := g.snapshots[args.Kind].get(source)
 	if err != nil {
 		return err
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	*reply = g.uploads[args.Kind].serve(args, current, steady.Now())
+	*reply = g.uploads[args.Kind].serve(args, current, g.now())
+	if !reply.Busy {
+		reply.Prepared = took
+	}
 	return nil
 }
--- a/internal/gossip/fetch_test.go
+++ b/internal/gossip/fetch_test.go
@@ -38,22 +38,46 @@
 
 // A host isn't late with a configuration because it began to fetch it from a slow host.
 func TestDownloadLeavesSlowSource(t *testing.T) {
-	n := newFakeNetwork("north", "south", "coast")
-	n.runRounds()
-	a, b, c := n.hosts["a"], n.hosts["b"], n.hosts["c"]
-	b.opts.Caller = &slowSourceNetwork{fakeNetwork: n, slow: "a", delay: 700 * time.Millisecond}
-	a.opts.Catalog.OfferConfiguration(largeConfiguration(7, 20_000))
-	a.exchange(context.Background(), "b")
-	done, start := make(chan time.Duration), time.Now()
-	go func() {
-		b.fetchNewest(context.Background(), b.fetchers[ConfigurationSnapshot])
-		done <- time.Since(start)
-	}()
-	time.Sleep(100 * time.Millisecond)
-	c.opts.Catalog.OfferConfiguration(largeConfiguration(7, 20_000))
-	c.exchange(context.Background(), "b")
-	took := <-done
-	qt.Check(t, took < applyTimeout, qt.IsTrue, qt.Commentf("in force after %v", took))
+	synctest.Test(t, func(t *testing.T) {
+		n := newFakeNetwork("north", "south", "coast")
+		n.useVirtualClock()
+		n.runRounds()
+		a, b, c := n.hosts["a"], n.hosts["b"], n.hosts["c"]
+		b.opts.Caller = &slowSourceNetwork{fakeNetwork: n, slow: "a", delay: 700 * time.Millisecond}
+		a.opts.Catalog.OfferConfiguration(largeConfiguration(7, 20_000))
+		a.exchange(context.Background(), "b")
+		done, start := make(chan time.Duration), time.Now()
+		go func() {
+			b.fetchNewest(context.Background(), b.fetchers[ConfigurationSnapshot])
+			done <- time.Since(start)
+		}()
+		time.Sleep(100 * time.Millisecond)
+		c.opts.Catalog.OfferConfiguration(largeConfiguration(7, 20_000))
+		c.exchange(context.Background(), "b")
+		took := <-done
+		qt.Check(t, took < applyTimeout, qt.IsTrue, qt.Commentf("in force after %v", took))
+	})
+}
+
+// A host that has read a configuration from the store doesn't download the rest of it.
+func TestDownloadEndsWhenTheSnapshotArrivesFromElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newFakeNetwork("north", "south")
+		n.useVirtualClock()
+		n.runRounds()
+		a, b := n.hosts["a"], n.hosts["b"]
+		counted := &slowSourceNetwork{fakeNetwork: n, slow: "a", delay: 200 * time.Millisecond}
+		b.opts.Caller = counted
+		a.opts.Catalog.OfferConfiguration(largeConfiguration(7, 20_000))
+		a.exchange(context.Background(), "b")
+		done, f := make(chan fetchResult), b.fetchers[ConfigurationSnapshot]
+		go func() { done <- b.fetchNewest(context.Background(), f) }()
+		time.Sleep(300 * time.Millisecond)
+		b.opts.Catalog.OfferConfiguration(largeConfiguration(7, 20_000))
+		qt.Check(t, <-done, qt.Equals, fetchDone)
+		qt.Check(t, counted.fetches, qt.Equals, 2)
+		qt.Check(t, f.download.data, qt.IsNil)
+	})
 }
 
 // A host that restarted with an older configuration than it had announced before isn't
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -106,11 +106,12 @@
 // Gossip exchanges digests with other hosts. Safe for concurrent use.
 type Gossip struct {
 	opts           Options
+	now            func() time.Time
 	claims         ClaimStore
 	roundRequested chan struct{}
 	startedAt      time.Time
 	fetchers       [snapshotKinds]*fetcher
-	snapshots      snapshotCache
+	snapshots      [snapshotKinds]*snapshotCache
 
 	mu         sync.Mutex // guards the fields below
 	self       Host
@@ -160,8 +161,12 @@
 }
 
 // New returns a Gossip that knows the seed hosts. Call SetClaims before Run.
-func New(opts Options) *Gossip {
-	g := &Gossip{opts: opts, self: opts.Self, roundRequested: make(chan struct{}, 1), startedAt: steady.Now(), fetchers: newFetchers(),
+func New(opts Options) *Gossip { return newWithClock(opts, steady.Now) }
+
+// newWithClock is New with another clock than that of package steady, which isn't virtual
+// in tests with package synctest.
+func newWithClock(opts Options, now func() time.Time) *Gossip {
+	g := &Gossip{opts: opts, now: now, self: opts.Self, roundRequested: make(chan struct{}, 1), startedAt: now(), fetchers: newFetchers(), snapshots: newSnapshotCaches(),
 		hosts: map[topology.HostID]*knownHost{}, addrByHash: map[uint64]topology.HostID{}, contacts: map[topology.Domain]*Contact{}}
 	g.AddHosts(opts.Seeds...)
 	return g
@@ -172,7 +177,7 @@
 
 // AddHosts adds addresses of hosts to contact. The hosts needn't exist.
 func (g *Gossip) AddHosts(addrs ...topology.HostID) {
-	now := steady.Now()
+	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, addr := range addrs {
@@ -185,7 +190,7 @@
 // addReported adds hosts that another host reports to be running. places is empty if that
 // host is of an earlier version.
 func (g *Gossip) addReported(addrs []topology.HostID, places []HostPlace) {
-	now := steady.Now()
+	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for i, addr := range addrs {
@@ -253,7 +258,7 @@
 // nextRoundIn returns the time until the next regular round. A host that has just
 // started and got no answer yet tries more often: the others may be starting too.
 func (g *Gossip) nextRoundIn() time.Duration {
-	now := steady.Now()
+	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if now.Sub(g.startedAt) < startPhase && !g.anyInContact(now) {
@@ -284,7 +289,7 @@
 // selectPeers returns the hosts to contact in this round, drawn at random. It
 // removes hosts that have been silent for forgetAfter, except for the seeds.
 func (g *Gossip) selectPeers() []topology.HostID {
-	now := steady.Now()
+	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var ids []topology.HostID
--- a/internal/gossip/hosts.go
+++ b/internal/gossip/hosts.go
@@ -8,13 +8,12 @@
 	"time"
 
 	"nettlewalk.example/nettlewalk/internal/share"
-	"nettlewalk.example/nettlewalk/internal/steady"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
 // HeardAgo implements duty.Hosts: the time since the host was last seen, by this host or by others.
 func (g *Gossip) HeardAgo(id topology.HostID) (time.Duration, bool) {
-	now := steady.Now()
+	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	k := g.hosts[id]
@@ -32,7 +31,7 @@
 // ContactAges returns the time since each failure domain was last in contact, by name.
 // A domain that never was is absent.
 func (g *Gossip) ContactAges() map[topology.Domain]time.Duration {
-	now := steady.Now()
+	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	ages := make(map[topology.Domain]time.Duration, len(g.contacts))
@@ -64,7 +63,7 @@
 // judge that. In a large fleet, where few hosts are contacted in each round, the contact
 // is that with any host of the domain, and each host must have been seen by someone.
 func (g *Gossip) inContactWithMost(reachable func(*Contact, time.Time) bool) bool {
-	now := steady.Now()
+	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.hasMajority(reachable, now) && (!g.opts.HostVotes || g.seniorsAgree(now))
@@ -176,7 +175,7 @@
 
 // LargeFleet implements duty.Hosts.
 func (g *Gossip) LargeFleet() bool {
-	now := steady.Now()
+	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.opts.HostVotes {
@@ -194,7 +193,7 @@
 // Live implements duty.Hosts: the live hosts, this one included, sorted by address. A
 // returned list is never modified.
 func (g *Gossip) Live() []topology.Host {
-	now := steady.Now()
+	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.freshLists(now).live
@@ -227,7 +226,7 @@
 // isn't a seed does so only after firstContactWait: until then a seed, which the
 // other hosts contact, may still answer it.
 func (g *Gossip) Rank() int {
-	now := steady.Now()
+	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
@@ -306,7 +305,7 @@
 // others have reported and from which this host hasn't heard yet. In a large fleet hosts
 // hear from each other in the course of half a minute, and must agree on the list earlier.
 func (g *Gossip) Sharers() Sharers {
-	now := steady.Now()
+	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.freshLists(now).sharers
@@ -407,7 +406,7 @@
 // Offers returns the fresh offers of other hosts for a group. Offers of leaving
 // hosts and offers without open connections are left out.
 func (g *Gossip) Offers(id topology.GroupID) []HostOffer {
-	now := steady.Now()
+	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var offers []HostOffer
@@ -427,7 +426,7 @@
 // HasUsablePeer reports whether any other host that isn't leaving was heard from
 // within offersMaxAge, so that it may run statements for this host.
 func (g *Gossip) HasUsablePeer() bool {
-	now := steady.Now()
+	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, k := range g.hosts {
--- a/internal/gossip/metrics.go
+++ b/internal/gossip/metrics.go
@@ -35,6 +35,7 @@
 		metrics.NewCounter(`nettlewalk_snapshot_received_bytes_total{kind="configuration"}`),
 		metrics.NewCounter(`nettlewalk_snapshot_received_bytes_total{kind="registry"}`),
 	}
+	snapshotsEncoded = metrics.NewCounter(`nettlewalk_snapshot_encodings_total`)
 	fetchesCompleted = metrics.NewCounter(`nettlewalk_snapshot_fetches_total{outcome="completed"}`)
 	fetchesBusy      = metrics.NewCounter(`nettlewalk_snapshot_fetches_total{outcome="busy"}`)
 	fetchesSlow      = metrics.NewCounter(`nettlewalk_snapshot_fetches_total{outcome="slow"}`)
--- a/internal/gossip/network_test.go
+++ b/internal/gossip/network_test.go
@@ -73,6 +73,13 @@
 	return n
 }
 
+// useVirtualClock makes the hosts use the clock of package synctest.
+func (n *fakeNetwork) useVirtualClock() {
+	for _, g := range n.hosts {
+		g.now, g.startedAt = time.Now, time.Now()
+	}
+}
+
 // runRounds runs three rounds of exchanges on every host, each followed by the fetches
 // that it requested.
 func (n *fakeNetwork) runRounds() {
--- a/internal/gossip/reach.go
+++ b/internal/gossip/reach.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"nettlewalk.example/nettlewalk/internal/steady"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
@@ -21,7 +20,7 @@
 // Present returns the live hosts that aren't leaving and that were seen recently, this one
 // included. Unlike Sharers, it leaves out a host that restarts. Only Hosts and Version are set.
 func (g *Gossip) Present() Sharers {
-	now := steady.Now()
+	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.present.Hosts != nil && now.Sub(g.presentBuiltAt) < listsMaxAge {
@@ -65,7 +64,7 @@
 // never had contact with any host has none until it has been up for voteTimeout: it doesn't
 // know how many share its vote.
 func (g *Gossip) Reach() Reach {
-	now := steady.Now()
+	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if len(g.hosts) > 0 && len(g.contacts) == 0 && now.Sub(g.startedAt) < voteTimeout {
--- a/internal/gossip/snapshot.go
+++ b/internal/gossip/snapshot.go
@@ -8,7 +8,6 @@
 	"io"
 	"maps"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -156,34 +155,60 @@
 	return errors.Wrap(err, "decode snapshot")
 }
 
-// snapshotCache holds the encoding of the present snapshot of each kind. It is safe for
+// snapshotCache holds encodings of the present snapshot of one kind. It is safe for
 // concurrent use.
 type snapshotCache struct {
-	mu      sync.Mutex
-	encoded [snapshotKinds]*encodedSnapshot
+	encode func(source any) (*encodedSnapshot, error)
+	// lock guards the fields below, while it holds a value. It is held during encode, for
+	// which waiting calls wait; package synctest can't tell that of a mutex.
+	lock     chan struct{}
+	encoded  *encodedSnapshot // encoded by this host
+	received *encodedSnapshot // received from another one, which saves encoding it again
 }
 
-// get returns the encoding of source, the present snapshot of the kind.
-func (c *snapshotCache) get(kind SnapshotKind, source any) (*encodedSnapshot, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if e := c.encoded[kind]; e != nil && e.source == source {
-		return e, nil
+func newSnapshotCaches() [snapshotKinds]*snapshotCache {
+	var list [snapshotKinds]*snapshotCache
+	for kind := range snapshotKinds {
+		list[kind] = &snapshotCache{encode: encodeSnapshot, lock: make(chan struct{}, 1)}
 	}
-	e, err := encodeSnapshot(source)
-	if err != nil {
-		return nil, err
+	return list
+}
+
+// get returns the encoding of source, the present snapshot, and how long this host took to
+// encode it, or waited for another call that did.
+func (c *snapshotCache) get(source any) (e *encodedSnapshot, took time.Duration, err error) {
+	startedAt := time.Now()
+	c.lock <- struct{}{}
+	defer func() { <-c.lock }()
+	for _, e := range []*encodedSnapshot{c.received, c.encoded} {
+		if e != nil && e.source == source {
+			return e, time.Since(startedAt), nil
+		}
+	}
+	snapshotsEncoded.Inc()
+	if e, err = c.encode(source); err != nil {
+		return nil, 0, err
 	}
-	c.encoded[kind] = e
-	return e, nil
+	c.encoded = e
+	return e, time.Since(startedAt), nil
 }
 
-// put stores the encoding in which a snapshot was received, so that it is passed on
-// without being encoded again.
-func (c *snapshotCache) put(kind SnapshotKind, e *encodedSnapshot) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.encoded[kind] = e
+// setReceived stores the encoding in which a snapshot was received.
+func (c *snapshotCache) setReceived(e *encodedSnapshot) {
+	c.lock <- struct{}{}
+	defer func() { <-c.lock }()
+	c.received = e
+}
+
+// retain drops the encodings of other snapshots than source, which hold them in memory.
+func (c *snapshotCache) retain(source any) {
+	c.lock <- struct{}{}
+	defer func() { <-c.lock }()
+	for _, e := range []**encodedSnapshot{&c.received, &c.encoded} {
+		if *e != nil && (*e).source != source {
+			*e = nil
+		}
+	}
 }
 
 // snapshot returns the present snapshot of the kind, or nil if there is none.
@@ -209,9 +234,7 @@
 			return catalog.StorePosition{}, err
 		}
 		r := data.registry()
-		e.source = r
-		g.offerRegistry(r, sender)
-		g.snapshots.put(kind, e)
+		g.offerEncoded(kind, e, r, func() { g.offerRegistry(r, sender) })
 		return r.Position(), nil
 	}
 	var data configurationData
@@ -219,12 +242,20 @@
 		return catalog.StorePosition{}, err
 	}
 	c := data.configuration()
-	e.source = c
-	g.offerConfiguration(c, sender)
-	g.snapshots.put(kind, e)
+	g.offerEncoded(kind, e, c, func() { g.offerConfiguration(c, sender) })
 	return catalog.StorePosition{Revision: c.Version}, nil
 }
 
+// offerEncoded calls offer, which offers source to the catalog, and keeps e as its encoding
+// if the catalog takes it. Other hosts may ask for it as soon as the catalog has it. If the
+// catalog has the same version from elsewhere, the encoding of that one is kept.
+func (g *Gossip) offerEncoded(kind SnapshotKind, e *encodedSnapshot, source any, offer func()) {
+	e.source = source
+	g.snapshots[kind].setReceived(e)
+	offer()
+	g.snapshots[kind].retain(g.snapshot(kind))
+}
+
 // offerConfiguration offers a configuration of another host to the catalog.
 func (g *Gossip) offerConfiguration(c *catalog.Configuration, sender string) {
 	if g.opts.Catalog.OfferConfiguration(c) {
--- a/internal/gossip/transfer.go
+++ b/internal/gossip/transfer.go
@@ -38,6 +38,9 @@
 	Sum  uint64
 	Size int // of the whole snapshot
 	Data []byte
+	// Prepared is how long the host took to encode the snapshot before it answered; 0 from
+	// hosts of earlier versions.
+	Prepared time.Duration
 }
 
 // download is a snapshot that is being received. The zero value has received nothing.
--- a/internal/gossip/transfer_test.go
+++ b/internal/gossip/transfer_test.go
@@ -143,6 +143,46 @@
 	qt.Check(t, b.opts.Catalog.Configuration(), qt.DeepEquals, a.opts.Catalog.Configuration())
 }
 
+// A received snapshot is passed on as it was received, from the moment at which other hosts
+// may ask for it: encoding it takes a small host half a second, in which downloads wait.
+func TestReceivedSnapshotIsNotEncodedAgain(t *testing.T) {
+	g := newFakeNetwork("north").hosts["a"]
+	c := largeConfiguration(7, 10)
+	received, err := encodeSnapshot(c)
+	qt.Assert(t, err, qt.IsNil)
+	before := snapshotsEncoded.Get()
+	check := func() {
+		e, _, err := g.snapshots[ConfigurationSnapshot].get(g.opts.Catalog.Configuration())
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, e, qt.Equals, received)
+	}
+	g.offerEncoded(ConfigurationSnapshot, received, c, func() {
+		g.offerConfiguration(c, "b")
+		check()
+	})
+	check()
+	qt.Check(t, snapshotsEncoded.Get(), qt.Equals, before)
+}
+
+// A host that reads a configuration from the store while it downloads it has encoded it for
+// others, and doesn't do so again after the download.
+func TestReceivedSnapshotOfAKnownVersionReplacesNoEncoding(t *testing.T) {
+	g := newFakeNetwork("north").hosts["a"]
+	known := largeConfiguration(7, 10)
+	g.opts.Catalog.OfferConfiguration(known)
+	cache := g.snapshots[ConfigurationSnapshot]
+	first, _, err := cache.get(known)
+	qt.Assert(t, err, qt.IsNil)
+	received, err := encodeSnapshot(largeConfiguration(7, 10))
+	qt.Assert(t, err, qt.IsNil)
+	_, err = g.offerReceived(ConfigurationSnapshot, received, "b")
+	qt.Assert(t, err, qt.IsNil)
+	second, _, err := cache.get(known)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, second, qt.Equals, first)
+	qt.Check(t, cache.received, qt.IsNil, qt.Commentf("holds a configuration that isn't in force in memory"))
+}
+
 // During a rolling upgrade, hosts of an earlier version still get snapshots with an
 // exchange, and pass them on with one.
 func TestHostsThatDontFetchGetSnapshotsWithAnExchange(t *testing.T) {
