--- /dev/null
+++ b/cmd/nettlewalk/fleetcustomers_bench_test.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"nettlewalk.example/nettlewalk/internal/catalog"
+	"nettlewalk.example/nettlewalk/internal/gossip"
+	"nettlewalk.example/nettlewalk/internal/topology"
+	"nettlewalk.example/nettlewalk/platform"
+)
+
+// fleetSize is the size of a fleet with customers.
+type fleetSize struct{ hosts, groups, customers int }
+
+func (s fleetSize) String() string {
+	return fmt.Sprintf("%d hosts, %d groups, %d customers", s.hosts, s.groups, s.customers)
+}
+
+// fleetSizes are those of the benchmarks, up to the size to design for.
+var fleetSizes = []fleetSize{{67, 8, 76}, {300, 300, 76}, {300, 300, 14_000}, {4_500, 14_000, 14_000}}
+
+func (s fleetSize) newHost() (*fleetHost, *catalog.Configuration, gossip.Sharers) {
+	sharers := gossip.Sharers{Version: 1}
+	for i := range s.hosts {
+		sharers.Hosts = append(sharers.Hosts, topology.Host{ID: topology.HostID(fmt.Sprintf("10.0.%03d.%03d:7400", i/250, i%250)), Domain: topology.Domain(fmt.Sprint("domain-", i%10)), State: topology.HostLive, Weight: 0.2})
+	}
+	c := &catalog.Configuration{Version: 1, Groups: map[topology.GroupID]catalog.Group{}}
+	for i := range s.groups {
+		c.Groups[topology.GroupID(fmt.Sprint("group-", i))] = catalog.Group{MaxConnections: 56}
+	}
+	var customers []catalog.Customer
+	for i := range s.customers {
+		customers = append(customers, catalog.Customer{ID: topology.CustomerID(fmt.Sprint("customer-", i)), Rate: float64(1 + i%50)})
+	}
+	c.SetCustomers(customers)
+	return &fleetHost{settings: &platform.Settings{PeerAddr: string(sharers.Hosts[0].ID)}}, c, sharers
+}
+
+// lookUpCustomers looks up the customers of all groups, as each host does every 250 ms.
+func (h *fleetHost) lookUpCustomers(c *catalog.Configuration, sharers gossip.Sharers) (held int) {
+	for id := range c.Groups {
+		if len(h.customersOf(id, c, sharers).Preopen) > 0 {
+			held++
+		}
+	}
+	return held
+}
+
+// BenchmarkHostJoinsOrLeaves measures what one change of the list of hosts costs a host.
+func BenchmarkHostJoinsOrLeaves(b *testing.B) {
+	for _, s := range fleetSizes {
+		b.Run(s.String(), func(b *testing.B) {
+			h, c, sharers := s.newHost()
+			all := sharers.Hosts
+			held := h.lookUpCustomers(c, sharers)
+			for i := 0; b.Loop(); i++ {
+				sharers.Version++
+				if sharers.Hosts = all; i%2 == 0 {
+					changed := 1 + i%(len(all)-1)
+					sharers.Hosts = slices.Delete(slices.Clone(all), changed, changed+1)
+				}
+				h.lookUpCustomers(c, sharers)
+			}
+			b.ReportMetric(float64(held), "groups-held")
+		})
+	}
+}
+
+// BenchmarkConfigurationChanges measures what a change of one customer's rate, or of no
+// customer, costs a host, without receiving it.
+func BenchmarkConfigurationChanges(b *testing.B) {
+	for _, s := range fleetSizes {
+		for _, changed := range []string{"rate", "route"} {
+			b.Run(fmt.Sprintf("%v, %s", s, changed), func(b *testing.B) {
+				h, c, sharers := s.newHost()
+				h.lookUpCustomers(c, sharers)
+				versions := make([]*catalog.Configuration, 2)
+				for i := range versions {
+					next := *c
+					next.Version += uint64(i + 1)
+					next.Customers = maps.Clone(c.Customers)
+					if changed == "rate" {
+						customer := next.Customers["customer-7"]
+						customer.Rate += float64(i + 1)
+						next.Customers["customer-7"] = customer
+					}
+					versions[i] = &next
+				}
+				for i := 0; b.Loop(); i++ {
+					h.lookUpCustomers(versions[i%2], sharers)
+				}
+			})
+		}
+	}
+}
