share, nettlewalk: customers of a group are computed anew only if its holders or they change

Cause: each change of the list of hosts or of the configuration dropped the customers of all groups, and a holder ordered the holders for every customer in each group that it holds: the product of groups held and customers, and of customers and changes.

Ruled out: caching the home hosts of all customers (14,000 for each group held).

Change: a group's customers stay, as the same pointer, while its holders, its number of connections and the customers' rates stay. Customers are ranked by share once; a holder looks at them in that order until it has as many at home as it opens connections, and counts the holders ahead of it instead of sorting.

--- a/cmd/nettlewalk/fleetcustomers_bench_test.go
+++ b/cmd/nettlewalk/fleetcost_test.go
@@ -6,8 +6,11 @@
 	"slices"
 	"testing"
 
+	qt "github.com/frankban/quicktest"
+
 	"nettlewalk.example/nettlewalk/internal/catalog"
 	"nettlewalk.example/nettlewalk/internal/gossip"
+	"nettlewalk.example/nettlewalk/internal/share"
 	"nettlewalk.example/nettlewalk/internal/topology"
 	"nettlewalk.example/nettlewalk/platform"
 )
@@ -49,6 +52,52 @@
 	return held
 }
 
+// The customers of a group's connections must be computed anew only if its holders or the
+// customers change. If any change of the list of hosts or of the configuration did that, its
+// cost would be the product of groups and customers.
+func TestCustomersOfGroupsSurviveOtherChanges(t *testing.T) {
+	h, c, sharers := fleetSize{300, 100, 76}.newHost()
+	results := func() map[topology.GroupID]*share.Customers {
+		m := map[topology.GroupID]*share.Customers{}
+		for id := range c.Groups {
+			m[id] = h.customersOf(id, c, sharers)
+		}
+		return m
+	}
+	changed := func(before, after map[topology.GroupID]*share.Customers) (n int) {
+		for id := range after {
+			if after[id] != before[id] {
+				n++
+			}
+		}
+		return n
+	}
+	before := results()
+	next := *c
+	next.Version++
+	c = &next // with the same customers
+	qt.Check(t, changed(before, results()), qt.Equals, 0)
+	last := sharers.Hosts[len(sharers.Hosts)-1].ID
+	affected := 0
+	for id := range c.Groups {
+		if len(before[id].Preopen) > 0 && slices.ContainsFunc(h.holdersOf(id, c, sharers), func(host topology.Host) bool { return host.ID == last }) {
+			affected++
+		}
+	}
+	sharers.Hosts, sharers.Version = sharers.Hosts[:len(sharers.Hosts)-1], sharers.Version+1
+	qt.Check(t, changed(before, results()), qt.Equals, affected)
+	other := *c
+	other.Customers = maps.Clone(c.Customers)
+	customer := other.Customers["customer-7"]
+	customer.Rate *= 100
+	other.Customers["customer-7"] = customer
+	c = &other
+	for id, customers := range results() {
+		fresh := &fleetHost{settings: h.settings}
+		qt.Check(t, customers.Preopen, qt.DeepEquals, fresh.customersOf(id, c, sharers).Preopen, qt.Commentf("%s", id))
+	}
+}
+
 // BenchmarkHostJoinsOrLeaves measures what one change of the list of hosts costs a host.
 func BenchmarkHostJoinsOrLeaves(b *testing.B) {
 	for _, s := range fleetSizes {
--- a/cmd/nettlewalk/fleetcustomers.go
+++ b/cmd/nettlewalk/fleetcustomers.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"maps"
 	"slices"
 	"sync"
 
@@ -13,14 +14,14 @@
 // homeCache keeps what follows from the configured customers and the list of hosts
 // until either changes. The zero value is ready to use.
 type homeCache struct {
-	mu     sync.Mutex
-	config *catalog.Configuration
-	hosts  uint64 // version of the list of hosts
-	shares map[topology.CustomerID]float64
-	homes  map[homeKey]share.Homes
+	mu        sync.Mutex
+	config    *catalog.Configuration
+	hosts     uint64 // version of the list of hosts
+	customers *share.RankedCustomers
+	homes     map[homeKey]share.Homes
 	// groups has the results of groupCustomers: others for groups of which this host holds
 	// no connections.
-	groups map[topology.GroupID]*share.Customers
+	groups map[topology.GroupID]*groupEntry
 	others *share.Customers
 }
 
@@ -29,6 +30,24 @@
 	customer topology.CustomerID
 }
 
+// groupEntry is the result of groupCustomers for one group, with what it follows from. It
+// is kept when the configuration or the list of hosts changes in other respects.
+type groupEntry struct {
+	result    *share.Customers
+	customers *share.RankedCustomers
+	holders   []topology.Host
+	size      int
+	// config and hosts are those for which the entry was found to be valid.
+	config *catalog.Configuration
+	hosts  uint64
+}
+
+// follows reports whether the entry follows from these values.
+func (e *groupEntry) follows(customers *share.RankedCustomers, holders []topology.Host, size int) bool {
+	sameHolders := len(e.holders) == len(holders) && (len(holders) == 0 || &e.holders[0] == &holders[0])
+	return e.customers == customers && e.size == size && sameHolders
+}
+
 // maxCachedHomes bounds the memory of the cache: a host serves statements of few
 // customers and groups at a time.
 const maxCachedHomes = 20_000
@@ -43,18 +62,29 @@
 		return
 	}
 	if c.config != config {
-		rates := make(map[topology.CustomerID]float64, len(config.Customers))
-		for id, customer := range config.Customers {
-			rates[id] = customer.Rate
-		}
-		c.shares = share.CustomerShares(rates)
-		c.others = &share.Customers{Known: make(map[topology.CustomerID]bool, len(rates))}
-		for id := range rates {
-			c.others.Known[id] = true
-		}
+		c.updateCustomers(config)
+	}
+	c.config, c.hosts, c.homes = config, hosts, map[homeKey]share.Homes{}
+}
+
+// updateCustomers ranks the customers of the configuration unless they are those of the
+// previous one, and drops groups that it doesn't have. The caller holds c.mu.
+func (c *homeCache) updateCustomers(config *catalog.Configuration) {
+	rates := make(map[topology.CustomerID]float64, len(config.Customers))
+	for id, customer := range config.Customers {
+		rates[id] = customer.Rate
+	}
+	if c.customers == nil || !c.customers.HasRates(rates) {
+		c.customers = share.RankCustomers(rates)
+		c.others = &share.Customers{Known: c.customers.Known()}
+	}
+	if c.groups == nil {
+		c.groups = map[topology.GroupID]*groupEntry{}
 	}
-	c.config, c.hosts = config, hosts
-	c.homes, c.groups = map[homeKey]share.Homes{}, map[topology.GroupID]*share.Customers{}
+	maps.DeleteFunc(c.groups, func(id topology.GroupID, _ *groupEntry) bool {
+		_, ok := config.Groups[id]
+		return !ok
+	})
 }
 
 // isFor reports whether the cache was computed from the configuration and the list of
@@ -63,11 +93,6 @@
 	return c.config == config && c.hosts == hosts
 }
 
-// otherHolderWeight is the weight of a customer that isn't at home at a holder, as a part
-// of its share. A holder at which no customer is at home still needs connections, over
-// which it finds out which target leads.
-const otherHolderWeight = 1e-6
-
 // customerHomes returns the order in which the holders of a group serve a customer.
 func (h *fleetHost) customerHomes(group topology.GroupID, customer topology.CustomerID) share.Homes {
 	c := h.catalog.Configuration()
@@ -80,7 +105,7 @@
 	cache.mu.Lock()
 	cache.update(c, sharers.Version)
 	homes, ok := cache.homes[key]
-	customerShare := cache.shares[customer]
+	customerShare := cache.customers.Share(customer)
 	cache.mu.Unlock()
 	if ok {
 		return homes
@@ -121,44 +146,46 @@
 	cache := &h.homes
 	cache.mu.Lock()
 	cache.update(c, sharers.Version)
-	customers := cache.groups[group]
-	shares, others := cache.shares, cache.others
+	entry := cache.groups[group]
+	if entry != nil && entry.config == c && entry.hosts == sharers.Version {
+		cache.mu.Unlock()
+		return entry.result
+	}
+	customers, others := cache.customers, cache.others
 	cache.mu.Unlock()
-	if customers != nil {
-		return customers
+	holders := h.holdersOf(group, c, sharers)
+	if holders == nil {
+		holders = sharers.Hosts
+	}
+	_, size := connectionPlan(c, c.Groups[group].MaxConnections, len(sharers.Hosts))
+	next := &groupEntry{customers: customers, holders: holders, size: size, config: c, hosts: sharers.Version}
+	if entry != nil && entry.follows(customers, holders, size) {
+		next.result = entry.result
+	} else {
+		next.result = h.newCustomers(group, next, others)
 	}
-	customers = h.newCustomers(group, c, sharers, shares, others)
 	cache.mu.Lock()
 	defer cache.mu.Unlock()
 	if !cache.isFor(c, sharers.Version) {
-		return customers
+		return next.result
 	}
-	if other := cache.groups[group]; other != nil {
-		return other // of a concurrent call
+	if other := cache.groups[group]; other != nil && other.config == c && other.hosts == sharers.Version {
+		return other.result // of a concurrent call
 	}
-	cache.groups[group] = customers
-	return customers
+	cache.groups[group] = next
+	return next.result
 }
 
 // newCustomers returns the customers of this host's connections to a group's targets, or
 // others if it holds none.
-func (h *fleetHost) newCustomers(group topology.GroupID, c *catalog.Configuration, sharers gossip.Sharers, shares map[topology.CustomerID]float64, others *share.Customers) *share.Customers {
-	holders := h.holderIDs(group, c, sharers)
-	self := topology.HostID(h.settings.PeerAddr)
-	if !slices.Contains(holders, self) {
+func (h *fleetHost) newCustomers(group topology.GroupID, e *groupEntry, others *share.Customers) *share.Customers {
+	if !slices.ContainsFunc(e.holders, h.isSelf) {
 		return others
 	}
-	var weights []share.CustomerWeight
-	for id := range c.Customers {
-		homes := share.HomesOf(group, id, holders, shares[id])
-		weight := shares[id]
-		if homes.Contains(self) {
-			weight /= float64(homes.Count)
-		} else {
-			weight *= otherHolderWeight
-		}
-		weights = append(weights, share.CustomerWeight{ID: id, Weight: weight})
+	ids := make([]topology.HostID, 0, len(e.holders))
+	for _, host := range e.holders {
+		ids = append(ids, host.ID)
 	}
-	_, size := connectionPlan(c, c.Groups[group].MaxConnections, len(sharers.Hosts))
-	return &share.Customers{Known: others.Known, Preopen: share.Preopen(weights, size)}
+	self := topology.HostID(h.settings.PeerAddr)
+	return &share.Customers{Known: others.Known, Preopen: e.customers.Preopen(group, self, ids, e.size)}
 }
