nettlewalk: a change of routes ranks no customers and allocates nothing for each group

Cause: each configuration built a map of all rates to compare, and each change of the list of hosts or of the configuration allocated an entry for each group.

Change: rates are compared in place, and an entry that still holds is marked as such.

--- a/cmd/nettlewalk/fleetcustomers.go
+++ b/cmd/nettlewalk/fleetcustomers.go
@@ -37,7 +37,8 @@
 	customers *share.RankedCustomers
 	holders   []topology.Host
 	size      int
-	// config and hosts are those for which the entry was found to be valid.
+	// config and hosts are those for which the entry was found to be valid, guarded by the
+	// cache's mu.
 	config *catalog.Configuration
 	hosts  uint64
 }
@@ -70,11 +71,11 @@
 // updateCustomers ranks the customers of the configuration unless they are those of the
 // previous one, and drops groups that it doesn't have. The caller holds c.mu.
 func (c *homeCache) updateCustomers(config *catalog.Configuration) {
-	rates := make(map[topology.CustomerID]float64, len(config.Customers))
-	for id, customer := range config.Customers {
-		rates[id] = customer.Rate
-	}
-	if c.customers == nil || !c.customers.HasRates(rates) {
+	if c.customers == nil || !sameRates(c.customers, config) {
+		rates := make(map[topology.CustomerID]float64, len(config.Customers))
+		for id, customer := range config.Customers {
+			rates[id] = customer.Rate
+		}
 		c.customers = share.RankCustomers(rates)
 		c.others = &share.Customers{Known: c.customers.Known()}
 	}
@@ -87,6 +88,19 @@
 	})
 }
 
+// sameRates reports whether the configuration has these customers with the same rates.
+func sameRates(customers *share.RankedCustomers, config *catalog.Configuration) bool {
+	if customers.Len() != len(config.Customers) {
+		return false
+	}
+	for id, customer := range config.Customers {
+		if !customers.HasRate(id, customer.Rate) {
+			return false
+		}
+	}
+	return true
+}
+
 // isFor reports whether the cache was computed from the configuration and the list of
 // hosts. The caller holds c.mu.
 func (c *homeCache) isFor(config *catalog.Configuration, hosts uint64) bool {
@@ -158,10 +172,9 @@
 		holders = sharers.Hosts
 	}
 	_, size := connectionPlan(c, c.Groups[group].MaxConnections, len(sharers.Hosts))
-	next := &groupEntry{customers: customers, holders: holders, size: size, config: c, hosts: sharers.Version}
-	if entry != nil && entry.follows(customers, holders, size) {
-		next.result = entry.result
-	} else {
+	next := entry
+	if entry == nil || !entry.follows(customers, holders, size) {
+		next = &groupEntry{customers: customers, holders: holders, size: size}
 		next.result = h.newCustomers(group, next, others)
 	}
 	cache.mu.Lock()
@@ -172,6 +185,7 @@
 	if other := cache.groups[group]; other != nil && other.config == c && other.hosts == sharers.Version {
 		return other.result // of a concurrent call
 	}
+	next.config, next.hosts = c, sharers.Version
 	cache.groups[group] = next
 	return next.result
 }
--- a/internal/share/ranked.go
+++ b/internal/share/ranked.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -33,11 +32,15 @@
 	return r
 }
 
-// HasRates reports whether these are the rates of the customers.
-func (r *RankedCustomers) HasRates(rates map[topology.CustomerID]float64) bool {
-	return maps.Equal(r.rates, rates)
+// HasRate reports whether the customer is one of these with that rate.
+func (r *RankedCustomers) HasRate(id topology.CustomerID, rate float64) bool {
+	known, ok := r.rates[id]
+	return ok && known == rate
 }
 
+// Len returns the number of customers.
+func (r *RankedCustomers) Len() int { return len(r.list) }
+
 // Share returns a customer's share of the sum of the rates, 0 if it isn't known.
 func (r *RankedCustomers) Share(id topology.CustomerID) float64 { return r.shares[id] }
 
