--- a/internal/share/ranked.go
+++ b/internal/share/ranked.go
@@ -56,21 +56,9 @@
 // holders, opens ahead of demand. It looks at customers in the order of their shares and
 // stops at the n-th that is at home at the host only: later ones have smaller weights.
 func (r *RankedCustomers) Preopen(group topology.GroupID, host topology.HostID, holders []topology.HostID, n int) []topology.CustomerID {
-	x := newHomeIndex(group, host, holders)
-	var atHome []CustomerWeight
-	for single, i := 0, 0; i < len(r.list); i++ {
-		c := r.list[i]
-		count := homeCount(c.Weight, len(holders))
-		if !x.isHome(c.ID, count) {
-			continue
-		}
-		atHome = append(atHome, CustomerWeight{ID: c.ID, Weight: c.Weight / float64(count)})
-		if count == 1 {
-			single++
-		}
-		if single >= n {
-			return Preopen(atHome, n)
-		}
+	atHome, examined := r.atHome(newHomeIndex(group, host, holders), n)
+	if examined < len(r.list) {
+		return Preopen(atHome, n)
 	}
 	home := make(map[topology.CustomerID]bool, len(atHome))
 	for _, c := range atHome {
@@ -85,6 +73,26 @@
 	return Preopen(all, n)
 }
 
+// atHome returns the customers at home at the host with their weights, and how many customers
+// it has examined: all, or those until the n-th that is at home at the host only.
+func (r *RankedCustomers) atHome(x *homeIndex, n int) (list []CustomerWeight, examined int) {
+	single := 0
+	for i, c := range r.list {
+		count := homeCount(c.Weight, len(x.others)+1)
+		if !x.isHome(c.ID, count) {
+			continue
+		}
+		list = append(list, CustomerWeight{ID: c.ID, Weight: c.Weight / float64(count)})
+		if count == 1 {
+			single++
+		}
+		if single >= n {
+			return list, i + 1
+		}
+	}
+	return list, len(r.list)
+}
+
 // homeIndex tells whether a host is a home host of customers of one group, see HomesOf.
 type homeIndex struct {
 	group  xxhash.Digest // of what precedes the customer in the key
