platform, group: restarted and cold targets are known from their registrations

Cause: a target that started again under its ID and address was noticed only if its connections broke, and the time that it states to stay slow wasn't read.

Change: catalog.Member has the target's incarnation and its cold time. A new incarnation begins a slow start, where that is enabled, over the stated time if that is longer, and forgets applied position, lag backoff and answers; the capacity of a target begins anew as well.

Measured: TestRestartedAndColdTargetsStartSlowly; without noteRestarted it fails.

--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -88,6 +88,10 @@
 	Target    topology.Target
 	Primary   bool // the target considers itself the primary
 	WorkSlots int  // statements that the target runs concurrently
+	// Incarnation changes when the target starts again under its ID, 0: not stated.
+	Incarnation int64
+	// Cold is how much longer the target states that it is slow after its start.
+	Cold time.Duration
 }
 
 // Registry is a snapshot of the target registry at one revision of the store.
--- a/internal/group/capacity.go
+++ b/internal/group/capacity.go
@@ -1,6 +1,8 @@
 package group
 
 import (
+	"fmt"
+
 	"nettlewalk.example/nettlewalk/internal/capacity"
 	"nettlewalk.example/nettlewalk/internal/share"
 	"nettlewalk.example/nettlewalk/internal/topology"
@@ -37,7 +39,7 @@
 	defer g.mu.Unlock()
 	held := make([]capacity.HeldTarget, 0, len(g.members))
 	for id, m := range g.members {
-		held = append(held, capacity.HeldTarget{ID: id, Identity: m.info.Target.Addr, Slots: m.info.WorkSlots, Pool: m.pool})
+		held = append(held, capacity.HeldTarget{ID: id, Identity: fmt.Sprint(m.info.Target.Addr, " ", m.info.Incarnation), Slots: m.info.WorkSlots, Pool: m.pool})
 	}
 	return held
 }
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -109,7 +109,11 @@
 		kept[info.Target.ID] = true
 		m := g.members[info.Target.ID]
 		if m != nil && m.info.Target.Addr == info.Target.Addr {
+			restarted := m.info.Incarnation != 0 && info.Incarnation != 0 && m.info.Incarnation != info.Incarnation
 			m.info = info
+			if restarted {
+				g.noteRestarted(m, recoveryOn)
+			}
 			m.pool.SetSize(sizeOf(info.Target))
 			continue
 		}
--- a/internal/group/recovery.go
+++ b/internal/group/recovery.go
@@ -17,6 +17,7 @@
 const (
 	returnReachable  returnReason = "reachable"  // a connection was opened after the target couldn't be reached
 	returnRegistered returnReason = "registered" // its registration is new or has a new address
+	returnRestarted  returnReason = "restarted"  // it registered as a new incarnation
 	returnPromoted   returnReason = "promoted"
 	returnRecovered  returnReason = "recovered" // its ejection ended
 )
@@ -57,7 +58,7 @@
 func (g *Group) startSlowly(id topology.TargetID, reason returnReason) {
 	t := g.recovery.ramp(id)
 	t.down, t.lost, t.rising = false, false, true
-	duration := t.Return(steady.Now(), 0)
+	duration := t.Return(steady.Now(), g.members[id].info.Cold)
 	metrics.GetOrCreateCounter(`nettlewalk_target_slow_starts_total{reason="` + string(reason) + `"}`).Inc()
 	g.opts.Log.Info("slow start of target begins", "group", g.opts.ID, "target", id, "reason", string(reason), "over_ms", duration.Milliseconds())
 }
@@ -117,11 +118,21 @@
 // noteRegistered records that the target is new to the list of targets. The caller must hold
 // g.mu.
 func (g *Group) noteRegistered(id topology.TargetID, recoveryOn bool) {
-	if recoveryOn && g.recovery.listed {
+	if recoveryOn && (g.recovery.listed || g.members[id].info.Cold > 0) {
 		g.startSlowly(id, returnRegistered)
 	}
 }
 
+// noteRestarted records that the target registered as a new incarnation, which has nothing of
+// the one before. The caller must hold g.mu.
+func (g *Group) noteRestarted(m *member, recoveryOn bool) {
+	m.applied, m.lagBackoff = topology.Position{}, lagBackoff{}
+	g.forgetAnswers(m.info.Target.ID)
+	if recoveryOn {
+		g.startSlowly(m.info.Target.ID, returnRestarted)
+	}
+}
+
 // forgetAnswers drops what is known of the answers of a target that was removed or replaced.
 // The caller must hold g.mu.
 func (g *Group) forgetAnswers(id topology.TargetID) {
--- a/internal/group/recovery_test.go
+++ b/internal/group/recovery_test.go
@@ -224,6 +224,26 @@
 	qt.Check(t, g.heldOff("b") && g.heldOff("d"), qt.IsTrue)
 }
 
+// A target that states that it is cold, or that it was started again under its ID and address,
+// gets few reads at first.
+func TestRestartedAndColdTargetsStartSlowly(t *testing.T) {
+	g, draw := newRecoveryGroup(t, true)
+	first := recoveryMember("a", "a")
+	first.Incarnation = 1000
+	members := []catalog.Member{first, recoveryMember("b", "b"), recoveryMember("c", "c")}
+	setRecoveryMembers(t, g, members...)
+	qt.Check(t, g.heldOff("a"), qt.IsFalse) // it stated no incarnation before
+	members[0].Incarnation = 2000
+	setRecoveryMembers(t, g, members...)
+	qt.Check(t, g.heldOff("a"), qt.IsTrue)
+	cold := recoveryMember("d", "d")
+	cold.Cold = time.Hour
+	setRecoveryMembers(t, g, append(members, cold)...)
+	time.Sleep(20 * time.Millisecond)
+	*draw = 0.11 // above the initial weight, and that after 20 ms of an hour
+	qt.Check(t, g.heldOff("d"), qt.IsTrue)
+}
+
 // A promoted target keeps its own work as the leader, and gets few of the reads that others
 // can serve.
 func TestPromotedTargetStartsSlowly(t *testing.T) {
