relay: asking a further host is charged before the first one is asked at once

Cause: a host that was asked to serve at once or refuse could refuse after others had used up the budget. The statement was then refused without having been queued anywhere.

Ruled out: letting a host queue every statement when the budget is low: the tokens may be used by others between the two calls whatever the threshold.

Change: the further call is charged ahead and taken back if the first host serves.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -133,8 +133,7 @@
 	default: // offersByCost may have left out hosts that were asked
 		lastAttempt = !slices.ContainsFunc(offers, r.isUnasked)
 	}
-	lastAttempt = lastAttempt || !r.coversRetry() // another host won't be asked
-	return offer.Host, needsFree || !lastAttempt, true
+	return offer.Host, needsFree || !lastAttempt && r.prepayAsking(), true
 }
 
 func (r *request) isUnasked(o placement.Offer) bool { return !slices.Contains(r.askedHosts, o.Host) }
@@ -186,6 +185,7 @@
 	if r.fromPeer || r.session.tx != nil {
 		return statement.Answer{}, false
 	}
+	defer r.refundPrepaid()
 	for {
 		host, noWait, ok := r.pickPeer(needsLeader, needsFree)
 		if !ok {
--- a/internal/relay/hosted.go
+++ b/internal/relay/hosted.go
@@ -122,6 +122,7 @@
 	if s.forPeer {
 		return a, false
 	}
+	defer r.refundPrepaid()
 	needsLeader := !s.tx.readOnly || r.route.Freshness == catalog.LatestData
 	for {
 		host, noWait, ok := r.pickPeer(needsLeader, needsFree)
--- a/internal/relay/retries.go
+++ b/internal/relay/retries.go
@@ -104,10 +104,32 @@
 		return false
 	}
 	b.budget.Withdraw()
-	metrics.GetOrCreateCounter(`nettlewalk_retries_total{kind="` + string(kind) + `"}`).Inc()
+	b.countRetry(kind)
 	return true
 }
 
+func (b *retryBudget) countRetry(kind retryKind) {
+	metrics.GetOrCreateCounter(`nettlewalk_retries_total{kind="` + string(kind) + `"}`).Inc()
+}
+
+// prepay charges a retry that may not be needed. refund takes that back.
+func (b *retryBudget) prepay(route *catalog.Route, c *catalog.Configuration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.updateReserve(time.Now())
+	ok := b.budget.Covers(b.isUrgent(route, c))
+	if ok {
+		b.budget.Withdraw()
+	}
+	return ok
+}
+
+func (b *retryBudget) refund() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget.Refund()
+}
+
 // isUrgent reports whether no route is more urgent. The caller must hold b.mu.
 func (b *retryBudget) isUrgent(route *catalog.Route, c *catalog.Configuration) bool {
 	if c != nil && c != b.config {
@@ -212,13 +234,37 @@
 	if !r.session.server.retries.on() {
 		return true
 	}
-	if len(r.askedHosts) == 0 && !r.wasSent() {
+	switch {
+	case len(r.askedHosts) == 0 && !r.wasSent():
 		r.earn(forwardedPart)
 		return true
+	case r.prepaid:
+		r.prepaid = false
+		r.session.server.retries.countRetry(retryHost)
+		return true
 	}
 	return r.takeRetry(retryHost)
 }
 
+// prepayAsking reports whether a further host may be asked after the next one. It charges that
+// ahead: a host that is to serve the statement at once or refuse it is no use if no other host may
+// be asked afterwards.
+func (r *request) prepayAsking() bool {
+	s := r.session.server
+	if s.retries.on() && !r.prepaid {
+		r.prepaid = s.retries.prepay(&r.route, s.opts.Catalog.Configuration())
+	}
+	return r.prepaid || !s.retries.on()
+}
+
+// refundPrepaid returns what wasn't used of prepayAsking.
+func (r *request) refundPrepaid() {
+	if r.prepaid {
+		r.prepaid = false
+		r.session.server.retries.refund()
+	}
+}
+
 func (r *request) takeRetry(kind retryKind) bool {
 	s := r.session.server
 	if s.retries.take(&r.route, s.opts.Catalog.Configuration(), kind) {
--- a/internal/relay/retries_test.go
+++ b/internal/relay/retries_test.go
@@ -162,6 +162,7 @@
 		qt.Check(t, a.OK(), qt.IsFalse)
 		qt.Check(t, peers.asked, qt.HasLen, test.calls)
 		qt.Check(t, peers.atOnce[0], qt.Equals, test.atOnce)
+		qt.Check(t, f.tokens() <= test.retries, qt.IsTrue)
 		want := statement.Busy // as before, once the hosts are used up
 		if test.retries == 0 {
 			want = statement.InDoubt // a host was asked, and didn't answer
@@ -170,6 +171,29 @@
 	}
 }
 
+// Asking a further host is charged before the first one is asked to serve the statement at once,
+// so that no statement is refused without having been queued anywhere. If the first host serves
+// it, the charge is taken back.
+func TestFurtherHostIsChargedAhead(t *testing.T) {
+	f := newFixture(t, catalog.LatestData)
+	f.group.Close()
+	f.setBudget(1)
+	peers := &homePeers{serves: map[topology.HostID]bool{"b": true, "c": true, "d": true}}
+	for host := range peers.serves {
+		peers.offers = append(peers.offers, placement.Offer{Host: host, Leads: true})
+	}
+	f.server.opts.Peers = peers
+	for range 3 {
+		qt.Assert(t, f.serveStatement(read("a")).OK(), qt.IsTrue)
+	}
+	qt.Check(t, peers.atOnce, qt.DeepEquals, []bool{true, true, true})
+	qt.Check(t, f.tokens(), qt.Equals, 1.0)
+	peers.serves = nil
+	f.serveStatement(read("a"))
+	qt.Check(t, peers.asked, qt.HasLen, 5)
+	qt.Check(t, peers.atOnce[3:], qt.DeepEquals, []bool{true, false}) // the last one that may be asked queues it
+}
+
 // Two hosts that share the work for a statement must not earn more than one of them would,
 // or the sum over hosts is twice the bound. A statement that was sent before earns nothing.
 func TestForwardedStatementEarnsOnce(t *testing.T) {
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -51,6 +51,7 @@
 	// budgetRefused is set if the retry budget refused a sending to a target or to another
 	// host, and outOfBudget if the statement isn't sent to a target again.
 	budgetRefused, outOfBudget bool
+	prepaid                    bool              // asking a further host was charged ahead
 	failedAnswer               *statement.Answer // of the first target, if it failed the read
 }
 
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -40,6 +40,9 @@
 // Withdraw charges one retry to the budget.
 func (b *Budget) Withdraw() { b.tokens = max(b.tokens-1, 0) }
 
+// Refund takes back the charge of a retry that wasn't sent.
+func (b *Budget) Refund() { b.tokens = min(b.tokens+1, b.reserve) }
+
 // Covers reports whether the budget covers a retry of an urgent, or of any other, statement.
 func (b *Budget) Covers(urgent bool) bool {
 	if urgent {
