--- a/internal/outlier/detector_test.go
+++ b/internal/outlier/detector_test.go
@@ -115,11 +115,15 @@
 	rapid.Check(t, func(t *rapid.T) {
 		var d Detector
 		now, ejected := start, topology.TargetID("")
+		failedOf10 := map[topology.TargetID]int{}
+		for _, id := range simTargets {
+			failedOf10[id] = rapid.IntRange(0, 10).Draw(t, "failed of ten")
+		}
 		for range rapid.IntRange(1, 300).Draw(t, "answers") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
 			id := rapid.SampledFrom(simTargets).Draw(t, "target")
 			others := rapid.IntRange(0, 2).Draw(t, "others")
-			failed := rapid.Bool().Draw(t, "failed")
+			failed := rapid.IntRange(0, 9).Draw(t, "failed") < failedOf10[id]
 			changed, change, f := d.Record(id, failed, others, now)
 			switch change {
 			case Ejected:
@@ -140,6 +144,24 @@
 	})
 }
 
+// A target that fails half of its answers stays if the others fail a third, or if no other one can
+// serve reads.
+func TestOutlierNeedsBetterTargets(t *testing.T) {
+	for _, test := range []struct {
+		othersFailed, others int
+		want                 topology.TargetID
+	}{{0, 2, "b"}, {3, 2, "b"}, {10, 2, ""}, {0, 0, ""}} {
+		var d Detector
+		for i := range 30 { // the others' answers first
+			d.Record("a", i < test.othersFailed, 0, start)
+		}
+		for i := range 20 {
+			d.Record("b", i%2 == 1, test.others, start)
+		}
+		qt.Check(t, d.Ejected(), qt.Equals, test.want, qt.Commentf("%+v", test))
+	}
+}
+
 // Answers older than the window have no effect, and a replaced target begins anew.
 func TestOldAnswersAreForgotten(t *testing.T) {
 	var d Detector
