--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -93,7 +93,6 @@
 	added    [addedParts]float64
 	addedAt  int64 // number of the latest part since the epoch
 	paused   bool
-	pausedAt time.Time
 	begunAt  time.Time // when it last got what a ledger begins with
 	holdings map[topology.HostID]*holding
 	unspent  int // sum of holdings
@@ -122,7 +121,7 @@
 func (g *Ledger) HandOver(now time.Time) (tokens float64) {
 	g.refill(now)
 	tokens, g.level, g.levelAtSale = max(0, g.level), min(0, g.level), 0
-	g.paused, g.pausedAt = true, now
+	g.paused = true
 	return tokens
 }
 
@@ -259,9 +258,6 @@
 	g.unspent += held - h.tokens
 	h.tokens, h.seq, h.askedAt = held, r.Seq, now
 	g.refill(now)
-	if g.paused && now.Sub(g.pausedAt) >= g.bounds.Window {
-		g.begin(now, 0) // like a new one
-	}
 	g.paused = false
 	if r.Credit > 0 {
 		g.level += float64(r.Credit)
