quota: all sales wait for the earlier seller's tokens

Cause: only the request that named the earlier seller waited for its tokens; others were refused meanwhile (TestHostsBuyOverPeerConnections admitted one operation instead of several).

Not run: the race detector on this state.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -128,16 +128,18 @@
 type seller struct {
 	*Ledger
 	stopped map[topology.HostID]*stopping
-	begun   bool                        // its level isn't held back for an earlier seller's tokens
-	ceded   map[topology.HostID]cession // votes with which other hosts stand in for this one
-	cededAt time.Time                   // when this host, standing in, last told the coordinator
+	// handOver is closed when the last host that was told to stop answered, or didn't in
+	// time; nil: none is being told.
+	handOver chan struct{}
+	begun    bool                        // its level isn't held back for an earlier seller's tokens
+	ceded    map[topology.HostID]cession // votes with which other hosts stand in for this one
+	cededAt  time.Time                   // when this host, standing in, last told the coordinator
 }
 
 // stopping is the state of another host that sold the customer's tokens before.
 type stopping struct {
-	at       time.Time     // when the ledger took its sales into account
-	told     bool          // it was told to stop, or is being told
-	answered chan struct{} // closed when it answered or didn't in time; nil: it wasn't told
+	at   time.Time // when the ledger took its sales into account
+	told bool      // it was told to stop, or is being told
 }
 
 // cession is a number of votes that another host sells with.
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -286,9 +286,10 @@
 		q.cede(l, args.Customer, now)
 	}
 	if args.Previous != "" && args.Previous != q.opts.Self {
-		if s := q.takeOver(l, r, args, now); s.answered != nil && l.level < float64(args.Request.Need) {
-			now = q.awaitTakeOver(s)
-		}
+		q.takeOver(l, r, args, now)
+	}
+	if l.handOver != nil && l.level < float64(args.Request.Need) {
+		now = q.awaitTakeOver(l.handOver)
 	}
 	reply.Grant = l.Buy(args.From, args.Request, now)
 	reply.Seller, reply.Limit, reply.Version = q.opts.Self, l.limit, l.version
@@ -309,7 +310,7 @@
 
 // takeOver tells the host that sold the customer's tokens before to stop. A host that
 // doesn't answer is told again once it isn't avoided any more. The caller holds q.mu.
-func (q *Quota) takeOver(l *seller, r role, args *BuyArgs, now time.Time) *stopping {
+func (q *Quota) takeOver(l *seller, r role, args *BuyArgs, now time.Time) {
 	previous := args.Previous
 	s := l.stopped[previous]
 	isNew := s == nil || now.Sub(s.at) >= stopInterval && now.Sub(s.at) >= args.PreviousAge
@@ -319,7 +320,7 @@
 		l.Restart(now)
 	}
 	if s.told || q.avoids(previous, now) {
-		return s
+		return
 	}
 	if r != coordinator && previous == q.sellersFor(args.Customer).coordinator {
 		// It is slow or doesn't get answers to this host: it would give up its tokens although
@@ -328,9 +329,10 @@
 			l.begin(now, 1)
 		}
 		l.begun = true
-		return s
+		return
 	}
-	s.told, s.answered = true, make(chan struct{})
+	answered := make(chan struct{})
+	s.told, l.handOver = true, answered
 	began := args.PreviousBegan
 	stop := &StopArgs{From: q.opts.Self, Customer: args.Customer}
 	go func() {
@@ -338,7 +340,10 @@
 		err := q.call(previous, stopMethod, stop, &reply, buyTimeout)
 		q.mu.Lock()
 		defer q.mu.Unlock()
-		defer close(s.answered)
+		defer close(answered)
+		if l.handOver == answered {
+			l.handOver = nil
+		}
 		s.told = err == nil
 		if err != nil || reply.Unknown {
 			if !l.begun && !began { // nothing comes from the other host
@@ -350,14 +355,12 @@
 		l.begun = true
 		l.TakeOver(reply.Tokens, q.opts.Now())
 	}()
-	return s
 }
 
 // awaitTakeOver waits until the earlier seller gave up its tokens, takeOverWait at most.
 // Without it, operations would be refused in the moment in which sellers change. The caller
 // holds q.mu, which is released meanwhile.
-func (q *Quota) awaitTakeOver(s *stopping) time.Time {
-	answered := s.answered
+func (q *Quota) awaitTakeOver(answered <-chan struct{}) time.Time {
 	q.mu.Unlock()
 	timer := time.NewTimer(takeOverWait)
 	defer timer.Stop()
