--- a/internal/capacity/target_test.go
+++ b/internal/capacity/target_test.go
@@ -232,3 +232,19 @@
 		}
 	}
 }
+
+// Figures that a faulty host sends count as none.
+func TestInvalidFiguresAreIgnored(t *testing.T) {
+	invalid := []Figures{
+		{InFlight: -1}, {InFlight: 1 << 40}, {Others: -1}, {Refused: -1}, {Slowness: -1},
+		{Waiting: [Priorities]int{0, -1}}, {Started: [Priorities]int{1 << 40}},
+		{Customers: []CustomerDemand{{Priority: Priorities}}}, {Customers: []CustomerDemand{{Priority: -1}}},
+		{Customers: []CustomerDemand{{Count: -1}}}, {Customers: make([]CustomerDemand, listedCustomers+1)},
+	}
+	hosts := hostIDs(2)
+	for _, f := range invalid {
+		target := NewTarget(4)
+		target.Note(hosts[0], f, start)
+		qt.Check(t, target.Divide(hosts, start)[hosts[0]], qt.Equals, EqualAllocation(4, 2), qt.Commentf("%+v", f))
+	}
+}
