--- a/internal/share/shared_test.go
+++ b/internal/share/shared_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -222,8 +223,8 @@
 func TestAllocationWithoutCustomers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		pool, _ := newPool(t, 8, 8)
-		wakes := 0
-		pool.SetSharing(&Sharing{Slots: 4, Holders: 6, OnWaiting: func() { wakes++ }})
+		var wakes atomic.Int64
+		pool.SetSharing(&Sharing{Slots: 4, Holders: 6, OnWaiting: func() { wakes.Add(1) }})
 		pool.Allocate(1)
 		var order []int
 		var mu sync.Mutex
@@ -260,7 +261,7 @@
 			})
 		}
 		time.Sleep(time.Millisecond)
-		qt.Check(t, wakes, qt.Equals, 1)
+		qt.Check(t, wakes.Load(), qt.Equals, int64(1))
 		f, _ = pool.Figures()
 		qt.Check(t, f.InFlight, qt.Equals, 4)
 		pool.Allocate(6)
