--- a/internal/share/shared_test.go
+++ b/internal/share/shared_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,6 +48,12 @@
 	return p.limit(time.Now())
 }
 
+func (s *sharedSim) callCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
 func (s *sharedSim) limits() (sum int) {
 	for _, id := range s.ids {
 		sum += s.limit(id)
@@ -83,15 +90,15 @@
 		stop := s.saturate(s.ids[0], 2)
 		time.Sleep(2 * time.Second)
 		stop()
-		qt.Check(t, s.calls, qt.Equals, 0)
+		qt.Check(t, s.callCount(), qt.Equals, 0)
 		stop = s.saturate(s.ids[0], 16)
 		time.Sleep(2 * time.Second)
 		stop()
 		time.Sleep(time.Second)
-		after := s.calls
+		after := s.callCount()
 		qt.Check(t, after >= 20*(sharedHolders-1) && after <= 27*(sharedHolders-1)+2, qt.IsTrue, qt.Commentf("%d calls", after))
 		time.Sleep(5 * time.Second)
-		qt.Check(t, s.calls, qt.Equals, after)
+		qt.Check(t, s.callCount(), qt.Equals, after)
 		s.close()
 	})
 }
@@ -216,8 +223,8 @@
 func TestAllocationWithoutCustomers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		pool, _ := newPool(t, 8, 8)
-		wakes := 0
-		pool.SetSharing(&Sharing{Slots: 4, Holders: 6, OnWaiting: func() { wakes++ }})
+		var wakes atomic.Int64
+		pool.SetSharing(&Sharing{Slots: 4, Holders: 6, OnWaiting: func() { wakes.Add(1) }})
 		pool.Allocate(1)
 		var order []int
 		var mu sync.Mutex
@@ -254,7 +261,7 @@
 			})
 		}
 		time.Sleep(time.Millisecond)
-		qt.Check(t, wakes, qt.Equals, 1)
+		qt.Check(t, wakes.Load(), qt.Equals, int64(1))
 		f, _ = pool.Figures()
 		qt.Check(t, f.InFlight, qt.Equals, 4)
 		pool.Allocate(6)
