share: a customer's less urgent requests don't make a pool refuse its urgent ones

Cause: the expected wait of a request counted all waiting requests of its customer, also the less urgent ones, which are served after it. While a customer's browsing waited, its order confirmations were refused at once. Found while the bound of TestSharedCapacityDuringFlood was examined.

Change: only requests that are at least as urgent count. The delay by which targets are ordered is as before. The bound of the flood test is 0.97 of the confirmations in time again, from 0.95, to which it was lowered because of this fault.

TestExpectedWaitIgnoresOwnLessUrgentRequests fails without the change.

--- a/internal/share/admission.go
+++ b/internal/share/admission.go
@@ -72,6 +72,18 @@
 	return ahead + own
 }
 
+// ownAhead returns how many waiting requests of the customer are served before a new one:
+// those that are at least as urgent. Less urgent ones must not make the pool refuse it.
+func (v *poolView) ownAhead(customer topology.CustomerID, priority int) int {
+	own := 0
+	for _, w := range v.queue {
+		if w.customer == customer && w.priority <= priority {
+			own++
+		}
+	}
+	return own
+}
+
 // limitWait estimates how long a new request waits because of the limit on statements
 // in flight.
 func (v *poolView) limitWait(customer topology.CustomerID, priority int, share float64) time.Duration {
--- a/internal/share/admission_test.go
+++ b/internal/share/admission_test.go
@@ -118,6 +118,20 @@
 	qt.Check(t, v.expectedCustomerWait("b", 1, 1, 0, start), qt.Equals, time.Duration(0))
 }
 
+// A customer's less urgent requests, which are served after it, must not make a pool refuse
+// its urgent one.
+func TestExpectedWaitIgnoresOwnLessUrgentRequests(t *testing.T) {
+	v := newView("a")
+	v.idle = nil
+	v.use["a"].inUse = 1
+	for i := range 40 {
+		v.addWaiter("a", 2, i, 1000)
+	}
+	urgent := v.expectedCustomerWait("a", 0, 1, 0, start)
+	qt.Check(t, urgent <= 2*v.hold, qt.IsTrue, qt.Commentf("%s", urgent))
+	qt.Check(t, v.expectedCustomerWait("a", 2, 1, 0, start) >= 40*v.hold, qt.IsTrue)
+}
+
 // The expected wait of a customer without a connection includes the dial, and the dials
 // for others that come first.
 func TestExpectedWaitIncludesDial(t *testing.T) {
--- a/internal/share/bycustomer.go
+++ b/internal/share/bycustomer.go
@@ -84,7 +84,11 @@
 	if !p.byCustomer || p.hasIdle(customer) && p.active < p.limit(now) {
 		return load
 	}
-	load.Delay = p.view(now).expectedCustomerWait(customer, 0, 1, p.untilDial(now), now)
+	waiting := 0 // of any priority, since that of the request isn't known here
+	if u := p.use[customer]; u != nil {
+		waiting = u.waiting
+	}
+	load.Delay = p.view(now).expectedWaitBehind(waiting, customer, 0, 1, p.untilDial(now), now)
 	return load
 }
 
--- a/internal/share/customers.go
+++ b/internal/share/customers.go
@@ -269,6 +269,12 @@
 // statements, and for its turn under the limit on statements in flight. share is the
 // part of the freed connections that goes to its priority or less urgent ones.
 func (v *poolView) expectedCustomerWait(customer topology.CustomerID, priority int, share float64, untilDial time.Duration, now time.Time) time.Duration {
+	return v.expectedWaitBehind(v.ownAhead(customer, priority), customer, priority, share, untilDial, now)
+}
+
+// expectedWaitBehind is expectedCustomerWait with ownAhead requests of the customer before
+// the new one.
+func (v *poolView) expectedWaitBehind(ownAhead int, customer topology.CustomerID, priority int, share float64, untilDial time.Duration, now time.Time) time.Duration {
 	limitWait := v.limitWait(customer, priority, share)
 	if v.hasIdle(customer) {
 		return limitWait
@@ -293,7 +299,7 @@
 	if u.usable() == 0 {
 		return max(dial, limitWait)
 	}
-	own := expectedWait(u.waiting, u.usable(), v.hold, share)
+	own := expectedWait(ownAhead, u.usable(), v.hold, share)
 	if u.open == 0 {
 		own += v.dialTime
 	}
--- a/internal/share/shared_sim_test.go
+++ b/internal/share/shared_sim_test.go
@@ -254,9 +254,7 @@
 	qt.Check(t, with.otherConfirmations.lost, qt.Equals, 0)
 	qt.Check(t, with.otherConfirmations.p95 <= simGoals[0], qt.IsTrue)
 	qt.Check(t, with.otherConfirmations.inTimeShare() >= 0.95, qt.IsTrue)
-	// Some of the flooding customer's are refused at once in the first second, since
-	// expectedCustomerWait counts the customer's less urgent statements as well.
-	qt.Check(t, with.confirmations.inTimeShare() >= 0.95, qt.IsTrue)
+	qt.Check(t, with.confirmations.inTimeShare() >= 0.97, qt.IsTrue)
 	qt.Check(t, with.confirmations.p95 <= simGoals[0], qt.IsTrue)
 	qt.Check(t, with.urgentOthers.inTimeShare() >= 0.97, qt.IsTrue)
 	qt.Check(t, with.urgentOthers.p95 <= simGoals[1], qt.IsTrue)
