feature: one type for the modes of features

Change: feature.Mode and one list of flags (cmd/nettlewalk/feature.go) for shared capacity, the retry budget and retry times. All three take no value as 'on'.

Measured: go test ./cmd/nettlewalk ./internal/relay passes.

--- a/cmd/nettlewalk/feature.go
+++ b/cmd/nettlewalk/feature.go
@@ -5,7 +5,7 @@
 
 	"github.com/integrii/flaggy"
 
-	"nettlewalk.example/nettlewalk/internal/catalog"
+	"nettlewalk.example/nettlewalk/internal/feature"
 	"nettlewalk.example/nettlewalk/internal/locality"
 )
 
@@ -13,36 +13,14 @@
 // platform.
 type serveOptions struct {
 	prices                                  locality.Prices
-	sharedCapacity, retryBudget, retryTimes feature
+	sharedCapacity, retryBudget, retryTimes feature.Mode
 }
 
-// feature is the value of a flag that enables a feature on the users' platform.
-type feature string
-
-const (
-	featureOn   feature = "on"
-	featureOff  feature = "off"
-	featureAuto feature = "auto" // where the configuration has customers
-)
-
-// validate returns an error for an unknown value of the named flag.
-func (f feature) validate(flag string) error {
-	if !slices.Contains([]feature{featureOn, featureOff, featureAuto}, f) {
-		return &usageError{flag + " " + string(f) + ": must be on, off or auto"}
-	}
-	return nil
-}
-
-// enabled reports whether the feature is enabled with the configuration, which may be nil.
-func (f feature) enabled(c *catalog.Configuration) bool {
-	return f == featureOn || f == featureAuto && hasCustomers(c)
-}
-
-// featureFlag is a flag whose value is a feature.
+// featureFlag is a flag whose value is a feature.Mode.
 type featureFlag struct {
 	name, description string
 	value             string
-	target            func(*serveOptions) *feature
+	target            func(*serveOptions) *feature.Mode
 }
 
 // featureFlagSet has the feature flags of the serve command.
@@ -51,14 +29,14 @@
 func newFeatureFlags() featureFlagSet {
 	flags := featureFlagSet{
 		{name: "shared-capacity", description: "hosts divide the statements in flight at a target between them",
-			target: func(o *serveOptions) *feature { return &o.sharedCapacity }},
+			target: func(o *serveOptions) *feature.Mode { return &o.sharedCapacity }},
 		{name: "retry-budget", description: "bound retries over all hosts, send returned targets few reads at first, and route reads away from targets that fail some",
-			target: func(o *serveOptions) *feature { return &o.retryBudget }},
+			target: func(o *serveOptions) *feature.Mode { return &o.retryBudget }},
 		{name: "retry-times", description: "tell refused callers when to return",
-			target: func(o *serveOptions) *feature { return &o.retryTimes }},
+			target: func(o *serveOptions) *feature.Mode { return &o.retryTimes }},
 	}
 	for _, f := range flags {
-		f.value = string(featureAuto)
+		f.value = string(feature.Auto)
 	}
 	return flags
 }
@@ -73,11 +51,11 @@
 // apply sets the options to the values of the flags, or returns an error for an unknown one.
 func (fs featureFlagSet) apply(o *serveOptions) error {
 	for _, f := range fs {
-		value := feature(f.value)
-		if err := value.validate("--" + f.name); err != nil {
-			return err
+		mode, err := feature.ParseMode(f.value)
+		if err != nil {
+			return &usageError{"--" + f.name + ": " + err.Error()}
 		}
-		*f.target(o) = value
+		*f.target(o) = mode
 	}
 	return nil
 }
@@ -93,10 +71,13 @@
 	flags := newFeatureFlags()
 	result := make([]string, 0, len(args))
 	for i, arg := range args {
-		values := []feature{featureOn, featureOff, featureAuto}
-		hasValue := i+1 < len(args) && slices.Contains(values, feature(args[i+1]))
+		hasValue := false
+		if i+1 < len(args) {
+			_, err := feature.ParseMode(args[i+1])
+			hasValue = err == nil
+		}
 		if flags.contains(arg) && !hasValue {
-			arg += "=" + string(featureOn)
+			arg += "=" + string(feature.On)
 		}
 		result = append(result, arg)
 	}
--- a/cmd/nettlewalk/feature_test.go
+++ b/cmd/nettlewalk/feature_test.go
@@ -6,6 +6,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
+	"nettlewalk.example/nettlewalk/internal/feature"
 )
 
 // A feature must be off in deployments without customers unless it is enabled, and can be
@@ -14,13 +15,17 @@
 	with := &catalog.Configuration{}
 	with.SetCustomers([]catalog.Customer{{ID: "acme"}})
 	for _, c := range []*catalog.Configuration{nil, {}} {
-		qt.Check(t, featureAuto.enabled(c), qt.IsFalse)
-		qt.Check(t, featureOn.enabled(c), qt.IsTrue)
+		qt.Check(t, feature.Auto.Enabled(hasCustomers(c)), qt.IsFalse)
+		qt.Check(t, feature.On.Enabled(hasCustomers(c)), qt.IsTrue)
 	}
-	qt.Check(t, featureAuto.enabled(with), qt.IsTrue)
-	qt.Check(t, featureOff.enabled(with), qt.IsFalse)
-	qt.Check(t, feature("yes").validate("--retry-budget"), qt.IsNotNil)
-	qt.Check(t, featureAuto.validate("--retry-budget"), qt.IsNil)
+	qt.Check(t, feature.Auto.Enabled(hasCustomers(with)), qt.IsTrue)
+	qt.Check(t, feature.Off.Enabled(hasCustomers(with)), qt.IsFalse)
+	flags := newFeatureFlags()
+	var options serveOptions
+	qt.Check(t, flags.apply(&options), qt.IsNil)
+	qt.Check(t, options, qt.Equals, serveOptions{sharedCapacity: feature.Auto, retryBudget: feature.Auto, retryTimes: feature.Auto})
+	flags[0].value = "yes"
+	qt.Check(t, flags.apply(&options), qt.IsNotNil)
 }
 
 // A feature flag without a value means "on"; the flag parser would refuse it or take the next
--- a/cmd/nettlewalk/fleetcapacity.go
+++ b/cmd/nettlewalk/fleetcapacity.go
@@ -25,7 +25,7 @@
 
 // sharesCapacity reports whether the capacity of targets is shared between their holders.
 func (h *fleetHost) sharesCapacity() bool {
-	return h.options.sharedCapacity.enabled(h.catalog.Configuration())
+	return h.options.sharedCapacity.Enabled(hasCustomers(h.catalog.Configuration()))
 }
 
 // capacityHolders returns the hosts that hold connections to a group's targets.
--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -25,7 +25,6 @@
 	"nettlewalk.example/nettlewalk/internal/promotion"
 	"nettlewalk.example/nettlewalk/internal/quota"
 	"nettlewalk.example/nettlewalk/internal/relay"
-	"nettlewalk.example/nettlewalk/internal/retryafter"
 	"nettlewalk.example/nettlewalk/internal/share"
 	"nettlewalk.example/nettlewalk/internal/topology"
 	"nettlewalk.example/nettlewalk/platform"
@@ -120,7 +119,7 @@
 		Revocation: keys.Policy{Strict: s.Revocation.Strict, Timeout: s.Revocation.Timeout}, ConfirmedAt: h.catalog.ConfirmedAt,
 		Homes: h.customerHomes, Self: self, Locality: h.locality, Quota: h.quota,
 		RetryBudget: h.budgetsRetries, Hosts: func() int { return len(h.gossip.Sharers().Hosts) },
-		RetryTimes: relay.RetryTimes{Mode: retryafter.Mode(options.retryTimes), Hosts: func() int { return len(h.gossip.Live()) }},
+		RetryTimes: relay.RetryTimes{Mode: options.retryTimes, Hosts: func() int { return len(h.gossip.Live()) }},
 		Log:        log.WithName("relay"),
 	})
 	return h
@@ -129,7 +128,7 @@
 // budgetsRetries reports whether the retry budget, slow start and outlier ejection are in
 // force.
 func (h *fleetHost) budgetsRetries() bool {
-	return h.options.retryBudget.enabled(h.catalog.Configuration())
+	return h.options.retryBudget.Enabled(hasCustomers(h.catalog.Configuration()))
 }
 
 // dutyChanged spreads a change of the claim on a group's duty.
--- a/cmd/nettlewalk/host.go
+++ b/cmd/nettlewalk/host.go
@@ -11,6 +11,7 @@
 	"nettlewalk.example/nettlewalk/internal/admin"
 	"nettlewalk.example/nettlewalk/internal/customer"
 	"nettlewalk.example/nettlewalk/internal/failover"
+	"nettlewalk.example/nettlewalk/internal/feature"
 	"nettlewalk.example/nettlewalk/internal/fleet"
 	"nettlewalk.example/nettlewalk/internal/floor"
 	"nettlewalk.example/nettlewalk/internal/freshness"
@@ -18,7 +19,6 @@
 	"nettlewalk.example/nettlewalk/internal/peer"
 	"nettlewalk.example/nettlewalk/internal/platform"
 	"nettlewalk.example/nettlewalk/internal/pool"
-	"nettlewalk.example/nettlewalk/internal/retryafter"
 	"nettlewalk.example/nettlewalk/internal/routing"
 	"nettlewalk.example/nettlewalk/internal/session"
 	"nettlewalk.example/nettlewalk/internal/settings"
@@ -56,10 +56,10 @@
 }
 
 // newHost creates and connects the components. It opens no listeners or connections.
-func newHost(s *settings.Settings, retryTimes retryafter.Mode, log logr.Logger) *host {
+func newHost(s *settings.Settings, retryTimes feature.Mode, log logr.Logger) *host {
 	h := &host{
 		settings: s,
-		hints:    retryTimes == retryafter.On,
+		hints:    retryTimes == feature.On,
 		log:      log,
 		bootID:   uint64(time.Now().UnixNano()),
 		dial:     mappedDial(s.AddressMap),
--- a/cmd/nettlewalk/serve.go
+++ b/cmd/nettlewalk/serve.go
@@ -12,7 +12,6 @@
 	"github.com/integrii/flaggy"
 
 	"nettlewalk.example/nettlewalk/internal/eventlog"
-	"nettlewalk.example/nettlewalk/internal/retryafter"
 	"nettlewalk.example/nettlewalk/platform"
 )
 
@@ -80,7 +79,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	log := newLogger(s.Log.Level).WithValues("instance", s.Host.ID, "domain", s.Host.Domain)
-	return newHost(s, retryafter.Mode(options.retryTimes), log).run(ctx)
+	return newHost(s, options.retryTimes, log).run(ctx)
 }
 
 // newLogger returns a logger that writes JSON lines to standard error.
--- a/internal/relay/retrytimes.go
+++ b/internal/relay/retrytimes.go
@@ -11,6 +11,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"nettlewalk.example/nettlewalk/internal/feature"
 	"nettlewalk.example/nettlewalk/internal/retryafter"
 	"nettlewalk.example/nettlewalk/internal/statement"
 	"nettlewalk.example/nettlewalk/internal/topology"
@@ -18,7 +19,7 @@
 
 // RetryTimes configures the times that refused callers are told. The zero value tells none.
 type RetryTimes struct {
-	Mode  retryafter.Mode
+	Mode  feature.Mode
 	Hosts func() int // live hosts, which share the capacity of groups; nil: only this one
 }
 
@@ -140,7 +141,7 @@
 // tellsRetryTimes reports whether refusals state when to return.
 func (s *Server) tellsRetryTimes() bool {
 	mode := s.opts.RetryTimes.Mode
-	if mode == "" || mode == retryafter.Off {
+	if mode == "" || mode == feature.Off {
 		return false
 	}
 	c := s.opts.Catalog.Configuration()
--- a/internal/relay/retrytimes_test.go
+++ b/internal/relay/retrytimes_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
+	"nettlewalk.example/nettlewalk/internal/feature"
 	"nettlewalk.example/nettlewalk/internal/group"
 	"nettlewalk.example/nettlewalk/internal/keys"
 	"nettlewalk.example/nettlewalk/internal/placement"
@@ -59,7 +60,7 @@
 
 // Refusals must stay the same where the feature isn't enabled.
 func TestRefusalsTellNoTimeUnlessEnabled(t *testing.T) {
-	for _, mode := range []retryafter.Mode{"", retryafter.Off, retryafter.Auto} {
+	for _, mode := range []feature.Mode{"", feature.Off, feature.Auto} {
 		f := newFixture(t, catalog.LatestData)
 		f.server.opts.RetryTimes.Mode = mode
 		f.useConnections(t)
@@ -73,7 +74,7 @@
 // Callers refused for the same queue that return together are refused again.
 func TestCallersOfFullQueueAreToldDifferentTimes(t *testing.T) {
 	f := newFixture(t, catalog.LatestData)
-	f.server.opts.RetryTimes.Mode = retryafter.On
+	f.server.opts.RetryTimes.Mode = feature.On
 	f.useConnections(t)
 	f.noWait = true
 	seen := map[time.Duration]bool{}
@@ -96,7 +97,7 @@
 func TestRefusedStatementsTellTimes(t *testing.T) {
 	f := newFixture(t, catalog.LatestData)
 	f.withCustomers("k1", acme)
-	f.server.opts.RetryTimes.Mode = retryafter.Auto
+	f.server.opts.RetryTimes.Mode = feature.Auto
 	f.useConnections(t)
 	checkTold(t, f.serveStatement(write("a")), time.Second)
 	qt.Assert(t, f.serveStatement(begin).OK(), qt.IsTrue)
@@ -109,7 +110,7 @@
 // A time beyond the deadline would keep the caller from trying elsewhere.
 func TestCallerWithShortDeadlineIsToldNoTime(t *testing.T) {
 	f := newFixture(t, catalog.LatestData)
-	f.server.opts.RetryTimes.Mode = retryafter.On
+	f.server.opts.RetryTimes.Mode = feature.On
 	route := f.config.Routes["db"]
 	route.StatementTimeout = 12 * time.Millisecond // less than the time of a statement and a slot
 	f.config.Routes["db"] = route
@@ -123,7 +124,7 @@
 // run twice.
 func TestStatementThatMayHaveRunTellsNoTime(t *testing.T) {
 	f := newFixture(t, catalog.LatestData)
-	f.server.opts.RetryTimes.Mode = retryafter.On
+	f.server.opts.RetryTimes.Mode = feature.On
 	f.leader.answer = func(statement.Statement) (statement.Answer, error) {
 		return statement.Answer{}, &statement.ConnError{Sent: true, Cause: errors.New("reset")}
 	}
@@ -134,7 +135,7 @@
 // During a promotion callers are told to return when it is expected to be over.
 func TestCallersWithoutLeaderReturnAfterPromotion(t *testing.T) {
 	f := newFixture(t, catalog.LatestData)
-	f.server.opts.RetryTimes.Mode = retryafter.On
+	f.server.opts.RetryTimes.Mode = feature.On
 	route := f.config.Routes["db"]
 	route.StatementTimeout = 3 * time.Second
 	f.config.Routes["db"] = route
@@ -160,7 +161,7 @@
 // While a host shuts down, waiting for its capacity is in vain; other hosts serve at once.
 func TestRefusalDuringShutdownSendsToOtherHostAtOnce(t *testing.T) {
 	f := newFixture(t, catalog.LatestData)
-	f.server.opts.RetryTimes.Mode = retryafter.On
+	f.server.opts.RetryTimes.Mode = feature.On
 	f.useConnections(t)
 	f.server.SetDraining(ShuttingDown)
 	qt.Check(t, checkTold(t, f.serveStatement(write("a")), time.Second), qt.Equals, time.Duration(0))
@@ -171,7 +172,7 @@
 // asked next.
 func TestHolderOfConnectionsDecidesTime(t *testing.T) {
 	f := newFixture(t, catalog.LatestData)
-	f.server.opts.RetryTimes.Mode = retryafter.On
+	f.server.opts.RetryTimes.Mode = feature.On
 	f.useConnections(t)
 	args := RunArgs{Database: "db", Statement: write("a"), Writes: true, Within: time.Second}
 	var reply RunReply
@@ -210,7 +211,7 @@
 func TestTimeOfHolderIsPassedOn(t *testing.T) {
 	for _, inTransaction := range []bool{false, true} {
 		f := newFixture(t, catalog.LatestData)
-		f.server.opts.RetryTimes.Mode = retryafter.On
+		f.server.opts.RetryTimes.Mode = feature.On
 		f.group.Close() // this host has no connections
 		peers := &refusingPeers{retryAfter: 777 * time.Millisecond}
 		f.server.opts.Peers = peers
@@ -226,7 +227,7 @@
 		peers.retryAfter = noRetryTime
 		checkNotTold(t, serve())
 		peers.retryAfter = 777 * time.Millisecond
-		f.server.opts.RetryTimes.Mode = retryafter.Off
+		f.server.opts.RetryTimes.Mode = feature.Off
 		checkNotTold(t, serve())
 	}
 }
@@ -235,7 +236,7 @@
 // at once and together.
 func TestPassedTimeOfHolderIsReplaced(t *testing.T) {
 	f := newFixture(t, catalog.LatestData)
-	f.server.opts.RetryTimes.Mode = retryafter.On
+	f.server.opts.RetryTimes.Mode = feature.On
 	f.useConnections(t)
 	r, refused := f.newRequest(&statement.Statement{ID: "q", Kind: statement.Write}, true, "")
 	qt.Assert(t, refused, qt.IsNil)
@@ -250,7 +251,7 @@
 func TestUnconfirmedConfigurationTellsTimes(t *testing.T) {
 	f := newFixture(t, catalog.LatestData)
 	f.withCustomers("k1", acme)
-	f.server.opts.RetryTimes.Mode = retryafter.Auto
+	f.server.opts.RetryTimes.Mode = feature.Auto
 	f.caller = &scriptedCaller{}
 	f.cutOff(keys.Policy{Strict: true, Timeout: time.Second}, time.Hour)
 	first := checkTold(t, f.serveStatement(write("a")), time.Second)
@@ -261,7 +262,7 @@
 func TestRateRefusalTellsOneTime(t *testing.T) {
 	f := newFixture(t, catalog.LatestData)
 	limitRate(f)
-	f.server.opts.RetryTimes.Mode = retryafter.On
+	f.server.opts.RetryTimes.Mode = feature.On
 	for range startOperations {
 		qt.Assert(t, f.serveStatement(write("a")).OK(), qt.IsTrue)
 	}
