--- a/internal/group/choose.go
+++ b/internal/group/choose.go
@@ -37,10 +37,10 @@
 )
 
 // Order returns the candidates in the order in which a read that any of them
-// may serve should try them: by rank, then by expected latency. A probed candidate comes first. Held-off, lagging,
-// leaving and failing candidates come last, in this order. Order drops
-// candidates without open connections, and leaving ones unless they lead or are
-// the only candidate.
+// may serve should try them: by rank, then by expected latency. A probed
+// candidate comes first; held-off, lagging, leaving and failing candidates come
+// last, in this order. Order drops candidates without open connections, and
+// leaving ones unless they lead or are the only candidate.
 func Order(candidates []Candidate) []Candidate {
 	eligible := make([]Candidate, 0, len(candidates))
 	for _, c := range candidates {
