promotion: log what a promotion rests on

The logs couldn't tell the hypotheses of the incident apart: which targets the holder counted, since when one counted as ended and up to which position, how old its copy of the register was, how long it had held the duty, and whether the new leader's log ends before the old one's.

A target that comes into the list of possible commit holders or leaves it has a line of its own, and 'promotion took effect' compares the positions of both leaders. No decision is changed.

go test -race ./internal/promotion passes.

--- a/internal/promotion/probe.go
+++ b/internal/promotion/probe.go
@@ -27,12 +27,14 @@
 			}
 			pr = &prober{target: m.Target, dialer: w.opts.Dialer, parse: w.opts.Parse}
 			w.probers[m.Target.ID] = pr
+			w.opts.Log.Info("target may hold commits", append([]any{"group", w.opts.Group, "target", m.Target.ID, "addr", m.Target.Addr, "incarnation", m.Incarnation, "unregistered_ms", unregistered[m.Target.ID].Milliseconds()}, w.knowledgeLog()...)...)
 		}
 		occupant, taken := w.opts.Catalog.TargetAt(m.Target.Addr)
 		pr.updateRegistration(unregistered[m.Target.ID], taken && occupant != m.Target.ID)
 	}
 	for id, pr := range w.probers {
 		if !listed[id] {
+			w.opts.Log.Info("target no longer counts as holding commits", "group", w.opts.Group, "target", id, "unregistered_ms", pr.unregisteredFor.Milliseconds(), "ended", !pr.endedSince.IsZero(), "log_since", pr.logUpperBound.String())
 			pr.closeConn()
 			delete(w.probers, id)
 		}
@@ -80,7 +82,7 @@
 	if w.leader != id {
 		w.opts.Log.Info("leader found", "group", w.opts.Group, "target", id, "position", p.position.String())
 	}
-	w.leader, w.leaderProvedAt = id, p.sent
+	w.leader, w.leaderProvedAt, w.leaderPosition = id, p.sent, p.position
 	w.opts.GroupView.NoteReportedLeader(id, p.sent)
 	w.opts.GroupView.NoteLeading(id, p.sent, &statement.Answer{Position: p.position, HasPosition: true})
 	for _, other := range w.probers {
--- a/internal/promotion/promote.go
+++ b/internal/promotion/promote.go
@@ -61,12 +61,14 @@
 // awaitEffect waits until the promoted target leads, at most effectTimeout.
 func (w *Watcher) awaitEffect(ctx context.Context, target topology.TargetID) {
 	acceptedAt := steady.Now()
+	previous, previousPosition := w.leader, w.leaderPosition
 	pr := w.probers[target]
 	for ctx.Err() == nil && steady.Now().Sub(acceptedAt) < effectTimeout {
 		if w.checkLeadership(ctx, target, pr).leads {
 			w.lastPromotionAt = steady.Now()
 			w.noteEffect(ctx, target)
-			w.opts.Log.Info("promotion took effect", "group", w.opts.Group, "target", target, "took_ms", w.lastPromotionAt.Sub(acceptedAt).Milliseconds())
+			w.opts.Log.Info("promotion took effect", "group", w.opts.Group, "target", target, "took_ms", w.lastPromotionAt.Sub(acceptedAt).Milliseconds(),
+				"position", w.leaderPosition.String(), "previous_leader", previous, "previous_position", previousPosition.String())
 			metrics.GetOrCreateHistogram("nettlewalk_promotion_seconds").Update(w.lastPromotionAt.Sub(w.attemptStartedAt).Seconds())
 			return
 		}
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -101,6 +101,8 @@
 	leader           topology.TargetID // last target proved to lead
 	leaderTerm       uint64            // lower bound of its term; 0: not known
 	leaderProvedAt   time.Time         // when the proof was requested, on the clock of package steady
+	leaderPosition   topology.Position // in the latest proof
+	heldSince        time.Time         // when this host was first seen to hold the duty without a break
 	lastPromotionAt  time.Time         // when the last promotion took effect
 	maintainedAt     time.Time
 	lastTickAt       time.Time
@@ -126,6 +128,9 @@
 	for {
 		wait := idleInterval
 		if token, held := w.opts.Duty.Token(w.opts.Group); held {
+			if w.heldSince.IsZero() {
+				w.heldSince = steady.Now()
+			}
 			w.requests.noteToken(token, w.opts.Duty.Leadership(w.opts.Group).Ordered, steady.Now())
 			wait = w.tick(ctx)
 		} else {
@@ -145,6 +150,7 @@
 
 func (w *Watcher) close() {
 	w.requests.clearToken()
+	w.heldSince = time.Time{}
 	if w.opts.Leases != nil {
 		w.opts.Leases.Stop(w.opts.Group)
 	}
@@ -249,21 +255,6 @@
 	return a
 }
 
-func (w *Watcher) logStep(step Step, view *View) {
-	values := []any{"group", w.opts.Group, "leader", w.leader, "since_ms", steady.Now().Sub(w.attemptStartedAt).Milliseconds(), "members", view.Members}
-	switch s := step.(type) {
-	case Wait:
-		if s.Reason != w.lastWaitReason || steady.Now().Sub(w.lastWaitLoggedAt) > waitLogInterval {
-			w.lastWaitReason, w.lastWaitLoggedAt = s.Reason, steady.Now()
-			w.opts.Log.Info("promotion delayed", append(values, "reason", s.Reason)...)
-		}
-	case Pause:
-		w.opts.Log.Info("pausing replicas", append(values, "term", s.Term, "targets", s.Targets)...)
-	case Promote:
-		w.opts.Log.Info("promotion is safe", append(values, "target", s.Target)...)
-	}
-}
-
 func (w *Watcher) perform(ctx context.Context, step Step) {
 	switch s := step.(type) {
 	case Resume:
