gossip: test that a partition through a domain leaves one holder settled where promotions are fenced

Cause: with FencingEnforced, gossip runs without HostVotes: a domain is in contact if any of its hosts is, so both sides of a partition that runs through a domain count most votes. The platform refuses the lower token of a promotion, but no target checks the token of PAUSE or RESUME. A holder on the other side ends the pauses that a promotion relies on, and the promoted target lacks commits that the resumed replica acknowledged.

Seen: the test fails.

--- a/internal/gossip/majority_test.go
+++ b/internal/gossip/majority_test.go
@@ -128,6 +128,26 @@
 	}
 }
 
+// No platform checks the tokens of pauses: a second holder ends those that the first relies on.
+func TestPartitionThroughADomainLeavesOneSideSettledAlsoWithFencedPrimaries(t *testing.T) {
+	n := newFakeNetwork("north", "north", "south", "west", "coast", "coast")
+	for _, g := range n.hosts {
+		g.opts.Domains = []topology.Domain{"north", "south", "west", "coast"}
+	}
+	n.runRounds()
+	sideA := map[topology.HostID]bool{"a": true, "c": true, "e": true} // north, south, coast
+	n.partition = func(x, y topology.HostID) bool { return sideA[x] != sideA[y] }
+	for _, g := range n.hosts {
+		g.shiftContacts(-ContactWindow, 0)
+	}
+	n.runRounds()
+	for _, g := range n.hosts {
+		g.shiftContacts(0, -2*NewsDelay)
+	}
+	both := n.hosts["a"].Settled(time.Time{}) && n.hosts["b"].Settled(time.Time{})
+	qt.Check(t, both, qt.IsFalse, qt.Commentf("holders on both sides may act"))
+}
+
 // A host that starts on the smaller side of a partition knows only the hosts there and
 // must not count itself to a majority.
 func TestHostThatStartsInsideAPartitionTrustsSeniors(t *testing.T) {
