failover: tests of majorities while the list of a group's targets changes

Cause: a majority is counted over the list that a host has at the moment. Fences of targets that left the list count against the size of the new one; a confirmation counts answers of targets that only an earlier list has, with that list's majority; and a list that replaces a target has majorities without any target in common with one of the earlier list.

Seen: all three tests fail.

--- a/internal/failover/machine_test.go
+++ b/internal/failover/machine_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"nettlewalk.example/nettlewalk/internal/customer"
 	"nettlewalk.example/nettlewalk/internal/target"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
@@ -276,3 +277,55 @@
 		qt.Check(t, s.promotions, qt.HasLen, changes)
 	}
 }
+
+// fence fences targets at term 2 and returns the target that the machine promotes, or "".
+func (s *simulation) fence(m *Machine, fenced ...target.Status) (promoted topology.TargetID) {
+	for _, st := range fenced {
+		order := Order{Kind: OrderFence, Target: st.Target, Term: 2}
+		for _, a := range m.Step(s.now, OrderFinished{Order: order, Status: st, SentAt: s.now}) {
+			if o, ok := a.(SendOrder); ok && o.Order.Kind == OrderPromote {
+				promoted = o.Order.Target
+			}
+		}
+	}
+	return promoted
+}
+
+func startAttempt(s *simulation, m *Machine) {
+	m.phase, m.phaseSince = PhaseFencing, s.now
+	m.attempt = attempt{term: 2, fenced: map[topology.TargetID]target.Status{}, fenceSent: map[topology.TargetID]bool{}, fenceRefused: map[topology.TargetID]bool{}}
+}
+
+// withT3InsteadOfT2 returns the group after the platform replaced t2 by t3.
+func withT3InsteadOfT2(group topology.Group) topology.Group {
+	group.Targets = append(append([]topology.Target(nil), group.Targets[:2]...), topology.Target{ID: "t3", Group: group.ID, Domain: "d2"})
+	return group
+}
+
+func fencedAt(id topology.TargetID, offset uint64) target.Status {
+	return target.Status{Target: id, Role: target.Fenced, Term: 2, Received: topology.Position{Term: 1, Offset: offset}}
+}
+
+// t0 and t3, a majority of the new list, may have confirmed a commit that t1 lacks.
+func TestFencedTargetThatLeftTheGroupDoesNotCountForPromotion(t *testing.T) {
+	s := newSimulation(7, 1, 3)
+	s.run(time.Second)
+	m := s.hosts[0].machine
+	startAttempt(s, m)
+	qt.Assert(t, s.fence(m, fencedAt("t2", 5)), qt.Equals, topology.TargetID(""))
+	m.SetGroup(withT3InsteadOfT2(s.group), s.now)
+	qt.Assert(t, s.fence(m, fencedAt("t1", 5)), qt.Equals, topology.TargetID(""), qt.Commentf("only t1 of t0, t1 and t3 is fenced"))
+}
+
+// Hosts that still have the earlier list confirm commits that only t0 and t2 have.
+func TestPromotionWithNewTargetListKeepsCommitsConfirmedWithTheEarlierOne(t *testing.T) {
+	s := newSimulation(8, 1, 3)
+	s.run(time.Second)
+	m := s.hosts[0].machine
+	commit := topology.Position{Term: 1, Offset: 9}
+	answers := []target.Status{{Target: "t0", Term: 1, Received: commit}, {Target: "t2", Term: 1, Received: commit}}
+	qt.Assert(t, Confirmed(answers, 1, commit, s.group.Majority(), customer.AckMajority), qt.IsTrue)
+	m.SetGroup(withT3InsteadOfT2(s.group), s.now)
+	startAttempt(s, m)
+	qt.Assert(t, s.fence(m, fencedAt("t1", 5), fencedAt("t3", 5)), qt.Equals, topology.TargetID(""), qt.Commentf("the promoted target lacks %v", commit))
+}
--- a/internal/failover/monitor_test.go
+++ b/internal/failover/monitor_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -232,3 +233,29 @@
 	qt.Assert(t, term, qt.Equals, uint64(5))
 	qt.Assert(t, primary, qt.Equals, topology.TargetID("t2"))
 }
+
+// Another confirmation still asks the targets of the earlier list.
+func TestAnswersOfTargetsThatLeftTheGroupDoNotConfirmCommits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newFakeDirectory(time.Millisecond)
+		for _, id := range []topology.TargetID{"t3", "t4"} {
+			d.targets[id] = &simTarget{id: id, role: target.Replica, term: 1, primary: "t0", log: []uint64{1}}
+		}
+		list := fakeGroup
+		m := New(Options{Directory: d, Group: func(topology.GroupID) (*topology.Group, bool) { return list, true }, Log: logr.Discard()})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		d.write(time.Hour)
+		commit := topology.Position{Term: 1, Offset: 2}
+		d.targets["t1"].log = append(d.targets["t1"].log, 1)
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = m.Confirm(ctx, "g", topology.Position{Term: 1, Offset: 3}) })
+		synctest.Wait()
+		changed := *fakeGroup
+		changed.Targets = []topology.Target{fakeGroup.Targets[0], {ID: "t3", Group: "g"}, {ID: "t4", Group: "g"}}
+		list = &changed
+		qt.Check(t, codeOf(m.Confirm(ctx, "g", commit)), qt.Equals, result.UnconfirmedCommit, qt.Commentf("t3 and t4 haven't received it"))
+		wg.Wait()
+		time.Sleep(statusTimeout) // until the requests in progress end
+	})
+}
