floor: test that a floor covers writes of hosts that know another number of slots

Cause: hosts map a session to a slot by the number of slots that each of them knows. While a change of that number spreads, a write is recorded by the keeper of the old slot and read through the new one, whose base is older.

Seen: the test fails.

--- a/internal/floor/keeper_test.go
+++ b/internal/floor/keeper_test.go
@@ -8,6 +8,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
 // runHistory runs one move per step and returns the first violation, or "". The
@@ -87,3 +89,25 @@
 	qt.Assert(t, later.value, qt.Equals, 2)
 	callers.Wait()
 }
+
+// The number of slots changes from 1 to 2; hosts that don't know yet write through slot 0.
+func TestFloorCoversWritesOfHostsThatKnowAnotherNumberOfSlots(t *testing.T) {
+	sim := newSimulation(nil)
+	h := sim.hosts[0]
+	sim.takeLock(0)
+	session := "s"
+	for SlotOf(session, 2) != 1 {
+		session += "s"
+	}
+	floorAtSlot := func(slot int) topology.Position {
+		floors, err := h.keeper.Floors(context.Background(), "g", targetID(0), slot, []string{session})
+		qt.Assert(t, err, qt.IsNil)
+		return floors[0]
+	}
+	floorAtSlot(0)
+	floorAtSlot(1)
+	sim.received[0], sim.received[1] = pos(1), pos(1)
+	h.keeper.OnCommit(targetID(0), SlotOf(session, 1), session, pos(1))
+	qt.Check(t, floorAtSlot(SlotOf(session, 1)), qt.Equals, pos(1))
+	qt.Check(t, floorAtSlot(SlotOf(session, 2)), qt.Equals, pos(1))
+}
