catalog: test that a target missing for long still counts as a holder of commits

Cause: 60 s after a target left the registry, PossibleCommitHolders drops it without a bound on its log, also if it answers. A target that is cut off from the store only goes on receiving.

--- a/internal/catalog/store_test.go
+++ b/internal/catalog/store_test.go
@@ -57,6 +57,19 @@
 	qt.Check(t, s.OfferRegistry(registryOf(2)), qt.IsFalse)
 }
 
+// A target that is cut off from the store only goes on receiving commits.
+func TestTargetThatIsMissingForLongMayStillHoldCommits(t *testing.T) {
+	s := NewStore()
+	s.OfferRegistry(registryOf(1, member("a", false), member("c", false)))
+	s.OfferRegistry(registryOf(2, member("c", false)))
+	missing := s.unregistered["a"]
+	missing.since = missing.since.Add(-2 * unregisteredRetention)
+	s.unregistered["a"] = missing
+	qt.Check(t, s.Serving()["g"], qt.HasLen, 1)
+	members, _ := s.PossibleCommitHolders("g")
+	qt.Check(t, members, qt.HasLen, 2)
+}
+
 // A watch that continues from its own, older revision must not undo the result
 // of a newer list.
 func TestRegisterFeedKeepsNewestRevision(t *testing.T) {
