gossip: test that a long partition through a domain leaves one holder settled

Cause: a host that has been silent for voteTimeout (30 s) has no part of its domain's vote any more, on both sides. docs/design/leadership-leases.md says that this isn't covered; it breaks the promise that two holders never act at once.

--- a/internal/gossip/majority_test.go
+++ b/internal/gossip/majority_test.go
@@ -197,3 +197,26 @@
 	qt.Check(t, relayedContactWindow+NewsDelay < duty.TakeoverTime(true), qt.IsTrue)
 	qt.Check(t, ContactWindow < duty.TakeoverTime(false), qt.IsTrue)
 }
+
+// Hosts that have been silent for long may be on the other side of the partition.
+func TestLongPartitionThroughADomainLeavesHoldersOfOneSideSettled(t *testing.T) {
+	n := newFakeNetwork("north", "north", "south", "west", "coast", "coast")
+	for _, g := range n.hosts {
+		g.opts.HostVotes = true
+		g.opts.Domains = []topology.Domain{"north", "south", "west", "coast"}
+	}
+	n.runRounds()
+	sideA := map[topology.HostID]bool{"a": true, "c": true, "e": true} // north, south, coast
+	n.partition = func(x, y topology.HostID) bool { return sideA[x] != sideA[y] }
+	n.ageAllHosts(2 * voteTimeout)
+	for _, g := range n.hosts {
+		g.shiftContacts(-2*voteTimeout, 0)
+		g.startedAt = g.startedAt.Add(-2 * voteTimeout)
+	}
+	n.runRounds()
+	for _, g := range n.hosts {
+		g.shiftContacts(0, -2*NewsDelay)
+	}
+	both := n.hosts["a"].Settled(time.Time{}) && n.hosts["b"].Settled(time.Time{})
+	qt.Check(t, both, qt.IsFalse, qt.Commentf("holders on both sides may act after %v", 2*voteTimeout))
+}
