promotion, duty: a new holder knows the replicas that left the register before it began

What callers saw: acknowledged writes were gone after a change of primary.

Cause: the list of targets that may hold commits was what one process had seen in the register of targets, for 60 s. A host that started, or learned of the register, after a replica's entry had expired didn't know the replica, paused and waited for nobody, and promoted the other one. A replica that started again under its ID without its log was taken for one whose log had always been so.

Ruled out: a list spread between hosts only; all hosts may restart at once.

Change: the holder keeps the group's possible commit holders, their incarnations and the leader in the object of its claim, and each holder starts from it. A target leaves the list only when its end is known and another target has reached a position that the leader had afterwards. Hosts no longer forget targets that vanished without announcing that they leave.

--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -17,9 +17,10 @@
 	// restoreGrace is how long a target that is missing in a registry which came back
 	// from an older copy still counts as registered: targets report every second or two.
 	restoreGrace = 5 * time.Second
-	// unregisteredRetention is how long a target that disappeared from the
-	// registry still counts as possibly holding acknowledged commits.
-	unregisteredRetention = 60 * time.Second
+	// unregisteredRetention is how long this host remembers a leaving target that
+	// disappeared from the registry. Any other one may be cut off from the store and still
+	// receive commits, so it is remembered until it is registered again.
+	unregisteredRetention = 24 * time.Hour
 )
 
 // Store keeps the newest known configuration and registry snapshot. It is safe
@@ -215,7 +216,7 @@
 		groups[m.Target.Group] = append(groups[m.Target.Group], m)
 	}
 	for id, v := range s.unregistered {
-		if now.Sub(v.since) > unregisteredRetention {
+		if v.member.Target.Leaving && now.Sub(v.since) > unregisteredRetention {
 			delete(s.unregistered, id)
 			continue
 		}
--- a/internal/duty/acquire.go
+++ b/internal/duty/acquire.go
@@ -22,14 +22,14 @@
 	}
 	for _, o := range list.Objects {
 		if c, err := decodeClaim(o); err == nil {
-			k.Learn(c)
+			k.learnRecord(c)
 		} else {
 			k.opts.Log.Error(err, "invalid duty claim ignored", "name", o.Name)
 		}
 	}
 }
 
-func decodeClaim(o platform.Object) (c Claim, err error) {
+func decodeClaim(o platform.Object) (c claimRecord, err error) {
 	err = errors.Wrap(json.Unmarshal(o.Value, &c), "decode duty claim")
 	return c, err
 }
@@ -134,15 +134,16 @@
 		return err
 	}
 	if stored.Token > expected.Token {
-		k.Learn(stored)
+		k.learnRecord(stored)
 		return ErrHeldByOther
 	}
 	claim := Claim{Group: expected.Group, Holder: k.opts.Self, Name: k.opts.Name, Boot: k.opts.Boot, Token: nextToken(max(stored.Token, expected.Token), k.opts.Store.Era())}
 	claim.Leadership = stored.Leadership
-	if expected.supersedes(&stored) { // the last record didn't reach the store
+	if expected.supersedes(&stored.Claim) { // the last record didn't reach the store
 		claim.Leadership = expected.Leadership
 	}
-	if object.Value, err = json.Marshal(claim); err != nil {
+	members := k.membersToWrite(expected, stored.Members)
+	if object.Value, err = json.Marshal(claimRecord{Claim: claim, Members: members}); err != nil {
 		return err
 	}
 	k.recordPending(expected)
@@ -153,7 +154,7 @@
 			return err
 		}
 	}
-	k.Learn(claim)
+	k.learnRecord(claimRecord{Claim: claim, Members: members})
 	k.recordWritten(claim.Group, era)
 	return nil
 }
@@ -193,8 +194,8 @@
 	if err != nil {
 		return errors.CombineErrors(cause, err)
 	}
-	k.Learn(stored)
-	if stored == claim {
+	k.learnRecord(stored)
+	if stored.Claim == claim {
 		return nil
 	}
 	return cause
@@ -202,14 +203,14 @@
 
 // readClaim returns the group's object and claim. If the store has no object yet, it
 // returns a new object without a value.
-func (k *Keeper) readClaim(ctx context.Context, id topology.GroupID) (platform.Object, Claim, error) {
+func (k *Keeper) readClaim(ctx context.Context, id topology.GroupID) (platform.Object, claimRecord, error) {
 	object, err := k.opts.Store.Get(ctx, Kind, string(id))
 	var coded *result.Error
 	if errors.As(err, &coded) && coded.Code == result.NotFound {
-		return platform.Object{Kind: Kind, Name: string(id)}, Claim{}, nil
+		return platform.Object{Kind: Kind, Name: string(id)}, claimRecord{}, nil
 	}
 	if err != nil {
-		return object, Claim{}, err
+		return object, claimRecord{}, err
 	}
 	claim, err := decodeClaim(object)
 	return object, claim, err
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -92,7 +92,11 @@
 	acquiredAt map[topology.GroupID]time.Time
 	// writtenIn is the era of the store in which this host's claim was written.
 	writtenIn map[topology.GroupID]uint64
-	leaving   bool // Release was called: this host acquires no duty any more
+	// members are the possible commit holders of groups whose duty this host holds, and
+	// writtenMembers those in the store.
+	members, writtenMembers map[topology.GroupID][]Member
+
+	leaving bool // Release was called: this host acquires no duty any more
 }
 
 // New returns a Keeper that knows no claims.
@@ -108,6 +112,8 @@
 		lastRequestAt: map[topology.GroupID]time.Time{},
 		acquiredAt:    map[topology.GroupID]time.Time{},
 		writtenIn:     map[topology.GroupID]uint64{},
+
+		members: map[topology.GroupID][]Member{}, writtenMembers: map[topology.GroupID][]Member{},
 	}
 }
 
--- a/internal/duty/record.go
+++ b/internal/duty/record.go
@@ -36,10 +36,10 @@
 		return err
 	}
 	if !stored.sameTenure(&claim) && stored.Token >= claim.Token { // a lower token: the store has lost this host's claim
-		k.Learn(stored)
+		k.learnRecord(stored)
 		return ErrHeldByOther
 	}
-	if object.Value, err = json.Marshal(claim); err != nil {
+	if object.Value, err = json.Marshal(claimRecord{Claim: claim, Members: k.membersToWrite(claim, stored.Members)}); err != nil {
 		return err
 	}
 	_, err = k.opts.Store.PutIf(ctx, object)
--- a/internal/duty/release.go
+++ b/internal/duty/release.go
@@ -84,8 +84,9 @@
 	if !stored.sameTenure(&c) || stored.Released {
 		return ErrHeldByOther
 	}
+	members := k.membersToWrite(c, stored.Members)
 	c.Released = true
-	if object.Value, err = json.Marshal(c); err != nil {
+	if object.Value, err = json.Marshal(claimRecord{Claim: c, Members: members}); err != nil {
 		return err
 	}
 	k.Learn(c)
--- /dev/null
+++ b/internal/promotion/members.go
@@ -0,0 +1,163 @@
+package promotion
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"nettlewalk.example/nettlewalk/internal/catalog"
+	"nettlewalk.example/nettlewalk/internal/duty"
+	"nettlewalk.example/nettlewalk/internal/steady"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+const (
+	// recordInterval is the time between checks whether the recorded members have changed.
+	recordInterval = 500 * time.Millisecond
+	// recordMembersTimeout bounds the write of changed members to the store.
+	recordMembersTimeout = 2 * time.Second
+)
+
+// possibleCommitHolders returns the registered targets of the group and those that this
+// host or an earlier holder of the duty has seen registered and whose logs are still
+// needed, with the time since they were last registered.
+func (w *Watcher) possibleCommitHolders(now time.Time) ([]catalog.Member, map[topology.TargetID]time.Duration) {
+	if w.opts.Catalog.Registry() == nil {
+		return nil, nil
+	}
+	members, unregistered := w.opts.Catalog.PossibleCommitHolders(w.opts.Group)
+	listed := map[topology.TargetID]bool{}
+	for _, m := range members {
+		listed[m.Target.ID] = true
+		if _, missing := unregistered[m.Target.ID]; !missing {
+			delete(w.missingSince, m.Target.ID)
+		}
+	}
+	for _, m := range w.opts.Duty.Members(w.opts.Group) {
+		if listed[m.ID] {
+			continue
+		}
+		if w.missingSince[m.ID].IsZero() {
+			w.missingSince[m.ID] = now
+		}
+		members = append(members, catalog.Member{
+			Target:      topology.Target{ID: m.ID, Group: w.opts.Group, Addr: m.Addr, Domain: m.Domain, Leaving: m.Leaving},
+			Incarnation: m.Incarnation,
+		})
+		unregistered[m.ID] = now.Sub(w.missingSince[m.ID])
+	}
+	return members, unregistered
+}
+
+// recordedLeader returns the target that led when the members were recorded, or "".
+func (w *Watcher) recordedLeader() topology.TargetID {
+	for _, m := range w.opts.Duty.Members(w.opts.Group) {
+		if m.Leads {
+			return m.ID
+		}
+	}
+	return ""
+}
+
+// nextMembers returns the members to record: the registered targets, and those recorded
+// earlier whose logs may hold a commit that no other log has.
+func nextMembers(recorded []duty.Member, registered []catalog.Member, v *View) []duty.Member {
+	var list []duty.Member
+	for _, m := range registered {
+		next := duty.Member{ID: m.Target.ID, Addr: m.Target.Addr, Domain: m.Target.Domain, Leads: m.Target.ID == v.Leader, Leaving: m.Target.Leaving, Incarnation: m.Incarnation}
+		i := slices.IndexFunc(recorded, func(r duty.Member) bool { return r.ID == next.ID })
+		if i >= 0 && v.needsLostLog(next.ID) {
+			next.Incarnation = recorded[i].Incarnation
+		}
+		list = append(list, next)
+	}
+	for _, r := range recorded {
+		isRegistered := slices.ContainsFunc(registered, func(m catalog.Member) bool { return m.Target.ID == r.ID })
+		if !isRegistered && (r.ID == v.Leader || !v.coversEndedLog(r.ID)) {
+			r.Leads = r.ID == v.Leader
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, func(a, b duty.Member) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// coversEndedLog reports whether another target that stays has everything that an ended
+// target's log held.
+func (v *View) coversEndedLog(id topology.TargetID) bool {
+	i := slices.IndexFunc(v.Members, func(m Member) bool { return m.ID == id })
+	if i < 0 || v.Members[i].Reach != Dead || v.Members[i].LogSince.IsZero() {
+		return false
+	}
+	return v.anyReached(v.Members[i].LogSince, id)
+}
+
+// needsLostLog reports whether the log that a restarted target has lost may have held a
+// commit that no other target has.
+func (v *View) needsLostLog(id topology.TargetID) bool {
+	i := slices.IndexFunc(v.Members, func(m Member) bool { return m.ID == id })
+	if i < 0 || !v.Members[i].LostLog {
+		return false
+	}
+	return v.Members[i].LostLogEnd.IsZero() || !v.anyReached(v.Members[i].LostLogEnd, "")
+}
+
+// anyReached reports whether a target other than except that isn't leaving has received
+// the position.
+func (v *View) anyReached(p topology.Position, except topology.TargetID) bool {
+	return slices.ContainsFunc(v.Members, func(m Member) bool {
+		return m.ID != except && m.Reach == Answered && !m.Leaving && m.Status.Received.AtLeast(p)
+	})
+}
+
+// recordMembers records the possible commit holders if they have changed. It doesn't
+// wait for the store.
+func (w *Watcher) recordMembers(ctx context.Context, v *View) {
+	now := steady.Now()
+	if now.Sub(w.membersRecordedAt) < recordInterval {
+		return
+	}
+	w.membersRecordedAt = now
+	registered, unregistered := w.opts.Catalog.PossibleCommitHolders(w.opts.Group)
+	registered = slices.DeleteFunc(registered, func(m catalog.Member) bool { _, missing := unregistered[m.Target.ID]; return missing })
+	recorded := w.opts.Duty.Members(w.opts.Group)
+	next := nextMembers(w.withUnregistered(recorded), registered, v)
+	for _, m := range next {
+		if pr := w.probers[m.ID]; pr != nil && m.Incarnation == pr.incarnation {
+			pr.clearLostLog()
+		}
+	}
+	if !w.recording.CompareAndSwap(false, true) {
+		return
+	}
+	if !slices.Equal(recorded, next) {
+		w.opts.Log.Info("possible commit holders changed", "group", w.opts.Group, "members", next)
+	}
+	go func() {
+		defer w.recording.Store(false)
+		ctx, cancel := context.WithTimeout(ctx, recordMembersTimeout)
+		defer cancel()
+		if err := w.opts.Duty.RecordMembers(ctx, w.opts.Group, next); err != nil {
+			w.opts.Log.Info("the store does not have the group's possible commit holders", "group", w.opts.Group, "error", err.Error())
+		}
+	}()
+}
+
+// withUnregistered adds to the recorded members the targets that left the register before
+// they were recorded.
+func (w *Watcher) withUnregistered(recorded []duty.Member) []duty.Member {
+	list := slices.Clone(recorded)
+	for id, pr := range w.probers {
+		known := slices.ContainsFunc(recorded, func(m duty.Member) bool { return m.ID == id })
+		if !known && pr.unregisteredFor > 0 {
+			t := pr.target
+			list = append(list, duty.Member{ID: id, Addr: t.Addr, Domain: t.Domain, Leaving: t.Leaving, Incarnation: pr.incarnation})
+		}
+	}
+	return list
+}
--- a/internal/promotion/next.go
+++ b/internal/promotion/next.go
@@ -25,7 +25,7 @@
 		return Wait{Reason: "an earlier request may still promote another target"}
 	}
 	others := v.otherReplicas(candidate.ID)
-	if n := countUncertain(others, candidate); n >= max(v.AckReplicas, 1) {
+	if n := countUncertain(others, candidate) + countLostLogs(v.Members, candidate); n >= max(v.AckReplicas, 1) {
 		return Wait{Reason: fmt.Sprintf("%d replicas can't be paused and may have received more commits", n)}
 	}
 	if pause := replicasToPause(v, others); len(pause.Targets) > 0 {
@@ -146,6 +146,18 @@
 	return term
 }
 
+// countLostLogs counts the restarted targets whose former logs may have held a commit that
+// the candidate lacks.
+func countLostLogs(members []Member, candidate Member) int {
+	n := 0
+	for _, m := range members {
+		if m.LostLog && (m.LostLogEnd.IsZero() || !candidate.Status.Received.AtLeast(m.LostLogEnd)) {
+			n++
+		}
+	}
+	return n
+}
+
 // countUncertain counts the replicas that may have received a commit that the
 // candidate lacks. A dead replica doesn't count if the candidate has reached a
 // position that the leader had after the replica's death.
--- a/internal/promotion/probe.go
+++ b/internal/promotion/probe.go
@@ -14,7 +14,12 @@
 
 // syncProbers updates the probers from the registry and returns its members.
 func (w *Watcher) syncProbers() []catalog.Member {
-	members, unregistered := w.opts.Catalog.PossibleCommitHolders(w.opts.Group)
+	now := steady.Now()
+	members, unregistered := w.possibleCommitHolders(now)
+	recorded := map[topology.TargetID]int64{}
+	for _, m := range w.opts.Duty.Members(w.opts.Group) {
+		recorded[m.ID] = m.Incarnation
+	}
 	listed := map[topology.TargetID]bool{}
 	for _, m := range members {
 		listed[m.Target.ID] = true
@@ -25,12 +30,13 @@
 			if pr != nil {
 				pr.closeConn()
 			}
-			pr = &prober{target: m.Target, dialer: w.opts.Dialer, parse: w.opts.Parse}
+			pr = &prober{target: m.Target, dialer: w.opts.Dialer, parse: w.opts.Parse, recorded: recorded[m.Target.ID]}
 			w.probers[m.Target.ID] = pr
 			w.opts.Log.Info("target may hold commits", append([]any{"group", w.opts.Group, "target", m.Target.ID, "addr", m.Target.Addr, "incarnation", m.Incarnation, "unregistered_ms", unregistered[m.Target.ID].Milliseconds()}, w.knowledgeLog()...)...)
 		}
 		occupant, taken := w.opts.Catalog.TargetAt(m.Target.Addr)
 		pr.updateRegistration(unregistered[m.Target.ID], taken && occupant != m.Target.ID)
+		pr.updateIncarnation(m.Incarnation, m.Target.ID == w.leader, now)
 	}
 	for id, pr := range w.probers {
 		if !listed[id] {
@@ -49,6 +55,9 @@
 		w.leader = id
 	}
 	w.adoptRecordedLeader()
+	if w.leader == "" {
+		w.leader = w.recordedLeader()
+	}
 	if pr := w.probers[w.leader]; pr != nil {
 		p := w.checkLeadership(ctx, w.leader, pr)
 		if p.leads {
@@ -86,9 +95,7 @@
 	w.opts.GroupView.NoteReportedLeader(id, p.sent)
 	w.opts.GroupView.NoteLeading(id, p.sent, &statement.Answer{Position: p.position, HasPosition: true})
 	for _, other := range w.probers {
-		if !other.endedSince.IsZero() && other.logUpperBound.IsZero() && p.sent.After(other.endedSince) {
-			other.logUpperBound = p.position
-		}
+		other.notePosition(p.position, p.sent)
 	}
 	return p
 }
@@ -104,6 +111,7 @@
 	w.maintainedAt = now
 	view := w.probeReplicas(ctx)
 	view.LeaderServes, view.LeaderTerm = true, w.leaderTerm
+	w.recordMembers(ctx, &view)
 	if w.requests.mayResume(now) {
 		w.perform(ctx, authorize(NextStep(view), w.currentAuthority(), steady.Now()))
 	}
@@ -121,7 +129,8 @@
 		}
 		wg.Go(func() {
 			status, reach := pr.command(ctx, statement.Status, 0)
-			m := Member{ID: id, Leaving: pr.target.Leaving, Reach: reach, Status: status, LogSince: pr.logUpperBound, MayResume: now.Before(pr.resumePendingUntil)}
+			m := Member{ID: id, Leaving: pr.target.Leaving, Reach: reach, Status: status, LogSince: pr.logUpperBound, MayResume: now.Before(pr.resumePendingUntil),
+				LostLog: !pr.lostLogSince.IsZero(), LostLogEnd: pr.lostLogBound}
 			mu.Lock()
 			defer mu.Unlock()
 			view.Members = append(view.Members, m)
--- a/internal/promotion/prober.go
+++ b/internal/promotion/prober.go
@@ -51,6 +51,11 @@
 	unregisteredFor    time.Duration              // time since the target was last registered, 0 while it is registered
 	redialAt           time.Time                  // an unresponsive, unregistered target isn't dialed before this time
 	reassigned         bool                       // another target is registered at this address
+
+	incarnation  int64             // as registered, 0: not stated
+	recorded     int64             // incarnation whose log counts, 0: not known
+	lostLogSince time.Time         // when the target was first known to have lost its log, zero if it hasn't
+	lostLogBound topology.Position // a position of the leader after lostLogSince, see Member.LostLogEnd
 }
 
 // dial opens the connection if there is none. If that fails, ok is false and reach
@@ -125,6 +130,36 @@
 	}
 }
 
+// updateIncarnation stores the registered incarnation. A target that starts again under its
+// ID knows nothing of before, except for a leader, which keeps its log.
+func (p *prober) updateIncarnation(incarnation int64, isLeader bool, now time.Time) {
+	restarted := incarnation != p.incarnation
+	p.incarnation = incarnation
+	switch {
+	case incarnation == 0 || incarnation == p.recorded:
+	case p.recorded == 0 || isLeader:
+		p.clearLostLog()
+	case restarted:
+		p.lostLogSince, p.lostLogBound = now, topology.Position{}
+	}
+}
+
+// clearLostLog records that the log of the registered incarnation is the one that counts.
+func (p *prober) clearLostLog() {
+	p.recorded, p.lostLogSince, p.lostLogBound = p.incarnation, time.Time{}, topology.Position{}
+}
+
+// notePosition records a position of the leader that was asked for at the time sent.
+// It bounds the logs of targets that had ended or lost their logs before.
+func (p *prober) notePosition(position topology.Position, sent time.Time) {
+	if !p.endedSince.IsZero() && p.logUpperBound.IsZero() && sent.After(p.endedSince) {
+		p.logUpperBound = position
+	}
+	if !p.lostLogSince.IsZero() && p.lostLogBound.IsZero() && sent.After(p.lostLogSince) {
+		p.lostLogBound = position
+	}
+}
+
 // clearEnd discards the conclusion that the target has ended.
 func (p *prober) clearEnd() { p.endedSince, p.logUpperBound = time.Time{}, topology.Position{} }
 
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -49,6 +50,12 @@
 	// PendingUntil returns the time until which a promotion request of the
 	// previous holder may still take effect.
 	PendingUntil(topology.GroupID) time.Time
+	// Members returns the possible commit holders that this host or the holders of the
+	// duty before it recorded.
+	Members(topology.GroupID) []duty.Member
+	// RecordMembers records them for later holders. It returns when the store has them, or
+	// with an error.
+	RecordMembers(ctx context.Context, id topology.GroupID, members []duty.Member) error
 	// Leadership returns what the holders of the duty recorded last.
 	Leadership(topology.GroupID) duty.Leadership
 	// Record records the group's state for later holders. It spreads the record at
@@ -112,13 +119,17 @@
 	lastWaitReason   string    // reason of the last Wait step that was logged
 	lastWaitLoggedAt time.Time
 
+	missingSince      map[topology.TargetID]time.Time // when recorded targets were first seen to be missing in the register
+	membersRecordedAt time.Time
+	recording         atomic.Bool // a write of the members is under way
+
 	mu      sync.Mutex
 	reports map[topology.HostID]report
 }
 
 // NewWatcher returns a Watcher that has not probed any target.
 func NewWatcher(opts Options) *Watcher {
-	return &Watcher{opts: opts, probers: map[topology.TargetID]*prober{}, wake: make(chan struct{}, 1), reports: map[topology.HostID]report{}}
+	return &Watcher{opts: opts, probers: map[topology.TargetID]*prober{}, wake: make(chan struct{}, 1), reports: map[topology.HostID]report{}, missingSince: map[topology.TargetID]time.Time{}}
 }
 
 // Run probes the group and performs steps until ctx is done. It does nothing while
@@ -151,6 +162,7 @@
 func (w *Watcher) close() {
 	w.requests.clearToken()
 	w.heldSince = time.Time{}
+	clear(w.missingSince)
 	if w.opts.Leases != nil {
 		w.opts.Leases.Stop(w.opts.Group)
 	}
--- a/internal/promotion/watcher_test.go
+++ b/internal/promotion/watcher_test.go
@@ -90,6 +90,10 @@
 func (permanentDuty) Record(context.Context, topology.GroupID, duty.Leadership) error {
 	return nil
 }
+func (permanentDuty) Members(topology.GroupID) []duty.Member { return nil }
+func (permanentDuty) RecordMembers(context.Context, topology.GroupID, []duty.Member) error {
+	return nil
+}
 func (permanentDuty) PendingUntil(topology.GroupID) time.Time { return time.Time{} }
 func (permanentDuty) Settled(topology.GroupID) bool           { return true }
 
