promotion: a target that denies that it leads counts as a replica

What callers would see: acknowledged writes gone after a change of primary, or no primary although a target has every commit.

Cause: the target that was last known to lead was left out of the members even after it had answered that it doesn't lead. It was neither paused nor compared nor promoted, though it may have received commits of a leader in between.

Evidence: TestDemotedLeaderCountsAsReplica promotes the other target without the change, which lacks two commits.

Change: such a target is a member like the others.

--- a/internal/promotion/members_test.go
+++ b/internal/promotion/members_test.go
@@ -79,3 +79,15 @@
 		qt.Check(t, next[0].Incarnation, qt.Equals, test.wantRecorded, qt.Commentf(test.name))
 	}
 }
+
+// A target that was taken for the leader and denies it is a replica that may have commits.
+func TestDemotedLeaderCountsAsReplica(t *testing.T) {
+	g := newTestGroup("p", "a")
+	g.watch(t, &recordedDuty{}, nil)
+	time.Sleep(3 * idleInterval)
+	g.with(func(targets map[topology.TargetID]*testTarget) {
+		targets["p"].leads = false
+		targets["p"].received = pos(1, 9)
+	})
+	g.awaitRequest(t, "p")
+}
--- a/internal/promotion/probe.go
+++ b/internal/promotion/probe.go
@@ -58,12 +58,14 @@
 	if w.leader == "" {
 		w.leader = w.recordedLeader()
 	}
+	w.leaderRefuted = false
 	if pr := w.probers[w.leader]; pr != nil {
 		p := w.checkLeadership(ctx, w.leader, pr)
 		if p.leads {
 			return true, Answered
 		}
 		reach = p.reach
+		w.leaderRefuted = reach == Answered
 		if p.reach == Unresponsive {
 			pr.missedProbes++
 		}
@@ -91,7 +93,7 @@
 	if w.leader != id {
 		w.opts.Log.Info("leader found", "group", w.opts.Group, "target", id, "position", p.position.String())
 	}
-	w.leader, w.leaderProvedAt, w.leaderPosition = id, p.sent, p.position
+	w.leader, w.leaderProvedAt, w.leaderPosition, w.leaderRefuted = id, p.sent, p.position, false
 	w.opts.GroupView.NoteReportedLeader(id, p.sent)
 	w.opts.GroupView.NoteLeading(id, p.sent, &statement.Answer{Position: p.position, HasPosition: true})
 	for _, other := range w.probers {
@@ -117,14 +119,18 @@
 	}
 }
 
-// probeReplicas asks all targets but the leader for their status, concurrently.
+// probeReplicas asks all targets but the leader for their status, concurrently. A target
+// that was taken for the leader and denied it is a replica.
 func (w *Watcher) probeReplicas(ctx context.Context) View {
 	view := View{Leader: w.leader, AckReplicas: w.ackReplicas()}
+	if w.leaderRefuted {
+		view.Leader = ""
+	}
 	now := steady.Now()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for id, pr := range w.probers {
-		if id == w.leader {
+		if id == view.Leader {
 			continue
 		}
 		wg.Go(func() {
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -109,6 +109,7 @@
 	leaderTerm       uint64            // lower bound of its term; 0: not known
 	leaderProvedAt   time.Time         // when the proof was requested, on the clock of package steady
 	leaderPosition   topology.Position // in the latest proof
+	leaderRefuted    bool              // leader answered the latest probe and denied that it leads
 	heldSince        time.Time         // when this host was first seen to hold the duty without a break
 	lastPromotionAt  time.Time         // when the last promotion took effect
 	maintainedAt     time.Time
