promotion: a replica whose address is used again isn't ruled out without a bound

What callers would see: acknowledged writes gone after a change of primary.

Cause: a member whose address another registered target uses was left out of the decision. That is right if the occupant belongs to the group and got the log; a target of another group tells only that the replica has ended, not what it had.

Evidence: TestReplicaWhoseAddressIsReusedCountsUntilItsLogIsBounded; before, such a member had the reach Reassigned and NextStep promoted the other target.

Change: a replica replaced by a target of another group has ended, and counts until a candidate has reached a position that the leader had afterwards.

--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -275,16 +275,16 @@
 }
 
 // TargetAt returns the target that is registered at an address.
-func (s *Store) TargetAt(addr string) (topology.TargetID, bool) {
+func (s *Store) TargetAt(addr string) (Member, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.registry == nil {
-		return "", false
+		return Member{}, false
 	}
-	for id, m := range s.registry.Members {
+	for _, m := range s.registry.Members {
 		if m.Target.Addr == addr {
-			return id, true
+			return m, true
 		}
 	}
-	return "", false
+	return Member{}, false
 }
--- a/internal/promotion/members_test.go
+++ b/internal/promotion/members_test.go
@@ -1,6 +1,7 @@
 package promotion
 
 import (
+	"context"
 	"slices"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
 	"nettlewalk.example/nettlewalk/internal/duty"
+	"nettlewalk.example/nettlewalk/internal/statement"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
@@ -91,3 +93,15 @@
 	})
 	g.awaitRequest(t, "p")
 }
+
+// An address that a target of another group uses doesn't tell what the former one had.
+func TestReplicaWhoseAddressIsReusedCountsUntilItsLogIsBounded(t *testing.T) {
+	pr := &prober{dialer: &failingDialer{statement.DialError{Outcome: statement.DialRejected, Code: statement.Misrouted, Cause: context.Canceled}}, target: topology.Target{ID: "r"}}
+	pr.updateRegistration(time.Second, otherGroup)
+	_, reach := pr.command(context.Background(), statement.Status, 0)
+	qt.Check(t, reach, qt.Equals, Dead)
+	qt.Check(t, pr.endedSince.IsZero(), qt.IsFalse)
+	v := View{AckReplicas: 1, Replace: true, Members: []Member{replica("a", pos(1, 7), 0), {ID: "r", Reach: reach, LogSince: pr.logUpperBound}}}
+	_, waits := NextStep(v).(Wait)
+	qt.Check(t, waits, qt.IsTrue)
+}
--- a/internal/promotion/probe.go
+++ b/internal/promotion/probe.go
@@ -34,8 +34,7 @@
 			w.probers[m.Target.ID] = pr
 			w.opts.Log.Info("target may hold commits", append([]any{"group", w.opts.Group, "target", m.Target.ID, "addr", m.Target.Addr, "incarnation", m.Incarnation, "unregistered_ms", unregistered[m.Target.ID].Milliseconds()}, w.knowledgeLog()...)...)
 		}
-		occupant, taken := w.opts.Catalog.TargetAt(m.Target.Addr)
-		pr.updateRegistration(unregistered[m.Target.ID], taken && occupant != m.Target.ID)
+		pr.updateRegistration(unregistered[m.Target.ID], w.occupantAt(m.Target))
 		pr.updateIncarnation(m.Incarnation, m.Target.ID == w.leader, now)
 	}
 	for id, pr := range w.probers {
@@ -48,6 +47,18 @@
 	return members
 }
 
+// occupantAt tells which target is registered at a target's address.
+func (w *Watcher) occupantAt(t topology.Target) occupant {
+	other, taken := w.opts.Catalog.TargetAt(t.Addr)
+	switch {
+	case !taken || other.Target.ID == t.ID:
+		return ownAddress
+	case other.Target.Group == t.Group:
+		return groupMember
+	}
+	return otherGroup
+}
+
 // probeLeader asks the targets which of them leads, first the last known leader. If
 // none leads, reach is the probe result of the last known leader.
 func (w *Watcher) probeLeader(ctx context.Context) (serves bool, reach Reach) {
--- a/internal/promotion/prober.go
+++ b/internal/promotion/prober.go
@@ -50,7 +50,8 @@
 	missedProbes       int                        // consecutive unanswered probes
 	unregisteredFor    time.Duration              // time since the target was last registered, 0 while it is registered
 	redialAt           time.Time                  // an unresponsive, unregistered target isn't dialed before this time
-	reassigned         bool                       // another target is registered at this address
+	reassigned         bool                       // another target of the group is registered at this address
+	replaced           bool                       // a target of another group is registered at this address
 
 	incarnation  int64             // as registered, 0: not stated
 	recorded     int64             // incarnation whose log counts, 0: not known
@@ -82,7 +83,7 @@
 	if !errors.As(err, &dialErr) {
 		return Unresponsive, false
 	}
-	ended := hasEnded(dialErr.Outcome, p.target.Leaving, p.unregisteredFor)
+	ended := hasEnded(dialErr.Outcome, p.target.Leaving, p.unregisteredFor) || dialErr.Code == statement.Misrouted && p.replaced
 	p.recordEnd(ended, now)
 	switch {
 	case dialErr.Outcome == statement.DialRefused:
@@ -118,12 +119,21 @@
 	return false
 }
 
+// occupant is what the registry says of a target's address.
+type occupant uint8
+
+const (
+	ownAddress  occupant = iota // no other target is registered there
+	groupMember                 // another target of the same group
+	otherGroup                  // a target of another group
+)
+
 // updateRegistration stores what the registry says: for how long the target has been
-// missing, and whether another target is registered at its address. A target that
+// missing, and which target is registered at its address. A target that
 // is registered again may be alive, so earlier conclusions about its end are
 // dropped.
-func (p *prober) updateRegistration(missingFor time.Duration, reassigned bool) {
-	p.unregisteredFor, p.reassigned = missingFor, reassigned
+func (p *prober) updateRegistration(missingFor time.Duration, at occupant) {
+	p.unregisteredFor, p.reassigned, p.replaced = missingFor, at == groupMember, at == otherGroup
 	if missingFor == 0 {
 		p.redialAt = time.Time{}
 		p.clearEnd()
--- a/internal/promotion/prober_test.go
+++ b/internal/promotion/prober_test.go
@@ -54,11 +54,11 @@
 	for _, outcome := range []statement.DialOutcome{statement.DialRefused, statement.DialTimedOut} {
 		dialer := &failingDialer{statement.DialError{Outcome: outcome, Cause: context.DeadlineExceeded}}
 		pr := &prober{dialer: dialer, target: topology.Target{ID: "r"}}
-		pr.updateRegistration(unregisteredDeadAfter+1, false)
+		pr.updateRegistration(unregisteredDeadAfter+1, ownAddress)
 		pr.command(context.Background(), statement.Status, 0)
 		qt.Assert(t, pr.endedSince.IsZero(), qt.IsFalse)
 		pr.logUpperBound = pos(1, 5)
-		pr.updateRegistration(0, false)
+		pr.updateRegistration(0, ownAddress)
 		qt.Check(t, pr.endedSince.IsZero(), qt.IsTrue)
 		qt.Check(t, pr.logUpperBound.IsZero(), qt.IsTrue)
 		_, reach := pr.command(context.Background(), statement.Status, 0)
--- a/internal/promotion/types.go
+++ b/internal/promotion/types.go
@@ -52,7 +52,7 @@
 	Dead                            // connection refused, or unregistered for long; certain only if Member.LogSince is set
 	Unresponsive                    // no answer; the target may still serve other hosts
 	Overloaded                      // alive, but without a free connection or work slot
-	Reassigned                      // another registered target answers at its address
+	Reassigned                      // another registered target of the group answers at its address and has its log
 	UnregisteredTarget              // an unregistered target answers at its address and may have its log
 )
 
