promotion: replicas stay paused until a promotion has had its effect

What callers would see: acknowledged writes gone after a change of primary.

Cause: nobody looked at the replicas between a promotion request and its effect, which comes some hundred ms after an answer and up to 12 s after none. A restart ends a pause, and a target that registers meanwhile was never paused; both confirm commits of a leader that serves again, and the target that is promoted lacks them.

Ruled out: ordering the returned leader under a higher token. If the late request has just taken effect, that order replaces the new leader while commits reach only one other replica.

Change: an unanswered request is completed also where the platform checks tokens, so that the group doesn't run for 15 s on pauses that a restart ends. While a request is under way, replicas that receive are paused again.

What is left: what a restarted replica confirms until it is paused again (100 ms).

--- a/internal/promotion/leases.go
+++ b/internal/promotion/leases.go
@@ -32,12 +32,12 @@
 }
 
 // mustComplete reports whether a request may still promote another target than the
-// leader, on a platform that doesn't check tokens. Nobody can have a lease meanwhile,
-// so the promotion is completed. After each acquisition of the duty mustComplete checks
-// that the leader is the present one.
+// leader. The promotion is then completed: until it is settled, replicas must stay paused,
+// and where the platform doesn't check tokens, nobody can have a lease. There, mustComplete
+// also checks after each acquisition of the duty that the leader is the present one.
 func (w *Watcher) mustComplete(ctx context.Context) bool {
 	if w.opts.Leases == nil {
-		return false
+		return w.otherPending(w.leader)
 	}
 	if w.requests.verified != w.leader {
 		w.verifyLeader(ctx)
@@ -79,6 +79,7 @@
 // noteEffect records that a promoted target leads, and grants leases on it.
 func (w *Watcher) noteEffect(ctx context.Context, target topology.TargetID) {
 	if w.opts.Leases == nil {
+		w.requests.noteEffect()
 		return
 	}
 	w.leaderTerm++
--- a/internal/promotion/next.go
+++ b/internal/promotion/next.go
@@ -136,11 +136,23 @@
 	return pause
 }
 
-func (v *View) highestTerm() uint64 {
+// logTerm returns the highest term in which a target that answers has led or received.
+func (v *View) logTerm() uint64 {
 	term := uint64(0)
 	for _, m := range v.Members {
 		if m.Reach == Answered {
-			term = max(term, m.Status.Term, m.Status.PausedTerm, m.Status.Received.Term)
+			term = max(term, m.Status.Term, m.Status.Received.Term)
+		}
+	}
+	return term
+}
+
+// highestTerm is logTerm including the terms of pauses.
+func (v *View) highestTerm() uint64 {
+	term := v.logTerm()
+	for _, m := range v.Members {
+		if m.Reach == Answered {
+			term = max(term, m.Status.PausedTerm)
 		}
 	}
 	return term
--- /dev/null
+++ b/internal/promotion/pauses_test.go
@@ -0,0 +1,53 @@
+package promotion
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"nettlewalk.example/nettlewalk/internal/steady"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// A request without an answer may be carried out while a returned leader serves.
+func TestUnansweredPromotionIsCompletedThoughTheLeaderReturns(t *testing.T) {
+	g := newTestGroup("p", "a", "b")
+	lost := 0
+	g.onRequest = func(id topology.TargetID) Reply {
+		if lost++; lost == 1 {
+			g.targets["p"].down = false
+			return Reply{Outcome: Unanswered}
+		}
+		for other, target := range g.targets {
+			target.leads = other == id
+		}
+		return Reply{Outcome: Accepted}
+	}
+	g.with(func(targets map[topology.TargetID]*testTarget) { targets["p"].down = true })
+	g.watch(t, &recordedDuty{}, func(o *Options) { o.GroupView.NoteReportedLeader("p", steady.Now()) })
+	for deadline := time.Now().Add(5 * time.Second); len(g.requests()) < 2; time.Sleep(5 * time.Millisecond) {
+		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue, qt.Commentf("requests: %v", g.requests()))
+	}
+	qt.Check(t, g.requests(), qt.DeepEquals, []topology.TargetID{"a", "a"})
+}
+
+// A restart ends a pause. Until the promotion has its effect, the replica is paused again.
+func TestReplicaThatLosesItsPauseIsPausedAgain(t *testing.T) {
+	g := newTestGroup("p", "a", "b")
+	g.onRequest = func(topology.TargetID) Reply {
+		g.targets["b"].paused = 0
+		return Reply{Outcome: Accepted} // takes effect later
+	}
+	g.with(func(targets map[topology.TargetID]*testTarget) { targets["p"].down = true })
+	g.watch(t, &recordedDuty{}, func(o *Options) { o.GroupView.NoteReportedLeader("p", steady.Now()) })
+	g.awaitRequest(t, "a")
+	for deadline := time.Now().Add(effectTimeout - time.Second); ; time.Sleep(5 * time.Millisecond) {
+		paused := false
+		g.with(func(targets map[topology.TargetID]*testTarget) { paused = targets["b"].paused > 0 })
+		if paused {
+			return
+		}
+		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue)
+	}
+}
--- a/internal/promotion/promote.go
+++ b/internal/promotion/promote.go
@@ -58,7 +58,8 @@
 
 var outcomeNames = [...]string{Accepted: "accepted", Refused: "refused", NotDone: "not_done", Unanswered: "unanswered"}
 
-// awaitEffect waits until the promoted target leads, at most effectTimeout.
+// awaitEffect waits until the promoted target leads, at most effectTimeout. Until then the
+// other replicas must stay paused.
 func (w *Watcher) awaitEffect(ctx context.Context, target topology.TargetID) {
 	acceptedAt := steady.Now()
 	previous, previousPosition := w.leader, w.leaderPosition
@@ -72,8 +73,33 @@
 			metrics.GetOrCreateHistogram("nettlewalk_promotion_seconds").Update(w.lastPromotionAt.Sub(w.attemptStartedAt).Seconds())
 			return
 		}
+		w.keepPaused(ctx, target)
 		time.Sleep(attemptInterval)
 	}
 	w.opts.Log.Info("promotion has not taken effect yet", "group", w.opts.Group, "target", target)
 	w.requests.unanswered = true // its effect may still come
 }
+
+// keepPaused pauses the replicas that receive commits while the promotion of target is
+// under way: a restart ends a pause, and new targets join. The target may lack what they
+// have received since. A pause under nextTerm is refused once the target leads.
+func (w *Watcher) keepPaused(ctx context.Context, target topology.TargetID) {
+	now := steady.Now()
+	if now.Sub(w.pausesCheckedAt) < pauseCheckInterval {
+		return
+	}
+	w.pausesCheckedAt = now
+	w.syncProbers()
+	view := w.probeReplicas(ctx)
+	var receiving []topology.TargetID
+	for _, m := range view.Members {
+		if m.ID != target && m.Reach == Answered && !m.Status.Primary && m.Status.PausedTerm == 0 && m.Status.Term < w.nextTerm {
+			receiving = append(receiving, m.ID)
+		}
+	}
+	if len(receiving) == 0 {
+		return
+	}
+	w.opts.Log.Info("replicas receive commits while a promotion is under way", "group", w.opts.Group, "target", target, "receiving", receiving, "term", w.nextTerm, "members", w.memberLogs(view.Members))
+	w.perform(ctx, Pause{Term: w.nextTerm, Targets: receiving})
+}
--- a/internal/promotion/requeststate.go
+++ b/internal/promotion/requeststate.go
@@ -11,9 +11,10 @@
 // of this host and those of the previous holder. It reads no clock; the caller
 // passes the time.
 type requestState struct {
-	token       uint64            // token under which this host holds the duty, 0 if it doesn't
-	resumeAfter time.Time         // no pause may be ended before this time
-	lastTarget  topology.TargetID // target of the last request
+	checksTokens bool              // the platform refuses requests with a lower token than it has seen
+	token        uint64            // token under which this host holds the duty, 0 if it doesn't
+	resumeAfter  time.Time         // no pause may be ended before this time
+	lastTarget   topology.TargetID // target of the last request
 	// inDoubt is set if the last request got no answer and the platform hasn't seen a
 	// higher token since, by which it would refuse that request where it checks tokens.
 	inDoubt bool
@@ -116,10 +117,27 @@
 	return true
 }
 
+// settleByToken records that the platform has accepted a request for another target than
+// the pending one. Such a request has a higher token, so the pending one is refused.
+func (r *requestState) settleByToken() {
+	if r.checksTokens && r.pending != r.lastTarget {
+		r.pending, r.unanswered = "", false
+	}
+}
+
+// noteEffect records that the target of the last request leads. An earlier request for it
+// changes nothing any more where the platform checks tokens.
+func (r *requestState) noteEffect() {
+	if r.checksTokens {
+		r.pending, r.unanswered = "", false
+	}
+}
+
 // noteOutcome records the outcome of the last request.
 func (r *requestState) noteOutcome(outcome Outcome, now time.Time) {
 	switch outcome {
 	case Accepted:
+		r.settleByToken()
 		r.resumeAfter = laterTime(r.resumeAfter, now.Add(maxEffectDelay))
 	case Unanswered:
 		r.inDoubt, r.unanswered = true, true
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -17,14 +17,15 @@
 )
 
 const (
-	idleInterval      = 100 * time.Millisecond // between probes of a leader that serves
-	unheldInterval    = 2 * time.Second        // between checks for the duty where changes of its holder are announced
-	attemptInterval   = 20 * time.Millisecond  // between steps of a promotion attempt
-	maintainInterval  = 2 * time.Second        // between probes of the replicas while the leader serves; a probe takes a work slot
-	missedProbesLimit = 2                      // consecutive unanswered probes after which the leader counts as unresponsive
-	recheckInterval   = 30 * time.Millisecond  // until the next probe while no target leads and no attempt runs
-	reportValidity    = 800 * time.Millisecond // how long a host's report counts; hosts redial about as often
-	reportMinDuration = 500 * time.Millisecond // how long a host must keep reporting before it counts; rules out remains of a healed partition
+	idleInterval       = 100 * time.Millisecond // between probes of a leader that serves
+	unheldInterval     = 2 * time.Second        // between checks for the duty where changes of its holder are announced
+	attemptInterval    = 20 * time.Millisecond  // between steps of a promotion attempt
+	pauseCheckInterval = 100 * time.Millisecond // between checks of the pauses while a promotion is under way; each takes a work slot
+	maintainInterval   = 2 * time.Second        // between probes of the replicas while the leader serves; a probe takes a work slot
+	missedProbesLimit  = 2                      // consecutive unanswered probes after which the leader counts as unresponsive
+	recheckInterval    = 30 * time.Millisecond  // until the next probe while no target leads and no attempt runs
+	reportValidity     = 800 * time.Millisecond // how long a host's report counts; hosts redial about as often
+	reportMinDuration  = 500 * time.Millisecond // how long a host must keep reporting before it counts; rules out remains of a healed partition
 	// lastLeaderMaxAge is how old the last proof of leadership may be for a new
 	// holder to assume that its target is the leader to be replaced.
 	lastLeaderMaxAge  = group.LastLeaderMaxAge
@@ -123,6 +124,8 @@
 	missingSince      map[topology.TargetID]time.Time // when recorded targets were first seen to be missing in the register
 	membersRecordedAt time.Time
 	recording         atomic.Bool // a write of the members is under way
+	nextTerm          uint64      // term in which the target of the next request will lead
+	pausesCheckedAt   time.Time   // while a promotion is under way
 
 	mu      sync.Mutex
 	reports map[topology.HostID]report
@@ -130,7 +133,7 @@
 
 // NewWatcher returns a Watcher that has not probed any target.
 func NewWatcher(opts Options) *Watcher {
-	return &Watcher{opts: opts, probers: map[topology.TargetID]*prober{}, wake: make(chan struct{}, 1), reports: map[topology.HostID]report{}, missingSince: map[topology.TargetID]time.Time{}}
+	return &Watcher{opts: opts, requests: requestState{checksTokens: opts.Leases == nil}, probers: map[topology.TargetID]*prober{}, wake: make(chan struct{}, 1), reports: map[topology.HostID]report{}, missingSince: map[topology.TargetID]time.Time{}}
 }
 
 // Run probes the group and performs steps until ctx is done. It does nothing while
@@ -242,9 +245,10 @@
 func (w *Watcher) decideStep(ctx context.Context, serves bool) Step {
 	view := w.probeReplicas(ctx)
 	view.Replace, view.LeaderServes, view.LeaderTerm = true, serves, w.leaderTerm
-	if w.opts.Leases != nil {
+	if w.opts.Leases != nil || serves && w.otherPending(w.leader) {
 		view.Ordered = w.requests.pendingTarget(steady.Now())
 	}
+	w.nextTerm = view.logTerm() + 1
 	wanted := NextStep(view)
 	if w.opts.Leases != nil {
 		if _, isPromotion := wanted.(Promote); isPromotion {
