promotion, catalog: the register is read before a promotion

What callers would see: acknowledged writes gone after a change of primary.

Cause: the holder knows the register as other hosts tell it. While watches are deaf, that copy is up to 40 % of the drain time old (4 s). A target that joined meanwhile isn't paused and confirms commits that the candidate lacks.

Evidence: TestReplicaThatJoinsBeforeThePromotionIsPaused promotes a target that lacks two commits without the change.

Change: the holder reads the register while replicas are being paused, once a second at most, and waits 150 ms for it before a request. A store that doesn't answer doesn't hold the promotion back.

--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -52,6 +52,7 @@
 	locality     *locality.Router // nil if no prices are set
 	quota        *quota.Quota     // nil if the settings don't bound rates
 	capacity     *capacity.Coordinator
+	readRegister func(context.Context) error // set before the watchers start
 	holders      share.Holders
 	homes        homeCache
 	leaving      atomic.Bool
--- a/cmd/nettlewalk/fleetstore.go
+++ b/cmd/nettlewalk/fleetstore.go
@@ -30,6 +30,7 @@
 	go h.watchWhileReader(ctx, platform.KindConfiguration, configurationFeed)
 	go configurationFeed.Poll(ctx, h.store, platform.KindConfiguration, catalog.ConfigurationSchedule(h.settings.ConfigApplyTimeout), h.gossip.Rank)
 	registerFeed := &catalog.RegistryFeed{Decode: platform.DecodeMember, Store: h.catalog, Log: log}
+	h.readRegister = func(ctx context.Context) error { return registerFeed.Read(ctx, h.store, platform.KindTargets) }
 	go h.watchWhileReader(ctx, platform.KindTargets, registerFeed)
 	go registerFeed.Poll(ctx, h.store, platform.KindTargets, catalog.RegistrySchedule(h.settings.DrainTimeout), h.gossip.Rank)
 }
@@ -116,7 +117,8 @@
 			options := promotion.Options{
 				Group: id, Name: string(h.settings.Host), Dialer: platform.TargetDialer{}, Parse: platform.ParseTargetStatus,
 				Promoter: platform.NewPromoter(h.settings.PromotionAddr), Duty: h.duty, DutyAnnounced: true, Catalog: h.catalog, GroupView: groupState,
-				Hosts: func() int { return len(h.gossip.Live()) }, Log: h.log.WithName("promotion"),
+				ReadRegister: h.readRegister,
+				Hosts:        func() int { return len(h.gossip.Live()) }, Log: h.log.WithName("promotion"),
 			}
 			if h.grantor != nil {
 				options.Leases = h.grantor
--- a/internal/catalog/poll.go
+++ b/internal/catalog/poll.go
@@ -112,17 +112,26 @@
 func (f *RegistryFeed) Poll(ctx context.Context, r StoreReader, kind string, schedule Schedule, rank func() int) {
 	lastRead := func() time.Time { return f.Store.ReadTimes().Registry }
 	poll(ctx, schedule, lastRead, rank, func(ctx context.Context, sent time.Time) error {
-		list, err := r.List(ctx, kind)
-		if err != nil {
-			f.Log.V(1).Info("failed to read target registry from store", "error", err.Error())
-			return err
-		}
-		f.Reset(kind, list)
-		f.Store.RecordReadTimes(ReadTimes{Registry: sent})
-		return nil
+		return f.read(ctx, r, kind, sent)
 	})
 }
 
+// Read reads the whole registry once, without retries.
+func (f *RegistryFeed) Read(ctx context.Context, r StoreReader, kind string) error {
+	return f.read(platform.WithoutRetry(ctx), r, kind, steady.Now())
+}
+
+func (f *RegistryFeed) read(ctx context.Context, r StoreReader, kind string, sent time.Time) error {
+	list, err := r.List(ctx, kind)
+	if err != nil {
+		f.Log.V(1).Info("failed to read target registry from store", "error", err.Error())
+		return err
+	}
+	f.Reset(kind, list)
+	f.Store.RecordReadTimes(ReadTimes{Registry: sent})
+	return nil
+}
+
 // poll calls read once each time a read is due, without retries, until ctx
 // ends.
 func poll(ctx context.Context, schedule Schedule, lastRead func() time.Time, rank func() int, read func(ctx context.Context, sent time.Time) error) {
--- a/internal/promotion/pauses_test.go
+++ b/internal/promotion/pauses_test.go
@@ -1,6 +1,7 @@
 package promotion
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -51,3 +52,24 @@
 		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue)
 	}
 }
+
+// The register may tell of a new replica only when the promotion is about to be requested.
+func TestReplicaThatJoinsBeforeThePromotionIsPaused(t *testing.T) {
+	g := newTestGroup("p", "a", "b")
+	joined := false
+	g.with(func(targets map[topology.TargetID]*testTarget) {
+		targets["p"].down = true
+		targets["n"] = &testTarget{received: pos(1, 9)}
+	})
+	g.watch(t, &recordedDuty{}, func(o *Options) {
+		o.GroupView.NoteReportedLeader("p", steady.Now())
+		o.ReadRegister = func(context.Context) error {
+			if !joined {
+				joined = true
+				g.register("p", "a", "b", "n")
+			}
+			return nil
+		}
+	})
+	g.awaitRequest(t, "n")
+}
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -91,6 +92,10 @@
 	// Leases grants hosts leases on the leader; nil if targets stop leading when
 	// they are replaced and the platform checks fencing tokens.
 	Leases Leases
+	// ReadRegister reads the register of targets from the store into Catalog. It is called
+	// before a promotion, because a target that has just joined may confirm commits before
+	// other hosts tell of it. nil: the register is as other hosts told it.
+	ReadRegister func(ctx context.Context) error
 	// DutyAnnounced tells that Watchers.DutyChanged is called whenever a duty may have
 	// another holder. The watcher then checks seldom whether this host holds it.
 	DutyAnnounced bool
@@ -126,6 +131,7 @@
 	recording         atomic.Bool // a write of the members is under way
 	nextTerm          uint64      // term in which the target of the next request will lead
 	pausesCheckedAt   time.Time   // while a promotion is under way
+	registerReads     registerReads
 
 	mu      sync.Mutex
 	reports map[topology.HostID]report
@@ -223,16 +229,21 @@
 }
 
 // maxStepsPerTick bounds the steps after one probe of the leader: the pauses, the
-// promotion, and one more for a replica that came back in between.
-const maxStepsPerTick = 3
+// promotion, one more for a replica that came back in between, and one for a change of the
+// register.
+const maxStepsPerTick = 4
 
 // attempt performs the next step to replace the leader. After a Pause step it goes on
 // with the following step without another probe of the leader: whether the pauses
 // suffice doesn't depend on the leader, and a probe of an unresponsive leader takes
 // until its timeout.
 func (w *Watcher) attempt(ctx context.Context, serves bool) time.Duration {
+	w.registerReads.start(ctx, w.opts.ReadRegister, steady.Now())
 	for range maxStepsPerTick {
 		step := w.decideStep(ctx, serves)
+		if _, isPromotion := step.(Promote); isPromotion && w.registerChanged(ctx) {
+			continue
+		}
 		w.perform(ctx, step)
 		if _, paused := step.(Pause); !paused {
 			break
@@ -241,6 +252,24 @@
 	return attemptInterval
 }
 
+// registerChanged waits for the read of the register that the attempt has begun and
+// reports whether it brought changes since the latest probe.
+func (w *Watcher) registerChanged(ctx context.Context) bool {
+	w.registerReads.wait(ctx)
+	before := w.membership()
+	w.syncProbers()
+	return !maps.Equal(before, w.membership())
+}
+
+// membership returns the incarnations of the possible commit holders.
+func (w *Watcher) membership() map[topology.TargetID]int64 {
+	members := make(map[topology.TargetID]int64, len(w.probers))
+	for id, pr := range w.probers {
+		members[id] = pr.incarnation
+	}
+	return members
+}
+
 // decideStep probes the other targets and decides the next step.
 func (w *Watcher) decideStep(ctx context.Context, serves bool) Step {
 	view := w.probeReplicas(ctx)
