promotion: a planned promotion waits until the candidate has what the leader had

Cause: the leader served and was leaving, and its position wasn't compared with the candidate's. A target had joined, confirmed 36 commits and vanished while the store turned all hosts away, so no host ever knew it: 'promotion is safe' listed two replicas at 1/250, paused, with the leader at 1/286.

Ruled out: a newer register. The target was gone from it by then.

Evidence: TestPlannedPromotionWaitsForPositionOfServingLeader promotes at 1/7 with the leader at 1/9 without the change.

Change: after the pauses the holder asks a serving leader for its position once more, and promotes only a candidate that has reached it.

What is left: with a dead leader there is no such position.

--- a/internal/promotion/next.go
+++ b/internal/promotion/next.go
@@ -36,6 +36,9 @@
 			return Wait{Reason: "the candidate lacks commits that " + string(m.ID) + " has received"}
 		}
 	}
+	if v.LeaderServes && !candidate.Status.Received.AtLeast(v.LeaderPosition) {
+		return Wait{Reason: "the candidate lacks commits that the leader has"}
+	}
 	return Promote{Target: candidate.ID}
 }
 
--- a/internal/promotion/pauses_test.go
+++ b/internal/promotion/pauses_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"nettlewalk.example/nettlewalk/internal/catalog"
 	"nettlewalk.example/nettlewalk/internal/steady"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
@@ -73,3 +74,20 @@
 	})
 	g.awaitRequest(t, "n")
 }
+
+// A target that joined unseen and is gone again may have confirmed commits that the
+// candidate hasn't received yet.
+func TestPlannedPromotionWaitsForPositionOfServingLeader(t *testing.T) {
+	g := newTestGroup("p", "a", "b")
+	g.with(func(targets map[topology.TargetID]*testTarget) { targets["p"].received = pos(1, 9) })
+	members := map[topology.TargetID]catalog.Member{}
+	for _, id := range []topology.TargetID{"p", "a", "b"} {
+		members[id] = catalog.Member{Target: topology.Target{ID: id, Group: "g", Addr: string(id), Leaving: id == "p"}}
+	}
+	g.registerMembers(members)
+	g.watch(t, &recordedDuty{}, nil)
+	time.Sleep(time.Second)
+	qt.Check(t, g.requests(), qt.HasLen, 0)
+	g.with(func(targets map[topology.TargetID]*testTarget) { targets["a"].received = pos(1, 9) })
+	g.awaitRequest(t, "a")
+}
--- a/internal/promotion/types.go
+++ b/internal/promotion/types.go
@@ -82,6 +82,10 @@
 	LeaderServes bool              // the latest probe proved that the leader leads
 	Replace      bool              // the leader must be replaced
 	LeaderTerm   uint64            // lower bound of the leader's term; 0: not known
+	// LeaderPosition is a position that the leader had after the replicas were paused.
+	// While it serves, the candidate must have reached it: a target that nobody has
+	// heard of may have confirmed commits up to there.
+	LeaderPosition topology.Position
 	// Ordered is a target whose promotion was requested and may still take effect at
 	// any time; no other one may be promoted. "": none.
 	Ordered topology.TargetID
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -115,6 +115,7 @@
 	leaderTerm       uint64            // lower bound of its term; 0: not known
 	leaderProvedAt   time.Time         // when the proof was requested, on the clock of package steady
 	leaderPosition   topology.Position // in the latest proof
+	leaderGoal       topology.Position // see View.LeaderPosition
 	leaderRefuted    bool              // leader answered the latest probe and denied that it leads
 	heldSince        time.Time         // when this host was first seen to hold the duty without a break
 	lastPromotionAt  time.Time         // when the last promotion took effect
@@ -122,6 +123,7 @@
 	lastTickAt       time.Time
 	requests         requestState
 	attemptStartedAt time.Time // start of the current promotion attempt, zero if there is none
+	pausedAt         time.Time // when the current attempt last paused replicas, or its start
 	attemptReason    string    // why the current attempt replaces the leader
 	lastWaitReason   string    // reason of the last Wait step that was logged
 	lastWaitLoggedAt time.Time
@@ -222,9 +224,12 @@
 		w.opts.Log.Info("replacing leader", "group", w.opts.Group, "target", w.leader, "reason", reason)
 	}
 	if w.attemptStartedAt.IsZero() {
-		w.attemptStartedAt = now
+		w.attemptStartedAt, w.pausedAt, w.leaderGoal = now, now, topology.Position{}
 	}
 	w.attemptReason = reason
+	if serves && w.leaderGoal.IsZero() && w.leaderProvedAt.After(w.pausedAt) {
+		w.leaderGoal = w.leaderPosition
+	}
 	return w.attempt(ctx, serves)
 }
 
@@ -245,8 +250,8 @@
 			continue
 		}
 		w.perform(ctx, step)
-		if _, paused := step.(Pause); !paused {
-			break
+		if _, paused := step.(Pause); !paused || serves {
+			break // while the leader serves, its position after the pauses counts
 		}
 	}
 	return attemptInterval
@@ -273,7 +278,7 @@
 // decideStep probes the other targets and decides the next step.
 func (w *Watcher) decideStep(ctx context.Context, serves bool) Step {
 	view := w.probeReplicas(ctx)
-	view.Replace, view.LeaderServes, view.LeaderTerm = true, serves, w.leaderTerm
+	view.Replace, view.LeaderServes, view.LeaderTerm, view.LeaderPosition = true, serves, w.leaderTerm, w.leaderGoal
 	if w.opts.Leases != nil || serves && w.otherPending(w.leader) {
 		view.Ordered = w.requests.pendingTarget(steady.Now())
 	}
@@ -314,6 +319,7 @@
 			wg.Go(func() { w.probers[id].command(ctx, statement.Pause, s.Term) })
 		}
 		wg.Wait()
+		w.pausedAt, w.leaderGoal = steady.Now(), topology.Position{}
 	case Demote:
 		w.opts.Log.Info("demoting replaced primaries", "group", w.opts.Group, "term", s.Term, "targets", s.Targets)
 		for _, id := range s.Targets {
