promotion: a holder leaves alone the pauses of another one

What callers would see: acknowledged writes gone after a change of primary.

Cause: where the platform checks fencing tokens, a failure domain counts as in contact if any of its hosts answers. On both sides of a partition through a domain a host may act as the holder. The platform refuses the lower token of a promotion, but nothing protects a pause: the side whose leader serves resumed the replicas that the other side had paused for a promotion under way.

TestHolderKeepsPausesOfAnotherHolder fails without the change.

Before a promotion it repeats pauses of others under a term of its own, so that they leave these alone.

--- a/internal/promotion/next.go
+++ b/internal/promotion/next.go
@@ -63,7 +63,7 @@
 func endPauses(v View) Step {
 	var paused []topology.TargetID
 	for _, m := range v.Members {
-		if m.Reach == Answered && m.Status.PausedTerm > 0 {
+		if m.Reach == Answered && m.Status.PausedTerm > 0 && !m.MayBeNeeded {
 			paused = append(paused, m.ID)
 		}
 	}
@@ -128,11 +128,11 @@
 }
 
 // replicasToPause returns a Pause step for the replicas that answer and still
-// receive commits.
+// receive commits, or whose pause another holder may end.
 func replicasToPause(v View, others []Member) Pause {
 	pause := Pause{Term: v.highestTerm() + 1}
 	for _, m := range others {
-		if m.Reach == Answered && m.Status.PausedTerm == 0 {
+		if m.Reach == Answered && (m.Status.PausedTerm == 0 || m.PausedByOther) {
 			pause.Targets = append(pause.Targets, m.ID)
 		}
 	}
--- a/internal/promotion/pauses_test.go
+++ b/internal/promotion/pauses_test.go
@@ -91,3 +91,24 @@
 	g.with(func(targets map[topology.TargetID]*testTarget) { targets["a"].received = pos(1, 9) })
 	g.awaitRequest(t, "a")
 }
+
+// Two hosts may act as the holder for a while. One that sees its leader serve doesn't end
+// the pauses of the other.
+func TestHolderKeepsPausesOfAnotherHolder(t *testing.T) {
+	g := newTestGroup("p", "a", "b")
+	g.watch(t, &recordedDuty{}, nil)
+	time.Sleep(3 * idleInterval)
+	g.with(func(targets map[topology.TargetID]*testTarget) { targets["b"].paused = 2 })
+	time.Sleep(2*maintainInterval + time.Second)
+	g.with(func(targets map[topology.TargetID]*testTarget) {
+		qt.Check(t, targets["b"].paused, qt.Equals, uint64(2))
+	})
+}
+
+// A pause that another holder may end doesn't protect this holder's promotion.
+func TestNextStepRepeatsPauseOfAnotherHolder(t *testing.T) {
+	other := replica("b", pos(1, 7), 2)
+	other.PausedByOther = true
+	v := View{AckReplicas: 1, Leader: "p", Replace: true, Members: []Member{replica("a", pos(1, 9), 0), other}}
+	qt.Check(t, NextStep(v), qt.DeepEquals, Step(Pause{Term: 3, Targets: []topology.TargetID{"b"}}))
+}
--- a/internal/promotion/probe.go
+++ b/internal/promotion/probe.go
@@ -146,7 +146,11 @@
 		}
 		wg.Go(func() {
 			status, reach := pr.command(ctx, statement.Status, 0)
+			if reach == Answered {
+				pr.notePause(status.PausedTerm, now)
+			}
 			m := Member{ID: id, Leaving: pr.target.Leaving, Reach: reach, Status: status, LogSince: pr.logUpperBound, MayResume: now.Before(pr.resumePendingUntil),
+				PausedByOther: pr.pausedByOther(), MayBeNeeded: pr.pausedByOther() && now.Sub(pr.pauseSeenAt) < unresolvedWindow,
 				LostLog: !pr.lostLogSince.IsZero(), LostLogEnd: pr.lostLogBound}
 			mu.Lock()
 			defer mu.Unlock()
--- a/internal/promotion/prober.go
+++ b/internal/promotion/prober.go
@@ -53,6 +53,10 @@
 	reassigned         bool                       // another target of the group is registered at this address
 	replaced           bool                       // a target of another group is registered at this address
 
+	ownPause    uint64    // term of the latest pause that this host ordered
+	pausedTerm  uint64    // term of the pause in force, as last seen; 0: not paused
+	pauseSeenAt time.Time // when that pause was first seen
+
 	incarnation  int64             // as registered, 0: not stated
 	recorded     int64             // incarnation whose log counts, 0: not known
 	lostLogSince time.Time         // when the target was first known to have lost its log, zero if it hasn't
@@ -184,6 +188,16 @@
 	}
 }
 
+// notePause records the term of the pause in force, 0 if there is none.
+func (p *prober) notePause(term uint64, now time.Time) {
+	if term != p.pausedTerm {
+		p.pausedTerm, p.pauseSeenAt = term, now
+	}
+}
+
+// pausedByOther reports whether another holder of the duty ordered the pause in force.
+func (p *prober) pausedByOther() bool { return p.pausedTerm > 0 && p.pausedTerm != p.ownPause }
+
 // noteAlive records that the target responded.
 func (p *prober) noteAlive() {
 	p.clearEnd()
@@ -232,6 +246,9 @@
 	if !ok {
 		return statement.TargetStatus{}, reach
 	}
+	if kind == statement.Pause {
+		p.ownPause = term
+	}
 	answers, err := p.conn.Exchange(time.Now().Add(timeout), statement.Statement{ID: statement.ProxyRequestID, Kind: kind, Term: term})
 	if err != nil {
 		p.closeConn()
--- a/internal/promotion/types.go
+++ b/internal/promotion/types.go
@@ -69,6 +69,10 @@
 	// MayResume reports that a resume command got no answer and may still end
 	// the target's pause.
 	MayResume bool
+	// PausedByOther is set if another holder of the duty paused the target, and may end
+	// that pause. MayBeNeeded is set while a request of that holder may rely on it.
+	PausedByOther bool
+	MayBeNeeded   bool
 	// LostLog is set if the target has started again without the log that it had.
 	// LostLogEnd is an upper bound of that log, zero if no bound is known.
 	LostLog    bool
