promotion: a silent target has ended only if hosts of the domains concerned don't reach it either

A replica that is cut off from the store and from the holder, but not from the leader, looks the same and goes on to receive and confirm commits. NextStep then promoted another replica once that had reached the bound.

Ruled out: waiting longer (a cut has no longest duration); the reports of unresponsive targets that hosts send (they come from hosts with connections to the target, and tell nothing about reachability); asking the leader (its status doesn't list its replicas).

Change: the holder asks two hosts of each failure domain to dial the target, at random, in parallel and within 800 ms (Promotion.DialTarget). judgeEnd concludes the end if none reaches it and hosts of its domain, of the leader's and of a majority of the domains answered. Any answer but a refused connection or none within 200 ms is one of a living target; a host that was delayed or doesn't know the method tells nothing. The end counts from the time when the answers are taken up, so that only a later position of the leader bounds the log. Questions run beside the watcher's ticks, every 2 s at most, only for unregistered targets that don't respond, and not once the target has ended. Answers are dropped if the target answers or is registered meanwhile, or the leader changes its domain. A target that left the register while it was leaving has ended as before. While there is no conclusion, an unregistered silent target counts as unresponsive instead of dead and is dialed every 2 s, as before.

Tests changed: TestConnectionRefusalAloneIsNoDeath and TestReregistrationClearsDeath keep their cases and outcomes and get the evidence of other hosts, without which no end is concluded now (TestSilenceAloneIsNoDeath); one case more.

--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -206,7 +206,7 @@
 	if err := h.server.Register(gossip.ServiceName, h.gossip.Service()); err != nil {
 		return nil, err
 	}
-	if err := h.server.Register(promotion.ServiceName, h.watchers.Service()); err != nil {
+	if err := h.server.Register(promotion.ServiceName, h.watchers.Service(platform.TargetDialer{})); err != nil {
 		return nil, err
 	}
 	if h.lessee != nil {
--- a/cmd/nettlewalk/fleetstore.go
+++ b/cmd/nettlewalk/fleetstore.go
@@ -105,6 +105,9 @@
 		ids = append(ids, id)
 	}
 	h.duty.SetGroups(ids)
+	question := &promotion.EndQuestion{
+		Self: topology.HostID(h.settings.PeerAddr), Domains: h.settings.Domains, Hosts: h.gossip.Live, Peers: h.peers, Dialer: platform.TargetDialer{},
+	}
 	complete := true
 	for _, id := range ids {
 		groupState := h.groups.Group(id)
@@ -116,7 +119,7 @@
 			options := promotion.Options{
 				Group: id, Name: string(h.settings.Host), Dialer: platform.TargetDialer{}, Parse: platform.ParseTargetStatus,
 				Promoter: platform.NewPromoter(h.settings.PromotionAddr), Duty: h.duty, DutyAnnounced: true, Catalog: h.catalog, GroupView: groupState,
-				Hosts: func() int { return len(h.gossip.Live()) }, Log: h.log.WithName("promotion"),
+				Hosts: func() int { return len(h.gossip.Live()) }, AskHosts: question.Ask, Log: h.log.WithName("promotion"),
 			}
 			if h.grantor != nil {
 				options.Leases = h.grantor
--- a/internal/promotion/doc.go
+++ b/internal/promotion/doc.go
@@ -11,5 +11,7 @@
 // the candidate can help to acknowledge a commit, and commits acknowledged earlier
 // are contained in the logs of the paused replicas, whose end the candidate must
 // have reached. A replica that can't be paused may have received more. The number
-// of such replicas must be lower than the number that acknowledges a commit.
+// of such replicas must be lower than the number that acknowledges a commit. One
+// that had ended before the leader had a position that the candidate has reached doesn't
+// count. Whether it has ended is concluded from what other hosts tell: see judgeEnd.
 package promotion
--- a/internal/promotion/probe.go
+++ b/internal/promotion/probe.go
@@ -25,7 +25,7 @@
 			if pr != nil {
 				pr.closeConn()
 			}
-			pr = &prober{target: m.Target, dialer: w.opts.Dialer, parse: w.opts.Parse}
+			pr = &prober{target: m.Target, dialer: w.opts.Dialer, parse: w.opts.Parse, endCheck: endCheck{ask: w.opts.AskHosts}}
 			w.probers[m.Target.ID] = pr
 		}
 		occupant, taken := w.opts.Catalog.TargetAt(m.Target.Addr)
@@ -37,6 +37,7 @@
 			delete(w.probers, id)
 		}
 	}
+	w.takeUpEvidence()
 	return members
 }
 
--- a/internal/promotion/prober.go
+++ b/internal/promotion/prober.go
@@ -21,14 +21,15 @@
 	// target is detected fast.
 	probeDialTimeout = 200 * time.Millisecond
 	// unregisteredDeadAfter is how long a target must have been missing from
-	// the registry before it counts as dead if it doesn't respond. A live
-	// target that reaches the store is registered again within two seconds.
+	// the registry before it may count as dead if it doesn't respond to any
+	// host (see judgeEnd). A live target that reaches the store is registered
+	// again within two seconds.
 	// The registry drops a target after three missed reports. Together with
 	// that time, unregisteredDeadAfter is longer than a usual network
 	// partition.
 	unregisteredDeadAfter = 4 * time.Second
-	// deadRecheckInterval is the time between dials of a target that counts as
-	// dead because it doesn't respond. Each such dial waits for its timeout.
+	// deadRecheckInterval is the time between dials of an unregistered target
+	// that doesn't respond. Each such dial waits for its timeout.
 	deadRecheckInterval = 2 * time.Second
 	// unresolvedWindow is how long a request or command without an answer may
 	// still be carried out.
@@ -43,6 +44,7 @@
 	parse  statement.StatusParser
 	conn   statement.Conn
 
+	endCheck           endCheck
 	endedSince         time.Time                  // when the target was first known to have ended, zero while it may be alive
 	logUpperBound      topology.Position          // a position of the leader after endedSince, see Member.LogSince
 	resumePendingUntil time.Time                  // an unanswered resume command may be carried out until then
@@ -62,7 +64,7 @@
 	p.closeConn()
 	now := steady.Now()
 	if now.Before(p.redialAt) {
-		return Dead, false
+		return p.silentReach(), false
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeDialTimeout)
 	defer cancel()
@@ -77,14 +79,13 @@
 	if !errors.As(err, &dialErr) {
 		return Unresponsive, false
 	}
-	ended := hasEnded(dialErr.Outcome, p.target.Leaving, p.unregisteredFor)
-	p.recordEnd(ended, now)
+	p.checkEnd(ctx, dialErr.Outcome, now)
 	switch {
 	case dialErr.Outcome == statement.DialRefused:
 		return Dead, false
-	case ended:
+	case seemsEnded(dialErr.Outcome, p.unregisteredFor):
 		p.redialAt = now.Add(deadRecheckInterval)
-		return Dead, false
+		return p.silentReach(), false
 	case dialErr.Outcome == statement.DialTimedOut:
 		return Unresponsive, false
 	case !responsive:
@@ -98,19 +99,41 @@
 	return Overloaded, false
 }
 
-// hasEnded reports whether a target that couldn't be dialed has certainly stopped
-// receiving commits. A refused connection alone doesn't prove this: a network
-// partition may refuse connections, and a leaving target stops listening before it
-// ends and counts for acknowledgements until then. The registry drops a leaving
-// target as soon as it ends, and any other target only later.
-func hasEnded(outcome statement.DialOutcome, leaving bool, unregisteredFor time.Duration) bool {
-	switch outcome {
-	case statement.DialRefused:
-		return unregisteredFor > unregisteredDeadAfter || leaving && unregisteredFor > 0
-	case statement.DialTimedOut:
-		return unregisteredFor > unregisteredDeadAfter
+// silentReach returns the result for a target that doesn't respond.
+func (p *prober) silentReach() Reach {
+	if p.endedSince.IsZero() {
+		return Unresponsive
+	}
+	return Dead
+}
+
+// checkEnd records whether a target that couldn't be dialed is known to have ended. If it
+// only seems so, checkEnd makes other hosts dial it; takeUpEvidence has the result.
+func (p *prober) checkEnd(ctx context.Context, outcome statement.DialOutcome, now time.Time) {
+	switch {
+	case hasLeft(outcome, p.target.Leaving, p.unregisteredFor):
+		p.recordEnd(true, now)
+	case !seemsEnded(outcome, p.unregisteredFor):
+		p.recordEnd(false, now)
+	case p.endedSince.IsZero():
+		p.endCheck.start(context.WithoutCancel(ctx), p.target, now)
 	}
-	return false
+}
+
+// hasLeft reports whether a target that couldn't be dialed has certainly stopped
+// receiving commits, since it was leaving. A refused connection alone doesn't prove
+// this: a network partition may refuse connections, and a leaving target stops listening
+// before it ends and counts for acknowledgements until then. The registry drops a
+// leaving target as soon as it ends, and any other target only later.
+func hasLeft(outcome statement.DialOutcome, leaving bool, unregisteredFor time.Duration) bool {
+	return outcome == statement.DialRefused && leaving && unregisteredFor > 0
+}
+
+// seemsEnded reports whether a target that couldn't be dialed may have ended. One that is
+// cut off from this host and from the store seems so, too, but may go on to receive
+// commits: see judgeEnd.
+func seemsEnded(outcome statement.DialOutcome, unregisteredFor time.Duration) bool {
+	return (outcome == statement.DialRefused || outcome == statement.DialTimedOut) && unregisteredFor > unregisteredDeadAfter
 }
 
 // updateRegistration stores what the registry says: for how long the target has been
@@ -125,8 +148,12 @@
 	}
 }
 
-// clearEnd discards the conclusion that the target has ended.
-func (p *prober) clearEnd() { p.endedSince, p.logUpperBound = time.Time{}, topology.Position{} }
+// clearEnd discards the conclusion that the target has ended, and the question whether
+// it has.
+func (p *prober) clearEnd() {
+	p.endedSince, p.logUpperBound = time.Time{}, topology.Position{}
+	p.endCheck.discard()
+}
 
 // recordEnd records when the target was first known to have ended, or clears that
 // time if it may be alive.
--- a/internal/promotion/prober_test.go
+++ b/internal/promotion/prober_test.go
@@ -6,8 +6,10 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
 
 	"nettlewalk.example/nettlewalk/internal/statement"
+	"nettlewalk.example/nettlewalk/internal/steady"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
@@ -18,6 +20,26 @@
 	return nil, &d.failure
 }
 
+// unreachedByAll is the evidence of hosts none of which reaches a target in domain b.
+func unreachedByAll(context.Context, topology.Target) *EndEvidence {
+	return &EndEvidence{AskedAt: steady.Now(), Domains: []topology.Domain{"a", "b"}, Answers: []HostAnswer{
+		{Host: "a1", Domain: "a", Result: TargetSilent}, {Host: "b1", Domain: "b", Result: TargetSilent},
+	}}
+}
+
+// probeWithEvidence probes a target, asks other hosts if need be and takes up their
+// answers. ask may be nil.
+func probeWithEvidence(pr *prober, ask AskHosts) Reach {
+	pr.target.Domain = "b"
+	pr.endCheck.ask, pr.endCheck.leaderDomain = ask, "a"
+	_, reach := pr.command(context.Background(), statement.Status, 0)
+	for pr.endCheck.result != nil && len(pr.endCheck.result) == 0 {
+		time.Sleep(time.Millisecond) // until the answers have arrived
+	}
+	pr.takeUpEvidence(steady.Now(), "g", logr.Discard())
+	return reach
+}
+
 // Guards against this failure: a leaving replica refused connections for three
 // seconds, but acknowledged commits until the registry dropped it. A network
 // partition may refuse connections, too. A position that the leader reports after
@@ -35,13 +57,14 @@
 		{"refused after it left", statement.DialRefused, true, time.Millisecond, true},
 		{"refused and recently unregistered", statement.DialRefused, false, unregisteredDeadAfter, false},
 		{"refused and unregistered for long", statement.DialRefused, false, unregisteredDeadAfter + 1, true},
+		{"unresponsive after it left", statement.DialTimedOut, true, time.Millisecond, false},
 		{"unresponsive while leaving", statement.DialTimedOut, true, unregisteredDeadAfter, false},
 		{"unresponsive and unregistered for long", statement.DialTimedOut, false, unregisteredDeadAfter + 1, true},
 		{"accepted without an answer and unregistered for long", statement.DialNoHandshake, false, unregisteredDeadAfter + 1, false},
 	} {
 		dialer := &failingDialer{statement.DialError{Outcome: test.outcome, Cause: context.DeadlineExceeded}}
 		pr := &prober{dialer: dialer, target: topology.Target{ID: "r", Leaving: test.leaving}, unregisteredFor: test.unregisteredFor}
-		_, reach := pr.command(context.Background(), statement.Status, 0)
+		reach := probeWithEvidence(pr, unreachedByAll)
 		qt.Check(t, reach, qt.Not(qt.Equals), Answered, qt.Commentf(test.name))
 		qt.Check(t, !pr.endedSince.IsZero(), qt.Equals, test.ended, qt.Commentf(test.name))
 	}
@@ -55,7 +78,7 @@
 		dialer := &failingDialer{statement.DialError{Outcome: outcome, Cause: context.DeadlineExceeded}}
 		pr := &prober{dialer: dialer, target: topology.Target{ID: "r"}}
 		pr.updateRegistration(unregisteredDeadAfter+1, false)
-		pr.command(context.Background(), statement.Status, 0)
+		probeWithEvidence(pr, unreachedByAll)
 		qt.Assert(t, pr.endedSince.IsZero(), qt.IsFalse)
 		pr.logUpperBound = pos(1, 5)
 		pr.updateRegistration(0, false)
@@ -77,3 +100,84 @@
 	_, reach = pr.command(context.Background(), statement.Status, 0)
 	qt.Check(t, reach, qt.Equals, Reassigned)
 }
+
+// Guards against this failure: a target that was missing in the registry for four seconds and
+// didn't answer this host counted as ended, though it was only cut off from both.
+func TestSilenceAloneIsNoDeath(t *testing.T) {
+	reachedByOne := func(ctx context.Context, target topology.Target) *EndEvidence {
+		e := unreachedByAll(ctx, target)
+		e.Answers = append(e.Answers, HostAnswer{Host: "b2", Domain: "b", Result: TargetAlive})
+		return e
+	}
+	for _, outcome := range []statement.DialOutcome{statement.DialRefused, statement.DialTimedOut} {
+		for name, ask := range map[string]AskHosts{"nobody asked": nil, "reached by one": reachedByOne} {
+			dialer := &failingDialer{statement.DialError{Outcome: outcome, Cause: context.DeadlineExceeded}}
+			pr := &prober{dialer: dialer, target: topology.Target{ID: "r"}, unregisteredFor: unregisteredDeadAfter + 1}
+			probeWithEvidence(pr, ask)
+			qt.Check(t, pr.endedSince.IsZero(), qt.IsTrue, qt.Commentf("%s, %s", outcome, name))
+		}
+	}
+}
+
+// A target that was registered again, or answered, while other hosts were asked may have received
+// commits since they dialed it. The same holds for a leader in another failure domain, whose
+// hosts may reach the target.
+func TestOutdatedEvidenceIsDiscarded(t *testing.T) {
+	for name, happens := range map[string]func(*prober){
+		"registered again": func(pr *prober) {
+			pr.updateRegistration(0, false)
+			pr.updateRegistration(unregisteredDeadAfter+1, false)
+		},
+		"answered":   func(pr *prober) { pr.noteAlive() },
+		"new leader": func(pr *prober) { pr.endCheck.leaderDomain = "c" },
+	} {
+		dialer := &failingDialer{statement.DialError{Outcome: statement.DialTimedOut, Cause: context.DeadlineExceeded}}
+		pr := &prober{dialer: dialer, target: topology.Target{ID: "r", Domain: "b"}, unregisteredFor: unregisteredDeadAfter + 1, endCheck: endCheck{ask: unreachedByAll, leaderDomain: "a"}}
+		pr.command(context.Background(), statement.Status, 0)
+		qt.Assert(t, pr.endCheck.result, qt.IsNotNil)
+		for len(pr.endCheck.result) == 0 {
+			time.Sleep(time.Millisecond) // until the answers have arrived
+		}
+		happens(pr)
+		pr.takeUpEvidence(steady.Now(), "g", logr.Discard())
+		qt.Check(t, pr.endedSince.IsZero(), qt.IsTrue, qt.Commentf(name))
+	}
+}
+
+// An unregistered target that doesn't respond isn't dialed in each step of a promotion attempt,
+// whether or not it is known to have ended: each dial takes until its timeout.
+func TestUnregisteredSilentTargetIsDialedSeldom(t *testing.T) {
+	for _, test := range []struct {
+		ask  AskHosts
+		want Reach
+	}{{nil, Unresponsive}, {unreachedByAll, Dead}} {
+		dialer := &failingDialer{statement.DialError{Outcome: statement.DialTimedOut, Cause: context.DeadlineExceeded}}
+		pr := &prober{dialer: dialer, target: topology.Target{ID: "r"}, unregisteredFor: unregisteredDeadAfter + 1}
+		before := steady.Now()
+		probeWithEvidence(pr, test.ask)
+		qt.Check(t, pr.redialAt.Sub(before) >= deadRecheckInterval, qt.IsTrue)
+		pr.dialer = nil // a dial would panic
+		_, reach := pr.command(context.Background(), statement.Status, 0)
+		qt.Check(t, reach, qt.Equals, test.want)
+		pr.updateRegistration(0, false)
+		qt.Check(t, pr.redialAt.IsZero(), qt.IsTrue)
+	}
+}
+
+// The end counts from the time when all answers are in: a position of the leader from before may
+// lack commits that the target received before it was dialed.
+func TestEndCountsFromTheAnswers(t *testing.T) {
+	dialer := &failingDialer{statement.DialError{Outcome: statement.DialRefused, Cause: context.DeadlineExceeded}}
+	pr := &prober{dialer: dialer, target: topology.Target{ID: "r"}, unregisteredFor: unregisteredDeadAfter + 1}
+	var answeredAt time.Time
+	probeWithEvidence(pr, func(ctx context.Context, target topology.Target) *EndEvidence {
+		e := unreachedByAll(ctx, target)
+		time.Sleep(20 * time.Millisecond)
+		answeredAt = steady.Now()
+		return e
+	})
+	qt.Check(t, pr.endedSince.After(answeredAt), qt.IsTrue)
+	since := pr.endedSince
+	probeWithEvidence(pr, unreachedByAll)
+	qt.Check(t, pr.endedSince, qt.Equals, since)
+}
--- a/internal/promotion/types.go
+++ b/internal/promotion/types.go
@@ -49,7 +49,7 @@
 const (
 	NotProbed          Reach = iota // not probed yet
 	Answered                        // Member.Status is from this probe
-	Dead                            // connection refused, or unregistered for long; certain only if Member.LogSince is set
+	Dead                            // connection refused, or known to have ended; certain only if Member.LogSince is set
 	Unresponsive                    // no answer; the target may still serve other hosts
 	Overloaded                      // alive, but without a free connection or work slot
 	Reassigned                      // another registered target answers at its address
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -88,7 +88,10 @@
 	DutyAnnounced bool
 	// Hosts returns the number of live hosts, including this host.
 	Hosts func() int
-	Log   logr.Logger
+	// AskHosts asks other hosts whether they reach a target. If it is nil, no target
+	// counts as ended because it doesn't respond.
+	AskHosts AskHosts
+	Log      logr.Logger
 }
 
 // Watcher replaces a failed leader of its group while this host holds the group's
--- a/internal/promotion/watchers.go
+++ b/internal/promotion/watchers.go
@@ -6,10 +6,12 @@
 
 	"github.com/cockroachdb/errors"
 
+	"nettlewalk.example/nettlewalk/internal/statement"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
-// ServiceName is the RPC service to which hosts report unresponsive targets.
+// ServiceName is the RPC service to which hosts report unresponsive targets, and by which
+// they ask each other whether they reach a target.
 const ServiceName = "Promotion"
 
 const reportMethod = ServiceName + ".Report"
@@ -78,11 +80,17 @@
 	return errors.Wrap(peers.Call(ctx, holder, reportMethod, &s, &Empty{}), "report unresponsive target")
 }
 
-// Service is the RPC service that receives reports from other hosts.
-type Service struct{ watchers *Watchers }
+// Service is the RPC service that receives reports and questions from other hosts.
+type Service struct {
+	watchers *Watchers
+	dialer   statement.Dialer
+}
 
-// Service returns the RPC service to register under ServiceName.
-func (ws *Watchers) Service() *Service { return &Service{watchers: ws} }
+// Service returns the RPC service to register under ServiceName. It dials targets with
+// the dialer.
+func (ws *Watchers) Service(dialer statement.Dialer) *Service {
+	return &Service{watchers: ws, dialer: dialer}
+}
 
 // Report receives a report from another host.
 func (s *Service) Report(args *UnresponsiveReport, reply *Empty) error {
--- a/test/line/line_test.go
+++ b/test/line/line_test.go
@@ -138,6 +138,27 @@
 	b.Eventually("writes succeed again", func() bool { return b.Dial(1, "db").Exec("w WRITE item x") == "COMPLETE" })
 }
 
+// A replica that crashed doesn't block a planned change of the primary for long: the hosts ask
+// each other whether anyone reaches it, and count it as ended when nobody does.
+func TestLineCrashedReplicaDoesNotBlockPlannedChange(t *testing.T) {
+	b := NewBedWith(t, Options{SpreadTargets: true})
+	b.Eventually("a host holds the duty", b.DutyIsHeld)
+	b.Crash(2)
+	b.Store.Delete("servers", string(b.Members[2].ID))
+	unregistered := time.Now()
+	b.Eventually("the crashed replica is known to have ended", func() bool {
+		return b.metric(`nettlewalk_target_end_checks_total{outcome="ended"}`) > 0
+	})
+	took := time.Since(unregistered)
+	t.Logf("the end was known %s after the replica left the register", took)
+	qt.Check(t, took > 4*time.Second && took < 10*time.Second, qt.IsTrue, qt.Commentf("%s", took))
+	b.Register(b.Members[0], "draining")
+	b.Eventually("the other replica is promoted", func() bool { return len(b.Promotions()) > 0 })
+	qt.Check(t, b.Promotions()[0], qt.Equals, string(b.Members[1].ID))
+	b.Eventually("writes succeed again", func() bool { return b.Dial(1, "db").Exec("w WRITE item x") == "COMPLETE" })
+	qt.Check(t, b.metric(`nettlewalk_target_end_checks_total{outcome="alive"}`), qt.Equals, 0.0)
+}
+
 // A draining primary is replaced before it shuts down. Only writes in flight may
 // fail.
 func TestLineDrainingPrimaryIsReplaced(t *testing.T) {
