promotion: a registration between two looks at the register ends the conclusion that a target has ended

Cause: a prober drops the conclusion that its target has ended when it finds the target registered. A holder that waits for the effect of a promotion (2.5 s) may miss the time in which it was.

Ruled out: that the catalog tells of it in another way; it tells only for how long the target has been missing, which is less than before then.

Change: a shorter absence than at the last look counts as a registration.

Measured: TestRegistrationBetweenTwoLooksClearsDeath fails without the change; go test -race ./internal/promotion passes (one run).

--- a/internal/promotion/prober.go
+++ b/internal/promotion/prober.go
@@ -141,8 +141,9 @@
 // is registered again may be alive, so earlier conclusions about its end are
 // dropped.
 func (p *prober) updateRegistration(missingFor time.Duration, reassigned bool) {
+	registeredSince := missingFor < p.unregisteredFor // also between two calls
 	p.unregisteredFor, p.reassigned = missingFor, reassigned
-	if missingFor == 0 {
+	if missingFor == 0 || registeredSince {
 		p.redialAt = time.Time{}
 		p.clearEnd()
 	}
--- a/internal/promotion/prober_test.go
+++ b/internal/promotion/prober_test.go
@@ -181,3 +181,18 @@
 	probeWithEvidence(pr, unreachedByAll)
 	qt.Check(t, pr.endedSince, qt.Equals, since)
 }
+
+// Guards against this failure: a target that was registered and went missing again between two looks
+// at the registry was still taken for ended since its first absence. It may have received
+// commits in between.
+func TestRegistrationBetweenTwoLooksClearsDeath(t *testing.T) {
+	dialer := &failingDialer{statement.DialError{Outcome: statement.DialTimedOut, Cause: context.DeadlineExceeded}}
+	pr := &prober{dialer: dialer, target: topology.Target{ID: "r"}}
+	pr.updateRegistration(2*unregisteredDeadAfter, false)
+	probeWithEvidence(pr, unreachedByAll)
+	pr.updateRegistration(2*unregisteredDeadAfter+1, false)
+	qt.Assert(t, pr.endedSince.IsZero(), qt.IsFalse)
+	pr.updateRegistration(time.Millisecond, false)
+	qt.Check(t, pr.endedSince.IsZero(), qt.IsTrue)
+	qt.Check(t, pr.redialAt.IsZero(), qt.IsTrue)
+}
