--- a/internal/promotion/probe.go
+++ b/internal/promotion/probe.go
@@ -30,7 +30,7 @@
 			if pr != nil {
 				pr.closeConn()
 			}
-			pr = &prober{target: m.Target, dialer: w.opts.Dialer, parse: w.opts.Parse, recorded: recorded[m.Target.ID]}
+			pr = &prober{target: m.Target, dialer: w.opts.Dialer, parse: w.opts.Parse, recorded: recorded[m.Target.ID], endCheck: endCheck{ask: w.opts.AskHosts}}
 			w.probers[m.Target.ID] = pr
 			w.opts.Log.Info("target may hold commits", append([]any{"group", w.opts.Group, "target", m.Target.ID, "addr", m.Target.Addr, "incarnation", m.Incarnation, "unregistered_ms", unregistered[m.Target.ID].Milliseconds()}, w.knowledgeLog()...)...)
 		}
@@ -44,6 +44,7 @@
 			delete(w.probers, id)
 		}
 	}
+	w.takeUpEvidence()
 	return members
 }
 
