--- /dev/null
+++ b/internal/promotion/group_sim_host_test.go
@@ -0,0 +1,225 @@
+package promotion
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
+
+	"nettlewalk.example/nettlewalk/internal/catalog"
+	"nettlewalk.example/nettlewalk/internal/duty"
+	"nettlewalk.example/nettlewalk/internal/group"
+	"nettlewalk.example/nettlewalk/internal/statement"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// clusterClaim is the duty's claim in the store. What is in it outlasts its holders. It
+// is guarded by cluster.mu.
+type clusterClaim struct {
+	token      uint64
+	holder     *clusterHost
+	leadership duty.Leadership
+}
+
+// clusterHost is a host that holds the duty, with its own catalog. It implements Duty.
+type clusterHost struct {
+	cluster      *cluster
+	catalog      *catalog.Store
+	view         *group.Group
+	pendingUntil time.Time
+	stop         context.CancelFunc
+}
+
+// startHost starts a host that takes the duty. It has seen nothing but the present
+// register. Its predecessor was silent for silentFor.
+func (c *cluster) startHost(silentFor time.Duration) {
+	h := &clusterHost{cluster: c, catalog: catalog.NewStore()}
+	h.pendingUntil = time.Now().Add(max(0, duty.RequestEffectWindow-silentFor))
+	h.catalog.OfferConfiguration(&catalog.Configuration{Version: 1, Groups: map[topology.GroupID]catalog.Group{"g": {ID: "g", AckReplicas: 1}}})
+	h.view = group.New(group.Options{ID: "g", Dialer: c, Log: logr.Discard()})
+	h.hear()
+	c.mu.Lock()
+	if c.claim.holder != nil {
+		c.claim.token++
+	} else {
+		h.pendingUntil = time.Time{}
+	}
+	c.claim.holder, c.host = h, h
+	c.tracef("host holds the duty under token %d", c.claim.token)
+	c.mu.Unlock()
+	w := NewWatcher(Options{
+		Group: "g", Dialer: c, Parse: parseClusterStatus, Promoter: c, Duty: h, Catalog: h.catalog, GroupView: h.view,
+		Hosts: func() int { return 3 }, Log: funcr.New(c.log, funcr.Options{RenderArgsHook: shortenValues}),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	h.stop = cancel
+	c.watchers.Go(func() { w.Run(ctx) })
+}
+
+// stopHost ends the host that holds the duty.
+func (c *cluster) stopHost() {
+	if c.host == nil {
+		return
+	}
+	c.host.stop()
+	c.mu.Lock()
+	c.tracef("the duty's holder stops")
+	c.mu.Unlock()
+	c.host = nil
+}
+
+// hear reads the register, and hears from other hosts who leads.
+func (h *clusterHost) hear() {
+	h.catalog.OfferRegistry(h.cluster.snapshot())
+	h.catalog.Serving() // as the routing of each statement does; it forgets targets
+	h.cluster.mu.Lock()
+	leader := h.cluster.leader
+	leads := leader.running
+	h.cluster.mu.Unlock()
+	if leads {
+		h.view.NoteReportedLeader(leader.id, time.Now())
+	}
+}
+
+// log adds a watcher's log line to the trace.
+func (c *cluster) log(_, args string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tracef("host: %s", strings.TrimPrefix(args, `"level"=0 "msg"=`))
+}
+
+var reachNames = [...]string{"not probed", "answered", "dead", "unresponsive", "overloaded", "reassigned", "unregistered"}
+
+// shortenValues makes the members in a log line readable.
+func shortenValues(values []any) []any {
+	for i, v := range values {
+		members, ok := v.([]Member)
+		if !ok {
+			continue
+		}
+		var texts []string
+		for _, m := range members {
+			text := fmt.Sprintf("%s %s %s", m.ID, reachNames[m.Reach], m.Status.Received)
+			if m.Reach == Dead {
+				text = fmt.Sprintf("%s dead, bound %s", m.ID, m.LogSince)
+			}
+			if m.Status.PausedTerm > 0 {
+				text += " paused"
+			}
+			texts = append(texts, text)
+		}
+		values[i] = strings.Join(texts, "; ")
+	}
+	return values
+}
+
+func (h *clusterHost) Token(topology.GroupID) (uint64, bool) {
+	h.cluster.mu.Lock()
+	defer h.cluster.mu.Unlock()
+	return h.cluster.claim.token, h.cluster.claim.holder == h
+}
+
+func (h *clusterHost) Renew(context.Context, topology.GroupID) error {
+	h.cluster.mu.Lock()
+	defer h.cluster.mu.Unlock()
+	if h.cluster.claim.holder != h {
+		return duty.ErrHeldByOther
+	}
+	h.cluster.claim.token++
+	return nil
+}
+
+func (h *clusterHost) Leadership(topology.GroupID) duty.Leadership {
+	h.cluster.mu.Lock()
+	defer h.cluster.mu.Unlock()
+	return h.cluster.claim.leadership
+}
+
+func (h *clusterHost) Record(_ context.Context, _ topology.GroupID, state duty.Leadership) error {
+	h.cluster.mu.Lock()
+	defer h.cluster.mu.Unlock()
+	if h.cluster.claim.holder != h {
+		return duty.ErrHeldByOther
+	}
+	h.cluster.claim.leadership = state
+	return nil
+}
+
+func (h *clusterHost) NoteRequest(topology.GroupID)            {}
+func (h *clusterHost) PendingUntil(topology.GroupID) time.Time { return h.pendingUntil }
+func (h *clusterHost) Settled(topology.GroupID) bool           { return true }
+
+// Dial implements statement.Dialer for the host that holds the duty.
+func (c *cluster) Dial(ctx context.Context, target topology.Target, _ topology.CustomerID) (statement.Conn, error) {
+	time.Sleep(time.Millisecond)
+	c.mu.Lock()
+	t := c.find(target.ID)
+	answers, silent, process := t.running && !t.cutFromHolder, t.silent || t.cutFromHolder, t.process
+	c.mu.Unlock()
+	switch {
+	case answers:
+		return &clusterConn{c, t, process}, nil
+	case silent:
+		<-ctx.Done()
+		return nil, &statement.DialError{Outcome: statement.DialTimedOut, Cause: ctx.Err()}
+	}
+	return nil, &statement.DialError{Outcome: statement.DialRefused, Cause: errors.New("refused")}
+}
+
+// clusterConn is a connection to one process of a target.
+type clusterConn struct {
+	cluster *cluster
+	target  *clusterTarget
+	process int64
+}
+
+func (c *clusterConn) Alive() bool { return true }
+func (c *clusterConn) Close()      {}
+
+func (c *clusterConn) Exchange(deadline time.Time, batch ...statement.Statement) ([]statement.Answer, error) {
+	time.Sleep(time.Millisecond)
+	c.cluster.mu.Lock()
+	if c.target.cutFromHolder || !c.target.running && c.target.silent {
+		c.cluster.mu.Unlock()
+		time.Sleep(time.Until(deadline))
+		return nil, &statement.ConnError{Sent: true, Timeout: true, Cause: errors.New("timeout")}
+	}
+	defer c.cluster.mu.Unlock()
+	if !c.target.running || c.target.process != c.process {
+		return nil, &statement.ConnError{Sent: true, Cause: errors.New("reset")}
+	}
+	answers := make([]statement.Answer, len(batch))
+	for i, st := range batch {
+		answers[i] = c.cluster.run(c.target, st)
+	}
+	return answers, nil
+}
+
+// run carries out a statement of the proxy at a target.
+func (c *cluster) run(t *clusterTarget, st statement.Statement) (a statement.Answer) {
+	switch {
+	case st.Kind == statement.Begin && t != c.leader:
+		a.Code = statement.ReadOnly
+	case st.Kind == statement.Pause && t != c.leader && st.Term > t.term:
+		t.paused = st.Term
+		c.tracef("%s is paused with %s", t.id, t.position())
+	case st.Kind == statement.Resume:
+		t.paused = 0
+	}
+	status, err := json.Marshal(statement.TargetStatus{Primary: t == c.leader, Term: t.term, Received: t.position(), PausedTerm: t.paused})
+	if err != nil {
+		panic(err)
+	}
+	a.Rows, a.Position, a.HasPosition = []string{string(status)}, t.position(), true
+	return a
+}
+
+func parseClusterStatus(row string) (s statement.TargetStatus, err error) {
+	err = json.Unmarshal([]byte(row), &s)
+	return s, err
+}
