--- a/internal/promotion/prober.go
+++ b/internal/promotion/prober.go
@@ -100,6 +100,8 @@
 		return Unresponsive, false
 	case !responsive:
 		return Unresponsive, false
+	case dialErr.Code == statement.Misrouted && p.replaced:
+		return Dead, false
 	case dialErr.Code == statement.Misrouted && p.reassigned:
 		return Reassigned, false
 	case dialErr.Code == statement.Misrouted:
