failover: count only fenced targets of the present list

Seen: a write that was answered as confirmed would be missing after a change of primary. A host fences t2 of {t0,t1,t2}, the platform replaces t2 by t3, the host fences t1 and promotes it, although t0 and t3 may have confirmed a commit that t1 lacks.

Cause: the machine compared the number of all targets fenced in the attempt with the majority of the list at hand; SetGroup changes the list but not the fenced targets.

Change: countFenced counts fenced targets of the present list, also where a handover waits for a better candidate. Refused fences of targets that left don't end an attempt.

Ruled out: removing the fenced statuses in SetGroup. They are evidence about the earlier list, and a target that is listed again would have to be fenced at another term.

--- a/internal/failover/attempt.go
+++ b/internal/failover/attempt.go
@@ -158,17 +158,36 @@
 }
 
 func (m *Machine) advanceFencing(now time.Time) {
-	if len(m.attempt.fenced) >= m.group.Majority() && !m.awaitsBetterCandidate(now) {
+	if m.countFenced() >= m.group.Majority() && !m.awaitsBetterCandidate(now) {
 		m.attempt.candidate = chooseCandidate(m.group, m.attempt.fenced, m.current.primary)
 		m.setPhase(now, PhasePromoting, m.reason, string(m.attempt.candidate))
 		m.orderPromote(now)
 		return
 	}
 	if now.Sub(m.phaseSince) >= m.timings.StepTimeout {
-		m.backOff(now, fmt.Sprintf("%d of %d targets were fenced in time", len(m.attempt.fenced), len(m.group.Targets)))
+		m.backOff(now, fmt.Sprintf("%d of %d targets were fenced in time", m.countFenced(), len(m.group.Targets)))
 	}
 }
 
+// countFenced returns how many targets of the present list this host fenced. A fenced
+// target that left the list says nothing about the commits of a majority of this list.
+func (m *Machine) countFenced() int {
+	return m.countListed(func(id topology.TargetID) bool {
+		_, ok := m.attempt.fenced[id]
+		return ok
+	})
+}
+
+func (m *Machine) countListed(matches func(topology.TargetID) bool) int {
+	count := 0
+	for _, t := range m.group.Targets {
+		if matches(t.ID) {
+			count++
+		}
+	}
+	return count
+}
+
 // awaitsBetterCandidate reports whether a handover should wait for more fenced
 // targets because the best candidate so far is itself leaving.
 func (m *Machine) awaitsBetterCandidate(now time.Time) bool {
@@ -176,7 +195,7 @@
 		return false
 	}
 	candidate, ok := m.group.Target(chooseCandidate(m.group, m.attempt.fenced, m.current.primary))
-	return ok && candidate.Leaving && len(m.attempt.fenced) < len(m.group.Targets)
+	return ok && candidate.Leaving && m.countFenced() < len(m.group.Targets)
 }
 
 func (m *Machine) orderPromote(now time.Time) {
@@ -227,7 +246,8 @@
 		return
 	}
 	m.attempt.fenceRefused[id] = true
-	if len(m.group.Targets)-len(m.attempt.fenceRefused) < m.group.Majority() {
+	refused := m.countListed(func(id topology.TargetID) bool { return m.attempt.fenceRefused[id] })
+	if len(m.group.Targets)-refused < m.group.Majority() {
 		m.backOff(now, "another host has claimed this term or a higher one")
 	}
 }
