failover: a commit counts only targets of its own list

Seen: after the platform replaced t1 and t2 of {t0,t1,t2} by t3 and t4, a write was answered as confirmed although only t0 of the present list had it. A loss of t0 loses the write.

Cause: the poller's request loops outlive the confirmation that started them and serve all waiters. Each loop kept the list that it was started with, delivered answers of that list's targets to every waiter, and counted them against that list's majority.

Change: a waiter is registered with its list. It gets answers of that list's targets only and they count against that list's size, whichever loop asked. A loop ends once no waiter whose list has the target needs it. The commit counts as the primary's answer only if the primary is listed. ReadQuorum shares the code and gets the same.

Ruled out: one poller per list. A target of both lists would be asked twice as often, and the number of loops would grow with the number of changes.

The cost of a look-up in a waiter's list per answer was not measured.

--- a/internal/failover/poller.go
+++ b/internal/failover/poller.go
@@ -29,10 +29,17 @@
 
 	mu      sync.Mutex // guards the fields below
 	lastSeq uint64     // sequence number of the latest waiter
-	waiters map[waiter]chan struct{}
+	waiters map[waiter]registration
 	targets map[topology.TargetID]*targetRequests
 }
 
+// registration is the list of targets that a waiter waits for, and the channel that
+// is closed when the waiter has finished.
+type registration struct {
+	group *topology.Group
+	done  chan struct{}
+}
+
 // targetRequests is the state of the status requests to one target.
 type targetRequests struct {
 	inFlight   int
@@ -45,16 +52,17 @@
 	return &poller{
 		directory: directory,
 		observe:   observe,
-		waiters:   map[waiter]chan struct{}{},
+		waiters:   map[waiter]registration{},
 		targets:   map[topology.TargetID]*targetRequests{},
 	}
 }
 
 // confirm waits until the commit at pos is confirmed. If primary is not empty, it
-// names the target that committed pos, and the commit counts as its answer.
+// names the target that committed pos, and the commit counts as its answer if the
+// target is in the list.
 func (p *poller) confirm(ctx context.Context, g *topology.Group, pos topology.Position, primary topology.TargetID, policy customer.AckMode) error {
 	w := &commitWaiter{pos: pos, policy: policy, latest: map[topology.TargetID]target.Status{}}
-	if primary != "" {
+	if _, listed := g.Target(primary); listed {
 		w.latest[primary] = target.Status{Target: primary, Role: target.Primary, Term: pos.Term, Primary: primary, Received: pos}
 	}
 	done := p.addWaiter(g, w, &w.seq)
@@ -108,13 +116,13 @@
 	p.lastSeq++
 	*seq = p.lastSeq
 	done := make(chan struct{})
-	p.waiters[w] = done
+	p.waiters[w] = registration{group: g, done: done}
 	for _, t := range g.Targets {
 		if p.targets[t.ID] == nil {
 			p.targets[t.ID] = &targetRequests{}
 		}
 		if w.needsAnswer(t.ID) {
-			p.startRequestLocked(g, t.ID)
+			p.startRequestLocked(t.ID)
 		}
 	}
 	return done
@@ -128,22 +136,22 @@
 
 // startRequestLocked starts a request unless the requests in flight cover every
 // waiter or are at their limit. The caller holds p.mu.
-func (p *poller) startRequestLocked(g *topology.Group, id topology.TargetID) {
+func (p *poller) startRequestLocked(id topology.TargetID) {
 	requests := p.targets[id]
 	if requests.inFlight >= maxRequestsInFlight || requests.inFlight > 0 && requests.coveredSeq >= p.lastSeq {
 		return
 	}
 	requests.inFlight++
 	requests.coveredSeq = p.lastSeq
-	go p.requestLoop(g, id, p.lastSeq)
+	go p.requestLoop(id, p.lastSeq)
 }
 
 // requestLoop sends one request after another until no waiter needs another
 // answer of the target.
-func (p *poller) requestLoop(g *topology.Group, id topology.TargetID, coveredSeq uint64) {
+func (p *poller) requestLoop(id topology.TargetID, coveredSeq uint64) {
 	for {
 		a := p.request(id, coveredSeq)
-		pause, next, repeat := p.deliver(g, a)
+		pause, next, repeat := p.deliver(a)
 		if !repeat {
 			return
 		}
@@ -162,18 +170,22 @@
 	return statusAnswer{target: id, status: st, err: err, coveredSeq: coveredSeq, arrived: time.Now()}
 }
 
-// deliver passes an answer to all waiters. It reports whether the request has to
+// deliver passes an answer to the waiters whose list has the target: the list may
+// have changed since the request loop began. It reports whether the request has to
 // be repeated, and after which pause. The caller calls the returned function just
 // before it repeats the request, to get the sequence number that the request covers.
-func (p *poller) deliver(g *topology.Group, a statusAnswer) (time.Duration, func() uint64, bool) {
+func (p *poller) deliver(a statusAnswer) (time.Duration, func() uint64, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	size := groupSize{targets: len(g.Targets), majority: g.Majority()}
 	wanted := false
-	for w, done := range p.waiters {
+	for w, r := range p.waiters {
+		if _, listed := r.group.Target(a.target); !listed {
+			continue
+		}
+		size := groupSize{targets: len(r.group.Targets), majority: r.group.Majority()}
 		if w.addAnswer(a, size) {
 			delete(p.waiters, w)
-			close(done)
+			close(r.done)
 			continue
 		}
 		wanted = wanted || w.needsAnswer(a.target)
