promotion: a target taken for ended is dialed once more before a promotion

Cause: a silent target that has left the register is dialed every 2 s only. A replica returned while the store turned the hosts away, and 1.9 s later still counted as ended at 1/196 without a dial; it had confirmed up to the leader's crash, and the other replica had received nothing since 1/235.

Evidence: TestReturnedTargetIsDialedBeforePromotion promotes the other replica without the change.

Change: before a promotion, targets that weren't dialed in this step are dialed.

What is left: a target that returns between that dial and the effect of the promotion, until it is paused (100 ms).

--- a/internal/promotion/members_test.go
+++ b/internal/promotion/members_test.go
@@ -7,10 +7,13 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
 	"nettlewalk.example/nettlewalk/internal/duty"
+	"nettlewalk.example/nettlewalk/internal/group"
 	"nettlewalk.example/nettlewalk/internal/statement"
+	"nettlewalk.example/nettlewalk/internal/steady"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
@@ -105,3 +108,25 @@
 	_, waits := NextStep(v).(Wait)
 	qt.Check(t, waits, qt.IsTrue)
 }
+
+// A target that was taken for ended may have returned though the register doesn't tell yet.
+func TestReturnedTargetIsDialedBeforePromotion(t *testing.T) {
+	g := newTestGroup("p", "a", "b")
+	g.register("p", "a")
+	members := []duty.Member{{ID: "b", Addr: "b", Domain: "d", Incarnation: 1}}
+	w := NewWatcher(Options{Group: "g", Dialer: g, Parse: parseTestStatus, Promoter: g, Duty: &recordedDuty{members: members}, Catalog: g.store,
+		GroupView: group.New(group.Options{ID: "g", Dialer: g, Log: logr.Discard()}), Hosts: func() int { return 3 }, Log: logr.Discard()})
+	w.syncProbers()
+	pr := w.probers["b"]
+	pr.endedSince, pr.logUpperBound, pr.redialAt = steady.Now(), pos(1, 7), steady.Now().Add(time.Minute)
+	w.leader, w.leaderProvedAt = "p", steady.Now()
+	g.with(func(targets map[topology.TargetID]*testTarget) {
+		targets["p"].leads = false
+		targets["b"].received = pos(1, 9)
+	})
+	for range 5 {
+		w.tick(context.Background())
+	}
+	qt.Assert(t, len(g.requests()) > 0, qt.IsTrue)
+	qt.Check(t, g.requests()[0], qt.Equals, topology.TargetID("b"))
+}
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -236,10 +236,23 @@
 	return w.attempt(ctx, serves)
 }
 
+// redialEnded makes the next probes dial the targets that are taken for ended and weren't
+// dialed just now. It reports whether there are any. One that has returned while the
+// register wasn't heard of receives commits again.
+func (w *Watcher) redialEnded() bool {
+	now, any := steady.Now(), false
+	for _, pr := range w.probers {
+		if now.Before(pr.redialAt) {
+			pr.redialAt, any = time.Time{}, true
+		}
+	}
+	return any
+}
+
 // maxStepsPerTick bounds the steps after one probe of the leader: the pauses, the
-// promotion, one more for a replica that came back in between, and one for a change of the
-// register.
-const maxStepsPerTick = 4
+// promotion, one more for a replica that came back in between, one for a change of the
+// register, and one for targets that are dialed again.
+const maxStepsPerTick = 5
 
 // attempt performs the next step to replace the leader. After a Pause step it goes on
 // with the following step without another probe of the leader: whether the pauses
@@ -247,10 +260,18 @@
 // until its timeout.
 func (w *Watcher) attempt(ctx context.Context, serves bool) time.Duration {
 	w.registerReads.start(ctx, w.opts.ReadRegister, steady.Now())
+	redialed := false
 	for range maxStepsPerTick {
 		step := w.decideStep(ctx, serves)
-		if _, isPromotion := step.(Promote); isPromotion && w.registerChanged(ctx) {
-			continue
+		if _, isPromotion := step.(Promote); isPromotion {
+			changed := w.registerChanged(ctx)
+			if !redialed {
+				redialed = true
+				changed = w.redialEnded() || changed
+			}
+			if changed {
+				continue
+			}
 		}
 		w.perform(ctx, step)
 		if _, paused := step.(Pause); !paused || serves {
