promotion: an unanswered request is repeated for its target, also while the leader is gone

Cause: three requests for a replica got no answer. The replica began to leave, so another one became the candidate, and the holder paused the first one and requested the other under a higher token, without an answer either. The first request was carried out before the platform saw the higher token, and the target that it promoted had been paused for seconds.

Evidence: TestUnansweredPromotionIsRepeatedThoughItsTargetLeaves requests the other target without the change.

Change: while a request without an answer may be carried out and its target answers, that target stays the candidate, leaving or not.

What is left: a target that doesn't answer, and returns before the request is carried out.

--- a/internal/promotion/next.go
+++ b/internal/promotion/next.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
@@ -139,6 +140,11 @@
 	return pause
 }
 
+// answers reports whether a member answered the latest probe.
+func (v *View) answers(id topology.TargetID) bool {
+	return slices.ContainsFunc(v.Members, func(m Member) bool { return m.ID == id && m.Reach == Answered })
+}
+
 // logTerm returns the highest term in which a target that answers has led or received.
 func (v *View) logTerm() uint64 {
 	term := uint64(0)
--- a/internal/promotion/pauses_test.go
+++ b/internal/promotion/pauses_test.go
@@ -112,3 +112,23 @@
 	v := View{AckReplicas: 1, Leader: "p", Replace: true, Members: []Member{replica("a", pos(1, 9), 0), other}}
 	qt.Check(t, NextStep(v), qt.DeepEquals, Step(Pause{Term: 3, Targets: []topology.TargetID{"b"}}))
 }
+
+// An earlier request for a target may be carried out before the platform sees the higher
+// token of a request for another one.
+func TestUnansweredPromotionIsRepeatedThoughItsTargetLeaves(t *testing.T) {
+	g := newTestGroup("p", "a", "b")
+	g.onRequest = func(topology.TargetID) Reply {
+		members := map[topology.TargetID]catalog.Member{}
+		for _, id := range []topology.TargetID{"p", "a", "b"} {
+			members[id] = catalog.Member{Target: topology.Target{ID: id, Group: "g", Addr: string(id), Leaving: id == "a"}, Incarnation: 1}
+		}
+		g.registerMembers(members)
+		return Reply{Outcome: Unanswered}
+	}
+	g.with(func(targets map[topology.TargetID]*testTarget) { targets["p"].down = true })
+	g.watch(t, &recordedDuty{}, func(o *Options) { o.GroupView.NoteReportedLeader("p", steady.Now()) })
+	for deadline := time.Now().Add(5 * time.Second); len(g.requests()) < 3; time.Sleep(5 * time.Millisecond) {
+		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue, qt.Commentf("requests: %v", g.requests()))
+	}
+	qt.Check(t, g.requests()[:3], qt.DeepEquals, []topology.TargetID{"a", "a", "a"})
+}
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -303,8 +303,8 @@
 func (w *Watcher) decideStep(ctx context.Context, serves bool) Step {
 	view := w.probeReplicas(ctx)
 	view.Replace, view.LeaderServes, view.LeaderTerm, view.LeaderPosition = true, serves, w.leaderTerm, w.leaderGoal
-	if w.opts.Leases != nil || serves && w.otherPending(w.leader) {
-		view.Ordered = w.requests.pendingTarget(steady.Now())
+	if pending := w.requests.pendingTarget(steady.Now()); w.opts.Leases != nil || view.answers(pending) {
+		view.Ordered = pending
 	}
 	w.nextTerm = view.logTerm() + 1
 	wanted := NextStep(view)
