test/line: hosts that start after a replica has left the register

The only replica with the acknowledged writes leaves the register and can't be reached, the primary crashes and leaves it too, and all hosts are killed and started again. The new holder promotes the third target, which has none of the writes: the list of targets that may have commits is what the process has seen in the register.

--- /dev/null
+++ b/test/line/promotion_test.go
@@ -0,0 +1,106 @@
+package line
+
+import (
+	"fmt"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"nettlewalk.example/nettlewalk/test/testbed"
+)
+
+const (
+	// receivesNothing is the receive lag of a replica that is to receive nothing more.
+	receivesNothing = time.Hour
+	// expiryDelay is the time between the end of a target and that of its entry.
+	expiryDelay = time.Second
+)
+
+// write writes items through a host, the ids with the given prefix, and fails the test if
+// one isn't acknowledged.
+func (w *writer) write(t *testing.T, b *Bed, host int, prefix string, count int) {
+	t.Helper()
+	c := b.Dial(host, "db")
+	qt.Assert(t, c, qt.IsNotNil)
+	defer c.Close()
+	for n := range count {
+		id := fmt.Sprintf("%s%d", prefix, n)
+		qt.Assert(t, c.Exec(id+" WRITE "+id+" x"), qt.Equals, "COMPLETE")
+		w.acked = append(w.acked, id)
+	}
+}
+
+// checkNotPromoted fails the test, which goes on, if the promotion of the target is requested
+// within d.
+func checkNotPromoted(t *testing.T, b *Bed, id string, d time.Duration) {
+	t.Helper()
+	began := time.Now()
+	for !slices.Contains(b.Promotions(), id) && time.Since(began) < d {
+		<-time.After(20 * time.Millisecond)
+	}
+	qt.Check(t, slices.Contains(b.Promotions(), id), qt.IsFalse, qt.Commentf("promotion of %s was requested within %s", id, time.Since(began).Round(10*time.Millisecond)))
+}
+
+// newSettledBed returns a bed in which all hosts know the database db2, one of them holds
+// the duty, and the replicas have received the same.
+func newSettledBed(t *testing.T, opts Options) *Bed {
+	t.Helper()
+	b := NewBedWith(t, opts)
+	b.Configure(2, "db", "db2")
+	for i := range b.Hosts {
+		b.Eventually("second route is in effect", func() bool { return b.Dial(i, "db2") != nil })
+	}
+	b.Eventually("a host holds the duty", b.DutyIsHeld)
+	b.awaitReplicas()
+	return b
+}
+
+// awaitReplicas waits until the replicas have received the primary's log.
+func (b *Bed) awaitReplicas() {
+	b.Eventually("replicas have received the log", func() bool {
+		end := b.Members[0].Server.Status().Received
+		return b.Members[1].Server.Status().Received == end && b.Members[2].Server.Status().Received == end
+	})
+}
+
+// returnSecondTarget lets hosts reach the second target again, which registers, and waits until
+// the group has a leader.
+func (b *Bed) returnSecondTarget(t *testing.T) {
+	t.Helper()
+	qt.Assert(t, b.Members[1].Link.Heal(t.Context()), qt.IsNil)
+	b.Register(b.Members[1], "ready")
+	b.Eventually("group has a leader", func() bool { return b.Dial(0, "db2").Exec("x READ nothing") == "COMPLETE" })
+}
+
+// kill ends the host's process without notice and waits for that.
+func (h *Host) kill(t *testing.T) {
+	t.Helper()
+	qt.Assert(t, h.Cmd.Process.Signal(syscall.SIGKILL), qt.IsNil)
+	<-h.Done
+}
+
+// The only replica that has the acknowledged writes leaves the register, then the primary does.
+func TestLineRestartedHostsRememberReplicaThatLeftTheRegister(t *testing.T) {
+	b := newSettledBed(t, Options{})
+	b.Members[2].Server.SetLag(receivesNothing, 0)
+	w := &writer{}
+	w.write(t, b, 0, "w", 20)
+	qt.Assert(t, b.Members[1].Link.Cut(testbed.Upstream, testbed.Downstream), qt.IsNil)
+	b.Unregister(b.Members[1])
+	b.Crash(0)
+	<-time.After(expiryDelay)
+	b.Unregister(b.Members[0])
+	for _, h := range b.Hosts {
+		h.kill(t)
+	}
+	qt.Assert(t, b.Promotions(), qt.HasLen, 0)
+	for _, h := range b.Hosts {
+		b.Start(h)
+	}
+	checkNotPromoted(t, b, "t3", 6*time.Second)
+	b.returnSecondTarget(t)
+	w.checkAckedWrites(t, b)
+}
--- a/test/line/targets.go
+++ b/test/line/targets.go
@@ -74,6 +74,9 @@
 	qt.Assert(b.tb, err, qt.IsNil)
 }
 
+// Unregister removes the target's entry from the store.
+func (b *Bed) Unregister(m *Member) { b.Store.Delete("servers", string(m.ID)) }
+
 // Crash simulates a crash of target i: its listener and connections are closed.
 func (b *Bed) Crash(i int) {
 	b.mu.Lock()
