--- a/test/line/promotion_test.go
+++ b/test/line/promotion_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -75,6 +76,18 @@
 	b.Eventually("group has a leader", func() bool { return b.Dial(0, "db2").Exec("x READ nothing") == "COMPLETE" })
 }
 
+// holder returns the index of the host that holds the group's duty, as long as it has had
+// one holder only.
+func (b *Bed) holder() int {
+	for i, h := range b.Hosts {
+		if strings.Contains(logWithoutStatements(h.logPath), `"mine":true`) {
+			return i
+		}
+	}
+	b.tb.Fatal("no host holds the duty")
+	return 0
+}
+
 // kill ends the host's process without notice and waits for that.
 func (h *Host) kill(t *testing.T) {
 	t.Helper()
@@ -104,3 +117,31 @@
 	b.returnSecondTarget(t)
 	w.checkAckedWrites(t, b)
 }
+
+// Hosts that started after such a replica had left the register take the duty.
+func TestLineNewHolderRemembersReplicaThatLeftTheRegister(t *testing.T) {
+	b := newSettledBed(t, Options{})
+	b.Members[2].Server.SetLag(receivesNothing, 0)
+	w := &writer{}
+	w.write(t, b, 0, "w", 20)
+	holder := b.holder()
+	qt.Assert(t, b.Members[1].Link.Cut(testbed.Upstream, testbed.Downstream), qt.IsNil)
+	b.Unregister(b.Members[1])
+	for i, h := range b.Hosts {
+		if i == holder {
+			continue
+		}
+		h.kill(t)
+		b.Start(h)
+		b.Eventually("host is ready", h.IsReady)
+	}
+	b.Crash(0)
+	<-time.After(expiryDelay)
+	b.Unregister(b.Members[0])
+	qt.Assert(t, b.Promotions(), qt.HasLen, 0)
+	b.Hosts[holder].kill(t)
+	checkNotPromoted(t, b, "t3", 6*time.Second)
+	b.Start(b.Hosts[holder])
+	b.returnSecondTarget(t)
+	w.checkAckedWrites(t, b)
+}
