test/line: a replica that no host reaches and that goes on receiving

The replica is unregistered and refuses connections for 7.5 s, while it confirms commits. The holder counts it as ended and takes a later position of the leader as the end of its log; what it confirms after that is lost.

The bed can give each host a link of its own to each target, which refuses connections when it is closed. (A cut Link accepts them and stays silent, which the product doesn't take for an end.)

--- a/test/line/bed.go
+++ b/test/line/bed.go
@@ -61,6 +61,10 @@
 	RevokeTimeoutMS  int
 	// SpreadTargets puts the targets into the hosts' failure domains, one each.
 	SpreadTargets bool
+	// SeparateLinks gives each host a link of its own to each target. A host finds it by a
+	// hosts file of its own, which needs unshare(1) and the permission to create a mount
+	// namespace.
+	SeparateLinks bool
 	// HostArgs are further arguments of nettlewalk serve.
 	HostArgs []string
 }
--- a/test/line/promotion_test.go
+++ b/test/line/promotion_test.go
@@ -18,6 +18,9 @@
 	receivesNothing = time.Hour
 	// expiryDelay is the time between the end of a target and that of its entry.
 	expiryDelay = time.Second
+	// deathDelay is longer than a holder takes to count a target that is unregistered and
+	// refuses connections as ended, and to get a later position of the leader.
+	deathDelay = 7500 * time.Millisecond
 )
 
 // write writes items through a host, the ids with the given prefix, and fails the test if
@@ -72,6 +75,9 @@
 func (b *Bed) returnSecondTarget(t *testing.T) {
 	t.Helper()
 	qt.Assert(t, b.Members[1].Link.Heal(t.Context()), qt.IsNil)
+	for _, r := range b.Members[1].relays {
+		qt.Assert(t, r.open(), qt.IsNil)
+	}
 	b.Register(b.Members[1], "ready")
 	b.Eventually("group has a leader", func() bool { return b.Dial(0, "db2").Exec("x READ nothing") == "COMPLETE" })
 }
@@ -145,3 +151,32 @@
 	b.returnSecondTarget(t)
 	w.checkAckedWrites(t, b)
 }
+
+// checkReceivingReplica cuts the second target off from the register and from the given hosts
+// while it goes on confirming commits, and crashes the primary once only it has the last ones.
+func checkReceivingReplica(t *testing.T, b *Bed, hosts ...int) {
+	t.Helper()
+	w := &writer{}
+	w.write(t, b, 0, "before", 10)
+	for _, host := range hosts {
+		b.Members[1].relays[host].close()
+	}
+	b.Unregister(b.Members[1])
+	for i, unregistered := 0, time.Now(); time.Since(unregistered) < deathDelay; i++ {
+		w.write(t, b, 0, fmt.Sprintf("cut%d-", i), 1)
+		<-time.After(100 * time.Millisecond)
+	}
+	b.awaitReplicas()
+	b.Members[2].Server.SetLag(receivesNothing, 0)
+	w.write(t, b, 0, "last", 20)
+	b.Crash(0)
+	checkNotPromoted(t, b, "t3", 3*time.Second)
+	b.returnSecondTarget(t)
+	w.checkAckedWrites(t, b)
+}
+
+// No host reaches the replica; the primary does.
+func TestLineReplicaCutFromAllHostsMayStillReceive(t *testing.T) {
+	b := newSettledBed(t, Options{SeparateLinks: true})
+	checkReceivingReplica(t, b, 0, 1, 2)
+}
--- a/test/line/targets.go
+++ b/test/line/targets.go
@@ -18,37 +18,80 @@
 	Server  *target.Server
 	Line    *target.Line
 	Link    *testbed.Link // between the hosts and the target
+	addr    string        // registered
+	relays  []*relay      // between each host and Link, if hosts have separate links
 	crashed bool
 }
 
+// maxTargets is the number of targets for which hosts have separate links.
+const maxTargets = 4
+
+func targetID(i int) topology.TargetID { return topology.TargetID(fmt.Sprintf("t%d", i+1)) }
+
 func (b *Bed) startTargets() {
 	for i := range 3 {
-		id := topology.TargetID(fmt.Sprintf("t%d", i+1))
-		server, err := target.Start(target.Config{ID: id, Dir: b.tb.TempDir(), Primary: "t1", SeedSQL: target.ItemsSQL})
-		qt.Assert(b.tb, err, qt.IsNil)
-		m := &Member{ID: id, Server: server}
-		b.tb.Cleanup(func() { _ = server.Close() })
-		config := target.LineConfig{
-			Group: "svc", Received: func(p topology.Position) bool { return b.receivedByReplica(m, p) },
-			KnowsCustomer: b.knowsCustomer, IsKey: b.isKey,
-		}
-		if !b.opts.IgnoreDemote {
-			config.Demoted = func() { b.demote(m) }
-		}
-		m.Line, err = server.ServeLine(config)
-		qt.Assert(b.tb, err, qt.IsNil)
-		b.tb.Cleanup(m.Line.Close)
-		m.Link = b.link(string(id), m.Line.Addr())
-		b.Members = append(b.Members, m)
+		b.startTarget(i)
 	}
+	b.connectTargets()
+	for _, m := range b.Members {
+		b.Register(m, "ready")
+	}
+}
+
+// startTarget starts target i, which neither knows the others nor is registered.
+func (b *Bed) startTarget(i int) *Member {
+	id := targetID(i)
+	server, err := target.Start(target.Config{ID: id, Dir: b.tb.TempDir(), Primary: "t1", SeedSQL: target.ItemsSQL})
+	qt.Assert(b.tb, err, qt.IsNil)
+	m := &Member{ID: id, Server: server}
+	b.tb.Cleanup(func() { _ = server.Close() })
+	config := target.LineConfig{
+		Group: "svc", Received: func(p topology.Position) bool { return b.receivedByReplica(m, p) },
+		KnowsCustomer: b.knowsCustomer, IsKey: b.isKey,
+	}
+	if !b.opts.IgnoreDemote {
+		config.Demoted = func() { b.demote(m) }
+	}
+	m.Line, err = server.ServeLine(config)
+	qt.Assert(b.tb, err, qt.IsNil)
+	b.tb.Cleanup(m.Line.Close)
+	m.Link = b.link(string(id), m.Line.Addr())
+	m.addr = m.Link.Addr()
+	if b.opts.SeparateLinks {
+		b.startRelays(m, i)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.Members = append(b.Members, m)
+	return m
+}
+
+// connectTargets lets all targets replicate from each other.
+func (b *Bed) connectTargets() {
 	for _, m := range b.Members {
 		for _, other := range b.Members {
 			m.Server.SetPeer(other.ID, other.Server.PeerAddr())
 		}
-		b.Register(m, "ready")
 	}
 }
 
+// startRelays gives each host an address of its own for target i, which all of them know
+// by the same name.
+func (b *Bed) startRelays(m *Member, i int) {
+	m.addr = fmt.Sprintf("%s:%d", m.ID, targetPort)
+	for host := range hostCount {
+		r := newRelay(fmt.Sprintf("%s:%d", b.relayIP(host, i), targetPort), m.Link.Addr())
+		qt.Assert(b.tb, r.open(), qt.IsNil)
+		b.tb.Cleanup(r.close)
+		m.relays = append(m.relays, r)
+	}
+}
+
+// relayIP returns the address at which a host finds target i.
+func (b *Bed) relayIP(host, i int) string {
+	return fmt.Sprintf("%s.%d", b.ipPrefix, 100+10*host+i)
+}
+
 // receivedByReplica reports whether at least one running replica other than the
 // sender has received the position.
 func (b *Bed) receivedByReplica(sender *Member, p topology.Position) bool {
@@ -69,7 +112,7 @@
 		zone = "zone" + strings.TrimPrefix(string(m.ID), "t")
 	}
 	_, err := b.Store.Put("servers", string(m.ID), map[string]any{
-		"Service": "svc", "Address": m.Link.Addr(), "Zone": zone, "Slots": 2, "State": state, "DatabaseRole": "replica",
+		"Service": "svc", "Address": m.addr, "Zone": zone, "Slots": 2, "State": state, "DatabaseRole": "replica",
 	})
 	qt.Assert(b.tb, err, qt.IsNil)
 }
@@ -83,6 +126,9 @@
 	b.Members[i].crashed = true
 	m := b.Members[i]
 	b.mu.Unlock()
+	for _, r := range m.relays {
+		r.close()
+	}
 	m.Link.Close()
 	m.Line.Close()
 	_ = m.Server.Close()
