--- a/test/line/promotion_test.go
+++ b/test/line/promotion_test.go
@@ -180,3 +180,9 @@
 	b := newSettledBed(t, Options{SeparateLinks: true})
 	checkReceivingReplica(t, b, 0, 1, 2)
 }
+
+// Only the holder of the duty doesn't reach the replica.
+func TestLineReplicaCutFromHolderMayStillReceive(t *testing.T) {
+	b := newSettledBed(t, Options{SeparateLinks: true, SpreadTargets: true})
+	checkReceivingReplica(t, b, b.holder())
+}
