test/line: a late promotion request after the paused replica has restarted

A promotion request gets no answer and is carried out 6 s later. Meanwhile the primary serves again and the paused replica restarts, which ends its pause, and confirms commits that the target of the request doesn't receive.

The bed checks the fence of a late request when it is carried out, as the platform does.

--- a/test/line/promotion.go
+++ b/test/line/promotion.go
@@ -20,7 +20,7 @@
 	token, _ := strconv.ParseUint(r.Header.Get("X-Fencing-Token"), 10, 64)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if token < b.highestToken && !b.opts.Unfenced {
+	if b.isFencedLocked(token) {
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
@@ -28,7 +28,11 @@
 	b.highestToken = max(b.highestToken, token)
 	if b.lateOrders > 0 {
 		b.lateOrders--
-		time.AfterFunc(b.lateBy, func() { b.promote(topology.TargetID(body.Id)) })
+		time.AfterFunc(b.lateBy, func() {
+			if !b.isFenced(token) {
+				b.promote(topology.TargetID(body.Id))
+			}
+		})
 		conn, _, err := w.(http.Hijacker).Hijack()
 		if err == nil {
 			conn.Close() // the caller gets no answer
@@ -39,6 +43,16 @@
 	time.AfterFunc(b.promotionDelay, func() { b.promote(topology.TargetID(body.Id)) })
 }
 
+// isFenced reports whether a call with the token is refused now.
+func (b *Bed) isFenced(token uint64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.isFencedLocked(token)
+}
+
+// isFencedLocked is like isFenced. The caller must hold b.mu.
+func (b *Bed) isFencedLocked(token uint64) bool { return token < b.highestToken && !b.opts.Unfenced }
+
 func (b *Bed) promote(id topology.TargetID) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/test/line/promotion_test.go
+++ b/test/line/promotion_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -21,6 +23,10 @@
 	// deathDelay is longer than a holder takes to count a target that is unregistered and
 	// refuses connections as ended, and to get a later position of the leader.
 	deathDelay = 7500 * time.Millisecond
+	// lateness is the time after which a request without an answer is carried out.
+	lateness = 6 * time.Second
+	// attemptEnd is longer than a holder goes on with an attempt after the leader serves again.
+	attemptEnd = 500 * time.Millisecond
 )
 
 // write writes items through a host, the ids with the given prefix, and fails the test if
@@ -186,3 +192,43 @@
 	b := newSettledBed(t, Options{SeparateLinks: true, SpreadTargets: true})
 	checkReceivingReplica(t, b, b.holder())
 }
+
+// checkLateRequest makes the holder request the promotion of the second target, with the third
+// one paused, while the primary refuses connections for a moment. The request gets no answer
+// and is carried out after another target, but not the second one, could receive commits.
+func checkLateRequest(t *testing.T, b *Bed, letAnotherReceive func()) {
+	t.Helper()
+	w := &writer{}
+	w.write(t, b, 0, "before", 10)
+	b.awaitReplicas()
+	b.LoseAnswers(1000, lateness)
+	primary, candidate, paused := b.Members[0], b.Members[1], b.Members[2]
+	for _, r := range primary.relays {
+		r.close()
+	}
+	b.Eventually("a promotion is requested", func() bool { return len(b.Tokens()) > 0 })
+	requested := time.Now()
+	qt.Assert(t, paused.Line.Paused(), qt.IsTrue)
+	candidate.Server.SetLag(receivesNothing, 0)
+	for _, r := range primary.relays {
+		qt.Assert(t, r.open(), qt.IsNil)
+	}
+	b.Eventually("group has a leader", func() bool { return b.Dial(0, "db2").Exec("y READ nothing") == "COMPLETE" })
+	<-time.After(attemptEnd)
+	letAnotherReceive()
+	stop := &atomic.Bool{}
+	var wg sync.WaitGroup
+	wg.Go(func() { w.run(b, 0, stop) })
+	<-time.After(time.Until(requested.Add(lateness + time.Second)))
+	stop.Store(true)
+	wg.Wait()
+	t.Logf("%d writes acknowledged", w.count())
+	b.Eventually("group has a leader", func() bool { return b.Dial(0, "db2").Exec("x READ nothing") == "COMPLETE" })
+	w.checkAckedWrites(t, b)
+}
+
+// The paused replica restarts, which ends its pause.
+func TestLineLateRequestAfterRestartOfPausedReplica(t *testing.T) {
+	b := newSettledBed(t, Options{SeparateLinks: true})
+	checkLateRequest(t, b, b.Members[2].Line.Restart)
+}
--- a/test/standin/target/line.go
+++ b/test/standin/target/line.go
@@ -66,6 +66,10 @@
 // Close closes the listener and every connection.
 func (l *Line) Close() {
 	l.listener.Close()
+	l.closeConns()
+}
+
+func (l *Line) closeConns() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
--- a/test/standin/target/line_control.go
+++ b/test/standin/target/line_control.go
@@ -51,3 +51,16 @@
 	l.pausedTerm = 0
 	l.srv.SetLag(0, 0)
 }
+
+// Paused reports whether the server is paused by PAUSE.
+func (l *Line) Paused() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.pausedTerm > 0
+}
+
+// Restart closes every connection and ends a pause, as a restart of the process does.
+func (l *Line) Restart() {
+	l.closeConns()
+	l.Resume()
+}
