--- a/test/line/promotion_test.go
+++ b/test/line/promotion_test.go
@@ -232,3 +232,9 @@
 	b := newSettledBed(t, Options{SeparateLinks: true})
 	checkLateRequest(t, b, b.Members[2].Line.Restart)
 }
+
+// A new target registers after the request, and receives.
+func TestLineLateRequestAfterNewTargetHasRegistered(t *testing.T) {
+	b := newSettledBed(t, Options{SeparateLinks: true})
+	checkLateRequest(t, b, func() { b.AddTarget() })
+}
--- a/test/line/targets.go
+++ b/test/line/targets.go
@@ -38,6 +38,14 @@
 	}
 }
 
+// AddTarget starts another replica, which registers, and returns it.
+func (b *Bed) AddTarget() *Member {
+	m := b.startTarget(len(b.Members))
+	b.connectTargets()
+	b.Register(m, "ready")
+	return m
+}
+
 // startTarget starts target i, which neither knows the others nor is registered.
 func (b *Bed) startTarget(i int) *Member {
 	id := targetID(i)
