test/line: a relay for all hosts instead of unshare

Options.Relays puts one relay, which all hosts dial, before each target's link; closing it refuses all hosts. The tests that cut all hosts from a target need no more. Links per host, hosts files and targets' names as addresses are gone. Checks and bounds are the same.

--- a/test/line/bed.go
+++ b/test/line/bed.go
@@ -61,10 +61,9 @@
 	RevokeTimeoutMS  int
 	// SpreadTargets puts the targets into the hosts' failure domains, one each.
 	SpreadTargets bool
-	// SeparateLinks gives each host a link of its own to each target. A host finds it by a
-	// hosts file of its own, which needs unshare(1) and the permission to create a mount
-	// namespace.
-	SeparateLinks bool
+	// Relays puts a relay, which can refuse connections, between the hosts and each target's
+	// link.
+	Relays bool
 	// HostArgs are further arguments of nettlewalk serve.
 	HostArgs []string
 }
--- a/test/line/hosts.go
+++ b/test/line/hosts.go
@@ -23,7 +23,6 @@
 	Done         chan error // receives one value when the process exits
 	settingsPath string
 	logPath      string
-	hostsPath    string // hosts file of the process, "": the machine's
 	callerAddr   string
 	readyAddr    string
 }
@@ -35,7 +34,7 @@
 	peerPort     = 7001
 	readyPort    = 7002
 	internalPort = 7440
-	targetPort   = 5433 // of targets, if hosts have separate links
+	targetPort   = 5433 // of targets with relays
 )
 
 func (b *Bed) addr(host, port int) string { return fmt.Sprintf("%s.%d:%d", b.ipPrefix, host+1, port) }
@@ -75,10 +74,6 @@
 		text := fmt.Sprintf(settingsTemplate, i+1, i+1, b.ipPrefix, i+1, internalPort, internalPort, strings.Join(seeds, ","),
 			h.callerAddr, h.readyAddr, b.addr(i, peerPort), !b.opts.Unfenced, b.opts.StrictRevocation, b.opts.ConfigApplyMS, b.opts.RevokeTimeoutMS, b.StoreLink.Addr(), strings.TrimPrefix(b.promotionServer.URL, "http://"))
 		qt.Assert(b.tb, os.WriteFile(h.settingsPath, []byte(text), 0o600), qt.IsNil)
-		if b.opts.SeparateLinks {
-			h.hostsPath = filepath.Join(dir, "hosts")
-			qt.Assert(b.tb, os.WriteFile(h.hostsPath, []byte(b.hostsFile(i)), 0o600), qt.IsNil)
-		}
 		b.Hosts = append(b.Hosts, h)
 		b.Start(h)
 	}
@@ -88,15 +83,6 @@
 	b.Eventually("group has a leader", func() bool { return b.Dial(0, "db").Exec("x READ nothing") == "COMPLETE" })
 }
 
-// hostsFile returns the hosts file by which a host finds the targets.
-func (b *Bed) hostsFile(host int) string {
-	text := "127.0.0.1 localhost\n"
-	for i := range maxTargets {
-		text += b.relayIP(host, i) + " " + string(targetID(i)) + "\n"
-	}
-	return text
-}
-
 // Start starts the host's process. It can be called again after the process has
 // exited.
 func (b *Bed) Start(h *Host) {
@@ -105,12 +91,7 @@
 	logFile, err := os.OpenFile(h.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	qt.Assert(b.tb, err, qt.IsNil)
 	defer logFile.Close()
-	command := append([]string{programs.Host, "serve"}, b.opts.HostArgs...)
-	if h.hostsPath != "" {
-		inNamespace := []string{"unshare", "--map-root-user", "--mount", "sh", "-c", `mount --bind "$0" /etc/hosts && exec "$@"`, h.hostsPath}
-		command = append(inNamespace, command...)
-	}
-	h.Cmd = exec.Command(command[0], command[1:]...)
+	h.Cmd = exec.Command(programs.Host, append([]string{"serve"}, b.opts.HostArgs...)...)
 	h.Cmd.Env = append(os.Environ(), "NETTLEWALK_CONFIG="+h.settingsPath)
 	h.Cmd.Stdout, h.Cmd.Stderr = logFile, logFile
 	qt.Assert(b.tb, h.Cmd.Start(), qt.IsNil)
--- a/test/line/promotion_test.go
+++ b/test/line/promotion_test.go
@@ -81,7 +81,7 @@
 func (b *Bed) returnSecondTarget(t *testing.T) {
 	t.Helper()
 	qt.Assert(t, b.Members[1].Link.Heal(t.Context()), qt.IsNil)
-	for _, r := range b.Members[1].relays {
+	if r := b.Members[1].relay; r != nil {
 		qt.Assert(t, r.open(), qt.IsNil)
 	}
 	b.Register(b.Members[1], "ready")
@@ -158,15 +158,12 @@
 	w.checkAckedWrites(t, b)
 }
 
-// checkReceivingReplica cuts the second target off from the register and from the given hosts
-// while it goes on confirming commits, and crashes the primary once only it has the last ones.
-func checkReceivingReplica(t *testing.T, b *Bed, hosts ...int) {
-	t.Helper()
+// No host reaches the replica, which is cut off from the register too; the primary does.
+func TestLineReplicaCutFromAllHostsMayStillReceive(t *testing.T) {
+	b := newSettledBed(t, Options{Relays: true})
 	w := &writer{}
 	w.write(t, b, 0, "before", 10)
-	for _, host := range hosts {
-		b.Members[1].relays[host].close()
-	}
+	b.Members[1].relay.close()
 	b.Unregister(b.Members[1])
 	for i, unregistered := 0, time.Now(); time.Since(unregistered) < deathDelay; i++ {
 		w.write(t, b, 0, fmt.Sprintf("cut%d-", i), 1)
@@ -181,12 +178,6 @@
 	w.checkAckedWrites(t, b)
 }
 
-// No host reaches the replica; the primary does.
-func TestLineReplicaCutFromAllHostsMayStillReceive(t *testing.T) {
-	b := newSettledBed(t, Options{SeparateLinks: true})
-	checkReceivingReplica(t, b, 0, 1, 2)
-}
-
 // checkLateRequest makes the holder request the promotion of the second target, with the third
 // one paused, while the primary refuses connections for a moment. The request gets no answer
 // and is carried out after another target, but not the second one, could receive commits.
@@ -197,16 +188,12 @@
 	b.awaitReplicas()
 	b.LoseAnswers(1000, lateness)
 	primary, candidate, paused := b.Members[0], b.Members[1], b.Members[2]
-	for _, r := range primary.relays {
-		r.close()
-	}
+	primary.relay.close()
 	b.Eventually("a promotion is requested", func() bool { return len(b.Tokens()) > 0 })
 	requested := time.Now()
 	qt.Assert(t, paused.Line.Paused(), qt.IsTrue)
 	candidate.Server.SetLag(receivesNothing, 0)
-	for _, r := range primary.relays {
-		qt.Assert(t, r.open(), qt.IsNil)
-	}
+	qt.Assert(t, primary.relay.open(), qt.IsNil)
 	b.Eventually("group has a leader", func() bool { return b.Dial(0, "db2").Exec("y READ nothing") == "COMPLETE" })
 	<-time.After(attemptEnd)
 	letAnotherReceive()
@@ -223,12 +210,12 @@
 
 // The paused replica restarts, which ends its pause.
 func TestLineLateRequestAfterRestartOfPausedReplica(t *testing.T) {
-	b := newSettledBed(t, Options{SeparateLinks: true})
+	b := newSettledBed(t, Options{Relays: true})
 	checkLateRequest(t, b, b.Members[2].Line.Restart)
 }
 
 // A new target registers after the request, and receives.
 func TestLineLateRequestAfterNewTargetHasRegistered(t *testing.T) {
-	b := newSettledBed(t, Options{SeparateLinks: true})
+	b := newSettledBed(t, Options{Relays: true})
 	checkLateRequest(t, b, func() { b.AddTarget() })
 }
--- a/test/line/targets.go
+++ b/test/line/targets.go
@@ -19,15 +19,10 @@
 	Line    *target.Line
 	Link    *testbed.Link // between the hosts and the target
 	addr    string        // registered
-	relays  []*relay      // between each host and Link, if hosts have separate links
+	relay   *relay        // between the hosts and Link, or nil
 	crashed bool
 }
 
-// maxTargets is the number of targets for which hosts have separate links.
-const maxTargets = 4
-
-func targetID(i int) topology.TargetID { return topology.TargetID(fmt.Sprintf("t%d", i+1)) }
-
 func (b *Bed) startTargets() {
 	for i := range 3 {
 		b.startTarget(i)
@@ -48,7 +43,7 @@
 
 // startTarget starts target i, which neither knows the others nor is registered.
 func (b *Bed) startTarget(i int) *Member {
-	id := targetID(i)
+	id := topology.TargetID(fmt.Sprintf("t%d", i+1))
 	server, err := target.Start(target.Config{ID: id, Dir: b.tb.TempDir(), Primary: "t1", SeedSQL: target.ItemsSQL})
 	qt.Assert(b.tb, err, qt.IsNil)
 	m := &Member{ID: id, Server: server}
@@ -65,8 +60,11 @@
 	b.tb.Cleanup(m.Line.Close)
 	m.Link = b.link(string(id), m.Line.Addr())
 	m.addr = m.Link.Addr()
-	if b.opts.SeparateLinks {
-		b.startRelays(m, i)
+	if b.opts.Relays {
+		m.addr = fmt.Sprintf("%s.%d:%d", b.ipPrefix, 100+i, targetPort)
+		m.relay = newRelay(m.addr, m.Link.Addr())
+		qt.Assert(b.tb, m.relay.open(), qt.IsNil)
+		b.tb.Cleanup(m.relay.close)
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -83,23 +81,6 @@
 	}
 }
 
-// startRelays gives each host an address of its own for target i, which all of them know
-// by the same name.
-func (b *Bed) startRelays(m *Member, i int) {
-	m.addr = fmt.Sprintf("%s:%d", m.ID, targetPort)
-	for host := range hostCount {
-		r := newRelay(fmt.Sprintf("%s:%d", b.relayIP(host, i), targetPort), m.Link.Addr())
-		qt.Assert(b.tb, r.open(), qt.IsNil)
-		b.tb.Cleanup(r.close)
-		m.relays = append(m.relays, r)
-	}
-}
-
-// relayIP returns the address at which a host finds target i.
-func (b *Bed) relayIP(host, i int) string {
-	return fmt.Sprintf("%s.%d", b.ipPrefix, 100+10*host+i)
-}
-
 // receivedByReplica reports whether at least one running replica other than the
 // sender has received the position.
 func (b *Bed) receivedByReplica(sender *Member, p topology.Position) bool {
@@ -134,8 +115,8 @@
 	b.Members[i].crashed = true
 	m := b.Members[i]
 	b.mu.Unlock()
-	for _, r := range m.relays {
-		r.close()
+	if m.relay != nil {
+		m.relay.close()
 	}
 	m.Link.Close()
 	m.Line.Close()
