--- a/test/line/bed.go
+++ b/test/line/bed.go
@@ -61,6 +61,9 @@
 	RevokeTimeoutMS  int
 	// SpreadTargets puts the targets into the hosts' failure domains, one each.
 	SpreadTargets bool
+	// Relays puts a relay, which can refuse connections, between the hosts and each target's
+	// link.
+	Relays bool
 	// HostArgs are further arguments of nettlewalk serve.
 	HostArgs []string
 }
--- a/test/line/hosts.go
+++ b/test/line/hosts.go
@@ -34,6 +34,7 @@
 	peerPort     = 7001
 	readyPort    = 7002
 	internalPort = 7440
+	targetPort   = 5433 // of targets with relays
 )
 
 func (b *Bed) addr(host, port int) string { return fmt.Sprintf("%s.%d:%d", b.ipPrefix, host+1, port) }
--- a/test/line/targets.go
+++ b/test/line/targets.go
@@ -18,34 +18,66 @@
 	Server  *target.Server
 	Line    *target.Line
 	Link    *testbed.Link // between the hosts and the target
+	addr    string        // registered
+	relay   *relay        // between the hosts and Link, or nil
 	crashed bool
 }
 
 func (b *Bed) startTargets() {
 	for i := range 3 {
-		id := topology.TargetID(fmt.Sprintf("t%d", i+1))
-		server, err := target.Start(target.Config{ID: id, Dir: b.tb.TempDir(), Primary: "t1", SeedSQL: target.ItemsSQL})
-		qt.Assert(b.tb, err, qt.IsNil)
-		m := &Member{ID: id, Server: server}
-		b.tb.Cleanup(func() { _ = server.Close() })
-		config := target.LineConfig{
-			Group: "svc", Received: func(p topology.Position) bool { return b.receivedByReplica(m, p) },
-			KnowsCustomer: b.knowsCustomer, IsKey: b.isKey,
-		}
-		if !b.opts.IgnoreDemote {
-			config.Demoted = func() { b.demote(m) }
-		}
-		m.Line, err = server.ServeLine(config)
-		qt.Assert(b.tb, err, qt.IsNil)
-		b.tb.Cleanup(m.Line.Close)
-		m.Link = b.link(string(id), m.Line.Addr())
-		b.Members = append(b.Members, m)
+		b.startTarget(i)
 	}
+	b.connectTargets()
+	for _, m := range b.Members {
+		b.Register(m, "ready")
+	}
+}
+
+// AddTarget starts another replica, which registers, and returns it.
+func (b *Bed) AddTarget() *Member {
+	m := b.startTarget(len(b.Members))
+	b.connectTargets()
+	b.Register(m, "ready")
+	return m
+}
+
+// startTarget starts target i, which neither knows the others nor is registered.
+func (b *Bed) startTarget(i int) *Member {
+	id := topology.TargetID(fmt.Sprintf("t%d", i+1))
+	server, err := target.Start(target.Config{ID: id, Dir: b.tb.TempDir(), Primary: "t1", SeedSQL: target.ItemsSQL})
+	qt.Assert(b.tb, err, qt.IsNil)
+	m := &Member{ID: id, Server: server}
+	b.tb.Cleanup(func() { _ = server.Close() })
+	config := target.LineConfig{
+		Group: "svc", Received: func(p topology.Position) bool { return b.receivedByReplica(m, p) },
+		KnowsCustomer: b.knowsCustomer, IsKey: b.isKey,
+	}
+	if !b.opts.IgnoreDemote {
+		config.Demoted = func() { b.demote(m) }
+	}
+	m.Line, err = server.ServeLine(config)
+	qt.Assert(b.tb, err, qt.IsNil)
+	b.tb.Cleanup(m.Line.Close)
+	m.Link = b.link(string(id), m.Line.Addr())
+	m.addr = m.Link.Addr()
+	if b.opts.Relays {
+		m.addr = fmt.Sprintf("%s.%d:%d", b.ipPrefix, 100+i, targetPort)
+		m.relay = newRelay(m.addr, m.Link.Addr())
+		qt.Assert(b.tb, m.relay.open(), qt.IsNil)
+		b.tb.Cleanup(m.relay.close)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.Members = append(b.Members, m)
+	return m
+}
+
+// connectTargets lets all targets replicate from each other.
+func (b *Bed) connectTargets() {
 	for _, m := range b.Members {
 		for _, other := range b.Members {
 			m.Server.SetPeer(other.ID, other.Server.PeerAddr())
 		}
-		b.Register(m, "ready")
 	}
 }
 
@@ -69,17 +101,23 @@
 		zone = "zone" + strings.TrimPrefix(string(m.ID), "t")
 	}
 	_, err := b.Store.Put("servers", string(m.ID), map[string]any{
-		"Service": "svc", "Address": m.Link.Addr(), "Zone": zone, "Slots": 2, "State": state, "DatabaseRole": "replica",
+		"Service": "svc", "Address": m.addr, "Zone": zone, "Slots": 2, "State": state, "DatabaseRole": "replica",
 	})
 	qt.Assert(b.tb, err, qt.IsNil)
 }
 
+// Unregister removes the target's entry from the store.
+func (b *Bed) Unregister(m *Member) { b.Store.Delete("servers", string(m.ID)) }
+
 // Crash simulates a crash of target i: its listener and connections are closed.
 func (b *Bed) Crash(i int) {
 	b.mu.Lock()
 	b.Members[i].crashed = true
 	m := b.Members[i]
 	b.mu.Unlock()
+	if m.relay != nil {
+		m.relay.close()
+	}
 	m.Link.Close()
 	m.Line.Close()
 	_ = m.Server.Close()
