--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -321,8 +321,9 @@
 	return step
 }
 
-// currentAuthority tells whether this host may act as the holder. It must be called right before a step: a host that was suspended has heard
-// from no other host since, and may have lost the duty.
+// currentAuthority tells whether this host may act as the holder. It must be called right
+// before a step: a host that was suspended has heard from no other host since, and may
+// have lost the duty.
 func (w *Watcher) currentAuthority() authority {
 	a := authority{settled: w.opts.Duty.Settled(w.opts.Group), pendingUntil: w.opts.Duty.PendingUntil(w.opts.Group)}
 	if w.opts.Leases != nil {
