promotion, duty: targets that can't have a commit of their own don't hold a promotion back

Found by the review of the fixes; callers would have had no primary after a usual crash.

The wait for an effect no longer counts as a suspension.

--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -228,8 +228,8 @@
 }
 
 // PossibleCommitHolders returns the targets of a group that may hold acknowledged commits:
-// the registered targets, and those that recently disappeared from the
-// registry, with the time since then.
+// the registered targets, and those that disappeared from the registry, with the time
+// since then.
 func (s *Store) PossibleCommitHolders(id topology.GroupID) (members []Member, unregisteredFor map[topology.TargetID]time.Duration) {
 	now := steady.Now()
 	s.mu.Lock()
--- a/internal/duty/members.go
+++ b/internal/duty/members.go
@@ -17,9 +17,13 @@
 	Leads bool `json:"leads,omitempty"`
 	// Leaving is set if the target announced that it leaves.
 	Leaving bool `json:"leaving,omitempty"`
-	// Incarnation is the latest start of the target whose log may hold commits that no
-	// other log has, 0 if the target doesn't state it.
+	// Incarnation is the start of the target whose log counts. It differs from the registered
+	// one while the log that a restart lost may have held a commit that no other log has.
+	// 0: not stated.
 	Incarnation int64 `json:"incarnation,omitempty"`
+	// Covered is set for a target that has ended and whose commits another target has. Hosts
+	// that saw it registered would otherwise count it again.
+	Covered bool `json:"covered,omitempty"`
 }
 
 // claimRecord is the content of a group's object in the store. The members stand only
@@ -88,7 +92,7 @@
 func (k *Keeper) learnRecord(r claimRecord) {
 	k.mu.Lock()
 	known := k.claims[r.Group]
-	if k.isHeldHere(r.Claim) && !r.sameTenure(&known) {
+	if k.isHeldHere(r.Claim) && r.supersedes(&known) && !r.sameTenure(&known) {
 		k.members[r.Group], k.writtenMembers[r.Group] = r.Members, r.Members
 	}
 	k.mu.Unlock()
--- a/internal/duty/members_test.go
+++ b/internal/duty/members_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -70,3 +71,15 @@
 	k.rewrite(context.Background(), known)
 	qt.Check(t, successor(t, s).Members("g"), qt.DeepEquals, members)
 }
+
+// A store that came back from an older copy may have an earlier claim of this process.
+func TestOlderOwnClaimDoesNotReplaceMembers(t *testing.T) {
+	s := &fakeStore{}
+	k, members := recordTwo(t, s)
+	older := *s.object
+	qt.Assert(t, k.Renew(context.Background(), "g"), qt.IsNil)
+	members = append(slices.Clone(members), Member{ID: "c", Addr: "10.0.0.3:1"})
+	s.object, s.era = &older, 1
+	qt.Check(t, k.RecordMembers(context.Background(), "g", members), qt.Equals, ErrHeldByOther)
+	qt.Check(t, k.Members("g"), qt.DeepEquals, members)
+}
--- a/internal/promotion/leadercheck.go
+++ b/internal/promotion/leadercheck.go
@@ -36,6 +36,10 @@
 	}
 }
 
+// silentToOthers is the reason to replace a leader that only this host reaches. It may not
+// reach its replicas either, so nobody can be expected to receive what it has.
+const silentToOthers = "leader does not respond to other hosts"
+
 // shouldReplace reports whether the leader must be replaced, and why.
 func (w *Watcher) shouldReplace(serves bool, reach Reach) (replace bool, reason string) {
 	if !w.lastPromotionAt.IsZero() && steady.Now().Sub(w.lastPromotionAt) < promotionCooldown {
@@ -47,7 +51,7 @@
 		return true, "leader is leaving"
 	case serves:
 		if n := w.countSilenceReports(); n >= max(2, w.opts.Hosts()/3) {
-			return true, "leader does not respond to other hosts"
+			return true, silentToOthers
 		}
 		return false, ""
 	case pr == nil:
--- a/internal/promotion/members.go
+++ b/internal/promotion/members.go
@@ -7,13 +7,12 @@
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
 	"nettlewalk.example/nettlewalk/internal/duty"
-	"nettlewalk.example/nettlewalk/internal/steady"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
 const (
-	// recordInterval is the time between checks whether the recorded members have changed.
-	recordInterval = 500 * time.Millisecond
+	// maxCovered bounds how many targets are recorded that have ended and don't count.
+	maxCovered = 8
 	// recordMembersTimeout bounds the write of changed members to the store.
 	recordMembersTimeout = 2 * time.Second
 )
@@ -26,6 +25,7 @@
 		return nil, nil
 	}
 	members, unregistered := w.opts.Catalog.PossibleCommitHolders(w.opts.Group)
+	recorded := w.opts.Duty.Members(w.opts.Group)
 	listed := map[topology.TargetID]bool{}
 	for _, m := range members {
 		listed[m.Target.ID] = true
@@ -33,7 +33,7 @@
 			delete(w.missingSince, m.Target.ID)
 		}
 	}
-	for _, m := range w.opts.Duty.Members(w.opts.Group) {
+	for _, m := range recorded {
 		if listed[m.ID] {
 			continue
 		}
@@ -49,6 +49,19 @@
 	return members, unregistered
 }
 
+// isCovered reports whether an unregistered target doesn't count while it doesn't answer.
+func (w *Watcher) isCovered(id topology.TargetID) bool {
+	return w.probers[id].unregisteredFor > 0 &&
+		slices.ContainsFunc(w.opts.Duty.Members(w.opts.Group), func(m duty.Member) bool { return m.ID == id && m.Covered })
+}
+
+// handedOver reports whether a target has left and another one of the group is registered
+// at its address. That one has its log.
+func (w *Watcher) handedOver(m duty.Member) bool {
+	t := topology.Target{ID: m.ID, Group: w.opts.Group, Addr: m.Addr}
+	return m.Leaving && w.occupantAt(t) == groupMember
+}
+
 // recordedLeader returns the target that led when the members were recorded, or "".
 func (w *Watcher) recordedLeader() topology.TargetID {
 	for _, m := range w.opts.Duty.Members(w.opts.Group) {
@@ -60,9 +73,10 @@
 }
 
 // nextMembers returns the members to record: the registered targets, and those recorded
-// earlier whose logs may hold a commit that no other log has.
+// earlier whose logs may hold a commit that no other log has. Of the others it keeps
+// maxCovered.
 func nextMembers(recorded []duty.Member, registered []catalog.Member, v *View) []duty.Member {
-	var list []duty.Member
+	var list, covered []duty.Member
 	for _, m := range registered {
 		next := duty.Member{ID: m.Target.ID, Addr: m.Target.Addr, Domain: m.Target.Domain, Leads: m.Target.ID == v.Leader, Leaving: m.Target.Leaving, Incarnation: m.Incarnation}
 		i := slices.IndexFunc(recorded, func(r duty.Member) bool { return r.ID == next.ID })
@@ -73,11 +87,18 @@
 	}
 	for _, r := range recorded {
 		isRegistered := slices.ContainsFunc(registered, func(m catalog.Member) bool { return m.Target.ID == r.ID })
-		if !isRegistered && (r.ID == v.Leader || !v.coversEndedLog(r.ID)) {
-			r.Leads = r.ID == v.Leader
+		if isRegistered {
+			continue
+		}
+		r.Leads = r.ID == v.Leader
+		r.Covered = r.Covered || !r.Leads && v.coversEndedLog(r.ID)
+		if r.Covered {
+			covered = append(covered, r)
+		} else {
 			list = append(list, r)
 		}
 	}
+	list = append(list, covered[max(0, len(covered)-maxCovered):]...)
 	slices.SortFunc(list, func(a, b duty.Member) int {
 		if a.ID < b.ID {
 			return -1
@@ -118,15 +139,19 @@
 // recordMembers records the possible commit holders if they have changed. It doesn't
 // wait for the store.
 func (w *Watcher) recordMembers(ctx context.Context, v *View) {
-	now := steady.Now()
-	if now.Sub(w.membersRecordedAt) < recordInterval {
-		return
-	}
-	w.membersRecordedAt = now
 	registered, unregistered := w.opts.Catalog.PossibleCommitHolders(w.opts.Group)
 	registered = slices.DeleteFunc(registered, func(m catalog.Member) bool { _, missing := unregistered[m.Target.ID]; return missing })
+	for i, m := range registered {
+		if pr := w.probers[m.Target.ID]; pr != nil {
+			registered[i].Incarnation = pr.incarnation // the view is of that one; the register may have changed since
+		}
+	}
 	recorded := w.opts.Duty.Members(w.opts.Group)
-	next := nextMembers(w.withUnregistered(recorded), registered, v)
+	known := w.withUnregistered(recorded)
+	for i, m := range known {
+		known[i].Covered = m.Covered || w.handedOver(m)
+	}
+	next := nextMembers(known, registered, v)
 	for _, m := range next {
 		if pr := w.probers[m.ID]; pr != nil && m.Incarnation == pr.incarnation {
 			pr.clearLostLog()
--- a/internal/promotion/next.go
+++ b/internal/promotion/next.go
@@ -149,9 +149,10 @@
 	return pause
 }
 
-// answers reports whether a member answered the latest probe.
-func (v *View) answers(id topology.TargetID) bool {
-	return slices.ContainsFunc(v.Members, func(m Member) bool { return m.ID == id && m.Reach == Answered })
+// mayComplete reports whether a promotion that was requested may still be completed: the
+// target answered the latest probe and has its log.
+func (v *View) mayComplete(id topology.TargetID) bool {
+	return slices.ContainsFunc(v.Members, func(m Member) bool { return m.ID == id && m.Reach == Answered && !m.LostLog })
 }
 
 // logTerm returns the highest term in which a target that answers has led or received.
@@ -196,6 +197,7 @@
 	for _, m := range others {
 		switch {
 		case m.Reach == Answered && !m.MayResume:
+		case m.Reach != Answered && m.Covered:
 		case m.Reach == Dead && !m.LogSince.IsZero() && candidate.Status.Received.AtLeast(m.LogSince):
 		default:
 			n++
--- a/internal/promotion/probe.go
+++ b/internal/promotion/probe.go
@@ -151,8 +151,8 @@
 				pr.notePause(status.PausedTerm, now)
 			}
 			m := Member{ID: id, Leaving: pr.target.Leaving, Reach: reach, Status: status, LogSince: pr.logUpperBound, MayResume: now.Before(pr.resumePendingUntil),
-				MayBeNeeded: pr.pausedByOther() && now.Sub(pr.pauseSeenAt) < unresolvedWindow,
-				LostLog:     !pr.lostLogSince.IsZero(), LostLogEnd: pr.lostLogBound}
+				Covered: w.isCovered(id), MayBeNeeded: pr.pausedByOther() && now.Sub(pr.pauseSeenAt) < unresolvedWindow,
+				LostLog: !pr.lostLogSince.IsZero(), LostLogEnd: pr.lostLogBound}
 			mu.Lock()
 			defer mu.Unlock()
 			view.Members = append(view.Members, m)
--- a/internal/promotion/promote.go
+++ b/internal/promotion/promote.go
@@ -75,6 +75,9 @@
 		}
 		w.keepPaused(ctx, target)
 		time.Sleep(attemptInterval)
+		if now := steady.Now(); now.Sub(w.lastTickAt) <= suspendedAfter {
+			w.lastTickAt = now // the wait is no suspension
+		}
 	}
 	w.opts.Log.Info("promotion has not taken effect yet", "group", w.opts.Group, "target", target)
 	w.requests.unanswered = true // its effect may still come
--- a/internal/promotion/types.go
+++ b/internal/promotion/types.go
@@ -72,6 +72,9 @@
 	// MayBeNeeded is set if another holder of the duty paused the target, while a request of
 	// that holder may rely on it.
 	MayBeNeeded bool
+	// Covered is set if the target has ended and another one has what it had. It counts
+	// only if it answers again.
+	Covered bool
 	// LostLog is set if the target has started again without the log that it had.
 	// LostLogEnd is an upper bound of that log, zero if no bound is known.
 	LostLog    bool
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -131,12 +131,11 @@
 	lastWaitReason   string    // reason of the last Wait step that was logged
 	lastWaitLoggedAt time.Time
 
-	missingSince      map[topology.TargetID]time.Time // when recorded targets were first seen to be missing in the register
-	membersRecordedAt time.Time
-	recording         atomic.Bool // a write of the members is under way
-	nextTerm          uint64      // term in which the target of the next request will lead
-	pausesCheckedAt   time.Time   // while a promotion is under way
-	registerReads     registerReads
+	missingSince    map[topology.TargetID]time.Time // when recorded targets were first seen to be missing in the register
+	recording       atomic.Bool                     // a write of the members is under way
+	nextTerm        uint64                          // term in which the target of the next request will lead
+	pausesCheckedAt time.Time                       // while a promotion is under way
+	registerReads   registerReads
 
 	mu      sync.Mutex
 	reports map[topology.HostID]report
@@ -230,7 +229,7 @@
 		w.attemptStartedAt, w.pausedAt, w.leaderGoal = now, now, topology.Position{}
 	}
 	w.attemptReason = reason
-	if serves && w.leaderGoal.IsZero() && w.leaderProvedAt.After(w.pausedAt) {
+	if serves && reason != silentToOthers && w.leaderGoal.IsZero() && w.leaderProvedAt.After(w.pausedAt) {
 		w.leaderGoal = w.leaderPosition
 	}
 	return w.attempt(ctx, serves)
@@ -259,11 +258,15 @@
 // suffice doesn't depend on the leader, and a probe of an unresponsive leader takes
 // until its timeout.
 func (w *Watcher) attempt(ctx context.Context, serves bool) time.Duration {
-	w.registerReads.start(ctx, w.opts.ReadRegister, steady.Now())
 	redialed := false
 	for range maxStepsPerTick {
 		step := w.decideStep(ctx, serves)
-		if _, isPromotion := step.(Promote); isPromotion {
+		_, isPromotion := step.(Promote)
+		_, isPause := step.(Pause)
+		if isPromotion || isPause {
+			w.registerReads.start(ctx, w.opts.ReadRegister, steady.Now())
+		}
+		if isPromotion {
 			changed := w.registerChanged(ctx)
 			if !redialed {
 				redialed = true
@@ -274,7 +277,7 @@
 			}
 		}
 		w.perform(ctx, step)
-		if _, paused := step.(Pause); !paused || serves {
+		if !isPause || serves {
 			break // while the leader serves, its position after the pauses counts
 		}
 	}
@@ -303,7 +306,7 @@
 func (w *Watcher) decideStep(ctx context.Context, serves bool) Step {
 	view := w.probeReplicas(ctx)
 	view.Replace, view.LeaderServes, view.LeaderTerm, view.LeaderPosition = true, serves, w.leaderTerm, w.leaderGoal
-	if pending := w.requests.pendingTarget(steady.Now()); w.opts.Leases != nil || view.answers(pending) {
+	if pending := w.requests.pendingTarget(steady.Now()); w.opts.Leases != nil || view.mayComplete(pending) {
 		view.Ordered = pending
 	}
 	view.MayEndPauses = w.requests.mayResume(steady.Now())
