--- a/internal/promotion/availability_test.go
+++ b/internal/promotion/availability_test.go
@@ -102,8 +102,7 @@
 // A leader that only the holder reaches has commits that nobody can be expected to receive.
 func TestLeaderThatReachesNoReplicaIsReplaced(t *testing.T) {
 	g := newTestGroup("p", "a", "b")
-	var w *Watcher
-	w = NewWatcher(Options{Group: "g", Dialer: g, Parse: parseTestStatus, Promoter: g, Duty: &recordedDuty{}, Catalog: g.store,
+	w := NewWatcher(Options{Group: "g", Dialer: g, Parse: parseTestStatus, Promoter: g, Duty: &recordedDuty{}, Catalog: g.store,
 		GroupView: group.New(group.Options{ID: "g", Dialer: g, Log: logr.Discard()}), Hosts: func() int { return 3 }, Log: logr.Discard()})
 	g.with(func(targets map[topology.TargetID]*testTarget) { targets["p"].received = pos(1, 9) }) // 2 not acknowledged
 	ctx, cancel := context.WithCancel(context.Background())
