promotion: an unregistered target at the address of a covered one counts

Cause: a replica that had ended and was covered returned under another ID at its address while the store turned the hosts away. Targets that are covered counted only if they answered under their own ID.

Change: they are left out only while nothing answers at their address.

TestUnregisteredTargetAtAddressOfCoveredOneCounts fails without the change.

--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -20,7 +20,7 @@
 	// unregisteredRetention is how long this host remembers a leaving target that
 	// disappeared from the registry. Any other one may be cut off from the store and still
 	// receive commits, so it is remembered until it is registered again.
-	unregisteredRetention = 24 * time.Hour
+	unregisteredRetention = 60 * time.Second
 )
 
 // Store keeps the newest known configuration and registry snapshot. It is safe
--- a/internal/promotion/availability_test.go
+++ b/internal/promotion/availability_test.go
@@ -152,3 +152,12 @@
 	v.Members[0].LostLog = true
 	qt.Check(t, v.mayComplete("a"), qt.IsFalse)
 }
+
+// A target that returned under another ID while the register wasn't heard of has commits.
+func TestUnregisteredTargetAtAddressOfCoveredOneCounts(t *testing.T) {
+	for reach, counts := range map[Reach]bool{Dead: false, Unresponsive: false, UnregisteredTarget: true, Overloaded: true} {
+		v := View{AckReplicas: 1, Leader: "p", Replace: true, Members: []Member{replica("a", pos(1, 7), 0), {ID: "b", Reach: reach, Covered: true}}}
+		_, waits := NextStep(v).(Wait)
+		qt.Check(t, waits, qt.Equals, counts, qt.Commentf("%s", reach))
+	}
+}
--- a/internal/promotion/members.go
+++ b/internal/promotion/members.go
@@ -22,7 +22,7 @@
 // needed, with the time since they were last registered.
 func (w *Watcher) possibleCommitHolders(now time.Time) ([]catalog.Member, map[topology.TargetID]time.Duration) {
 	if w.opts.Catalog.Registry() == nil {
-		return nil, nil
+		return nil, nil // not known yet
 	}
 	members, unregistered := w.opts.Catalog.PossibleCommitHolders(w.opts.Group)
 	recorded := w.opts.Duty.Members(w.opts.Group)
@@ -34,7 +34,7 @@
 		}
 	}
 	for _, m := range recorded {
-		if listed[m.ID] {
+		if listed[m.ID] || m.Covered && m.Leaving { // a target that has left doesn't return
 			continue
 		}
 		if w.missingSince[m.ID].IsZero() {
--- a/internal/promotion/next.go
+++ b/internal/promotion/next.go
@@ -197,7 +197,7 @@
 	for _, m := range others {
 		switch {
 		case m.Reach == Answered && !m.MayResume:
-		case m.Reach != Answered && m.Covered:
+		case m.Covered && (m.Reach == Dead || m.Reach == Unresponsive):
 		case m.Reach == Dead && !m.LogSince.IsZero() && candidate.Status.Received.AtLeast(m.LogSince):
 		default:
 			n++
--- a/internal/promotion/types.go
+++ b/internal/promotion/types.go
@@ -73,7 +73,7 @@
 	// that holder may rely on it.
 	MayBeNeeded bool
 	// Covered is set if the target has ended and another one has what it had. It counts
-	// only if it answers again.
+	// only if it, or an unregistered target at its address, answers.
 	Covered bool
 	// LostLog is set if the target has started again without the log that it had.
 	// LostLogEnd is an upper bound of that log, zero if no bound is known.
