--- a/review/standin/unregistered.go
+++ b/review/standin/unregistered.go
@@ -37,6 +37,8 @@
 		}
 	}
 	time.Sleep(4 * time.Second)
+	done, crashes := make(chan struct{}), make(chan int, 1)
+	go func() { crashes <- w.restartEnded(done) }()
 	leader, replica := w.cluster.backends[0], w.cluster.backends[1]
 	if w.trouble {
 		cutAt := time.Now()
@@ -56,17 +58,37 @@
 		time.Sleep(cutFor + downFor)
 	}
 	time.Sleep(4 * time.Second)
-	for _, h := range w.hosts {
-		if h.endedByItself() {
-			broken++
-			w.rec.note("CRASH: the process of %s ended by itself", h.name)
-		}
-	}
+	close(done)
+	broken = <-crashes
 	close(stop)
 	wg.Wait()
 	return broken, nil
 }
 
+// restartEnded starts processes again that have ended by themselves, as the platform does, until
+// done is closed. It returns how many ended.
+func (w *world) restartEnded(done chan struct{}) (ended int) {
+	const delay = time.Second
+	for {
+		for _, h := range w.hosts {
+			if h.endedByItself() {
+				ended++
+				w.rec.note("CRASH: the process of %s ended by itself", h.name)
+				time.Sleep(delay)
+				if err := h.start(); err != nil {
+					w.rec.note("%s doesn't start: %s", h.name, err)
+					return ended
+				}
+			}
+		}
+		select {
+		case <-done:
+			return ended
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
 // readNowAndThen is a client with one session that reads every 50 ms.
 func (w *world) readNowAndThen(h *host, name, key string, stop chan struct{}) {
 	n := 0
