--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"math/rand"
 	"net"
 	"net/http"
 	"strconv"
@@ -59,6 +60,10 @@
 	sequence   int
 	runs       map[string]int // by id of the statement
 	commits    map[string]int // effects by id of the statement
+	// failShare is the share of its requests that the backend fails.
+	failShare float64
+	// onRun is called with the session values under which a statement runs; it may be nil.
+	onRun func(id string, values map[string]string)
 }
 
 func newCluster(service string, ids, zones []string, s *store, rec *record, t timing) (*cluster, error) {
@@ -236,6 +241,7 @@
 	writes   map[string]string
 	ids      []string
 	prepared map[string]string
+	values   map[string]string // session values
 }
 
 func (b *backend) serve(conn net.Conn) {
@@ -247,7 +253,7 @@
 		return
 	}
 	b.work(b.c.timing.handshake)
-	s := &session{b: b, state: "I", prepared: map[string]string{}}
+	s := &session{b: b, state: "I", prepared: map[string]string{}, values: map[string]string{}}
 	fmt.Fprintf(conn, "READY I %s\r\n", b.position())
 	for {
 		line, err := readMessage(reader)
@@ -338,8 +344,12 @@
 		return s.fail("MALFORMED")
 	}
 	b.c.mu.Lock()
-	lead, term := b.primary, b.term
+	lead, term, failShare := b.primary, b.term, b.failShare
 	b.c.mu.Unlock()
+	if word != "COMMIT" && word != "ROLLBACK" && rand.Float64() < failShare { // without effect
+		b.c.rec.note("backend %s fails %s %s", b.id, id, text)
+		return s.fail("FAILED")
+	}
 	if s.state == "T" && s.plain && word != "ROLLBACK" && (!lead || term != s.began) && !(word == "COMMIT" && len(s.writes) == 0) {
 		return s.fail("READONLY")
 	}
@@ -355,8 +365,11 @@
 		return complete
 	case "RESET":
 		clear(s.prepared)
+		clear(s.values)
 		return complete
 	case "SET":
+		name, value, _ := strings.Cut(rest, " ")
+		s.values[name] = value
 		return complete
 	case "PREPARE":
 		name, shape, _ := strings.Cut(rest, " ")
@@ -412,6 +425,7 @@
 	switch word {
 	case "READ":
 		b.begin(id)
+		s.noteRun(id)
 		b.work(b.c.timing.read)
 		return "ROW " + b.item(name, s.writes) + "\r\n" + signature
 	case "WRITE":
@@ -419,6 +433,7 @@
 			return s.fail("READONLY")
 		}
 		b.begin(id)
+		s.noteRun(id)
 		b.work(b.c.timing.write)
 		if s.state == "T" {
 			s.writes[name] = value
@@ -448,6 +463,13 @@
 	return s.fail("MALFORMED")
 }
 
+// noteRun tells under which session values a statement runs.
+func (s *session) noteRun(id string) {
+	if s.b.onRun != nil {
+		s.b.onRun(id, s.values)
+	}
+}
+
 // broken returns the answer to a commit that failed: none if its outcome isn't known.
 func (s *session) broken(code string) string {
 	if code == "INDOUBT" {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,6 +28,7 @@
 	"promoted-unregistered": promotedUnregistered,
 	"memory-limit":          memoryLimit,
 	"smuggled-line":         smuggledLine,
+	"failed-set":            failedSet,
 }
 
 func main() {
