--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -358,10 +358,10 @@
 		if rest != "READ" && !lead {
 			return s.fail("READONLY")
 		}
-		s.state, s.plain, s.began, s.writes = "T", rest != "READ", term, map[string]string{}
+		s.state, s.plain, s.began, s.writes, s.ids = "T", rest != "READ", term, map[string]string{}, nil
 		return complete
 	case "ROLLBACK":
-		s.state, s.writes = "I", nil
+		s.state, s.writes, s.ids = "I", nil, nil
 		return complete
 	case "RESET":
 		clear(s.prepared)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,6 +29,7 @@
 	"memory-limit":          memoryLimit,
 	"smuggled-line":         smuggledLine,
 	"failed-set":            failedSet,
+	"foreign-entry":         foreignEntry,
 }
 
 func main() {
