Send a statement only after the target has accepted the session's state

Cause: RESET, SET, PREPARE and DEALLOCATE went out in one write with the statement that needs them. beginOnConn never looked at their answers, replay noted them on the connection before they were sent, and the probe of an idle connection took a refused RESET for done. Where the answers were looked at (single statements, statements of a transaction) the statement behind them had run: a write reported as in doubt was committed under the wrong values.

Ruled out: hosted transactions and forwarded statements go through the same functions; on the PostgreSQL path a target skips to Sync after an error, and no values are sent ahead.

Change: applyState sends what is missing, checks each answer, and only then notes it on the connection; the statement follows in a write of its own. BEGIN may go along, because nothing runs in that transaction before the answers are read. A refusal leaves the connection open with unknown state, so that its next user begins with RESET. RESET is left out where no session has left anything.

--- a/internal/relay/crossing.go
+++ b/internal/relay/crossing.go
@@ -130,18 +130,28 @@
 	if !r.session.foreign {
 		router.CountOwn(r.route.Group)
 	}
-	bytes := 0
-	if m, ok := conn.Conn.(statement.Meter); ok {
-		bytes = m.ExchangedBytes()
-	}
 	kind := locality.Reads
 	if atLeader {
 		kind = locality.AtLeader
 	}
+	bytes := r.stateBytes + exchangedBytes(conn)
+	r.stateBytes = 0
 	domain := r.group.DomainOf(id)
 	router.RecordBytes(r.route.Group, kind, domain != "" && domain != router.Domain(), bytes)
 }
 
+// recordStateExchange notes the bytes of the last exchange, which applied the session's
+// state. They are recorded with those of the statement that follows.
+func (r *request) recordStateExchange(conn *share.Conn) { r.stateBytes += exchangedBytes(conn) }
+
+// exchangedBytes returns the bytes of the last exchange on a connection, 0 if unknown.
+func exchangedBytes(conn *share.Conn) int {
+	if m, ok := conn.Conn.(statement.Meter); ok {
+		return m.ExchangedBytes()
+	}
+	return 0
+}
+
 // offersByCost returns the hosts to which a statement may be forwarded by its cost.
 // It notes for the receiving host whether the statement has to leave its domain.
 func (r *request) offersByCost(offers []placement.Offer, needsLeader, needsFree bool) []placement.Offer {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -11,9 +11,10 @@
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
-// exchange sends the batch, preceded by the session state that the target lacks.
-// callerIndex is the index of the caller's statement in the batch. The second result
-// tells whether the statement didn't run, or ran without effect, and may be retried.
+// exchange sends the batch over a connection that has the session's state, and returns
+// the connection to its pool. callerIndex is the index of the caller's statement in the
+// batch. The second result tells whether the statement didn't run, or ran without
+// effect, and may be retried.
 func (r *request) exchange(id topology.TargetID, pool *share.Pool, conn *share.Conn, batch []statement.Statement, callerIndex int, deadline time.Time) (statement.Answer, bool) {
 	if !isUsable(conn) { // not counted as a try: each dead connection is found only once
 		pool.Release(conn, false)
@@ -26,22 +27,19 @@
 		return r.budgetRefusal(), false
 	}
 	r.tries++
-	prefix := r.session.state.replay(conn, r.preparedName)
+	if _, err := r.applyState(id, conn, deadline); err != nil {
+		pool.Release(conn, errors.Is(err, errStateRefused))
+		return r.session.refusal(r.unsentCode(err), err.Error()), true
+	}
 	sent := steady.Now()
-	answers, err := conn.Exchange(deadline, append(prefix, batch...)...)
+	answers, err := conn.Exchange(deadline, batch...)
 	r.recordExchange(id, callerIndex > 0 || r.writes, conn)
 	targetLatency[callerIndex > 0 || r.writes].Update(steady.Now().Sub(sent).Seconds())
 	pool.Release(conn, err == nil)
 	if err != nil {
 		return r.answerBroken(id, err)
 	}
-	r.mayHaveRun = r.mayHaveRun || !answers[len(prefix)+callerIndex].Code.NotRun()
-	for i := range prefix {
-		if !answers[i].OK() {
-			return r.answerReplayFailed(conn, &answers[i])
-		}
-	}
-	answers = answers[len(prefix):]
+	r.mayHaveRun = r.mayHaveRun || !answers[callerIndex].Code.NotRun()
 	if callerIndex > 0 {
 		r.group.NoteBeginAnswer(id, sent, &answers[0])
 		if !answers[0].OK() { // the statement ran without proof of leadership
@@ -74,12 +72,19 @@
 	if !conn.Alive() {
 		return false
 	}
-	if conn.IdleFor() < idleCheckThreshold {
-		return true
+	return conn.IdleFor() < idleCheckThreshold || answersReset(conn)
+}
+
+// answersReset sends RESET and reports whether an answer arrives.
+func answersReset(conn *share.Conn) bool {
+	answers, err := conn.Exchange(time.Now().Add(idleCheckTimeout), proxyStatement(statement.Reset, ""))
+	if err != nil {
+		return false
 	}
-	_, err := conn.Exchange(time.Now().Add(idleCheckTimeout), proxyStatement(statement.Reset, ""))
-	conn.ClearSession()
-	return err == nil
+	if answers[0].OK() {
+		conn.ClearSession()
+	}
+	return true
 }
 
 // answerBroken returns the answer for a statement whose connection broke.
@@ -98,14 +103,12 @@
 	return r.session.refusal(code, broken.Error()), retry
 }
 
-// answerReplayFailed returns the answer if the target refused to restore a session
-// value or prepared statement. The caller's statement, sent in the same batch, may
-// have run without that state.
-func (r *request) answerReplayFailed(conn *share.Conn, a *statement.Answer) (statement.Answer, bool) {
-	conn.Close() // the pool discards a closed connection
-	r.session.log.Info("target refused session state", "request", r.st.ID, "code", a.Code.String(), "detail", a.Detail)
-	if r.writes {
-		return r.session.refusal(statement.InDoubt, "the target refused the session state"), false
+// unsentCode returns the code for a statement that wasn't sent because of an error of
+// applyState. A read whose target didn't answer in time counts as timed out.
+func (r *request) unsentCode(err error) statement.Code {
+	var broken *statement.ConnError
+	if !r.writes && errors.As(err, &broken) && broken.Timeout {
+		return statement.TimedOut
 	}
-	return r.session.refusal(statement.Busy, "the target refused the session state"), true
+	return statement.Busy
 }
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -56,6 +56,7 @@
 	budgetRefused, outOfBudget bool
 	prepaid                    bool              // asking a further host was charged ahead
 	failedAnswer               *statement.Answer // of the first target, if it failed the read
+	stateBytes                 int               // of exchanges that applied session state and aren't recorded yet
 }
 
 // serveSingle runs one statement outside a transaction.
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"nettlewalk.example/nettlewalk/internal/catalog"
 	"nettlewalk.example/nettlewalk/internal/group"
 	"nettlewalk.example/nettlewalk/internal/quota"
@@ -59,8 +61,14 @@
 	if t.conn == nil {
 		return
 	}
-	answers, err := t.conn.Exchange(time.Now().Add(rollbackTimeout), proxyStatement(statement.Rollback, ""))
-	t.release(err == nil && answers[0].State == statement.Idle)
+	t.release(rollbackOn(t.conn))
+}
+
+// rollbackOn rolls back the connection's transaction. It returns whether the connection may
+// be used again.
+func rollbackOn(conn *share.Conn) bool {
+	answers, err := conn.Exchange(time.Now().Add(rollbackTimeout), proxyStatement(statement.Rollback, ""))
+	return err == nil && answers[0].State == statement.Idle
 }
 
 func (s *session) serveBegin(st *statement.Statement) statement.Answer {
@@ -178,13 +186,15 @@
 // runOnConn runs a statement on the transaction's connection.
 func (s *session) runOnConn(r *request) statement.Answer {
 	t := s.tx
+	if _, err := r.applyState(t.target, t.conn, r.deadline); err != nil {
+		return s.failWith(s.refusal(statement.Aborted, err.Error()), errors.Is(err, errStateRefused))
+	}
 	if t.atLeader && !t.group.MayLead(t.target) {
 		return s.failWith(s.refusal(statement.Aborted, leaseLostDetail), true)
 	}
-	prefix := s.state.replay(t.conn, r.preparedName)
 	r.earnInTransaction()
 	sent := steady.Now()
-	answers, err := t.conn.Exchange(r.deadline, append(prefix, *r.st)...)
+	answers, err := t.conn.Exchange(r.deadline, *r.st)
 	r.recordExchange(t.target, t.atLeader, t.conn)
 	targetLatency[!t.readOnly].Update(steady.Now().Sub(sent).Seconds())
 	if err != nil {
@@ -193,12 +203,7 @@
 		t.group.NoteFailedAnswer(t.target)
 		return s.failWith(s.refusal(statement.Aborted, err.Error()), false)
 	}
-	for i := range prefix {
-		if !answers[i].OK() {
-			return s.failWith(s.refusal(statement.Aborted, "the target refused the session state"), false)
-		}
-	}
-	a := answers[len(prefix)]
+	a := answers[0]
 	r.addStep(t.target, a.Code.String())
 	if t.atLeader && !t.group.CoversAnswer(t.target) {
 		return s.failWith(s.refusal(statement.Aborted, leaseEndedDetail), a.State == statement.InTransaction)
@@ -291,19 +296,21 @@
 		r.group.NoteClosed(id)
 		return false
 	}
-	prefix := r.session.state.replay(conn, "")
 	sent := steady.Now()
-	answers, err := conn.Exchange(r.deadline, append(prefix, begin)...)
+	answers, err := r.applyState(id, conn, r.deadline, begin)
 	r.recordExchange(id, begin.Kind == statement.Begin, conn)
-	if err != nil {
+	if err != nil && !errors.Is(err, errStateRefused) {
 		pool.Release(conn, false)
-		r.group.NoteFailing(id)
 		return false
 	}
-	a := answers[len(prefix)]
+	a := answers[0]
 	if begin.Kind == statement.Begin {
 		r.group.NoteBeginAnswer(id, sent, &a)
 	}
+	if err != nil {
+		pool.Release(conn, a.State == statement.Idle || rollbackOn(conn))
+		return false
+	}
 	if !a.OK() || a.State != statement.InTransaction {
 		r.addStep(id, a.Code.String())
 		pool.Release(conn, a.State == statement.Idle)
--- a/internal/share/conn.go
+++ b/internal/share/conn.go
@@ -50,6 +50,21 @@
 // IdleFor returns how long the connection had been idle when it was acquired.
 func (c *Conn) IdleFor() time.Duration { return c.acquiredAt.Sub(c.lastUsed) }
 
+// unknownSession is the SessionID of a connection on which the target may keep the state
+// of any session. No session has it.
+const unknownSession = ^uint64(0)
+
+// ForgetSession records that it isn't known which session state the target keeps.
+func (c *Conn) ForgetSession() {
+	c.ClearSession()
+	c.SessionID = unknownSession
+}
+
+// MayKeepState reports whether the target may keep session state on the connection.
+func (c *Conn) MayKeepState() bool {
+	return c.SessionID == unknownSession || c.SettingSequence > 0 || len(c.Prepared) > 0
+}
+
 // ClearSession records that the target keeps no session state for this connection.
 func (c *Conn) ClearSession() {
 	c.SessionID, c.SettingSequence = 0, 0
