Apply session values that were set since the last statement before a COMMIT

Cause: commitOnConn sent the COMMIT alone. Reads, writes and the start of a transaction applied the missing state, the COMMIT didn't. The same holds for a COMMIT that another host runs: the session's values arrive there with it, and went no further.

Change: commitOnConn applies the state first, in an exchange of its own. If a value is refused or the connection breaks, the COMMIT isn't sent, and the transaction ends with ABORTED, a promise that is true. A COMMIT without a SET before it costs nothing more.

--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -64,6 +64,16 @@
 	t.release(rollbackOn(t.conn))
 }
 
+// rollbackOrClose ends the transaction: by a rollback on a usable connection, and by closing
+// an unusable one.
+func (t *transaction) rollbackOrClose(usable bool) {
+	if usable {
+		t.rollback()
+		return
+	}
+	t.release(false)
+}
+
 // rollbackOn rolls back the connection's transaction. It returns whether the connection may
 // be used again.
 func rollbackOn(conn *share.Conn) bool {
@@ -109,11 +119,7 @@
 // failWith ends the transaction and returns the answer that tells the caller so. It
 // rolls back on a usable connection and discards an unusable one.
 func (s *session) failWith(a statement.Answer, usable bool) statement.Answer {
-	if usable {
-		s.tx.rollback()
-	} else {
-		s.tx.release(false)
-	}
+	s.tx.rollbackOrClose(usable)
 	s.tx.failed = true
 	a.State = statement.Failed
 	return a
@@ -373,10 +379,15 @@
 	return a
 }
 
-// commitOnConn sends the commit, exactly once.
+// commitOnConn sends the commit, exactly once, after session values that were set since the
+// transaction's last statement.
 func (s *session) commitOnConn(r *request) statement.Answer {
 	t := s.tx
 	s.tx = nil
+	if _, err := r.applyState(t.target, t.conn, r.deadline); err != nil {
+		t.rollbackOrClose(errors.Is(err, errStateRefused))
+		return s.refusal(statement.Aborted, err.Error())
+	}
 	if t.atLeader && !t.group.MayLead(t.target) {
 		t.rollback()
 		return s.refusal(statement.Aborted, leaseLostDetail)
