Return a connection to its pool only without an open transaction

What callers saw: not seen by callers, read by the review. A target that fails the ROLLBACK after a verified read leaves its transaction open. The connection went back to the pool, and the next session's statements would have run inside that transaction.

Cause: exchange released the connection as usable as soon as all answers had arrived, and looked at the caller's answer only. Transactions and the probes for a leader already looked at the state.

Change: exchange looks at the state after the last answer, and closes a connection that isn't idle.

Evidence: TestConnectionWithOpenTransactionIsNotUsedAgain fails before (one transaction stays open) and passes now.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -35,7 +35,7 @@
 	answers, err := conn.Exchange(deadline, batch...)
 	r.recordExchange(id, callerIndex > 0 || r.writes, conn)
 	targetLatency[callerIndex > 0 || r.writes].Update(steady.Now().Sub(sent).Seconds())
-	pool.Release(conn, err == nil)
+	pool.Release(conn, err == nil && answers[len(answers)-1].State == statement.Idle)
 	if err != nil {
 		return r.answerBroken(id, err)
 	}
--- a/internal/relay/session_state_test.go
+++ b/internal/relay/session_state_test.go
@@ -263,3 +263,12 @@
 	qt.Check(t, leader.takeRan(), qt.HasLen, 0)
 	qt.Check(t, leader.openTransactions(), qt.Equals, 0)
 }
+
+// The target's answer to the ROLLBACK after a read wasn't looked at, so that the next
+// session got a connection with an open transaction.
+func TestConnectionWithOpenTransactionIsNotUsedAgain(t *testing.T) {
+	f, leader, _ := newStateFixture(t, catalog.LatestData)
+	leader.setFails(only(statement.Rollback))
+	qt.Assert(t, f.serveStatement(read("a")).OK(), qt.IsTrue)
+	qt.Check(t, leader.openTransactions(), qt.Equals, 0)
+}
