End a message of the line protocol at CR LF only

Cause: lineReader looked for LF, returned an error for a line that ended in a bare one, and went on behind it. A too long message was skipped in the same way. From targets, a row with a LF broke the connection. The stand-in for targets and the tests' client framed by LF as well.

Ruled out: the PostgreSQL path and calls between hosts, whose messages carry their length.

Change: a message ends at CR LF, however its bytes are cut into pieces; a CR or LF alone is part of the last field and is passed on unchanged, as the protocol says.

--- a/test/line/client.go
+++ b/test/line/client.go
@@ -44,8 +44,13 @@
 
 func (c *Client) readLine() (string, error) {
 	_ = c.conn.SetReadDeadline(time.Now().Add(10 * time.Second))
-	line, err := c.reader.ReadString('\n')
-	return strings.TrimSuffix(line, "\r\n"), err
+	message, err := "", error(nil)
+	for err == nil && !strings.HasSuffix(message, "\r\n") {
+		var piece string
+		piece, err = c.reader.ReadString('\n')
+		message += piece
+	}
+	return strings.TrimSuffix(message, "\r\n"), err
 }
 
 // Query sends a statement, given as its id and its text. It returns the rows,
--- a/test/line/line_test.go
+++ b/test/line/line_test.go
@@ -39,6 +39,22 @@
 	}
 }
 
+// A text with a line feed is one statement on its whole way, and comes back as it was written.
+func TestLineFeedInTextReachesTargetAsOneStatement(t *testing.T) {
+	b := NewBed(t)
+	c := b.Dial(1, "db")
+	text := "see the plan\nQUERY b0 WRITE crew taken"
+	qt.Assert(t, c.Exec("a0 WRITE remark "+text), qt.Equals, "COMPLETE")
+	for _, host := range []int{0, 1} {
+		rows, result, _ := b.Dial(host, "db").Query("a1 READ remark")
+		qt.Assert(t, result, qt.Equals, "COMPLETE")
+		qt.Check(t, rows, qt.DeepEquals, []string{text})
+	}
+	for _, m := range b.Members {
+		qt.Check(t, m.Line.Runs()["b0"], qt.Equals, 0)
+	}
+}
+
 // writer writes numbered items through one host until stop is set.
 type writer struct {
 	mu    sync.Mutex
--- a/test/standin/target/line_session.go
+++ b/test/standin/target/line_session.go
@@ -66,10 +66,16 @@
 	}
 }
 
+// readLine returns the next message, which ends with CR LF.
 func (s *lineSession) readLine() (string, error) {
-	line, err := s.reader.ReadString('\n')
-	s.line.noteKeys(line)
-	return strings.TrimSuffix(line, "\r\n"), err
+	message, err := "", error(nil)
+	for err == nil && !strings.HasSuffix(message, "\r\n") {
+		var piece string
+		piece, err = s.reader.ReadString('\n')
+		message += piece
+	}
+	s.line.noteKeys(message)
+	return strings.TrimSuffix(message, "\r\n"), err
 }
 
 func (s *lineSession) positionText() string {
