Send a read that leaves no room for its position to the leader

A read whose message is about as long as the protocol allows became longer than that with the position that a host puts before its text. A target may take the connection down for it, which counts against the target and is tried at the others.

Cause: only what callers send was held against the largest size, not what targets are sent.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -181,6 +181,16 @@
 	qt.Check(t, f.replica.receivedTexts(), qt.DeepEquals, []string{"q READ a"})
 }
 
+// With the required position its message would be too long for a target.
+func TestReadWithoutRoomForItsPositionGoesToLeader(t *testing.T) {
+	f := newFixture(t, catalog.BoundedAge)
+	st := read("a")
+	st.WithoutAfter = true
+	qt.Assert(t, f.serveStatement(st).OK(), qt.IsTrue)
+	qt.Check(t, f.replica.receivedTexts(), qt.HasLen, 0)
+	qt.Check(t, f.leader.receivedTexts(), qt.DeepEquals, []string{"q READ a"})
+}
+
 func TestLatestDataReadGoesToLeader(t *testing.T) {
 	f := newFixture(t, catalog.LatestData)
 	qt.Assert(t, f.serveStatement(read("a")).OK(), qt.IsTrue)
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -123,6 +123,9 @@
 	for r.tries < maxTries && time.Now().Before(r.deadline) && !r.budgetSpent() {
 		covered, known := r.group.CoveringPosition(r.route.MaxAge - maxAgeMargin)
 		dest, after := chooseDestination(r.writes, r.route.Freshness, r.session.floor, covered, known)
+		if dest == anyReader && r.st.WithoutAfter {
+			dest = verifiedLeader
+		}
 		var retry bool
 		if dest == anyReader {
 			answer, retry = r.runOnReader(ctx, after)
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -49,6 +49,10 @@
 	// doesn't reach it answers Lagging. Zero: no requirement.
 	After topology.Position
 	Term  uint64 // of Pause and Demote
+
+	// WithoutAfter is set if the protocol's longest message has no room for After beside
+	// the text.
+	WithoutAfter bool
 }
 
 // State is the transaction state of a session after an answer.
