Decode an answer of the store object by object if one can't be read

One odd entry among the targets kept hosts from following the registry. Here: with an entry that is nested 20,000 levels deep, or whose name or revision doesn't fit its field, hosts that watch stay at their revision and hosts that start can't list. A leaving primary isn't replaced (20 s and more), and the store counts as unreachable.

Cause: a list or a watch was decoded as a whole, and encoding/json rejects the whole document for one value of it. The call is repeated with the same result. It held for both forms of the store's interface and for every kind of object.

Ruled out: an end of the process (encoding/json stops at 10,000 levels); hosts that get the registry from others.

Change: if an answer is rejected, DecodePage decodes its frame and hands out its objects one by one. An object with a name is passed on with its value as it is, for the decoder of its kind to refuse; one without a readable name is counted and logged. What is cut off or isn't a page remains an error. Sound answers are decoded as before. gjson finds the objects without recursion.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -52,6 +53,8 @@
 	reachability *reachability
 	era          *eraTracker
 	metrics      *callMetrics
+	// unreadableKinds has the kinds of which an unreadable object was logged.
+	unreadableKinds sync.Map
 }
 
 // New returns a client. It sends nothing until a method is called.
@@ -150,7 +153,9 @@
 			return List{}, errEraChanged
 		}
 		list.Objects = append(list.Objects, page.Objects...)
+		list.Unreadable += page.Unreadable
 		if nextPage = page.NextPage; nextPage == "" {
+			c.noteUnreadable(kind, list.Unreadable)
 			return list, nil
 		}
 	}
@@ -170,9 +175,21 @@
 	req.noteEra = func(answerEra uint64) { era = answerEra }
 	err = c.attemptOnce(ctx, req)
 	changes.Era = era
+	c.noteUnreadable(kind, changes.Unreadable)
 	return changes, err
 }
 
+// noteUnreadable counts objects that were left out, and logs the first of each kind.
+func (c *Client) noteUnreadable(kind string, count int) {
+	if count == 0 {
+		return
+	}
+	c.metrics.countUnreadable(kind, count)
+	if _, logged := c.unreadableKinds.LoadOrStore(kind, true); !logged {
+		c.opts.Log.Info("ignoring objects whose names can't be read", "kind", kind, "count", count)
+	}
+}
+
 // PutIf writes a value if the object has object.Version; version 0 means that the
 // object must not exist. It makes one attempt. After ErrConflict or PlatformDown
 // the write has not taken effect; after PlatformUnknown its outcome is unknown. It is
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -348,3 +349,85 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// One object that encoding/json rejects made every list and watch of its kind fail, so that
+// processes stopped following it.
+func TestFollowPassesUnreadableObject(t *testing.T) {
+	for name, dialect := range map[string]platform.Dialect{"native": nil, "users": usersplatform.StoreDialect{}} {
+		for odd, value := range map[string]string{
+			"nested": strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000), "number": `{"Slots":1e999}`, "text": `"x"`,
+		} {
+			t.Run(name+" "+odd, func(t *testing.T) {
+				c := qt.New(t)
+				s, err := standin.Start(standin.Config{})
+				c.Assert(err, qt.IsNil)
+				c.Cleanup(s.Close)
+				client := platform.New(platform.Options{Addr: s.Addr, Caller: "h1", Dialect: dialect})
+				c.Cleanup(client.Close)
+				put := func(name, raw string) { c.Assert(s.PutRaw("servers", name, raw), qt.IsNil) }
+				put("a", `{}`)
+				following, late := newNameSink(), newNameSink()
+				ctx, stop := context.WithCancel(context.Background())
+				defer stop()
+				go client.Follow(ctx, "servers", following)
+				c.Assert(following.waitFor("a"), qt.IsTrue)
+				put("odd", value)
+				put("a", value) // sound before
+				put("odd2", value)
+				put("b", `{}`)
+				c.Check(following.waitFor("b"), qt.IsTrue, qt.Commentf("a process that follows already"))
+				go client.Follow(ctx, "servers", late)
+				c.Check(late.waitFor("b"), qt.IsTrue, qt.Commentf("a process that starts now"))
+				c.Check(late.waitFor("odd2"), qt.IsTrue)
+				up, _ := client.Reachable()
+				c.Check(up, qt.IsTrue)
+			})
+		}
+	}
+}
+
+// nameSink is a platform.Sink that notes the names of the objects it receives.
+type nameSink struct {
+	mu       sync.Mutex
+	names    map[string]bool
+	revision uint64
+	listed   bool
+}
+
+func newNameSink() *nameSink { return &nameSink{names: map[string]bool{}} }
+
+func (s *nameSink) Revision(string) (uint64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision, s.listed
+}
+
+func (s *nameSink) Reset(_ string, list platform.List) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, o := range list.Objects {
+		s.names[o.Name] = true
+	}
+	s.revision, s.listed = list.Revision, true
+}
+
+func (s *nameSink) Apply(_ string, changes platform.Changes) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, change := range changes.Changes {
+		s.names[change.Object.Name] = true
+	}
+	s.revision = changes.Revision
+}
+
+func (s *nameSink) waitFor(name string) bool {
+	for deadline := time.Now().Add(3 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		s.mu.Lock()
+		found := s.names[name]
+		s.mu.Unlock()
+		if found {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/platform/dialect.go
+++ b/internal/platform/dialect.go
@@ -68,16 +68,43 @@
 	return Call{Method: http.MethodDelete, Path: conditionalPath(o)}
 }
 
-func (native) DecodeObject(_ string, body []byte) (o Object, err error) {
-	return o, json.Unmarshal(body, &o)
+func (native) DecodeObject(_ string, body []byte) (Object, error) { return decodeNative(body) }
+
+// decodeNative decodes an object. If its value isn't valid, it is left to whoever decodes
+// the value to reject it.
+func decodeNative(body []byte) (o Object, err error) {
+	if json.Unmarshal(body, &o) == nil {
+		return o, nil
+	}
+	o = Object{Value: Member(body, "value")}
+	for path, field := range map[string]any{"kind": &o.Kind, "name": &o.Name, "version": &o.Version} {
+		_ = json.Unmarshal(Member(body, path), field) // a missing name is reported below
+	}
+	if o.Name == "" {
+		return o, ErrUnreadable
+	}
+	return o, nil
 }
 
 func (native) DecodeList(_ string, body []byte) (l List, err error) {
-	return l, json.Unmarshal(body, &l)
+	elements, err := DecodePage(body, "objects", &l)
+	for _, element := range elements {
+		o, objectErr := decodeNative(element)
+		l.Add(o, objectErr)
+	}
+	return l, err
 }
 
 func (native) DecodeChanges(_ string, body []byte) (c Changes, err error) {
-	return c, json.Unmarshal(body, &c)
+	elements, err := DecodePage(body, "changes", &c)
+	for _, element := range elements {
+		var change Change
+		_ = json.Unmarshal(Member(element, "deleted"), &change.Deleted) // absent unless it was deleted
+		var objectErr error
+		change.Object, objectErr = decodeNative(Member(element, "object"))
+		c.Add(change, objectErr)
+	}
+	return c, err
 }
 
 func (native) DecodeFailure(_ string, body []byte) (f Failure) {
--- a/internal/platform/metrics.go
+++ b/internal/platform/metrics.go
@@ -33,6 +33,13 @@
 	m.set.GetOrCreateCounter(name).Inc()
 }
 
+// countUnreadable counts objects of a kind that were left out of an answer.
+func (m *callMetrics) countUnreadable(kind string, count int) {
+	if m.set != nil {
+		m.set.GetOrCreateCounter(fmt.Sprintf(`nettlewalk_platform_unreadable_objects_total{kind=%q}`, kind)).Add(count)
+	}
+}
+
 // outcomeLabel returns the metric label for the outcome of an attempt.
 func outcomeLabel(err error) string {
 	var conflict *ErrConflict
--- a/internal/platform/wire.go
+++ b/internal/platform/wire.go
@@ -31,6 +31,17 @@
 	Objects  []Object `json:"objects"`
 	NextPage string   `json:"next_page,omitempty"` // empty on the last page
 	Era      uint64   `json:"-"`                   // in which all pages were read
+	// Unreadable counts the objects that were left out because their names can't be read.
+	Unreadable int `json:"-"`
+}
+
+// Add appends an object that was decoded by itself. One without a readable name is left out.
+func (l *List) Add(o Object, err error) {
+	if err != nil {
+		l.Unreadable++
+		return
+	}
+	l.Objects = append(l.Objects, o)
 }
 
 // Change is one write or deletion. Object.Version is the revision that it created.
@@ -45,6 +56,19 @@
 	Revision uint64   `json:"revision"` // from which to watch next
 	Changes  []Change `json:"changes"`
 	Era      uint64   `json:"-"` // of Revision
+	// Unreadable counts the changes that were left out because their objects' names can't
+	// be read.
+	Unreadable int `json:"-"`
+}
+
+// Add appends a change that was decoded by itself. One of an object without a readable name
+// is left out.
+func (c *Changes) Add(change Change, err error) {
+	if err != nil {
+		c.Unreadable++
+		return
+	}
+	c.Changes = append(c.Changes, change)
 }
 
 // Failure is the body of an unsuccessful response. Current is set after a version
--- a/test/standin/platform/api.go
+++ b/test/standin/platform/api.go
@@ -20,7 +20,7 @@
 // handler answers one API call that passed intercept.
 type handler func(w http.ResponseWriter, r *http.Request)
 
-func (s *Server) apiHandler() http.Handler { return s.withEra(s.objectHandler()) }
+func (s *Server) apiHandler() http.Handler { return s.withRawValues(s.withEra(s.objectHandler())) }
 
 func (s *Server) objectHandler() http.Handler {
 	mux := http.NewServeMux()
--- a/test/standin/platform/server.go
+++ b/test/standin/platform/server.go
@@ -40,6 +40,7 @@
 	writes        *rate.Limiter
 	faultsChanged chan struct{} // closed and replaced when the faults change
 	era           uint64        // number of restores from a copy
+	raw           rawValues
 }
 
 // Start starts both APIs, which are served until Close.
