--- a/test/line/registry_test.go
+++ b/test/line/registry_test.go
@@ -23,13 +23,15 @@
 }
 
 // Entries that another writer left kept hosts from following the registry: hosts that
-// watched it, and those that started meanwhile.
+// watched it, and those that started meanwhile. A port out of range kept them from
+// promoting.
 func TestLineOddRegistrationsDoNotKeepHostsFromFollowing(t *testing.T) {
 	nested := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
 	all := []string{
 		nested, registration("Slots", nested), registration("Labels", nested), registration("Slots", "1e999"),
+		registration("Slots", "9223372036854775807"), registration("Address", `"127.0.0.1:70000"`),
 	}
-	for name, odd := range map[string][]string{"nested": all[:1], "number": all[3:4], "several": all[:4]} {
+	for name, odd := range map[string][]string{"nested": all[:1], "number": all[3:4], "port": all[5:6], "all": all} {
 		t.Run(name, func(t *testing.T) { playOddRegistrations(t, odd) })
 	}
 }
