Treat an undecodable registration alike in a watch and in a list

What callers saw: nothing yet. A target whose entry another writer had overwritten stayed as it was for hosts that watch the registry, and was missing for hosts that list it. Whichever had read last decided what the others heard.

Cause: a list starts from no members and a watch from the known ones, and an entry that can't be decoded was passed over in both.

Change: it names no target, in a watch either.

Evidence: TestInvalidRegistrationIsMissingInWatchAsInList fails before and passes now.

--- a/internal/catalog/feed.go
+++ b/internal/catalog/feed.go
@@ -157,6 +157,7 @@
 	m, err := f.Decode(o.Name, o.Value)
 	if err != nil {
 		f.logInvalidOnce(o, err)
+		delete(f.members, id) // as in a list, so that the members don't depend on the way
 		return
 	}
 	if old, ok := f.members[id]; ok && old != m {
--- a/internal/catalog/store_test.go
+++ b/internal/catalog/store_test.go
@@ -92,6 +92,39 @@
 	qt.Check(t, s.Registry().Revision, qt.Equals, uint64(12))
 }
 
+// A registration that was sound before and can't be decoded any more counted as unchanged
+// for hosts that watch the registry, and as missing for those that list it.
+func TestInvalidRegistrationIsMissingInWatchAsInList(t *testing.T) {
+	decode := func(id string, value json.RawMessage) (Member, error) {
+		if string(value) == `"bad"` {
+			return Member{}, errors.New("unreadable")
+		}
+		return member(topology.TargetID(id), false), nil
+	}
+	object := func(name, value string) platform.Object {
+		return platform.Object{Name: name, Value: json.RawMessage(value)}
+	}
+	watching, listing := NewStore(), NewStore()
+	for store, apply := range map[*Store]func(f *RegistryFeed, revision uint64, o platform.Object){
+		watching: func(f *RegistryFeed, revision uint64, o platform.Object) {
+			f.Apply("", platform.Changes{Revision: revision, Changes: []platform.Change{{Object: o}}})
+		},
+		listing: func(f *RegistryFeed, revision uint64, o platform.Object) {
+			f.Reset("", platform.List{Revision: revision, Objects: []platform.Object{o, object("b", `{}`)}})
+		},
+	} {
+		f := &RegistryFeed{Store: store, Log: logr.Discard(), Decode: decode}
+		f.Reset("", platform.List{Revision: 10, Objects: []platform.Object{object("a", `{}`), object("b", `{}`)}})
+		apply(f, 11, object("a", `"bad"`))
+		qt.Check(t, store.Registry().Members, qt.HasLen, 1)
+		qt.Check(t, store.Serving()["g"], qt.HasLen, 2, qt.Commentf("the target is still used for a while"))
+		holders, _ := store.PossibleCommitHolders("g")
+		qt.Check(t, holders, qt.HasLen, 2, qt.Commentf("the target may hold commits"))
+		apply(f, 12, object("a", `{}`))
+		qt.Check(t, store.Registry().Members, qt.HasLen, 2)
+	}
+}
+
 // configReader answers reads with a configuration of a fixed version.
 type configReader struct{ version uint64 }
 
