--- a/test/line/registry_test.go
+++ b/test/line/registry_test.go
@@ -12,7 +12,8 @@
 // registration is an entry of another writer that looks like a replica's but for one field.
 func registration(field, value string) string {
 	fields := map[string]string{
-		"Service": `"svc"`, "Address": `"127.0.0.1:9"`, "Zone": `"north"`, "Slots": "2", "State": `"ready"`, "DatabaseRole": `"replica"`,
+		"Service": `"svc"`, "Address": `"127.0.0.1:9"`, "Zone": `"north"`, "Version": `"v1"`, "Slots": "2", "State": `"ready"`,
+		"ColdRemainingMs": "0", "DatabaseRole": `"replica"`, "Sequence": "1",
 	}
 	fields[field] = value
 	var members []string
@@ -30,8 +31,9 @@
 	all := []string{
 		nested, registration("Slots", nested), registration("Labels", nested), registration("Slots", "1e999"),
 		registration("Slots", "9223372036854775807"), registration("Address", `"127.0.0.1:70000"`),
+		registration("DatabaseRole", "null"),
 	}
-	for name, odd := range map[string][]string{"nested": all[:1], "number": all[3:4], "port": all[5:6], "all": all} {
+	for name, odd := range map[string][]string{"nested": all[:1], "number": all[3:4], "port": all[5:6], "field missing": all[6:], "all": all} {
 		t.Run(name, func(t *testing.T) { playOddRegistrations(t, odd) })
 	}
 }
--- a/test/line/targets.go
+++ b/test/line/targets.go
@@ -101,7 +101,7 @@
 		zone = "zone" + strings.TrimPrefix(string(m.ID), "t")
 	}
 	_, err := b.Store.Put("servers", string(m.ID), map[string]any{
-		"Service": "svc", "Address": m.addr, "Zone": zone, "Slots": 2, "State": state, "DatabaseRole": "replica",
+		"Service": "svc", "Address": m.addr, "Zone": zone, "Version": "v1", "Slots": 2, "State": state, "ColdRemainingMs": 0, "DatabaseRole": "replica", "Sequence": 1,
 	})
 	qt.Assert(b.tb, err, qt.IsNil)
 }
