Soak: odd registrations beside and in place of the targets' own

Two more faults: an entry of another writer appears for a while, and one overwrites a target's entry until the target writes it again.

--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -45,7 +45,7 @@
 	log      func(format string, args ...any)
 	active   []activeFault
 	down     map[*line.Host]bool // killed, stopped or frozen
-	affected map[any]bool        // what has a fault: links, and "store" or "leaving"
+	affected map[any]bool        // what has a fault: links, and "store", "leaving" or "odd"
 	version  int                 // of the last configuration written
 	crashed  *line.Member        // nil if no target has crashed
 }
@@ -91,7 +91,7 @@
 // beginRandomFault draws a fault and a duration and injects the fault, if it is
 // possible at the moment.
 func (f *faultInjector) beginRandomFault() {
-	kinds := []func() *fault{f.kill, f.freeze, f.stop, f.reload, f.storeFault, f.storeLink, f.targetLink, f.targetLink, f.lag, f.drain, f.configure, f.crash}
+	kinds := []func() *fault{f.kill, f.freeze, f.stop, f.reload, f.storeFault, f.storeLink, f.targetLink, f.targetLink, f.lag, f.drain, f.configure, f.crash, f.oddRegistration, f.overwrittenRegistration}
 	chosen := kinds[f.rng.IntN(len(kinds))]()
 	duration := f.randomDuration(minFaultDuration, maxFaultDuration)
 	if chosen == nil {
@@ -310,3 +310,42 @@
 		return nil
 	}}
 }
+
+// oddRegistration puts an entry of another writer beside those of the targets.
+func (f *faultInjector) oddRegistration() *fault {
+	const id = "odd"
+	entry := f.drawOddRegistration()
+	if f.affected[id] {
+		return nil
+	}
+	return &fault{"odd registration", func() func() {
+		f.affected[id] = true
+		f.bed.PutRegistration(id, entry)
+		return func() {
+			f.bed.DeleteRegistration(id)
+			delete(f.affected, id)
+		}
+	}}
+}
+
+// overwrittenRegistration has another writer overwrite a target's entry until the target
+// writes it again.
+func (f *faultInjector) overwrittenRegistration() *fault {
+	m, entry := f.pickTarget(), f.drawOddRegistration()
+	if m == nil || f.affected["leaving"] {
+		return nil
+	}
+	return &fault{"overwritten registration of " + string(m.ID), func() func() {
+		f.affected["leaving"] = true
+		f.bed.PutRegistration(string(m.ID), entry)
+		return func() {
+			f.bed.Register(m, "ready")
+			delete(f.affected, "leaving")
+		}
+	}}
+}
+
+func (f *faultInjector) drawOddRegistration() string {
+	entries := line.OddRegistrations()
+	return entries[f.rng.IntN(len(entries))]
+}
