Tests of the relay: wait for both connections to each target

What was seen: TestRefusedRetryTellsWhetherItRan (no token taken), TestBudgetDoesNotRepeatWrites (the second write isn't sent) and TestStatementThatMayHaveRunTellsNoTime ("no open connection to the target") fail now and then. The code is right in all three.

Cause: the fixture waits until both targets can be read, which takes one connection each, and the pools open the second one meanwhile. A read then may go to the leader instead of the replica, or the first break takes the only connection.

Change: these tests wait until both connections to each target are idle. Nothing that they check has changed.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -156,6 +156,16 @@
 	return f
 }
 
+// awaitConnections waits until both connections to each target are open and idle. Before
+// that, a statement may go to another target than expected, or be refused.
+func (f *fixture) awaitConnections(t *testing.T) {
+	t.Helper()
+	for _, id := range []topology.TargetID{"p", "r"} {
+		pool := f.pool(t, id)
+		eventually(t, "both connections are idle", func() bool { return pool.Load().Idle == 2 })
+	}
+}
+
 // member returns the registration of a target of the fixture's group.
 func (f *fixture) member(id topology.TargetID) catalog.Member {
 	return catalog.Member{Target: topology.Target{ID: id, Group: "g", Addr: string(id)}}
--- a/internal/relay/retries_test.go
+++ b/internal/relay/retries_test.go
@@ -20,6 +20,7 @@
 	t.Helper()
 	f := newFixtureWith(t, freshness, func(o *group.Options) { o.Recovery = func() bool { return true } })
 	f.setBudget(retries)
+	f.awaitConnections(t)
 	return f
 }
 
--- a/internal/relay/retrytimes_test.go
+++ b/internal/relay/retrytimes_test.go
@@ -125,6 +125,7 @@
 func TestStatementThatMayHaveRunTellsNoTime(t *testing.T) {
 	f := newFixture(t, catalog.LatestData)
 	f.server.opts.RetryTimes.Mode = feature.On
+	f.awaitConnections(t)
 	f.leader.answer = func(statement.Statement) (statement.Answer, error) {
 		return statement.Answer{}, &statement.ConnError{Sent: true, Cause: errors.New("reset")}
 	}
