Line test: wait for the first lease before the first write

What was seen: TestLineLostPromotionAnswerIsRepeatedForTheSameTarget fails now and then beside load, its first write is answered BUSY.

Cause, from the log of a failure: the holder notes its duty at 52.156 s, leases are granted from 52.176 on, and the second host's begins at 52.178. The write came in between.

Change: the test waits until the second host writes. What it checks after that is unchanged.

--- a/test/line/leases_test.go
+++ b/test/line/leases_test.go
@@ -92,7 +92,7 @@
 func TestLineLostPromotionAnswerIsRepeatedForTheSameTarget(t *testing.T) {
 	b := NewBedWith(t, Options{Unfenced: true})
 	b.Eventually("a host holds the duty", b.DutyIsHeld)
-	qt.Assert(t, b.Dial(1, "db").Exec("w0 WRITE item before"), qt.Equals, "COMPLETE")
+	b.Eventually("the second host has a lease and writes", func() bool { return b.Dial(1, "db").Exec("w0 WRITE item before") == "COMPLETE" })
 	b.LoseAnswers(1, 2*time.Second)
 	b.Register(b.Members[0], "draining")
 	b.Eventually("a promotion is accepted", func() bool { return len(b.Promotions()) > 0 })
