Leave out an object whose version can't be read, rather than take it for version 0

What callers saw: nothing; found by reading the change again. Where an answer is decoded object by object, a revision that can't be read became 0, and a change whose flag can't be read became one that isn't a deletion. A configuration of revision 0 would have counted as outdated for ever.

Change: such an object is counted as unreadable, like one without a name, and a single one is an error.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -186,7 +186,7 @@
 	}
 	c.metrics.countUnreadable(kind, count)
 	if _, logged := c.unreadableKinds.LoadOrStore(kind, true); !logged {
-		c.opts.Log.Info("ignoring objects whose names can't be read", "kind", kind, "count", count)
+		c.opts.Log.Info("ignoring objects whose names or versions can't be read", "kind", kind, "count", count)
 	}
 }
 
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -5,13 +5,17 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr/funcr"
 
 	"nettlewalk.example/nettlewalk/internal/platform"
 	"nettlewalk.example/nettlewalk/internal/result"
@@ -386,6 +390,26 @@
 	}
 }
 
+// An object that is left out must be seen by operators.
+func TestUnreadableObjectsAreCounted(t *testing.T) {
+	c := qt.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"items":[{"meta":{"Name":5},"spec":{}},{"meta":{"Name":"a","Revision":3},"spec":{}}],"HasMore":false,"StoreRevision":4}`))
+	}))
+	defer server.Close()
+	set := metrics.NewSet()
+	var logged []string
+	log := funcr.New(func(_, args string) { logged = append(logged, args) }, funcr.Options{})
+	client := platform.New(platform.Options{Addr: strings.TrimPrefix(server.URL, "http://"), Dialect: usersplatform.StoreDialect{}, Metrics: set, Log: log})
+	for range 3 {
+		list, err := client.List(context.Background(), "servers")
+		c.Assert(err, qt.IsNil)
+		c.Check(list.Objects, qt.HasLen, 1)
+	}
+	c.Check(set.GetOrCreateCounter(`nettlewalk_platform_unreadable_objects_total{kind="servers"}`).Get(), qt.Equals, uint64(3))
+	c.Check(logged, qt.HasLen, 1)
+}
+
 // nameSink is a platform.Sink that notes the names of the objects it receives.
 type nameSink struct {
 	mu       sync.Mutex
--- a/internal/platform/dialect.go
+++ b/internal/platform/dialect.go
@@ -6,6 +6,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Call is the HTTP request of one call to the platform.
@@ -77,10 +79,8 @@
 		return o, nil
 	}
 	o = Object{Value: Member(body, "value")}
-	for path, field := range map[string]any{"kind": &o.Kind, "name": &o.Name, "version": &o.Version} {
-		_ = json.Unmarshal(Member(body, path), field) // a missing name is reported below
-	}
-	if o.Name == "" {
+	err = DecodeMembers(body, map[string]any{"kind": &o.Kind, "name": &o.Name, "version": &o.Version})
+	if err != nil || o.Name == "" {
 		return o, ErrUnreadable
 	}
 	return o, nil
@@ -99,10 +99,10 @@
 	elements, err := DecodePage(body, "changes", &c)
 	for _, element := range elements {
 		var change Change
-		_ = json.Unmarshal(Member(element, "deleted"), &change.Deleted) // absent unless it was deleted
+		flagErr := DecodeMembers(element, map[string]any{"deleted": &change.Deleted})
 		var objectErr error
 		change.Object, objectErr = decodeNative(Member(element, "object"))
-		c.Add(change, objectErr)
+		c.Add(change, errors.CombineErrors(flagErr, objectErr))
 	}
 	return c, err
 }
--- a/internal/platform/unreadable.go
+++ b/internal/platform/unreadable.go
@@ -12,8 +12,9 @@
 // answer that contains them: values nested too deeply, or numbers that don't fit. The
 // functions below decode such an answer element by element, so that the others are used.
 
-// ErrUnreadable reports an object without a readable name.
-var ErrUnreadable = errors.New("object without a readable name")
+// ErrUnreadable reports an object whose name or version can't be read. Without them it
+// can't be told from others or ordered.
+var ErrUnreadable = errors.New("object without a readable name or version")
 
 // DecodePage decodes the answer to a list or a watch into page. If encoding/json rejects it,
 // DecodePage decodes page without the array of that name, and returns the array's
@@ -48,3 +49,15 @@
 	}
 	return nil
 }
+
+// DecodeMembers decodes members of a JSON object, given by path, and leaves out absent ones.
+func DecodeMembers(object []byte, members map[string]any) error {
+	for path, value := range members {
+		if raw := Member(object, path); raw != nil {
+			if err := json.Unmarshal(raw, value); err != nil {
+				return errors.Wrap(err, path)
+			}
+		}
+	}
+	return nil
+}
--- a/internal/platform/wire.go
+++ b/internal/platform/wire.go
@@ -31,11 +31,11 @@
 	Objects  []Object `json:"objects"`
 	NextPage string   `json:"next_page,omitempty"` // empty on the last page
 	Era      uint64   `json:"-"`                   // in which all pages were read
-	// Unreadable counts the objects that were left out because their names can't be read.
+	// Unreadable counts the objects that were left out because of ErrUnreadable.
 	Unreadable int `json:"-"`
 }
 
-// Add appends an object that was decoded by itself. One without a readable name is left out.
+// Add appends an object that was decoded by itself, or counts one that couldn't be.
 func (l *List) Add(o Object, err error) {
 	if err != nil {
 		l.Unreadable++
@@ -56,13 +56,11 @@
 	Revision uint64   `json:"revision"` // from which to watch next
 	Changes  []Change `json:"changes"`
 	Era      uint64   `json:"-"` // of Revision
-	// Unreadable counts the changes that were left out because their objects' names can't
-	// be read.
+	// Unreadable counts the changes that were left out because of ErrUnreadable.
 	Unreadable int `json:"-"`
 }
 
-// Add appends a change that was decoded by itself. One of an object without a readable name
-// is left out.
+// Add appends a change that was decoded by itself, or counts one that couldn't be.
 func (c *Changes) Add(change Change, err error) {
 	if err != nil {
 		c.Unreadable++
