Forget the names of invalid registrations that are gone or sound

What callers saw: nothing; found by reading the change again. A host remembered the name of each invalid entry that it had logged, for ever. Another writer that uses a new name each time makes that grow, and an entry that is odd again after it was sound wasn't logged.

Change: a name is forgotten when the entry is removed, sound, or missing in a list.

Evidence: TestNamesOfInvalidRegistrationsAreForgotten fails before and passes now.

--- a/internal/catalog/feed.go
+++ b/internal/catalog/feed.go
@@ -118,6 +118,7 @@
 		return // a watch has already delivered a newer revision
 	}
 	f.members = map[topology.TargetID]Member{}
+	f.forgetMissingInvalid(list.Objects)
 	for _, o := range list.Objects {
 		f.updateMemberLocked(o, false)
 	}
@@ -152,6 +153,7 @@
 			f.Log.Info("target removed from registry", "target", id, "revision", o.Version)
 		}
 		delete(f.members, id)
+		delete(f.loggedInvalid, o.Name)
 		return
 	}
 	m, err := f.Decode(o.Name, o.Value)
@@ -160,14 +162,30 @@
 		delete(f.members, id) // as in a list, so that the members don't depend on the way
 		return
 	}
+	delete(f.loggedInvalid, o.Name)
 	if old, ok := f.members[id]; ok && old != m {
 		f.Log.Info("target registration changed", "target", id, "leaving", m.Target.Leaving, "primary", m.Primary, "revision", o.Version)
 	}
 	f.members[id] = m
 }
 
-// logInvalidOnce logs an undecodable entry once per name. The caller must hold
-// f.mu.
+// forgetMissingInvalid forgets the logged names that a list lacks: another writer may use
+// any number of names. The caller must hold f.mu.
+func (f *RegistryFeed) forgetMissingInvalid(listed []platform.Object) {
+	if len(f.loggedInvalid) == 0 {
+		return
+	}
+	present := map[string]bool{}
+	for _, o := range listed {
+		if f.loggedInvalid[o.Name] {
+			present[o.Name] = true
+		}
+	}
+	f.loggedInvalid = present
+}
+
+// logInvalidOnce logs an undecodable entry once until it is sound or gone. The caller must
+// hold f.mu.
 func (f *RegistryFeed) logInvalidOnce(o platform.Object, err error) {
 	if f.loggedInvalid == nil {
 		f.loggedInvalid = map[string]bool{}
--- a/internal/catalog/store_test.go
+++ b/internal/catalog/store_test.go
@@ -125,6 +125,25 @@
 	}
 }
 
+// Another writer that uses a new name each time made every host remember all of them.
+func TestNamesOfInvalidRegistrationsAreForgotten(t *testing.T) {
+	f := &RegistryFeed{Store: NewStore(), Log: logr.Discard(), Decode: func(id string, value json.RawMessage) (Member, error) {
+		if string(value) == `"bad"` {
+			return Member{}, errors.New("unreadable")
+		}
+		return member(topology.TargetID(id), false), nil
+	}}
+	odd := func(name string) platform.Object {
+		return platform.Object{Name: name, Value: json.RawMessage(`"bad"`)}
+	}
+	f.Reset("", platform.List{Revision: 1, Objects: []platform.Object{odd("a"), odd("b"), odd("c"), odd("d")}})
+	qt.Check(t, f.loggedInvalid, qt.HasLen, 4)
+	f.Apply("", platform.Changes{Revision: 2, Changes: []platform.Change{{Object: odd("a"), Deleted: true}, {Object: platform.Object{Name: "b", Value: json.RawMessage(`{}`)}}}})
+	qt.Check(t, f.loggedInvalid, qt.DeepEquals, map[string]bool{"c": true, "d": true})
+	f.Reset("", platform.List{Revision: 3, Objects: []platform.Object{odd("d"), odd("e")}})
+	qt.Check(t, f.loggedInvalid, qt.DeepEquals, map[string]bool{"d": true, "e": true})
+}
+
 // configReader answers reads with a configuration of a fixed version.
 type configReader struct{ version uint64 }
 
