--- a/internal/relay/crossing_test.go
+++ b/internal/relay/crossing_test.go
@@ -307,6 +307,27 @@
 	qt.Check(t, measured > sent.Len()*95/100 && measured < sent.Len()*105/100, qt.IsTrue)
 }
 
+// meteredConn is a connection whose exchanges all have the same number of bytes.
+type meteredConn struct {
+	statement.Conn
+	bytes int
+}
+
+func (c meteredConn) ExchangedBytes() int { return c.bytes }
+
+// The session state that a statement needs crosses with it, in an exchange of its own.
+func TestBytesOfSessionStateCountWithTheStatement(t *testing.T) {
+	f := newFixture(t, catalog.LatestData)
+	f.server.opts.Locality = locality.NewRouter(costlyBytes, "a", logr.Discard())
+	st := read("a")
+	r, refused := f.newRequest(&st, false, "")
+	qt.Assert(t, refused, qt.IsNil)
+	r.recordStateExchange(&share.Conn{Conn: meteredConn{bytes: 70}})
+	r.recordExchange("r", false, &share.Conn{Conn: meteredConn{bytes: 100}})
+	qt.Check(t, f.server.opts.Locality.Dump()[0].Bytes, qt.Equals, 170.0)
+	qt.Check(t, r.stateBytes, qt.Equals, 0)
+}
+
 // A read that the domain's target can't serve, as it lacks the session's last commit,
 // runs elsewhere whatever that costs. It was refused at first.
 func TestReadLeavesIfTheDomainLacksThePosition(t *testing.T) {
