Leader found: tell the newest write that succeeded through this host

The logs couldn't tell which hosts had passed on commits that a promoted target lacks, nor whether before or after the promotion was requested. Each host now tells its newest successful write when it finds another leader. No decision uses it; tests of internal/group and internal/promotion pass.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -226,16 +226,26 @@
 	return g.view.loss(steady.Now())
 }
 
-// NoteLeading records a proof that the target led at the time sent, when the
-// proving request was sent. answer is the target's answer to that request. Without
-// a lease, where one is needed, it isn't a proof.
+// NoteLeading records that the target led at the time sent, because a write or commit
+// sent then succeeded with the given answer. Without a lease, where one is needed, it
+// isn't a proof.
 func (g *Group) NoteLeading(id topology.TargetID, sent time.Time, answer *statement.Answer) {
+	g.notePosition(id, sent, answer, true)
+}
+
+// notePosition records a proof of leadership; written is set if it is a successful write.
+func (g *Group) notePosition(id topology.TargetID, sent time.Time, answer *statement.Answer, written bool) {
 	if !g.MayLead(id) {
 		return
 	}
 	recoveryOn := g.recoveryOn()
+	now := steady.Now()
 	g.mu.Lock()
-	changed := g.view.recordLeading(id, sent, answer.Position, answer.HasPosition, steady.Now())
+	served := g.view.served
+	changed := g.view.recordLeading(id, sent, answer.Position, answer.HasPosition, now)
+	if written && answer.HasPosition {
+		g.view.recordServedWrite(id, answer.Position, now)
+	}
 	if changed {
 		g.notePromoted(id, recoveryOn)
 		close(g.leaderFound)
@@ -243,7 +253,7 @@
 	}
 	g.mu.Unlock()
 	if changed {
-		g.opts.Log.Info("leader found", "group", g.opts.ID, "target", id, "position", answer.Position.String())
+		g.opts.Log.Info("leader found", append([]any{"group", g.opts.ID, "target", id, "position", answer.Position.String()}, served.logFields(now)...)...)
 	}
 }
 
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -45,6 +45,16 @@
 	qt.Check(t, p, qt.Equals, position(2, 41))
 }
 
+func TestServedWriteIsTheNewestOfAllTerms(t *testing.T) {
+	var view leaderView
+	qt.Check(t, view.served.logFields(atMS(0)), qt.HasLen, 0)
+	view.recordServedWrite("a", position(1, 50), atMS(10))
+	view.recordServedWrite("a", position(1, 49), atMS(11)) // answers may arrive out of order
+	qt.Check(t, view.served, qt.Equals, servedWrite{target: "a", position: position(1, 50), at: atMS(10)})
+	view.recordServedWrite("b", position(2, 41), atMS(20))
+	qt.Check(t, view.served, qt.Equals, servedWrite{target: "b", position: position(2, 41), at: atMS(20)})
+}
+
 // In whatever order proofs and refutations arrive, the known leader was proved
 // by a request that was sent after every refutation of that target.
 func TestBeliefFollowsTheNewestNews(t *testing.T) {
--- a/internal/group/leaderview.go
+++ b/internal/group/leaderview.go
@@ -18,6 +18,29 @@
 	lostAt       time.Time         // when the previous leader was found not to lead, zero while a leader is known
 	demoted      bool              // the previous leader itself refused to begin a transaction, so another target most likely leads
 	anchors      freshness.Anchors
+	served       servedWrite
+}
+
+// servedWrite is the newest write or commit that succeeded through this host.
+type servedWrite struct {
+	target   topology.TargetID
+	position topology.Position // told with its answer; it may cover later commits
+	at       time.Time
+}
+
+// logFields describes the write; none if there was no write.
+func (s servedWrite) logFields(now time.Time) []any {
+	if s.at.IsZero() {
+		return nil
+	}
+	return []any{"served_at", s.target, "served_position", s.position.String(), "served_ms_ago", now.Sub(s.at).Milliseconds()}
+}
+
+// recordServedWrite records a write that succeeded at the target.
+func (v *leaderView) recordServedWrite(id topology.TargetID, position topology.Position, now time.Time) {
+	if position.AtLeast(v.served.position) {
+		v.served = servedWrite{target: id, position: position, at: now}
+	}
 }
 
 // recordLeading records a proof of leadership: the target began a transaction
--- a/internal/group/probe.go
+++ b/internal/group/probe.go
@@ -152,7 +152,7 @@
 func (g *Group) NoteBeginAnswer(id topology.TargetID, sent time.Time, begin *statement.Answer) {
 	switch {
 	case begin.OK():
-		g.NoteLeading(id, sent, begin)
+		g.notePosition(id, sent, begin, false)
 	case begin.Code == statement.ReadOnly:
 		g.NoteNotLeading(id, sent)
 	}
--- a/internal/promotion/probe.go
+++ b/internal/promotion/probe.go
@@ -107,7 +107,7 @@
 	}
 	w.leader, w.leaderProvedAt, w.leaderPosition, w.leaderRefuted = id, p.sent, p.position, false
 	w.opts.GroupView.NoteReportedLeader(id, p.sent)
-	w.opts.GroupView.NoteLeading(id, p.sent, &statement.Answer{Position: p.position, HasPosition: true})
+	w.opts.GroupView.NoteBeginAnswer(id, p.sent, &statement.Answer{Position: p.position, HasPosition: true})
 	for _, other := range w.probers {
 		other.notePosition(p.position, p.sent)
 	}
