--- /dev/null
+++ b/internal/confirm/electorate.go
@@ -0,0 +1,43 @@
+package confirm
+
+import "nettlewalk.example/nettlewalk/internal/topology"
+
+// MaxVoters is the number of voters of a group, if there are enough hosts.
+const MaxVoters = 3
+
+// Voter is a process of a host.
+type Voter struct {
+	Host topology.HostID `json:"host"`
+	Boot uint64          `json:"boot"` // identifies the process
+}
+
+// Electorate is the list of the voters of a group. The zero value has none.
+type Electorate struct {
+	// Epoch increases with each change of the list.
+	Epoch  uint64           `json:"epoch"`
+	Voters [MaxVoters]Voter `json:"voters"` // unused entries are zero
+	// Floor is at or after every position that was confirmed in earlier epochs.
+	Floor topology.Position `json:"floor"`
+}
+
+// Members returns the voters.
+func (e *Electorate) Members() []Voter {
+	n := 0
+	for n < len(e.Voters) && e.Voters[n] != (Voter{}) {
+		n++
+	}
+	return e.Voters[:n]
+}
+
+// Quorum returns how many voters must record a position to confirm it.
+func (e *Electorate) Quorum() int { return len(e.Members())/2 + 1 }
+
+// Process is what a host knows of a process of the fleet.
+type Process struct {
+	Voter
+	Domain  topology.Domain
+	Live    bool // heard from recently, directly or through others
+	Leaving bool // it is shutting down
+	// Gone is set if the process has been silent for so long that it counts as ended.
+	Gone bool
+}
