Duty claim: the electorate, which the store has first

Every other writer of the claim keeps the electorate with the higher epoch, of the store or of memory, and Learn does the same whichever claim arrives first. The writes of one host to a group's object now follow each other: a record and an electorate of the same moment would lose what they write to each other.

--- a/internal/duty/acquire.go
+++ b/internal/duty/acquire.go
@@ -129,6 +129,12 @@
 // on which the decision to write is based; writeClaim fails if the store contains a
 // newer one.
 func (k *Keeper) writeClaim(ctx context.Context, expected Claim) error {
+	unlock, err := k.lockObject(ctx, expected.Group)
+	if err != nil {
+		return err
+	}
+	defer unlock()
+	expected = k.newest(expected)
 	object, stored, err := k.readClaim(ctx, expected.Group)
 	if err != nil {
 		return err
@@ -142,6 +148,7 @@
 	if expected.supersedes(&stored.Claim) { // the last record didn't reach the store
 		claim.Leadership = expected.Leadership
 	}
+	claim.Electorate = newerElectorate(stored.Electorate, expected.Electorate)
 	members := k.membersToWrite(expected, stored.Members)
 	if object.Value, err = json.Marshal(claimRecord{Claim: claim, Members: members}); err != nil {
 		return err
--- a/internal/duty/claim.go
+++ b/internal/duty/claim.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"nettlewalk.example/nettlewalk/internal/confirm"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
@@ -22,6 +23,9 @@
 	// with each record under the same token.
 	Leadership
 	Update uint64 `json:"update,omitempty"`
+	// Electorate lists the voters on the group's commits. The store has it before any host
+	// does, and none with a lower epoch replaces it.
+	Electorate confirm.Electorate `json:"electorate,omitzero"`
 }
 
 // Leadership is a holder's knowledge of its group that its successor needs where
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -66,8 +66,8 @@
 	// it is unknown.
 	PrimaryDomain func(topology.GroupID) topology.Domain
 	Log           logr.Logger
-	// OnChange is called with the claim's group after Learn has stored a newer claim, and
-	// after Record has changed this host's own.
+	// OnChange is called with the claim's group after Learn has stored a newer claim or
+	// electorate, and after Record or RecordElectorate has changed this host's own.
 	OnChange func(topology.GroupID)
 }
 
@@ -95,6 +95,8 @@
 	// members are the possible commit holders of groups whose duty this host holds, and
 	// writtenMembers those in the store.
 	members, writtenMembers map[topology.GroupID][]Member
+	// objectLocks are held while this host reads and then writes a group's object.
+	objectLocks map[topology.GroupID]chan struct{}
 
 	leaving bool // Release was called: this host acquires no duty any more
 }
@@ -114,6 +116,7 @@
 		writtenIn:     map[topology.GroupID]uint64{},
 
 		members: map[topology.GroupID][]Member{}, writtenMembers: map[topology.GroupID][]Member{},
+		objectLocks: map[topology.GroupID]chan struct{}{},
 	}
 }
 
@@ -128,13 +131,19 @@
 var takeovers = metrics.NewCounter("nettlewalk_duty_takeovers_total")
 
 // Learn stores a claim read from the store or received from another host, if it is
-// newer than the known claim of its group.
+// newer than the known claim of its group. Of the two electorates it keeps the newer one.
 func (k *Keeper) Learn(c Claim) {
 	k.mu.Lock()
 	old := k.claims[c.Group]
 	newer := c.supersedes(&old)
 	newTenure := newer && !c.sameTenure(&old)
-	if newer {
+	newElectorate := !newer && old.Token > 0 && c.Electorate.Epoch > old.Electorate.Epoch
+	switch {
+	case newElectorate:
+		old.Electorate = c.Electorate
+		k.setClaim(old)
+	case newer:
+		c.Electorate = newerElectorate(c.Electorate, old.Electorate)
 		if k.isHeldHere(c) && !k.isHeldHere(old) {
 			k.heldSince[c.Group] = steady.Now()
 		}
@@ -146,7 +155,12 @@
 		takeovers.Inc()
 	}
 	if newer {
-		k.opts.Log.Info("duty claim learned", "group", c.Group, "holder", c.Name, "token", c.Token, "released", c.Released, "mine", k.isHeldHere(c))
+		k.opts.Log.Info("duty claim learned", "group", c.Group, "holder", c.Name, "token", c.Token, "released", c.Released, "mine", k.isHeldHere(c), "epoch", c.Electorate.Epoch)
+	}
+	if newElectorate {
+		k.opts.Log.Info("electorate learned", "group", c.Group, "epoch", c.Electorate.Epoch, "token", c.Token)
+	}
+	if newer || newElectorate {
 		k.opts.OnChange(c.Group)
 	}
 }
--- a/internal/duty/members.go
+++ b/internal/duty/members.go
@@ -57,6 +57,11 @@
 	if !held || written {
 		return nil
 	}
+	unlock, err := k.lockObject(ctx, id)
+	if err != nil {
+		return err
+	}
+	defer unlock()
 	object, stored, err := k.readClaim(ctx, id)
 	if err != nil {
 		return err
@@ -66,6 +71,7 @@
 		return ErrHeldByOther
 	}
 	stored.Members = members
+	stored.Electorate = k.mergeStored(claim, stored.Claim).Electorate
 	if object.Value, err = json.Marshal(stored); err != nil {
 		return err
 	}
--- a/internal/duty/record.go
+++ b/internal/duty/record.go
@@ -31,6 +31,11 @@
 	k.setClaim(claim)
 	k.mu.Unlock()
 	k.opts.OnChange(id)
+	unlock, err := k.lockObject(ctx, id)
+	if err != nil {
+		return err
+	}
+	defer unlock()
 	object, stored, err := k.readClaim(ctx, id)
 	if err != nil {
 		return err
@@ -39,6 +44,7 @@
 		k.learnRecord(stored)
 		return ErrHeldByOther
 	}
+	claim = k.mergeStored(claim, stored.Claim)
 	if object.Value, err = json.Marshal(claimRecord{Claim: claim, Members: k.membersToWrite(claim, stored.Members)}); err != nil {
 		return err
 	}
--- a/internal/duty/release.go
+++ b/internal/duty/release.go
@@ -77,6 +77,11 @@
 }
 
 func (k *Keeper) releaseClaim(ctx context.Context, c Claim) error {
+	unlock, err := k.lockObject(ctx, c.Group)
+	if err != nil {
+		return err
+	}
+	defer unlock()
 	object, stored, err := k.readClaim(ctx, c.Group)
 	if err != nil {
 		return err
@@ -85,6 +90,7 @@
 		return ErrHeldByOther
 	}
 	members := k.membersToWrite(c, stored.Members)
+	c = k.mergeStored(c, stored.Claim)
 	c.Released = true
 	if object.Value, err = json.Marshal(claimRecord{Claim: c, Members: members}); err != nil {
 		return err
