Gossip: digests tell claims with different electorates apart

Two hosts may know the same claim with electorates of different epochs, for example after one has learned it through a host of an earlier version. Their checksums were equal then, and the newer electorate was never sent. Claims without an electorate keep the checksum of earlier versions.

--- a/internal/gossip/digest_test.go
+++ b/internal/gossip/digest_test.go
@@ -107,3 +107,15 @@
 		}
 	}
 }
+
+// Two hosts that know the same claim with different electorates would otherwise omit it from
+// their digests as known.
+func TestChecksumTellsElectoratesApart(t *testing.T) {
+	claim := duty.Claim{Group: "g", Holder: "a", Token: 1}
+	sums := map[uint64]bool{}
+	for epoch := range uint64(3) {
+		claim.Electorate.Epoch = epoch
+		sums[checksum(hashHosts(nil), []duty.Claim{claim})] = true
+	}
+	qt.Check(t, sums, qt.HasLen, 3)
+}
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -162,7 +162,11 @@
 		line = append(append(line[:0], c.Group...), ' ')
 		line = append(strconv.AppendUint(line, c.Token, 10), ' ')
 		line = append(strconv.AppendBool(line, c.Released), ' ')
-		line = append(strconv.AppendUint(line, c.Update, 10), '\n')
+		line = strconv.AppendUint(line, c.Update, 10)
+		if c.Electorate.Epoch > 0 { // without one, hosts of earlier versions compute the same
+			line = strconv.AppendUint(append(line, ' '), c.Electorate.Epoch, 10)
+		}
+		line = append(line, '\n')
 		_, _ = hosts.Write(line)
 	}
 	return hosts.Sum64()
