Withhold acknowledged commits until promotions are sure to keep them

A target acknowledges a commit once one replica has it. If a promotion passes that replica over, the commit is lost although its caller was told of it.

The host that sends a write or COMMIT to the target now has its position confirmed before the session's floor is raised and before the answer is passed on; the connection to the target is free by then. If that fails by the statement's deadline, or the answer has no position, the outcome is in doubt. Transactions without writes need no confirmation.

Options.Commits is nil until it is wired; nothing changes then.

--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -17,6 +17,16 @@
 	false: metrics.NewHistogram(`nettlewalk_target_seconds{at="any"}`),
 }
 
+// commitConfirmationSeconds measures how long it takes to confirm a commit, or to fail.
+var commitConfirmationSeconds = metrics.NewHistogram("nettlewalk_commit_confirmation_seconds")
+
+// commitConfirmations counts the commits that targets acknowledged, by whether they were
+// confirmed.
+var commitConfirmations = map[bool]*metrics.Counter{
+	true:  metrics.NewCounter(`nettlewalk_commit_confirmations_total{outcome="confirmed"}`),
+	false: metrics.NewCounter(`nettlewalk_commit_confirmations_total{outcome="failed"}`),
+}
+
 // countStatement records the end of a statement. The labels are bounded: two kinds
 // and the codes.
 func (s *Server) countStatement(r *request, a *statement.Answer) {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -29,6 +29,9 @@
 	Accept func(net.Conn) Caller
 	// Peers runs statements on other hosts; nil if there are none.
 	Peers Peers
+	// Commits makes sure that promotions keep acknowledged commits; nil: they are passed on
+	// at once.
+	Commits Confirmations
 	// Revocation and ConfirmedAt decide how far keys are trusted. ConfirmedAt returns when
 	// the configuration was last confirmed to be the newest, on the steady clock; nil:
 	// always.
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -290,7 +290,9 @@
 		return r.session.refusal(statement.InDoubt, leaseEndedDetail), false
 	case answer.OK():
 		r.group.NoteLeading(id, sent, &answer)
-		r.session.raiseFloor(&answer)
+		if answer = r.confirm(ctx, id, &answer); answer.OK() {
+			r.session.raiseFloor(&answer)
+		}
 	case answer.Code == statement.ReadOnly:
 		r.group.NoteNotLeading(id, sent)
 	}
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -371,7 +371,7 @@
 		refused.State = statement.Idle
 		return *refused
 	}
-	a := s.commitOnConn(r)
+	a := s.commitOnConn(ctx, r)
 	s.server.countStatement(r, &a)
 	if !a.OK() {
 		r.logOutcome("commit", &a, false)
@@ -381,7 +381,7 @@
 
 // commitOnConn sends the commit, exactly once, after session values that were set since the
 // transaction's last statement.
-func (s *session) commitOnConn(r *request) statement.Answer {
+func (s *session) commitOnConn(ctx context.Context, r *request) statement.Answer {
 	t := s.tx
 	s.tx = nil
 	if _, err := r.applyState(t.target, t.conn, r.deadline); err != nil {
@@ -416,7 +416,9 @@
 	}
 	if a.OK() && t.wrote {
 		t.group.NoteLeading(t.target, sent, &a)
-		s.raiseFloor(&a)
+		if a = r.confirm(ctx, t.target, &a); a.OK() {
+			s.raiseFloor(&a)
+		}
 	}
 	return a
 }
