Send no write while its commit can't be confirmed

Its outcome would be in doubt in any case, as around a promotion, when the voters of the group are sealed.

A write, or a transaction whose first statement writes, waits some ms for a change of voters, then asks other hosts to serve it at once, and then waits for as long as it may wait for a leader, without a connection. The leader is chosen afresh afterwards. Otherwise it is refused, as it hasn't run, with the retry time of a group without a leader. A host without connections to the leader forwards as before, whether or not it reaches the voters itself.

COMMIT of a transaction that wrote waits some ms. Then the transaction is rolled back, and its caller told so.

--- a/internal/relay/retrytimes.go
+++ b/internal/relay/retrytimes.go
@@ -239,7 +239,7 @@
 			}
 		}
 	}
-	if !known {
+	if !known || r.unconfirmable {
 		loss := r.group.LeaderLoss()
 		refusal.Reason, refusal.In = retryafter.NoLeader, max(0, expectedLeaderLoss(loss)-loss.Duration)
 		if !needsLeader {
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -46,6 +46,9 @@
 	// leaderConnsBusy is set if this host has connections to the leader, but all of
 	// them are in use.
 	leaderConnsBusy bool
+	// unconfirmable is set if the request writes, and commits at the leader can't be
+	// confirmed by this host.
+	unconfirmable bool
 	// mayHaveRun is set unless the statement certainly ran at no target.
 	mayHaveRun bool
 	// earned is the part of what a first sending earns that this host needn't or may not
@@ -278,6 +281,11 @@
 	if conn == nil {
 		return refusal, false
 	}
+	if !r.commitsReady() { // any more, after the wait for the connection
+		pool.Release(conn, true)
+		r.unconfirmable = true
+		return r.refuseUnconfirmable(), true
+	}
 	sent := steady.Now()
 	if dest == verifiedLeader {
 		batch := []statement.Statement{proxyStatement(statement.Begin, ""), *r.st, proxyStatement(statement.Rollback, "")}
@@ -305,27 +313,30 @@
 
 // leaderConn returns a connection to the leader. It takes a free local connection,
 // else forwards the statement to another host, else waits for a local connection if
-// that can help. The connection is nil if another host ran the statement or no host
-// could; the returned answer is then the answer to the caller.
+// that can help. A write takes a local connection only while commits can be confirmed.
+// The connection is nil if another host ran the statement or no host could; the returned
+// answer is then the answer to the caller.
 func (r *request) leaderConn(ctx context.Context) (topology.TargetID, *share.Pool, *share.Conn, statement.Answer) {
-	id, pool, known := r.group.Leader()
-	if known {
+	id, pool, known := r.confirmableLeader(ctx)
+	usable := known && !r.unconfirmable
+	if usable {
 		if conn := pool.TryAcquireFor(r.session.customer, r.route.Priority); conn != nil {
 			return id, pool, conn, statement.Answer{}
 		}
 		r.leaderConnsBusy = pool.Load().Open > 0
 	}
-	if known && r.mayOpen() {
+	if usable && r.mayOpen() {
 		if conn, err := r.acquireSoon(pool); err == nil {
 			return id, pool, conn, statement.Answer{}
 		}
 	}
-	if answer, ok := r.forward(ctx, r.needsLeader(), r.leaderConnsBusy); ok {
+	if answer, ok := r.forward(ctx, r.needsLeader(), r.needsFreePeer()); ok {
 		return "", nil, nil, answer
 	}
-	if !known {
-		if id, pool, known = r.waitLeader(ctx); !known {
-			return "", nil, nil, r.session.refusal(statement.Busy, r.noLeaderDetail())
+	if !usable {
+		var refusal *statement.Answer
+		if id, pool, refusal = r.waitConfirmableLeader(ctx, id, pool, known); refusal != nil {
+			return "", nil, nil, *refusal
 		}
 	}
 	conn, err := r.acquire(pool, r.group.Latency(id))
@@ -336,12 +347,15 @@
 	return id, pool, conn, statement.Answer{}
 }
 
-// waitLeader waits for a leader for as long as the request can still be served.
-func (r *request) waitLeader(ctx context.Context) (topology.TargetID, *share.Pool, bool) {
+// needsFreePeer reports whether this host is a place for the request, so that another host
+// helps only if it can serve the request at once.
+func (r *request) needsFreePeer() bool { return r.leaderConnsBusy || r.unconfirmable }
+
+// waitLeader waits for a leader until the deadline, if the request may be queued.
+func (r *request) waitLeader(ctx context.Context, deadline time.Time) (topology.TargetID, *share.Pool, bool) {
 	if r.noWait {
 		return "", nil, false
 	}
-	deadline := time.Now().Add(maxLeaderWait(&r.route, r.group.LeaderLoss()))
 	r.addStep("", "waiting for a leader")
 	return r.group.WaitLeader(ctx, deadline)
 }
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -169,7 +169,7 @@
 	if ok {
 		return answer, false
 	}
-	if a, ok := r.beginOnPeer(ctx, r.leaderConnsBusy); ok {
+	if a, ok := r.beginOnPeer(ctx, r.needsFreePeer()); ok {
 		return r.session.finishBeginOnPeer(r, a), true
 	}
 	if mayWait {
@@ -380,7 +380,8 @@
 }
 
 // commitOnConn sends the commit, exactly once, after session values that were set since the
-// transaction's last statement.
+// transaction's last statement. A transaction that wrote is rolled back instead while commits
+// can't be confirmed.
 func (s *session) commitOnConn(ctx context.Context, r *request) statement.Answer {
 	t := s.tx
 	s.tx = nil
@@ -388,6 +389,10 @@
 		t.rollbackOrClose(errors.Is(err, errStateRefused))
 		return s.refusal(statement.Aborted, err.Error())
 	}
+	if !r.awaitCommits(ctx, time.Now().Add(electorateChangeTime)) {
+		t.rollback()
+		return s.refusal(statement.Aborted, unconfirmableDetail)
+	}
 	if t.atLeader && !t.group.MayLead(t.target) {
 		t.rollback()
 		return s.refusal(statement.Aborted, leaseLostDetail)
