--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -169,7 +169,7 @@
 	if ok {
 		return answer, false
 	}
-	if a, ok := r.beginOnPeer(ctx, r.leaderConnsBusy); ok {
+	if a, ok := r.beginOnPeer(ctx, r.needsFreePeer()); ok {
 		return r.session.finishBeginOnPeer(r, a), true
 	}
 	if mayWait {
@@ -371,7 +371,7 @@
 		refused.State = statement.Idle
 		return *refused
 	}
-	a := s.commitOnConn(r)
+	a := s.commitOnConn(ctx, r)
 	s.server.countStatement(r, &a)
 	if !a.OK() {
 		r.logOutcome("commit", &a, false)
@@ -380,14 +380,19 @@
 }
 
 // commitOnConn sends the commit, exactly once, after session values that were set since the
-// transaction's last statement.
-func (s *session) commitOnConn(r *request) statement.Answer {
+// transaction's last statement. A transaction that wrote is rolled back instead while commits
+// can't be confirmed.
+func (s *session) commitOnConn(ctx context.Context, r *request) statement.Answer {
 	t := s.tx
 	s.tx = nil
 	if _, err := r.applyState(t.target, t.conn, r.deadline); err != nil {
 		t.rollbackOrClose(errors.Is(err, errStateRefused))
 		return s.refusal(statement.Aborted, err.Error())
 	}
+	if !r.awaitCommits(ctx, time.Now().Add(electorateChangeTime)) {
+		t.rollback()
+		return s.refusal(statement.Aborted, unconfirmableDetail)
+	}
 	if t.atLeader && !t.group.MayLead(t.target) {
 		t.rollback()
 		return s.refusal(statement.Aborted, leaseLostDetail)
@@ -416,7 +421,9 @@
 	}
 	if a.OK() && t.wrote {
 		t.group.NoteLeading(t.target, sent, &a)
-		s.raiseFloor(&a)
+		if a = r.confirm(ctx, t.target, &a); a.OK() {
+			s.raiseFloor(&a)
+		}
 	}
 	return a
 }
