Confirm: voters record positions, a seal before promotions tells the newest one

A host has most voters record a commit's position before callers hear of it. The holder of the duty seals the voters before a promotion: from then on no commit is confirmed, and the newest recorded position is what the promoted target needs. A request is announced to the voters first, so that a new holder knows whether one of an earlier holder may still be carried out. Voters that have ended are replaced by a conditional write to the store (duty.RecordElectorate calls the preparation, which seals the present voters, only after the store has answered a read).

The announcement of a request and the takeover of the voters are held by the tests of holder_test.go.

Nothing uses the package yet.

--- a/internal/confirm/choose.go
+++ b/internal/confirm/choose.go
@@ -9,16 +9,16 @@
 
 // ChooseVoters returns the voters that the next epoch should have, sorted by host: those of
 // the current electorate that are live and aren't leaving, and other such processes up to
-// MaxVoters, at most one a host and with the failure domains covered as evenly as possible.
-// It returns the current voters if no process is eligible, or if only their order would
-// change.
-func ChooseVoters(current Electorate, processes []Process) []Voter {
+// the given number, at most one a host and with the failure domains covered as evenly as
+// possible. It returns the current voters if no process is eligible, or if only their order
+// would change.
+func ChooseVoters(current Electorate, processes []Process, number int) []Voter {
 	candidates := eligibleProcesses(processes)
 	if len(candidates) == 0 {
 		return slices.Clone(current.Members())
 	}
 	chosen, spare := splitByVote(candidates, &current)
-	for len(chosen) < MaxVoters && len(spare) > 0 {
+	for len(chosen) < number && len(spare) > 0 {
 		chosen, spare = moveTo(chosen, spare, indexOfBest(spare, chosen))
 	}
 	for {
--- a/internal/confirm/choose_test.go
+++ b/internal/confirm/choose_test.go
@@ -58,7 +58,7 @@
 		{"nobody is eligible", abc, []Process{silent, leaving}, []topology.HostID{"a", "b", "c"}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			got := ChooseVoters(test.current, test.processes)
+			got := ChooseVoters(test.current, test.processes, 3)
 			qt.Check(t, hostsOf(got), qt.DeepEquals, test.want)
 			if slices.Contains(test.processes, restarted) {
 				qt.Check(t, got, qt.Contains, restarted.Voter)
@@ -72,7 +72,7 @@
 func TestOrderOfVotersIsNoChange(t *testing.T) {
 	a, b, c := live("a", 1, "north"), live("b", 1, "south"), live("c", 1, "coast")
 	current := electorateOf(c.Voter, a.Voter, b.Voter)
-	got := ChooseVoters(current, []Process{a, b, c})
+	got := ChooseVoters(current, []Process{a, b, c}, 3)
 	qt.Check(t, got, qt.DeepEquals, []Voter{c.Voter, a.Voter, b.Voter})
 	qt.Check(t, current.SameVoters([]Voter{a.Voter, b.Voter, c.Voter}), qt.IsTrue)
 	qt.Check(t, current.SameVoters([]Voter{a.Voter, b.Voter}), qt.IsFalse)
@@ -106,7 +106,7 @@
 		}
 		current := electorateOf(rapid.Permutation(known).Draw(t, "voters")[:rapid.IntRange(0, MaxVoters).Draw(t, "count")]...)
 		processes := drawProcesses(t)
-		voters := ChooseVoters(current, processes)
+		voters := ChooseVoters(current, processes, MaxVoters)
 
 		eligible := map[Voter]topology.Domain{}
 		eligibleHosts, eligibleDomains := map[topology.HostID]bool{}, map[topology.Domain]int{}
@@ -151,13 +151,13 @@
 		}
 
 		next := electorateOf(voters...)
-		if again := ChooseVoters(next, processes); !slices.Equal(again, voters) {
+		if again := ChooseVoters(next, processes, MaxVoters); !slices.Equal(again, voters) {
 			t.Fatalf("%v, and again %v", voters, again)
 		}
 		shuffled := slices.Clone(processes)
 		seed := rapid.Uint64().Draw(t, "seed")
 		rand.New(rand.NewPCG(seed, 0)).Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
-		if other := ChooseVoters(current, shuffled); !slices.Equal(other, voters) {
+		if other := ChooseVoters(current, shuffled, MaxVoters); !slices.Equal(other, voters) {
 			t.Fatalf("%v, in another order of the processes %v", voters, other)
 		}
 	})
@@ -182,7 +182,7 @@
 		for i, p := range before {
 			current.Voters[i], domainsBefore[p.Domain] = p.Voter, true
 		}
-		voters := ChooseVoters(current, processes)
+		voters := ChooseVoters(current, processes, MaxVoters)
 		dropped, domains := 0, map[topology.Domain]bool{}
 		for _, p := range before {
 			if !slices.Contains(voters, p.Voter) {
--- a/internal/confirm/electorate.go
+++ b/internal/confirm/electorate.go
@@ -3,7 +3,7 @@
 import "nettlewalk.example/nettlewalk/internal/topology"
 
 // MaxVoters is the number of voters of a group, if there are enough hosts.
-const MaxVoters = 3
+const MaxVoters = 5
 
 // Voter is a process of a host.
 type Voter struct {
@@ -18,6 +18,9 @@
 	Voters [MaxVoters]Voter `json:"voters"` // unused entries are zero
 	// Floor is at or after every position that was confirmed in earlier epochs.
 	Floor topology.Position `json:"floor"`
+	// FromTerm is the term of the leader when the epoch began. Commits of earlier terms
+	// aren't confirmed in it.
+	FromTerm uint64 `json:"from_term"`
 }
 
 // Members returns the voters.
--- /dev/null
+++ b/internal/confirm/holder.go
@@ -0,0 +1,361 @@
+package confirm
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"nettlewalk.example/nettlewalk/internal/peer"
+	"nettlewalk.example/nettlewalk/internal/steady"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// ErrWriteInDoubt is returned if a changed electorate may or may not reach the store.
+var ErrWriteInDoubt = errors.New("the write of the electorate may still be carried out")
+
+// Duty is this host's state as the holder of the groups' duties. See duty.Keeper.
+type Duty interface {
+	// Token returns the group's fencing token and whether this host holds the duty.
+	Token(topology.GroupID) (token uint64, held bool)
+	// Electorate returns the group's electorate in the newest known claim.
+	Electorate(topology.GroupID) Electorate
+	// RecordElectorate reads the claim, calls prepare and writes the electorate that it
+	// returns, unless the claim has changed. It returns when the store has it. An error other
+	// than ErrWriteInDoubt means that the store doesn't get it.
+	RecordElectorate(ctx context.Context, id topology.GroupID, prepare func(context.Context) (Electorate, error)) error
+}
+
+const (
+	// changeInterval is the time between changes of a group's electorate.
+	changeInterval = 1 * time.Second
+	// changeTimeout bounds one change. Commits wait meanwhile.
+	changeTimeout = 1 * time.Second
+)
+
+// HolderOptions configures a Holder.
+type HolderOptions struct {
+	Self  topology.HostID
+	Local *Voters
+	Peers peer.Caller
+	Duty  Duty
+	// Processes returns what this host knows of the fleet's processes.
+	Processes func() []Process
+	Log       logr.Logger
+}
+
+// Holder seals and opens the voters of the groups whose duty this host holds, and replaces
+// voters that have ended. Calls for one group must not overlap.
+type Holder struct {
+	opts HolderOptions
+	link link
+
+	mu     sync.Mutex
+	groups map[topology.GroupID]*tenure
+}
+
+// NewHolder returns a Holder that has given no instruction yet.
+func NewHolder(opts HolderOptions) *Holder {
+	return &Holder{opts: opts, link: link{self: opts.Self, local: opts.Local, peers: opts.Peers}, groups: map[topology.GroupID]*tenure{}}
+}
+
+// tenure is this host's work on one epoch of a group under one token.
+type tenure struct {
+	token, epoch uint64
+	since        uint64 // first token of this host without another holder since
+	number       uint64 // of the latest ballot
+	adopted      bool   // earlier holders can't seal the voters any more
+	sealed       bool   // voters may be sealed
+	inherited    bool   // an earlier holder may have requested a promotion since
+	sealedTerm   uint64
+	sealing      *poll     // the present seal of this host
+	closedAt     time.Time // when it was closed, zero if it isn't
+	opening      *poll     // voters that have been opened since
+	openTerm     uint64
+	changedAt    time.Time // latest attempt to change the electorate
+	inDoubt      *change   // a change that the store may or may not get
+}
+
+// Sealing is the outcome of a seal.
+type Sealing struct {
+	// Closed is set if no host passes on a commit until the voters are opened.
+	Closed bool
+	// Known is set if Floor is at or after every position that was passed on.
+	Known bool
+	Floor topology.Position
+	// Unanswered are voters that neither answer nor are known to have ended.
+	Unanswered []topology.HostID
+}
+
+// tenure returns the state for the group's present token and epoch.
+func (h *Holder) tenure(id topology.GroupID, token, epoch uint64) *tenure {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t := h.groups[id]
+	if t == nil || t.token != token || t.epoch != epoch {
+		t = t.next(token, epoch)
+		h.groups[id] = t
+	}
+	return t
+}
+
+// next returns the state under another token or for another epoch.
+func (t *tenure) next(token, epoch uint64) *tenure {
+	renewed := t != nil && (token == t.token || token == t.token+1) // no other host has held the duty since
+	switch {
+	case !renewed:
+		return &tenure{token: token, since: token, epoch: epoch}
+	case epoch != t.epoch: // of this host
+		return &tenure{token: token, since: t.since, epoch: epoch, number: t.number, adopted: true, changedAt: t.changedAt}
+	}
+	renewal := *t
+	renewal.token = token
+	return &renewal
+}
+
+// Seal stops the confirmation of commits, before the leader is replaced. term is a lower
+// bound of its term. Repeated calls ask the voters that haven't answered.
+func (h *Holder) Seal(ctx context.Context, id topology.GroupID, term uint64) Sealing {
+	token, held := h.opts.Duty.Token(id)
+	e := h.opts.Duty.Electorate(id)
+	if !held {
+		return Sealing{}
+	}
+	if len(e.Members()) == 0 {
+		return Sealing{Closed: true}
+	}
+	t := h.tenure(id, token, e.Epoch)
+	if t.inDoubt != nil {
+		h.write(ctx, id, t, t.inDoubt)
+		return Sealing{} // by then the electorate may be another one
+	}
+	h.seal(ctx, id, t, e, term)
+	return t.outcome()
+}
+
+func (h *Holder) seal(ctx context.Context, id topology.GroupID, t *tenure, e Electorate, term uint64) {
+	if t.sealing == nil {
+		t.number++
+		t.sealing, t.opening, t.closedAt = newPoll(e), nil, time.Time{}
+		t.sealed = true
+		t.sealedTerm = max(t.sealedTerm, term)
+	}
+	p := t.sealing
+	if p.closed() && p.meetsEveryQuorum() {
+		return
+	}
+	h.noteEnded(p)
+	args := InstructArgs{Address: Address{Group: id}, Ballot: Ballot{Token: t.token, Number: t.number}, Action: Seal, Term: term}
+	h.link.instructAll(ctx, p, args, func() bool { return p.closed() && p.meetsEveryQuorum() })
+	t.noteInherited(p)
+	if p.closed() && t.closedAt.IsZero() {
+		t.closedAt = steady.Now()
+		h.opts.Log.Info("voters are sealed", "group", id, "epoch", e.Epoch, "term", term, "newest", p.newest().String(), "known", p.meetsEveryQuorum(), "ended", len(p.ended))
+	}
+}
+
+// Order tells the voters that this host is about to request a promotion, after it has sealed
+// them. It returns false if the request must not be sent: another holder may have opened
+// the voters.
+func (h *Holder) Order(ctx context.Context, id topology.GroupID) bool {
+	token, held := h.opts.Duty.Token(id)
+	e := h.opts.Duty.Electorate(id)
+	if !held {
+		return false
+	}
+	if len(e.Members()) == 0 {
+		return true
+	}
+	t := h.tenure(id, token, e.Epoch)
+	if t.sealing == nil || !t.sealing.closed() {
+		return false
+	}
+	t.number++
+	p := newPoll(e)
+	h.noteEnded(p)
+	args := InstructArgs{Address: Address{Group: id}, Ballot: Ballot{Token: t.token, Number: t.number}, Action: Order}
+	h.link.instructAll(ctx, p, args, p.closed)
+	return p.closed()
+}
+
+// noteEnded records the voters that are known to have ended.
+func (h *Holder) noteEnded(p *poll) {
+	processes := h.opts.Processes()
+	for _, v := range p.electorate.Members() {
+		if _, accepted := p.accepted[v]; !accepted && hasEnded(v, processes) {
+			p.ended[v] = true
+		}
+	}
+}
+
+// hasEnded reports whether the voter's host has been silent for very long. Another process
+// on the host tells by itself that the voter has ended; news of it may be out of order.
+func hasEnded(v Voter, processes []Process) bool {
+	return slices.ContainsFunc(processes, func(p Process) bool { return p.Host == v.Host && p.Gone })
+}
+
+func (t *tenure) outcome() Sealing {
+	if t.sealing == nil {
+		return Sealing{}
+	}
+	p := t.sealing
+	s := Sealing{Closed: p.closed(), Known: p.closed() && p.meetsEveryQuorum(), Floor: p.newest()}
+	for _, v := range p.electorate.Members() {
+		if _, accepted := p.accepted[v]; !accepted && !p.ended[v] {
+			s.Unanswered = append(s.Unanswered, v.Host)
+		}
+	}
+	return s
+}
+
+// Proof is a proof that a target leads its group.
+type Proof struct {
+	Position topology.Position // of the leader; its term may be an earlier one
+	Term     uint64            // in which the target leads; 0: not known
+	SentAt   time.Time         // when the request for it was sent
+	// NotOrdered is set if no request of this host may still promote another target.
+	NotOrdered bool
+	// Settled is set if no request of any holder may.
+	Settled bool
+}
+
+// Maintain opens voters that are sealed, if no other target than the leader may be
+// promoted, and replaces voters that have ended. It is called at intervals while a leader
+// serves that isn't being replaced.
+func (h *Holder) Maintain(ctx context.Context, id topology.GroupID, leader Proof) {
+	token, held := h.opts.Duty.Token(id)
+	if !held || leader.Term == 0 {
+		return
+	}
+	e := h.opts.Duty.Electorate(id)
+	t := h.tenure(id, token, e.Epoch)
+	if len(e.Members()) > 0 {
+		if !t.adopted && !h.adopt(ctx, id, t, e) {
+			return
+		}
+		if t.sealed && !t.mayOpen(&leader) {
+			return
+		}
+	}
+	if t.inDoubt != nil {
+		h.writeOrOpen(ctx, id, t, t.inDoubt)
+		return
+	}
+	voters := ChooseVoters(e, h.opts.Processes(), MaxVoters)
+	if !e.SameVoters(voters) && steady.Now().Sub(t.changedAt) >= changeInterval {
+		t.changedAt = steady.Now()
+		c := &change{from: e, next: Electorate{Epoch: e.Epoch + 1, FromTerm: leader.Term, Floor: leader.Position}, leader: leader}
+		copy(c.next.Voters[:], voters)
+		h.writeOrOpen(ctx, id, t, c)
+		return
+	}
+	if len(e.Members()) > 0 {
+		h.open(ctx, id, t, e, leader.Term)
+	}
+}
+
+// mayOpen reports whether commits of the leader's term may be passed on.
+func (t *tenure) mayOpen(leader *Proof) bool {
+	return leader.Settled || leader.NotOrdered && (!t.inherited || leader.Term > t.sealedTerm)
+}
+
+// adopt takes the voters over from earlier holders of the duty. A seal that it finds may
+// be relied on by a request of one of them.
+func (h *Holder) adopt(ctx context.Context, id topology.GroupID, t *tenure, e Electorate) bool {
+	p := newPoll(e)
+	h.noteEnded(p)
+	t.number++
+	args := InstructArgs{Address: Address{Group: id}, Ballot: Ballot{Token: t.token, Number: t.number}, Action: Adopt}
+	h.link.instructAll(ctx, p, args, func() bool { return p.hasQuorum() })
+	if !p.hasQuorum() && !p.closed() {
+		return false
+	}
+	t.noteInherited(p)
+	t.adopted, t.sealed = true, true // voters that haven't answered may be sealed, and are opened too
+	h.opts.Log.Info("voters are taken over", "group", id, "epoch", e.Epoch, "ordered", t.inherited, "sealed_term", t.sealedTerm, "ended", len(p.ended))
+	return true
+}
+
+// noteInherited records a request that an earlier holder may have sent. Once a quorum has
+// accepted a ballot of this host, an earlier holder sends none any more.
+func (t *tenure) noteInherited(p *poll) {
+	term, ordered := p.inherited(t.since)
+	t.inherited = t.inherited || ordered
+	t.sealedTerm = max(t.sealedTerm, term)
+	t.adopted = t.adopted || p.hasQuorum()
+}
+
+// open lets the voters record commits of the leader's term.
+func (h *Holder) open(ctx context.Context, id topology.GroupID, t *tenure, e Electorate, term uint64) {
+	if t.sealed {
+		t.number++
+		t.sealed, t.inherited, t.sealing, t.openTerm, t.opening = false, false, nil, term, newPoll(e)
+		h.opts.Log.Info("voters are opened", "group", id, "epoch", e.Epoch, "term", term)
+	}
+	if t.opening == nil {
+		return
+	}
+	args := InstructArgs{Address: Address{Group: id}, Ballot: Ballot{Token: t.token, Number: t.number}, Action: Open, Term: t.openTerm}
+	h.noteEnded(t.opening)
+	h.link.instructAll(ctx, t.opening, args, t.opening.hasQuorum)
+	if len(t.opening.accepted)+len(t.opening.ended) == len(e.Members()) {
+		t.opening = nil
+	}
+}
+
+// errNotClosed means that voters that don't answer may still confirm commits.
+var errNotClosed = errors.New("voters that don't answer may still confirm commits")
+
+// change is the start of a new epoch.
+type change struct {
+	from   Electorate
+	next   Electorate
+	leader Proof
+}
+
+// writeOrOpen starts a new epoch. It opens the present voters if that surely failed.
+func (h *Holder) writeOrOpen(ctx context.Context, id topology.GroupID, t *tenure, c *change) {
+	if failed := h.write(ctx, id, t, c); failed && t.sealed && h.opts.Duty.Electorate(id).Epoch == c.from.Epoch {
+		h.open(ctx, id, t, c.from, c.leader.Term)
+	}
+}
+
+// write seals the voters for good and writes the electorate of the new epoch. It reports
+// whether that surely failed.
+func (h *Holder) write(ctx context.Context, id topology.GroupID, t *tenure, c *change) (failed bool) {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	err := h.opts.Duty.RecordElectorate(ctx, id, func(ctx context.Context) (Electorate, error) { return h.prepare(ctx, id, t, c) })
+	switch {
+	case err == nil:
+		h.opts.Log.Info("electorate changed", "group", id, "epoch", c.next.Epoch, "voters", c.next.Members(), "floor", c.next.Floor.String(), "from_term", c.next.FromTerm)
+		return false
+	case errors.Is(err, ErrWriteInDoubt):
+		t.inDoubt = c // until the store has this epoch, or another one
+	case errors.Is(err, errNotClosed) && t.sealing != nil && t.sealing.closed():
+		t.changedAt = time.Time{} // again with the next proof of the leader's position
+		return false
+	}
+	h.opts.Log.Info("electorate not changed", "group", id, "epoch", c.from.Epoch, "error", err.Error())
+	return t.inDoubt == nil
+}
+
+// prepare seals the voters and returns the electorate to write.
+func (h *Holder) prepare(ctx context.Context, id topology.GroupID, t *tenure, c *change) (Electorate, error) {
+	if len(c.from.Members()) == 0 {
+		return c.next, nil
+	}
+	h.seal(ctx, id, t, c.from, c.leader.Term)
+	switch p := t.sealing; {
+	case !p.closed():
+		return Electorate{}, errNotClosed
+	case p.meetsEveryQuorum():
+		c.next.Floor = p.newest()
+	case !c.leader.SentAt.After(t.closedAt): // its position may be before what was confirmed since
+		return Electorate{}, errNotClosed
+	}
+	return c.next, nil
+}
--- /dev/null
+++ b/internal/confirm/holder_test.go
@@ -0,0 +1,90 @@
+package confirm
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"nettlewalk.example/nettlewalk/internal/steady/steadytest"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// playTakeover has host 0 begin a promotion and host 1 take the duty.
+func playTakeover(t *testing.T, play func(ctx context.Context, f *fleet, before, after *simHost)) {
+	synctest.Test(t, func(t *testing.T) {
+		steadytest.FollowBubble(t)
+		f := newFleet(3)
+		f.play(nil)
+		f.hosts[0].commit()
+		qt.Assert(t, f.passed, qt.HasLen, 1)
+		qt.Assert(t, f.hosts[0].holder.Seal(t.Context(), simGroup, 1).Known, qt.IsTrue)
+		f.hosts[1].takeDuty()
+		play(t.Context(), f, f.hosts[0], f.hosts[1])
+		time.Sleep(lateWindow)
+	})
+}
+
+func (h *simHost) confirms(term uint64) bool {
+	h.fleet.newest++
+	return h.confirmer.Confirm(context.Background(), simGroup, topology.Position{Term: term, Offset: h.fleet.newest}, time.Now().Add(100*time.Millisecond)) == nil
+}
+
+func TestNewHolderKeepsVotersSealedForRequestOfEarlierHolder(t *testing.T) {
+	playTakeover(t, func(ctx context.Context, f *fleet, before, after *simHost) {
+		qt.Assert(t, before.holder.Order(ctx, simGroup), qt.IsTrue)
+		proof := Proof{Position: topology.Position{Term: 1, Offset: f.newest}, Term: 1, SentAt: time.Now(), NotOrdered: true}
+		after.holder.Maintain(ctx, simGroup, proof)
+		qt.Check(t, after.confirms(1), qt.IsFalse)
+		proof.Term = 2 // the request had its effect
+		after.holder.Maintain(ctx, simGroup, proof)
+		qt.Check(t, after.confirms(1), qt.IsFalse)
+		qt.Check(t, after.confirms(2), qt.IsTrue)
+	})
+}
+
+func TestSealWithoutRequestDoesNotOutlastItsHolder(t *testing.T) {
+	playTakeover(t, func(ctx context.Context, f *fleet, before, after *simHost) {
+		after.holder.Maintain(ctx, simGroup, Proof{Position: topology.Position{Term: 1, Offset: f.newest}, Term: 1, SentAt: time.Now(), NotOrdered: true})
+		qt.Check(t, after.confirms(1), qt.IsTrue)
+		qt.Check(t, before.holder.Order(ctx, simGroup), qt.IsFalse, qt.Commentf("a request would lose what is confirmed"))
+	})
+}
+
+func TestVotersStaySealedWhileOwnRequestMayBeCarriedOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		steadytest.FollowBubble(t)
+		f := newFleet(3)
+		f.play(nil)
+		h := f.hosts[0]
+		h.holder.Seal(t.Context(), simGroup, 1)
+		qt.Assert(t, h.holder.Order(t.Context(), simGroup), qt.IsTrue)
+		proof := Proof{Term: 1, SentAt: time.Now()}
+		h.holder.Maintain(t.Context(), simGroup, proof)
+		qt.Check(t, h.confirms(1), qt.IsFalse)
+		proof.Settled = true
+		h.holder.Maintain(t.Context(), simGroup, proof)
+		qt.Check(t, h.confirms(1), qt.IsTrue)
+		time.Sleep(lateWindow)
+	})
+}
+
+// Floors of earlier epochs stand in the electorate.
+func TestFloorOutlastsTheVotersThatRecordedIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		steadytest.FollowBubble(t)
+		f := newFleet(4)
+		f.play(nil)
+		f.hosts[0].commit()
+		f.hosts[1].start()
+		time.Sleep(changeInterval)
+		f.hosts[0].maintain()
+		qt.Assert(t, f.hosts[0].electorate.Epoch, qt.Equals, uint64(2))
+		s := f.hosts[0].holder.Seal(t.Context(), simGroup, 1)
+		qt.Check(t, s.Known, qt.IsTrue)
+		qt.Check(t, s.Floor, qt.Equals, topology.Position{Term: 1, Offset: 1})
+		time.Sleep(lateWindow)
+	})
+}
--- /dev/null
+++ b/internal/confirm/poll.go
@@ -0,0 +1,51 @@
+package confirm
+
+import "nettlewalk.example/nettlewalk/internal/topology"
+
+// poll is what the voters of an epoch have answered to an instruction.
+type poll struct {
+	electorate Electorate
+	accepted   map[Voter]State // before the instruction
+	ended      map[Voter]bool  // processes that have ended
+}
+
+func newPoll(e Electorate) *poll {
+	return &poll{electorate: e, accepted: map[Voter]State{}, ended: map[Voter]bool{}}
+}
+
+// hasQuorum reports whether a quorum has accepted the instruction.
+func (p *poll) hasQuorum() bool { return len(p.accepted) >= p.electorate.Quorum() }
+
+// closed reports whether too few voters are left that haven't accepted the instruction to
+// confirm a position.
+func (p *poll) closed() bool {
+	left := len(p.electorate.Members()) - len(p.accepted) - len(p.ended)
+	return left < p.electorate.Quorum()
+}
+
+// meetsEveryQuorum reports whether every quorum has a voter that has accepted, so that
+// every confirmed position is known.
+func (p *poll) meetsEveryQuorum() bool {
+	return len(p.accepted) > len(p.electorate.Members())-p.electorate.Quorum()
+}
+
+// newest returns the newest position that may have been confirmed, which is certain only
+// if meetsEveryQuorum.
+func (p *poll) newest() topology.Position {
+	newest := p.electorate.Floor
+	for _, s := range p.accepted {
+		newest = topology.Later(newest, s.Newest)
+	}
+	return newest
+}
+
+// inherited returns the highest term in which a voter was sealed when a holder before the
+// one with the token was about to request a promotion, and whether one was.
+func (p *poll) inherited(token uint64) (term uint64, ordered bool) {
+	for _, s := range p.accepted {
+		if s.OrderedBy != 0 && s.OrderedBy < token {
+			term, ordered = max(term, s.SealedTerm), true
+		}
+	}
+	return term, ordered
+}
--- a/internal/duty/electorate.go
+++ b/internal/duty/electorate.go
@@ -17,10 +17,6 @@
 // that the store has or that this host knows.
 var ErrElectorateChanged = errors.New("the electorate has changed")
 
-// ErrWriteInDoubt is returned if a write may still be carried out. The caller must assume
-// neither that it will be nor that it won't.
-var ErrWriteInDoubt = errors.New("the write may still be carried out")
-
 // Electorate returns the electorate of the newest known claim on the group's duty. Its
 // Epoch is 0 if none was recorded.
 func (k *Keeper) Electorate(id topology.GroupID) confirm.Electorate {
@@ -29,13 +25,14 @@
 	return k.claims[id].Electorate
 }
 
-// RecordElectorate replaces the group's electorate by next, whose epoch must be the one
-// after that in the store. Unlike Record, it changes and spreads this host's claim only once
-// the store has next. It returns nil if the store has next; ErrHeldByOther if this host
+// RecordElectorate reads the group's claim and replaces its electorate by the one that
+// prepare returns, whose epoch must be the one after that in the store. Unlike Record, it
+// changes and spreads this host's claim only once the store has the electorate. It returns
+// nil if the store has it; the error of prepare; ErrHeldByOther if this host
 // doesn't hold the duty or the store has another holder's claim; ErrElectorateChanged if
-// another electorate stands in its place, which this host knows then; ErrWriteInDoubt if it
-// isn't known whether next will be written. After any other error, next isn't written.
-func (k *Keeper) RecordElectorate(ctx context.Context, id topology.GroupID, next confirm.Electorate) error {
+// another electorate stands in its place, which this host knows then; confirm.ErrWriteInDoubt if it
+// isn't known whether the electorate will be written. After any other error it isn't.
+func (k *Keeper) RecordElectorate(ctx context.Context, id topology.GroupID, prepare func(context.Context) (confirm.Electorate, error)) error {
 	unlock, err := k.lockObject(ctx, id)
 	if err != nil {
 		return err
@@ -55,6 +52,15 @@
 		k.learnRecord(stored)
 		return ErrHeldByOther
 	}
+	known := claim.Electorate.Epoch
+	claim = k.mergeStored(claim, stored.Claim)
+	if stored.Electorate.Epoch != known {
+		return ErrElectorateChanged
+	}
+	next, err := prepare(ctx)
+	if err != nil {
+		return err
+	}
 	claim = k.mergeStored(claim, stored.Claim)
 	if stored.Electorate.Epoch+1 != next.Epoch || claim.Electorate.Epoch+1 != next.Epoch {
 		return ErrElectorateChanged
@@ -81,7 +87,7 @@
 		if hadNoEffect(cause) {
 			return errors.Wrap(cause, notWritten)
 		}
-		return fmt.Errorf("%w: %w, then %w", ErrWriteInDoubt, cause, err)
+		return fmt.Errorf("%w: %w, then %w", confirm.ErrWriteInDoubt, cause, err)
 	}
 	k.learnRecord(stored)
 	// Versions of different eras don't compare.
@@ -94,7 +100,7 @@
 	case superseded || hadNoEffect(cause):
 		return errors.Wrap(cause, notWritten)
 	}
-	return fmt.Errorf("%w: %w", ErrWriteInDoubt, cause)
+	return fmt.Errorf("%w: %w", confirm.ErrWriteInDoubt, cause)
 }
 
 const notWritten = "the electorate was not written"
--- a/internal/duty/electorate_test.go
+++ b/internal/duty/electorate_test.go
@@ -16,6 +16,11 @@
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
+// to returns a preparation of the electorate.
+func to(e confirm.Electorate) func(context.Context) (confirm.Electorate, error) {
+	return func(context.Context) (confirm.Electorate, error) { return e, nil }
+}
+
 // interceptedStore is a fakeStore whose calls a test can replace. It is safe for concurrent
 // use.
 type interceptedStore struct {
@@ -58,7 +63,7 @@
 	intercepted := &interceptedStore{fakeStore: s}
 	k.opts.Store = intercepted
 	qt.Assert(t, k.writeClaim(t.Context(), Claim{Group: "g"}), qt.IsNil)
-	qt.Assert(t, k.RecordElectorate(t.Context(), "g", first), qt.IsNil)
+	qt.Assert(t, k.RecordElectorate(t.Context(), "g", to(first)), qt.IsNil)
 	return k, intercepted
 }
 
@@ -95,7 +100,7 @@
 		qt.Check(t, k.Claims(), qt.DeepEquals, []Claim{before})
 		qt.Check(t, changes, qt.Equals, 0)
 	}
-	qt.Assert(t, k.RecordElectorate(t.Context(), "g", secondElectorate), qt.IsNil)
+	qt.Assert(t, k.RecordElectorate(t.Context(), "g", to(secondElectorate)), qt.IsNil)
 	qt.Check(t, k.Electorate("g"), qt.Equals, secondElectorate)
 	qt.Check(t, changes, qt.Equals, 1)
 	after := knownClaim(k)
@@ -111,9 +116,9 @@
 			intercepted.put = func(o platform.Object) (platform.Object, error) { return o, result.New(code, "failed") }
 			for _, get := range []func() (platform.Object, error){nil, func() (platform.Object, error) { return *s.object, nil }} {
 				intercepted.get = get
-				err := k.RecordElectorate(t.Context(), "g", secondElectorate)
+				err := k.RecordElectorate(t.Context(), "g", to(secondElectorate))
 				qt.Check(t, err, qt.IsNotNil)
-				qt.Check(t, errors.Is(err, ErrWriteInDoubt), qt.IsFalse)
+				qt.Check(t, errors.Is(err, confirm.ErrWriteInDoubt), qt.IsFalse)
 				qt.Check(t, k.Electorate("g"), qt.Equals, firstElectorate)
 			}
 		})
@@ -126,13 +131,13 @@
 	other := newKeeper(s, &fakeHosts{connected: true})
 	other.opts.Self = "b"
 	other.Learn(knownClaim(k))
-	qt.Check(t, other.RecordElectorate(t.Context(), "g", secondElectorate), qt.Equals, ErrHeldByOther)
+	qt.Check(t, other.RecordElectorate(t.Context(), "g", to(secondElectorate)), qt.Equals, ErrHeldByOther)
 	released := knownClaim(k)
 	released.Released = true
 	s.write(t, released)
-	qt.Check(t, k.RecordElectorate(t.Context(), "g", secondElectorate), qt.Equals, ErrHeldByOther)
+	qt.Check(t, k.RecordElectorate(t.Context(), "g", to(secondElectorate)), qt.Equals, ErrHeldByOther)
 	k.Release(t.Context())
-	qt.Check(t, k.RecordElectorate(t.Context(), "g", secondElectorate), qt.Equals, ErrHeldByOther)
+	qt.Check(t, k.RecordElectorate(t.Context(), "g", to(secondElectorate)), qt.Equals, ErrHeldByOther)
 	qt.Check(t, storedClaim(t, s).Electorate, qt.Equals, firstElectorate)
 }
 
@@ -142,10 +147,10 @@
 	s := &fakeStore{}
 	k, _ := holderOfGroup(t, s, firstElectorate)
 	next := successor(t, s)
-	qt.Assert(t, next.RecordElectorate(t.Context(), "g", secondElectorate), qt.IsNil)
+	qt.Assert(t, next.RecordElectorate(t.Context(), "g", to(secondElectorate)), qt.IsNil)
 	_, held := k.Token("g")
 	qt.Assert(t, held, qt.IsTrue)
-	qt.Check(t, k.RecordElectorate(t.Context(), "g", electorate(2, "x", "y", "z")), qt.Equals, ErrHeldByOther)
+	qt.Check(t, k.RecordElectorate(t.Context(), "g", to(electorate(2, "x", "y", "z"))), qt.Equals, ErrHeldByOther)
 	qt.Check(t, storedClaim(t, s).Electorate, qt.Equals, secondElectorate)
 	qt.Check(t, k.Electorate("g"), qt.Equals, secondElectorate)
 }
@@ -158,19 +163,19 @@
 		s.beforePut = nil
 		successor(t, s)
 	}
-	err := k.RecordElectorate(t.Context(), "g", secondElectorate)
+	err := k.RecordElectorate(t.Context(), "g", to(secondElectorate))
 	qt.Check(t, err, qt.IsNotNil)
-	qt.Check(t, errors.Is(err, ErrWriteInDoubt), qt.IsFalse)
+	qt.Check(t, errors.Is(err, confirm.ErrWriteInDoubt), qt.IsFalse)
 	qt.Check(t, storedClaim(t, s).Electorate, qt.Equals, firstElectorate)
 	qt.Check(t, k.Electorate("g"), qt.Equals, firstElectorate)
-	qt.Check(t, k.RecordElectorate(t.Context(), "g", secondElectorate), qt.Equals, ErrHeldByOther)
+	qt.Check(t, k.RecordElectorate(t.Context(), "g", to(secondElectorate)), qt.Equals, ErrHeldByOther)
 }
 
 func TestElectorateMustFollowTheStoredOne(t *testing.T) {
 	s := &fakeStore{}
 	k, _ := holderOfGroup(t, s, firstElectorate)
 	for _, epoch := range []uint64{0, 1, 3} {
-		qt.Check(t, k.RecordElectorate(t.Context(), "g", electorate(epoch, "x")), qt.Equals, ErrElectorateChanged)
+		qt.Check(t, k.RecordElectorate(t.Context(), "g", to(electorate(epoch, "x"))), qt.Equals, ErrElectorateChanged)
 	}
 	qt.Check(t, storedClaim(t, s).Electorate, qt.Equals, firstElectorate)
 }
@@ -179,7 +184,7 @@
 	s := &fakeStore{}
 	k, _ := holderOfGroup(t, s, firstElectorate)
 	s.loseAnswer = true
-	qt.Assert(t, k.RecordElectorate(t.Context(), "g", secondElectorate), qt.IsNil)
+	qt.Assert(t, k.RecordElectorate(t.Context(), "g", to(secondElectorate)), qt.IsNil)
 	qt.Check(t, k.Electorate("g"), qt.Equals, secondElectorate)
 	qt.Check(t, knownClaim(k), qt.Equals, storedClaim(t, s).Claim)
 }
@@ -204,13 +209,13 @@
 	s := &fakeStore{}
 	k, intercepted := holderOfGroup(t, s, firstElectorate)
 	arrive := delayedWrite(intercepted)
-	err := k.RecordElectorate(t.Context(), "g", secondElectorate)
-	qt.Check(t, err, qt.ErrorIs, ErrWriteInDoubt)
+	err := k.RecordElectorate(t.Context(), "g", to(secondElectorate))
+	qt.Check(t, err, qt.ErrorIs, confirm.ErrWriteInDoubt)
 	qt.Check(t, k.Electorate("g"), qt.Equals, firstElectorate)
 	qt.Assert(t, arrive(), qt.IsTrue)
-	qt.Check(t, k.RecordElectorate(t.Context(), "g", electorate(2, "x")), qt.Equals, ErrElectorateChanged)
+	qt.Check(t, k.RecordElectorate(t.Context(), "g", to(electorate(2, "x"))), qt.Equals, ErrElectorateChanged)
 	qt.Check(t, k.Electorate("g"), qt.Equals, secondElectorate)
-	qt.Check(t, k.RecordElectorate(t.Context(), "g", thirdElectorate), qt.IsNil)
+	qt.Check(t, k.RecordElectorate(t.Context(), "g", to(thirdElectorate)), qt.IsNil)
 }
 
 func TestElectorateWriteIsInDoubtIfItCannotBeReadBack(t *testing.T) {
@@ -222,8 +227,8 @@
 		}
 		return o, result.New(result.PlatformUnknown, "no answer")
 	}
-	err := k.RecordElectorate(t.Context(), "g", secondElectorate)
-	qt.Check(t, err, qt.ErrorIs, ErrWriteInDoubt)
+	err := k.RecordElectorate(t.Context(), "g", to(secondElectorate))
+	qt.Check(t, err, qt.ErrorIs, confirm.ErrWriteInDoubt)
 	qt.Check(t, k.Electorate("g"), qt.Equals, firstElectorate)
 }
 
@@ -232,9 +237,9 @@
 	s := &fakeStore{}
 	k, intercepted := holderOfGroup(t, s, firstElectorate)
 	arrive := delayedWrite(intercepted)
-	qt.Assert(t, k.RecordElectorate(t.Context(), "g", secondElectorate), qt.ErrorIs, ErrWriteInDoubt)
+	qt.Assert(t, k.RecordElectorate(t.Context(), "g", to(secondElectorate)), qt.ErrorIs, confirm.ErrWriteInDoubt)
 	other := electorate(2, "x", "y")
-	qt.Assert(t, k.RecordElectorate(t.Context(), "g", other), qt.IsNil)
+	qt.Assert(t, k.RecordElectorate(t.Context(), "g", to(other)), qt.IsNil)
 	qt.Check(t, arrive(), qt.IsFalse)
 	qt.Check(t, storedClaim(t, s).Electorate, qt.Equals, other)
 }
@@ -252,9 +257,9 @@
 			}
 			return o, result.New(result.PlatformUnknown, "no answer")
 		}
-		err := k.RecordElectorate(t.Context(), "g", secondElectorate)
+		err := k.RecordElectorate(t.Context(), "g", to(secondElectorate))
 		qt.Assert(t, err, qt.IsNotNil)
-		qt.Check(t, errors.Is(err, ErrWriteInDoubt), qt.Equals, restored)
+		qt.Check(t, errors.Is(err, confirm.ErrWriteInDoubt), qt.Equals, restored)
 		qt.Check(t, k.Electorate("g"), qt.Equals, firstElectorate)
 	}
 }
@@ -267,10 +272,10 @@
 	intercepted.put = func(o platform.Object) (platform.Object, error) {
 		_, err := s.PutIf(t.Context(), o)
 		qt.Check(t, err, qt.IsNil)
-		qt.Check(t, successor(t, s).RecordElectorate(t.Context(), "g", thirdElectorate), qt.IsNil)
+		qt.Check(t, successor(t, s).RecordElectorate(t.Context(), "g", to(thirdElectorate)), qt.IsNil)
 		return o, result.New(result.PlatformUnknown, "no answer")
 	}
-	qt.Check(t, k.RecordElectorate(t.Context(), "g", secondElectorate), qt.ErrorIs, ErrElectorateChanged)
+	qt.Check(t, k.RecordElectorate(t.Context(), "g", to(secondElectorate)), qt.ErrorIs, ErrElectorateChanged)
 	qt.Check(t, k.Electorate("g"), qt.Equals, thirdElectorate)
 }
 
@@ -279,7 +284,7 @@
 	t.Helper()
 	k, intercepted := holderOfGroup(t, s, firstElectorate)
 	arrive := delayedWrite(intercepted)
-	qt.Assert(t, k.RecordElectorate(t.Context(), "g", secondElectorate), qt.ErrorIs, ErrWriteInDoubt)
+	qt.Assert(t, k.RecordElectorate(t.Context(), "g", to(secondElectorate)), qt.ErrorIs, confirm.ErrWriteInDoubt)
 	qt.Assert(t, arrive(), qt.IsTrue)
 	qt.Assert(t, k.Electorate("g"), qt.Equals, firstElectorate)
 	return k
@@ -331,7 +336,7 @@
 			s := &fakeStore{}
 			k, intercepted := holderOfGroup(t, s, firstElectorate)
 			before := knownClaim(k)
-			qt.Assert(t, k.RecordElectorate(t.Context(), "g", secondElectorate), qt.IsNil)
+			qt.Assert(t, k.RecordElectorate(t.Context(), "g", to(secondElectorate)), qt.IsNil)
 			state := Leadership{Leader: "t1", Term: 2}
 			intercepted.put = func(o platform.Object) (platform.Object, error) {
 				return o, result.New(result.PlatformDown, "not sent")
@@ -356,7 +361,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := &fakeStore{}
 			k, _ := holderOfGroup(t, s, firstElectorate)
-			qt.Assert(t, k.RecordElectorate(t.Context(), "g", secondElectorate), qt.IsNil)
+			qt.Assert(t, k.RecordElectorate(t.Context(), "g", to(secondElectorate)), qt.IsNil)
 			end(k)
 			next := successor(t, s)
 			qt.Check(t, next.Electorate("g"), qt.Equals, secondElectorate)
@@ -370,7 +375,7 @@
 	s := &fakeStore{}
 	k, _ := holderOfGroup(t, s, firstElectorate)
 	old := knownClaim(k)
-	qt.Assert(t, k.RecordElectorate(t.Context(), "g", secondElectorate), qt.IsNil)
+	qt.Assert(t, k.RecordElectorate(t.Context(), "g", to(secondElectorate)), qt.IsNil)
 	next := newKeeper(s, &fakeHosts{silentFor: time.Minute, connected: true})
 	next.opts.Boot = 2
 	next.Learn(old)
@@ -391,10 +396,10 @@
 			s := &fakeStore{}
 			k, _ := holderOfGroup(t, s, firstElectorate)
 			copied := *s.object
-			qt.Assert(t, k.RecordElectorate(t.Context(), "g", secondElectorate), qt.IsNil)
+			qt.Assert(t, k.RecordElectorate(t.Context(), "g", to(secondElectorate)), qt.IsNil)
 			s.object, s.era = &copied, 1
-			qt.Check(t, k.RecordElectorate(t.Context(), "g", electorate(2, "x")), qt.Equals, ErrElectorateChanged)
-			qt.Check(t, k.RecordElectorate(t.Context(), "g", thirdElectorate), qt.Equals, ErrElectorateChanged)
+			qt.Check(t, k.RecordElectorate(t.Context(), "g", to(electorate(2, "x"))), qt.Equals, ErrElectorateChanged)
+			qt.Check(t, k.RecordElectorate(t.Context(), "g", to(thirdElectorate)), qt.Equals, ErrElectorateChanged)
 			qt.Assert(t, write(k), qt.IsNil)
 			qt.Check(t, storedClaim(t, s).Electorate, qt.Equals, secondElectorate)
 			qt.Check(t, k.Electorate("g"), qt.Equals, secondElectorate)
@@ -428,7 +433,7 @@
 		state, members := Leadership{Leader: "t1", Term: 2}, []Member{{ID: "m"}}
 		errs := make(chan error, 3)
 		go func() { errs <- k.Record(t.Context(), "g", state) }()
-		go func() { errs <- k.RecordElectorate(t.Context(), "g", secondElectorate) }()
+		go func() { errs <- k.RecordElectorate(t.Context(), "g", to(secondElectorate)) }()
 		go func() { errs <- k.RecordMembers(t.Context(), "g", members) }()
 		for range 3 {
 			qt.Assert(t, <-errs, qt.IsNil)
@@ -458,7 +463,7 @@
 		}
 		recorded = knownClaim(k)
 	}
-	qt.Assert(t, k.RecordElectorate(t.Context(), "g", secondElectorate), qt.IsNil)
+	qt.Assert(t, k.RecordElectorate(t.Context(), "g", to(secondElectorate)), qt.IsNil)
 	qt.Assert(t, <-done, qt.IsNil)
 	stored := storedClaim(t, s)
 	qt.Check(t, stored.Leadership, qt.Equals, state)
@@ -474,7 +479,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	qt.Check(t, k.RecordElectorate(ctx, "g", secondElectorate), qt.ErrorIs, context.Canceled)
+	qt.Check(t, k.RecordElectorate(ctx, "g", to(secondElectorate)), qt.ErrorIs, context.Canceled)
 	unlock()
-	qt.Check(t, k.RecordElectorate(t.Context(), "g", secondElectorate), qt.IsNil)
+	qt.Check(t, k.RecordElectorate(t.Context(), "g", to(secondElectorate)), qt.IsNil)
 }
