Pass commits on only once no promotion can lose them

Cause: a target acknowledges a commit once any one replica has it, also a replica that no host has heard of: one that joins a primary that is cut off, or between a promotion request and its effect. The holder of the duty paused the replicas that it knew of, and took silence and its list of targets for facts; hosts passed every success on.

Change: hosts have a commit confirmed by the group's voters before they pass it on; a host that can't says that the outcome is unknown, and refuses writes before it sends them. The holder seals the voters before a promotion and requests it only for a target that has the newest confirmed position. What other replicas have, whether they are known and whether they were paused no longer matters; the earlier rules remain for the case that too many voters have ended to tell the position. A new leader's commits are confirmed as soon as it is proved to lead and no other request may be carried out.

--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -14,6 +14,7 @@
 
 	"nettlewalk.example/nettlewalk/internal/capacity"
 	"nettlewalk.example/nettlewalk/internal/catalog"
+	"nettlewalk.example/nettlewalk/internal/confirm"
 	"nettlewalk.example/nettlewalk/internal/duty"
 	"nettlewalk.example/nettlewalk/internal/gossip"
 	"nettlewalk.example/nettlewalk/internal/group"
@@ -47,8 +48,11 @@
 	watchers     *promotion.Watchers
 	groups       *group.Set
 	relay        *relay.Server
-	grantor      *lease.Grantor   // nil if primaries are fenced
-	lessee       *lease.Lessee    // nil if primaries are fenced
+	grantor      *lease.Grantor // nil if primaries are fenced
+	lessee       *lease.Lessee  // nil if primaries are fenced
+	voters       *confirm.Voters
+	commits      *confirm.Confirmer
+	commitHolder *confirm.Holder
 	locality     *locality.Router // nil if no prices are set
 	quota        *quota.Quota     // nil if the settings don't bound rates
 	capacity     *capacity.Coordinator
@@ -101,6 +105,7 @@
 		PrimaryDomain: h.primaryDomain, Log: log.WithName("duty"), OnChange: h.dutyChanged,
 	})
 	h.gossip.SetClaims(h.duty)
+	h.createCommits(bootID)
 	groupOptions := group.SetOptions{
 		Domain: s.Domain, Dialer: platform.TargetDialer{}, Catalog: h.catalog,
 		Size: h.connectionShare, Customers: h.groupCustomers, OnSuspect: h.reportUnreachable,
@@ -118,7 +123,8 @@
 		Catalog: h.catalog, Groups: h.groups, Accept: platform.NewCallerConn,
 		Peers:      &relayPeers{Client: h.peers, host: h},
 		Revocation: keys.Policy{Strict: s.Revocation.Strict, Timeout: s.Revocation.Timeout}, ConfirmedAt: h.catalog.ConfirmedAt,
-		Homes: h.customerHomes, Self: self, Locality: h.locality, Quota: h.quota,
+		Commits: h.commits,
+		Homes:   h.customerHomes, Self: self, Locality: h.locality, Quota: h.quota,
 		RetryBudget: h.budgetsRetries, Hosts: func() int { return len(h.gossip.Sharers().Hosts) },
 		RetryTimes: relay.RetryTimes{Mode: options.retryTimes, Hosts: func() int { return len(h.gossip.Live()) }},
 		Log:        log.WithName("relay"),
@@ -138,6 +144,18 @@
 	h.watchers.DutyChanged(id)
 }
 
+// createCommits creates what confirms commits before callers hear of them.
+func (h *fleetHost) createCommits(bootID uint64) {
+	self, log := topology.HostID(h.settings.PeerAddr), h.log.WithName("confirm")
+	h.voters = confirm.NewVoters(bootID)
+	h.commits = confirm.New(confirm.Options{
+		Self: self, Local: h.voters, Peers: h.peers, Electorate: h.duty.Electorate, Needed: h.catalog.AwaitsReplicas, Log: log,
+	})
+	h.commitHolder = confirm.NewHolder(confirm.HolderOptions{
+		Self: self, Local: h.voters, Peers: h.peers, Duty: h.duty, Processes: h.gossip.Processes, Log: log,
+	})
+}
+
 // createLeases creates both sides of the leases on the leadership of groups.
 func (h *fleetHost) createLeases() {
 	log := h.log.WithName("lease")
@@ -210,6 +228,9 @@
 	if err := h.server.Register(promotion.ServiceName, h.watchers.Service(platform.TargetDialer{})); err != nil {
 		return nil, err
 	}
+	if err := h.server.Register(confirm.ServiceName, h.voters); err != nil {
+		return nil, err
+	}
 	if h.lessee != nil {
 		if err := h.server.Register(lease.ServiceName, lease.NewService(h.grantor, h.lessee)); err != nil {
 			return nil, err
--- a/cmd/nettlewalk/fleetinspect.go
+++ b/cmd/nettlewalk/fleetinspect.go
@@ -15,6 +15,7 @@
 
 	"nettlewalk.example/nettlewalk/internal/capacity"
 	"nettlewalk.example/nettlewalk/internal/catalog"
+	"nettlewalk.example/nettlewalk/internal/confirm"
 	"nettlewalk.example/nettlewalk/internal/duty"
 	"nettlewalk.example/nettlewalk/internal/gossip"
 	"nettlewalk.example/nettlewalk/internal/group"
@@ -24,6 +25,7 @@
 	"nettlewalk.example/nettlewalk/internal/quota"
 	"nettlewalk.example/nettlewalk/internal/relay"
 	"nettlewalk.example/nettlewalk/internal/steady"
+	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
 // fleetDump is the JSON state dump of a host on the users' platform.
@@ -41,6 +43,9 @@
 	Hosts         []gossip.Host `json:"hosts"`
 	Duties        []duty.Claim  `json:"duties"`
 	Groups        []group.Dump  `json:"groups"`
+	// Voters has the groups on whose commits this host votes. The voters of each group are
+	// in its duty's claim.
+	Voters map[topology.GroupID]confirm.State `json:"voters"`
 	// Keys is absent if the configuration has no customers.
 	Keys *relay.KeysDump `json:"keys,omitempty"`
 	// Leases are those of this host, Grants those that it granted. Both are absent
@@ -64,7 +69,7 @@
 	d := fleetDump{
 		Host: string(h.settings.Host), Ready: h.isReady(), Leaving: h.leaving.Load(), Sessions: h.relay.Sessions(),
 		ReadMS: msSinceRead(h.catalog.ReadTimes()), Connected: h.gossip.Connected(),
-		Hosts: h.gossip.Hosts(), Duties: h.duty.Claims(), Groups: h.groups.Dump(),
+		Hosts: h.gossip.Hosts(), Duties: h.duty.Claims(), Groups: h.groups.Dump(), Voters: h.voters.Dump(),
 		Keys: h.relay.DumpKeys(), Retries: h.relay.DumpRetries(), RetryTimes: h.relay.DumpRetryTimes(),
 	}
 	configuration, register := h.catalog.Versions()
--- a/cmd/nettlewalk/fleetstore.go
+++ b/cmd/nettlewalk/fleetstore.go
@@ -120,7 +120,7 @@
 			options := promotion.Options{
 				Group: id, Name: string(h.settings.Host), Dialer: platform.TargetDialer{}, Parse: platform.ParseTargetStatus,
 				Promoter: platform.NewPromoter(h.settings.PromotionAddr), Duty: h.duty, DutyAnnounced: true, Catalog: h.catalog, GroupView: groupState,
-				ReadRegister: h.readRegister, AskHosts: question.Ask,
+				Commits: h.commitHolder, ReadRegister: h.readRegister, AskHosts: question.Ask,
 				Hosts: func() int { return len(h.gossip.Live()) }, Log: h.log.WithName("promotion"),
 			}
 			if h.grantor != nil {
--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -253,6 +253,13 @@
 	return members, unregisteredFor
 }
 
+// AwaitsReplicas reports whether targets of the group acknowledge a commit only once
+// replicas have it.
+func (s *Store) AwaitsReplicas(id topology.GroupID) bool {
+	c := s.Configuration()
+	return c != nil && c.Groups[id].AckReplicas > 0
+}
+
 // PrimaryDomain returns the failure domain of a group's primary, or "" if there
 // is none. last is the target that was most recently proved to be the primary.
 // If last is no longer registered, the target that registered as the primary
--- /dev/null
+++ b/internal/promotion/commits.go
@@ -0,0 +1,113 @@
+package promotion
+
+import (
+	"context"
+	"time"
+
+	"nettlewalk.example/nettlewalk/internal/confirm"
+	"nettlewalk.example/nettlewalk/internal/statement"
+	"nettlewalk.example/nettlewalk/internal/steady"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+const (
+	// sealPatience is how long commits wait for the candidate to catch up while the leader
+	// serves: a few round trips.
+	sealPatience = 300 * time.Millisecond
+	// sealRetryInterval is the time until the voters may be sealed again after that.
+	sealRetryInterval = 1 * time.Second
+)
+
+// commitState is a watcher's state of the group's voters.
+type commitState struct {
+	sealing    bool // the attempt seals the voters
+	known      bool // they have told which commits callers have heard of
+	sealedTerm uint64
+	sealedAt   time.Time
+	notBefore  time.Time // the voters may be sealed again
+	ordered    bool      // a request was sent whose effect hasn't been seen
+
+	leader     topology.TargetID // whose term is known
+	leaderTerm uint64
+}
+
+// startSealing records that the voters are to be asked with each view of the attempt.
+func (s *commitState) startSealing(term uint64, now time.Time) {
+	if !s.sealing {
+		s.sealing, s.sealedTerm, s.sealedAt = true, term, now
+	}
+}
+
+// noteOutcome records the outcome of a request. mayStill is set if an earlier one may still
+// be carried out.
+func (s *commitState) noteOutcome(outcome Outcome, mayStill bool) {
+	s.ordered = mayStill || outcome == Accepted || outcome == Unanswered
+}
+
+// noteEffect records that the target of the last request leads.
+func (s *commitState) noteEffect() { s.ordered, s.leader = false, "" }
+
+// confirmsCommits reports whether callers hear of commits only after voters have recorded
+// them.
+func (w *Watcher) confirmsCommits() bool { return w.opts.Commits != nil && w.ackReplicas() > 0 }
+
+// addSealing adds what the voters have answered to the view of an attempt.
+func (w *Watcher) addSealing(ctx context.Context, v *View) {
+	if !w.confirmsCommits() {
+		return
+	}
+	v.Confirmed, v.MaySeal = true, !steady.Now().Before(w.commits.notBefore)
+	if w.commits.sealing {
+		v.Sealing = w.opts.Commits.Seal(ctx, w.opts.Group, w.commits.sealedTerm)
+	}
+	w.commits.known = v.Sealing.Known
+}
+
+// openAfterPatience lets commits be confirmed again if the leader serves and the
+// promotion can't go on.
+func (w *Watcher) openAfterPatience(ctx context.Context, step Step, serves bool) {
+	now := steady.Now()
+	if _, waits := step.(Wait); !waits || !serves || !w.commits.sealing || now.Sub(w.commits.sealedAt) < sealPatience {
+		return
+	}
+	w.commits.sealing, w.commits.known, w.commits.notBefore = false, false, now.Add(sealRetryInterval)
+	w.maintainCommits(ctx)
+}
+
+// maintainCommits lets commits of the leader, which has just been proved to lead, be
+// confirmed, unless another target may be promoted at any time.
+func (w *Watcher) maintainCommits(ctx context.Context) {
+	if !w.confirmsCommits() || !w.opts.Duty.Settled(w.opts.Group) || w.otherPending(w.leader) {
+		return
+	}
+	now, term := steady.Now(), w.termOfLeader(ctx)
+	if now.Before(w.opts.Duty.PendingUntil(w.opts.Group)) {
+		return
+	}
+	settled := w.requests.mayResume(now)
+	hadEffect := w.leader == w.requests.lastTarget && term > w.commits.sealedTerm
+	w.commits.ordered = w.commits.ordered && !settled && !hadEffect
+	w.opts.Commits.Maintain(ctx, w.opts.Group, confirm.Proof{
+		Position: w.leaderPosition, Term: term, SentAt: w.leaderProvedAt,
+		NotOrdered: !w.commits.ordered, Settled: settled,
+	})
+}
+
+// termOfLeader returns the term in which the leader leads, or 0 if it doesn't tell. The
+// position of a leader that has just been promoted is of the term before.
+func (w *Watcher) termOfLeader(ctx context.Context) uint64 {
+	s := &w.commits
+	if s.leader == w.leader && s.leaderTerm >= w.leaderPosition.Term {
+		return s.leaderTerm
+	}
+	pr := w.probers[w.leader]
+	if pr == nil {
+		return 0
+	}
+	status, reach := pr.commandWithin(ctx, verifyTimeout, statement.Status, 0)
+	if reach != Answered || !status.Primary {
+		return 0
+	}
+	s.leader, s.leaderTerm = w.leader, status.Term
+	return status.Term
+}
--- a/internal/promotion/log.go
+++ b/internal/promotion/log.go
@@ -56,11 +56,15 @@
 // logStep logs a step with the inputs that decided it and their ages.
 func (w *Watcher) logStep(step Step, view *View) {
 	values := append([]any{"group", w.opts.Group, "leader", w.leader, "since_ms", steady.Now().Sub(w.attemptStartedAt).Milliseconds(), "members", w.memberLogs(view.Members)}, w.knowledgeLog()...)
+	if view.Sealing.Closed {
+		values = append(values, "confirmed", view.Sealing.Floor.String(), "confirmed_known", view.Sealing.Known)
+	}
 	switch s := step.(type) {
 	case Wait:
-		if s.Reason != w.lastWaitReason || steady.Now().Sub(w.lastWaitLoggedAt) > waitLogInterval {
-			w.lastWaitReason, w.lastWaitLoggedAt = s.Reason, steady.Now()
-			w.opts.Log.Info("promotion delayed", append(values, "reason", s.Reason)...)
+		w.logWait(s.Reason, values)
+	case Seal:
+		if len(view.Sealing.Unanswered) > 0 {
+			w.logWait("voters that do not answer may still confirm commits", append(values, "unanswered", view.Sealing.Unanswered))
 		}
 	case Pause:
 		w.opts.Log.Info("pausing replicas", append(values, "term", s.Term, "targets", s.Targets)...)
@@ -69,6 +73,14 @@
 	}
 }
 
+// logWait logs why a promotion is delayed, once a reason and at intervals.
+func (w *Watcher) logWait(reason string, values []any) {
+	if reason != w.lastWaitReason || steady.Now().Sub(w.lastWaitLoggedAt) > waitLogInterval {
+		w.lastWaitReason, w.lastWaitLoggedAt = reason, steady.Now()
+		w.opts.Log.Info("promotion delayed", append(values, "reason", reason)...)
+	}
+}
+
 // knowledgeLog returns what the list of members and the leader are known from: the
 // register's position and the age of its newest read, and the leader's last proof.
 func (w *Watcher) knowledgeLog() []any {
--- a/internal/promotion/next.go
+++ b/internal/promotion/next.go
@@ -25,6 +25,9 @@
 	if v.Ordered != "" && candidate.ID != v.Ordered {
 		return Wait{Reason: "an earlier request may still promote another target"}
 	}
+	if step, decided := v.nextConfirmed(candidate); decided {
+		return step
+	}
 	others := v.otherReplicas(candidate.ID)
 	if n := countUncertain(others, candidate) + countLostLogs(v.Members, candidate); n >= max(v.AckReplicas, 1) {
 		return Wait{Reason: fmt.Sprintf("%d replicas can't be paused and may have received more commits", n)}
@@ -43,6 +46,27 @@
 	return Promote{Target: candidate.ID}
 }
 
+// nextConfirmed decides the next step where callers hear of confirmed commits only. Once
+// the voters are sealed, the candidate needs what they have recorded, whatever other
+// replicas have. decided is false if too many voters have ended to tell what that is.
+func (v *View) nextConfirmed(candidate Member) (step Step, decided bool) {
+	switch {
+	case !v.Confirmed:
+		return nil, false
+	case v.LeaderServes && !v.Sealing.Closed && !candidate.Status.Received.AtLeast(v.LeaderPosition):
+		return v.catchUp(candidate, "the candidate lacks commits that the leader has"), true
+	case !v.MaySeal:
+		return Wait{Reason: "the candidate did not catch up with the leader in time"}, true
+	case !v.Sealing.Closed:
+		return Seal{Term: v.logTerm()}, true
+	case !v.Sealing.Known:
+		return nil, false
+	case !candidate.Status.Received.AtLeast(v.Sealing.Floor):
+		return v.catchUp(candidate, "the candidate lacks commits that callers have heard of"), true
+	}
+	return Promote{Target: candidate.ID}, true
+}
+
 // catchUp returns the step for a candidate that lacks commits. It may be paused by an
 // earlier attempt, which had another candidate.
 func (v *View) catchUp(candidate Member, reason string) Step {
--- a/internal/promotion/promote.go
+++ b/internal/promotion/promote.go
@@ -23,10 +23,16 @@
 	if !held || steady.Now().Sub(w.lastTickAt) > suspendedAfter {
 		return
 	}
+	if w.confirmsCommits() && !w.opts.Commits.Order(ctx, w.opts.Group) {
+		w.opts.Log.Info("promotion delayed", "group", w.opts.Group, "reason", "most voters on the group's commits do not answer")
+		return
+	}
 	if !w.recordOrder(ctx, target) {
 		return
 	}
 	w.requests.noteRequest(target)
+	orderedBefore := w.commits.ordered
+	w.commits.ordered = true
 	w.opts.Duty.NoteRequest(w.opts.Group)
 	reply := w.opts.Promoter.Promote(ctx, Request{Group: w.opts.Group, Target: target, Holder: w.opts.Name, Token: token, NotAfter: w.lastTickAt.Add(suspendedAfter)})
 	values := []any{"group", w.opts.Group, "target", target, "token", token, "since_ms", steady.Now().Sub(w.attemptStartedAt).Milliseconds()}
@@ -36,6 +42,7 @@
 	w.opts.Log.Info("promotion requested", append(values, "outcome", outcomeNames[reply.Outcome])...)
 	metrics.GetOrCreateCounter(`nettlewalk_promotions_total{outcome="` + outcomeNames[reply.Outcome] + `"}`).Inc()
 	w.requests.noteOutcome(reply.Outcome, steady.Now())
+	w.commits.noteOutcome(reply.Outcome, orderedBefore)
 	switch reply.Outcome {
 	case Accepted:
 		w.awaitEffect(ctx, target)
@@ -68,12 +75,16 @@
 		if w.checkLeadership(ctx, target, pr).leads {
 			w.lastPromotionAt = steady.Now()
 			w.noteEffect(ctx, target)
+			w.commits.noteEffect()
+			w.maintainCommits(ctx)
 			w.opts.Log.Info("promotion took effect", "group", w.opts.Group, "target", target, "took_ms", w.lastPromotionAt.Sub(acceptedAt).Milliseconds(),
 				"position", w.leaderPosition.String(), "previous_leader", previous, "previous_position", previousPosition.String())
 			metrics.GetOrCreateHistogram("nettlewalk_promotion_seconds").Update(w.lastPromotionAt.Sub(w.attemptStartedAt).Seconds())
 			return
 		}
-		w.keepPaused(ctx, target)
+		if !w.commits.known {
+			w.keepPaused(ctx, target)
+		}
 		time.Sleep(attemptInterval)
 		if now := steady.Now(); now.Sub(w.lastTickAt) <= suspendedAfter {
 			w.lastTickAt = now // the wait is no suspension
--- a/internal/promotion/types.go
+++ b/internal/promotion/types.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"nettlewalk.example/nettlewalk/internal/confirm"
 	"nettlewalk.example/nettlewalk/internal/statement"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
@@ -98,6 +99,12 @@
 	// any time; no other one may be promoted. "": none.
 	Ordered topology.TargetID
 	Members []Member // all targets but the leader
+	// Confirmed is set if hosts pass commits on only after voters have recorded them.
+	// Sealing then tells what the voters have answered, and MaySeal whether they may be
+	// sealed now.
+	Confirmed bool
+	MaySeal   bool
+	Sealing   confirm.Sealing
 }
 
 // Step is an action that NextStep decides on.
@@ -114,6 +121,8 @@
 		Term    uint64
 		Targets []topology.TargetID
 	}
+	// Seal makes the voters of the group stop to confirm commits.
+	Seal struct{ Term uint64 }
 	// Promote requests the promotion of a target that has every acknowledged
 	// commit.
 	Promote struct{ Target topology.TargetID }
@@ -129,6 +138,7 @@
 func (NoAction) step() {}
 func (Resume) step()   {}
 func (Pause) step()    {}
+func (Seal) step()     {}
 func (Promote) step()  {}
 func (Wait) step()     {}
 func (Demote) step()   {}
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -10,6 +10,7 @@
 	"github.com/go-logr/logr"
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
+	"nettlewalk.example/nettlewalk/internal/confirm"
 	"nettlewalk.example/nettlewalk/internal/duty"
 	"nettlewalk.example/nettlewalk/internal/group"
 	"nettlewalk.example/nettlewalk/internal/statement"
@@ -79,6 +80,19 @@
 	Outstanding(topology.GroupID) time.Time
 }
 
+// Commits seals and opens the voters that record commits before callers hear of them. See
+// confirm.Holder.
+type Commits interface {
+	// Seal stops the confirmation of commits. term is a lower bound of the leader's term.
+	Seal(ctx context.Context, id topology.GroupID, term uint64) confirm.Sealing
+	// Order is called before a request for a promotion. The request must not be sent if it
+	// returns false.
+	Order(ctx context.Context, id topology.GroupID) bool
+	// Maintain lets commits of the leader be confirmed again, if no other target may be
+	// promoted, and replaces voters that have ended.
+	Maintain(ctx context.Context, id topology.GroupID, leader confirm.Proof)
+}
+
 // Options configures a Watcher.
 type Options struct {
 	Group     topology.GroupID
@@ -92,6 +106,8 @@
 	// Leases grants hosts leases on the leader; nil if targets stop leading when
 	// they are replaced and the platform checks fencing tokens.
 	Leases Leases
+	// Commits lets hosts pass on commits of the leader; nil if they need nobody's leave.
+	Commits Commits
 	// ReadRegister reads the register of targets from the store into Catalog. It is called
 	// before a promotion, because a target that has just joined may confirm commits before
 	// other hosts tell of it. nil: the register is as other hosts told it.
@@ -136,6 +152,7 @@
 	nextTerm        uint64                          // term in which the target of the next request will lead
 	pausesCheckedAt time.Time                       // while a promotion is under way
 	registerReads   registerReads
+	commits         commitState
 
 	mu      sync.Mutex
 	reports map[topology.HostID]report
@@ -219,6 +236,7 @@
 			return recheckInterval
 		}
 		w.grantLeases()
+		w.maintainCommits(ctx)
 		w.maintainReplicas(ctx)
 		return idleInterval
 	}
@@ -227,6 +245,7 @@
 	}
 	if w.attemptStartedAt.IsZero() {
 		w.attemptStartedAt, w.pausedAt, w.leaderGoal = now, now, topology.Position{}
+		w.commits.sealing, w.commits.known = false, false
 	}
 	w.attemptReason = reason
 	if serves && reason != silentToOthers && w.leaderGoal.IsZero() && w.leaderProvedAt.After(w.pausedAt) {
@@ -263,10 +282,13 @@
 		step := w.decideStep(ctx, serves)
 		_, isPromotion := step.(Promote)
 		_, isPause := step.(Pause)
-		if isPromotion || isPause {
+		_, isSeal := step.(Seal)
+		asksVoters := isSeal && !w.commits.sealing
+		// A candidate that has every confirmed commit is safe whatever targets have joined.
+		if (isPromotion || isPause) && !w.commits.known {
 			w.registerReads.start(ctx, w.opts.ReadRegister, steady.Now())
 		}
-		if isPromotion {
+		if isPromotion && !w.commits.known {
 			changed := w.registerChanged(ctx)
 			if !redialed {
 				redialed = true
@@ -277,7 +299,7 @@
 			}
 		}
 		w.perform(ctx, step)
-		if !isPause || serves {
+		if !asksVoters && (!isPause || serves) {
 			break // while the leader serves, its position after the pauses counts
 		}
 	}
@@ -311,6 +333,7 @@
 	}
 	view.MayEndPauses = w.requests.mayResume(steady.Now())
 	w.nextTerm = view.logTerm() + 1
+	w.addSealing(ctx, &view)
 	wanted := NextStep(view)
 	if w.opts.Leases != nil {
 		if _, isPromotion := wanted.(Promote); isPromotion {
@@ -321,6 +344,7 @@
 	}
 	step := authorize(wanted, w.currentAuthority(), steady.Now())
 	w.logStep(step, &view)
+	w.openAfterPatience(ctx, step, serves)
 	return step
 }
 
@@ -349,6 +373,8 @@
 		}
 		wg.Wait()
 		w.pausedAt, w.leaderGoal = steady.Now(), topology.Position{}
+	case Seal:
+		w.commits.startSealing(s.Term, steady.Now())
 	case Demote:
 		w.opts.Log.Info("demoting replaced primaries", "group", w.opts.Group, "term", s.Term, "targets", s.Targets)
 		for _, id := range s.Targets {
