Promotion: respect what voters recorded also if it isn't all, open them while an attempt waits

- With most voters ended, a candidate was promoted by the earlier rules though it lacked a position that a voter still knew (TestUnknownFloorLetsCandidatePassThatLacksWhatVotersRecorded).
- While a leaving leader served and no replica could be promoted, voters that an earlier holder had sealed stayed sealed and writes were refused (TestVotersStaySealedWhileLeavingLeaderServesAndNoReplicaAnswers).

--- a/internal/promotion/commits.go
+++ b/internal/promotion/commits.go
@@ -63,14 +63,19 @@
 	w.commits.known = v.Sealing.Known
 }
 
-// openAfterPatience lets commits be confirmed again if the leader serves and the
-// promotion can't go on.
+// openAfterPatience lets commits be confirmed if the leader serves and the promotion can't
+// go on. An earlier attempt, or another host, may have sealed the voters.
 func (w *Watcher) openAfterPatience(ctx context.Context, step Step, serves bool) {
 	now := steady.Now()
-	if _, waits := step.(Wait); !waits || !serves || !w.commits.sealing || now.Sub(w.commits.sealedAt) < sealPatience {
+	if _, waits := step.(Wait); !waits || !serves {
 		return
 	}
-	w.commits.sealing, w.commits.known, w.commits.notBefore = false, false, now.Add(sealRetryInterval)
+	if w.commits.sealing {
+		if now.Sub(w.commits.sealedAt) < sealPatience {
+			return
+		}
+		w.commits.sealing, w.commits.known, w.commits.notBefore = false, false, now.Add(sealRetryInterval)
+	}
 	w.maintainCommits(ctx)
 }
 
@@ -87,6 +92,9 @@
 	settled := w.requests.mayResume(now)
 	hadEffect := w.leader == w.requests.lastTarget && term > w.commits.sealedTerm
 	w.commits.ordered = w.commits.ordered && !settled && !hadEffect
+	if !w.commits.ordered && settled {
+		w.clearOrder(ctx)
+	}
 	w.opts.Commits.Maintain(ctx, w.opts.Group, confirm.Proof{
 		Position: w.leaderPosition, Term: term, SentAt: w.leaderProvedAt,
 		NotOrdered: !w.commits.ordered, Settled: settled,
--- /dev/null
+++ b/internal/promotion/commits_test.go
@@ -0,0 +1,55 @@
+package promotion
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"nettlewalk.example/nettlewalk/internal/catalog"
+	"nettlewalk.example/nettlewalk/internal/confirm"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// countingCommits has voters that an earlier holder may have sealed.
+type countingCommits struct {
+	maintained atomic.Int64
+	slow       time.Duration // of Maintain
+}
+
+func (c *countingCommits) Seal(context.Context, topology.GroupID, uint64) confirm.Sealing {
+	return confirm.Sealing{Closed: true, Known: true}
+}
+func (c *countingCommits) Order(context.Context, topology.GroupID, topology.TargetID) bool {
+	return true
+}
+func (c *countingCommits) Maintain(context.Context, topology.GroupID, confirm.Proof) {
+	c.maintained.Add(1)
+	time.Sleep(c.slow)
+}
+
+func TestUnknownFloorLetsCandidatePassThatLacksWhatVotersRecorded(t *testing.T) {
+	candidate := Member{ID: "b", Reach: Answered}
+	candidate.Status.Received = pos(4, 113)
+	step := NextStep(View{
+		AckReplicas: 1, Leader: "a", Replace: true, Members: []Member{candidate}, Confirmed: true, MaySeal: true,
+		Sealing: confirm.Sealing{Closed: true, Floor: pos(4, 120)},
+	})
+	_, promotes := step.(Promote)
+	qt.Check(t, promotes, qt.IsFalse, qt.Commentf("%#v", step))
+}
+
+func TestVotersStaySealedWhileLeavingLeaderServesAndNoReplicaAnswers(t *testing.T) {
+	g := newTestGroup("a", "b")
+	commits := &countingCommits{}
+	g.registerMembers(map[topology.TargetID]catalog.Member{
+		"a": {Target: topology.Target{ID: "a", Group: "g", Addr: "a", Leaving: true}, Incarnation: 1},
+		"b": {Target: topology.Target{ID: "b", Group: "g", Addr: "b"}, Incarnation: 1},
+	})
+	g.with(func(targets map[topology.TargetID]*testTarget) { targets["b"].down = true })
+	g.watch(t, permanentDuty{}, func(o *Options) { o.Commits = commits })
+	time.Sleep(3 * time.Second)
+	qt.Check(t, commits.maintained.Load() > 0, qt.IsTrue)
+}
--- a/internal/promotion/next.go
+++ b/internal/promotion/next.go
@@ -59,10 +59,10 @@
 		return Wait{Reason: "the candidate did not catch up with the leader in time"}, true
 	case !v.Sealing.Closed:
 		return Seal{Term: v.logTerm()}, true
-	case !v.Sealing.Known:
-		return nil, false
 	case !candidate.Status.Received.AtLeast(v.Sealing.Floor):
 		return v.catchUp(candidate, "the candidate lacks commits that callers have heard of"), true
+	case !v.Sealing.Known:
+		return nil, false
 	}
 	return Promote{Target: candidate.ID}, true
 }
