Group: a proof of leadership of a target that isn't a member

Callers of the host that holds the promotion duty lost all their sessions when a target was promoted that had been missing in the register for over three seconds: the process ended with a nil pointer dereference in startSlowly. The next holder found the same leader and ended as well.

Cause: NoteLeading took any target for the group's leader, and slow start read its registration from the members. The watchers of promotions also prove targets that the catalog no longer lists as serving. Without slow start the process went on, but the host knew a leader without connections to it: it probed no member any more, so that a successor was never found unless the watcher on the same host proved it.

Change: a proof of a target that isn't a member is recorded as the last leader, refutes the known leader, and starts the probing of the members.

The test dialer keeps the leader in an atomic pointer, since a test now changes it while probes run.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -228,13 +228,22 @@
 
 // NoteLeading records a proof that the target led at the time sent, when the
 // proving request was sent. answer is the target's answer to that request. Without
-// a lease, where one is needed, it isn't a proof.
+// a lease, where one is needed, it isn't a proof. A target that isn't a member doesn't
+// become this host's leader, see noteUnregisteredLeading.
 func (g *Group) NoteLeading(id topology.TargetID, sent time.Time, answer *statement.Answer) {
 	if !g.MayLead(id) {
 		return
 	}
 	recoveryOn := g.recoveryOn()
 	g.mu.Lock()
+	if g.members[id] == nil {
+		refuted := g.noteUnregisteredLeading(id, sent)
+		g.mu.Unlock()
+		if refuted != "" {
+			g.opts.Log.Info("an unregistered target leads", "group", g.opts.ID, "target", id, "replaced", refuted)
+		}
+		return
+	}
 	changed := g.view.recordLeading(id, sent, answer.Position, answer.HasPosition, steady.Now())
 	if changed {
 		g.notePromoted(id, recoveryOn)
@@ -247,6 +256,19 @@
 	}
 }
 
+// noteUnregisteredLeading records a proof that a target leads which isn't a member, so
+// that this host has no connections to it. The known leader is replaced, and the members
+// are probed until one of them leads. It returns the replaced leader, "" if none was known.
+// The caller must hold g.mu.
+func (g *Group) noteUnregisteredLeading(id topology.TargetID, sent time.Time) (refuted topology.TargetID) {
+	g.view.recordLastLeader(id, sent)
+	if known := g.view.leader; known != "" && g.view.recordNotLeading(known, sent, steady.Now(), true) {
+		refuted = known
+	}
+	g.startProbing()
+	return refuted
+}
+
 // NoteNotLeading records that the target refused to begin a transaction that
 // was requested at sent.
 func (g *Group) NoteNotLeading(id topology.TargetID, sent time.Time) { g.refuteLeader(id, sent, true) }
--- a/internal/group/recovery.go
+++ b/internal/group/recovery.go
@@ -54,7 +54,7 @@
 // recoveryOn reports whether slow start and outlier ejection are in force.
 func (g *Group) recoveryOn() bool { return g.opts.Recovery != nil && g.opts.Recovery() }
 
-// startSlowly begins the slow start of a target that returned. The caller must hold g.mu.
+// startSlowly begins the slow start of a member that returned. The caller must hold g.mu.
 func (g *Group) startSlowly(id topology.TargetID, reason returnReason) {
 	t := g.recovery.ramp(id)
 	t.down, t.lost, t.rising = false, false, true
@@ -107,7 +107,7 @@
 	}
 }
 
-// notePromoted records that this host proved the target to lead. The caller must hold g.mu.
+// notePromoted records that this host proved the member to lead. The caller must hold g.mu.
 func (g *Group) notePromoted(id topology.TargetID, recoveryOn bool) {
 	if recoveryOn && g.recovery.proved != "" && g.recovery.proved != id {
 		g.startSlowly(id, returnPromoted)
--- a/internal/group/recovery_test.go
+++ b/internal/group/recovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,7 +18,11 @@
 )
 
 // recoveryDialer opens connections to targets of which the named one leads.
-type recoveryDialer struct{ leader *topology.TargetID }
+type recoveryDialer struct {
+	leader *atomic.Pointer[topology.TargetID]
+}
+
+func (d recoveryDialer) setLeader(id topology.TargetID) { d.leader.Store(&id) }
 
 func (d recoveryDialer) Dial(_ context.Context, t topology.Target, _ topology.CustomerID) (statement.Conn, error) {
 	return recoveryConn{target: t.ID, leader: d.leader}, nil
@@ -26,12 +31,12 @@
 type recoveryConn struct {
 	leadingConn
 	target topology.TargetID
-	leader *topology.TargetID
+	leader *atomic.Pointer[topology.TargetID]
 }
 
 func (c recoveryConn) Exchange(_ time.Time, batch ...statement.Statement) ([]statement.Answer, error) {
 	answers := make([]statement.Answer, len(batch))
-	if c.target != *c.leader {
+	if c.target != *c.leader.Load() {
 		answers[0].Code = statement.ReadOnly
 	}
 	return answers, nil
@@ -45,8 +50,9 @@
 // *draw.
 func newRecoveryGroup(t *testing.T, on bool) (g *Group, draw *float64) {
 	t.Helper()
-	leader := topology.TargetID("c")
-	options := Options{ID: "g", Dialer: recoveryDialer{&leader}, Log: logr.Discard(), OnSuspect: func(topology.GroupID, topology.TargetID, statement.DialOutcome) {}}
+	dialer := recoveryDialer{&atomic.Pointer[topology.TargetID]{}}
+	dialer.setLeader("c")
+	options := Options{ID: "g", Dialer: dialer, Log: logr.Discard(), OnSuspect: func(topology.GroupID, topology.TargetID, statement.DialOutcome) {}}
 	if on {
 		options.Recovery = func() bool { return true }
 	}
