Planned stop: close sessions whose next statement follows at once

Callers lost statements at a planned stop: 5.3 s after SIGTERM the process exited while targets ran statements that had been sent up to that moment, and the callers of writes couldn't know whether they were committed.

Cause: while a host drains, a session is closed only if no statement arrives within 30 ms of the last answer, and each answer begins that period anew. A caller that is quicker kept its session until the exit.

Change: 0.5 s after the host began to close sessions for its shutdown, a session without a transaction is closed right after an answer, unless its next statement has arrived. From half of the grace period on, when open transactions are aborted, statements and BEGIN are refused as not run, so that no target is at work on a late one at the exit; a transaction whose BEGIN was answered and that has no statement is aborted before it reaches a target. SET, PREPARE and DEALLOCATE are still answered.

--- a/internal/relay/hosted.go
+++ b/internal/relay/hosted.go
@@ -61,7 +61,7 @@
 	entry.timer.Reset(t.idleTimeout())
 	s.applyForwarded(args)
 	if t.server.abortsTransactions() && s.tx.running() {
-		s.abortTransaction("host is shutting down")
+		s.abortTransaction(shuttingDownDetail)
 	}
 	st := args.Statement
 	s.noWait = args.AtOnce
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -60,19 +60,20 @@
 	mu       sync.Mutex
 	sessions map[*session]bool
 
-	draining         atomic.Int32 // a DrainReason
-	aborting         atomic.Bool  // open transactions are aborted
-	forwardedCounter *metrics.Counter
-	sampler          *lineSampler
-	keySampler       *lineSampler // of refusals because of a key
-	retrySampler     *lineSampler // of retry times
-	retrySchedules   retrySchedules
-	trust            trustState
-	forwardedTxs     *txTable
-	peerLoads        placement.Loads // reported by other hosts
-	wire             wireMeter
-	retries          *retryBudget
-	instanceID       string // unique to this process among all hosts
+	draining          atomic.Int32              // a DrainReason
+	aborting          atomic.Bool               // open transactions are aborted, and new operations refused
+	shuttingDownSince atomic.Pointer[time.Time] // package steady; nil: the host doesn't shut down
+	forwardedCounter  *metrics.Counter
+	sampler           *lineSampler
+	keySampler        *lineSampler // of refusals because of a key
+	retrySampler      *lineSampler // of retry times
+	retrySchedules    retrySchedules
+	trust             trustState
+	forwardedTxs      *txTable
+	peerLoads         placement.Loads // reported by other hosts
+	wire              wireMeter
+	retries           *retryBudget
+	instanceID        string // unique to this process among all hosts
 }
 
 // NewServer returns a server without sessions.
@@ -150,6 +151,9 @@
 // draining, the server closes every session that is between two requests and has no
 // open transaction. SetDraining reports whether the call changed the state.
 func (s *Server) SetDraining(reason DrainReason) (changed bool) {
+	if reason == ShuttingDown {
+		s.noteShuttingDown()
+	}
 	changed = s.draining.Swap(int32(reason)) != int32(reason)
 	if changed && reason != NotDraining {
 		s.interruptSessions()
@@ -157,8 +161,8 @@
 	return changed
 }
 
-// AbortTransactions aborts the open transactions. Their callers get a guarantee that
-// nothing of them is kept.
+// AbortTransactions aborts the open transactions and refuses new operations. Their callers
+// get a guarantee that nothing of them is kept.
 func (s *Server) AbortTransactions() {
 	s.aborting.Store(true)
 	s.interruptSessions()
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -57,7 +57,7 @@
 		s.caller.ClearInterrupt()
 		s.updateRevoked()
 		if s.tx != nil && s.tx.running() && s.server.abortsTransactions() {
-			s.abortTransaction("host is shutting down")
+			s.abortTransaction(shuttingDownDetail)
 		}
 		st, err := s.nextStatement()
 		if err != nil {
@@ -116,8 +116,11 @@
 
 // gracePeriod returns how long a draining session waits for a statement.
 func (s *session) gracePeriod() time.Duration {
-	if s.lastStatementID == "" {
+	switch {
+	case s.lastStatementID == "":
 		return newSessionGracePeriod
+	case s.server.closesBusySessions():
+		return 0
 	}
 	return closeGracePeriod
 }
@@ -153,8 +156,8 @@
 		return s.caller.Answer(&answer) == nil
 	case !errors.Is(err, ErrNoMessage):
 		return false
-	case s.tx != nil && s.server.abortsTransactions():
-		s.abortTransaction("host is shutting down")
+	case s.tx != nil && !s.tx.failed && s.server.abortsTransactions():
+		s.abortTransaction(shuttingDownDetail)
 		return true
 	case s.revoked:
 		return s.continueRevoked()
@@ -255,6 +258,9 @@
 	if answer, refused := s.checkKey(st); refused {
 		return answer
 	}
+	if answer, refused := s.refuseOperation(st); refused {
+		return answer
+	}
 	if s.tx != nil && s.tx.failed && st.Kind != statement.Commit && st.Kind != statement.Rollback {
 		code := statement.Malformed
 		if s.tx.unreportedReason != "" { // the caller hasn't been told of the failure yet
