--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -228,7 +228,8 @@
 
 // NoteLeading records that the target led at the time sent, because a write or commit
 // sent then succeeded with the given answer. Without a lease, where one is needed, it
-// isn't a proof.
+// isn't a proof. A target that isn't a member doesn't become this host's leader, see
+// noteUnregisteredLeading.
 func (g *Group) NoteLeading(id topology.TargetID, sent time.Time, answer *statement.Answer) {
 	g.notePosition(id, sent, answer, true)
 }
@@ -242,10 +243,18 @@
 	now := steady.Now()
 	g.mu.Lock()
 	served := g.view.served
-	changed := g.view.recordLeading(id, sent, answer.Position, answer.HasPosition, now)
 	if written && answer.HasPosition {
 		g.view.recordServedWrite(id, answer.Position, now)
 	}
+	if g.members[id] == nil {
+		refuted := g.noteUnregisteredLeading(id, sent)
+		g.mu.Unlock()
+		if refuted != "" {
+			g.opts.Log.Info("an unregistered target leads", "group", g.opts.ID, "target", id, "replaced", refuted)
+		}
+		return
+	}
+	changed := g.view.recordLeading(id, sent, answer.Position, answer.HasPosition, now)
 	if changed {
 		g.notePromoted(id, recoveryOn)
 		close(g.leaderFound)
@@ -257,6 +266,19 @@
 	}
 }
 
+// noteUnregisteredLeading records a proof that a target leads which isn't a member, so
+// that this host has no connections to it. The known leader is replaced, and the members
+// are probed until one of them leads. It returns the replaced leader, "" if none was known.
+// The caller must hold g.mu.
+func (g *Group) noteUnregisteredLeading(id topology.TargetID, sent time.Time) (refuted topology.TargetID) {
+	g.view.recordLastLeader(id, sent)
+	if known := g.view.leader; known != "" && g.view.recordNotLeading(known, sent, steady.Now(), true) {
+		refuted = known
+	}
+	g.startProbing()
+	return refuted
+}
+
 // NoteNotLeading records that the target refused to begin a transaction that
 // was requested at sent.
 func (g *Group) NoteNotLeading(id topology.TargetID, sent time.Time) { g.refuteLeader(id, sent, true) }
