End new statements to a target that leaves when its notice has passed

What callers saw: a leaving target that leads and couldn't be replaced in time got statements and transactions until it stopped (DRAIN).

Cause: leaving only ranked a target lower. Group.Leader, Order for the leader and for the last target, queued and forwarded statements had no end.

Change: the catalog keeps since when at the earliest the store may have accepted that a target leaves or is gone: the newest read of the register, by any host, that didn't find it. Hosts pass such reads on with the register's position, as they do for the configuration (the same type now confirms both), since a host may hear late. A target's connections have an end, that time plus the leave notice less 300 ms for statements in flight. From then on no request gets a connection, waiting ones are refused, a statement whose session state was being applied isn't sent, the target isn't offered to other hosts, and a new leader is searched. Open transactions go on, probes still ask the old leader for anchors, so that replicas serve reads. Callers are refused at once, as not run, with the reason. A target that registers as ready is used again; in a store that came back from an older copy only after it had time to report again.

Cost: reads of the register are up to 40 % of the notice apart, so that a leader that isn't replaced is given up up to that much early.

The line test's bed has a setting for the notice, with the value of before as its default.

--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -105,8 +105,8 @@
 		Domain: s.Domain, Dialer: platform.TargetDialer{}, Catalog: h.catalog,
 		Size: h.connectionShare, Customers: h.groupCustomers, OnSuspect: h.reportUnreachable,
 		SharedHolders: h.sharedHolders, OnWaiting: func(id topology.GroupID) { h.capacity.NoteWaiting(id) },
-		Recovery: h.budgetsRetries,
-		Log:      log.WithName("group"),
+		Recovery: h.budgetsRetries, LeaveNotice: s.DrainTimeout,
+		Log: log.WithName("group"),
 	}
 	if !s.PrimariesFenced {
 		h.createLeases()
--- a/internal/catalog/poll.go
+++ b/internal/catalog/poll.go
@@ -122,12 +122,18 @@
 }
 
 func (f *RegistryFeed) read(ctx context.Context, r StoreReader, kind string, sent time.Time) error {
+	f.mu.Lock()
+	before := f.position
+	f.mu.Unlock()
 	list, err := r.List(ctx, kind)
 	if err != nil {
 		f.Log.V(1).Info("failed to read target registry from store", "error", err.Error())
 		return err
 	}
 	f.Reset(kind, list)
+	if position := (StorePosition{list.Era, list.Revision}); !before.After(position) { // not an outdated read
+		f.Store.RecordRegistryConfirmation(position, sent)
+	}
 	f.Store.RecordReadTimes(ReadTimes{Registry: sent})
 	return nil
 }
--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -33,10 +33,13 @@
 	unregistered    map[topology.TargetID]unregisteredMember
 	// unconfirmed holds the targets that the registry lacks since the store came back
 	// from an older copy, with the time of that. They count as registered.
-	unconfirmed   map[topology.TargetID]unregisteredMember
-	reads         ReadTimes
-	confirmations confirmations
-	changed       chan struct{} // closed and replaced at each change
+	unconfirmed map[topology.TargetID]unregisteredMember
+	// departures holds the targets that are leaving or have left the registry.
+	departures            map[topology.TargetID]departure
+	reads                 ReadTimes
+	confirmations         confirmations // of the configuration
+	registryConfirmations confirmations
+	changed               chan struct{} // closed and replaced at each change
 }
 
 // unregisteredMember is a target that is no longer registered.
@@ -47,7 +50,10 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{unregistered: map[topology.TargetID]unregisteredMember{}, unconfirmed: map[topology.TargetID]unregisteredMember{}, changed: make(chan struct{})}
+	return &Store{
+		unregistered: map[topology.TargetID]unregisteredMember{}, unconfirmed: map[topology.TargetID]unregisteredMember{},
+		departures: map[topology.TargetID]departure{}, changed: make(chan struct{}),
+	}
 }
 
 // Changed returns a channel that is closed at the next change.
@@ -75,7 +81,7 @@
 		return false
 	}
 	s.config, s.configUpdatedAt = c, steady.Now()
-	s.confirmations.learned(c.Version)
+	s.confirmations.learned(versionPosition(c.Version))
 	s.notifyLocked()
 	return true
 }
@@ -120,6 +126,8 @@
 	old := s.registry
 	r = s.withUnconfirmedLocked(old, r)
 	s.registry = r
+	s.updateDeparturesLocked(old, r)
+	s.registryConfirmations.learned(r.Position())
 	if old == nil {
 		s.notifyLocked()
 		return true
--- a/internal/gossip/digest.go
+++ b/internal/gossip/digest.go
@@ -83,8 +83,10 @@
 	// found no version newer than Configuration. It is above 0 except from hosts of earlier
 	// versions.
 	ConfigurationConfirmed time.Duration
-	Claims                 []duty.Claim // who holds which duty (see package duty)
-	Offers                 []Offer
+	// RegisterConfirmed is the same for Register.
+	RegisterConfirmed time.Duration
+	Claims            []duty.Claim // who holds which duty (see package duty)
+	Offers            []Offer
 }
 
 // Offer states that a host has connections to targets of a group. Other hosts may
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -65,6 +65,7 @@
 func (g *Gossip) buildDigest(recipient topology.HostID) Digest {
 	d := Digest{Claims: g.claims.Claims(), Offers: g.opts.Offers()}
 	confirmedAt := g.opts.Catalog.ConfirmedAt() // first: a version that arrives now may be newer than that time
+	registerConfirmedAt := g.opts.Catalog.RegistryConfirmedAt()
 	d.Configuration, d.Register = g.opts.Catalog.Versions()
 	d.FetchesSnapshots = true
 	if g.opts.StoreEra != nil {
@@ -77,7 +78,7 @@
 	now := g.now()
 	reads := g.opts.Catalog.ReadTimes()
 	d.ConfigurationRead, d.RegisterRead = now.Sub(reads.Configuration), now.Sub(reads.Registry)
-	d.ConfigurationConfirmed = max(1, now.Sub(confirmedAt))
+	d.ConfigurationConfirmed, d.RegisterConfirmed = max(1, now.Sub(confirmedAt)), max(1, now.Sub(registerConfirmedAt))
 	d.Hosts = g.announcedHosts()
 	d.Places = g.announcedPlaces
 	d.Heard = g.heardAges(d.Claims, now)
@@ -199,6 +200,11 @@
 		confirmed = d.ConfigurationRead
 	}
 	g.opts.Catalog.RecordConfirmation(d.Configuration, sentAt.Add(-confirmed))
+	// A host of an earlier version confirms nothing. Its reads may be of a later register
+	// than it has, and the other hosts know when they were made.
+	if d.RegisterConfirmed > 0 {
+		g.opts.Catalog.RecordRegistryConfirmation(d.Register, sentAt.Add(-d.RegisterConfirmed))
+	}
 }
 
 // recordSender records that the sender of the digest was heard from just now.
--- a/internal/group/dump.go
+++ b/internal/group/dump.go
@@ -12,6 +12,7 @@
 	Target      catalog.Member `json:"target"`
 	Leads       bool           `json:"leads"`
 	Unreachable bool           `json:"lost"`
+	Ended       bool           `json:"ended"` // it gets no new statements since it leaves
 	Lagging     bool           `json:"lagging"`
 	LatencyMS   float64        `json:"took_ms"`
 	Load        share.Load     `json:"load"`
@@ -48,7 +49,7 @@
 			limit = load.Limit
 		}
 		d.Members = append(d.Members, MemberDump{
-			Target: m.info, Leads: id == g.view.leader, Unreachable: m.unreachable, Lagging: now.Before(m.lagBackoff.retryAt),
+			Target: m.info, Leads: id == g.view.leader, Unreachable: m.unreachable, Ended: m.pool.Ended(), Lagging: now.Before(m.lagBackoff.retryAt),
 			LatencyMS: float64(m.latency.Microseconds()) / 1000, Load: m.pool.Load(), Limit: limit, Customers: m.pool.DumpCustomers(), Shared: m.pool.DumpShared(),
 			Recovery: g.dumpRecovery(id, recoveryOn, now),
 		})
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -36,6 +36,9 @@
 	OnSuspect func(topology.GroupID, topology.TargetID, statement.DialOutcome)
 	// Recovery tells whether slow start and outlier ejection are in force; nil: never.
 	Recovery func() bool
+	// LeaveNotice is how long a target serves after the store has accepted that it leaves;
+	// 0: without limit.
+	LeaveNotice time.Duration
 }
 
 // Leases tells which target this host may use as a group's leader. See lease.Table.
@@ -62,6 +65,7 @@
 	handshakes       statement.HandshakeMonitor // dials that were accepted without a protocol response
 	latency          time.Duration              // moving average of the response times
 	answeredAt       time.Time                  // when it last answered a statement
+	departure        departure
 }
 
 // Group is this host's view of a group of targets, with its connections to
@@ -138,16 +142,13 @@
 }
 
 // Leader returns the leader and its connection pool, or false if no leader is
-// known, or this host has no lease on the leader.
+// known, it takes no new statements since it leaves, or this host has no lease on it.
 func (g *Group) Leader() (topology.TargetID, *share.Pool, bool) {
-	g.mu.Lock()
-	id := g.view.leader
-	m := g.members[id]
-	g.mu.Unlock()
-	if m == nil || !g.MayLead(id) {
+	id, pool, ok := g.provedLeader()
+	if !ok || pool.Ended() {
 		return "", nil, false
 	}
-	return id, m.pool, true
+	return id, pool, true
 }
 
 // MayLead reports whether this host may start something at the target that needs the
@@ -219,11 +220,15 @@
 	}
 }
 
-// LeaderLoss returns how long the group has been without a proved leader.
+// LeaderLoss returns how long the group has been without a leader that takes statements.
 func (g *Group) LeaderLoss() LeaderLoss {
+	now := steady.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.view.loss(steady.Now())
+	if m := g.members[g.view.leader]; m != nil && m.pool.Ended() {
+		return LeaderLoss{Duration: now.Sub(m.departure.since), Leaving: true}
+	}
+	return g.view.loss(now)
 }
 
 // NoteLeading records a proof that the target led at the time sent, when the
@@ -366,6 +371,9 @@
 	defer g.mu.Unlock()
 	candidates := make([]Candidate, 0, len(g.members))
 	for id, m := range g.members {
+		if m.pool.Ended() {
+			continue
+		}
 		load := m.pool.LoadFor(customer)
 		candidates = append(candidates, Candidate{
 			ID:         id,
--- a/internal/group/leaderview.go
+++ b/internal/group/leaderview.go
@@ -67,11 +67,12 @@
 	return true
 }
 
-// LeaderLoss describes how long a group has been without a known leader. The zero
-// value means that a leader is known or that none was ever known.
+// LeaderLoss describes how long a group has been without a leader. The zero value
+// means that a leader is known or that none was ever known.
 type LeaderLoss struct {
-	Duration time.Duration
-	Demoted  bool // the previous leader itself refused to begin a transaction
+	Duration time.Duration // of a leader that leaves, since it said so
+	Demoted  bool          // the previous leader itself refused to begin a transaction
+	Leaving  bool          // the leader is known, but takes no new statements
 }
 
 // loss returns how long the group has been without a known leader.
--- a/internal/group/probe.go
+++ b/internal/group/probe.go
@@ -9,25 +9,35 @@
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
-// startProbing starts a search for the leader unless one is known or a search
+// startProbing starts a search for the leader unless one that serves is known or a search
 // is running. The caller must hold g.mu.
 func (g *Group) startProbing() {
-	if g.probing || g.view.leader != "" || !g.mayHoldConnection() || !g.hasLease() {
+	if g.probing || g.leaderServes() || !g.mayHoldConnection() || !g.hasLease() {
 		return
 	}
 	g.probing = true
 	go g.probeUntilLeaderFound()
 }
 
-// probeUntilLeaderFound probes all members until one is proved to lead or none
-// is left.
+// leaderServes reports whether a leader is known that takes new statements. The caller must
+// hold g.mu.
+func (g *Group) leaderServes() bool {
+	if g.view.leader == "" {
+		return false
+	}
+	m := g.members[g.view.leader]
+	return m == nil || !m.pool.Ended()
+}
+
+// probeUntilLeaderFound probes all members that take new statements until one is proved to
+// lead or none is left.
 func (g *Group) probeUntilLeaderFound() {
 	for {
 		for id, pool := range g.pools() {
 			g.probe(id, pool)
 		}
 		g.mu.Lock()
-		if g.view.leader != "" || !g.mayHoldConnection() || !g.hasLease() {
+		if g.leaderServes() || !g.mayHoldConnection() || !g.hasLease() {
 			g.probing = false
 			g.mu.Unlock()
 			return
@@ -64,7 +74,9 @@
 	defer g.mu.Unlock()
 	pools := make(map[topology.TargetID]*share.Pool, len(g.members))
 	for id, m := range g.members {
-		pools[id] = m.pool
+		if !m.pool.Ended() {
+			pools[id] = m.pool
+		}
 	}
 	return pools
 }
@@ -163,17 +175,30 @@
 	if latest, ok := g.AnchorAge(); ok && latest < maxAge {
 		return false
 	}
-	_, _, ok := g.Leader()
+	_, _, ok := g.provedLeader()
 	return ok
 }
 
+// provedLeader returns the leader also if it takes no new statements. Until it is replaced,
+// anchors come from it.
+func (g *Group) provedLeader() (topology.TargetID, *share.Pool, bool) {
+	g.mu.Lock()
+	id := g.view.leader
+	m := g.members[id]
+	g.mu.Unlock()
+	if m == nil || !g.MayLead(id) {
+		return "", nil, false
+	}
+	return id, m.pool, true
+}
+
 // Refresh probes the leader for a new anchor if the newest one is older than
 // maxAge.
 func (g *Group) Refresh(maxAge time.Duration) {
 	if latest, ok := g.AnchorAge(); ok && latest < maxAge {
 		return
 	}
-	id, pool, ok := g.Leader()
+	id, pool, ok := g.provedLeader()
 	if !ok {
 		return
 	}
--- a/internal/group/set.go
+++ b/internal/group/set.go
@@ -43,7 +43,9 @@
 	Leases        Leases // nil if no leases are needed, see Options
 	// Recovery tells whether slow start and outlier ejection are in force; nil: never.
 	Recovery func() bool
-	Log      logr.Logger
+	// LeaveNotice is that of the groups, see Options.
+	LeaveNotice time.Duration
+	Log         logr.Logger
 }
 
 // Set maintains the groups in the catalog. It is safe for concurrent use.
@@ -101,13 +103,14 @@
 	if c == nil {
 		return
 	}
-	serving := s.opts.Catalog.Serving()
+	serving, departures := s.opts.Catalog.Serving(), s.opts.Catalog.DepartingSince()
 	for id, settings := range c.Groups {
 		g := s.getOrCreate(id)
 		if s.opts.Customers != nil {
 			g.SetCustomers(s.opts.Customers(id))
 		}
 		g.SetMembers(serving[id], func(t topology.Target) int { return s.opts.Size(t, settings.MaxConnections) })
+		g.SetDepartures(departures)
 		if s.opts.SharedHolders != nil {
 			g.setSharing(s.opts.SharedHolders(id), s.opts.OnWaiting)
 		}
@@ -122,7 +125,7 @@
 	defer s.mu.Unlock()
 	g := s.groups[id]
 	if g == nil {
-		g = New(Options{ID: id, Domain: s.opts.Domain, Dialer: s.opts.Dialer, Leases: s.opts.Leases, Log: s.opts.Log, OnSuspect: s.opts.OnSuspect, Recovery: s.opts.Recovery})
+		g = New(Options{ID: id, Domain: s.opts.Domain, Dialer: s.opts.Dialer, Leases: s.opts.Leases, Log: s.opts.Log, OnSuspect: s.opts.OnSuspect, Recovery: s.opts.Recovery, LeaveNotice: s.opts.LeaveNotice})
 		s.groups[id] = g
 		s.order = append(s.order, g)
 	}
@@ -215,6 +218,9 @@
 	defer g.mu.Unlock()
 	o := Offer{Group: g.opts.ID, Last: g.view.lastLeader, ProvedAgo: steady.Now().Sub(g.view.lastLeaderAt)}
 	for id, m := range g.members {
+		if m.pool.Ended() {
+			continue
+		}
 		load := m.pool.LoadFor("")
 		free := load.Idle - load.Waiting
 		if load.ByCustomer {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -31,6 +31,11 @@
 		pool.Release(conn, errors.Is(err, errStateRefused) && endsIdle(applied))
 		return r.session.refusal(r.unsentCode(err), err.Error()), true
 	}
+	if pool.Ended() {
+		pool.Release(conn, true)
+		r.addStep(id, share.ErrEnded.Error())
+		return r.session.refusal(statement.Busy, share.ErrEnded.Error()), true
+	}
 	sent := steady.Now()
 	answers, err := conn.Exchange(deadline, batch...)
 	r.recordExchange(id, callerIndex > 0 || r.writes, conn)
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -378,6 +378,9 @@
 	if r.peerRefusal != "" {
 		return "refused by another host: " + r.peerRefusal
 	}
+	if r.group.LeaderLoss().Leaving {
+		return share.ErrEnded.Error()
+	}
 	return "the group has no known leader"
 }
 
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -333,6 +333,11 @@
 		t.rollback()
 		return false
 	}
+	if pool.Ended() {
+		r.addStep(id, share.ErrEnded.Error())
+		t.rollback()
+		return false
+	}
 	return true
 }
 
--- a/internal/share/pool.go
+++ b/internal/share/pool.go
@@ -25,6 +25,7 @@
 	ErrWaitTooLong  = errors.New("wait for a connection to the target takes too long")
 	ErrClosed       = errors.New("connection pool of the target is closed")
 	ErrNoConnection = errors.New("no open connection to the target")
+	ErrEnded        = errors.New("the target is leaving and takes no new statements")
 )
 
 // waitTimes records how long requests waited for a connection, including those
@@ -61,6 +62,7 @@
 	meanHold time.Duration // moving average of how long a request holds a connection
 	dialing  bool          // connections without a customer are being opened
 	closed   bool
+	end      time.Time // requests get no connection from then on (package steady); zero: no such time
 
 	// The fields below are used while connections belong to customers, see
 	// bycustomer.go. use covers all customers with a connection.
@@ -145,6 +147,9 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.hasEnded() {
+		return nil
+	}
 	if p.isLimited() && p.active >= p.limit(now) {
 		p.noteReached()
 		return nil
@@ -158,10 +163,14 @@
 
 // Acquire returns a connection of the customer. It waits until the deadline at most, and no
 // longer than maxWait; a request whose expected wait exceeds either is refused
-// at once. Errors are ErrWaitTooLong, ErrClosed and ErrNoConnection.
+// at once. Errors are ErrWaitTooLong, ErrClosed, ErrNoConnection and ErrEnded.
 func (p *Pool) Acquire(customer topology.CustomerID, deadline time.Time, maxWait time.Duration, priority int) (*Conn, error) {
 	now := time.Now()
 	p.mu.Lock()
+	if p.hasEnded() {
+		p.mu.Unlock()
+		return nil, ErrEnded
+	}
 	var c *Conn
 	if !p.isLimited() || p.active < p.limit(now) {
 		c = p.popIdle(customer, now)
@@ -182,7 +191,14 @@
 	w := &waiter{customer: customer, priority: priority, arrivedAt: now, deadline: deadline, granted: make(chan *Conn, 1)}
 	p.enqueue(w, now)
 	p.mu.Unlock()
-	return p.wait(w)
+	c, err := p.wait(w)
+	if p.Ended() {
+		if c != nil {
+			p.Release(c, true)
+		}
+		return nil, ErrEnded
+	}
+	return c, err
 }
 
 // enqueue makes a request wait. The caller holds p.mu.
@@ -355,6 +371,11 @@
 		p.closeConn(c)
 	}
 	p.idle = nil
+	p.refuseWaiting()
+}
+
+// refuseWaiting ends the wait of all requests. The caller holds p.mu.
+func (p *Pool) refuseWaiting() {
 	for _, w := range p.queue.waiters {
 		close(w.granted)
 	}
--- a/test/line/bed.go
+++ b/test/line/bed.go
@@ -59,6 +59,9 @@
 	ConfigApplyMS    int
 	StrictRevocation bool
 	RevokeTimeoutMS  int
+	// DrainTimeoutMS is how long targets serve after they have reported that they leave; 0
+	// means 7000.
+	DrainTimeoutMS int
 	// SpreadTargets puts the targets into the hosts' failure domains, one each.
 	SpreadTargets bool
 	// Relays puts a relay, which can refuse connections, between the hosts and each target's
--- a/test/line/hosts.go
+++ b/test/line/hosts.go
@@ -1,6 +1,7 @@
 package line
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
@@ -39,6 +40,8 @@
 
 func (b *Bed) addr(host, port int) string { return fmt.Sprintf("%s.%d:%d", b.ipPrefix, host+1, port) }
 
+const defaultDrainTimeoutMS = 7000
+
 const settingsTemplate = `
 NodeName = "h%d"
 Zone = "zone%d"
@@ -51,7 +54,7 @@
 Control = "%s"
 [Bounds]
 GracePeriodS = 6
-DrainTimeoutMs = 7000
+DrainTimeoutMs = %d
 FencingEnforced = %t
 StrictRevocation = %t
 ConfigApplyMs = %d
@@ -72,7 +75,7 @@
 		dir := b.tb.TempDir()
 		h.settingsPath, h.logPath = filepath.Join(dir, "boot.toml"), filepath.Join(dir, "log")
 		text := fmt.Sprintf(settingsTemplate, i+1, i+1, b.ipPrefix, i+1, internalPort, internalPort, strings.Join(seeds, ","),
-			h.callerAddr, h.readyAddr, b.addr(i, peerPort), !b.opts.Unfenced, b.opts.StrictRevocation, b.opts.ConfigApplyMS, b.opts.RevokeTimeoutMS, b.StoreLink.Addr(), strings.TrimPrefix(b.promotionServer.URL, "http://"))
+			h.callerAddr, h.readyAddr, b.addr(i, peerPort), cmp.Or(b.opts.DrainTimeoutMS, defaultDrainTimeoutMS), !b.opts.Unfenced, b.opts.StrictRevocation, b.opts.ConfigApplyMS, b.opts.RevokeTimeoutMS, b.StoreLink.Addr(), strings.TrimPrefix(b.promotionServer.URL, "http://"))
 		qt.Assert(b.tb, os.WriteFile(h.settingsPath, []byte(text), 0o600), qt.IsNil)
 		b.Hosts = append(b.Hosts, h)
 		b.Start(h)
