Line test of lax revocation: a write before the store is cut off

Without an electorate, which only the store gives, hosts refuse writes. The test is about keys: it now asserts that the fleet serves writes before the cut, as the test of strict revocation does.

--- a/test/line/keys_test.go
+++ b/test/line/keys_test.go
@@ -199,6 +199,7 @@
 func TestLineLaxRevocationWhileCutOff(t *testing.T) {
 	b := keysBed(t, revocationOptions)
 	removed := b.mustDial(0, "db", "ka")
+	qt.Assert(t, removed.Exec("l0 WRITE l 0"), qt.Equals, "COMPLETE")
 	b.cutStore()
 	b.ConfigureKeys(3, map[string][]string{"bolt": {"kb", "kc"}})
 	b.Eventually("the configuration is unconfirmed", func() bool { return b.metric("nettlewalk_configuration_unconfirmed") == float64(len(b.Hosts)) })
