Group: tests of proofs of targets that aren't members play one leader

TestProofOfTargetThatLeftIsNoLeader failed once in a run beside other work, and TestProofOfUnregisteredTargetStartsNoSlowStart in a series of 40: the dialer went on to let the replaced target lead, so that the probes that the proof starts found it again, rightly, before the check.

--- a/internal/group/unregistered_test.go
+++ b/internal/group/unregistered_test.go
@@ -24,11 +24,11 @@
 func TestProofOfUnregisteredTargetStartsNoSlowStart(t *testing.T) {
 	g, _ := newRecoveryGroup(t, true)
 	qt.Assert(t, awaitLeader(t, g), qt.Equals, topology.TargetID("c"))
+	g.opts.Dialer.(recoveryDialer).setLeader("d")
 	g.NoteLeading("d", steady.Now(), &statement.Answer{})
 	last, _ := g.LastLeader()
 	qt.Check(t, last, qt.Equals, topology.TargetID("d"))
 	qt.Check(t, g.recovery.ramps["d"], qt.IsNil)
-	g.opts.Dialer.(recoveryDialer).setLeader("d")
 	setRecoveryMembers(t, g, recoveryMember("a", "a"), recoveryMember("b", "b"), recoveryMember("c", "c"), recoveryMember("d", "d"))
 	qt.Check(t, awaitLeader(t, g), qt.Equals, topology.TargetID("d"))
 	qt.Check(t, g.heldOff("d"), qt.IsTrue)
@@ -68,6 +68,7 @@
 	qt.Assert(t, awaitLeader(t, g), qt.Equals, topology.TargetID("c"))
 	members := []catalog.Member{recoveryMember("b", "b"), recoveryMember("c", "c")}
 	setRecoveryMembers(t, g, members...)
+	g.opts.Dialer.(recoveryDialer).setLeader("a")
 	g.NoteLeading("a", steady.Now(), &statement.Answer{})
 	for _, note := range []func(){
 		func() { g.NoteServed("a", time.Millisecond, &statement.Answer{}) },
