Host: a memory budget for large messages

A host that served 148 sessions with statements of 1 MiB exceeded its memory limit (284 MB) within two seconds. A process above it is killed, and its sessions end without an answer.

Cause: nothing bounded what a host buffers. Each session read a whole message before its statement was admitted, and connections kept the buffers of the longest messages that they had carried; a session's last request id kept the whole message. The limit of the settings was read and not used.

Change: messages above 8 KiB need a part of a budget (internal/membudget): a quarter of the limit for statements, an eighth for answers. Statements hold theirs from the first bytes above 8 KiB until they are answered. One that gets none within 0.4 s is skipped and refused as not run, and fails its transaction; a caller that doesn't send the rest within 10 s is disconnected. Answers hold theirs until they were sent to the caller, and wait for it until the end of the time for the statement; their budget is their own since statements that hold memory wait for answers. Holds of answers that nobody delivers are released with their memory. Small messages never wait. Large buffers aren't kept, and the runtime's memory limit is three quarters of the settings'.

The tests of platform/memory_test.go fail without the admission, without the release at the next statement, at the close and at the delivery of an answer, without the budget of answers, and with kept buffers.

Not covered: statements and answers that hosts forward to each other, and large values and prepared statements that sessions keep.

--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -101,8 +101,9 @@
 		PrimaryDomain: h.primaryDomain, Log: log.WithName("duty"), OnChange: h.dutyChanged,
 	})
 	h.gossip.SetClaims(h.duty)
+	statementMemory, answerMemory := newMemoryBudgets(s.MemoryBytes)
 	groupOptions := group.SetOptions{
-		Domain: s.Domain, Dialer: platform.TargetDialer{}, Catalog: h.catalog,
+		Domain: s.Domain, Dialer: platform.TargetDialer{Memory: answerMemory}, Catalog: h.catalog,
 		Size: h.connectionShare, Customers: h.groupCustomers, OnSuspect: h.reportUnreachable,
 		SharedHolders: h.sharedHolders, OnWaiting: func(id topology.GroupID) { h.capacity.NoteWaiting(id) },
 		Recovery: h.budgetsRetries,
@@ -115,7 +116,7 @@
 	h.groups = group.NewSet(groupOptions)
 	h.createQuota()
 	h.relay = relay.NewServer(relay.Options{
-		Catalog: h.catalog, Groups: h.groups, Accept: platform.NewCallerConn,
+		Catalog: h.catalog, Groups: h.groups, Accept: platform.AcceptCaller(statementMemory),
 		Peers:      &relayPeers{Client: h.peers, host: h},
 		Revocation: keys.Policy{Strict: s.Revocation.Strict, Timeout: s.Revocation.Timeout}, ConfirmedAt: h.catalog.ConfirmedAt,
 		Homes: h.customerHomes, Self: self, Locality: h.locality, Quota: h.quota,
--- a/cmd/nettlewalk/serve.go
+++ b/cmd/nettlewalk/serve.go
@@ -62,6 +62,7 @@
 		s.SetMetricsPort(metricsPort)
 	}
 	setGCPercent(platformGCPercent)
+	setMemoryLimit(s.MemoryBytes)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	out := eventlog.NewWriter(os.Stdout)
--- a/internal/relay/caller.go
+++ b/internal/relay/caller.go
@@ -10,7 +10,8 @@
 
 // Errors of a Caller. Any other error means that the connection is lost.
 var (
-	ErrMalformed    = errors.New("unreadable message") // the next message may be readable
+	ErrMalformed    = errors.New("unreadable message")        // the next message may be readable
+	ErrNoMemory     = errors.New("no memory for the message") // the next message may be readable
 	ErrNoMessage    = errors.New("no message before the deadline")
 	ErrSessionEnded = errors.New("the caller ended the session")
 )
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -154,6 +154,8 @@
 		s.log.Info("message refused", "database", s.database, "code", statement.Malformed.String())
 		answer := s.refusal(statement.Malformed, "unreadable message")
 		return s.caller.Answer(&answer) == nil
+	case errors.Is(err, ErrNoMemory):
+		return s.refuseLargeMessage()
 	case !errors.Is(err, ErrNoMessage):
 		return false
 	case s.tx != nil && !s.tx.failed && s.server.abortsTransactions():
@@ -169,6 +171,21 @@
 	return true
 }
 
+// noMemoryDetail tells a caller why its statement didn't run.
+const noMemoryDetail = "large statements take too much memory at this time"
+
+// refuseLargeMessage refuses a statement for which there is no memory, and fails its
+// transaction. It reports whether the session continues.
+func (s *session) refuseLargeMessage() bool {
+	s.log.Info("message refused", "database", s.database, "code", statement.Busy.String(), "reason", noMemoryDetail)
+	answer := s.refusal(statement.Busy, noMemoryDetail)
+	if s.tx != nil {
+		answer = s.failWith(answer, true)
+	}
+	s.graceUntil = time.Time{}
+	return s.caller.Answer(&answer) == nil
+}
+
 // idleForTooLong tells whether the idle timeout has passed. An interrupt may end the
 // wait for a statement before.
 func (s *session) idleForTooLong() bool {
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -77,6 +77,9 @@
 	// RetryAfter is when the caller of a refused statement should return, in answers from
 	// one host to another; 0: that host doesn't tell, negative: too late for the caller.
 	RetryAfter time.Duration
+	// Release gives back the memory of a large answer once it was delivered; nil: nothing
+	// is to be done. Hosts don't send it to each other.
+	Release func()
 }
 
 // OK reports whether the statement succeeded.
