--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -108,8 +108,9 @@
 	})
 	h.gossip.SetClaims(h.duty)
 	h.createCommits(bootID)
+	statementMemory, answerMemory := newMemoryBudgets(s.MemoryBytes)
 	groupOptions := group.SetOptions{
-		Domain: s.Domain, Dialer: platform.TargetDialer{}, Catalog: h.catalog,
+		Domain: s.Domain, Dialer: platform.TargetDialer{Memory: answerMemory}, Catalog: h.catalog,
 		Size: h.connectionShare, Customers: h.groupCustomers, OnSuspect: h.reportUnreachable,
 		SharedHolders: h.sharedHolders, OnWaiting: func(id topology.GroupID) { h.capacity.NoteWaiting(id) },
 		Recovery: h.budgetsRetries, LeaveNotice: s.DrainTimeout,
@@ -122,7 +123,7 @@
 	h.groups = group.NewSet(groupOptions)
 	h.createQuota()
 	h.relay = relay.NewServer(relay.Options{
-		Catalog: h.catalog, Groups: h.groups, Accept: platform.NewCallerConn,
+		Catalog: h.catalog, Groups: h.groups, Accept: platform.AcceptCaller(statementMemory),
 		Peers:      &relayPeers{Client: h.peers, host: h},
 		Revocation: keys.Policy{Strict: s.Revocation.Strict, Timeout: s.Revocation.Timeout}, ConfirmedAt: h.catalog.ConfirmedAt,
 		Commits: h.commits,
