--- a/internal/promotion/commits_test.go
+++ b/internal/promotion/commits_test.go
@@ -58,6 +58,7 @@
 // A leader whose replacement was accepted and showed no effect may still be replaced.
 func TestCommitsAreNotOpenedWhileAcceptedRequestMayHaveItsEffect(t *testing.T) {
 	w := NewWatcher(Options{Group: "g", Duty: permanentDuty{}, Catalog: newTestGroup("a").store, Commits: &countingCommits{}})
+	w.leader = "a"
 	proof := w.commitProof(steady.Now(), 1)
 	qt.Check(t, proof.Settled && proof.NotOrdered, qt.IsTrue)
 	w.commits.ordered, w.commits.settledAt = true, steady.Now().Add(unresolvedWindow)
