Line tests: a replica that no host has heard of acknowledges commits before a promotion

A primary is replaced, once because the holder of the duty doesn't reach it while other hosts do, once because it leaves; from the request on only an unregistered replica receives.

--- a/test/line/relay.go
+++ b/test/line/relay.go
@@ -13,6 +13,7 @@
 	mu       sync.Mutex
 	listener net.Listener // nil while connections are refused
 	conns    map[net.Conn]bool
+	filter   func(net.Conn) bool // connections to forward; nil means all
 }
 
 // newRelay returns a relay that refuses connections until open is called.
@@ -59,11 +60,29 @@
 		r.mu.Lock()
 		closed := r.listener != listener
 		r.conns[conn] = true
+		filter := r.filter
 		r.mu.Unlock()
 		if closed {
 			conn.Close()
 		}
-		go r.forward(conn)
+		go func() {
+			if filter != nil && !filter(conn) {
+				conn.Close()
+			}
+			r.forward(conn)
+		}()
+	}
+}
+
+// setFilter sets the connections to forward and closes the others, open and new ones.
+func (r *relay) setFilter(filter func(net.Conn) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.filter = filter
+	for c := range r.conns {
+		if filter != nil && !filter(c) {
+			c.Close()
+		}
 	}
 }
 
