Group simulation: commits pass on through voters, targets join unseen

An option of the simulated group lets callers hear only of commits that a register of positions has recorded, as confirm's voters do; the register always answers.

--- a/internal/promotion/group_sim_faults_test.go
+++ b/internal/promotion/group_sim_faults_test.go
@@ -26,10 +26,11 @@
 	plannedLeave  // a new target joins, then an old one leaves and ends
 	holderChange  // the duty's holder stops, and another host takes the duty
 	lateRequest   // requests get no answer and arrive late
+	unseenJoin    // a new target joins, which neither the store nor the holder hears of until the end
 	faultKinds
 )
 
-var faultNames = [faultKinds]string{"primary crash", "starvation", "target crash", "empty restart", "cut from store", "cut from holder", "cut from both", "planned leave", "holder change", "late request"}
+var faultNames = [faultKinds]string{"primary crash", "starvation", "target crash", "empty restart", "cut from store", "cut from holder", "cut from both", "planned leave", "holder change", "late request", "unseen join"}
 
 // fault is one fault of a plan.
 type fault struct {
@@ -77,10 +78,14 @@
 			plan[i].lasts = max(plan[i].lasts, minDowntime)
 		}
 	}
-	slices.SortStableFunc(plan, func(a, b fault) int { return int(a.at - b.at) })
+	sortPlan(plan)
 	return plan
 }
 
+func sortPlan(plan []fault) {
+	slices.SortStableFunc(plan, func(a, b fault) int { return int(a.at - b.at) })
+}
+
 func drawTime(t *rapid.T, label string, from, to time.Duration) time.Duration {
 	const step = 100 * time.Millisecond
 	return time.Duration(rapid.IntRange(int(from/step), int(to/step)).Draw(t, label)) * step
@@ -113,6 +118,11 @@
 		return func() { reachStore(); reachHolder() }
 	case plannedLeave:
 		return c.leave(t)
+	case unseenJoin:
+		joined := c.join(fmt.Sprint("t", len(c.targets)))
+		c.tracef("%s joins unseen", joined.id)
+		reachStore, reachHolder := set(&joined.cutFromStore), set(&joined.cutFromHolder)
+		return func() { reachStore(); reachHolder() }
 	case lateRequest:
 		c.platform.lateness = f.delay
 		return set(&c.platform.answersLost)
--- a/internal/promotion/group_sim_host_test.go
+++ b/internal/promotion/group_sim_host_test.go
@@ -53,11 +53,15 @@
 	c.claim.holder, c.host = h, h
 	c.tracef("host holds the duty under token %d", c.claim.token)
 	c.mu.Unlock()
-	w := NewWatcher(Options{
+	opts := Options{
 		Group: "g", Dialer: c, Parse: parseClusterStatus, Promoter: c, Duty: h, Catalog: h.catalog, GroupView: h.view,
 		ReadRegister: func(context.Context) error { h.hear(); return nil }, AskHosts: c.askHosts,
 		Hosts: func() int { return 3 }, Log: funcr.New(c.log, funcr.Options{RenderArgsHook: shortenValues}),
-	})
+	}
+	if c.voters != nil {
+		opts.Commits = &hostCommits{h, c.voters}
+	}
+	w := NewWatcher(opts)
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
 	c.watchers.Go(func() { w.Run(ctx) })
--- a/internal/promotion/group_sim_test.go
+++ b/internal/promotion/group_sim_test.go
@@ -39,11 +39,14 @@
 	lag                                  int       // receives in every lag-th tick
 }
 
-func (t *clusterTarget) position() topology.Position {
-	if len(t.log) == 0 {
+func (t *clusterTarget) position() topology.Position { return logEnd(t.log) }
+
+// logEnd returns the position of the last commit of a log.
+func logEnd(log []commitEntry) topology.Position {
+	if len(log) == 0 {
 		return topology.Position{}
 	}
-	return pos(t.log[len(t.log)-1].term, uint64(len(t.log)))
+	return pos(log[len(log)-1].term, uint64(len(log)))
 }
 
 // cluster is a group of targets with its platform: the register, the call for
@@ -58,6 +61,11 @@
 	commits int
 	// acknowledged is the log up to the last acknowledged commit.
 	acknowledged []commitEntry
+	// heard is the log up to the last commit that callers have heard of. With voters, they
+	// hear only of what these have recorded, and a promotion may lose nothing of it.
+	heard        []commitEntry
+	voters       *clusterVoters // nil if hosts pass on what is acknowledged
+	checksHeard  bool           // a promotion that loses anything of heard fails
 	register     register
 	platform     promotionCall
 	claim        clusterClaim
@@ -122,6 +130,9 @@
 			c.acknowledged = slices.Clone(r.log)
 		}
 	}
+	if len(c.acknowledged) > len(c.heard) && (c.voters == nil || c.voters.record(c.term, logEnd(c.acknowledged))) {
+		c.heard = slices.Clone(c.acknowledged)
+	}
 }
 
 // stop ends a target's process.
@@ -182,11 +193,16 @@
 		}
 	}
 	c.acknowledged = slices.Clone(commonPrefix(c.acknowledged, t.log))
+	c.heard = slices.Clone(commonPrefix(c.heard, t.log))
 }
 
 // checkLog checks that a target to be promoted has every acknowledged commit that a
 // replica has. A replica that is down has its log when it returns.
 func (c *cluster) checkLog(t *clusterTarget) {
+	if c.checksHeard {
+		c.checkHeard(t)
+		return
+	}
 	has := len(commonPrefix(c.acknowledged, t.log))
 	for _, r := range c.targets {
 		if r == c.leader || r == t || r.ended || c.lost != "" {
@@ -198,3 +214,12 @@
 		}
 	}
 }
+
+// checkHeard checks that a target to be promoted has every commit that callers have heard
+// of, whoever else has it.
+func (c *cluster) checkHeard(t *clusterTarget) {
+	if has := len(commonPrefix(c.heard, t.log)); has < len(c.heard) && c.lost == "" {
+		c.lost = fmt.Sprintf("%s is promoted with %d of %d commits that callers have heard of", t.id, has, len(c.heard))
+		c.tracef("LOST: %s", c.lost)
+	}
+}
--- /dev/null
+++ b/internal/promotion/group_sim_voters_test.go
@@ -0,0 +1,74 @@
+package promotion
+
+import (
+	"context"
+
+	"nettlewalk.example/nettlewalk/internal/confirm"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// clusterVoters stands for the voters of a group, which always answer. It is guarded by
+// cluster.mu.
+type clusterVoters struct {
+	newest     topology.Position // recorded
+	term       uint64            // lowest whose commits are recorded
+	sealed     bool
+	sealedTerm uint64
+	orderedBy  *clusterHost // holder that may have sent a request since the seal, nil if none
+}
+
+// record records the position of a commit in a leader's term, unless that may be over.
+func (v *clusterVoters) record(term uint64, position topology.Position) bool {
+	if v.sealed || term < v.term {
+		return false
+	}
+	v.newest = topology.Later(v.newest, position)
+	return true
+}
+
+// hostCommits implements Commits for a holder of the duty.
+type hostCommits struct {
+	host   *clusterHost
+	voters *clusterVoters
+}
+
+// held locks cluster.mu and reports whether the host still holds the duty.
+func (h *hostCommits) held() (held bool, unlock func()) {
+	c := h.host.cluster
+	c.mu.Lock()
+	return c.claim.holder == h.host, c.mu.Unlock
+}
+
+func (h *hostCommits) Seal(_ context.Context, _ topology.GroupID, term uint64) confirm.Sealing {
+	held, unlock := h.held()
+	defer unlock()
+	if !held {
+		return confirm.Sealing{}
+	}
+	v := h.voters
+	v.sealed, v.sealedTerm = true, max(v.sealedTerm, term)
+	return confirm.Sealing{Closed: true, Known: true, Floor: v.newest}
+}
+
+func (h *hostCommits) Order(context.Context, topology.GroupID) bool {
+	held, unlock := h.held()
+	defer unlock()
+	if !held || !h.voters.sealed {
+		return false
+	}
+	h.voters.orderedBy = h.host
+	return true
+}
+
+func (h *hostCommits) Maintain(_ context.Context, _ topology.GroupID, leader confirm.Proof) {
+	held, unlock := h.held()
+	defer unlock()
+	v := h.voters
+	inherited := v.orderedBy != nil && v.orderedBy != h.host
+	mayOpen := leader.Settled || leader.NotOrdered && (!inherited || leader.Term > v.sealedTerm)
+	if !held || leader.Term == 0 || !v.sealed || !mayOpen {
+		return
+	}
+	v.sealed, v.term, v.orderedBy = false, leader.Term, nil
+	h.host.cluster.tracef("voters are opened for term %d", leader.Term)
+}
