--- a/internal/promotion/group_sim_test.go
+++ b/internal/promotion/group_sim_test.go
@@ -63,17 +63,17 @@
 	acknowledged []commitEntry
 	// heard is the log up to the last commit that callers have heard of. With voters, they
 	// hear only of what these have recorded, and a promotion may lose nothing of it.
-	heard        []commitEntry
-	voters       *clusterVoters // nil if hosts pass on what is acknowledged
-	checksHeard  bool           // a promotion that loses anything of heard fails
-	register     register
-	platform     promotionCall
-	claim        clusterClaim
-	host         *clusterHost   // holds the duty, nil if none does
-	watchers     sync.WaitGroup // of this and earlier holders
-	trace        []string
-	lost         string // how the property failed, "" while it holds
-	promotions   int
+	heard       []commitEntry
+	voters      *clusterVoters // nil if hosts pass on what is acknowledged
+	checksHeard bool           // a promotion that loses anything of heard fails
+	register    register
+	platform    promotionCall
+	claim       clusterClaim
+	host        *clusterHost   // holds the duty, nil if none does
+	watchers    sync.WaitGroup // of this and earlier holders
+	trace       []string
+	lost        string // how the property failed, "" while it holds
+	promotions  int
 }
 
 // newCluster returns a group with a primary and replicas that have nothing in their logs.
