Writes wait for the first voters of a fleet that has just started

It waits for as long as its time allows, as for a group without a leader (TestWriteAwaitsFirstVoters fails without it).

--- a/internal/confirm/confirmer.go
+++ b/internal/confirm/confirmer.go
@@ -115,6 +115,12 @@
 	return false
 }
 
+// Starting reports whether no voters of the group are known yet.
+func (c *Confirmer) Starting(id topology.GroupID) bool {
+	e := c.opts.Electorate(id)
+	return c.opts.Needed(id) && len(e.Members()) == 0
+}
+
 // AwaitReady waits until commits of the group can be confirmed, at most until the deadline.
 func (c *Confirmer) AwaitReady(ctx context.Context, id topology.GroupID, deadline time.Time) bool {
 	if c.Ready(id) {
--- a/internal/promotion/group_sim_voters_test.go
+++ b/internal/promotion/group_sim_voters_test.go
@@ -50,7 +50,7 @@
 	return confirm.Sealing{Closed: true, Known: true, Floor: v.newest}
 }
 
-func (h *hostCommits) Order(context.Context, topology.GroupID) bool {
+func (h *hostCommits) Order(context.Context, topology.GroupID, topology.TargetID) bool {
 	held, unlock := h.held()
 	defer unlock()
 	if !held || !h.voters.sealed {
--- a/internal/relay/confirm.go
+++ b/internal/relay/confirm.go
@@ -19,6 +19,9 @@
 	// Ready reports whether commits of the group can be confirmed at present, as far as
 	// this host knows.
 	Ready(id topology.GroupID) bool
+	// Starting reports whether no voters of the group are known yet, because the fleet has
+	// just started.
+	Starting(id topology.GroupID) bool
 	// AwaitReady waits until commits of the group can be confirmed, at most until the
 	// deadline, and reports whether they can.
 	AwaitReady(ctx context.Context, id topology.GroupID, deadline time.Time) bool
@@ -84,6 +87,9 @@
 // the leader.
 func (r *request) waitConfirmableLeader(ctx context.Context, id topology.TargetID, pool *share.Pool, known bool) (topology.TargetID, *share.Pool, *statement.Answer) {
 	deadline := time.Now().Add(maxLeaderWait(&r.route, r.group.LeaderLoss()))
+	if commits := r.session.server.opts.Commits; commits != nil && commits.Starting(r.route.Group) {
+		deadline = r.deadline
+	}
 	for {
 		if !known {
 			if id, pool, known = r.waitLeader(ctx, deadline); !known {
--- a/internal/relay/confirm_test.go
+++ b/internal/relay/confirm_test.go
@@ -22,6 +22,7 @@
 type fakeCommits struct {
 	mu        sync.Mutex
 	unready   bool
+	starting  bool            // no voters are known
 	failure   error           // of Confirm
 	onAwait   func()          // called by AwaitReady before it looks; nil: nothing
 	onConfirm func()          // called by Confirm; nil: nothing
@@ -42,6 +43,8 @@
 	return !c.unready
 }
 
+func (c *fakeCommits) Starting(topology.GroupID) bool { return c.starting }
+
 func (c *fakeCommits) AwaitReady(_ context.Context, id topology.GroupID, deadline time.Time) bool {
 	c.mu.Lock()
 	c.waits = append(c.waits, time.Until(deadline))
@@ -247,6 +250,25 @@
 	qt.Check(t, pool.Load().Idle, qt.Equals, 2)
 }
 
+// A fleet that has just started knows no voters before a host has taken the group's duty.
+func TestWriteAwaitsFirstVoters(t *testing.T) {
+	for _, statements := range [][]statement.Statement{{write("a")}, {begin, write("a"), commit}} {
+		f, commits := newCommitsFixture(t)
+		f.awaitConnections(t)
+		commits.setUnready(true)
+		commits.starting = true
+		commits.onAwait = func() {
+			if commits.waits[len(commits.waits)-1] > electorateChangeTime {
+				commits.setUnready(false)
+			}
+		}
+		for _, st := range statements {
+			a := f.serveStatement(st)
+			qt.Check(t, a.OK(), qt.IsTrue, qt.Commentf("%+v", a))
+		}
+	}
+}
+
 // Nobody could tell the outcome of such a commit. The caller may repeat the transaction.
 func TestCommitIsNotSentWhileCommitsCannotBeConfirmed(t *testing.T) {
 	f, commits := newCommitsFixture(t)
