Confirm: tests of renewed tokens and of requests that may be carried out

Three guards that no test held: a token that this host renewed keeps its seal, a holder that takes the duty again heeds a request in between, and which outcomes of a request count as ordered. A voter that doesn't answer has a verdict of its own instead of the zero value; names of verdicts that nothing logged are gone.

--- a/internal/confirm/ask.go
+++ b/internal/confirm/ask.go
@@ -18,16 +18,23 @@
 	peers peer.Caller
 }
 
-func (l *link) record(ctx context.Context, v Voter, args RecordArgs) (RecordReply, error) {
+// verdict asks a voter to record a position. A voter that doesn't answer counts as
+// Unanswered: the round that asked tells the caller if too many don't.
+func (l *link) verdict(ctx context.Context, v Voter, args RecordArgs) Verdict {
 	args.Boot = v.Boot
 	var reply RecordReply
 	if v.Host == l.self {
-		return reply, l.local.Record(&args, &reply)
+		if l.local.Record(&args, &reply) != nil {
+			return Unanswered
+		}
+		return reply.Verdict
 	}
 	ctx, cancel := context.WithTimeout(ctx, voteTimeout)
 	defer cancel()
-	err := l.peers.Call(ctx, v.Host, recordMethod, &args, &reply)
-	return reply, err
+	if l.peers.Call(ctx, v.Host, recordMethod, &args, &reply) != nil {
+		return Unanswered
+	}
+	return reply.Verdict
 }
 
 func (l *link) instruct(ctx context.Context, v Voter, args InstructArgs) (InstructReply, error) {
@@ -71,7 +78,7 @@
 		}
 		a := <-answers
 		switch {
-		case a.err != nil:
+		case a.err != nil: // the voter stays among those that haven't answered, which the log names
 		case a.reply.Ended:
 			p.ended[a.voter] = true
 		case a.reply.Accepted:
--- a/internal/confirm/confirmer.go
+++ b/internal/confirm/confirmer.go
@@ -281,17 +281,10 @@
 	ask := func(list []Voter) {
 		for _, v := range list {
 			if v.Host == c.opts.Self {
-				reply, _ := c.link.record(ctx, v, args)
-				verdicts <- reply.Verdict
+				verdicts <- c.link.verdict(ctx, v, args)
 				continue
 			}
-			go func() {
-				reply, err := c.link.record(ctx, v, args)
-				if err != nil {
-					reply.Verdict = 0
-				}
-				verdicts <- reply.Verdict
-			}()
+			go func() { verdicts <- c.link.verdict(ctx, v, args) }()
 		}
 	}
 	first, rest := voters[:e.Quorum()], voters[e.Quorum():]
--- a/internal/confirm/guards_test.go
+++ b/internal/confirm/guards_test.go
@@ -89,3 +89,27 @@
 		time.Sleep(lateWindow)
 	})
 }
+
+func TestHolderThatTakesTheDutyAgainHeedsTheRequestInBetween(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 3)
+		qt.Assert(t, f.hosts[0].holder.Seal(t.Context(), simGroup, 1).Known, qt.IsTrue)
+		f.hosts[1].takeDuty()
+		f.sealAndOrder(t, 1, 1, 1)
+		f.hosts[0].takeDuty()
+		f.maintainAs(0, 1)
+		qt.Check(t, f.confirmNow(2, 1), qt.IsNotNil) // the request of host 1 may still be carried out
+		time.Sleep(lateWindow)
+	})
+}
+
+func TestRenewedTokenKeepsTheSeal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 3)
+		h := f.hosts[0]
+		qt.Assert(t, h.holder.Seal(t.Context(), simGroup, 1).Known, qt.IsTrue)
+		qt.Assert(t, h.renew(), qt.IsTrue)
+		qt.Check(t, h.holder.Order(t.Context(), simGroup, "a"), qt.IsTrue)
+		time.Sleep(lateWindow)
+	})
+}
--- a/internal/confirm/register.go
+++ b/internal/confirm/register.go
@@ -18,23 +18,14 @@
 
 // The verdicts.
 const (
-	Recorded     Verdict = iota + 1
-	Sealed               // the leader may be about to be replaced
-	OldTerm              // a leader of a later term was found
-	OldEpoch             // the electorate has changed
-	OtherProcess         // the process that was a voter has ended
+	Unanswered Verdict = iota // no answer arrived
+	Recorded
+	Sealed       // the leader may be about to be replaced
+	OldTerm      // a leader of a later term was found
+	OldEpoch     // the electorate has changed
+	OtherProcess // the process that was a voter has ended
 )
 
-var verdictNames = [...]string{Recorded: "recorded", Sealed: "sealed", OldTerm: "old_term", OldEpoch: "old_epoch", OtherProcess: "other_process"}
-
-// String returns the name used in logs.
-func (v Verdict) String() string {
-	if int(v) < len(verdictNames) {
-		return verdictNames[v]
-	}
-	return "unknown"
-}
-
 // Action is an instruction to a voter.
 type Action uint8
 
--- a/internal/promotion/commits_test.go
+++ b/internal/promotion/commits_test.go
@@ -72,3 +72,17 @@
 	s.noteEffect()
 	qt.Check(t, s.leader, qt.Equals, topology.TargetID(""))
 }
+
+func TestRequestThatMayBeCarriedOutCountsAsOrdered(t *testing.T) {
+	for _, c := range []struct {
+		outcome         Outcome
+		before, ordered bool
+	}{
+		{Accepted, false, true}, {Unanswered, false, true}, {Refused, false, false}, {NotDone, false, false},
+		{Refused, true, true}, {NotDone, true, true}, // an earlier one may
+	} {
+		var s commitState
+		s.noteOutcome(c.outcome, c.before)
+		qt.Check(t, s.ordered, qt.Equals, c.ordered, qt.Commentf("%+v", c))
+	}
+}
