Promotion: a new holder voids requests that no host remembers before commits are confirmed

Cause: a promotion was requested while the store was silent. The request was sent 100 ms after its record had failed, so only the voters and the holder knew of it. It got no answer, and all hosts ended. The next holder found the voters ended and no record in the claim, took that for "nothing was requested" (Holder.adopt), and started a new electorate. The request was carried out 6 s later at a replica that lacked what had been confirmed since.

Ruled out: an effect that was only pending (the hosts waited for 2 s, the effect came 8 s after the request), and a wrong floor (the leader's position was taken after the seal).

Change: without the word of a quorum of voters, or where there was no electorate yet, a new holder takes a request for possible, whatever the claim says. Before it confirms anything it requests the promotion of the target that leads, under its own token. By the platform's page that changes nothing, and a request with a lower token gets 409 when it is carried out. What was carried out before the answer has its effect within 2 s; a proof of the leader after that settles it. While there is no answer, or the leader isn't running, commits wait, for 15 s at most, and another target is requested under a higher token only. The voters are told of it first: if the leader was replaced meanwhile, such a request promotes it again, and a later holder has to know. Where the platform checks tokens, requests are no longer recorded, so none waits for a silent store.

Why it works: it needs nobody's memory.

--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -154,10 +154,11 @@
 	h.commits = confirm.New(confirm.Options{
 		Self: self, Local: h.voters, Peers: h.peers, Electorate: h.duty.Electorate, Needed: h.catalog.AwaitsReplicas, Log: log,
 	})
-	h.commitHolder = confirm.NewHolder(confirm.HolderOptions{
-		Self: self, Local: h.voters, Peers: h.peers, Duty: h.duty, Processes: h.gossip.Processes, Log: log,
-		Ordered: func(id topology.GroupID) topology.TargetID { return h.duty.Leadership(id).Ordered },
-	})
+	options := confirm.HolderOptions{Self: self, Local: h.voters, Peers: h.peers, Duty: h.duty, Processes: h.gossip.Processes, Log: log}
+	if !h.settings.PrimariesFenced { // requests are recorded before they are sent
+		options.NotOrdered = func(id topology.GroupID) bool { return h.duty.Leadership(id).Ordered == "" }
+	}
+	h.commitHolder = confirm.NewHolder(options)
 }
 
 // heardOfHolder reports whether the holder of a group's duty, if there is one, was heard of
--- a/internal/confirm/guards_test.go
+++ b/internal/confirm/guards_test.go
@@ -83,7 +83,7 @@
 		f.hosts[3].start()
 		time.Sleep(changeInterval)
 		f.loseAnswers = true
-		f.hosts[0].maintain()
+		f.hosts[0].maintain(0, true)
 		qt.Assert(t, f.claim.electorate.Epoch, qt.Equals, uint64(2))
 		qt.Check(t, f.hosts[0].holder.Seal(t.Context(), simGroup, 1).Closed, qt.IsFalse)
 		time.Sleep(lateWindow)
--- a/internal/confirm/holder.go
+++ b/internal/confirm/holder.go
@@ -50,10 +50,10 @@
 	Duty  Duty
 	// Processes returns what this host knows of the fleet's processes.
 	Processes func() []Process
-	// Ordered returns the target for which the claim on a group's duty records a request for
-	// a promotion that may still be carried out, or "".
-	Ordered func(topology.GroupID) topology.TargetID
-	Log     logr.Logger
+	// NotOrdered reports whether the claim on a group's duty shows that no earlier holder sent
+	// a request for a promotion that may still be carried out. nil: claims don't show it.
+	NotOrdered func(topology.GroupID) bool
+	Log        logr.Logger
 }
 
 // Holder seals and opens the voters of the groups whose duty this host holds, and replaces
@@ -239,36 +239,36 @@
 
 // Maintain opens voters that are sealed, if no other target than the leader may be
 // promoted, and replaces voters that have ended. It is called at intervals while a leader
-// serves that isn't being replaced.
-func (h *Holder) Maintain(ctx context.Context, id topology.GroupID, leader Proof) {
+// serves that isn't being replaced. It reports whether commits wait for a proof with Settled:
+// a request of an earlier holder may still be carried out.
+func (h *Holder) Maintain(ctx context.Context, id topology.GroupID, leader Proof) (needsSettled bool) {
 	token, held := h.opts.Duty.Token(id)
 	if !held || leader.Term == 0 {
-		return
+		return false
 	}
 	e := h.opts.Duty.Electorate(id)
 	if leader.Term < e.FromTerm {
-		return // it has been replaced
+		return false // it has been replaced
 	}
 	t := h.tenure(id, token, e.Epoch)
-	if len(e.Members()) > 0 {
-		if !t.adopted && !h.adopt(ctx, id, t, e) {
-			return
-		}
-		if t.sealed && !t.mayOpen(&leader) {
-			return
-		}
+	if !t.adopted && !h.adopt(ctx, id, t, e) {
+		return false
+	}
+	if (t.sealed || len(e.Members()) == 0) && !t.mayOpen(&leader) {
+		return t.inherited.may
 	}
 	if t.inDoubt != nil {
 		h.writeOrOpen(ctx, id, t, t.inDoubt)
-		return
+		return false
 	}
 	if c := h.dueChange(t, e, leader); c != nil {
 		h.writeOrOpen(ctx, id, t, c)
-		return
+		return false
 	}
 	if len(e.Members()) > 0 {
 		h.open(ctx, id, t, e, leader.Term)
 	}
+	return false
 }
 
 // dueChange returns the change of the electorate that is due, or nil.
@@ -302,18 +302,27 @@
 	t.number++
 	args := InstructArgs{Address: Address{Group: id}, Instruction: Instruction{Ballot: Ballot{Token: t.token, Number: t.number}, Action: Adopt}}
 	h.link.instructAll(ctx, p, args, func() bool { return p.hasQuorum() })
-	if len(p.accepted)+len(p.ended) < e.Quorum() {
+	if len(e.Members()) > 0 && len(p.accepted)+len(p.ended) < e.Quorum() {
 		return false
 	}
 	t.noteInherited(p)
-	if !p.hasQuorum() && h.opts.Ordered(id) != "" { // the voters that heard of the request may have ended
+	if !p.hasQuorum() && h.mayBeOrdered(id, t) { // the voters that heard of the request have ended, or there were none
 		t.inherited = t.inherited.merge(inherited{may: true, several: true})
 	}
-	t.adopted, t.sealed = true, true // voters that haven't answered may be sealed, and are opened too
-	h.opts.Log.Info("voters are taken over", "group", id, "epoch", e.Epoch, "ordered", t.inherited.may, "term", t.inherited.term, "ended", len(p.ended))
+	t.adopted, t.sealed = true, len(e.Members()) > 0 // voters that haven't answered may be sealed, and are opened too
+	h.opts.Log.Info("voters are taken over", "group", id, "epoch", e.Epoch, "ordered", t.inherited.may, "several", t.inherited.several, "term", t.inherited.term, "ended", len(p.ended))
 	return true
 }
 
+// firstToken is the token of a duty that was never held before.
+const firstToken = 1
+
+// mayBeOrdered reports whether an earlier holder may have sent a request of which no voter
+// that serves has heard.
+func (h *Holder) mayBeOrdered(id topology.GroupID, t *tenure) bool {
+	return t.since > firstToken && (h.opts.NotOrdered == nil || !h.opts.NotOrdered(id))
+}
+
 // noteInherited records a request that an earlier holder may have sent. Once a quorum has
 // accepted a ballot of this host, an earlier holder sends none any more.
 func (t *tenure) noteInherited(p *poll) {
--- a/internal/confirm/sim_test.go
+++ b/internal/confirm/sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -47,23 +48,31 @@
 	holder     int // index of a host
 	boot       uint64
 	electorate Electorate
-	ordered    topology.TargetID
 }
 
-// order is a promotion that was requested and takes effect later.
+// order is a request for a promotion. It is carried out, when the platform checks its token,
+// and takes effect later.
 type order struct {
-	at       time.Time
-	target   int
-	token    uint64
-	floor    topology.Position
-	answered bool
+	sentAt     time.Time
+	at         time.Time // when it is carried out, then when it takes effect
+	carriedOut bool
+	delay      time.Duration // from then to its effect
+	target     int
+	token      uint64
+	floor      topology.Position // of the target's log
+	answered   bool
 }
 
 const (
-	// effectWindow is how long after an answered request a promotion may take effect, and
-	// lateWindow the same for one without an answer.
-	effectWindow = 1200 * time.Millisecond
+	// effectWindow is how long after a request is carried out the promotion may take effect,
+	// and lateWindow how late one without an answer may be carried out.
+	effectWindow = 600 * time.Millisecond
 	lateWindow   = 8 * time.Second
+	// cooldown is the time from the effect of a promotion to the next request.
+	cooldown = 1 * time.Second
+	// voidWindow is how long after a request that voids others is answered a host takes those
+	// carried out before for possible.
+	voidWindow = 2 * time.Second
 	// settleTime is how long a host takes such requests for possible.
 	settleTime = 15 * time.Second
 	// lateCallDelay is the delay of calls that arrive late.
@@ -83,8 +92,11 @@
 	leadsTerm  uint64     // of the leader that this host uses
 	ordered    *order     // its latest order, nil once settled
 	orderedAt  time.Time
-	inDoubt    *order // latest order without an answer under the present token
+	inDoubt    *order   // latest order without an answer under the present token
+	voids      []*order // without an answer, in order of their tokens
 	heldSince  time.Time
+	effectAt   time.Time // when it saw the effect of its latest order
+	voidedAt   time.Time // when the platform accepted this host's token, zero if it hasn't
 }
 
 func hostID(i int) topology.HostID { return topology.HostID(fmt.Sprintf("h%d", i)) }
@@ -112,7 +124,7 @@
 	h.fleet.mu.Lock()
 	defer h.fleet.mu.Unlock()
 	lastBoot++
-	h.boot, h.down, h.token, h.ordered, h.inDoubt = lastBoot, false, 0, nil, nil
+	h.boot, h.down, h.token, h.ordered, h.inDoubt, h.voids, h.voidedAt, h.effectAt = lastBoot, false, 0, nil, nil, nil, time.Time{}, time.Time{}
 	h.electorate = Electorate{}
 	h.voters = NewVoters(h.boot, nil)
 	h.confirmer = New(Options{
@@ -120,7 +132,7 @@
 		Electorate: h.Electorate,
 		Needed:     func(topology.GroupID) bool { return true },
 	})
-	h.holder = NewHolder(HolderOptions{Self: hostID(h.index), Local: h.voters, Peers: h, Duty: h, Processes: h.processes, Ordered: h.recordedOrder, Log: logr.Discard()})
+	h.holder = NewHolder(HolderOptions{Self: hostID(h.index), Local: h.voters, Peers: h, Duty: h, Processes: h.processes, Log: logr.Discard()})
 	h.leadsTerm = h.fleet.term
 }
 
@@ -252,6 +264,9 @@
 	if h.token == 0 {
 		return
 	}
+	if h.isNew() || time.Since(h.effectAt) < cooldown {
+		return // a request that was carried out may have its effect yet
+	}
 	h.settle()
 	if h.ordered != nil && (h.ordered.answered && time.Now().Before(h.ordered.at) || h.ordered.target == f.primary) {
 		return // it waits for the effect, or sees it first
@@ -266,34 +281,76 @@
 	}
 	s := h.holder.Seal(context.Background(), simGroup, h.leadsTerm)
 	f.tracef("h%d seal under %d: %+v", h.index, h.token, s)
-	if !s.Closed || !s.Known || !h.recordOrder(target) || !h.holder.Order(context.Background(), simGroup, targetID(target)) || h.token < f.platformToken {
+	if !s.Closed || !s.Known || !h.holder.Order(context.Background(), simGroup, targetID(target)) {
 		return
 	}
-	f.platformToken = max(f.platformToken, h.token)
-	if answered {
-		delay = min(delay, effectWindow)
+	o := &order{delay: min(delay, effectWindow), target: target, token: h.token, floor: s.Floor, answered: answered}
+	if !f.request(o, delay) {
+		return
 	}
-	o := &order{at: time.Now().Add(delay), target: target, token: h.token, floor: s.Floor, answered: answered}
-	f.tracef("h%d orders t%d, effect in %v", h.index, target, delay)
+	f.tracef("h%d orders t%d, answered %v, %v", h.index, target, answered, delay)
 	h.ordered, h.orderedAt = o, time.Now()
 	if !answered {
 		h.inDoubt = o
 	}
-	f.effects = append(f.effects, o)
 }
 
 func targetID(i int) topology.TargetID { return topology.TargetID(rune('a' + i)) }
 
-// recordOrder records in the claim that a promotion is about to be requested.
-func (h *simHost) recordOrder(target int) bool {
-	if h.fleet.storeDown || h.fleet.claim.boot != h.boot {
+// request sends a request, which is carried out late if it gets no answer. It returns false if
+// the platform refuses it.
+func (f *fleet) request(o *order, lateBy time.Duration) bool {
+	o.sentAt, o.at = time.Now(), time.Now()
+	if !o.answered {
+		o.at = o.at.Add(lateBy)
+		f.effects = append(f.effects, o)
+		return true
+	}
+	return f.carryOut(o)
+}
+
+// carryOut checks the token of a request. It returns false if the platform refuses it.
+func (f *fleet) carryOut(o *order) bool {
+	if o.token < f.platformToken {
 		return false
 	}
-	h.fleet.claim.ordered = targetID(target)
+	f.platformToken = o.token
+	if o.target != f.primary {
+		o.carriedOut, o.at = true, o.at.Add(o.delay)
+		f.effects = append(f.effects, o)
+	}
 	return true
 }
 
-func (h *simHost) recordedOrder(topology.GroupID) topology.TargetID { return h.fleet.claim.ordered }
+// voidEarlier requests the promotion of the primary, so that the platform refuses requests of
+// earlier holders.
+func (h *simHost) voidEarlier(position topology.Position, delay time.Duration, answered bool) {
+	f := h.fleet
+	if h.ordered != nil || h.inDoubt != nil && h.inDoubt.target != f.primary && !h.renew() {
+		return
+	}
+	if s := h.holder.Seal(context.Background(), simGroup, f.term); !s.Closed || !h.holder.Order(context.Background(), simGroup, targetID(f.primary)) {
+		return
+	}
+	o := &order{delay: min(delay, effectWindow), target: f.primary, token: h.token, floor: position, answered: answered}
+	accepted := f.request(o, delay)
+	f.tracef("h%d voids requests before %d for t%d, answered %v, accepted %v, %v", h.index, h.token, f.primary, answered, accepted, delay)
+	switch {
+	case !answered:
+		h.inDoubt, h.voids = o, append(h.voids, o)
+	case accepted:
+		h.voidedAt = time.Now()
+		h.voids = slices.DeleteFunc(h.voids, func(v *order) bool { return v.token < h.token })
+	}
+}
+
+// voidMayPromoteOther reports whether a request that was to void others may replace the
+// primary, which has been replaced since.
+func (h *simHost) voidMayPromoteOther() bool {
+	return slices.ContainsFunc(h.voids, func(v *order) bool {
+		return v.target != h.fleet.primary && time.Since(v.sentAt) < settleTime
+	})
+}
 
 // renew gets a higher token, under which the platform refuses earlier orders.
 func (h *simHost) renew() bool {
@@ -316,43 +373,58 @@
 
 // takeEffect carries out the orders that are due.
 func (f *fleet) takeEffect() {
-	var rest []*order
-	for _, o := range f.effects {
-		if time.Now().Before(o.at) {
-			rest = append(rest, o)
-			continue
-		}
-		if o.token < f.platformToken || o.target == f.primary {
-			continue // refused, or nothing changes
+	due := f.effects
+	f.effects = nil
+	for _, o := range due {
+		switch {
+		case time.Now().Before(o.at):
+			f.effects = append(f.effects, o)
+		case !o.carriedOut:
+			f.tracef("late request for t%d under %d, accepted %v", o.target, o.token, f.carryOut(o))
+		case o.target != f.primary:
+			f.takeLead(o)
 		}
-		f.term, f.primary = f.term+1, o.target
-		f.newest++
-		f.tracef("term %d begins with a log up to %v", f.term, o.floor)
-		for p := range f.passed {
-			if p.Term < f.term && !o.floor.AtLeast(p) {
-				f.lose(p)
-			}
+	}
+}
+
+func (f *fleet) takeLead(o *order) {
+	f.term, f.primary = f.term+1, o.target
+	f.newest++
+	f.tracef("term %d begins at t%d with a log up to %v", f.term, o.target, o.floor)
+	for p := range f.passed {
+		if p.Term < f.term && !o.floor.AtLeast(p) {
+			f.lose(p)
 		}
 	}
-	f.effects = rest
 }
 
-// maintain is what the watcher of the host does while it sees a leader serve.
-func (h *simHost) maintain() {
+// maintain is what the watcher of the host does while it sees a leader serve. A request that
+// voids earlier ones has the delay and the answer.
+func (h *simHost) maintain(delay time.Duration, answered bool) {
 	f := h.fleet
-	if h.token == 0 || h.token > 1 && time.Since(h.heldSince) < 2*time.Second {
+	if h.token == 0 || h.isNew() {
 		return
 	}
 	h.leadsTerm = f.term
 	h.settle()
 	if h.ordered != nil && h.ordered.target == f.primary {
-		h.ordered = nil
+		h.ordered, h.effectAt = nil, time.Now()
 	}
+	voided := !h.voidedAt.IsZero() && time.Since(h.voidedAt) > voidWindow
 	position := topology.Position{Term: f.term, Offset: f.newest}
-	proof := Proof{Position: position, Term: f.term, SentAt: time.Now(), NotOrdered: h.ordered == nil, Settled: time.Since(h.heldSince) > settleTime && h.ordered == nil}
-	h.holder.Maintain(context.Background(), simGroup, proof)
+	proof := Proof{Position: position, Term: f.term, SentAt: time.Now(), NotOrdered: h.ordered == nil, Settled: (time.Since(h.heldSince) > settleTime || voided) && h.ordered == nil}
+	if h.voidMayPromoteOther() {
+		proof.NotOrdered, proof.Settled = false, false
+	}
+	if h.holder.Maintain(context.Background(), simGroup, proof) {
+		h.voidEarlier(position, delay, answered)
+	}
 }
 
+// isNew reports whether a request of the holder before, which it sent right before its end, may
+// have its effect yet.
+func (h *simHost) isNew() bool { return h.token > 1 && time.Since(h.heldSince) < 2*time.Second }
+
 // takeDuty makes the host the holder. The one before may not know.
 func (h *simHost) takeDuty() {
 	f := h.fleet
@@ -360,7 +432,7 @@
 		return
 	}
 	f.claim.token, f.claim.holder, f.claim.boot = f.claim.token+1, h.index, h.boot
-	h.token, h.heldSince = f.claim.token, time.Now()
+	h.token, h.heldSince, h.inDoubt, h.voids, h.voidedAt = f.claim.token, time.Now(), nil, nil, time.Time{}
 	h.learn()
 	f.tracef("h%d holds the duty under %d", h.index, h.token)
 }
@@ -374,12 +446,12 @@
 	answered bool
 }
 
-var actionKinds = []string{"commit", "commit", "commit", "learn", "learn", "maintain", "maintain", "maintain", "promote", "promote", "duty", "restart", "down", "cut", "heal", "store", "answers", "late calls", "late calls", "follow", "wait"}
+var actionKinds = []string{"commit", "commit", "commit", "learn", "learn", "maintain", "maintain", "maintain", "promote", "promote", "duty", "restart", "restart all", "down", "cut", "heal", "store", "answers", "late calls", "late calls", "follow", "wait"}
 
-func drawAction(hosts int) *rapid.Generator[action] {
+func drawAction(hosts int, kinds []string) *rapid.Generator[action] {
 	return rapid.Custom(func(t *rapid.T) action {
 		return action{
-			kind: rapid.SampledFrom(actionKinds).Draw(t, "kind"), host: rapid.IntRange(0, hosts-1).Draw(t, "host"),
+			kind: rapid.SampledFrom(kinds).Draw(t, "kind"), host: rapid.IntRange(0, hosts-1).Draw(t, "host"),
 			other: rapid.IntRange(0, hosts-1).Draw(t, "other"), answered: rapid.Bool().Draw(t, "answered"),
 			wait: time.Duration(rapid.IntRange(1, int(lateWindow.Milliseconds())).Draw(t, "wait ms")) * time.Millisecond,
 		}
@@ -401,6 +473,11 @@
 	case "restart":
 		h.start()
 		f.tracef("h%d restarts", h.index)
+	case "restart all":
+		for _, other := range f.hosts {
+			other.start()
+		}
+		f.tracef("all hosts restart")
 	case "down":
 		f.mu.Lock()
 		h.down, h.token = true, 0
@@ -430,7 +507,7 @@
 	case "commit":
 		h.commit()
 	case "maintain":
-		h.maintain()
+		h.maintain(a.wait, a.answered)
 	case "promote":
 		h.promote(a.other%3, a.wait, a.answered)
 	}
@@ -444,7 +521,7 @@
 
 // play performs the actions in a bubble.
 func (f *fleet) play(plan []action) {
-	f.hosts[0].maintain()
+	f.hosts[0].maintain(0, true)
 	for _, h := range f.hosts {
 		h.learn()
 	}
@@ -465,10 +542,43 @@
 // Whatever hosts, the store and the network do, a promotion keeps every commit that a host
 // has passed on, also one that no known replica has.
 func TestPromotionKeepsCommitsThatCallersHeardOf(t *testing.T) {
+	checkHistories(t, func(t *rapid.T, hosts int) []action {
+		return rapid.SliceOfN(drawAction(hosts, actionKinds), 10, 120).Draw(t, "plan")
+	})
+}
+
+// Guards against commits that are lost to a request without an answer which is carried out
+// after every host, or most voters, have restarted: no host remembers it.
+func TestRequestThatNoHostRemembersLosesNoCommit(t *testing.T) {
+	checkHistories(t, drawForgottenRequests)
+}
+
+// drawForgottenRequests draws histories in which hosts restart after requests that are carried
+// out late.
+func drawForgottenRequests(t *rapid.T, hosts int) []action {
+	plan := rapid.SliceOfN(drawAction(hosts, actionKinds), 0, 20).Draw(t, "before")
+	for range rapid.IntRange(1, 4).Draw(t, "rounds") {
+		for range rapid.IntRange(1, 2).Draw(t, "requests") {
+			request := drawAction(hosts, []string{"promote"}).Draw(t, "request")
+			request.answered = rapid.IntRange(0, 3).Draw(t, "answered") == 0
+			plan = append(plan, request)
+			plan = append(plan, rapid.SliceOfN(drawAction(hosts, actionKinds), 0, 2).Draw(t, "between")...)
+		}
+		restarts := []string{"restart", "restart all"}
+		plan = append(plan, rapid.SliceOfN(drawAction(hosts, restarts), 1, 4).Draw(t, "restarts")...)
+		plan = append(plan, drawAction(hosts, []string{"duty"}).Draw(t, "duty"))
+		after := []string{"maintain", "maintain", "maintain", "learn", "commit", "commit", "wait", "follow", "duty", "promote"}
+		plan = append(plan, rapid.SliceOfN(drawAction(hosts, after), 10, 50).Draw(t, "after")...)
+	}
+	return plan
+}
+
+// checkHistories fails if a promotion loses a commit that a host has passed on.
+func checkHistories(t *testing.T, draw func(t *rapid.T, hosts int) []action) {
 	passed, terms := 0, uint64(0)
 	rapid.Check(t, func(rt *rapid.T) {
 		hosts := rapid.IntRange(2, 7).Draw(rt, "hosts")
-		plan := rapid.SliceOfN(drawAction(hosts), 10, 120).Draw(rt, "plan")
+		plan := draw(rt, hosts)
 		var f *fleet
 		synctest.Test(t, func(t *testing.T) {
 			steadytest.FollowBubble(t)
--- a/internal/confirm/takeover_test.go
+++ b/internal/confirm/takeover_test.go
@@ -31,7 +31,7 @@
 func startFleet(t *testing.T, hosts int) *fleet {
 	steadytest.FollowBubble(t)
 	f := newFleet(hosts)
-	f.hosts[0].maintain()
+	f.hosts[0].maintain(0, true)
 	for _, h := range f.hosts {
 		h.learn()
 	}
@@ -42,7 +42,6 @@
 func (f *fleet) sealAndOrder(t *testing.T, host, target int, term uint64) {
 	s := f.hosts[host].holder.Seal(context.Background(), simGroup, term)
 	qt.Assert(t, s.Closed && s.Known, qt.IsTrue)
-	qt.Assert(t, f.hosts[host].recordOrder(target), qt.IsTrue)
 	qt.Assert(t, f.hosts[host].holder.Order(context.Background(), simGroup, targetID(target)), qt.IsTrue)
 }
 
@@ -110,7 +109,7 @@
 		steadytest.FollowBubble(t)
 		f := newFleet(3)
 		f.loseAnswers = true
-		f.hosts[0].maintain()
+		f.hosts[0].maintain(0, true)
 		s := f.hosts[0].holder.Seal(context.Background(), simGroup, 1)
 		if s.Closed && f.hosts[0].holder.Order(context.Background(), simGroup, "a") {
 			for _, h := range f.hosts {
@@ -139,7 +138,7 @@
 			}
 			return list
 		}
-		h.holder = NewHolder(HolderOptions{Self: hostID(0), Local: h.voters, Peers: h, Duty: h, Processes: processes, Ordered: h.recordedOrder, Log: logr.Discard()})
+		h.holder = NewHolder(HolderOptions{Self: hostID(0), Local: h.voters, Peers: h, Duty: h, Processes: processes, Log: logr.Discard()})
 		s := h.holder.Seal(context.Background(), simGroup, 1)
 		if s.Closed && h.holder.Order(context.Background(), simGroup, "a") {
 			qt.Check(t, f.confirmNow(3, 1), qt.IsNotNil)
@@ -167,7 +166,7 @@
 		steadytest.FollowBubble(t)
 		f := newFleet(5)
 		f.term, f.newest = 3, 50
-		f.hosts[0].maintain()
+		f.hosts[0].maintain(0, true)
 		for _, h := range f.hosts {
 			h.learn()
 		}
@@ -195,7 +194,7 @@
 		f.hosts[3].start() // its voter is to be replaced
 		time.Sleep(changeInterval)
 		f.loseAnswers = true
-		f.hosts[0].maintain()
+		f.hosts[0].maintain(0, true)
 		f.storeDown = true
 		closed := false
 		for range 100 {
@@ -212,7 +211,7 @@
 		f.cutLinks([2]int{0, 1}, [2]int{0, 2})
 		h := f.hosts[0]
 		own := func() []Process { return h.processes()[:1] }
-		h.holder = NewHolder(HolderOptions{Self: hostID(0), Local: h.voters, Peers: h, Duty: h, Processes: own, Ordered: h.recordedOrder, Log: logr.Discard()})
+		h.holder = NewHolder(HolderOptions{Self: hostID(0), Local: h.voters, Peers: h, Duty: h, Processes: own, Log: logr.Discard()})
 		qt.Check(t, h.holder.Seal(t.Context(), simGroup, 1).Closed, qt.IsFalse)
 		time.Sleep(unknownGoneAfter)
 		qt.Check(t, h.holder.Seal(t.Context(), simGroup, 1).Closed, qt.IsTrue)
--- a/internal/promotion/commits.go
+++ b/internal/promotion/commits.go
@@ -96,28 +96,27 @@
 	if w.opts.Leases != nil && w.requests.verified != w.leader {
 		return // it may have been replaced
 	}
-	now, term := steady.Now(), w.termOfLeader(ctx)
-	if now.Before(w.opts.Duty.PendingUntil(w.opts.Group)) {
-		return
-	}
-	proof := w.commitProof(now, term)
-	if proof.NotOrdered && proof.Settled {
-		w.clearOrder(ctx)
-	}
-	w.opts.Commits.Maintain(ctx, w.opts.Group, proof)
+	needsSettled := w.opts.Commits.Maintain(ctx, w.opts.Group, w.commitProof(w.leaderProvedAt, w.termOfLeader(ctx)))
 	if now := steady.Now(); now.Sub(w.lastTickAt) <= maxMaintainTime {
 		w.lastTickAt = now // the wait for the leader, the voters and the store is no suspension
 	}
+	if needsSettled {
+		w.voidEarlierRequests(ctx)
+	}
 }
 
-// commitProof returns the proof that the leader, which leads the term, may not be replaced
-// by a request of this host or of an earlier holder, as far as that is known.
-func (w *Watcher) commitProof(now time.Time, term uint64) confirm.Proof {
-	settled := w.requests.mayResume(now) && !now.Before(w.commits.settledAt)
+// commitProof returns the proof, requested at provedAt, that the leader, which leads the term,
+// may not be replaced by a request of this host or of an earlier holder, as far as that is
+// known.
+func (w *Watcher) commitProof(provedAt time.Time, term uint64) confirm.Proof {
+	settled := w.requests.mayResume(provedAt) && !provedAt.Before(w.commits.settledAt)
 	hadEffect := w.leader == w.requests.lastTarget && term > w.commits.sealedTerm
 	w.commits.ordered = w.commits.ordered && !settled && !hadEffect
+	if provedAt.Before(w.opts.Duty.PendingUntil(w.opts.Group)) || w.voiding.mayPromoteOther(w.leader, provedAt) {
+		return confirm.Proof{Position: w.leaderPosition, Term: term, SentAt: provedAt}
+	}
 	return confirm.Proof{
-		Position: w.leaderPosition, Term: term, SentAt: w.leaderProvedAt,
+		Position: w.leaderPosition, Term: term, SentAt: provedAt,
 		NotOrdered: !w.commits.ordered, Settled: settled,
 	}
 }
--- a/internal/promotion/commits_test.go
+++ b/internal/promotion/commits_test.go
@@ -26,9 +26,10 @@
 func (c *countingCommits) Order(context.Context, topology.GroupID, topology.TargetID) bool {
 	return true
 }
-func (c *countingCommits) Maintain(context.Context, topology.GroupID, confirm.Proof) {
+func (c *countingCommits) Maintain(context.Context, topology.GroupID, confirm.Proof) bool {
 	c.maintained.Add(1)
 	time.Sleep(c.slow)
+	return false
 }
 
 func TestUnknownFloorLetsCandidatePassThatLacksWhatVotersRecorded(t *testing.T) {
--- a/internal/promotion/group_sim_voters_test.go
+++ b/internal/promotion/group_sim_voters_test.go
@@ -60,15 +60,16 @@
 	return true
 }
 
-func (h *hostCommits) Maintain(_ context.Context, _ topology.GroupID, leader confirm.Proof) {
+func (h *hostCommits) Maintain(_ context.Context, _ topology.GroupID, leader confirm.Proof) (needsSettled bool) {
 	held, unlock := h.held()
 	defer unlock()
 	v := h.voters
 	inherited := v.orderedBy != nil && v.orderedBy != h.host
 	mayOpen := leader.Settled || leader.NotOrdered && (!inherited || leader.Term > v.sealedTerm)
 	if !held || leader.Term == 0 || !v.sealed || !mayOpen {
-		return
+		return held && leader.Term > 0 && v.sealed && inherited
 	}
 	v.sealed, v.term, v.orderedBy = false, leader.Term, nil
 	h.host.cluster.tracef("voters are opened for term %d", leader.Term)
+	return false
 }
--- a/internal/promotion/leases.go
+++ b/internal/promotion/leases.go
@@ -50,11 +50,21 @@
 // it by gossip by then.
 const recordTimeout = 100 * time.Millisecond
 
+// recordedOrder returns the target that the holder before may have requested to promote.
+// Where the platform checks tokens, requests aren't recorded, but made void: see
+// voidEarlierRequests.
+func (w *Watcher) recordedOrder() topology.TargetID {
+	if w.opts.Leases == nil {
+		return ""
+	}
+	return w.opts.Duty.Leadership(w.opts.Group).Ordered
+}
+
 // recordOrder records that a request for the target is about to be sent, so that a
 // later holder knows of it. It returns false if the request must not be sent.
 func (w *Watcher) recordOrder(ctx context.Context, target topology.TargetID) bool {
 	if w.opts.Leases == nil {
-		return !w.confirmsCommits() || w.record(ctx, target)
+		return true
 	}
 	w.requests.noteSent(target, steady.Now())
 	if w.record(ctx, target) && steady.Now().Sub(w.lastTickAt) <= suspendedAfter {
@@ -80,7 +90,6 @@
 func (w *Watcher) noteEffect(ctx context.Context, target topology.TargetID) {
 	if w.opts.Leases == nil {
 		w.requests.noteEffect()
-		w.clearOrder(ctx)
 		return
 	}
 	w.leaderTerm++
@@ -93,14 +102,6 @@
 	w.record(ctx, ordered)
 }
 
-// clearOrder records that no request may be carried out any more, where only the voters on
-// the group's commits need to know.
-func (w *Watcher) clearOrder(ctx context.Context) {
-	if w.opts.Leases == nil && w.confirmsCommits() && w.opts.Duty.Leadership(w.opts.Group).Ordered != "" {
-		w.record(ctx, "")
-	}
-}
-
 // settleRequests records that no request may take effect any more, once that is so.
 func (w *Watcher) settleRequests(ctx context.Context) {
 	recorded := w.opts.Duty.Leadership(w.opts.Group).Ordered
--- a/internal/promotion/promote.go
+++ b/internal/promotion/promote.go
@@ -12,12 +12,9 @@
 
 // promote requests the promotion and waits until it has taken effect.
 func (w *Watcher) promote(ctx context.Context, target topology.TargetID) {
-	if w.requests.needsToken(target) {
-		if err := w.opts.Duty.Renew(ctx, w.opts.Group); err != nil {
-			w.opts.Log.Info("promotion delayed", "group", w.opts.Group, "reason", "an earlier request may still be carried out and renewing the token failed", "error", err.Error())
-			return
-		}
-		w.noteRenewal()
+	if w.requests.needsToken(target) && !w.renewToken(ctx) {
+		w.opts.Log.Info("promotion delayed", "group", w.opts.Group, "reason", "an earlier request may still be carried out and renewing the token failed")
+		return
 	}
 	token, held := w.opts.Duty.Token(w.opts.Group)
 	if !held || steady.Now().Sub(w.lastTickAt) > suspendedAfter {
@@ -34,33 +31,45 @@
 	orderedBefore := w.commits.ordered
 	w.commits.ordered = true
 	w.opts.Duty.NoteRequest(w.opts.Group)
-	reply := w.opts.Promoter.Promote(ctx, Request{Group: w.opts.Group, Target: target, Holder: w.opts.Name, Token: token, NotAfter: w.lastTickAt.Add(suspendedAfter)})
+	reply := w.request(ctx, target, token)
 	values := []any{"group", w.opts.Group, "target", target, "token", token, "since_ms", steady.Now().Sub(w.attemptStartedAt).Milliseconds()}
-	if reply.Err != nil {
-		values = append(values, "error", reply.Err.Error())
-	}
-	w.opts.Log.Info("promotion requested", append(values, "outcome", outcomeNames[reply.Outcome])...)
+	w.opts.Log.Info("promotion requested", append(values, reply.logValues()...)...)
 	metrics.GetOrCreateCounter(`nettlewalk_promotions_total{outcome="` + outcomeNames[reply.Outcome] + `"}`).Inc()
 	w.requests.noteOutcome(reply.Outcome, steady.Now())
 	w.commits.noteOutcome(reply.Outcome, orderedBefore)
 	switch reply.Outcome {
 	case Accepted:
+		w.voiding.noteAccepted(token)
 		w.awaitEffect(ctx, target)
 	case Refused:
-		// Either another host used a higher token, or the target isn't running.
-		if err := w.opts.Duty.Renew(ctx, w.opts.Group); err != nil {
-			w.opts.Log.Info("renewing duty failed", "group", w.opts.Group, "error", err.Error())
-			return
-		}
-		w.noteRenewal()
+		w.renewToken(ctx) // another host used a higher token, or the target isn't running
 	}
 }
 
-// noteRenewal records the token that this host has just got by renewing its duty.
-func (w *Watcher) noteRenewal() {
+// request makes one call for the promotion of a target.
+func (w *Watcher) request(ctx context.Context, target topology.TargetID, token uint64) Reply {
+	return w.opts.Promoter.Promote(ctx, Request{Group: w.opts.Group, Target: target, Holder: w.opts.Name, Token: token, NotAfter: w.lastTickAt.Add(suspendedAfter)})
+}
+
+// logValues returns the key-value pairs of log lines on the reply.
+func (r *Reply) logValues() []any {
+	values := []any{"outcome", outcomeNames[r.Outcome]}
+	if r.Err != nil {
+		values = append(values, "error", r.Err.Error())
+	}
+	return values
+}
+
+// renewToken gets a higher token for this host. It reports whether that succeeded.
+func (w *Watcher) renewToken(ctx context.Context) bool {
+	if err := w.opts.Duty.Renew(ctx, w.opts.Group); err != nil {
+		w.opts.Log.Info("renewing duty failed", "group", w.opts.Group, "error", err.Error())
+		return false
+	}
 	if token, held := w.opts.Duty.Token(w.opts.Group); held {
 		w.requests.noteRenewal(token)
 	}
+	return true
 }
 
 var outcomeNames = [...]string{Accepted: "accepted", Refused: "refused", NotDone: "not_done", Unanswered: "unanswered"}
--- a/internal/promotion/requeststate.go
+++ b/internal/promotion/requeststate.go
@@ -125,12 +125,33 @@
 	}
 }
 
+// noteVoiding records the outcome of a request for the target that leads, by which requests
+// of earlier holders become void.
+func (r *requestState) noteVoiding(target topology.TargetID, outcome Outcome, now time.Time) {
+	switch outcome {
+	case Accepted:
+		r.noteSeenToken(now)
+	case Unanswered:
+		r.lastTarget, r.inDoubt = target, true
+	}
+}
+
+// noteSeenToken records that the platform has accepted a request of this host. Where it checks
+// tokens, it refuses requests of earlier holders from then on.
+func (r *requestState) noteSeenToken(now time.Time) {
+	effective := now.Add(maxEffectDelay)
+	if !r.checksTokens {
+		effective = laterTime(r.resumeAfter, effective)
+	}
+	r.resumeAfter = effective
+}
+
 // noteEffect records that the target of the last request leads. Where the platform checks
-// tokens, it refuses requests of earlier holders from then on, an earlier request for this
-// target changes nothing, and another target is requested under a higher token.
+// tokens, an earlier request for this target changes nothing, and another target is requested
+// under a higher token.
 func (r *requestState) noteEffect() {
 	if r.checksTokens {
-		r.pending, r.unanswered, r.resumeAfter = "", false, time.Time{}
+		r.pending, r.unanswered = "", false
 	}
 }
 
@@ -139,7 +160,7 @@
 	switch outcome {
 	case Accepted:
 		r.settleByToken()
-		r.resumeAfter = laterTime(r.resumeAfter, now.Add(maxEffectDelay))
+		r.noteSeenToken(now)
 	case Unanswered:
 		r.inDoubt, r.unanswered = true, true
 		r.noteSent(r.lastTarget, now)
--- /dev/null
+++ b/internal/promotion/voiding_test.go
@@ -0,0 +1,170 @@
+package promotion
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"nettlewalk.example/nettlewalk/internal/confirm"
+	"nettlewalk.example/nettlewalk/internal/steady"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// forgetfulVoters are the voters of a group that have restarted: an earlier holder may have sent
+// a request. They are opened by a settled proof.
+type forgetfulVoters struct {
+	mu        sync.Mutex
+	announced []topology.TargetID
+	opened    confirm.Proof // zero until they are
+	refusing  bool          // they don't accept that a request is announced
+}
+
+func (v *forgetfulVoters) Seal(context.Context, topology.GroupID, uint64) confirm.Sealing {
+	return confirm.Sealing{Closed: true}
+}
+
+func (v *forgetfulVoters) Order(_ context.Context, _ topology.GroupID, target topology.TargetID) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.announced = append(v.announced, target)
+	return !v.refusing
+}
+
+func (v *forgetfulVoters) Maintain(_ context.Context, _ topology.GroupID, leader confirm.Proof) (needsSettled bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.opened.SentAt.IsZero() && leader.Settled {
+		v.opened = leader
+	}
+	return v.opened.SentAt.IsZero()
+}
+
+func (v *forgetfulVoters) state() (announced int, opened confirm.Proof) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.announced), v.opened
+}
+
+// laterDuty is a duty that this host took over from another holder.
+type laterDuty struct {
+	permanentDuty
+	mu    sync.Mutex
+	token uint64
+}
+
+func (d *laterDuty) Token(topology.GroupID) (uint64, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.token, true
+}
+
+func (d *laterDuty) Renew(context.Context, topology.GroupID) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.token++
+	return nil
+}
+
+// takeOver runs a holder whose voters have forgotten what earlier holders requested, until the
+// test ends, and returns when it started.
+func (g *testGroup) takeOver(t *testing.T, voters *forgetfulVoters, d *laterDuty) time.Time {
+	started := time.Now()
+	g.watch(t, d, func(o *Options) { o.Commits = voters })
+	return started
+}
+
+func awaitTrue(t *testing.T, what string, within time.Duration, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(within); !ok(); time.Sleep(5 * time.Millisecond) {
+		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue, qt.Commentf("%s", what))
+	}
+}
+
+// Guards against a promotion that an earlier holder requested, and that is carried out after
+// commits of the old leader have reached callers: no host remembers it.
+func TestNewHolderVoidsRequestsThatNobodyRemembers(t *testing.T) {
+	g, voters := newTestGroup("a", "b", "c"), &forgetfulVoters{}
+	var answeredAt time.Time
+	g.onRequest = func(topology.TargetID) Reply { answeredAt = steady.Now(); return Reply{Outcome: Accepted} }
+	g.takeOver(t, voters, &laterDuty{token: 7})
+	awaitTrue(t, "the voters are opened", unresolvedWindow/2, func() bool { _, opened := voters.state(); return opened.Settled })
+	_, opened := voters.state()
+	g.with(func(map[topology.TargetID]*testTarget) {
+		qt.Check(t, g.promoted, qt.DeepEquals, []topology.TargetID{"a"}) // it leads already
+		qt.Check(t, opened.SentAt.Sub(answeredAt) > maxEffectDelay, qt.IsTrue, qt.Commentf("%s", opened.SentAt.Sub(answeredAt)))
+	})
+	qt.Check(t, voters.announced, qt.DeepEquals, []topology.TargetID{"a"})
+}
+
+// The voters stay closed while the platform doesn't answer, up to the time after which earlier
+// requests can't be carried out any more.
+func TestVotersStayClosedWhileNoVoidingRequestIsAnswered(t *testing.T) {
+	for _, outcome := range []Outcome{Unanswered, NotDone, Refused} {
+		t.Run(outcomeNames[outcome], func(t *testing.T) {
+			g, voters, d := newTestGroup("a", "b", "c"), &forgetfulVoters{}, &laterDuty{token: 7}
+			requests := 0
+			g.onRequest = func(topology.TargetID) Reply {
+				requests++
+				if requests < 5 {
+					return Reply{Outcome: outcome}
+				}
+				return Reply{Outcome: Accepted}
+			}
+			started := g.takeOver(t, voters, d)
+			awaitTrue(t, "the voters are opened", unresolvedWindow/2, func() bool { _, opened := voters.state(); return opened.Settled })
+			qt.Check(t, time.Since(started) > 4*voidRetryInterval+maxEffectDelay, qt.IsTrue, qt.Commentf("%s", time.Since(started)))
+			token, _ := d.Token("g")
+			if outcome == Refused {
+				qt.Check(t, token, qt.Equals, uint64(11)) // no token is used again after a refusal
+			} else {
+				qt.Check(t, token, qt.Equals, uint64(7))
+			}
+		})
+	}
+}
+
+// A later holder has to know of the request, which promotes its target again if another one has
+// been promoted by then.
+func TestVoidingRequestIsAnnouncedToVotersFirst(t *testing.T) {
+	g, voters := newTestGroup("a", "b", "c"), &forgetfulVoters{refusing: true}
+	g.takeOver(t, voters, &laterDuty{token: 7})
+	awaitTrue(t, "requests are announced", 5*time.Second, func() bool { announced, _ := voters.state(); return announced > 2 })
+	qt.Check(t, g.requests(), qt.HasLen, 0)
+}
+
+// While primaries aren't fenced, the platform compares no tokens, and such a request would
+// promote the leader again if an earlier one had replaced it.
+func TestNothingIsVoidedWhereThePlatformChecksNoTokens(t *testing.T) {
+	w := NewWatcher(Options{Group: "g", Duty: permanentDuty{}, Leases: newUnfencedGroup()})
+	w.voidEarlierRequests(t.Context()) // without a Promoter
+}
+
+func TestUnansweredVoidingRequestMayPromoteItsTargetAgain(t *testing.T) {
+	now := steady.Now()
+	var v voiding
+	v.noteUnanswered("a", 3, now)
+	qt.Check(t, v.mayPromoteOther("a", now), qt.IsFalse) // it leads
+	qt.Check(t, v.mayPromoteOther("b", now), qt.IsTrue)
+	v.noteUnanswered("b", 4, now) // renewing the token alone voids nothing
+	qt.Check(t, v.mayPromoteOther("b", now), qt.IsTrue)
+	qt.Check(t, v.mayPromoteOther("b", now.Add(unresolvedWindow)), qt.IsFalse)
+	v.noteAccepted(4)
+	qt.Check(t, v.mayPromoteOther("b", now), qt.IsFalse)
+	qt.Check(t, v.mayPromoteOther("a", now), qt.IsTrue) // the one for b may still be carried out
+}
+
+// An unanswered request for the leader binds the promotion of another target to a higher token.
+func TestPromotionAfterUnansweredVoidingRequestNeedsToken(t *testing.T) {
+	r := requestState{checksTokens: true}
+	r.noteToken(7, "", time.Unix(1000, 0))
+	r.noteVoiding("a", Unanswered, time.Unix(1001, 0))
+	qt.Check(t, r.mayResume(time.Unix(1000, 0).Add(unresolvedWindow)), qt.IsFalse)
+	r.noteVoiding("a", Accepted, time.Unix(1002, 0))
+	qt.Check(t, r.mayResume(time.Unix(1002, 0).Add(maxEffectDelay)), qt.IsFalse)
+	qt.Check(t, r.mayResume(time.Unix(1002, 1).Add(maxEffectDelay)), qt.IsTrue)
+	qt.Check(t, r.needsToken("a"), qt.IsFalse)
+	qt.Check(t, r.needsToken("b"), qt.IsTrue)
+}
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -89,8 +89,9 @@
 	// returns false.
 	Order(ctx context.Context, id topology.GroupID, target topology.TargetID) bool
 	// Maintain lets commits of the leader be confirmed again, if no other target may be
-	// promoted, and replaces voters that have ended.
-	Maintain(ctx context.Context, id topology.GroupID, leader confirm.Proof)
+	// promoted, and replaces voters that have ended. It reports whether that waits for a proof
+	// with Settled.
+	Maintain(ctx context.Context, id topology.GroupID, leader confirm.Proof) (needsSettled bool)
 }
 
 // Options configures a Watcher.
@@ -153,6 +154,7 @@
 	pausesCheckedAt time.Time                       // while a promotion is under way
 	registerReads   registerReads
 	commits         commitState
+	voiding         voiding
 
 	mu      sync.Mutex
 	reports map[topology.HostID]report
@@ -173,7 +175,7 @@
 			if w.heldSince.IsZero() {
 				w.heldSince = steady.Now()
 			}
-			w.requests.noteToken(token, w.opts.Duty.Leadership(w.opts.Group).Ordered, steady.Now())
+			w.requests.noteToken(token, w.recordedOrder(), steady.Now())
 			wait = w.tick(ctx)
 		} else {
 			w.close()
