Promotion: requests and leaders are recorded before they are acted on where tokens aren't checked

Cause: Watcher.record counted any error but ErrHeldByOther as success, and Keeper.Record returned nil at the second attempt, since it compared the state with what this host had told others, not with what the store has. So a request was sent, and a promoted leader used, while only hosts knew of it.

Change: Record returns nil only if the store has the record in the claim's present era; a request isn't sent, and no lease granted or commit confirmed on a leader, before. A failed record is tried again after 200 ms. A new holder relies on a claim without a request only if the store never came back from an older copy.

Why it works: the claim is read by every later holder before it acts, and outlasts all hosts.

Price: on such deployments no primary is replaced while the store is away. The other ways are worse there: 15 s without writes after each restart of all hosts.

Failed before: TestLineUnfencedRequestWaitsForItsRecord (a request is sent while the store is cut off).

--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -156,7 +156,7 @@
 	})
 	options := confirm.HolderOptions{Self: self, Local: h.voters, Peers: h.peers, Duty: h.duty, Processes: h.gossip.Processes, Log: log}
 	if !h.settings.PrimariesFenced { // requests are recorded before they are sent
-		options.NotOrdered = func(id topology.GroupID) bool { return h.duty.Leadership(id).Ordered == "" }
+		options.NotOrdered = h.duty.RecordsNoOrder
 	}
 	h.commitHolder = confirm.NewHolder(options)
 }
--- a/internal/duty/acquire.go
+++ b/internal/duty/acquire.go
@@ -162,6 +162,7 @@
 		}
 	}
 	k.learnRecord(claimRecord{Claim: claim, Members: members})
+	k.noteStored(claim)
 	k.recordWritten(claim.Group, era)
 	return nil
 }
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -92,6 +92,8 @@
 	acquiredAt map[topology.GroupID]time.Time
 	// writtenIn is the era of the store in which this host's claim was written.
 	writtenIn map[topology.GroupID]uint64
+	// stored is the state in the latest claim of this host that the store is known to have.
+	stored map[topology.GroupID]storedState
 	// members are the possible commit holders of groups whose duty this host holds, and
 	// writtenMembers those in the store.
 	members, writtenMembers map[topology.GroupID][]Member
@@ -114,6 +116,7 @@
 		lastRequestAt: map[topology.GroupID]time.Time{},
 		acquiredAt:    map[topology.GroupID]time.Time{},
 		writtenIn:     map[topology.GroupID]uint64{},
+		stored:        map[topology.GroupID]storedState{},
 
 		members: map[topology.GroupID][]Member{}, writtenMembers: map[topology.GroupID][]Member{},
 		objectLocks: map[topology.GroupID]chan struct{}{},
--- a/internal/duty/record.go
+++ b/internal/duty/record.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
@@ -15,22 +17,36 @@
 	return k.claims[id].Leadership
 }
 
+// RecordsNoOrder reports whether the claim on the group's duty shows that no request for a
+// promotion may still be carried out. A store that came back from an older copy may have lost
+// the record of one.
+func (k *Keeper) RecordsNoOrder(id topology.GroupID) bool {
+	return k.Leadership(id).Ordered == "" && k.opts.Store.Era() == 0
+}
+
 // Record records the group's state for the holders that follow. It spreads the record
-// to other hosts at once and returns when the store has it, or with an error. It does
-// nothing if this host doesn't hold the duty or the state is known; otherwise it calls
-// Options.OnChange, as Learn does.
+// to other hosts at once and returns nil when the store has it. ErrHeldByOther means that this
+// host doesn't hold the duty; after any other error the store may or may not have the record.
+// It calls Options.OnChange if the state wasn't known, as Learn does.
 func (k *Keeper) Record(ctx context.Context, id topology.GroupID, state Leadership) error {
 	k.mu.Lock()
 	claim := k.claims[id]
-	if !k.isHeldHere(claim) || claim.Leadership == state {
-		k.mu.Unlock()
-		return nil
+	held, known := k.isHeldHere(claim), claim.Leadership == state
+	isStored := known && k.stored[id] == storedState{state, claim.Token} && k.writtenIn[id] >= k.opts.Store.Era()
+	if held && !known {
+		claim.Leadership = state
+		claim.Update++
+		k.setClaim(claim)
 	}
-	claim.Leadership = state
-	claim.Update++
-	k.setClaim(claim)
 	k.mu.Unlock()
-	k.opts.OnChange(id)
+	switch {
+	case !held:
+		return ErrHeldByOther
+	case isStored:
+		return nil
+	case !known:
+		k.opts.OnChange(id)
+	}
 	unlock, err := k.lockObject(ctx, id)
 	if err != nil {
 		return err
@@ -48,8 +64,31 @@
 	if object.Value, err = json.Marshal(claimRecord{Claim: claim, Members: k.membersToWrite(claim, stored.Members)}); err != nil {
 		return err
 	}
-	_, err = k.opts.Store.PutIf(ctx, object)
-	return err
+	if _, err = k.opts.Store.PutIf(ctx, object); err != nil {
+		return err
+	}
+	k.noteStored(claim)
+	if claim.Leadership != state {
+		return errSuperseded
+	}
+	return nil
+}
+
+// errSuperseded means that another record of this host has taken the place of one that was
+// being written.
+var errSuperseded = errors.New("another record was made meanwhile")
+
+// storedState is the state of a group that the store has in a claim of this host.
+type storedState struct {
+	Leadership
+	token uint64
+}
+
+// noteStored records that the store has a claim of this host.
+func (k *Keeper) noteStored(claim Claim) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.stored[claim.Group] = storedState{claim.Leadership, claim.Token}
 }
 
 // recordWritten records the era of the store in which this host's claim was written. If
--- a/internal/promotion/commits.go
+++ b/internal/promotion/commits.go
@@ -93,8 +93,8 @@
 	if !w.confirmsCommits() || !w.opts.Duty.Settled(w.opts.Group) || w.otherPending(w.leader) {
 		return
 	}
-	if w.opts.Leases != nil && w.requests.verified != w.leader {
-		return // it may have been replaced
+	if w.opts.Leases != nil && (w.requests.verified != w.leader || !w.leaderIsRecorded(ctx)) {
+		return // it may have been replaced, or a later holder would not know of it
 	}
 	needsSettled := w.opts.Commits.Maintain(ctx, w.opts.Group, w.commitProof(w.leaderProvedAt, w.termOfLeader(ctx)))
 	if now := steady.Now(); now.Sub(w.lastTickAt) <= maxMaintainTime {
--- a/internal/promotion/leases.go
+++ b/internal/promotion/leases.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"nettlewalk.example/nettlewalk/internal/duty"
 	"nettlewalk.example/nettlewalk/internal/statement"
 	"nettlewalk.example/nettlewalk/internal/steady"
@@ -13,12 +11,12 @@
 )
 
 // grantLeases lets hosts have leases on the leader, which has just been proved to
-// lead, unless another target may be promoted at any time.
-func (w *Watcher) grantLeases() {
+// lead, unless another target may be promoted at any time or the store doesn't know the leader.
+func (w *Watcher) grantLeases(ctx context.Context) {
 	if w.opts.Leases == nil {
 		return
 	}
-	if w.requests.verified != w.leader || w.otherPending(w.leader) {
+	if w.requests.verified != w.leader || w.otherPending(w.leader) || !w.leaderIsRecorded(ctx) {
 		w.opts.Leases.Stop(w.opts.Group)
 		return
 	}
@@ -46,9 +44,12 @@
 	return w.otherPending(w.leader)
 }
 
-// recordTimeout bounds the wait until the store has a record. Other hosts have received
-// it by gossip by then.
-const recordTimeout = 100 * time.Millisecond
+const (
+	// recordTimeout bounds the wait until the store has a record.
+	recordTimeout = 100 * time.Millisecond
+	// recordRetryInterval is the time until a record is tried again after that failed.
+	recordRetryInterval = 200 * time.Millisecond
+)
 
 // recordedOrder returns the target that the holder before may have requested to promote.
 // Where the platform checks tokens, requests aren't recorded, but made void: see
@@ -61,7 +62,8 @@
 }
 
 // recordOrder records that a request for the target is about to be sent, so that a
-// later holder knows of it. It returns false if the request must not be sent.
+// later holder knows of it, also if no host remembers it. It returns false if the request
+// must not be sent.
 func (w *Watcher) recordOrder(ctx context.Context, target topology.TargetID) bool {
 	if w.opts.Leases == nil {
 		return true
@@ -74,16 +76,31 @@
 	return false
 }
 
-// record records the leader and the target that may be promoted. It returns false if
-// another host holds the duty.
+// record records the leader and the target that may be promoted. It reports whether the
+// store has the record.
 func (w *Watcher) record(ctx context.Context, ordered topology.TargetID) bool {
+	now := steady.Now()
+	if now.Before(w.recordAfter) {
+		return false
+	}
+	state := duty.Leadership{Leader: w.leader, Term: w.leaderTerm, Ordered: ordered}
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
-	err := w.opts.Duty.Record(ctx, w.opts.Group, duty.Leadership{Leader: w.leader, Term: w.leaderTerm, Ordered: ordered})
-	if err != nil {
+	if err := w.opts.Duty.Record(ctx, w.opts.Group, state); err != nil {
+		w.recordAfter = now.Add(recordRetryInterval)
 		w.opts.Log.Info("the store does not have the record of the group's state", "group", w.opts.Group, "ordered", ordered, "error", err.Error())
+		return false
 	}
-	return !errors.Is(err, duty.ErrHeldByOther)
+	w.recorded = state
+	return true
+}
+
+// leaderIsRecorded reports whether the store has the record of the leader, and tries to write
+// it otherwise. A holder that follows could take a leader before it, which leads on, for the
+// present one.
+func (w *Watcher) leaderIsRecorded(ctx context.Context) bool {
+	isRecorded := func() bool { return w.recorded.Leader == w.leader && w.recorded.Term == w.leaderTerm }
+	return isRecorded() || w.record(ctx, w.requests.pendingTarget(steady.Now())) && isRecorded()
 }
 
 // noteEffect records that a promoted target leads, and grants leases on it.
@@ -94,12 +111,12 @@
 	}
 	w.leaderTerm++
 	w.requests.verified = target
-	w.grantLeases()
 	ordered := target
 	if w.requests.noteSettled() {
 		ordered = ""
 	}
 	w.record(ctx, ordered)
+	w.grantLeases(ctx)
 }
 
 // settleRequests records that no request may take effect any more, once that is so.
--- a/internal/promotion/voiding_test.go
+++ b/internal/promotion/voiding_test.go
@@ -7,8 +7,10 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
 
 	"nettlewalk.example/nettlewalk/internal/confirm"
+	"nettlewalk.example/nettlewalk/internal/duty"
 	"nettlewalk.example/nettlewalk/internal/steady"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
@@ -168,3 +170,41 @@
 	qt.Check(t, r.needsToken("a"), qt.IsFalse)
 	qt.Check(t, r.needsToken("b"), qt.IsTrue)
 }
+
+// failingRecords is a duty whose records the store doesn't take while down is set.
+type failingRecords struct {
+	laterDuty
+	down    bool
+	state   duty.Leadership
+	records int
+}
+
+func (d *failingRecords) Record(_ context.Context, _ topology.GroupID, state duty.Leadership) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.records++
+	if d.down {
+		return context.DeadlineExceeded
+	}
+	d.state = state
+	return nil
+}
+
+// Guards against the same loss where the platform checks no tokens: there a request that the
+// store doesn't have isn't sent, and no leader is used that the store doesn't know.
+func TestUnfencedTargetIsOrderedAndUsedOnlyOnceTheStoreHasIt(t *testing.T) {
+	d := &failingRecords{laterDuty: laterDuty{token: 7}, down: true}
+	g := newUnfencedGroup()
+	w := NewWatcher(Options{Group: "g", Duty: d, Leases: g, Log: logr.Discard()})
+	w.leader, w.leaderTerm, w.requests.verified, w.lastTickAt = "a", 3, "a", steady.Now()
+	qt.Check(t, w.recordOrder(t.Context(), "b"), qt.IsFalse)
+	qt.Check(t, w.requests.pendingTarget(steady.Now()), qt.Equals, topology.TargetID(""))
+	w.grantLeases(t.Context())
+	qt.Check(t, g.granted["a"], qt.IsFalse)
+	qt.Check(t, d.records, qt.Equals, 1) // the store is not asked again at once
+	d.down, w.recordAfter = false, time.Time{}
+	w.grantLeases(t.Context())
+	qt.Check(t, g.granted["a"], qt.IsTrue)
+	qt.Check(t, w.recordOrder(t.Context(), "b"), qt.IsTrue)
+	qt.Check(t, d.state, qt.Equals, duty.Leadership{Leader: "a", Term: 3, Ordered: "b"})
+}
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -155,6 +155,8 @@
 	registerReads   registerReads
 	commits         commitState
 	voiding         voiding
+	recorded        duty.Leadership // what the store has, as far as this host wrote it
+	recordAfter     time.Time       // the store is not written to before this time
 
 	mu      sync.Mutex
 	reports map[topology.HostID]report
@@ -194,6 +196,7 @@
 
 func (w *Watcher) close() {
 	w.requests.clearToken()
+	w.recorded = duty.Leadership{}
 	w.heldSince = time.Time{}
 	clear(w.missingSince)
 	if w.opts.Leases != nil {
@@ -238,7 +241,7 @@
 		if !serves {
 			return recheckInterval
 		}
-		w.grantLeases()
+		w.grantLeases(ctx)
 		w.maintainCommits(ctx)
 		w.maintainReplicas(ctx)
 		return idleInterval
@@ -342,7 +345,7 @@
 		if _, isPromotion := wanted.(Promote); isPromotion {
 			w.opts.Leases.Revoke(w.opts.Group)
 		} else if serves {
-			w.grantLeases() // callers need the leader while the attempt can't go on
+			w.grantLeases(ctx) // callers need the leader while the attempt can't go on
 		}
 	}
 	step := authorize(wanted, w.currentAuthority(), steady.Now())
--- a/test/line/forgottenrequest_test.go
+++ b/test/line/forgottenrequest_test.go
@@ -57,3 +57,16 @@
 	b.Eventually("group has a leader", func() bool { return b.Dial(0, "db2").Exec("x READ nothing") == "COMPLETE" })
 	w.checkAckedWrites(t, b)
 }
+
+// Guards against the same loss where the platform checks no tokens: no request is sent while
+// the store can't take the record of it.
+func TestLineUnfencedRequestWaitsForItsRecord(t *testing.T) {
+	b := newSettledBed(t, Options{Unfenced: true, Relays: true})
+	b.cutStore()
+	b.Members[0].relay.close()
+	<-time.After(3 * time.Second)
+	qt.Check(t, b.Tokens(), qt.HasLen, 0)
+	b.healStore()
+	b.Eventually("a promotion is requested", func() bool { return len(b.Tokens()) > 0 })
+	b.Eventually("writes succeed again", func() bool { return b.Dial(1, "db").Exec("w WRITE item x") == "COMPLETE" })
+}
