Failover: simulate orders that are carried out after all hosts have restarted

Each target keeps its highest term and refuses orders of earlier ones, a fenced one is promoted only at the term of its fence, and a write is confirmed by targets at its term only. So no host has to remember an order.

--- a/internal/failover/sim_test.go
+++ b/internal/failover/sim_test.go
@@ -75,7 +75,8 @@
 	lastPrimaryTerms    map[topology.TargetID]uint64 // latest term in which each target was primary
 	promotions          []promotion
 	confirmed           []topology.Position
-	orderCount          int // number of orders sent
+	orderCount          int                                  // number of orders sent
+	onOrder             func(*simHost, Order) (handled bool) // nil: orders are requests like others
 	violation           error
 }
 
@@ -206,6 +207,9 @@
 		s.gatherOpinions(h, a.Attempt)
 	case SendOrder:
 		s.orderCount++
+		if s.onOrder != nil && s.onOrder(h, a.Order) {
+			return
+		}
 		s.request(h, a.Order.Target,
 			func(t *simTarget) Event { return s.executeOrder(t, a.Order, sentAt) },
 			func() Event { return OrderFinished{Order: a.Order, Result: OrderUnknown, SentAt: sentAt} })
