Promotion: tests of guards on voided requests that none held

Four of the tests are new: a term asked again, a higher token after an unanswered request, none beside an own request, and none opened beside an unanswered one.

--- a/internal/promotion/voiding_test.go
+++ b/internal/promotion/voiding_test.go
@@ -144,6 +144,58 @@
 	w.voidEarlierRequests(t.Context()) // without a Promoter
 }
 
+// recordingPromoter accepts every request.
+type recordingPromoter struct{ requests []Request }
+
+func (p *recordingPromoter) Promote(_ context.Context, r Request) Reply {
+	p.requests = append(p.requests, r)
+	return Reply{Outcome: Accepted}
+}
+
+// newVoidingWatcher returns a watcher that has just proved that "a" leads.
+func newVoidingWatcher() (*Watcher, *recordingPromoter) {
+	p := &recordingPromoter{}
+	w := NewWatcher(Options{Group: "g", Duty: &laterDuty{token: 7}, Promoter: p, Commits: &forgetfulVoters{}, Log: logr.Discard()})
+	w.leader, w.leaderProvedAt, w.lastTickAt = "a", steady.Now(), steady.Now()
+	w.commits.leader, w.commits.leaderTerm = "a", 3
+	return w, p
+}
+
+// Renewing the token alone doesn't make an own request void, and it may be for another target.
+func TestOwnUnansweredRequestIsVoidedUnderHigherToken(t *testing.T) {
+	w, p := newVoidingWatcher()
+	w.requests.inDoubt, w.requests.lastTarget = true, "b"
+	w.voidEarlierRequests(t.Context())
+	qt.Assert(t, p.requests, qt.HasLen, 1)
+	qt.Check(t, p.requests[0].Target, qt.Equals, topology.TargetID("a"))
+	qt.Check(t, p.requests[0].Token, qt.Equals, uint64(8))
+	w.voidEarlierRequests(t.Context())
+	qt.Check(t, p.requests, qt.HasLen, 1) // its effect is waited for
+}
+
+func TestNothingIsVoidedWhileOwnRequestMayHaveItsEffect(t *testing.T) {
+	w, p := newVoidingWatcher()
+	w.commits.ordered = true
+	w.voidEarlierRequests(t.Context())
+	qt.Check(t, p.requests, qt.HasLen, 0)
+}
+
+// If the leader had just been replaced, it leads a later term after the request. Commits of the
+// earlier one may be lost.
+func TestTermOfLeaderIsAskedAgainAfterVoiding(t *testing.T) {
+	w, _ := newVoidingWatcher()
+	w.voidEarlierRequests(t.Context())
+	qt.Check(t, w.commits.leaderTerm, qt.Equals, uint64(0))
+}
+
+func TestCommitsAreNotOpenedWhileVoidingRequestMayPromoteItsTarget(t *testing.T) {
+	w, _ := newVoidingWatcher()
+	qt.Check(t, w.commitProof(w.leaderProvedAt, 3).Settled, qt.IsTrue)
+	w.voiding.noteUnanswered("b", 6, steady.Now())
+	proof := w.commitProof(w.leaderProvedAt, 3)
+	qt.Check(t, proof.Settled || proof.NotOrdered, qt.IsFalse)
+}
+
 func TestUnansweredVoidingRequestMayPromoteItsTargetAgain(t *testing.T) {
 	now := steady.Now()
 	var v voiding
