Confirm: requests of two holders that different voters tell of are two

What callers could have seen: LOST, commits that they were told of between two late promotions.

Cause: a new holder merged what voters told of earlier requests without comparing the targets. If no voter that answered had heard of both, it took them for one, saw the first carried out (a later term), and opened the voters while the second could still be carried out, which has the higher token.

Change: a request's target is kept with it. Requests for different targets count as several, and only the leadership of the request's own target, in a later term, counts as its effect. Otherwise the holder voids what may be under way.

Failed before: TestRequestsOfTwoHoldersToldByDifferentVotersKeepCommitsWaiting ("got nil value but want non-nil": the commit is confirmed).

--- a/internal/confirm/holder.go
+++ b/internal/confirm/holder.go
@@ -228,7 +228,8 @@
 
 // Proof is a proof that a target leads its group.
 type Proof struct {
-	Position topology.Position // of the leader; its term may be an earlier one
+	Target   topology.TargetID // the leader
+	Position topology.Position // its position; the position's term may be an earlier one
 	Term     uint64            // in which the target leads; 0: not known
 	SentAt   time.Time         // when the request for it was sent
 	// NotOrdered is set if no request of this host may still promote another target.
@@ -290,8 +291,7 @@
 
 // mayOpen reports whether commits of the leader's term may be passed on.
 func (t *tenure) mayOpen(leader *Proof) bool {
-	hadEffect := !t.inherited.several && leader.Term > t.inherited.term
-	return leader.Settled || leader.NotOrdered && (!t.inherited.may || hadEffect)
+	return leader.Settled || leader.NotOrdered && (!t.inherited.may || t.inherited.hadEffect(leader))
 }
 
 // adopt takes the voters over from earlier holders of the duty. A seal that it finds may
--- a/internal/confirm/holder_test.go
+++ b/internal/confirm/holder_test.go
@@ -38,7 +38,10 @@
 		proof := Proof{Position: topology.Position{Term: 1, Offset: f.newest}, Term: 1, SentAt: time.Now(), NotOrdered: true}
 		after.holder.Maintain(ctx, simGroup, proof)
 		qt.Check(t, after.confirms(1), qt.IsFalse)
-		proof.Term = 2 // the request had its effect
+		proof.Target, proof.Term = "b", 2 // by another request
+		after.holder.Maintain(ctx, simGroup, proof)
+		qt.Check(t, after.confirms(2), qt.IsFalse)
+		proof.Target = "a" // the request had its effect
 		after.holder.Maintain(ctx, simGroup, proof)
 		qt.Check(t, after.confirms(1), qt.IsFalse)
 		qt.Check(t, after.confirms(2), qt.IsTrue)
--- a/internal/confirm/poll.go
+++ b/internal/confirm/poll.go
@@ -42,21 +42,37 @@
 // inherited is a request for a promotion that an earlier holder may have sent.
 type inherited struct {
 	may     bool
-	term    uint64 // lower bound of the leader's term before the request
-	several bool   // there may be requests for several targets
+	target  topology.TargetID // unless several
+	term    uint64            // lower bound of the leader's term before the request
+	several bool              // there may be requests for several targets
 }
 
 // inherited returns the request that a holder before the one with the token announced.
 func (p *poll) inherited(token uint64) (i inherited) {
 	for _, s := range p.accepted {
 		if s.OrderedBy != 0 && s.OrderedBy < token {
-			i = inherited{may: true, term: max(i.term, s.SealedTerm), several: i.several || s.Several}
+			i = i.merge(inherited{may: true, target: s.Ordered, term: s.SealedTerm, several: s.Several})
 		}
 	}
 	return i
 }
 
-// merge adds what another poll has found.
+// merge adds what another voter or poll has told.
 func (i inherited) merge(other inherited) inherited {
-	return inherited{may: i.may || other.may, term: max(i.term, other.term), several: i.several || other.several}
+	switch {
+	case !i.may:
+		return other
+	case !other.may:
+		return i
+	}
+	return inherited{
+		may: true, target: i.target, term: max(i.term, other.term),
+		several: i.several || other.several || i.target != other.target,
+	}
+}
+
+// hadEffect reports whether the request has made its target the leader. One for another target
+// than the leader may still be carried out, whichever term the leader leads.
+func (i inherited) hadEffect(leader *Proof) bool {
+	return !i.several && leader.Target == i.target && leader.Term > i.term
 }
--- a/internal/confirm/sim_test.go
+++ b/internal/confirm/sim_test.go
@@ -412,7 +412,7 @@
 	}
 	voided := !h.voidedAt.IsZero() && time.Since(h.voidedAt) > voidWindow
 	position := topology.Position{Term: f.term, Offset: f.newest}
-	proof := Proof{Position: position, Term: f.term, SentAt: time.Now(), NotOrdered: h.ordered == nil, Settled: (time.Since(h.heldSince) > settleTime || voided) && h.ordered == nil}
+	proof := Proof{Target: targetID(f.primary), Position: position, Term: f.term, SentAt: time.Now(), NotOrdered: h.ordered == nil, Settled: (time.Since(h.heldSince) > settleTime || voided) && h.ordered == nil}
 	if h.voidMayPromoteOther() {
 		proof.NotOrdered, proof.Settled = false, false
 	}
--- a/internal/confirm/takeover_test.go
+++ b/internal/confirm/takeover_test.go
@@ -48,7 +48,7 @@
 // maintainAs has a new holder see the leader of the term serve. It has sent no request, and
 // doesn't know yet that none of an earlier holder can be carried out.
 func (f *fleet) maintainAs(host int, term uint64) {
-	p := Proof{Position: topology.Position{Term: term, Offset: f.newest}, Term: term, SentAt: time.Now(), NotOrdered: true}
+	p := Proof{Target: targetID(f.primary), Position: topology.Position{Term: term, Offset: f.newest}, Term: term, SentAt: time.Now(), NotOrdered: true}
 	f.hosts[host].holder.Maintain(context.Background(), simGroup, p)
 }
 
@@ -218,3 +218,26 @@
 		time.Sleep(lateWindow)
 	})
 }
+
+// Guards against commits that are lost to the second of two requests of different holders: no
+// voter that answers has heard of both, and the first is taken for the only one.
+func TestRequestsOfTwoHoldersToldByDifferentVotersKeepCommitsWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 5)
+		f.cutLinks([2]int{0, 3}, [2]int{0, 4})
+		f.sealAndOrder(t, 0, 1, 1) // heard by 0, 1 and 2
+		f.heal()
+		f.cutLinks([2]int{0, 2}, [2]int{1, 2})
+		f.hosts[2].takeDuty()
+		f.sealAndOrder(t, 2, 2, 1) // heard by 2, 3 and 4
+		f.heal()
+		f.hosts[2].start()
+		f.cutLinks([2]int{1, 2}, [2]int{1, 4})
+		f.hosts[1].takeDuty()
+		f.term, f.primary = 2, 1 // the first request is carried out
+		f.maintainAs(1, 2)
+		f.hosts[3].learn()
+		qt.Check(t, f.confirmNow(3, 2), qt.IsNotNil) // the second one may still be
+		time.Sleep(lateWindow)
+	})
+}
--- a/internal/promotion/group_sim_voters_test.go
+++ b/internal/promotion/group_sim_voters_test.go
@@ -14,7 +14,9 @@
 	term       uint64            // lowest whose commits are recorded
 	sealed     bool
 	sealedTerm uint64
-	orderedBy  *clusterHost // holder that may have sent a request since the seal, nil if none
+	orderedBy  *clusterHost // first holder that may have sent a request since the seal, nil if none
+	ordered    topology.TargetID
+	several    bool // another target may have been requested after that
 }
 
 // record records the position of a commit in a leader's term, unless that may be over.
@@ -50,13 +52,17 @@
 	return confirm.Sealing{Closed: true, Known: true, Floor: v.newest}
 }
 
-func (h *hostCommits) Order(context.Context, topology.GroupID, topology.TargetID) bool {
+func (h *hostCommits) Order(_ context.Context, _ topology.GroupID, target topology.TargetID) bool {
 	held, unlock := h.held()
 	defer unlock()
 	if !held || !h.voters.sealed {
 		return false
 	}
-	h.voters.orderedBy = h.host
+	v := h.voters
+	if v.orderedBy == nil {
+		v.orderedBy, v.ordered = h.host, target
+	}
+	v.several = v.several || v.ordered != target
 	return true
 }
 
@@ -65,11 +71,12 @@
 	defer unlock()
 	v := h.voters
 	inherited := v.orderedBy != nil && v.orderedBy != h.host
-	mayOpen := leader.Settled || leader.NotOrdered && (!inherited || leader.Term > v.sealedTerm)
+	hadEffect := !v.several && leader.Target == v.ordered && leader.Term > v.sealedTerm
+	mayOpen := leader.Settled || leader.NotOrdered && (!inherited || hadEffect)
 	if !held || leader.Term == 0 || !v.sealed || !mayOpen {
 		return held && leader.Term > 0 && v.sealed && inherited
 	}
-	v.sealed, v.term, v.orderedBy = false, leader.Term, nil
+	v.sealed, v.term, v.orderedBy, v.several = false, leader.Term, nil, false
 	h.host.cluster.tracef("voters are opened for term %d", leader.Term)
 	return false
 }
