Soak: all hosts are killed at once, and promotion calls are carried out late

Both may overlap with the other faults, and the soak goes on until the last late call has had its effect.

--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sort"
 	"syscall"
@@ -22,6 +23,10 @@
 	maxStoreDelay     = 500 * time.Millisecond // of the answers of a slow store
 	exitPollInterval  = 50 * time.Millisecond  // between checks whether a host has exited
 	maxDroppedAnswers = 3                      // store writes whose answer is dropped
+	maxLateOrders     = 4                      // promotion calls without an answer
+	minOrderLateness  = 500 * time.Millisecond // until such a call is carried out
+	maxOrderLateness  = 8 * time.Second
+	orderEffectTime   = time.Second // from then to its effect, at most
 )
 
 // fault is a fault to inject. begin injects the fault and returns the function
@@ -45,9 +50,11 @@
 	log      func(format string, args ...any)
 	active   []activeFault
 	down     map[*line.Host]bool // killed, stopped or frozen
-	affected map[any]bool        // what has a fault: links, and "store", "leaving" or "odd"
+	affected map[any]bool        // what has a fault: links, and "store", "orders", "leaving" or "odd"
 	version  int                 // of the last configuration written
 	crashed  *line.Member        // nil if no target has crashed
+	// lateUntil is when the last promotion call without an answer has had its effect.
+	lateUntil time.Time
 }
 
 func newFaultInjector(bed *line.Bed, seed uint64, version int, log func(string, ...any)) *faultInjector {
@@ -68,6 +75,7 @@
 	for len(f.active) > 0 {
 		f.sleep(exitPollInterval)
 	}
+	f.sleep(time.Until(f.lateUntil))
 }
 
 // sleep waits for the duration d and meanwhile ends faults that are due.
@@ -91,7 +99,7 @@
 // beginRandomFault draws a fault and a duration and injects the fault, if it is
 // possible at the moment.
 func (f *faultInjector) beginRandomFault() {
-	kinds := []func() *fault{f.kill, f.freeze, f.stop, f.reload, f.storeFault, f.storeLink, f.targetLink, f.targetLink, f.lag, f.drain, f.configure, f.crash, f.oddRegistration, f.overwrittenRegistration}
+	kinds := []func() *fault{f.kill, f.killAll, f.lateOrders, f.freeze, f.stop, f.reload, f.storeFault, f.storeLink, f.targetLink, f.targetLink, f.lag, f.drain, f.configure, f.crash, f.oddRegistration, f.overwrittenRegistration}
 	chosen := kinds[f.rng.IntN(len(kinds))]()
 	duration := f.randomDuration(minFaultDuration, maxFaultDuration)
 	if chosen == nil {
@@ -125,6 +133,41 @@
 	return &fault{"kill of " + h.Name, func() func() { return f.signalProcess(h, syscall.SIGKILL) }}
 }
 
+// killAll kills every host at the same time, if all run.
+func (f *faultInjector) killAll() *fault {
+	if len(f.down) > 0 {
+		return nil
+	}
+	return &fault{"kill of all hosts", func() func() {
+		var restarts []func()
+		for _, h := range f.bed.Hosts {
+			restarts = append(restarts, f.signalProcess(h, syscall.SIGKILL))
+		}
+		return func() {
+			for _, restart := range restarts {
+				restart()
+			}
+		}
+	}}
+}
+
+// lateOrders leaves promotion calls without an answer and carries them out late.
+func (f *faultInjector) lateOrders() *fault {
+	if f.affected["orders"] {
+		return nil
+	}
+	calls, lateness := 1+f.rng.IntN(maxLateOrders), f.randomDuration(minOrderLateness, maxOrderLateness)
+	return &fault{fmt.Sprintf("%d promotion calls carried out %s late", calls, lateness.Round(time.Millisecond)), func() func() {
+		f.affected["orders"] = true
+		f.bed.LoseAnswers(calls, lateness)
+		return func() {
+			f.bed.LoseAnswers(0, lateness)
+			f.lateUntil = time.Now().Add(lateness + orderEffectTime)
+			delete(f.affected, "orders")
+		}
+	}}
+}
+
 func (f *faultInjector) stop() *fault {
 	h := f.pickHost()
 	if h == nil {
