--- a/test/line/forgottenrequest_test.go
+++ b/test/line/forgottenrequest_test.go
@@ -1,8 +1,6 @@
 package line
 
 import (
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -46,12 +44,7 @@
 	qt.Assert(t, primary.relay.open(), qt.IsNil)
 	b.healStore()
 	b.startAll()
-	stop := &atomic.Bool{}
-	var wg sync.WaitGroup
-	wg.Go(func() { w.run(b, 0, stop) })
-	<-time.After(time.Until(requested.Add(lateness + time.Second)))
-	stop.Store(true)
-	wg.Wait()
+	w.runUntil(b, 0, requested.Add(lateness+time.Second))
 	t.Logf("%d writes acknowledged, promotions %v, tokens %v", w.count(), b.Promotions(), b.Tokens())
 	qt.Check(t, w.count() > 10, qt.IsTrue, qt.Commentf("no write was acknowledged after the restart"))
 	b.Eventually("group has a leader", func() bool { return b.Dial(0, "db2").Exec("x READ nothing") == "COMPLETE" })
--- a/test/line/promotion_test.go
+++ b/test/line/promotion_test.go
@@ -178,6 +178,16 @@
 	w.checkAckedWrites(t, b)
 }
 
+// runUntil writes items through a host until the given time.
+func (w *writer) runUntil(b *Bed, host int, until time.Time) {
+	stop := &atomic.Bool{}
+	var wg sync.WaitGroup
+	wg.Go(func() { w.run(b, host, stop) })
+	<-time.After(time.Until(until))
+	stop.Store(true)
+	wg.Wait()
+}
+
 // checkLateRequest makes the holder request the promotion of the second target, with most
 // voters sealed, while the primary refuses connections for a moment. The request gets no answer
 // and is carried out after another target, but not the second one, could receive commits.
@@ -197,12 +207,7 @@
 	b.Eventually("group has a leader", func() bool { return b.Dial(0, "db2").Exec("y READ nothing") == "COMPLETE" })
 	<-time.After(attemptEnd)
 	letAnotherReceive()
-	stop := &atomic.Bool{}
-	var wg sync.WaitGroup
-	wg.Go(func() { w.run(b, 0, stop) })
-	<-time.After(time.Until(requested.Add(lateness + time.Second)))
-	stop.Store(true)
-	wg.Wait()
+	w.runUntil(b, 0, requested.Add(lateness+time.Second))
 	t.Logf("%d writes acknowledged", w.count())
 	b.Eventually("group has a leader", func() bool { return b.Dial(0, "db2").Exec("x READ nothing") == "COMPLETE" })
 	w.checkAckedWrites(t, b)
