Promotion: requests that void others are retried after an exponential delay

What callers would have seen: after a restart of most hosts of a large fleet, slower failovers.

Cause: each group's holder repeated its request every 500 ms, whatever the platform answered. With a thousand groups that is 2,000 calls a second at a platform that takes 50, for 15 s, beside the promotions of leaders that had failed.

Change: the delay doubles with each failure up to 4 s, less a random part. A voter that doesn't accept costs the platform nothing and doubles nothing.

The test fails with a constant delay. The tests of the holder run in a bubble now, and wait for nothing; new: voters are opened after 15 s without any answer.

FirstToken is defined once.

--- a/internal/confirm/holder.go
+++ b/internal/confirm/holder.go
@@ -314,13 +314,13 @@
 	return true
 }
 
-// firstToken is the token of a duty that was never held before.
-const firstToken = 1
+// FirstToken is the token of a duty that was never held before.
+const FirstToken = 1
 
 // mayBeOrdered reports whether an earlier holder may have sent a request of which no voter
 // that serves has heard.
 func (h *Holder) mayBeOrdered(id topology.GroupID, t *tenure) bool {
-	return t.since > firstToken && (h.opts.NotOrdered == nil || !h.opts.NotOrdered(id))
+	return t.since > FirstToken && (h.opts.NotOrdered == nil || !h.opts.NotOrdered(id))
 }
 
 // noteInherited records a request that an earlier holder may have sent. Once a quorum has
--- a/internal/confirm/holder_test.go
+++ b/internal/confirm/holder_test.go
@@ -159,7 +159,7 @@
 		shown := false
 		f.hosts[1].holder.opts.NotOrdered = func(topology.GroupID) bool { return shown }
 		qt.Check(t, f.hosts[1].holder.mayBeOrdered(simGroup, &tenure{since: 2}), qt.IsTrue)
-		qt.Check(t, f.hosts[1].holder.mayBeOrdered(simGroup, &tenure{since: firstToken}), qt.IsFalse)
+		qt.Check(t, f.hosts[1].holder.mayBeOrdered(simGroup, &tenure{since: FirstToken}), qt.IsFalse)
 		shown = true
 		qt.Check(t, f.hosts[1].holder.mayBeOrdered(simGroup, &tenure{since: 2}), qt.IsFalse)
 		time.Sleep(lateWindow)
--- a/internal/promotion/holders_test.go
+++ b/internal/promotion/holders_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"nettlewalk.example/nettlewalk/internal/confirm"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
@@ -110,8 +111,8 @@
 func TestReacquiredDutyKeepsPauses(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var requests requestState
-	requests.noteToken(firstToken, "", now)
+	requests.noteToken(confirm.FirstToken, "", now)
 	qt.Check(t, requests.mayResume(now.Add(1)), qt.IsTrue)
-	requests.noteToken(firstToken+2, "", now)
+	requests.noteToken(confirm.FirstToken+2, "", now)
 	qt.Check(t, requests.mayResume(now.Add(unresolvedWindow)), qt.IsFalse)
 }
--- a/internal/promotion/leases_test.go
+++ b/internal/promotion/leases_test.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
+	"nettlewalk.example/nettlewalk/internal/confirm"
 	"nettlewalk.example/nettlewalk/internal/duty"
 	"nettlewalk.example/nettlewalk/internal/group"
 	"nettlewalk.example/nettlewalk/internal/lease"
@@ -154,9 +155,9 @@
 func TestPromotionWaitsForLeasesAndContact(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var first, later requestState
-	first.noteToken(firstToken, "", now)
+	first.noteToken(confirm.FirstToken, "", now)
 	qt.Check(t, first.predecessorLeases.IsZero(), qt.IsTrue)
-	later.noteToken(firstToken+1, "", now)
+	later.noteToken(confirm.FirstToken+1, "", now)
 	qt.Check(t, later.predecessorLeases, qt.Equals, now.Add(lease.MaxLifetime))
 	step := Step(Promote{Target: "a"})
 	auth := authority{settled: true, leasesUntil: later.predecessorLeases}
--- a/internal/promotion/requeststate.go
+++ b/internal/promotion/requeststate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"nettlewalk.example/nettlewalk/internal/confirm"
 	"nettlewalk.example/nettlewalk/internal/lease"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
@@ -38,8 +39,6 @@
 }
 
 const (
-	// firstToken is the token of a duty that was never held before.
-	firstToken = 1
 	// MinEffectDelay is how long an accepted request takes at least to have its
 	// effect: platforms document some hundred ms.
 	MinEffectDelay = 100 * time.Millisecond
@@ -58,7 +57,7 @@
 	if token == r.token {
 		return
 	}
-	if token > firstToken {
+	if token > confirm.FirstToken {
 		r.resumeAfter = now.Add(unresolvedWindow)
 	}
 	if r.token != 0 && token == r.renewedToken {
@@ -67,7 +66,7 @@
 	}
 	r.token, r.verified = token, ""
 	r.predecessorLeases = time.Time{}
-	if token > firstToken {
+	if token > confirm.FirstToken {
 		r.predecessorLeases = now.Add(lease.MaxLifetime)
 	}
 	if ordered != "" {
--- a/internal/promotion/voiding.go
+++ b/internal/promotion/voiding.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -11,14 +12,32 @@
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
-// voidRetryInterval is the time until earlier requests are voided again after that failed.
-const voidRetryInterval = 500 * time.Millisecond
+const (
+	minVoidDelay = 500 * time.Millisecond // after the first failure of a request that voids others
+	maxVoidDelay = 4 * time.Second        // after many
+)
+
+// voidDelay returns the time until the next request after so many failures in a row: it doubles
+// with each, less a random part of half of it. The load that it answers is a restart of most
+// hosts: holders of all groups then call a platform that takes a few dozen calls a second, and
+// promotions of leaders that have failed need some of them.
+func voidDelay(failures int, random float64) time.Duration {
+	delay := minVoidDelay
+	for range failures - 1 {
+		if delay = 2 * delay; delay >= maxVoidDelay {
+			delay = maxVoidDelay
+			break
+		}
+	}
+	return delay - time.Duration(random*float64(delay)/2)
+}
 
 // voiding is the state of the requests by which this host voids those of earlier holders. Such
 // a request names the target that leads, so it changes nothing, but the platform has then seen
 // this host's token and refuses lower ones.
 type voiding struct {
 	unanswered []voidRequest
+	failures   int       // since the last request that was accepted
 	retryAt    time.Time // no request is sent before this time
 }
 
@@ -56,7 +75,7 @@
 	if w.opts.Leases != nil || w.commits.ordered || now.Before(w.voiding.retryAt) {
 		return
 	}
-	w.voiding.retryAt = now.Add(voidRetryInterval)
+	w.voiding.retryAt = now.Add(minVoidDelay)
 	if w.requests.needsToken(w.leader) && !w.renewToken(ctx) {
 		return
 	}
@@ -74,10 +93,12 @@
 	w.commits.forgetLeader() // it leads a later term if it had just been replaced
 	now = steady.Now()
 	w.requests.noteVoiding(target, reply.Outcome, now)
+	w.voiding.failures++
+	w.voiding.retryAt = now.Add(voidDelay(w.voiding.failures, rand.Float64()))
 	switch reply.Outcome {
 	case Accepted:
 		w.voiding.noteAccepted(token)
-		w.voiding.retryAt = now.Add(maxEffectDelay + voidRetryInterval)
+		w.voiding.failures, w.voiding.retryAt = 0, now.Add(maxEffectDelay+minVoidDelay)
 	case Unanswered:
 		w.voiding.noteUnanswered(target, token, now)
 	case Refused:
--- a/internal/promotion/voiding_test.go
+++ b/internal/promotion/voiding_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -12,6 +14,7 @@
 	"nettlewalk.example/nettlewalk/internal/confirm"
 	"nettlewalk.example/nettlewalk/internal/duty"
 	"nettlewalk.example/nettlewalk/internal/steady"
+	"nettlewalk.example/nettlewalk/internal/steady/steadytest"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
@@ -70,18 +73,24 @@
 	return nil
 }
 
-// takeOver runs a holder whose voters have forgotten what earlier holders requested, until the
-// test ends, and returns when it started.
-func (g *testGroup) takeOver(t *testing.T, voters *forgetfulVoters, d *laterDuty) time.Time {
-	started := time.Now()
-	g.watch(t, d, func(o *Options) { o.Commits = voters })
-	return started
+// takeOver runs a holder whose voters have forgotten what earlier holders requested, until play
+// returns, in a bubble.
+func (g *testGroup) takeOver(t *testing.T, voters *forgetfulVoters, d *laterDuty, play func(t *testing.T)) {
+	synctest.Test(t, func(t *testing.T) {
+		steadytest.FollowBubble(t)
+		g.watch(t, d, func(o *Options) { o.Commits = voters })
+		play(t)
+	})
 }
 
-func awaitTrue(t *testing.T, what string, within time.Duration, ok func() bool) {
+// awaitOpened waits until the voters are opened, and returns the proof.
+func (v *forgetfulVoters) awaitOpened(t *testing.T, within time.Duration) confirm.Proof {
 	t.Helper()
-	for deadline := time.Now().Add(within); !ok(); time.Sleep(5 * time.Millisecond) {
-		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue, qt.Commentf("%s", what))
+	for deadline := time.Now().Add(within); ; time.Sleep(5 * time.Millisecond) {
+		if _, opened := v.state(); opened.Settled {
+			return opened
+		}
+		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue, qt.Commentf("the voters are not opened"))
 	}
 }
 
@@ -91,14 +100,12 @@
 	g, voters := newTestGroup("a", "b", "c"), &forgetfulVoters{}
 	var answeredAt time.Time
 	g.onRequest = func(topology.TargetID) Reply { answeredAt = steady.Now(); return Reply{Outcome: Accepted} }
-	g.takeOver(t, voters, &laterDuty{token: 7})
-	awaitTrue(t, "the voters are opened", unresolvedWindow/2, func() bool { _, opened := voters.state(); return opened.Settled })
-	_, opened := voters.state()
-	g.with(func(map[topology.TargetID]*testTarget) {
-		qt.Check(t, g.promoted, qt.DeepEquals, []topology.TargetID{"a"}) // it leads already
+	g.takeOver(t, voters, &laterDuty{token: 7}, func(t *testing.T) {
+		opened := voters.awaitOpened(t, unresolvedWindow/2)
+		qt.Check(t, g.requests(), qt.DeepEquals, []topology.TargetID{"a"}) // it leads already
 		qt.Check(t, opened.SentAt.Sub(answeredAt) > maxEffectDelay, qt.IsTrue, qt.Commentf("%s", opened.SentAt.Sub(answeredAt)))
+		qt.Check(t, voters.announced, qt.DeepEquals, []topology.TargetID{"a"})
 	})
-	qt.Check(t, voters.announced, qt.DeepEquals, []topology.TargetID{"a"})
 }
 
 // The voters stay closed while the platform doesn't answer, up to the time after which earlier
@@ -107,17 +114,20 @@
 	for _, outcome := range []Outcome{Unanswered, NotDone, Refused} {
 		t.Run(outcomeNames[outcome], func(t *testing.T) {
 			g, voters, d := newTestGroup("a", "b", "c"), &forgetfulVoters{}, &laterDuty{token: 7}
+			var acceptedAt time.Time
 			requests := 0
 			g.onRequest = func(topology.TargetID) Reply {
 				requests++
 				if requests < 5 {
 					return Reply{Outcome: outcome}
 				}
+				acceptedAt = steady.Now()
 				return Reply{Outcome: Accepted}
 			}
-			started := g.takeOver(t, voters, d)
-			awaitTrue(t, "the voters are opened", unresolvedWindow/2, func() bool { _, opened := voters.state(); return opened.Settled })
-			qt.Check(t, time.Since(started) > 4*voidRetryInterval+maxEffectDelay, qt.IsTrue, qt.Commentf("%s", time.Since(started)))
+			g.takeOver(t, voters, d, func(t *testing.T) {
+				opened := voters.awaitOpened(t, unresolvedWindow-time.Second)
+				qt.Check(t, opened.SentAt.Sub(acceptedAt) > maxEffectDelay, qt.IsTrue, qt.Commentf("%s", opened.SentAt.Sub(acceptedAt)))
+			})
 			token, _ := d.Token("g")
 			if outcome == Refused {
 				qt.Check(t, token, qt.Equals, uint64(11)) // no token is used again after a refusal
@@ -128,13 +138,73 @@
 	}
 }
 
+func TestVotersAreOpenedAfterUnresolvedWindowWithoutAnyAnswer(t *testing.T) {
+	g, voters := newTestGroup("a", "b", "c"), &forgetfulVoters{}
+	g.onRequest = func(topology.TargetID) Reply { return Reply{Outcome: Unanswered} }
+	g.takeOver(t, voters, &laterDuty{token: 7}, func(t *testing.T) {
+		began := steady.Now()
+		opened := voters.awaitOpened(t, unresolvedWindow+time.Second)
+		qt.Check(t, opened.SentAt.Sub(began) >= unresolvedWindow, qt.IsTrue, qt.Commentf("%s", opened.SentAt.Sub(began)))
+	})
+}
+
 // A later holder has to know of the request, which promotes its target again if another one has
 // been promoted by then.
 func TestVoidingRequestIsAnnouncedToVotersFirst(t *testing.T) {
 	g, voters := newTestGroup("a", "b", "c"), &forgetfulVoters{refusing: true}
-	g.takeOver(t, voters, &laterDuty{token: 7})
-	awaitTrue(t, "requests are announced", 5*time.Second, func() bool { announced, _ := voters.state(); return announced > 2 })
-	qt.Check(t, g.requests(), qt.HasLen, 0)
+	g.takeOver(t, voters, &laterDuty{token: 7}, func(t *testing.T) {
+		time.Sleep(unresolvedWindow / 2)
+		announced, _ := voters.state()
+		qt.Check(t, announced > 2, qt.IsTrue)
+		qt.Check(t, g.requests(), qt.HasLen, 0)
+	})
+}
+
+// After a restart of all hosts, the platform gets few more calls than it takes, and most groups
+// get through before they would without it.
+func TestVoidingOfManyGroupsLeavesThePlatformRoom(t *testing.T) {
+	const groups, callsPerSecond, step = 1000, 50, 10 * time.Millisecond
+	random := rand.New(rand.NewPCG(1, 1))
+	type group struct {
+		failures int
+		at       time.Duration
+		done     bool
+	}
+	waiting := make([]group, groups)
+	for i := range waiting {
+		waiting[i].at = time.Duration(random.Int64N(int64(time.Second)))
+	}
+	done, refused, refusedLate, allowance := 0, 0, 0, 0.0
+	for now := time.Duration(0); now < unresolvedWindow; now += step {
+		allowance = min(allowance+callsPerSecond*step.Seconds(), callsPerSecond)
+		for i := range waiting {
+			g := &waiting[i]
+			switch {
+			case g.done || now < g.at:
+			case allowance >= 1:
+				allowance--
+				g.done, done = true, done+1
+			default:
+				g.failures++
+				g.at = now + voidDelay(g.failures, random.Float64())
+				refused++
+				if now >= unresolvedWindow/2 {
+					refusedLate++
+				}
+			}
+		}
+	}
+	qt.Check(t, done > groups*6/10, qt.IsTrue, qt.Commentf("%d of %d", done, groups))
+	qt.Check(t, refused < 8*groups, qt.IsTrue, qt.Commentf("%d", refused)) // 17,878 with the shortest delay each time
+	t.Logf("%d of %d groups got through, %d calls refused, %d of them in the second half", done, groups, refused, refusedLate)
+}
+
+func TestVoidDelayDoubles(t *testing.T) {
+	for failures, longest := range []time.Duration{minVoidDelay, minVoidDelay, 2 * minVoidDelay, 4 * minVoidDelay, maxVoidDelay, maxVoidDelay} {
+		qt.Check(t, voidDelay(failures, 0), qt.Equals, longest)
+		qt.Check(t, voidDelay(failures, 1), qt.Equals, longest/2)
+	}
+	qt.Check(t, voidDelay(1<<40, 0), qt.Equals, maxVoidDelay)
 }
 
 // While primaries aren't fenced, the platform compares no tokens, and such a request would
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -197,6 +197,7 @@
 func (w *Watcher) close() {
 	w.requests.clearToken()
 	w.recorded = duty.Leadership{}
+	w.voiding.failures, w.voiding.retryAt = 0, time.Time{}
 	w.heldSince = time.Time{}
 	clear(w.missingSince)
 	if w.opts.Leases != nil {
