--- a/internal/confirm/sim_test.go
+++ b/internal/confirm/sim_test.go
@@ -3,18 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"slices"
-	"strings"
 	"sync"
-	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
-	"pgregory.net/rapid"
 
-	"nettlewalk.example/nettlewalk/internal/steady/steadytest"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
@@ -50,19 +44,6 @@
 	electorate Electorate
 }
 
-// order is a request for a promotion. It is carried out, when the platform checks its token,
-// and takes effect later.
-type order struct {
-	sentAt     time.Time
-	at         time.Time // when it is carried out, then when it takes effect
-	carriedOut bool
-	delay      time.Duration // from then to its effect
-	target     int
-	token      uint64
-	floor      topology.Position // of the target's log
-	answered   bool
-}
-
 const (
 	// effectWindow is how long after a request is carried out the promotion may take effect,
 	// and lateWindow how late one without an answer may be carried out.
@@ -192,6 +173,7 @@
 }
 
 func (h *simHost) learn() { // from the store
+
 	h.fleet.mu.Lock()
 	defer h.fleet.mu.Unlock()
 	if e := h.fleet.claim.electorate; e.Epoch > h.electorate.Epoch {
@@ -251,153 +233,6 @@
 	}
 }
 
-func (f *fleet) lose(p topology.Position) {
-	if f.lost == "" {
-		f.lost = fmt.Sprintf("commit %v was passed on and is lost in term %d", p, f.term)
-	}
-}
-
-// promote has a host order a promotion once the voters are sealed. The host may not know yet
-// that another one holds the duty by now. While an order may still be carried out, it orders no other target under the same token.
-func (h *simHost) promote(target int, delay time.Duration, answered bool) {
-	f := h.fleet
-	if h.token == 0 {
-		return
-	}
-	if h.isNew() || time.Since(h.effectAt) < cooldown {
-		return // a request that was carried out may have its effect yet
-	}
-	h.settle()
-	if h.ordered != nil && (h.ordered.answered && time.Now().Before(h.ordered.at) || h.ordered.target == f.primary) {
-		return // it waits for the effect, or sees it first
-	}
-	if h.ordered != nil {
-		target = h.ordered.target
-	} else if target == f.primary {
-		return
-	}
-	if h.inDoubt != nil && h.inDoubt.target != target && !h.renew() {
-		return
-	}
-	s := h.holder.Seal(context.Background(), simGroup, h.leadsTerm)
-	f.tracef("h%d seal under %d: %+v", h.index, h.token, s)
-	if !s.Closed || !s.Known || !h.holder.Order(context.Background(), simGroup, targetID(target)) {
-		return
-	}
-	o := &order{delay: min(delay, effectWindow), target: target, token: h.token, floor: s.Floor, answered: answered}
-	if !f.request(o, delay) {
-		return
-	}
-	f.tracef("h%d orders t%d, answered %v, %v", h.index, target, answered, delay)
-	h.ordered, h.orderedAt = o, time.Now()
-	if !answered {
-		h.inDoubt = o
-	}
-}
-
-func targetID(i int) topology.TargetID { return topology.TargetID(rune('a' + i)) }
-
-// request sends a request, which is carried out late if it gets no answer. It returns false if
-// the platform refuses it.
-func (f *fleet) request(o *order, lateBy time.Duration) bool {
-	o.sentAt, o.at = time.Now(), time.Now()
-	if !o.answered {
-		o.at = o.at.Add(lateBy)
-		f.effects = append(f.effects, o)
-		return true
-	}
-	return f.carryOut(o)
-}
-
-// carryOut checks the token of a request. It returns false if the platform refuses it.
-func (f *fleet) carryOut(o *order) bool {
-	if o.token < f.platformToken {
-		return false
-	}
-	f.platformToken = o.token
-	if o.target != f.primary {
-		o.carriedOut, o.at = true, o.at.Add(o.delay)
-		f.effects = append(f.effects, o)
-	}
-	return true
-}
-
-// voidEarlier requests the promotion of the primary, so that the platform refuses requests of
-// earlier holders.
-func (h *simHost) voidEarlier(position topology.Position, delay time.Duration, answered bool) {
-	f := h.fleet
-	if h.ordered != nil || h.inDoubt != nil && h.inDoubt.target != f.primary && !h.renew() {
-		return
-	}
-	if s := h.holder.Seal(context.Background(), simGroup, f.term); !s.Closed || !h.holder.Order(context.Background(), simGroup, targetID(f.primary)) {
-		return
-	}
-	o := &order{delay: min(delay, effectWindow), target: f.primary, token: h.token, floor: position, answered: answered}
-	accepted := f.request(o, delay)
-	f.tracef("h%d voids requests before %d for t%d, answered %v, accepted %v, %v", h.index, h.token, f.primary, answered, accepted, delay)
-	switch {
-	case !answered:
-		h.inDoubt, h.voids = o, append(h.voids, o)
-	case accepted:
-		h.voidedAt = time.Now()
-		h.voids = slices.DeleteFunc(h.voids, func(v *order) bool { return v.token < h.token })
-	}
-}
-
-// voidMayPromoteOther reports whether a request that was to void others may replace the
-// primary, which has been replaced since.
-func (h *simHost) voidMayPromoteOther() bool {
-	return slices.ContainsFunc(h.voids, func(v *order) bool {
-		return v.target != h.fleet.primary && time.Since(v.sentAt) < settleTime
-	})
-}
-
-// renew gets a higher token, under which the platform refuses earlier orders.
-func (h *simHost) renew() bool {
-	f := h.fleet
-	if f.storeDown || f.claim.boot != h.boot {
-		return false
-	}
-	f.claim.token++
-	h.token, h.inDoubt = f.claim.token, nil
-	f.tracef("h%d renews its token to %d", h.index, h.token)
-	return true
-}
-
-// settle forgets an order that can't be carried out any more.
-func (h *simHost) settle() {
-	if h.ordered != nil && time.Since(h.orderedAt) > settleTime {
-		h.ordered = nil
-	}
-}
-
-// takeEffect carries out the orders that are due.
-func (f *fleet) takeEffect() {
-	due := f.effects
-	f.effects = nil
-	for _, o := range due {
-		switch {
-		case time.Now().Before(o.at):
-			f.effects = append(f.effects, o)
-		case !o.carriedOut:
-			f.tracef("late request for t%d under %d, accepted %v", o.target, o.token, f.carryOut(o))
-		case o.target != f.primary:
-			f.takeLead(o)
-		}
-	}
-}
-
-func (f *fleet) takeLead(o *order) {
-	f.term, f.primary = f.term+1, o.target
-	f.newest++
-	f.tracef("term %d begins at t%d with a log up to %v", f.term, o.target, o.floor)
-	for p := range f.passed {
-		if p.Term < f.term && !o.floor.AtLeast(p) {
-			f.lose(p)
-		}
-	}
-}
-
 // maintain is what the watcher of the host does while it sees a leader serve. A request that
 // voids earlier ones has the delay and the answer.
 func (h *simHost) maintain(delay time.Duration, answered bool) {
@@ -421,10 +256,6 @@
 	}
 }
 
-// isNew reports whether a request of the holder before, which it sent right before its end, may
-// have its effect yet.
-func (h *simHost) isNew() bool { return h.token > 1 && time.Since(h.heldSince) < 2*time.Second }
-
 // takeDuty makes the host the holder. The one before may not know.
 func (h *simHost) takeDuty() {
 	f := h.fleet
@@ -436,159 +267,3 @@
 	h.learn()
 	f.tracef("h%d holds the duty under %d", h.index, h.token)
 }
-
-// action is one step of a history.
-type action struct {
-	kind     string
-	host     int
-	other    int           // host or target
-	wait     time.Duration // until the next action, or the effect of an order
-	answered bool
-}
-
-var actionKinds = []string{"commit", "commit", "commit", "learn", "learn", "maintain", "maintain", "maintain", "promote", "promote", "duty", "restart", "restart all", "down", "cut", "heal", "store", "answers", "late calls", "late calls", "follow", "wait"}
-
-func drawAction(hosts int, kinds []string) *rapid.Generator[action] {
-	return rapid.Custom(func(t *rapid.T) action {
-		return action{
-			kind: rapid.SampledFrom(kinds).Draw(t, "kind"), host: rapid.IntRange(0, hosts-1).Draw(t, "host"),
-			other: rapid.IntRange(0, hosts-1).Draw(t, "other"), answered: rapid.Bool().Draw(t, "answered"),
-			wait: time.Duration(rapid.IntRange(1, int(lateWindow.Milliseconds())).Draw(t, "wait ms")) * time.Millisecond,
-		}
-	})
-}
-
-func (f *fleet) perform(a action) {
-	h := f.hosts[a.host]
-	if a.kind == "maintain" || a.kind == "promote" {
-		h = f.hosts[f.claim.holder]
-	}
-	switch a.kind {
-	case "learn":
-		h.learn()
-	case "follow":
-		h.leadsTerm = f.term
-	case "duty":
-		h.takeDuty()
-	case "restart":
-		h.start()
-		f.tracef("h%d restarts", h.index)
-	case "restart all":
-		for _, other := range f.hosts {
-			other.start()
-		}
-		f.tracef("all hosts restart")
-	case "down":
-		f.mu.Lock()
-		h.down, h.token = true, 0
-		f.mu.Unlock()
-		f.tracef("h%d is down", h.index)
-	case "cut":
-		f.mu.Lock()
-		f.cut[[2]int{min(a.host, a.other), max(a.host, a.other)}] = true
-		f.mu.Unlock()
-	case "heal":
-		f.heal()
-	case "late calls":
-		f.mu.Lock()
-		f.lateCalls = !f.lateCalls
-		f.mu.Unlock()
-	case "store":
-		f.storeDown = !f.storeDown
-	case "answers":
-		f.loseAnswers = !f.loseAnswers
-	case "wait":
-		time.Sleep(a.wait)
-	}
-	if h.down {
-		return
-	}
-	switch a.kind {
-	case "commit":
-		h.commit()
-	case "maintain":
-		h.maintain(a.wait, a.answered)
-	case "promote":
-		h.promote(a.other%3, a.wait, a.answered)
-	}
-}
-
-func (f *fleet) heal() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	clear(f.cut)
-}
-
-// play performs the actions in a bubble.
-func (f *fleet) play(plan []action) {
-	f.hosts[0].maintain(0, true)
-	for _, h := range f.hosts {
-		h.learn()
-	}
-	for _, a := range plan {
-		f.perform(a)
-		f.takeEffect()
-		if f.lost != "" {
-			break
-		}
-	}
-	f.heal()
-	f.mu.Lock()
-	f.lateCalls = false
-	f.mu.Unlock()
-	time.Sleep(lateWindow) // rounds end
-}
-
-// Whatever hosts, the store and the network do, a promotion keeps every commit that a host
-// has passed on, also one that no known replica has.
-func TestPromotionKeepsCommitsThatCallersHeardOf(t *testing.T) {
-	checkHistories(t, func(t *rapid.T, hosts int) []action {
-		return rapid.SliceOfN(drawAction(hosts, actionKinds), 10, 120).Draw(t, "plan")
-	})
-}
-
-// Guards against commits that are lost to a request without an answer which is carried out
-// after every host, or most voters, have restarted: no host remembers it.
-func TestRequestThatNoHostRemembersLosesNoCommit(t *testing.T) {
-	checkHistories(t, drawForgottenRequests)
-}
-
-// drawForgottenRequests draws histories in which hosts restart after requests that are carried
-// out late.
-func drawForgottenRequests(t *rapid.T, hosts int) []action {
-	plan := rapid.SliceOfN(drawAction(hosts, actionKinds), 0, 20).Draw(t, "before")
-	for range rapid.IntRange(1, 4).Draw(t, "rounds") {
-		for range rapid.IntRange(1, 2).Draw(t, "requests") {
-			request := drawAction(hosts, []string{"promote"}).Draw(t, "request")
-			request.answered = rapid.IntRange(0, 3).Draw(t, "answered") == 0
-			plan = append(plan, request)
-			plan = append(plan, rapid.SliceOfN(drawAction(hosts, actionKinds), 0, 2).Draw(t, "between")...)
-		}
-		restarts := []string{"restart", "restart all"}
-		plan = append(plan, rapid.SliceOfN(drawAction(hosts, restarts), 1, 4).Draw(t, "restarts")...)
-		plan = append(plan, drawAction(hosts, []string{"duty"}).Draw(t, "duty"))
-		after := []string{"maintain", "maintain", "maintain", "learn", "commit", "commit", "wait", "follow", "duty", "promote"}
-		plan = append(plan, rapid.SliceOfN(drawAction(hosts, after), 10, 50).Draw(t, "after")...)
-	}
-	return plan
-}
-
-// checkHistories fails if a promotion loses a commit that a host has passed on.
-func checkHistories(t *testing.T, draw func(t *rapid.T, hosts int) []action) {
-	passed, terms := 0, uint64(0)
-	rapid.Check(t, func(rt *rapid.T) {
-		hosts := rapid.IntRange(2, 7).Draw(rt, "hosts")
-		plan := draw(rt, hosts)
-		var f *fleet
-		synctest.Test(t, func(t *testing.T) {
-			steadytest.FollowBubble(t)
-			f = newFleet(hosts)
-			f.play(plan)
-		})
-		passed, terms = passed+len(f.passed), terms+f.term-1
-		if f.lost != "" {
-			rt.Fatalf("%s\n%s", f.lost, strings.Join(f.trace, "\n"))
-		}
-	})
-	t.Logf("%d commits passed on, %d promotions", passed, terms)
-}
