Promotion: an unanswered request for the target that leads is settled by another one

Cause: the primary had come back under another id at its address, with its log, and the register told so late. A new holder took the former id for a dead leader and requested the promotion of the target that already led. The request got no answer. The leader's term didn't rise, so that the request never counted as carried out, and a holder with a request of its own under way voids nothing: commits waited for the 15 s.

Change: if an own request without an answer names the target that leads, requests of that kind go on until one is accepted. The first one is kept as one that may still be carried out: it would promote its target again if another one led by then.

Failed before: TestUnansweredRequestForTheLeaderIsSettledByAnotherOne.

--- a/internal/promotion/commits.go
+++ b/internal/promotion/commits.go
@@ -100,7 +100,7 @@
 	if now := steady.Now(); now.Sub(w.lastTickAt) <= maxMaintainTime {
 		w.lastTickAt = now // the wait for the leader, the voters and the store is no suspension
 	}
-	if needsSettled {
+	if needsSettled || w.ownRequestNamesLeader() {
 		w.voidEarlierRequests(ctx)
 	}
 }
--- a/internal/promotion/voiding.go
+++ b/internal/promotion/voiding.go
@@ -72,7 +72,7 @@
 // ruled out after unresolvedWindow only.
 func (w *Watcher) voidEarlierRequests(ctx context.Context) {
 	now := steady.Now()
-	if w.opts.Leases != nil || w.commits.ordered || now.Before(w.voiding.retryAt) {
+	if w.opts.Leases != nil || w.commits.ordered && !w.ownRequestNamesLeader() || now.Before(w.voiding.retryAt) {
 		return
 	}
 	w.voiding.retryAt = now.Add(minVoidDelay)
@@ -98,6 +98,9 @@
 	switch reply.Outcome {
 	case Accepted:
 		w.voiding.noteAccepted(token)
+		if w.requests.inDoubt { // under this token, and for this target
+			w.voiding.noteUnanswered(target, token, now)
+		}
 		w.voiding.failures, w.voiding.retryAt = 0, now.Add(maxEffectDelay+minVoidDelay)
 	case Unanswered:
 		w.voiding.noteUnanswered(target, token, now)
@@ -106,6 +109,13 @@
 	}
 }
 
+// ownRequestNamesLeader reports whether a promotion that this host requested, without an answer,
+// is that of the target that leads. It led already, or the request is carried out; in either
+// case a request of this kind changes as little.
+func (w *Watcher) ownRequestNamesLeader() bool {
+	return w.commits.ordered && w.requests.inDoubt && w.requests.lastTarget == w.leader
+}
+
 // announceVoiding tells the voters that a request for the leader is about to be sent: it
 // promotes it again if an earlier request has replaced it by then, and a later holder has to
 // know. It reports whether enough of them accept.
--- a/internal/promotion/voiding_guards_test.go
+++ b/internal/promotion/voiding_guards_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -12,6 +13,7 @@
 	"nettlewalk.example/nettlewalk/internal/confirm"
 	"nettlewalk.example/nettlewalk/internal/duty"
 	"nettlewalk.example/nettlewalk/internal/steady"
+	"nettlewalk.example/nettlewalk/internal/steady/steadytest"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
@@ -64,9 +66,38 @@
 	w, p := newVoidingWatcher(&laterDuty{token: 7})
 	w.commits.ordered = true
 	w.voidEarlierRequests(t.Context())
+	w.requests.inDoubt, w.requests.lastTarget = true, "b"
+	w.voidEarlierRequests(t.Context())
 	qt.Check(t, p.requests, qt.HasLen, 0)
 }
 
+// Guards against 15 s without writes after an unanswered request for a target that led already:
+// the register told late that it had taken the place of the known leader, with its log.
+func TestUnansweredRequestForTheLeaderIsSettledByAnotherOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		steadytest.FollowBubble(t)
+		w, p := newVoidingWatcher(&laterDuty{token: 7})
+		r := &proofRecorder{}
+		w.opts.Commits = r
+		w.commits.sealedTerm = 3 // of the leader
+		p.outcome = Unanswered
+		w.promote(t.Context(), "a")
+		w.maintainCommits(t.Context()) // doesn't settle anything
+		p.outcome, w.voiding.retryAt = Accepted, time.Time{}
+		w.maintainCommits(t.Context())
+		qt.Assert(t, p.requests, qt.HasLen, 3)
+		time.Sleep(maxEffectDelay + time.Millisecond)
+		w.leaderProvedAt, w.commits.leader, w.commits.leaderTerm = steady.Now(), "a", 3
+		w.maintainCommits(t.Context())
+		last := r.proofs[len(r.proofs)-1]
+		qt.Check(t, last.NotOrdered && last.Settled, qt.IsTrue)
+		for _, earlier := range r.proofs[:len(r.proofs)-1] {
+			qt.Check(t, earlier.NotOrdered || earlier.Settled, qt.IsFalse)
+		}
+		qt.Check(t, w.voiding.mayPromoteOther("b", steady.Now()), qt.IsTrue) // it may still be carried out
+	})
+}
+
 // lostDuty is a duty that another host has taken.
 type lostDuty struct{ laterDuty }
 
