--- a/internal/promotion/voiding_guards_test.go
+++ b/internal/promotion/voiding_guards_test.go
@@ -68,9 +68,21 @@
 	w.voidEarlierRequests(t.Context())
 	w.requests.inDoubt, w.requests.lastTarget = true, "b"
 	w.voidEarlierRequests(t.Context())
+	w.requests.inDoubt, w.requests.lastTarget = false, "a" // accepted
+	w.voidEarlierRequests(t.Context())
 	qt.Check(t, p.requests, qt.HasLen, 0)
 }
 
+func TestUnansweredRequestForTheLeaderMayPromoteItAgain(t *testing.T) {
+	w, p := newVoidingWatcher(&laterDuty{token: 7})
+	p.outcome = Unanswered
+	w.promote(t.Context(), "a")
+	p.outcome = Accepted
+	w.voidEarlierRequests(t.Context())
+	qt.Assert(t, p.requests, qt.HasLen, 2)
+	qt.Check(t, w.voiding.mayPromoteOther("b", steady.Now()), qt.IsTrue)
+}
+
 // Guards against 15 s without writes after an unanswered request for a target that led already:
 // the register told late that it had taken the place of the known leader, with its log.
 func TestUnansweredRequestForTheLeaderIsSettledByAnotherOne(t *testing.T) {
