--- a/internal/confirm/holder.go
+++ b/internal/confirm/holder.go
@@ -93,9 +93,14 @@
 type Sealing struct {
 	// Closed is set if no host passes on a commit until the voters are opened.
 	Closed bool
+	// ClosedAt is when Closed was found, on the clock of package steady. It is zero if the
+	// group has no voters: then no host passes on a commit of it.
+	ClosedAt time.Time
 	// Known is set if Floor is at or after every position that was passed on.
 	Known bool
 	Floor topology.Position
+	// Ended is the number of voters that are known to have ended.
+	Ended int
 	// Unanswered are voters that neither answer nor are known to have ended.
 	Unanswered []topology.HostID
 }
@@ -217,7 +222,7 @@
 		return Sealing{}
 	}
 	p := t.sealing
-	s := Sealing{Closed: p.closed(), Known: p.closed() && p.meetsEveryQuorum(), Floor: p.newest()}
+	s := Sealing{Closed: p.closed(), ClosedAt: t.closedAt, Known: p.closed() && p.meetsEveryQuorum(), Floor: p.newest(), Ended: len(p.ended)}
 	for _, v := range p.electorate.Members() {
 		if _, accepted := p.accepted[v]; !accepted && !p.ended[v] {
 			s.Unanswered = append(s.Unanswered, v.Host)
--- a/internal/promotion/availability_test.go
+++ b/internal/promotion/availability_test.go
@@ -65,15 +65,26 @@
 }
 
 // A target that has ended, and whose commits another one has, must not block a later holder
-// whose host saw it registered.
+// whose host saw it registered: not if its address is another group's, which proves the end, and
+// not if the voters tell what callers heard of.
 func TestNewHolderDoesNotWaitForCoveredTarget(t *testing.T) {
-	g := newTestGroup("p", "a", "b")
+	t.Run("its address is reused", func(t *testing.T) { t.Parallel(); checkCoveredTarget(t, true, nil) })
+	t.Run("voters answer", func(t *testing.T) { t.Parallel(); checkCoveredTarget(t, false, &countingCommits{}) })
+}
+
+func checkCoveredTarget(t *testing.T, reused bool, commits Commits) {
+	g := &addrGroup{newTestGroup("p", "a", "b"), map[string]topology.TargetID{"p": "p", "a": "a", "b": "b"}}
 	m := func(id string) catalog.Member {
 		return catalog.Member{Target: topology.Target{ID: topology.TargetID(id), Group: "g", Addr: id, Domain: topology.Domain("d" + id)}, Incarnation: 1}
 	}
 	three := map[topology.TargetID]catalog.Member{"p": m("p"), "a": m("a"), "b": m("b")}
 	four := map[topology.TargetID]catalog.Member{"p": m("p"), "a": m("a"), "b": m("b"), "dead": m("dead")}
 	g.registerMembers(four)
+	if reused {
+		other := m("other")
+		other.Target.Group, other.Target.Addr = "g2", "dead"
+		three["other"], g.occupant["dead"] = other, "b" // any other ID
+	}
 	g.registerMembers(three)
 	ask := func(_ context.Context, target topology.Target) *EndEvidence {
 		e := &EndEvidence{AskedAt: steady.Now(), Domains: []topology.Domain{"dp", "da", "db", "ddead"}}
@@ -84,7 +95,7 @@
 	}
 	d := &recordedDuty{}
 	ctx, cancel := context.WithCancel(context.Background())
-	opts := Options{Group: "g", Dialer: g, Parse: parseTestStatus, Promoter: g, Duty: d, Catalog: g.store, AskHosts: ask,
+	opts := Options{Group: "g", Dialer: g, Parse: parseTestStatus, Promoter: g, Duty: d, Catalog: g.store, AskHosts: ask, Commits: commits,
 		GroupView: group.New(group.Options{ID: "g", Dialer: g, Log: logr.Discard()}), Hosts: func() int { return 3 }, Log: logr.Discard()}
 	first := NewWatcher(opts)
 	go first.Run(ctx)
@@ -92,7 +103,7 @@
 	time.Sleep(9 * time.Second)
 	cancel()
 	time.Sleep(500 * time.Millisecond)
-	g.watch(t, d, func(o *Options) { o.AskHosts = ask })
+	g.watch(t, d, func(o *Options) { o.Dialer, o.AskHosts, o.Commits = g, ask, commits })
 	time.Sleep(100 * time.Millisecond) // the new holder has just found the leader
 	g.with(func(targets map[topology.TargetID]*testTarget) { targets["p"].down = true })
 	time.Sleep(15 * time.Second)
--- a/internal/promotion/commits.go
+++ b/internal/promotion/commits.go
@@ -28,6 +28,9 @@
 	ordered    bool      // a request was sent whose effect hasn't been seen
 	// settledAt is when an accepted request that showed no effect can't have one any more.
 	settledAt time.Time
+	// covering is View.Covering for the voters that were closed at coveringSince.
+	covering      topology.Position
+	coveringSince time.Time
 
 	leader     topology.TargetID // whose term is known
 	leaderTerm uint64
@@ -69,6 +72,22 @@
 		v.Sealing = w.opts.Commits.Seal(ctx, w.opts.Group, w.commits.sealedTerm)
 	}
 	w.commits.known = v.Sealing.Known
+	if v.Sealing.Closed && !v.Sealing.Known {
+		v.Covering = w.coveringPosition(v.LeaderServes, v.Sealing.ClosedAt)
+	}
+}
+
+// coveringPosition returns the position of the first target that was proved to lead after the
+// voters were closed, zero if none was.
+func (w *Watcher) coveringPosition(serves bool, closedAt time.Time) topology.Position {
+	s := &w.commits
+	if !s.coveringSince.Equal(closedAt) {
+		s.covering, s.coveringSince = topology.Position{}, closedAt
+	}
+	if s.covering.IsZero() && serves && w.leaderProvedAt.After(closedAt) {
+		s.covering = w.leaderPosition
+	}
+	return s.covering
 }
 
 // openAfterPatience lets commits be confirmed if the leader serves and the promotion can't
--- a/internal/promotion/commits_test.go
+++ b/internal/promotion/commits_test.go
@@ -32,6 +32,19 @@
 	return false
 }
 
+// lostVoters has voters that have ended, so that none remembers what was confirmed.
+type lostVoters struct {
+	countingCommits
+	closedAt time.Time
+}
+
+func (c *lostVoters) Seal(context.Context, topology.GroupID, uint64) confirm.Sealing {
+	if c.closedAt.IsZero() {
+		c.closedAt = steady.Now()
+	}
+	return confirm.Sealing{Closed: true, ClosedAt: c.closedAt}
+}
+
 func TestUnknownFloorLetsCandidatePassThatLacksWhatVotersRecorded(t *testing.T) {
 	candidate := Member{ID: "b", Reach: Answered}
 	candidate.Status.Received = pos(4, 113)
--- a/internal/promotion/endcheck.go
+++ b/internal/promotion/endcheck.go
@@ -15,7 +15,8 @@
 const endCheckInterval = 2 * time.Second
 
 // endCheck asks other hosts whether they reach a target that doesn't respond to this
-// host and isn't registered. The question runs in a goroutine; the watcher takes up
+// host and isn't registered. The answers tell operators what a promotion waits for; they
+// prove nothing. The question runs in a goroutine; the watcher takes up
 // its result in a later tick. Apart from that goroutine, one goroutine at a time uses
 // an endCheck.
 type endCheck struct {
@@ -58,9 +59,9 @@
 // discard drops the pending question: the target has been alive since it was asked.
 func (c *endCheck) discard() { c.result, c.lastReason = nil, "" }
 
-// takeUpEvidence concludes from the other hosts' answers whether the target has ended.
-// The end counts from now on, which is after every dial, so that a later position of the
-// leader bounds the target's log.
+// takeUpEvidence concludes from the other hosts' answers whether the target is presumed to
+// have ended. A target that receives from the leader alone is presumed so, too: no position of
+// the leader bounds its log.
 func (p *prober) takeUpEvidence(now time.Time, group topology.GroupID, log logr.Logger) {
 	e := p.endCheck.poll()
 	if e == nil {
@@ -68,8 +69,8 @@
 	}
 	verdict, reason := judgeEnd(e, p.target.Domain, p.endCheck.leaderDomain, p.unregisteredFor, now)
 	metrics.GetOrCreateCounter(`nettlewalk_target_end_checks_total{outcome="` + verdict.String() + `"}`).Inc()
-	if verdict == endConfirmed {
-		p.recordEnd(true, now)
+	if verdict == endPresumed {
+		p.presumedSince = now
 	}
 	if reason == p.endCheck.lastReason {
 		return
@@ -79,11 +80,11 @@
 	for _, a := range e.Answers {
 		answers = append(answers, a.String())
 	}
-	message := "target is not taken for ended"
-	if verdict == endConfirmed {
-		message = "target has ended"
+	message, presumption := "a host may reach the target", "target is not taken for ended"
+	if verdict == endPresumed {
+		message, presumption = "no host reaches the target", "target has ended"
 	}
-	log.Info(message, "group", group, "target", p.target.ID, "domain", p.target.Domain, "leader_domain", p.endCheck.leaderDomain, "reason", reason,
+	log.Info(message, "group", group, "target", p.target.ID, "presumption", presumption, "proved", false, "domain", p.target.Domain, "leader_domain", p.endCheck.leaderDomain, "reason", reason,
 		"unregistered_ms", p.unregisteredFor.Milliseconds(), "asked_ms_ago", now.Sub(e.AskedAt).Milliseconds(), "answers", answers)
 }
 
--- a/internal/promotion/endcheck_test.go
+++ b/internal/promotion/endcheck_test.go
@@ -41,6 +41,7 @@
 	requested chan Request
 	store     *catalog.Store
 	leaving   bool // "p" is leaving, as register tells
+	commits   Commits
 }
 
 var cutGroupTargets = []topology.Target{
@@ -185,7 +186,7 @@
 	view.NoteReportedLeader("p", steady.Now())
 	return NewWatcher(Options{
 		Group: "g", Dialer: cutGroupDialer{g, "a1"}, Parse: parseCutGroupStatus, Promoter: g, Duty: permanentDuty{},
-		Catalog: g.store, GroupView: view, Hosts: func() int { return 6 }, AskHosts: g.question().Ask, Log: funcr.New(g.note, funcr.Options{}),
+		Catalog: g.store, GroupView: view, Hosts: func() int { return 6 }, AskHosts: g.question().Ask, Commits: g.commits, Log: funcr.New(g.note, funcr.Options{}),
 	})
 }
 
@@ -241,8 +242,9 @@
 	cases.Wait()
 }
 
-// A replica that has really ended must not block promotions for long, also while hosts that
-// are down, or older, don't answer.
+// A replica that has really ended must not block the replacement of a leader that leaves, also
+// while hosts that are down, or older, don't answer and the voters can't tell what callers heard
+// of. Nothing proves the end; the leader tells what it has.
 func TestEndedReplicaDoesNotBlockPromotion(t *testing.T) {
 	t.Parallel()
 	var cases sync.WaitGroup // all at once, since each takes some seconds
@@ -257,6 +259,7 @@
 	} {
 		cases.Go(func() {
 			g := newCutGroup()
+			g.commits = &lostVoters{}
 			test.set(g)
 			qt.Check(t, g.promoted(t, endTime), qt.IsTrue, qt.Commentf(test.name))
 		})
@@ -292,7 +295,8 @@
 	g.reachedBy = nil
 	g.mu.Unlock()
 	tick(endCheckInterval + endCheckTimeout + 500*time.Millisecond)
-	qt.Assert(t, w.probers["b"].endedSince.IsZero(), qt.IsFalse)
+	qt.Assert(t, w.probers["b"].presumedSince.IsZero(), qt.IsFalse)
+	qt.Assert(t, w.probers["b"].endedSince.IsZero(), qt.IsTrue)
 	concluded := len(g.questionTimes())
 	tick(endCheckInterval + 500*time.Millisecond)
 	qt.Check(t, g.questionTimes(), qt.HasLen, concluded)
@@ -327,7 +331,7 @@
 		w.tick(context.Background())
 		longest = max(longest, time.Since(began))
 	}
-	qt.Check(t, w.probers["b"].endedSince.IsZero(), qt.IsFalse)
+	qt.Check(t, w.probers["b"].presumedSince.IsZero(), qt.IsFalse)
 	qt.Check(t, longest < g.delay, qt.IsTrue, qt.Commentf("a tick took %s, hosts %s to answer", longest, g.delay))
 }
 
--- a/internal/promotion/endevidence.go
+++ b/internal/promotion/endevidence.go
@@ -62,13 +62,13 @@
 const (
 	endUncertain endVerdict = iota + 1 // too few hosts can tell
 	endRefuted                         // a host reaches the target
-	endConfirmed
+	endPresumed                        // no host reaches the target
 )
 
 // String returns the name used in logs and metrics.
 func (v endVerdict) String() string {
 	switch v {
-	case endConfirmed:
+	case endPresumed:
 		return "ended"
 	case endRefuted:
 		return "alive"
@@ -76,10 +76,10 @@
 	return "uncertain"
 }
 
-// judgeEnd decides whether a target that doesn't respond to this host had ended when
-// the hosts dialed it. target and leader are the failure domains of the target and of
-// the group's leader: a target that is cut off from this host and from the store may
-// go on to receive commits within its domain and from the leader's. "" means unknown.
+// judgeEnd decides whether a target that doesn't respond to this host is presumed to have
+// ended when the hosts dialed it. It may be cut off from all of them and receive from the
+// leader, so that nothing may rely on the presumption. target and leader are the failure
+// domains of the target and of the group's leader. "" means unknown.
 func judgeEnd(e *EndEvidence, target, leader topology.Domain, unregisteredFor time.Duration, now time.Time) (verdict endVerdict, reason string) {
 	answered := map[topology.Domain]bool{}
 	for _, a := range e.Answers {
@@ -105,5 +105,5 @@
 	case 2*len(answered) <= len(e.Domains):
 		return endUncertain, "hosts in too few failure domains answered"
 	}
-	return endConfirmed, "no host reaches the target"
+	return endPresumed, "no host reaches the target"
 }
--- a/internal/promotion/endevidence_test.go
+++ b/internal/promotion/endevidence_test.go
@@ -29,12 +29,12 @@
 		age             time.Duration
 		want            endVerdict
 	}{
-		{"all silent", []topology.Domain{"a", "b", "c"}, silent("a", "b", "c"), "b", "a", long, 0, endConfirmed},
-		{"refused and silent", []topology.Domain{"a", "b", "c"}, append(silent("a"), answer("b", TargetRefused)), "b", "a", long, 0, endConfirmed},
-		{"one host of a domain answers", []topology.Domain{"a", "b"}, append(silent("a", "b"), answer("a", NotDialed), answer("b", NotDialed)), "b", "a", long, 0, endConfirmed},
-		{"leader in the same domain", []topology.Domain{"a", "b", "c"}, silent("b", "c"), "b", "b", long, 0, endConfirmed},
-		{"one domain", []topology.Domain{"b"}, silent("b"), "b", "b", long, 0, endConfirmed},
-		{"target's domain has no hosts", []topology.Domain{"a", "c"}, silent("a", "c"), "b", "a", long, 0, endConfirmed},
+		{"all silent", []topology.Domain{"a", "b", "c"}, silent("a", "b", "c"), "b", "a", long, 0, endPresumed},
+		{"refused and silent", []topology.Domain{"a", "b", "c"}, append(silent("a"), answer("b", TargetRefused)), "b", "a", long, 0, endPresumed},
+		{"one host of a domain answers", []topology.Domain{"a", "b"}, append(silent("a", "b"), answer("a", NotDialed), answer("b", NotDialed)), "b", "a", long, 0, endPresumed},
+		{"leader in the same domain", []topology.Domain{"a", "b", "c"}, silent("b", "c"), "b", "b", long, 0, endPresumed},
+		{"one domain", []topology.Domain{"b"}, silent("b"), "b", "b", long, 0, endPresumed},
+		{"target's domain has no hosts", []topology.Domain{"a", "c"}, silent("a", "c"), "b", "a", long, 0, endPresumed},
 		{"alive in its own domain", []topology.Domain{"a", "b", "c"}, append(silent("a", "b", "c"), answer("b", TargetAlive)), "b", "a", long, 0, endRefuted},
 		{"alive in the leader's domain", []topology.Domain{"a", "b", "c"}, append(silent("a", "b", "c"), answer("a", TargetAlive)), "b", "a", long, 0, endRefuted},
 		{"alive in a third domain", []topology.Domain{"a", "b", "c"}, append(silent("a", "b"), answer("c", TargetAlive)), "b", "a", long, 0, endRefuted},
--- a/internal/promotion/group_sim_faults_test.go
+++ b/internal/promotion/group_sim_faults_test.go
@@ -22,15 +22,17 @@
 	emptyRestart
 	cutFromStore  // a target reaches the leader and the holder, but not the store
 	cutFromHolder // a target reaches the leader and the store, but not the holder
-	cutFromBoth   // a target reaches only the leader
+	cutFromBoth   // a target reaches the leader and the hosts that don't hold the duty
+	cutFromAll    // a target reaches only the leader
 	plannedLeave  // a new target joins, then an old one leaves and ends
 	holderChange  // the duty's holder stops, and another host takes the duty
 	lateRequest   // requests get no answer and arrive late
 	unseenJoin    // a new target joins, which neither the store nor the holder hears of until the end
+	votersEnd     // all voters end, and what they recorded is lost
 	faultKinds
 )
 
-var faultNames = [faultKinds]string{"primary crash", "starvation", "target crash", "empty restart", "cut from store", "cut from holder", "cut from both", "planned leave", "holder change", "late request", "unseen join"}
+var faultNames = [faultKinds]string{"primary crash", "starvation", "target crash", "empty restart", "cut from store", "cut from holder", "cut from both", "cut from all", "planned leave", "holder change", "late request", "unseen join", "voters end"}
 
 // fault is one fault of a plan.
 type fault struct {
@@ -116,6 +118,12 @@
 	case cutFromBoth:
 		reachStore, reachHolder := set(&t.cutFromStore), set(&t.cutFromHolder)
 		return func() { reachStore(); reachHolder() }
+	case cutFromAll:
+		reachStore, reachHolder, reachHosts := set(&t.cutFromStore), set(&t.cutFromHolder), set(&t.cutFromHosts)
+		return func() { reachStore(); reachHolder(); reachHosts() }
+	case votersEnd:
+		c.voters.end()
+		return func() {}
 	case plannedLeave:
 		return c.leave(t)
 	case unseenJoin:
--- a/internal/promotion/group_sim_host_test.go
+++ b/internal/promotion/group_sim_host_test.go
@@ -122,14 +122,14 @@
 	return values
 }
 
-// askHosts tells whether hosts other than the holder reach the target, which is cut off
-// from the holder only.
+// askHosts tells whether hosts other than the holder reach the target, which may be cut off
+// from the holder only, or from all hosts.
 func (c *cluster) askHosts(_ context.Context, target topology.Target) *EndEvidence {
 	asked := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	result := TargetAlive
-	if t := c.find(target.ID); !t.running {
+	if t := c.find(target.ID); !t.running || t.cutFromHosts {
 		result = TargetRefused
 	}
 	return &EndEvidence{AskedAt: asked, Domains: []topology.Domain{"d"}, Answers: []HostAnswer{{Host: "other", Domain: "d", Result: result}}}
--- /dev/null
+++ b/internal/promotion/group_sim_lost_voters_test.go
@@ -0,0 +1,95 @@
+package promotion
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"nettlewalk.example/nettlewalk/internal/steady/steadytest"
+)
+
+// runWithVoters runs one history of a group whose callers hear of what voters recorded.
+func runWithVoters(t *testing.T, plan []fault) (c *cluster, recovered bool) {
+	synctest.Test(t, func(t *testing.T) {
+		steadytest.FollowBubble(t)
+		c = newCluster()
+		c.checksHeard, c.voters = true, &clusterVoters{}
+		recovered = c.runPlan(plan)
+	})
+	return c, recovered
+}
+
+// replicaThatOnlyTheLeaderReaches is a history in which t1 receives alone, unseen by all hosts
+// and the store, what callers hear of, until the voters and the primary end.
+func replicaThatOnlyTheLeaderReaches(more ...fault) []fault {
+	return append([]fault{
+		{kind: cutFromAll, target: 1, at: 5 * time.Second, lasts: 25 * time.Second},
+		{kind: starvation, target: 1, at: 18 * time.Second, lasts: 20 * time.Second}, // t2
+		{kind: votersEnd, at: 19 * time.Second},
+		{kind: primaryCrash, at: 19 * time.Second, lasts: 16 * time.Second},
+	}, more...)
+}
+
+// Guards against this failure: a replica that only the leader reached was taken for ended, and
+// once the leader and the voters had ended another one was promoted without its commits.
+func TestReplicaThatOnlyTheLeaderReachesLosesNoCommitThatCallersHeardOf(t *testing.T) {
+	for name, plan := range map[string][]fault{
+		"one holder":           replicaThatOnlyTheLeaderReaches(),
+		"the holder changes":   replicaThatOnlyTheLeaderReaches(fault{kind: holderChange, at: 19 * time.Second, lasts: time.Second}),
+		"it changes before":    replicaThatOnlyTheLeaderReaches(fault{kind: holderChange, at: 9 * time.Second, lasts: time.Second}),
+		"a target joins":       replicaThatOnlyTheLeaderReaches(fault{kind: plannedLeave, at: 10 * time.Second, lasts: 20 * time.Second}),
+		"the leader is silent": {{kind: cutFromAll, target: 1, at: 5 * time.Second, lasts: 25 * time.Second}, {kind: starvation, target: 1, at: 18 * time.Second, lasts: 20 * time.Second}, {kind: votersEnd, at: 19 * time.Second}, {kind: primaryCrash, silent: true, at: 19 * time.Second, lasts: 16 * time.Second}},
+	} {
+		sortPlan(plan)
+		c, recovered := runWithVoters(t, plan)
+		if c.lost != "" || !recovered {
+			t.Errorf("%s: %s; a leader in the end: %v\n%s", name, c.lost, recovered, strings.Join(c.trace, "\n"))
+		}
+	}
+}
+
+// A replica that is gone for good, without a word, doesn't keep a leader that leaves from being
+// replaced, whether or not the voters remember: the leader tells what it has.
+func TestReplicaThatIsGoneDoesNotBlockPlannedChange(t *testing.T) {
+	for name, plan := range map[string][]fault{
+		"voters answer": {{kind: targetCrash, target: 1, at: 5 * time.Second, lasts: 200 * time.Second}},
+		"voters end":    {{kind: targetCrash, target: 1, at: 5 * time.Second, lasts: 200 * time.Second}, {kind: votersEnd, at: 12 * time.Second}},
+	} {
+		plan = append(plan, fault{kind: plannedLeave, at: 12 * time.Second, lasts: 10 * time.Second}) // the leader
+		c, recovered := runWithVoters(t, plan)
+		if c.lost != "" || !recovered || c.promotions == 0 {
+			t.Errorf("%s: %s; %d promotions; a leader in the end: %v\n%s", name, c.lost, c.promotions, recovered, strings.Join(c.trace, "\n"))
+		}
+	}
+}
+
+// Voters end at any moment before the leader, beside cuts, restarts, departures and changes of the
+// holder, while a replica is out of sight and another one receives nothing.
+func TestLostVotersLoseNoCommitThatCallersHeardOf(t *testing.T) {
+	fixSeed(t)
+	histories, promotions, recovered, heard := 0, 0, 0, 0
+	rapid.Check(t, func(rt *rapid.T) {
+		crash := drawTime(rt, "leader ends", 13*time.Second, lastFault)
+		plan := append(drawPlan(rt, []faultKind{cutFromAll, cutFromBoth, cutFromHolder, targetCrash, plannedLeave, holderChange, lateRequest, votersEnd}),
+			fault{kind: cutFromAll, target: 1, at: firstFault, lasts: drawTime(rt, "cut lasts", 5*time.Second, 30*time.Second)},
+			fault{kind: starvation, target: 1, at: crash - drawTime(rt, "starved before", 0, 2*time.Second), lasts: drawTime(rt, "starved for", 2*time.Second, 10*time.Second)},
+			fault{kind: votersEnd, at: crash - drawTime(rt, "voters end before", 0, 2*time.Second)},
+			fault{kind: primaryCrash, at: crash, lasts: drawTime(rt, "crash lasts", 2*time.Second, 10*time.Second), silent: rapid.Bool().Draw(rt, "silent")},
+		)
+		sortPlan(plan)
+		histories++
+		c, leads := runWithVoters(t, plan)
+		promotions, heard = promotions+c.promotions, heard+len(c.heard)
+		if leads {
+			recovered++
+		}
+		if c.lost != "" {
+			rt.Logf("%s", strings.Join(c.trace, "\n"))
+			rt.Fatalf("%s", c.lost)
+		}
+	})
+	t.Logf("%d histories, %d promotions, a leader in the end of %d, %d commits heard of", histories, promotions, recovered, heard)
+}
--- a/internal/promotion/group_sim_test.go
+++ b/internal/promotion/group_sim_test.go
@@ -35,6 +35,7 @@
 	instance int64 // counts its logs: changes when it starts with an empty one
 
 	starved, cutFromStore, cutFromHolder bool
+	cutFromHosts                         bool      // from the hosts that don't hold the duty
 	reportedAt                           time.Time // last report that the store received
 	lag                                  int       // receives in every lag-th tick
 }
--- a/internal/promotion/group_sim_voters_test.go
+++ b/internal/promotion/group_sim_voters_test.go
@@ -2,14 +2,16 @@
 
 import (
 	"context"
+	"time"
 
 	"nettlewalk.example/nettlewalk/internal/confirm"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
-// clusterVoters stands for the voters of a group, which always answer. It is guarded by
+// clusterVoters stands for the voters of a group, which answer until they end. It is guarded by
 // cluster.mu.
 type clusterVoters struct {
+	ended      time.Time         // zero until they have
 	newest     topology.Position // recorded
 	term       uint64            // lowest whose commits are recorded
 	sealed     bool
@@ -21,13 +23,16 @@
 
 // record records the position of a commit in a leader's term, unless that may be over.
 func (v *clusterVoters) record(term uint64, position topology.Position) bool {
-	if v.sealed || term < v.term {
+	if v.sealed || !v.ended.IsZero() || term < v.term {
 		return false
 	}
 	v.newest = topology.Later(v.newest, position)
 	return true
 }
 
+// end ends all voters, and with them what they have recorded and heard of requests.
+func (v *clusterVoters) end() { *v = clusterVoters{ended: time.Now(), sealed: true, term: v.term} }
+
 // hostCommits implements Commits for a holder of the duty.
 type hostCommits struct {
 	host   *clusterHost
@@ -49,6 +54,9 @@
 	}
 	v := h.voters
 	v.sealed, v.sealedTerm = true, max(v.sealedTerm, term)
+	if !v.ended.IsZero() {
+		return confirm.Sealing{Closed: true, ClosedAt: v.ended}
+	}
 	return confirm.Sealing{Closed: true, Known: true, Floor: v.newest}
 }
 
@@ -73,8 +81,14 @@
 	inherited := v.orderedBy != nil && v.orderedBy != h.host
 	hadEffect := !v.several && leader.Target == v.ordered && leader.Term > v.sealedTerm
 	mayOpen := leader.Settled || leader.NotOrdered && (!inherited || hadEffect)
+	if !v.ended.IsZero() { // new ones begin with a position that the leader had since
+		mayOpen = leader.Settled && leader.SentAt.After(v.ended)
+	}
 	if !held || leader.Term == 0 || !v.sealed || !mayOpen {
-		return held && leader.Term > 0 && v.sealed && inherited
+		return held && leader.Term > 0 && v.sealed && (inherited || !v.ended.IsZero())
+	}
+	if !v.ended.IsZero() {
+		v.ended, v.newest = time.Time{}, leader.Position
 	}
 	v.sealed, v.term, v.orderedBy, v.several = false, leader.Term, nil, false
 	h.host.cluster.tracef("voters are opened for term %d", leader.Term)
--- a/internal/promotion/log.go
+++ b/internal/promotion/log.go
@@ -27,7 +27,8 @@
 	MayResume      bool              `json:"may_resume,omitempty"`
 	LogSince       string            `json:"log_since,omitempty"`
 	UnregisteredMS int64             `json:"unregistered_ms,omitempty"` // since it left the register
-	EndedMS        int64             `json:"ended_ms,omitempty"`        // since it was first taken for ended
+	PresumedMS     int64             `json:"presumed_ms,omitempty"`     // since it was found that no host reaches it
+	EndedMS        int64             `json:"ended_ms,omitempty"`        // since it was first proved to have ended
 }
 
 // memberLogs describes the members of a view.
@@ -44,9 +45,7 @@
 		}
 		if pr := w.probers[m.ID]; pr != nil {
 			l.UnregisteredMS = pr.unregisteredFor.Milliseconds()
-			if !pr.endedSince.IsZero() {
-				l.EndedMS = now.Sub(pr.endedSince).Milliseconds()
-			}
+			l.PresumedMS, l.EndedMS = sinceMS(pr.presumedSince, now), sinceMS(pr.endedSince, now)
 		}
 		list = append(list, l)
 	}
@@ -61,10 +60,11 @@
 	}
 	switch s := step.(type) {
 	case Wait:
-		w.logWait(s.Reason, values)
+		w.logWait(s.Reason, append(values, "waits_for", s.For, "voters_ended", view.Sealing.Ended))
 	case Seal:
 		if len(view.Sealing.Unanswered) > 0 {
-			w.logWait("voters that do not answer may still confirm commits", append(values, "unanswered", view.Sealing.Unanswered))
+			const reason = "voters that do not answer may still confirm commits"
+			w.logWait(reason, append(values, "unanswered", view.Sealing.Unanswered))
 		}
 	case Pause:
 		w.opts.Log.Info("pausing replicas", append(values, "term", s.Term, "targets", s.Targets)...)
--- /dev/null
+++ b/internal/promotion/lostvoters_test.go
@@ -0,0 +1,74 @@
+package promotion
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"nettlewalk.example/nettlewalk/internal/confirm"
+	"nettlewalk.example/nettlewalk/internal/steady"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// unknownFloor is a view of a group whose leader is gone and whose voters can't tell what callers
+// heard of. "a" is paused and has the most; the other member is given.
+func unknownFloor(other Member) View {
+	return View{
+		AckReplicas: 1, Leader: "p", Replace: true, Confirmed: true, MaySeal: true,
+		Sealing: confirm.Sealing{Closed: true}, Members: []Member{replica("a", pos(1, 7), 2), other},
+	}
+}
+
+// Guards against this failure: targets that no host reached were left out of a promotion whose
+// voters couldn't tell what callers had heard of.
+func TestSilentTargetBlocksPromotionUnlessItsEndIsProved(t *testing.T) {
+	for name, test := range map[string]struct {
+		other    Member
+		promotes bool
+	}{
+		"answers":                 {replica("b", pos(1, 5), 2), true},
+		"silent":                  {Member{ID: "b", Reach: Unresponsive}, false},
+		"refuses":                 {Member{ID: "b", Reach: Dead}, false},
+		"ended, log bounded":      {Member{ID: "b", Reach: Dead, LogSince: pos(1, 7)}, true},
+		"ended, log longer":       {Member{ID: "b", Reach: Dead, LogSince: pos(1, 8)}, false},
+		"another has its address": {Member{ID: "b", Reach: Reassigned}, true},
+		"ended and covered":       {Member{ID: "b", Reach: Unresponsive, Covered: true}, true},
+		"covered, but it answers": {Member{ID: "b", Reach: UnregisteredTarget, Covered: true}, false},
+		"restarted, no log bound": {Member{ID: "b", Reach: Answered, LostLog: true, Status: replica("b", pos(1, 5), 2).Status}, false},
+		"restarted, log bounded":  {Member{ID: "b", Reach: Answered, LostLog: true, LostLogEnd: pos(1, 7), Status: replica("b", pos(1, 5), 2).Status}, true},
+	} {
+		step := NextStep(unknownFloor(test.other))
+		wait, waits := step.(Wait)
+		qt.Check(t, waits, qt.Equals, !test.promotes, qt.Commentf("%s: %#v", name, step))
+		if waits {
+			qt.Check(t, wait.For, qt.DeepEquals, []topology.TargetID{"b"}, qt.Commentf(name))
+		}
+	}
+}
+
+// A leader that serves tells what callers may have heard of, if it is asked after the voters were
+// closed: whatever other targets have, and whether or not they answer.
+func TestLeaderThatServesTellsWhatCallersMayHaveHeard(t *testing.T) {
+	v := unknownFloor(Member{ID: "b", Reach: Unresponsive})
+	v.LeaderServes = true
+	_, waits := NextStep(v).(Wait)
+	qt.Check(t, waits, qt.IsTrue, qt.Commentf("it wasn't asked since"))
+	v.Covering = pos(1, 8)
+	_, waits = NextStep(v).(Wait)
+	qt.Check(t, waits, qt.IsTrue, qt.Commentf("the candidate lacks what it has"))
+	v.Covering = pos(1, 7)
+	qt.Check(t, NextStep(v), qt.DeepEquals, Step(Promote{Target: "a"}))
+
+	w := NewWatcher(Options{Group: "g", Duty: permanentDuty{}, Log: logr.Discard()})
+	closedAt := steady.Now()
+	w.leaderProvedAt, w.leaderPosition = closedAt.Add(-1), pos(1, 9)
+	qt.Check(t, w.coveringPosition(true, closedAt).IsZero(), qt.IsTrue, qt.Commentf("from before"))
+	w.leaderProvedAt = closedAt.Add(1)
+	qt.Check(t, w.coveringPosition(false, closedAt).IsZero(), qt.IsTrue, qt.Commentf("it doesn't lead"))
+	qt.Check(t, w.coveringPosition(true, closedAt), qt.Equals, pos(1, 9))
+	w.leaderPosition = pos(1, 12)
+	qt.Check(t, w.coveringPosition(true, closedAt), qt.Equals, pos(1, 9), qt.Commentf("the candidate has to reach the first one"))
+	qt.Check(t, w.coveringPosition(false, closedAt.Add(time.Second)).IsZero(), qt.IsTrue, qt.Commentf("voters of a later seal"))
+}
--- a/internal/promotion/next.go
+++ b/internal/promotion/next.go
@@ -28,11 +28,17 @@
 	if step, decided := v.nextConfirmed(candidate); decided {
 		return step
 	}
+	return v.nextByLogs(candidate)
+}
+
+// nextByLogs decides the next step from what the targets' logs tell. The candidate has every
+// acknowledged commit if it has what all targets have that may hold one.
+func (v *View) nextByLogs(candidate Member) Step {
 	others := v.otherReplicas(candidate.ID)
-	if n := countUncertain(others, candidate) + countLostLogs(v.Members, candidate); n >= max(v.AckReplicas, 1) {
-		return Wait{Reason: fmt.Sprintf("%d replicas can't be paused and may have received more commits", n)}
+	if uncertain := v.uncertain(candidate); len(uncertain) >= max(v.AckReplicas, 1) {
+		return Wait{Reason: fmt.Sprintf("%d replicas can't be paused and may have received more commits", len(uncertain)), For: uncertain}
 	}
-	if pause := replicasToPause(v, others); len(pause.Targets) > 0 {
+	if pause := replicasToPause(*v, others); len(pause.Targets) > 0 {
 		return pause
 	}
 	for _, m := range others {
@@ -48,7 +54,8 @@
 
 // nextConfirmed decides the next step where callers hear of confirmed commits only. Once
 // the voters are sealed, the candidate needs what they have recorded, whatever other
-// replicas have. decided is false if too many voters have ended to tell what that is.
+// replicas have. If too many voters have ended to tell what that is, a target that has been
+// proved to lead since does. decided is false if there is none: then only the targets' logs can.
 func (v *View) nextConfirmed(candidate Member) (step Step, decided bool) {
 	switch {
 	case !v.Confirmed:
@@ -61,10 +68,12 @@
 		return Seal{Term: v.logTerm()}, true
 	case !candidate.Status.Received.AtLeast(v.Sealing.Floor):
 		return v.catchUp(candidate, "the candidate lacks commits that callers have heard of"), true
-	case !v.Sealing.Known:
-		return nil, false
+	case v.Sealing.Known || !v.Covering.IsZero() && candidate.Status.Received.AtLeast(v.Covering):
+		return Promote{Target: candidate.ID}, true
+	case v.LeaderServes && v.Covering.IsZero():
+		return Wait{Reason: "the leader has not told its position since the voters were sealed"}, true
 	}
-	return Promote{Target: candidate.ID}, true
+	return nil, false
 }
 
 // catchUp returns the step for a candidate that lacks commits. It may be paused by an
@@ -201,31 +210,32 @@
 	return term
 }
 
-// countLostLogs counts the restarted targets whose former logs may have held a commit that
-// the candidate lacks.
-func countLostLogs(members []Member, candidate Member) int {
-	n := 0
-	for _, m := range members {
+// uncertain returns the replicas that may have received, or lost, a commit that the candidate
+// lacks. A replica that was proved to have ended doesn't count if the candidate has reached a
+// position that the leader had after that. Silence proves nothing, whoever hears it: a replica
+// that no host reaches may receive from the leader.
+func (v *View) uncertain(candidate Member) (list []topology.TargetID) {
+	for _, m := range append(v.otherReplicas(candidate.ID), candidate) {
+		if m.mayHoldMore(candidate) {
+			list = append(list, m.ID)
+		}
+	}
+	for _, m := range v.Members {
 		if m.LostLog && (m.LostLogEnd.IsZero() || !candidate.Status.Received.AtLeast(m.LostLogEnd)) {
-			n++
+			list = append(list, m.ID)
 		}
 	}
-	return n
+	return list
 }
 
-// countUncertain counts the replicas that may have received a commit that the
-// candidate lacks. A dead replica doesn't count if the candidate has reached a
-// position that the leader had after the replica's death.
-func countUncertain(others []Member, candidate Member) int {
-	n := 0
-	for _, m := range others {
-		switch {
-		case m.Reach == Answered && !m.MayResume:
-		case m.Covered && (m.Reach == Dead || m.Reach == Unresponsive):
-		case m.Reach == Dead && !m.LogSince.IsZero() && candidate.Status.Received.AtLeast(m.LogSince):
-		default:
-			n++
-		}
+// mayHoldMore reports whether a target's log, or the one that it had before it started again,
+// may have a commit that the candidate lacks.
+func (m *Member) mayHoldMore(candidate Member) bool {
+	switch {
+	case m.Reach == Answered:
+		return m.MayResume && m.ID != candidate.ID
+	case m.Covered && (m.Reach == Dead || m.Reach == Unresponsive):
+		return false
 	}
-	return n
+	return m.Reach != Dead || m.LogSince.IsZero() || !candidate.Status.Received.AtLeast(m.LogSince)
 }
--- a/internal/promotion/probe.go
+++ b/internal/promotion/probe.go
@@ -1,9 +1,11 @@
 package promotion
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
 	"nettlewalk.example/nettlewalk/internal/group"
@@ -151,24 +153,27 @@
 			if reach == Answered {
 				pr.notePause(status.PausedTerm, now)
 			}
-			m := Member{ID: id, Leaving: pr.target.Leaving, Reach: reach, Status: status, LogSince: pr.logUpperBound, MayResume: now.Before(pr.resumePendingUntil),
-				Covered: w.isCovered(id), MayBeNeeded: pr.pausedByOther() && now.Sub(pr.pauseSeenAt) < unresolvedWindow,
-				LostLog: !pr.lostLogSince.IsZero(), LostLogEnd: pr.lostLogBound}
+			m := w.member(id, pr, now)
+			m.Reach, m.Status = reach, status
 			mu.Lock()
 			defer mu.Unlock()
 			view.Members = append(view.Members, m)
 		})
 	}
 	wg.Wait()
-	slices.SortFunc(view.Members, func(a, b Member) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(view.Members, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
 	return view
 }
 
+// member returns what is known of a target without a probe.
+func (w *Watcher) member(id topology.TargetID, pr *prober, now time.Time) Member {
+	return Member{
+		ID: id, Leaving: pr.target.Leaving, LogSince: pr.logUpperBound, MayResume: now.Before(pr.resumePendingUntil),
+		Covered: w.isCovered(id), MayBeNeeded: pr.pausedByOther() && now.Sub(pr.pauseSeenAt) < unresolvedWindow,
+		LostLog: !pr.lostLogSince.IsZero(), LostLogEnd: pr.lostLogBound,
+	}
+}
+
 func (w *Watcher) ackReplicas() int {
 	if c := w.opts.Catalog.Configuration(); c != nil {
 		return c.Groups[w.opts.Group].AckReplicas
--- a/internal/promotion/prober.go
+++ b/internal/promotion/prober.go
@@ -21,7 +21,7 @@
 	// target is detected fast.
 	probeDialTimeout = 200 * time.Millisecond
 	// unregisteredDeadAfter is how long a target must have been missing from
-	// the registry before it may count as dead if it doesn't respond to any
+	// the registry before it is presumed to have ended if it doesn't respond to any
 	// host (see judgeEnd). A live target that reaches the store is registered
 	// again within two seconds.
 	// The registry drops a target after three missed reports. Together with
@@ -45,7 +45,8 @@
 	conn   statement.Conn
 
 	endCheck           endCheck
-	endedSince         time.Time                  // when the target was first known to have ended, zero while it may be alive
+	presumedSince      time.Time                  // when it was found that no host reaches the target, zero while one does; proves nothing
+	endedSince         time.Time                  // when the target was first proved to have ended, zero while it may be alive
 	logUpperBound      topology.Position          // a position of the leader after endedSince, see Member.LogSince
 	resumePendingUntil time.Time                  // an unanswered resume command may be carried out until then
 	handshakes         statement.HandshakeMonitor // dials that were accepted without a protocol response
@@ -111,7 +112,7 @@
 	return Overloaded, false
 }
 
-// silentReach returns the result for a target that doesn't respond.
+// silentReach returns the result for an unregistered target that doesn't respond.
 func (p *prober) silentReach() Reach {
 	if p.endedSince.IsZero() {
 		return Unresponsive
@@ -119,8 +120,8 @@
 	return Dead
 }
 
-// checkEnd records whether a target that couldn't be dialed is known to have ended. If it
-// only seems so, checkEnd makes other hosts dial it; takeUpEvidence has the result.
+// checkEnd records whether a target that couldn't be dialed has certainly ended. If it
+// only seems so, checkEnd makes other hosts dial it, for operators; takeUpEvidence has the result.
 func (p *prober) checkEnd(ctx context.Context, dialErr *statement.DialError, now time.Time) {
 	outcome := dialErr.Outcome
 	switch {
@@ -130,7 +131,7 @@
 		p.recordEnd(true, now)
 	case !seemsEnded(outcome, p.unregisteredFor):
 		p.recordEnd(false, now)
-	case p.endedSince.IsZero():
+	case p.presumedSince.IsZero():
 		p.endCheck.start(context.WithoutCancel(ctx), p.target, now)
 	}
 }
@@ -145,8 +146,8 @@
 }
 
 // seemsEnded reports whether a target that couldn't be dialed may have ended. One that is
-// cut off from this host and from the store seems so, too, but may go on to receive
-// commits: see judgeEnd.
+// cut off from the hosts and from the store seems so, too, but may go on to receive
+// commits.
 func seemsEnded(outcome statement.DialOutcome, unregisteredFor time.Duration) bool {
 	return (outcome == statement.DialRefused || outcome == statement.DialTimedOut) && unregisteredFor > unregisteredDeadAfter
 }
@@ -206,11 +207,11 @@
 // clearEnd discards the conclusion that the target has ended, and the question whether
 // it has.
 func (p *prober) clearEnd() {
-	p.endedSince, p.logUpperBound = time.Time{}, topology.Position{}
+	p.presumedSince, p.endedSince, p.logUpperBound = time.Time{}, time.Time{}, topology.Position{}
 	p.endCheck.discard()
 }
 
-// recordEnd records when the target was first known to have ended, or clears that
+// recordEnd records when the target was first proved to have ended, or clears that
 // time if it may be alive.
 func (p *prober) recordEnd(ended bool, now time.Time) {
 	switch {
--- a/internal/promotion/prober_test.go
+++ b/internal/promotion/prober_test.go
@@ -43,30 +43,35 @@
 // Guards against this failure: a leaving replica refused connections for three
 // seconds, but acknowledged commits until the registry dropped it. A network
 // partition may refuse connections, too. A position that the leader reports after
-// such a refusal is therefore not an upper bound of the replica's log.
+// such a refusal is therefore not an upper bound of the replica's log. Nor does it prove anything
+// that no host reaches the target: it is presumed to have ended, and counts.
 func TestConnectionRefusalAloneIsNoDeath(t *testing.T) {
 	for _, test := range []struct {
 		name            string
 		outcome         statement.DialOutcome
 		leaving         bool
 		unregisteredFor time.Duration
-		ended           bool
+		presumed        bool
+		proved          bool
 	}{
-		{"refused while registered", statement.DialRefused, false, 0, false},
-		{"refused while leaving", statement.DialRefused, true, 0, false},
-		{"refused after it left", statement.DialRefused, true, time.Millisecond, true},
-		{"refused and recently unregistered", statement.DialRefused, false, unregisteredDeadAfter, false},
-		{"refused and unregistered for long", statement.DialRefused, false, unregisteredDeadAfter + 1, true},
-		{"unresponsive after it left", statement.DialTimedOut, true, time.Millisecond, false},
-		{"unresponsive while leaving", statement.DialTimedOut, true, unregisteredDeadAfter, false},
-		{"unresponsive and unregistered for long", statement.DialTimedOut, false, unregisteredDeadAfter + 1, true},
-		{"accepted without an answer and unregistered for long", statement.DialNoHandshake, false, unregisteredDeadAfter + 1, false},
+		{"refused while registered", statement.DialRefused, false, 0, false, false},
+		{"refused while leaving", statement.DialRefused, true, 0, false, false},
+		{"refused after it left", statement.DialRefused, true, time.Millisecond, false, true},
+		{"refused and recently unregistered", statement.DialRefused, false, unregisteredDeadAfter, false, false},
+		{"refused and unregistered for long", statement.DialRefused, false, unregisteredDeadAfter + 1, true, false},
+		{"unresponsive after it left", statement.DialTimedOut, true, time.Millisecond, false, false},
+		{"unresponsive while leaving", statement.DialTimedOut, true, unregisteredDeadAfter, false, false},
+		{"unresponsive and unregistered for long", statement.DialTimedOut, false, unregisteredDeadAfter + 1, true, false},
+		{"accepted without an answer and unregistered for long", statement.DialNoHandshake, false, unregisteredDeadAfter + 1, false, false},
 	} {
 		dialer := &failingDialer{statement.DialError{Outcome: test.outcome, Cause: context.DeadlineExceeded}}
 		pr := &prober{dialer: dialer, target: topology.Target{ID: "r", Leaving: test.leaving}, unregisteredFor: test.unregisteredFor}
 		reach := probeWithEvidence(pr, unreachedByAll)
 		qt.Check(t, reach, qt.Not(qt.Equals), Answered, qt.Commentf(test.name))
-		qt.Check(t, !pr.endedSince.IsZero(), qt.Equals, test.ended, qt.Commentf(test.name))
+		qt.Check(t, !pr.presumedSince.IsZero(), qt.Equals, test.presumed, qt.Commentf(test.name))
+		qt.Check(t, !pr.endedSince.IsZero(), qt.Equals, test.proved, qt.Commentf(test.name))
+		pr.notePosition(pos(1, 9), steady.Now())
+		qt.Check(t, !pr.logUpperBound.IsZero(), qt.Equals, test.proved, qt.Commentf(test.name))
 	}
 }
 
@@ -79,9 +84,10 @@
 		pr := &prober{dialer: dialer, target: topology.Target{ID: "r"}}
 		pr.updateRegistration(unregisteredDeadAfter+1, ownAddress)
 		probeWithEvidence(pr, unreachedByAll)
-		qt.Assert(t, pr.endedSince.IsZero(), qt.IsFalse)
-		pr.logUpperBound = pos(1, 5)
+		qt.Assert(t, pr.presumedSince.IsZero(), qt.IsFalse)
+		pr.endedSince, pr.logUpperBound = steady.Now(), pos(1, 5)
 		pr.updateRegistration(0, ownAddress)
+		qt.Check(t, pr.presumedSince.IsZero(), qt.IsTrue)
 		qt.Check(t, pr.endedSince.IsZero(), qt.IsTrue)
 		qt.Check(t, pr.logUpperBound.IsZero(), qt.IsTrue)
 		_, reach := pr.command(context.Background(), statement.Status, 0)
@@ -114,7 +120,7 @@
 			dialer := &failingDialer{statement.DialError{Outcome: outcome, Cause: context.DeadlineExceeded}}
 			pr := &prober{dialer: dialer, target: topology.Target{ID: "r"}, unregisteredFor: unregisteredDeadAfter + 1}
 			probeWithEvidence(pr, ask)
-			qt.Check(t, pr.endedSince.IsZero(), qt.IsTrue, qt.Commentf("%s, %s", outcome, name))
+			qt.Check(t, pr.presumedSince.IsZero() && pr.endedSince.IsZero(), qt.IsTrue, qt.Commentf("%s, %s", outcome, name))
 		}
 	}
 }
@@ -140,21 +146,23 @@
 		}
 		happens(pr)
 		pr.takeUpEvidence(steady.Now(), "g", logr.Discard())
-		qt.Check(t, pr.endedSince.IsZero(), qt.IsTrue, qt.Commentf(name))
+		qt.Check(t, pr.presumedSince.IsZero() && pr.endedSince.IsZero(), qt.IsTrue, qt.Commentf(name))
 	}
 }
 
 // An unregistered target that doesn't respond isn't dialed in each step of a promotion attempt,
-// whether or not it is known to have ended: each dial takes until its timeout.
+// whether or not it is proved to have ended: each dial takes until its timeout.
 func TestUnregisteredSilentTargetIsDialedSeldom(t *testing.T) {
 	for _, test := range []struct {
-		ask  AskHosts
-		want Reach
-	}{{nil, Unresponsive}, {unreachedByAll, Dead}} {
+		ask    AskHosts
+		proved bool
+		want   Reach
+	}{{nil, false, Unresponsive}, {unreachedByAll, false, Unresponsive}, {unreachedByAll, true, Dead}} {
 		dialer := &failingDialer{statement.DialError{Outcome: statement.DialTimedOut, Cause: context.DeadlineExceeded}}
 		pr := &prober{dialer: dialer, target: topology.Target{ID: "r"}, unregisteredFor: unregisteredDeadAfter + 1}
 		before := steady.Now()
 		probeWithEvidence(pr, test.ask)
+		pr.recordEnd(test.proved, steady.Now())
 		qt.Check(t, pr.redialAt.Sub(before) >= deadRecheckInterval, qt.IsTrue)
 		pr.dialer = nil // a dial would panic
 		_, reach := pr.command(context.Background(), statement.Status, 0)
@@ -164,8 +172,7 @@
 	}
 }
 
-// The end counts from the time when all answers are in: a position of the leader from before may
-// lack commits that the target received before it was dialed.
+// The presumed end counts from the time when all answers are in, and is no bound of the log.
 func TestEndCountsFromTheAnswers(t *testing.T) {
 	dialer := &failingDialer{statement.DialError{Outcome: statement.DialRefused, Cause: context.DeadlineExceeded}}
 	pr := &prober{dialer: dialer, target: topology.Target{ID: "r"}, unregisteredFor: unregisteredDeadAfter + 1}
@@ -176,10 +183,12 @@
 		answeredAt = steady.Now()
 		return e
 	})
-	qt.Check(t, pr.endedSince.After(answeredAt), qt.IsTrue)
-	since := pr.endedSince
+	qt.Check(t, pr.presumedSince.After(answeredAt), qt.IsTrue)
+	since := pr.presumedSince
 	probeWithEvidence(pr, unreachedByAll)
-	qt.Check(t, pr.endedSince, qt.Equals, since)
+	qt.Check(t, pr.presumedSince, qt.Equals, since)
+	pr.notePosition(pos(1, 9), steady.Now())
+	qt.Check(t, pr.logUpperBound.IsZero(), qt.IsTrue)
 }
 
 // Guards against this failure: a target that was registered and went missing again between two looks
@@ -190,9 +199,11 @@
 	pr := &prober{dialer: dialer, target: topology.Target{ID: "r"}}
 	pr.updateRegistration(2*unregisteredDeadAfter, ownAddress)
 	probeWithEvidence(pr, unreachedByAll)
+	pr.recordEnd(true, steady.Now())
 	pr.updateRegistration(2*unregisteredDeadAfter+1, ownAddress)
-	qt.Assert(t, pr.endedSince.IsZero(), qt.IsFalse)
+	qt.Assert(t, pr.presumedSince.IsZero() || pr.endedSince.IsZero(), qt.IsFalse)
 	pr.updateRegistration(time.Millisecond, ownAddress)
+	qt.Check(t, pr.presumedSince.IsZero(), qt.IsTrue)
 	qt.Check(t, pr.endedSince.IsZero(), qt.IsTrue)
 	qt.Check(t, pr.redialAt.IsZero(), qt.IsTrue)
 }
--- a/internal/promotion/types.go
+++ b/internal/promotion/types.go
@@ -50,7 +50,7 @@
 const (
 	NotProbed          Reach = iota // not probed yet
 	Answered                        // Member.Status is from this probe
-	Dead                            // connection refused, or known to have ended; certain only if Member.LogSince is set
+	Dead                            // connection refused, or proved to have ended; certain only if Member.LogSince is set
 	Unresponsive                    // no answer; the target may still serve other hosts
 	Overloaded                      // alive, but without a free connection or work slot
 	Reassigned                      // another registered target of the group answers at its address and has its log
@@ -64,7 +64,7 @@
 	Reach   Reach
 	Status  statement.TargetStatus // valid if Reach is Answered
 	// LogSince is an upper bound of this target's log: a position that the
-	// leader had after this target was found dead. It is zero if no bound is
+	// leader had after this target was proved to have ended. It is zero if no bound is
 	// known.
 	LogSince topology.Position
 	// MayResume reports that a resume command got no answer and may still end
@@ -105,6 +105,9 @@
 	Confirmed bool
 	MaySeal   bool
 	Sealing   confirm.Sealing
+	// Covering is a position that a target which leads had after the voters were closed: it
+	// is at or after every position that was passed on. Zero if none is known.
+	Covering topology.Position
 }
 
 // Step is an action that NextStep decides on.
@@ -132,7 +135,12 @@
 		Targets []topology.TargetID
 	}
 	// Wait probes again soon, since no step is safe now.
-	Wait struct{ Reason string }
+	Wait struct {
+		Reason string
+		// For lists the targets of which one has to answer, to register or to be proved to
+		// have ended, or the leader has to return. Empty if the reason isn't theirs.
+		For []topology.TargetID
+	}
 )
 
 func (NoAction) step() {}
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -118,8 +118,8 @@
 	DutyAnnounced bool
 	// Hosts returns the number of live hosts, including this host.
 	Hosts func() int
-	// AskHosts asks other hosts whether they reach a target. If it is nil, no target
-	// counts as ended because it doesn't respond.
+	// AskHosts asks other hosts whether they reach a target, for operators. If it is nil, no
+	// target is presumed to have ended.
 	AskHosts AskHosts
 	Log      logr.Logger
 }
@@ -261,7 +261,7 @@
 	return w.attempt(ctx, serves)
 }
 
-// redialEnded makes the next probes dial the targets that are taken for ended and weren't
+// redialEnded makes the next probes dial the targets that seemed to have ended and weren't
 // dialed just now. It reports whether there are any. One that has returned while the
 // register wasn't heard of receives commits again.
 func (w *Watcher) redialEnded() bool {
--- /dev/null
+++ b/test/line/lostvoters_test.go
@@ -0,0 +1,45 @@
+package line
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against this failure: a replica that only the primary reached was taken for ended, and
+// once the primary and the voters had ended another one was promoted without its commits.
+func TestLineReplicaThatOnlyThePrimaryReachesLosesNoCommit(t *testing.T) {
+	b := newSettledBed(t, Options{Relays: true, SpreadTargets: true})
+	primary, hidden, deaf := b.Members[0], b.Members[1], b.Members[2]
+	hidden.relay.close()
+	b.Unregister(hidden)
+	b.Eventually("no host reaches the replica", func() bool {
+		return b.metric(`nettlewalk_target_end_checks_total{outcome="ended"}`) > 0
+	})
+	<-time.After(3 * time.Second) // the primary tells its position again, and the store has the list of members
+	deaf.Server.SetLag(receivesNothing, 0)
+	w, stop := &writer{}, &atomic.Bool{}
+	var wg sync.WaitGroup
+	for i := range b.Hosts {
+		wg.Go(func() { w.run(b, i, stop) })
+	}
+	b.Eventually("writes are acknowledged that only the hidden replica has", func() bool { return w.count() > 50 })
+	b.killAll(t)
+	primary.relay.close()
+	stop.Store(true)
+	wg.Wait()
+	b.startAll()
+	checkNotPromoted(t, b, string(deaf.ID), 3*time.Second)
+	qt.Assert(t, hidden.relay.open(), qt.IsNil)
+	b.Register(hidden, "ready")
+	returned := time.Now()
+	b.Eventually("the hidden replica is promoted", func() bool { return len(b.Promotions()) > 0 })
+	t.Logf("%d writes acknowledged; promoted %s after the replica's return", w.count(), time.Since(returned).Round(10*time.Millisecond))
+	qt.Check(t, b.Promotions()[0], qt.Equals, string(hidden.ID))
+	b.Eventually("group has a leader", func() bool { return b.Dial(0, "db2").Exec("x READ nothing") == "COMPLETE" })
+	w.checkAckedWrites(t, b)
+	checkNoRepeatedWrites(t, b)
+}
