Promotion: a replica that answers, but isn't registered, may have lost its log

Callers could lose commits if a replica crashed and started again empty while it was cut off from the store: its entry, which tells of the restart, was missing, and its answer was taken for that of the log that had acknowledged them. It matters if most voters ended with the primary.

Change: if the voters can't tell what callers heard of, such a replica counts as uncertain, the candidate included, until its entry is back. TestUnregisteredReplicaThatAnswersBlocksPromotion fails without the condition. TestReturnedTargetIsDialedBeforePromotion demanded the promotion of an unregistered replica; it demands now that no other one is promoted, and this one once it is registered.

--- a/internal/promotion/lostvoters_test.go
+++ b/internal/promotion/lostvoters_test.go
@@ -29,13 +29,13 @@
 		promotes bool
 	}{
 		"answers":                 {replica("b", pos(1, 5), 2), true},
-		"silent":                  {Member{ID: "b", Reach: Unresponsive}, false},
-		"refuses":                 {Member{ID: "b", Reach: Dead}, false},
-		"ended, log bounded":      {Member{ID: "b", Reach: Dead, LogSince: pos(1, 7)}, true},
-		"ended, log longer":       {Member{ID: "b", Reach: Dead, LogSince: pos(1, 8)}, false},
-		"another has its address": {Member{ID: "b", Reach: Reassigned}, true},
-		"ended and covered":       {Member{ID: "b", Reach: Unresponsive, Covered: true}, true},
-		"covered, but it answers": {Member{ID: "b", Reach: UnregisteredTarget, Covered: true}, false},
+		"silent":                  {Member{ID: "b", Reach: Unresponsive, Unregistered: true}, false},
+		"refuses":                 {Member{ID: "b", Reach: Dead, Unregistered: true}, false},
+		"ended, log bounded":      {Member{ID: "b", Reach: Dead, LogSince: pos(1, 7), Unregistered: true}, true},
+		"ended, log longer":       {Member{ID: "b", Reach: Dead, LogSince: pos(1, 8), Unregistered: true}, false},
+		"another has its address": {Member{ID: "b", Reach: Reassigned, Unregistered: true}, true},
+		"ended and covered":       {Member{ID: "b", Reach: Unresponsive, Covered: true, Unregistered: true}, true},
+		"covered, but it answers": {Member{ID: "b", Reach: UnregisteredTarget, Covered: true, Unregistered: true}, false},
 		"restarted, no log bound": {Member{ID: "b", Reach: Answered, LostLog: true, Status: replica("b", pos(1, 5), 2).Status}, false},
 		"restarted, log bounded":  {Member{ID: "b", Reach: Answered, LostLog: true, LostLogEnd: pos(1, 7), Status: replica("b", pos(1, 5), 2).Status}, true},
 	} {
@@ -48,10 +48,26 @@
 	}
 }
 
+// Guards against this failure: a replica that had started again without its log, cut off from the
+// store, was taken for the one that had acknowledged commits.
+func TestUnregisteredReplicaThatAnswersBlocksPromotion(t *testing.T) {
+	for _, unregistered := range []topology.TargetID{"a", "b"} { // the candidate, and another one
+		v := unknownFloor(replica("b", pos(1, 5), 2))
+		for i := range v.Members {
+			v.Members[i].Unregistered = v.Members[i].ID == unregistered
+		}
+		wait, waits := NextStep(v).(Wait)
+		qt.Assert(t, waits, qt.IsTrue, qt.Commentf("%s", unregistered))
+		qt.Check(t, wait.For, qt.DeepEquals, []topology.TargetID{unregistered})
+		v.Sealing.Known = true // then it doesn't matter
+		qt.Check(t, NextStep(v), qt.DeepEquals, Step(Promote{Target: "a"}))
+	}
+}
+
 // A leader that serves tells what callers may have heard of, if it is asked after the voters were
 // closed: whatever other targets have, and whether or not they answer.
 func TestLeaderThatServesTellsWhatCallersMayHaveHeard(t *testing.T) {
-	v := unknownFloor(Member{ID: "b", Reach: Unresponsive})
+	v := unknownFloor(Member{ID: "b", Reach: Unresponsive, Unregistered: true})
 	v.LeaderServes = true
 	_, waits := NextStep(v).(Wait)
 	qt.Check(t, waits, qt.IsTrue, qt.Commentf("it wasn't asked since"))
--- a/internal/promotion/members_test.go
+++ b/internal/promotion/members_test.go
@@ -109,7 +109,8 @@
 	qt.Check(t, waits, qt.IsTrue)
 }
 
-// A target that was taken for ended may have returned though the register doesn't tell yet.
+// A target that had ended may have returned though the register doesn't tell yet. It is promoted
+// once its entry tells that it hasn't lost its log meanwhile, and no other target is before.
 func TestReturnedTargetIsDialedBeforePromotion(t *testing.T) {
 	g := newTestGroup("p", "a", "b")
 	g.register("p", "a")
@@ -127,6 +128,11 @@
 	for range 5 {
 		w.tick(context.Background())
 	}
+	qt.Assert(t, g.requests(), qt.HasLen, 0)
+	g.register("p", "a", "b")
+	for range 5 {
+		w.tick(context.Background())
+	}
 	qt.Assert(t, len(g.requests()) > 0, qt.IsTrue)
 	qt.Check(t, g.requests()[0], qt.Equals, topology.TargetID("b"))
 }
--- a/internal/promotion/next.go
+++ b/internal/promotion/next.go
@@ -233,7 +233,7 @@
 func (m *Member) mayHoldMore(candidate Member) bool {
 	switch {
 	case m.Reach == Answered:
-		return m.MayResume && m.ID != candidate.ID
+		return m.Unregistered || m.MayResume && m.ID != candidate.ID
 	case m.Covered && (m.Reach == Dead || m.Reach == Unresponsive):
 		return false
 	}
--- a/internal/promotion/probe.go
+++ b/internal/promotion/probe.go
@@ -168,7 +168,7 @@
 // member returns what is known of a target without a probe.
 func (w *Watcher) member(id topology.TargetID, pr *prober, now time.Time) Member {
 	return Member{
-		ID: id, Leaving: pr.target.Leaving, LogSince: pr.logUpperBound, MayResume: now.Before(pr.resumePendingUntil),
+		ID: id, Leaving: pr.target.Leaving, Unregistered: pr.unregisteredFor > 0, LogSince: pr.logUpperBound, MayResume: now.Before(pr.resumePendingUntil),
 		Covered: w.isCovered(id), MayBeNeeded: pr.pausedByOther() && now.Sub(pr.pauseSeenAt) < unresolvedWindow,
 		LostLog: !pr.lostLogSince.IsZero(), LostLogEnd: pr.lostLogBound,
 	}
--- a/internal/promotion/types.go
+++ b/internal/promotion/types.go
@@ -63,6 +63,9 @@
 	Leaving bool
 	Reach   Reach
 	Status  statement.TargetStatus // valid if Reach is Answered
+	// Unregistered is set if the store doesn't list the target. One that answers all the same
+	// may have started again without the log that it had: only its entry would tell.
+	Unregistered bool
 	// LogSince is an upper bound of this target's log: a position that the
 	// leader had after this target was proved to have ended. It is zero if no bound is
 	// known.
