Promotion: without voters' memory, the store has to tell which targets are registered

A target that had registered while the store was silent to the holder was unknown to it: the read of the register before a promotion was given up after 150 ms, and the promotion went on without its answer. If the target had acknowledged commits alone, and most voters ended with the primary, they were lost.

Change: if the voters can't tell, the store must have answered a read that began after they were closed, unless a target that leads has told its position since. TestPromotionWaitsForTheRegisterIfVotersCannotTell fails without the condition.

--- a/internal/promotion/commits.go
+++ b/internal/promotion/commits.go
@@ -74,6 +74,7 @@
 	w.commits.known = v.Sealing.Known
 	if v.Sealing.Closed && !v.Sealing.Known {
 		v.Covering = w.coveringPosition(v.LeaderServes, v.Sealing.ClosedAt)
+		v.RegisterRead = w.readRegisterSince(ctx, v.Sealing.ClosedAt)
 	}
 }
 
@@ -90,6 +91,18 @@
 	return s.covering
 }
 
+// readRegisterSince reports whether the store was read for the group's targets after closedAt.
+// It reads it if that is due. A target that joined lately, or has started again, may be known
+// to the store only.
+func (w *Watcher) readRegisterSince(ctx context.Context, closedAt time.Time) bool {
+	if w.opts.ReadRegister == nil {
+		return true
+	}
+	w.registerReads.start(ctx, w.opts.ReadRegister, steady.Now())
+	w.registerReads.wait(ctx)
+	return w.registerReads.succeededSince(closedAt)
+}
+
 // openAfterPatience lets commits be confirmed if the leader serves and the promotion can't
 // go on. An earlier attempt, or another host, may have sealed the voters.
 func (w *Watcher) openAfterPatience(ctx context.Context, step Step, serves bool) {
--- a/internal/promotion/lostvoters_test.go
+++ b/internal/promotion/lostvoters_test.go
@@ -1,6 +1,8 @@
 package promotion
 
 import (
+	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -16,7 +18,7 @@
 // heard of. "a" is paused and has the most; the other member is given.
 func unknownFloor(other Member) View {
 	return View{
-		AckReplicas: 1, Leader: "p", Replace: true, Confirmed: true, MaySeal: true,
+		AckReplicas: 1, Leader: "p", Replace: true, Confirmed: true, MaySeal: true, RegisterRead: true,
 		Sealing: confirm.Sealing{Closed: true}, Members: []Member{replica("a", pos(1, 7), 2), other},
 	}
 }
@@ -64,6 +66,34 @@
 	}
 }
 
+// Guards against this failure: a target that had registered while the store was silent to the
+// holder was unknown to it.
+func TestPromotionWaitsForTheRegisterIfVotersCannotTell(t *testing.T) {
+	v := unknownFloor(replica("b", pos(1, 5), 2))
+	v.RegisterRead = false
+	_, waits := NextStep(v).(Wait)
+	qt.Check(t, waits, qt.IsTrue)
+	v.Covering = pos(1, 7)
+	qt.Check(t, NextStep(v), qt.DeepEquals, Step(Promote{Target: "a"}), qt.Commentf("the register doesn't matter"))
+	v.Covering, v.RegisterRead = topology.Position{}, true
+	qt.Check(t, NextStep(v), qt.DeepEquals, Step(Promote{Target: "a"}))
+
+	reads, err := registerReads{}, errors.New("silent")
+	closedAt := steady.Now()
+	read := func(context.Context) error { return err }
+	readAt := func(at time.Time) bool {
+		reads.start(context.Background(), read, at)
+		reads.wait(context.Background())
+		return reads.succeededSince(closedAt)
+	}
+	qt.Check(t, readAt(closedAt.Add(time.Millisecond)), qt.IsFalse)
+	err = nil
+	qt.Check(t, readAt(closedAt.Add(2*time.Millisecond)), qt.IsFalse, qt.Commentf("no read is due"))
+	qt.Check(t, readAt(closedAt.Add(2*registerReadInterval)), qt.IsTrue)
+	closedAt = closedAt.Add(time.Hour)
+	qt.Check(t, readAt(closedAt.Add(-time.Minute)), qt.IsFalse, qt.Commentf("the read began before the voters were closed"))
+}
+
 // A leader that serves tells what callers may have heard of, if it is asked after the voters were
 // closed: whatever other targets have, and whether or not they answer.
 func TestLeaderThatServesTellsWhatCallersMayHaveHeard(t *testing.T) {
--- a/internal/promotion/next.go
+++ b/internal/promotion/next.go
@@ -41,6 +41,9 @@
 	if pause := replicasToPause(*v, others); len(pause.Targets) > 0 {
 		return pause
 	}
+	if v.Confirmed && !v.RegisterRead {
+		return Wait{Reason: "the store does not tell which targets are registered"}
+	}
 	for _, m := range others {
 		if m.Reach == Answered && !candidate.Status.Received.AtLeast(m.Status.Received) {
 			return v.catchUp(candidate, "the candidate lacks commits that "+string(m.ID)+" has received")
--- a/internal/promotion/registerread.go
+++ b/internal/promotion/registerread.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 )
 
@@ -17,6 +18,8 @@
 type registerReads struct {
 	startedAt time.Time
 	done      chan struct{} // closed when the read has ended, nil before the first one
+	// succeededAt is the start of the newest read that the store answered.
+	succeededAt atomic.Pointer[time.Time]
 }
 
 // start begins a read unless the latest one is recent.
@@ -29,10 +32,18 @@
 		defer close(done)
 		ctx, cancel := context.WithTimeout(ctx, registerReadTimeout)
 		defer cancel()
-		_ = read(ctx) // logs its failures; other hosts tell of changes as well
+		if err := read(ctx); err == nil { // it logs its failures
+			r.succeededAt.Store(&now)
+		}
 	}(r.done)
 }
 
+// succeededSince reports whether the store has answered a read that began after t.
+func (r *registerReads) succeededSince(t time.Time) bool {
+	at := r.succeededAt.Load()
+	return at != nil && at.After(t)
+}
+
 // wait returns when the latest read has ended.
 func (r *registerReads) wait(ctx context.Context) {
 	if r.done == nil {
--- a/internal/promotion/types.go
+++ b/internal/promotion/types.go
@@ -111,6 +111,9 @@
 	// Covering is a position that a target which leads had after the voters were closed: it
 	// is at or after every position that was passed on. Zero if none is known.
 	Covering topology.Position
+	// RegisterRead is set if the store was read for the group's targets after the voters
+	// were closed.
+	RegisterRead bool
 }
 
 // Step is an action that NextStep decides on.
