Promotion: callers hear of commits only once the store lists those who may hold them

The list of targets that may hold commits was written beside the work and relied on at once. If the store didn't take it and the holder ended, a later holder, with the voters gone as well, knew only the targets that were registered then: one that was cut off in the meantime was missing.

TestCommitsAreOpenedOnceTheStoreListsTheMembers and TestOnlyMembersInTheStoreAreStored fail without it.

--- a/internal/duty/members.go
+++ b/internal/duty/members.go
@@ -82,6 +82,19 @@
 	return nil
 }
 
+// MembersStored reports whether the store lists each of the targets as a possible commit holder
+// of a group whose duty this host holds, for the holders that follow.
+func (k *Keeper) MembersStored(id topology.GroupID, targets []topology.TargetID) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, t := range targets {
+		if !slices.ContainsFunc(k.writtenMembers[id], func(m Member) bool { return m.ID == t && !m.Covered }) {
+			return false
+		}
+	}
+	return true
+}
+
 // membersToWrite returns the members that a claim of this host is written with: those
 // that this host recorded under the same claim, otherwise those in the store.
 func (k *Keeper) membersToWrite(known Claim, stored []Member) []Member {
--- a/internal/duty/members_test.go
+++ b/internal/duty/members_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
 // recordTwo lets a keeper acquire the duty of "g" and record two members.
@@ -83,3 +85,22 @@
 	qt.Check(t, k.RecordMembers(context.Background(), "g", members), qt.Equals, ErrHeldByOther)
 	qt.Check(t, k.Members("g"), qt.DeepEquals, members)
 }
+
+// Members that only this host knows aren't stored, nor are covered ones, which don't count.
+func TestOnlyMembersInTheStoreAreStored(t *testing.T) {
+	s := &fakeStore{}
+	k, members := recordTwo(t, s)
+	ids := func(list ...topology.TargetID) []topology.TargetID { return list }
+	qt.Check(t, k.MembersStored("g", ids("a", "b")), qt.IsTrue)
+	qt.Check(t, k.MembersStored("g", ids("a", "c")), qt.IsFalse)
+	s.loseAnswer = true
+	members = append(slices.Clone(members), Member{ID: "c", Addr: "10.0.0.3:1"})
+	qt.Check(t, k.RecordMembers(context.Background(), "g", members), qt.IsNotNil)
+	qt.Check(t, k.Members("g"), qt.DeepEquals, members)
+	qt.Check(t, k.MembersStored("g", ids("c")), qt.IsFalse)
+	s.loseAnswer = false
+	members[2].Covered = true
+	qt.Assert(t, k.RecordMembers(context.Background(), "g", members), qt.IsNil)
+	qt.Check(t, k.MembersStored("g", ids("a", "b")), qt.IsTrue)
+	qt.Check(t, k.MembersStored("g", ids("c")), qt.IsFalse)
+}
--- a/internal/promotion/commits.go
+++ b/internal/promotion/commits.go
@@ -122,7 +122,7 @@
 // maintainCommits lets commits of the leader, which has just been proved to lead, be
 // confirmed, unless another target may be promoted at any time.
 func (w *Watcher) maintainCommits(ctx context.Context) {
-	if !w.confirmsCommits() || !w.opts.Duty.Settled(w.opts.Group) || w.otherPending(w.leader) {
+	if !w.confirmsCommits() || !w.opts.Duty.Settled(w.opts.Group) || w.otherPending(w.leader) || !w.membersAreStored(ctx) {
 		return
 	}
 	if w.opts.Leases != nil && (w.requests.verified != w.leader || !w.leaderIsRecorded(ctx)) {
--- a/internal/promotion/group_sim_host_test.go
+++ b/internal/promotion/group_sim_host_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -183,6 +184,16 @@
 	return nil
 }
 
+func (h *clusterHost) MembersStored(id topology.GroupID, targets []topology.TargetID) bool {
+	members := h.Members(id)
+	for _, t := range targets {
+		if !slices.ContainsFunc(members, func(m duty.Member) bool { return m.ID == t && !m.Covered }) {
+			return false
+		}
+	}
+	return true
+}
+
 func (h *clusterHost) NoteRequest(topology.GroupID)            {}
 func (h *clusterHost) PendingUntil(topology.GroupID) time.Time { return h.pendingUntil }
 func (h *clusterHost) Settled(topology.GroupID) bool           { return true }
--- a/internal/promotion/lostvoters_test.go
+++ b/internal/promotion/lostvoters_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"nettlewalk.example/nettlewalk/internal/confirm"
+	"nettlewalk.example/nettlewalk/internal/duty"
 	"nettlewalk.example/nettlewalk/internal/steady"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
@@ -118,3 +120,39 @@
 	qt.Check(t, w.coveringPosition(true, closedAt), qt.Equals, pos(1, 9), qt.Commentf("the candidate has to reach the first one"))
 	qt.Check(t, w.coveringPosition(false, closedAt.Add(time.Second)).IsZero(), qt.IsTrue, qt.Commentf("voters of a later seal"))
 }
+
+// storelessDuty is a duty whose record of members the store doesn't take while it is silent.
+type storelessDuty struct {
+	recordedDuty
+	silent atomic.Bool
+	writes atomic.Int64
+}
+
+func (d *storelessDuty) RecordMembers(ctx context.Context, id topology.GroupID, members []duty.Member) error {
+	d.writes.Add(1)
+	if d.silent.Load() {
+		return errors.New("the store is silent")
+	}
+	return d.recordedDuty.RecordMembers(ctx, id, members)
+}
+
+func (d *storelessDuty) MembersStored(id topology.GroupID, targets []topology.TargetID) bool {
+	return len(d.Members(id)) >= len(targets)
+}
+
+// Guards against this failure: callers heard of commits of a group whose members the store didn't
+// list yet, so that a later holder took the one that had them for unknown.
+func TestCommitsAreOpenedOnceTheStoreListsTheMembers(t *testing.T) {
+	g, d, commits := newTestGroup("p", "a", "b"), &storelessDuty{}, &countingCommits{}
+	d.silent.Store(true)
+	g.watch(t, d, func(o *Options) { o.Commits = commits })
+	for deadline := time.Now().Add(5 * time.Second); d.writes.Load() < 3; time.Sleep(5 * time.Millisecond) {
+		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue, qt.Commentf("the record is repeated"))
+	}
+	qt.Check(t, commits.maintained.Load(), qt.Equals, int64(0))
+	d.silent.Store(false)
+	d.awaitMember(t, "b", true)
+	for deadline := time.Now().Add(5 * time.Second); commits.maintained.Load() == 0; time.Sleep(5 * time.Millisecond) {
+		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue, qt.Commentf("commits are opened"))
+	}
+}
--- a/internal/promotion/members.go
+++ b/internal/promotion/members.go
@@ -173,6 +173,26 @@
 	}()
 }
 
+// membersAreStored reports whether the store lists the targets that may hold commits. Otherwise
+// it has them written: a later holder that knows only the store would miss one. Of targets that
+// have ended only some stay listed.
+func (w *Watcher) membersAreStored(ctx context.Context) bool {
+	var counting []topology.TargetID
+	for id, pr := range w.probers {
+		isBounded := !pr.endedSince.IsZero() && !pr.logUpperBound.IsZero()
+		left := pr.unregisteredFor > 0 && w.handedOver(duty.Member{ID: id, Addr: pr.target.Addr, Leaving: pr.target.Leaving})
+		if !isBounded && !left && !w.isCovered(id) {
+			counting = append(counting, id)
+		}
+	}
+	if w.opts.Duty.MembersStored(w.opts.Group, counting) {
+		return true
+	}
+	view := w.unprobedView()
+	w.recordMembers(ctx, &view)
+	return false
+}
+
 // withUnregistered adds to the recorded members the targets that left the register before
 // they were recorded.
 func (w *Watcher) withUnregistered(recorded []duty.Member) []duty.Member {
--- a/internal/promotion/probe.go
+++ b/internal/promotion/probe.go
@@ -174,6 +174,17 @@
 	}
 }
 
+// unprobedView returns a view of the targets without a probe of any.
+func (w *Watcher) unprobedView() View {
+	view, now := View{Leader: w.leader}, steady.Now()
+	for id, pr := range w.probers {
+		if id != w.leader {
+			view.Members = append(view.Members, w.member(id, pr, now))
+		}
+	}
+	return view
+}
+
 func (w *Watcher) ackReplicas() int {
 	if c := w.opts.Catalog.Configuration(); c != nil {
 		return c.Groups[w.opts.Group].AckReplicas
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -59,6 +59,9 @@
 	// RecordMembers records them for later holders. It returns when the store has them, or
 	// with an error.
 	RecordMembers(ctx context.Context, id topology.GroupID, members []duty.Member) error
+	// MembersStored reports whether the store lists each of the targets as one whose commits
+	// count.
+	MembersStored(id topology.GroupID, targets []topology.TargetID) bool
 	// Leadership returns what the holders of the duty recorded last.
 	Leadership(topology.GroupID) duty.Leadership
 	// Record records the group's state for later holders. It spreads the record at
--- a/internal/promotion/watcher_test.go
+++ b/internal/promotion/watcher_test.go
@@ -94,8 +94,9 @@
 func (permanentDuty) RecordMembers(context.Context, topology.GroupID, []duty.Member) error {
 	return nil
 }
-func (permanentDuty) PendingUntil(topology.GroupID) time.Time { return time.Time{} }
-func (permanentDuty) Settled(topology.GroupID) bool           { return true }
+func (permanentDuty) MembersStored(topology.GroupID, []topology.TargetID) bool { return true }
+func (permanentDuty) PendingUntil(topology.GroupID) time.Time                  { return time.Time{} }
+func (permanentDuty) Settled(topology.GroupID) bool                            { return true }
 
 // Between the pauses and the promotion request, the watcher doesn't probe the
 // unresponsive primary again: the promotion is safe whether or not the primary is
