--- a/cmd/nettlewalk/fleetinspect.go
+++ b/cmd/nettlewalk/fleetinspect.go
@@ -22,6 +22,7 @@
 	"nettlewalk.example/nettlewalk/internal/keys"
 	"nettlewalk.example/nettlewalk/internal/lease"
 	"nettlewalk.example/nettlewalk/internal/locality"
+	"nettlewalk.example/nettlewalk/internal/promotion"
 	"nettlewalk.example/nettlewalk/internal/quota"
 	"nettlewalk.example/nettlewalk/internal/relay"
 	"nettlewalk.example/nettlewalk/internal/steady"
@@ -46,6 +47,8 @@
 	// Voters has the groups on whose commits this host votes. The voters of each group are
 	// in its duty's claim.
 	Voters map[topology.GroupID]confirm.State `json:"voters"`
+	// DelayedPromotions has the groups whose leader this host would replace if that were safe.
+	DelayedPromotions []promotion.Delay `json:"delayed_promotions,omitempty"`
 	// Keys is absent if the configuration has no customers.
 	Keys *relay.KeysDump `json:"keys,omitempty"`
 	// Leases are those of this host, Grants those that it granted. Both are absent
@@ -72,6 +75,7 @@
 		Hosts: h.gossip.Hosts(), Duties: h.duty.Claims(), Groups: h.groups.Dump(), Voters: h.voters.Dump(),
 		Keys: h.relay.DumpKeys(), Retries: h.relay.DumpRetries(), RetryTimes: h.relay.DumpRetryTimes(),
 	}
+	d.DelayedPromotions = h.watchers.Delays()
 	configuration, register := h.catalog.Versions()
 	d.Configuration, d.Register, d.StoreEra = configuration, register.Revision, h.store.Era()
 	d.StoreUp, _ = h.store.Reachable()
@@ -120,6 +124,8 @@
 		"nettlewalk_ready":                     func() float64 { return boolGauge(h.isReady()) },
 		"nettlewalk_duties_held":               func() float64 { return float64(h.duty.HeldCount()) },
 		"nettlewalk_groups_leaderless":         func() float64 { n, _ := h.groups.Leaderless(); return float64(n) },
+		"nettlewalk_promotions_delayed":        func() float64 { return float64(len(h.watchers.Delays())) },
+		"nettlewalk_promotion_delay_seconds":   h.longestPromotionDelay,
 		"nettlewalk_connections_open":          func() float64 { return h.sumOffers(func(o group.Offer) int { return o.Open }) },
 		"nettlewalk_connections_idle":          func() float64 { return h.sumOffers(func(o group.Offer) int { return o.Idle }) },
 		"nettlewalk_anchor_age_seconds":        h.oldestAnchorAge,
@@ -147,6 +153,15 @@
 	return float64(n)
 }
 
+// longestPromotionDelay returns for how many seconds the promotion that has been delayed longest
+// has been, 0 if none is.
+func (h *fleetHost) longestPromotionDelay() float64 {
+	if delays := h.watchers.Delays(); len(delays) > 0 {
+		return float64(delays[0].SinceMS) / 1000
+	}
+	return 0
+}
+
 // oldestAnchorAge returns the age in seconds of the oldest anchor of any group,
 // or -1 if a group has no anchor.
 func (h *fleetHost) oldestAnchorAge() float64 {
--- a/internal/promotion/log.go
+++ b/internal/promotion/log.go
@@ -60,21 +60,26 @@
 	}
 	switch s := step.(type) {
 	case Wait:
+		w.noteDelay(s, view)
 		w.logWait(s.Reason, append(values, "waits_for", s.For, "voters_ended", view.Sealing.Ended))
 	case Seal:
 		if len(view.Sealing.Unanswered) > 0 {
 			const reason = "voters that do not answer may still confirm commits"
+			w.noteDelay(Wait{Reason: reason}, view)
 			w.logWait(reason, append(values, "unanswered", view.Sealing.Unanswered))
 		}
 	case Pause:
 		w.opts.Log.Info("pausing replicas", append(values, "term", s.Term, "targets", s.Targets)...)
 	case Promote:
+		w.delay.end()
 		w.opts.Log.Info("promotion is safe", append(values, "target", s.Target)...)
 	}
 }
 
-// logWait logs why a promotion is delayed, once a reason and at intervals.
+// logWait logs why a promotion is delayed, once a reason and at intervals, and for how long it
+// has been.
 func (w *Watcher) logWait(reason string, values []any) {
+	values = append(values, "delayed_ms", sinceMS(w.delay.startedAt, steady.Now()))
 	if reason != w.lastWaitReason || steady.Now().Sub(w.lastWaitLoggedAt) > waitLogInterval {
 		w.lastWaitReason, w.lastWaitLoggedAt = reason, steady.Now()
 		w.opts.Log.Info("promotion delayed", append(values, "reason", reason)...)
--- a/internal/promotion/lostvoters_test.go
+++ b/internal/promotion/lostvoters_test.go
@@ -12,6 +12,7 @@
 
 	"nettlewalk.example/nettlewalk/internal/confirm"
 	"nettlewalk.example/nettlewalk/internal/duty"
+	"nettlewalk.example/nettlewalk/internal/group"
 	"nettlewalk.example/nettlewalk/internal/steady"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
@@ -156,3 +157,32 @@
 		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue, qt.Commentf("commits are opened"))
 	}
 }
+
+// A promotion that waits tells operators for which targets, and since when.
+func TestDelayedPromotionTellsWhatItWaitsFor(t *testing.T) {
+	g, commits := newTestGroup("p", "a", "b"), &lostVoters{}
+	d := &recordedDuty{}
+	w := NewWatcher(Options{Group: "g", Dialer: g, Parse: parseTestStatus, Promoter: g, Duty: d, Catalog: g.store, Commits: commits,
+		GroupView: group.New(group.Options{ID: "g", Dialer: g, Log: logr.Discard()}), Hosts: func() int { return 3 }, Log: logr.Discard()})
+	all := NewWatchers()
+	all.watchers["g"] = w
+	tickUntil := func(what string, ok func() bool) {
+		for deadline := time.Now().Add(10 * time.Second); !ok(); time.Sleep(attemptInterval) {
+			w.tick(context.Background())
+			qt.Assert(t, time.Now().Before(deadline), qt.IsTrue, qt.Commentf("%s", what))
+		}
+	}
+	tickUntil("members are recorded", func() bool { return len(d.Members("g")) == 3 })
+	qt.Check(t, all.Delays(), qt.HasLen, 0)
+	g.with(func(targets map[topology.TargetID]*testTarget) { targets["p"].down, targets["b"].down = true, true })
+	tickUntil("the promotion waits for some time", func() bool { d := all.Delays(); return len(d) == 1 && d[0].SinceMS > 300 })
+	delay := all.Delays()[0]
+	qt.Check(t, delay.Group, qt.Equals, topology.GroupID("g"))
+	qt.Check(t, delay.Leader, qt.Equals, topology.TargetID("p"))
+	qt.Assert(t, delay.WaitsFor, qt.HasLen, 1)
+	qt.Check(t, delay.WaitsFor[0].ID, qt.Equals, topology.TargetID("b"))
+	qt.Check(t, delay.WaitsFor[0].Addr, qt.Equals, "b")
+	g.with(func(targets map[topology.TargetID]*testTarget) { targets["b"].down = false })
+	tickUntil("it is requested", func() bool { return len(g.requests()) > 0 })
+	qt.Check(t, all.Delays(), qt.HasLen, 0)
+}
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -150,6 +150,7 @@
 	attemptReason    string    // why the current attempt replaces the leader
 	lastWaitReason   string    // reason of the last Wait step that was logged
 	lastWaitLoggedAt time.Time
+	delay            delayState
 
 	missingSince    map[topology.TargetID]time.Time // when recorded targets were first seen to be missing in the register
 	recording       atomic.Bool                     // a write of the members is under way
@@ -206,6 +207,7 @@
 	if w.opts.Leases != nil {
 		w.opts.Leases.Stop(w.opts.Group)
 	}
+	w.delay.end()
 	w.reset()
 }
 
@@ -242,6 +244,7 @@
 	}
 	if !replace {
 		w.attemptStartedAt = time.Time{}
+		w.delay.end()
 		if !serves {
 			return recheckInterval
 		}
--- a/test/line/lostvoters_test.go
+++ b/test/line/lostvoters_test.go
@@ -1,14 +1,34 @@
 package line
 
 import (
+	"encoding/json"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"nettlewalk.example/nettlewalk/internal/promotion"
 )
 
+// delayedPromotions returns what the hosts tell of promotions that they can't request.
+func (b *Bed) delayedPromotions() (list []promotion.Delay) {
+	for i := range b.Hosts {
+		resp, err := http.Get("http://" + b.addr(i, internalPort) + "/dump")
+		qt.Assert(b.tb, err, qt.IsNil)
+		var dump struct {
+			Delayed []promotion.Delay `json:"delayed_promotions"`
+		}
+		err = json.NewDecoder(resp.Body).Decode(&dump)
+		resp.Body.Close()
+		qt.Assert(b.tb, err, qt.IsNil)
+		list = append(list, dump.Delayed...)
+	}
+	return list
+}
+
 // Guards against this failure: a replica that only the primary reached was taken for ended, and
 // once the primary and the voters had ended another one was promoted without its commits.
 func TestLineReplicaThatOnlyThePrimaryReachesLosesNoCommit(t *testing.T) {
@@ -32,7 +52,17 @@
 	stop.Store(true)
 	wg.Wait()
 	b.startAll()
+	var delayed []promotion.Delay
+	b.Eventually("the promotion waits", func() bool {
+		delayed = b.delayedPromotions()
+		return len(delayed) > 0 && len(delayed[0].WaitsFor) > 0 || len(b.Promotions()) > 0
+	})
 	checkNotPromoted(t, b, string(deaf.ID), 3*time.Second)
+	qt.Assert(t, delayed, qt.HasLen, 1)
+	qt.Check(t, delayed[0].VotersEnded, qt.Equals, hostCount)
+	qt.Assert(t, delayed[0].WaitsFor, qt.HasLen, 1, qt.Commentf("%+v", delayed))
+	qt.Check(t, delayed[0].WaitsFor[0].Addr, qt.Equals, hidden.addr)
+
 	qt.Assert(t, hidden.relay.open(), qt.IsNil)
 	b.Register(hidden, "ready")
 	returned := time.Now()
