--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -99,7 +99,7 @@
 // beginRandomFault draws a fault and a duration and injects the fault, if it is
 // possible at the moment.
 func (f *faultInjector) beginRandomFault() {
-	kinds := []func() *fault{f.kill, f.killAll, f.lateOrders, f.freeze, f.stop, f.reload, f.storeFault, f.storeLink, f.targetLink, f.targetLink, f.lag, f.drain, f.configure, f.crash, f.oddRegistration, f.overwrittenRegistration}
+	kinds := []func() *fault{f.kill, f.killAll, f.lateOrders, f.freeze, f.stop, f.reload, f.storeFault, f.storeLink, f.targetLink, f.targetLink, f.hide, f.lag, f.drain, f.configure, f.crash, f.oddRegistration, f.overwrittenRegistration}
 	chosen := kinds[f.rng.IntN(len(kinds))]()
 	duration := f.randomDuration(minFaultDuration, maxFaultDuration)
 	if chosen == nil {
@@ -283,6 +283,25 @@
 	return f.linkFault(string(m.ID), m.Link)
 }
 
+// hide cuts a target off from the hosts and the store, but not from the other targets.
+func (f *faultInjector) hide() *fault {
+	m := f.pickTarget()
+	if m == nil || f.affected[m.Link] || f.affected["leaving"] {
+		return nil
+	}
+	return &fault{string(m.ID) + " reaches only the other targets", func() func() {
+		f.affected[m.Link], f.affected["leaving"] = true, true
+		_ = m.Link.Cut(testbed.Upstream, testbed.Downstream)
+		f.bed.Unregister(m)
+		return func() {
+			_ = m.Link.Heal(context.Background())
+			f.bed.Register(m, "ready")
+			delete(f.affected, m.Link)
+			delete(f.affected, "leaving")
+		}
+	}}
+}
+
 // linkFault blocks a link in one or both directions, silences or resets its open
 // connections, or makes the link slow.
 func (f *faultInjector) linkFault(name string, l *testbed.Link) *fault {
