Promotion: a replaced leader that leads on doesn't tell what callers may have heard of

Where primaries aren't fenced, one that was replaced leads on until it is demoted, and its position lacks what its successor acknowledged. If most voters had ended, the rule before this commit could have taken it for the bound of what has to be kept. Found by reading the change; such a position counts now only if the target was compared with the others, as where commits are opened. The test fails without the condition. Nothing changes where primaries are fenced.

--- a/internal/promotion/commits.go
+++ b/internal/promotion/commits.go
@@ -79,13 +79,15 @@
 }
 
 // coveringPosition returns the position of the first target that was proved to lead after the
-// voters were closed, zero if none was.
+// voters were closed, zero if none was. Where a replaced leader leads on until it is demoted, only
+// one that was compared with the other targets counts.
 func (w *Watcher) coveringPosition(serves bool, closedAt time.Time) topology.Position {
 	s := &w.commits
 	if !s.coveringSince.Equal(closedAt) {
 		s.covering, s.coveringSince = topology.Position{}, closedAt
 	}
-	if s.covering.IsZero() && serves && w.leaderProvedAt.After(closedAt) {
+	isPresent := serves && (w.opts.Leases == nil || w.requests.verified == w.leader)
+	if s.covering.IsZero() && isPresent && w.leaderProvedAt.After(closedAt) {
 		s.covering = w.leaderPosition
 	}
 	return s.covering
--- a/internal/promotion/lostvoters_test.go
+++ b/internal/promotion/lostvoters_test.go
@@ -126,6 +126,17 @@
 	qt.Check(t, w.coveringPosition(false, closedAt.Add(time.Second)).IsZero(), qt.IsTrue, qt.Commentf("voters of a later seal"))
 }
 
+// Guards against this failure: where primaries aren't fenced, the position of a primary that was
+// replaced and led on was taken for what callers may have heard of.
+func TestReplacedLeaderThatLeadsOnDoesNotTellWhatCallersMayHaveHeard(t *testing.T) {
+	w := NewWatcher(Options{Group: "g", Duty: permanentDuty{}, Leases: &unfencedGroup{}, Log: logr.Discard()})
+	closedAt := steady.Now()
+	w.leader, w.leaderProvedAt, w.leaderPosition = "p", closedAt.Add(1), pos(1, 9)
+	qt.Check(t, w.coveringPosition(true, closedAt).IsZero(), qt.IsTrue)
+	w.requests.verified = "p"
+	qt.Check(t, w.coveringPosition(true, closedAt), qt.Equals, pos(1, 9))
+}
+
 // storelessDuty is a duty whose record of members the store doesn't take while it is silent.
 type storelessDuty struct {
 	recordedDuty
