--- a/internal/promotion/group_sim_faults_test.go
+++ b/internal/promotion/group_sim_faults_test.go
@@ -29,10 +29,11 @@
 	lateRequest   // requests get no answer and arrive late
 	unseenJoin    // a new target joins, which neither the store nor the holder hears of until the end
 	votersEnd     // all voters end, and what they recorded is lost
+	announceLeave // a target tells that it leaves, and goes on until another fault ends it
 	faultKinds
 )
 
-var faultNames = [faultKinds]string{"primary crash", "starvation", "target crash", "empty restart", "cut from store", "cut from holder", "cut from both", "cut from all", "planned leave", "holder change", "late request", "unseen join", "voters end"}
+var faultNames = [faultKinds]string{"primary crash", "starvation", "target crash", "empty restart", "cut from store", "cut from holder", "cut from both", "cut from all", "planned leave", "holder change", "late request", "unseen join", "voters end", "announced leave"}
 
 // fault is one fault of a plan.
 type fault struct {
@@ -111,14 +112,20 @@
 		return func() { c.start(t, true) }
 	case starvation:
 		return set(&t.starved)
+	case announceLeave:
+		t.leaving = true
+		return func() {}
 	case cutFromStore:
 		return set(&t.cutFromStore)
 	case cutFromHolder:
+		t.cutRefuses = !f.silent
 		return set(&t.cutFromHolder)
 	case cutFromBoth:
+		t.cutRefuses = !f.silent
 		reachStore, reachHolder := set(&t.cutFromStore), set(&t.cutFromHolder)
 		return func() { reachStore(); reachHolder() }
 	case cutFromAll:
+		t.cutRefuses = !f.silent
 		reachStore, reachHolder, reachHosts := set(&t.cutFromStore), set(&t.cutFromHolder), set(&t.cutFromHosts)
 		return func() { reachStore(); reachHolder(); reachHosts() }
 	case votersEnd:
--- a/internal/promotion/group_sim_host_test.go
+++ b/internal/promotion/group_sim_host_test.go
@@ -203,7 +203,7 @@
 	time.Sleep(time.Millisecond)
 	c.mu.Lock()
 	t := c.find(target.ID)
-	answers, silent, process := t.running && !t.cutFromHolder, t.silent || t.cutFromHolder, t.process
+	answers, silent, process := t.running && !t.cutFromHolder, t.isSilent(), t.process
 	c.mu.Unlock()
 	switch {
 	case answers:
@@ -215,6 +215,14 @@
 	return nil, &statement.DialError{Outcome: statement.DialRefused, Cause: errors.New("refused")}
 }
 
+// isSilent reports whether the holder's connection attempts get no response.
+func (t *clusterTarget) isSilent() bool {
+	if t.cutFromHolder {
+		return !t.cutRefuses
+	}
+	return !t.running && t.silent
+}
+
 // clusterConn is a connection to one process of a target.
 type clusterConn struct {
 	cluster *cluster
@@ -228,13 +236,13 @@
 func (c *clusterConn) Exchange(deadline time.Time, batch ...statement.Statement) ([]statement.Answer, error) {
 	time.Sleep(time.Millisecond)
 	c.cluster.mu.Lock()
-	if c.target.cutFromHolder || !c.target.running && c.target.silent {
+	if c.target.isSilent() {
 		c.cluster.mu.Unlock()
 		time.Sleep(time.Until(deadline))
 		return nil, &statement.ConnError{Sent: true, Timeout: true, Cause: errors.New("timeout")}
 	}
 	defer c.cluster.mu.Unlock()
-	if !c.target.running || c.target.process != c.process {
+	if !c.target.running || c.target.cutFromHolder || c.target.process != c.process {
 		return nil, &statement.ConnError{Sent: true, Cause: errors.New("reset")}
 	}
 	answers := make([]statement.Answer, len(batch))
--- a/internal/promotion/group_sim_lost_voters_test.go
+++ b/internal/promotion/group_sim_lost_voters_test.go
@@ -51,6 +51,23 @@
 	}
 }
 
+// Guards against this failure: a leaving replica whose entry had expired and that refused hosts was
+// taken for ended, though the leader reached it and acknowledged commits by it alone.
+func TestLeavingReplicaThatOnlyTheLeaderReachesLosesNoCommitThatCallersHeardOf(t *testing.T) {
+	for name, more := range map[string][]fault{
+		"one holder":         nil,
+		"the holder changes": {{kind: holderChange, at: 19 * time.Second, lasts: time.Second}},
+		"it changes before":  {{kind: holderChange, at: 9 * time.Second, lasts: time.Second}},
+	} {
+		plan := append(replicaThatOnlyTheLeaderReaches(more...), fault{kind: announceLeave, target: 1, at: 4500 * time.Millisecond})
+		sortPlan(plan)
+		c, recovered := runWithVoters(t, plan)
+		if c.lost != "" || !recovered {
+			t.Errorf("%s: %s; a leader in the end: %v\n%s", name, c.lost, recovered, strings.Join(c.trace, "\n"))
+		}
+	}
+}
+
 // A replica that is gone for good, without a word, doesn't keep a leader that leaves from being
 // replaced, whether or not the voters remember: the leader tells what it has.
 func TestReplicaThatIsGoneDoesNotBlockPlannedChange(t *testing.T) {
--- a/internal/promotion/group_sim_test.go
+++ b/internal/promotion/group_sim_test.go
@@ -36,6 +36,7 @@
 
 	starved, cutFromStore, cutFromHolder bool
 	cutFromHosts                         bool      // from the hosts that don't hold the duty
+	cutRefuses                           bool      // the cut refuses connections, instead of being silent
 	reportedAt                           time.Time // last report that the store received
 	lag                                  int       // receives in every lag-th tick
 }
--- a/internal/promotion/prober.go
+++ b/internal/promotion/prober.go
@@ -120,15 +120,15 @@
 	return Dead
 }
 
-// checkEnd records whether a target that couldn't be dialed has certainly ended. If it
-// only seems so, checkEnd makes other hosts dial it, for operators; takeUpEvidence has the result.
+// checkEnd records whether a target that couldn't be dialed has certainly ended: a target of
+// another group has its address. A refused connection and an expired entry don't prove it, also if
+// it was leaving: one that is cut off from the hosts and the store goes on to receive. If it only
+// seems to have ended, checkEnd makes other hosts dial it, for operators; takeUpEvidence has the result.
 func (p *prober) checkEnd(ctx context.Context, dialErr *statement.DialError, now time.Time) {
 	outcome := dialErr.Outcome
 	switch {
 	case dialErr.Code == statement.Misrouted && p.replaced:
 		p.recordEnd(true, now)
-	case hasLeft(outcome, p.target.Leaving, p.unregisteredFor):
-		p.recordEnd(true, now)
 	case !seemsEnded(outcome, p.unregisteredFor):
 		p.recordEnd(false, now)
 	case p.presumedSince.IsZero():
@@ -136,15 +136,6 @@
 	}
 }
 
-// hasLeft reports whether a target that couldn't be dialed has certainly stopped
-// receiving commits, since it was leaving. A refused connection alone doesn't prove
-// this: a network partition may refuse connections, and a leaving target stops listening
-// before it ends and counts for acknowledgements until then. The registry drops a
-// leaving target as soon as it ends, and any other target only later.
-func hasLeft(outcome statement.DialOutcome, leaving bool, unregisteredFor time.Duration) bool {
-	return outcome == statement.DialRefused && leaving && unregisteredFor > 0
-}
-
 // seemsEnded reports whether a target that couldn't be dialed may have ended. One that is
 // cut off from the hosts and from the store seems so, too, but may go on to receive
 // commits.
--- a/internal/promotion/prober_test.go
+++ b/internal/promotion/prober_test.go
@@ -56,7 +56,8 @@
 	}{
 		{"refused while registered", statement.DialRefused, false, 0, false, false},
 		{"refused while leaving", statement.DialRefused, true, 0, false, false},
-		{"refused after it left", statement.DialRefused, true, time.Millisecond, false, true},
+		{"refused after it left", statement.DialRefused, true, time.Millisecond, false, false},
+		{"refused long after it left", statement.DialRefused, true, unregisteredDeadAfter + 1, true, false},
 		{"refused and recently unregistered", statement.DialRefused, false, unregisteredDeadAfter, false, false},
 		{"refused and unregistered for long", statement.DialRefused, false, unregisteredDeadAfter + 1, true, false},
 		{"unresponsive after it left", statement.DialTimedOut, true, time.Millisecond, false, false},
