--- a/internal/promotion/group_sim_lost_voters_test.go
+++ b/internal/promotion/group_sim_lost_voters_test.go
@@ -68,6 +68,28 @@
 	}
 }
 
+// Guards against this failure: a target whose promotion was requested without an answer started
+// again empty, and was waited for until the request was carried out.
+func TestRequestedTargetThatStartsAgainEmptyLosesNoCommitThatCallersHeardOf(t *testing.T) {
+	behindCut := []fault{ // of t1, which is requested: both replicas have received the same
+		{kind: lateRequest, at: 4 * time.Second, lasts: 1200 * time.Millisecond, delay: 4 * time.Second},
+		{kind: cutFromStore, target: 1, at: 4900 * time.Millisecond, lasts: 8 * time.Second},
+		{kind: emptyRestart, target: 0, at: 5200 * time.Millisecond, lasts: 300 * time.Millisecond},
+	}
+	for name, plan := range map[string][]fault{
+		"the leader stays away":    {{kind: primaryCrash, at: 5050 * time.Millisecond, lasts: 7 * time.Second}},
+		"the leader returns":       {{kind: primaryCrash, at: 5050 * time.Millisecond, lasts: time.Second}},
+		"no other replica has all": {{kind: primaryCrash, at: 5050 * time.Millisecond, lasts: time.Second}, {kind: starvation, target: 1, at: 4800 * time.Millisecond, lasts: 20 * time.Second}},
+	} {
+		plan = append(plan, behindCut...)
+		sortPlan(plan)
+		c, recovered := runWithVoters(t, plan)
+		if c.lost != "" || !recovered {
+			t.Errorf("%s: %s; a leader in the end: %v\n%s", name, c.lost, recovered, strings.Join(c.trace, "\n"))
+		}
+	}
+}
+
 // A replica that is gone for good, without a word, doesn't keep a leader that leaves from being
 // replaced, whether or not the voters remember: the leader tells what it has.
 func TestReplicaThatIsGoneDoesNotBlockPlannedChange(t *testing.T) {
--- a/internal/promotion/next.go
+++ b/internal/promotion/next.go
@@ -18,6 +18,17 @@
 	if id, ok := v.otherLeader(); ok {
 		return Wait{Reason: string(id) + " reports that it leads a newer term"}
 	}
+	if v.Ordered != "" && v.MayOverride {
+		if v.Confirmed && v.MaySeal && !v.Sealing.Closed {
+			return Seal{Term: v.logTerm()}
+		}
+		if v.orderedLacksCommits() {
+			if v.LeaderServes {
+				return Promote{Target: v.Leader}
+			}
+			v.Ordered = ""
+		}
+	}
 	candidate, ok := chooseCandidate(v)
 	if !ok {
 		return Wait{Reason: "no replica that could be promoted responds"}
@@ -31,6 +42,23 @@
 	return v.nextByLogs(candidate)
 }
 
+// orderedLacksCommits reports whether the target whose promotion was requested lacks commits that
+// callers may have heard of. It had them when it was requested, so it has started again without its
+// log since, or had one that doesn't count.
+func (v *View) orderedLacksCommits() bool {
+	i := slices.IndexFunc(v.Members, func(m Member) bool { return m.ID == v.Ordered && m.Reach == Answered })
+	if i < 0 {
+		return false
+	}
+	received := v.Members[i].Status.Received
+	if v.Sealing.Known || !v.Covering.IsZero() {
+		return !received.AtLeast(v.Sealing.Floor) || !received.AtLeast(v.Covering)
+	}
+	return !received.AtLeast(v.Sealing.Floor) || slices.ContainsFunc(v.Members, func(m Member) bool {
+		return m.ID != v.Leader && m.Reach == Answered && !received.AtLeast(m.Status.Received)
+	})
+}
+
 // nextByLogs decides the next step from what the targets' logs tell. The candidate has every
 // acknowledged commit if it has what all targets have that may hold one.
 func (v *View) nextByLogs(candidate Member) Step {
--- a/internal/promotion/next_test.go
+++ b/internal/promotion/next_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"nettlewalk.example/nettlewalk/internal/confirm"
 	"nettlewalk.example/nettlewalk/internal/statement"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
@@ -277,6 +278,27 @@
 	qt.Check(t, NextStep(v), qt.DeepEquals, Step(Promote{Target: "a"}))
 }
 
+// Where the platform checks tokens, a requested target that lacks commits callers may have heard of
+// isn't waited for: another target is requested, or the leader, which changes nothing.
+func TestRequestedTargetThatLacksCommitsIsOverridden(t *testing.T) {
+	empty := replica("b", pos(1, 0), 0)
+	v := View{AckReplicas: 1, Leader: "p", Replace: true, Ordered: "b", MayOverride: true, Confirmed: true, MaySeal: true, RegisterRead: true, Members: []Member{replica("a", pos(1, 7), 2), empty}}
+	qt.Check(t, NextStep(v), qt.DeepEquals, Step(Seal{Term: 1}), qt.Commentf("what callers heard of isn't known yet"))
+	v.Sealing = confirm.Sealing{Closed: true, Known: true, Floor: pos(1, 7)}
+	qt.Check(t, NextStep(v), qt.DeepEquals, Step(Promote{Target: "a"}))
+	v.LeaderServes = true
+	qt.Check(t, NextStep(v), qt.DeepEquals, Step(Promote{Target: "p"}), qt.Commentf("the leader serves"))
+	v.LeaderServes, v.MayOverride = false, false
+	_, waits := NextStep(v).(Wait)
+	qt.Check(t, waits, qt.IsTrue, qt.Commentf("no token is checked"))
+	v.MayOverride = true
+	v.Members[1].Status.Received = pos(1, 7)
+	qt.Check(t, NextStep(v), qt.DeepEquals, Step(Promote{Target: "b"}), qt.Commentf("it has them"))
+	v.Sealing = confirm.Sealing{Closed: true}
+	v.Members[1] = replica("b", pos(1, 6), 2)
+	qt.Check(t, NextStep(v), qt.DeepEquals, Step(Promote{Target: "a"}), qt.Commentf("voters can't tell, and another target has more"))
+}
+
 func TestIsCurrentLeader(t *testing.T) {
 	leader := statement.TargetStatus{Primary: true, Term: 2}
 	v := View{Members: []Member{replica("a", pos(2, 7), 3), {ID: "b", Reach: Unresponsive}}}
--- a/internal/promotion/types.go
+++ b/internal/promotion/types.go
@@ -99,9 +99,12 @@
 	// MayEndPauses is set if no request relies on the pauses in force.
 	MayEndPauses bool
 	// Ordered is a target whose promotion was requested and may still take effect at
-	// any time; no other one may be promoted. "": none.
+	// any time; no other one may be promoted, unless MayOverride is set and it lacks commits. "": none.
 	Ordered topology.TargetID
-	Members []Member // all targets but the leader
+	// MayOverride is set if the platform refuses the request for Ordered once it has seen one
+	// with a higher token, for another target or for the leader.
+	MayOverride bool
+	Members     []Member // all targets but the leader
 	// Confirmed is set if hosts pass commits on only after voters have recorded them.
 	// Sealing then tells what the voters have answered, and MaySeal whether they may be
 	// sealed now.
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -344,6 +344,7 @@
 	if pending := w.requests.pendingTarget(steady.Now()); w.opts.Leases != nil || view.mayComplete(pending) {
 		view.Ordered = pending
 	}
+	view.MayOverride = w.requests.checksTokens
 	view.MayEndPauses = w.requests.mayResume(steady.Now())
 	w.nextTerm = view.logTerm() + 1
 	w.addSealing(ctx, &view)
