--- a/cmd/nettlewalk/fleetstore.go
+++ b/cmd/nettlewalk/fleetstore.go
@@ -5,10 +5,12 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
 	storeclient "nettlewalk.example/nettlewalk/internal/platform"
 	"nettlewalk.example/nettlewalk/internal/promotion"
+	"nettlewalk.example/nettlewalk/internal/result"
 	"nettlewalk.example/nettlewalk/internal/topology"
 	"nettlewalk.example/nettlewalk/platform"
 )
@@ -120,7 +122,7 @@
 			options := promotion.Options{
 				Group: id, Name: string(h.settings.Host), Dialer: platform.TargetDialer{}, Parse: platform.ParseTargetStatus,
 				Promoter: platform.NewPromoter(h.settings.PromotionAddr), Duty: h.duty, DutyAnnounced: true, Catalog: h.catalog, GroupView: groupState,
-				Commits: h.commitHolder, ReadRegister: h.readRegister, AskHosts: question.Ask,
+				Commits: h.commitHolder, ReadRegister: h.readRegister, ReadHeartbeat: h.readHeartbeat, EntryLifetime: h.settings.RegistrationLifetime, AskHosts: question.Ask,
 				Hosts: func() int { return len(h.gossip.Live()) }, Log: h.log.WithName("promotion"),
 			}
 			if h.grantor != nil {
@@ -132,6 +134,19 @@
 	return complete
 }
 
+// readHeartbeat implements promotion.ReadHeartbeat.
+func (h *fleetHost) readHeartbeat(ctx context.Context, id topology.TargetID) (beat catalog.Heartbeat, ok bool, err error) {
+	object, err := h.store.Get(ctx, platform.KindTargets, string(id))
+	var coded *result.Error
+	if errors.As(err, &coded) && coded.Code == result.NotFound {
+		return beat, false, nil
+	}
+	if err == nil {
+		beat, err = platform.DecodeHeartbeat(string(id), object.Value)
+	}
+	return beat, err == nil, err
+}
+
 // primaryDomain returns the failure domain of a group's primary, or "" if the
 // primary is unknown.
 func (h *fleetHost) primaryDomain(id topology.GroupID) topology.Domain {
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -94,6 +94,12 @@
 	Cold time.Duration
 }
 
+// Heartbeat is what a target's entry in the register tells of the process that wrote it last.
+type Heartbeat struct {
+	Incarnation int64 // see Member
+	Sequence    int64 // rises with each heartbeat of a process
+}
+
 // Registry is a snapshot of the target registry at one revision of the store.
 type Registry struct {
 	Era      uint64 // of the store; revisions compare within one era only
--- a/internal/promotion/commits.go
+++ b/internal/promotion/commits.go
@@ -75,6 +75,9 @@
 	if v.Sealing.Closed && !v.Sealing.Known {
 		v.Covering = w.coveringPosition(v.LeaderServes, v.Sealing.ClosedAt)
 		v.RegisterRead = w.readRegisterSince(ctx, v.Sealing.ClosedAt)
+		if v.Covering.IsZero() {
+			w.checkLogs(ctx, v)
+		}
 	}
 }
 
--- a/internal/promotion/group_sim_host_test.go
+++ b/internal/promotion/group_sim_host_test.go
@@ -56,7 +56,7 @@
 	c.mu.Unlock()
 	opts := Options{
 		Group: "g", Dialer: c, Parse: parseClusterStatus, Promoter: c, Duty: h, Catalog: h.catalog, GroupView: h.view,
-		ReadRegister: func(context.Context) error { h.hear(); return nil }, AskHosts: c.askHosts,
+		ReadRegister: func(context.Context) error { h.hear(); return nil }, ReadHeartbeat: c.readHeartbeat, EntryLifetime: entryLifetime + reportInterval, AskHosts: c.askHosts,
 		Hosts: func() int { return 3 }, Log: funcr.New(c.log, funcr.Options{RenderArgsHook: shortenValues}),
 	}
 	if c.voters != nil {
--- a/internal/promotion/group_sim_lost_voters_test.go
+++ b/internal/promotion/group_sim_lost_voters_test.go
@@ -90,6 +90,28 @@
 	}
 }
 
+// Guards against this failure: a replica that had acknowledged alone started again empty, cut from
+// the store, and counted with its empty log as long as its former entry stood.
+func TestReplicaThatStartsAgainEmptyBehindCutLosesNoCommitThatCallersHeardOf(t *testing.T) {
+	for name, more := range map[string][]fault{
+		"one holder":         nil,
+		"the holder changes": {{kind: holderChange, at: 19 * time.Second, lasts: 500 * time.Millisecond}},
+	} {
+		plan := append([]fault{
+			{kind: starvation, target: 1, at: 18 * time.Second, lasts: 10 * time.Second}, // t2
+			{kind: cutFromStore, target: 1, at: 18900 * time.Millisecond, lasts: 8 * time.Second},
+			{kind: emptyRestart, target: 0, at: 18950 * time.Millisecond, lasts: 300 * time.Millisecond}, // t1
+			{kind: votersEnd, at: 19 * time.Second},
+			{kind: primaryCrash, at: 19 * time.Second, lasts: 10 * time.Second},
+		}, more...)
+		sortPlan(plan)
+		c, recovered := runWithVoters(t, plan)
+		if c.lost != "" || !recovered {
+			t.Errorf("%s: %s; a leader in the end: %v\n%s", name, c.lost, recovered, strings.Join(c.trace, "\n"))
+		}
+	}
+}
+
 // A replica that is gone for good, without a word, doesn't keep a leader that leaves from being
 // replaced, whether or not the voters remember: the leader tells what it has.
 func TestReplicaThatIsGoneDoesNotBlockPlannedChange(t *testing.T) {
--- a/internal/promotion/group_sim_platform_test.go
+++ b/internal/promotion/group_sim_platform_test.go
@@ -79,6 +79,14 @@
 	return &catalog.Registry{Revision: c.register.revision, Members: c.register.members}
 }
 
+// readHeartbeat implements ReadHeartbeat.
+func (c *cluster) readHeartbeat(_ context.Context, id topology.TargetID) (beat catalog.Heartbeat, ok bool, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m, ok := c.register.members[id]
+	return catalog.Heartbeat{Incarnation: m.Incarnation, Sequence: 1}, ok, nil
+}
+
 // promotionCall is the platform's call for promotions. It is guarded by cluster.mu.
 type promotionCall struct {
 	highestToken uint64
--- a/internal/promotion/next.go
+++ b/internal/promotion/next.go
@@ -72,8 +72,11 @@
 	if v.Confirmed && !v.RegisterRead {
 		return Wait{Reason: "the store does not tell which targets are registered"}
 	}
-	for _, m := range others {
-		if m.Reach == Answered && !candidate.Status.Received.AtLeast(m.Status.Received) {
+	if unproved := v.unproved(candidate); len(unproved) >= max(v.AckReplicas, 1) {
+		return Wait{Reason: fmt.Sprintf("%d targets may have started again without the logs that they had", len(unproved)), For: unproved}
+	}
+	for _, m := range append(others, candidate) {
+		if m.Reach == Answered && !(candidate.Status.Received.AtLeast(m.Status.Received) && candidate.Status.Received.AtLeast(m.LogTold)) {
 			return v.catchUp(candidate, "the candidate lacks commits that "+string(m.ID)+" has received")
 		}
 	}
@@ -259,6 +262,22 @@
 	return list
 }
 
+// unproved returns the targets that may have lost, or received, a commit that the candidate lacks:
+// those of uncertain, and those that answer with a log of which nothing proves that it is the one that
+// they had when the voters were closed.
+func (v *View) unproved(candidate Member) []topology.TargetID {
+	list := v.uncertain(candidate)
+	if !v.Confirmed {
+		return list
+	}
+	for _, m := range append(v.otherReplicas(candidate.ID), candidate) {
+		if m.Reach == Answered && !m.LogProved && !m.LostLog && !slices.Contains(list, m.ID) { // uncertain bounds a lost log
+			list = append(list, m.ID)
+		}
+	}
+	return list
+}
+
 // mayHoldMore reports whether a target's log, or the one that it had before it started again,
 // may have a commit that the candidate lacks.
 func (m *Member) mayHoldMore(candidate Member) bool {
--- a/internal/promotion/next_test.go
+++ b/internal/promotion/next_test.go
@@ -17,7 +17,7 @@
 }
 
 func replica(id topology.TargetID, received topology.Position, paused uint64) Member {
-	return Member{ID: id, Reach: Answered, Status: statement.TargetStatus{Term: received.Term, Received: received, PausedTerm: paused}}
+	return Member{ID: id, Reach: Answered, LogProved: true, Status: statement.TargetStatus{Term: received.Term, Received: received, PausedTerm: paused}}
 }
 
 func TestNextStepPausesAllButTheMostUpToDate(t *testing.T) {
--- a/internal/promotion/probe.go
+++ b/internal/promotion/probe.go
@@ -149,8 +149,10 @@
 			continue
 		}
 		wg.Go(func() {
+			asked := steady.Now()
 			status, reach := pr.command(ctx, statement.Status, 0)
 			if reach == Answered {
+				pr.statusAsked, pr.statusAnswered = asked, steady.Now()
 				pr.notePause(status.PausedTerm, now)
 			}
 			m := w.member(id, pr, now)
--- a/internal/promotion/prober.go
+++ b/internal/promotion/prober.go
@@ -56,6 +56,10 @@
 	reassigned         bool                       // another target of the group is registered at this address
 	replaced           bool                       // a target of another group is registered at this address
 
+	logCheck       logCheck
+	statusAsked    time.Time // when the latest status was asked for
+	statusAnswered time.Time // when it was answered
+
 	ownPause    uint64    // term of the latest pause that this host ordered
 	pausedTerm  uint64    // term of the pause in force, as last seen; 0: not paused
 	pauseSeenAt time.Time // when that pause was first seen
--- a/internal/promotion/types.go
+++ b/internal/promotion/types.go
@@ -83,6 +83,10 @@
 	// LostLogEnd is an upper bound of that log, zero if no bound is known.
 	LostLog    bool
 	LostLogEnd topology.Position
+	// LogProved is set if the log that the target has told since the voters were closed is proved
+	// to be that of the incarnation whose log counts, and LogTold is the newest position of it.
+	LogProved bool
+	LogTold   topology.Position
 }
 
 // View is the input of NextStep.
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -116,6 +116,11 @@
 	// before a promotion, because a target that has just joined may confirm commits before
 	// other hosts tell of it. nil: the register is as other hosts told it.
 	ReadRegister func(ctx context.Context) error
+	// ReadHeartbeat reads a target's entry from the store, if logs decide a promotion. nil: targets
+	// don't lose their logs.
+	ReadHeartbeat ReadHeartbeat
+	// EntryLifetime is how long a target's entry in the register stands without a heartbeat, at most.
+	EntryLifetime time.Duration
 	// DutyAnnounced tells that Watchers.DutyChanged is called whenever a duty may have
 	// another holder. The watcher then checks seldom whether this host holds it.
 	DutyAnnounced bool
@@ -157,6 +162,7 @@
 	nextTerm        uint64                          // term in which the target of the next request will lead
 	pausesCheckedAt time.Time                       // while a promotion is under way
 	registerReads   registerReads
+	heartbeats      heartbeatReads
 	commits         commitState
 	voiding         voiding
 	recorded        duty.Leadership // what the store has, as far as this host wrote it
