--- a/internal/promotion/group_sim_faults_test.go
+++ b/internal/promotion/group_sim_faults_test.go
@@ -29,11 +29,13 @@
 	lateRequest   // requests get no answer and arrive late
 	unseenJoin    // a new target joins, which neither the store nor the holder hears of until the end
 	votersEnd     // all voters end, and what they recorded is lost
+	// handOver ends a target. A new one takes its address and its log, and reaches only the leader.
+	handOver
 	announceLeave // a target tells that it leaves, and goes on until another fault ends it
 	faultKinds
 )
 
-var faultNames = [faultKinds]string{"primary crash", "starvation", "target crash", "empty restart", "cut from store", "cut from holder", "cut from both", "cut from all", "planned leave", "holder change", "late request", "unseen join", "voters end", "announced leave"}
+var faultNames = [faultKinds]string{"primary crash", "starvation", "target crash", "empty restart", "cut from store", "cut from holder", "cut from both", "cut from all", "planned leave", "holder change", "late request", "unseen join", "voters end", "handover", "announced leave"}
 
 // fault is one fault of a plan.
 type fault struct {
@@ -112,6 +114,14 @@
 		return func() { c.start(t, true) }
 	case starvation:
 		return set(&t.starved)
+	case handOver:
+		c.stop(t, false)
+		t.ended = true
+		joined := c.join(fmt.Sprint("t", len(c.targets)))
+		joined.addr, joined.log, joined.cutRefuses = t.addr, slices.Clone(t.log), true
+		c.tracef("%s takes over the address and the log of %s", joined.id, t.id)
+		reachStore, reachHolder, reachHosts := set(&joined.cutFromStore), set(&joined.cutFromHolder), set(&joined.cutFromHosts)
+		return func() { reachStore(); reachHolder(); reachHosts() }
 	case announceLeave:
 		t.leaving = true
 		return func() {}
--- a/internal/promotion/group_sim_host_test.go
+++ b/internal/promotion/group_sim_host_test.go
@@ -204,10 +204,13 @@
 	c.mu.Lock()
 	t := c.find(target.ID)
 	answers, silent, process := t.running && !t.cutFromHolder, t.isSilent(), t.process
+	misrouted := t.ended && slices.ContainsFunc(c.targets, func(o *clusterTarget) bool { return o != t && o.addr == t.addr && o.running && !o.cutFromHolder })
 	c.mu.Unlock()
 	switch {
 	case answers:
 		return &clusterConn{c, t, process}, nil
+	case misrouted:
+		return nil, &statement.DialError{Outcome: statement.DialRejected, Code: statement.Misrouted, Cause: errors.New("misrouted")}
 	case silent:
 		<-ctx.Done()
 		return nil, &statement.DialError{Outcome: statement.DialTimedOut, Cause: ctx.Err()}
--- a/internal/promotion/group_sim_lost_voters_test.go
+++ b/internal/promotion/group_sim_lost_voters_test.go
@@ -68,6 +68,29 @@
 	}
 }
 
+// Guards against this failure: a replica left, and its successor, which no host had heard of,
+// acknowledged alone; once the leader and the voters had ended another one was promoted.
+func TestUnseenSuccessorLosesNoCommitThatCallersHeardOf(t *testing.T) {
+	for name, more := range map[string][]fault{
+		"one holder":         nil,
+		"the holder changes": {{kind: holderChange, at: 19 * time.Second, lasts: time.Second}},
+		"it changes before":  {{kind: holderChange, at: 12 * time.Second, lasts: time.Second}},
+	} {
+		plan := append([]fault{
+			{kind: announceLeave, target: 1, at: 5 * time.Second},
+			{kind: handOver, target: 1, at: 10 * time.Second, lasts: 15 * time.Second},
+			{kind: starvation, target: 0, at: 18 * time.Second, lasts: 20 * time.Second}, // t2
+			{kind: votersEnd, at: 19 * time.Second},
+			{kind: primaryCrash, at: 19 * time.Second, lasts: 16 * time.Second},
+		}, more...)
+		sortPlan(plan)
+		c, recovered := runWithVoters(t, plan)
+		if c.lost != "" || !recovered || c.promotions == 0 {
+			t.Errorf("%s: %s; %d promotions; a leader in the end: %v\n%s", name, c.lost, c.promotions, recovered, strings.Join(c.trace, "\n"))
+		}
+	}
+}
+
 // Guards against this failure: a target whose promotion was requested without an answer started
 // again empty, and was waited for until the request was carried out.
 func TestRequestedTargetThatStartsAgainEmptyLosesNoCommitThatCallersHeardOf(t *testing.T) {
--- a/internal/promotion/group_sim_platform_test.go
+++ b/internal/promotion/group_sim_platform_test.go
@@ -46,7 +46,7 @@
 
 func (c *cluster) registration(t *clusterTarget) catalog.Member {
 	return catalog.Member{
-		Target:      topology.Target{ID: t.id, Group: "g", Domain: "d", Addr: string(t.id), Leaving: t.leaving},
+		Target:      topology.Target{ID: t.id, Group: "g", Domain: "d", Addr: t.addr, Leaving: t.leaving},
 		Primary:     t == c.leader,
 		Incarnation: t.instance,
 	}
--- a/internal/promotion/group_sim_test.go
+++ b/internal/promotion/group_sim_test.go
@@ -24,6 +24,7 @@
 // clusterTarget is a simulated target. Its fields are guarded by cluster.mu.
 type clusterTarget struct {
 	id       topology.TargetID
+	addr     string
 	running  bool
 	ended    bool // has left for good, and its log with it
 	silent   bool // doesn't refuse connections while it is down
@@ -90,7 +91,7 @@
 
 // join starts a new target with an empty log.
 func (c *cluster) join(id string) *clusterTarget {
-	t := &clusterTarget{id: topology.TargetID(id), running: true, term: c.term, process: 1, instance: 1, lag: 1 + len(c.targets)%2}
+	t := &clusterTarget{id: topology.TargetID(id), addr: id, running: true, term: c.term, process: 1, instance: 1, lag: 1 + len(c.targets)%2}
 	c.targets = append(c.targets, t)
 	return t
 }
