--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -55,6 +55,7 @@
 	voters       *confirm.Voters
 	commits      *confirm.Confirmer
 	commitHolder *confirm.Holder
+	receipts     *promotion.Receipts
 	locality     *locality.Router // nil if no prices are set
 	quota        *quota.Quota     // nil if the settings don't bound rates
 	capacity     *capacity.Coordinator
@@ -151,10 +152,13 @@
 func (h *fleetHost) createCommits(bootID uint64) {
 	self, log := topology.HostID(h.settings.PeerAddr), h.log.WithName("confirm")
 	h.voters = confirm.NewVoters(bootID, h.heardOfHolder)
+	h.receipts = promotion.NewReceipts(promotion.ReceiptOptions{
+		Dialer: platform.TargetDialer{}, Parse: platform.ParseTargetStatus, Members: h.duty.StoredMembers, AckReplicas: h.catalog.AckReplicas,
+	})
 	h.commits = confirm.New(confirm.Options{
-		Self: self, Local: h.voters, Peers: h.peers, Electorate: h.duty.Electorate, Needed: h.catalog.AwaitsReplicas, Log: log,
+		Self: self, Local: h.voters, Peers: h.peers, Electorate: h.duty.Electorate, Holder: h.duty.Holder, Receipts: h.receipts, Needed: h.catalog.AwaitsReplicas, Log: log,
 	})
-	options := confirm.HolderOptions{Self: self, Local: h.voters, Peers: h.peers, Duty: h.duty, Processes: h.gossip.Processes, Log: log}
+	options := confirm.HolderOptions{Self: self, Local: h.voters, Peers: h.peers, Duty: h.duty, Processes: h.gossip.Processes, Receipts: h.receipts, Log: log}
 	if !h.settings.PrimariesFenced { // requests are recorded before they are sent
 		options.NotOrdered = h.duty.RecordsNoOrder
 	}
@@ -250,6 +254,9 @@
 	if err := h.server.Register(confirm.ServiceName, h.voters); err != nil {
 		return nil, err
 	}
+	if err := h.server.Register(confirm.ReceiptServiceName, confirm.NewReceiptService(h.receipts, h.duty.Electorate)); err != nil {
+		return nil, err
+	}
 	if h.lessee != nil {
 		if err := h.server.Register(lease.ServiceName, lease.NewService(h.grantor, h.lessee)); err != nil {
 			return nil, err
--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -261,6 +261,15 @@
 	return members, unregisteredFor
 }
 
+// AckReplicas returns how many replicas must have received a commit before targets of the group
+// acknowledge it.
+func (s *Store) AckReplicas(id topology.GroupID) int {
+	if c := s.Configuration(); c != nil {
+		return c.Groups[id].AckReplicas
+	}
+	return 0
+}
+
 // AwaitsReplicas reports whether targets of the group acknowledge a commit only once
 // replicas have it.
 func (s *Store) AwaitsReplicas(id topology.GroupID) bool {
--- a/internal/confirm/confirmer.go
+++ b/internal/confirm/confirmer.go
@@ -44,6 +44,10 @@
 	Peers peer.Caller
 	// Electorate returns the group's voters.
 	Electorate func(topology.GroupID) Electorate
+	// Holder returns the host that holds the group's duty, and Receipts proves receipts if that is
+	// this host. They are used once a target is dropped.
+	Holder   func(topology.GroupID) (topology.HostID, bool)
+	Receipts Receipts
 	// Needed reports whether commits of the group need confirmation: a target acknowledges
 	// them once replicas have them.
 	Needed func(topology.GroupID) bool
@@ -74,6 +78,8 @@
 	ready     chan struct{} // closed when a round succeeds after that
 	askedAt   time.Time     // when a caller last asked whether commits can be confirmed
 	confirmed topology.Position
+	// unreceived is the newest position whose receipt wasn't proved, zero once one was.
+	unreceived topology.Position
 }
 
 // commit waits for its confirmation.
@@ -222,12 +228,12 @@
 }
 
 // next returns the position for the next round: the newest in the term of the commit that
-// has waited longest.
-func (r *rounds) next() (topology.Position, bool) {
+// has waited longest. If none waits, it is the one whose receipt wasn't proved.
+func (r *rounds) next() (position topology.Position, waits bool) {
 	if len(r.waiting) == 0 {
-		return topology.Position{}, false
+		return r.unreceived, false
 	}
-	position := r.waiting[0].position
+	position = r.waiting[0].position
 	for _, w := range r.waiting {
 		if w.position.Term == position.Term {
 			position = topology.Later(position, w.position)
@@ -239,6 +245,10 @@
 // finish applies the outcome of a round. Commits that the voters may confirm later keep
 // waiting.
 func (r *rounds) finish(position topology.Position, err error) {
+	r.unreceived = topology.Position{}
+	if errors.Is(err, ErrNotReceived) {
+		r.unreceived = position
+	}
 	switch {
 	case err == nil:
 		r.confirmed = topology.Later(r.confirmed, position)
@@ -274,6 +284,10 @@
 	if len(voters) == 0 {
 		return ErrNoQuorum
 	}
+	// Voters record only what has been received: a promotion needs what they have recorded.
+	if e.NeedsReceipts() && !position.IsZero() && !c.received(id, &e, position) {
+		return ErrNotReceived
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	args := RecordArgs{Address: Address{Group: id, Epoch: e.Epoch, FromTerm: e.FromTerm}, Position: position}
--- a/internal/confirm/electorate.go
+++ b/internal/confirm/electorate.go
@@ -11,7 +11,11 @@
 	Boot uint64          `json:"boot"` // identifies the process
 }
 
-// Electorate is the list of the voters of a group. The zero value has none.
+// MaxDropped is the number of targets that an electorate may exclude.
+const MaxDropped = 4
+
+// Electorate is the list of the voters of a group, and of the targets by whose logs no promotion
+// is decided. The zero value has none.
 type Electorate struct {
 	// Epoch increases with each change of the list.
 	Epoch  uint64           `json:"epoch"`
@@ -21,8 +25,24 @@
 	// FromTerm is the term of the leader when the epoch began. Commits of earlier terms
 	// aren't confirmed in it.
 	FromTerm uint64 `json:"from_term"`
+	// Dropped are targets that may have received commits, but aren't waited for if the logs decide a
+	// promotion: every commit that is passed on in this epoch is proved to have been received by
+	// others. Unused entries are zero.
+	Dropped [MaxDropped]topology.TargetID `json:"dropped,omitzero"`
 }
 
+// DroppedTargets returns the entries of Dropped in use.
+func (e *Electorate) DroppedTargets() []topology.TargetID {
+	n := 0
+	for n < len(e.Dropped) && e.Dropped[n] != "" {
+		n++
+	}
+	return e.Dropped[:n]
+}
+
+// NeedsReceipts reports whether a commit is passed on only once its receipt is proved.
+func (e *Electorate) NeedsReceipts() bool { return e.Dropped[0] != "" }
+
 // Members returns the voters.
 func (e *Electorate) Members() []Voter {
 	n := 0
--- a/internal/confirm/holder.go
+++ b/internal/confirm/holder.go
@@ -53,7 +53,9 @@
 	// NotOrdered reports whether the claim on a group's duty shows that no earlier holder sent
 	// a request for a promotion that may still be carried out. nil: claims don't show it.
 	NotOrdered func(topology.GroupID) bool
-	Log        logr.Logger
+	// Receipts proves that other replicas have what a target to be dropped may have received.
+	Receipts Receipts
+	Log      logr.Logger
 }
 
 // Holder seals and opens the voters of the groups whose duty this host holds, and replaces
@@ -101,6 +103,8 @@
 	Floor topology.Position
 	// Ended is the number of voters that are known to have ended.
 	Ended int
+	// Dropped are the targets that no promotion waits for.
+	Dropped []topology.TargetID
 	// Unanswered are voters that neither answer nor are known to have ended.
 	Unanswered []topology.HostID
 }
@@ -222,7 +226,7 @@
 		return Sealing{}
 	}
 	p := t.sealing
-	s := Sealing{Closed: p.closed(), ClosedAt: t.closedAt, Known: p.closed() && p.meetsEveryQuorum(), Floor: p.newest(), Ended: len(p.ended)}
+	s := Sealing{Closed: p.closed(), ClosedAt: t.closedAt, Known: p.closed() && p.meetsEveryQuorum(), Floor: p.newest(), Ended: len(p.ended), Dropped: p.electorate.DroppedTargets()}
 	for _, v := range p.electorate.Members() {
 		if _, accepted := p.accepted[v]; !accepted && !p.ended[v] {
 			s.Unanswered = append(s.Unanswered, v.Host)
@@ -241,6 +245,8 @@
 	NotOrdered bool
 	// Settled is set if no request of any holder may.
 	Settled bool
+	// Dropped are the targets to be dropped, in the order of their IDs.
+	Dropped [MaxDropped]topology.TargetID
 }
 
 // Maintain opens voters that are sealed, if no other target than the leader may be
@@ -267,7 +273,7 @@
 		h.writeOrOpen(ctx, id, t, t.inDoubt)
 		return false
 	}
-	if c := h.dueChange(t, e, leader); c != nil {
+	if c := h.dueChange(t, e, leader); c != nil && h.mayChange(ctx, id, c) {
 		h.writeOrOpen(ctx, id, t, c)
 		return false
 	}
@@ -285,11 +291,11 @@
 	}
 	t.chosenAt = now
 	voters := ChooseVoters(e, h.opts.Processes(), MaxVoters)
-	if e.SameVoters(voters) {
+	if e.SameVoters(voters) && e.Dropped == leader.Dropped {
 		return nil
 	}
 	t.changedAt = now
-	c := &change{from: e, next: Electorate{Epoch: e.Epoch + 1, FromTerm: leader.Term, Floor: leader.Position}, leader: leader}
+	c := &change{from: e, next: Electorate{Epoch: e.Epoch + 1, FromTerm: leader.Term, Floor: leader.Position, Dropped: leader.Dropped}, leader: leader}
 	copy(c.next.Voters[:], voters)
 	return c
 }
@@ -363,6 +369,35 @@
 	leader Proof
 }
 
+// drops reports whether targets count no more that may have received commits which were passed on.
+func (c *change) drops() bool {
+	return slices.ContainsFunc(c.next.DroppedTargets(), func(id topology.TargetID) bool { return !slices.Contains(c.from.DroppedTargets(), id) })
+}
+
+// mayChange reports whether the change can be made. Targets are dropped only if others have what they
+// may have received, which is found out before commits are held up.
+func (h *Holder) mayChange(ctx context.Context, id topology.GroupID, c *change) bool {
+	if !c.drops() || h.isReceived(ctx, id, &c.next) {
+		return true
+	}
+	h.opts.Log.Info("silent targets are not dropped", "group", id, "epoch", c.from.Epoch, "targets", c.next.DroppedTargets(), "reason", ErrNotReceived.Error())
+	c.next.Dropped = c.from.Dropped
+	return !c.from.SameVoters(c.next.Members())
+}
+
+// isReceived reports whether replicas that count in an epoch have received its floor.
+func (h *Holder) isReceived(ctx context.Context, id topology.GroupID, next *Electorate) bool {
+	ctx, cancel := context.WithTimeout(ctx, dropTimeout)
+	defer cancel()
+	return h.opts.Receipts != nil && h.opts.Receipts.Received(ctx, id, next, next.Floor)
+}
+
+// Dropped returns the targets that the newest known electorate of a group dropped.
+func (h *Holder) Dropped(id topology.GroupID) []topology.TargetID {
+	e := h.opts.Duty.Electorate(id)
+	return e.DroppedTargets()
+}
+
 // writeOrOpen starts a new epoch. It opens the present voters if that surely failed.
 func (h *Holder) writeOrOpen(ctx context.Context, id topology.GroupID, t *tenure, c *change) {
 	if failed := h.write(ctx, id, t, c); failed && t.sealed && h.opts.Duty.Electorate(id).Epoch == c.from.Epoch {
@@ -378,7 +413,7 @@
 	err := h.opts.Duty.RecordElectorate(ctx, id, func(ctx context.Context) (Electorate, error) { return h.prepare(ctx, id, t, c) })
 	switch {
 	case err == nil:
-		h.opts.Log.Info("electorate changed", "group", id, "epoch", c.next.Epoch, "voters", c.next.Members(), "floor", c.next.Floor.String(), "from_term", c.next.FromTerm)
+		h.opts.Log.Info("electorate changed", "group", id, "epoch", c.next.Epoch, "voters", c.next.Members(), "floor", c.next.Floor.String(), "from_term", c.next.FromTerm, "dropped", c.next.DroppedTargets())
 		return false
 	case errors.Is(err, ErrWriteInDoubt):
 		t.inDoubt = c // until the store has this epoch, or another one
@@ -393,6 +428,7 @@
 // prepare seals the voters and returns the electorate to write.
 func (h *Holder) prepare(ctx context.Context, id topology.GroupID, t *tenure, c *change) (Electorate, error) {
 	if len(c.from.Members()) == 0 {
+		c.next.Dropped = c.from.Dropped // nothing has been passed on
 		return c.next, nil
 	}
 	h.seal(ctx, id, t, c.from, c.leader.Term)
@@ -408,5 +444,8 @@
 	if !p.meetsEveryQuorum() {
 		c.next.Floor = topology.Later(c.next.Floor, c.leader.Position)
 	}
+	if c.drops() && !h.isReceived(ctx, id, &c.next) {
+		return Electorate{}, ErrNotReceived
+	}
 	return c.next, nil
 }
--- a/internal/duty/members.go
+++ b/internal/duty/members.go
@@ -42,6 +42,14 @@
 	return k.members[id]
 }
 
+// StoredMembers returns the possible commit holders that the store lists for a group whose duty this
+// host holds.
+func (k *Keeper) StoredMembers(id topology.GroupID) []Member {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.writtenMembers[id]
+}
+
 // RecordMembers records the group's possible commit holders for the holders that follow.
 // It returns when the store has them, or with an error; they are known to this host in
 // either case. It does nothing if this host doesn't hold the duty or the store has them.
--- a/internal/promotion/commits.go
+++ b/internal/promotion/commits.go
@@ -150,11 +150,11 @@
 	hadEffect := w.leader == w.requests.lastTarget && term > w.commits.sealedTerm
 	w.commits.ordered = w.commits.ordered && !settled && !hadEffect
 	if provedAt.Before(w.opts.Duty.PendingUntil(w.opts.Group)) || w.voiding.mayPromoteOther(w.leader, provedAt) {
-		return confirm.Proof{Target: w.leader, Position: w.leaderPosition, Term: term, SentAt: provedAt}
+		return confirm.Proof{Target: w.leader, Position: w.leaderPosition, Term: term, SentAt: provedAt, Dropped: w.droppedTargets()}
 	}
 	return confirm.Proof{
 		Target: w.leader, Position: w.leaderPosition, Term: term, SentAt: provedAt,
-		NotOrdered: !w.commits.ordered, Settled: settled,
+		NotOrdered: !w.commits.ordered, Settled: settled, Dropped: w.droppedTargets(),
 	}
 }
 
--- a/internal/promotion/commits_test.go
+++ b/internal/promotion/commits_test.go
@@ -26,6 +26,8 @@
 func (c *countingCommits) Order(context.Context, topology.GroupID, topology.TargetID) bool {
 	return true
 }
+func (c *countingCommits) Dropped(topology.GroupID) []topology.TargetID { return nil }
+
 func (c *countingCommits) Maintain(context.Context, topology.GroupID, confirm.Proof) bool {
 	c.maintained.Add(1)
 	time.Sleep(c.slow)
--- /dev/null
+++ b/internal/promotion/dropped_test.go
@@ -0,0 +1,106 @@
+package promotion
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"nettlewalk.example/nettlewalk/internal/confirm"
+	"nettlewalk.example/nettlewalk/internal/duty"
+	"nettlewalk.example/nettlewalk/internal/topology"
+)
+
+// A silent target is dropped if others keep up with the leader, and counts again once it does, too.
+func TestSilentTargetIsDroppedWhileOthersKeepUp(t *testing.T) {
+	sound := func(id topology.TargetID) replicaState { return replicaState{id: id, counts: true, stays: true} }
+	silent := replicaState{id: "b", counts: true, silentFor: dropAfter, caughtUpFor: time.Hour}
+	change := func(s replicaState, change func(*replicaState)) replicaState { change(&s); return s }
+	returned := change(sound("b"), func(s *replicaState) { s.dropped = true })
+	for name, test := range map[string]struct {
+		other   replicaState
+		b       replicaState
+		acks    int
+		dropped bool
+	}{
+		"sound":                      {sound("a"), sound("b"), 1, false},
+		"silent":                     {sound("a"), silent, 1, true},
+		"silent for less":            {sound("a"), change(silent, func(s *replicaState) { s.silentFor-- }), 1, false},
+		"the other one is silent":    {change(silent, func(s *replicaState) { s.id = "a" }), silent, 1, false},
+		"the other one leaves":       {change(sound("a"), func(s *replicaState) { s.stays = false }), silent, 1, false},
+		"the other one lags":         {change(sound("a"), func(s *replicaState) { s.caughtUpFor = caughtUpMaxAge }), silent, 1, false},
+		"two acknowledge":            {sound("a"), silent, 2, false},
+		"proved to have ended":       {sound("a"), change(silent, func(s *replicaState) { s.counts = false }), 1, false},
+		"dropped and ended":          {sound("a"), change(returned, func(s *replicaState) { s.counts = false }), 1, false},
+		"dropped and has returned":   {sound("a"), returned, 1, false},
+		"dropped and lags":           {sound("a"), change(returned, func(s *replicaState) { s.caughtUpFor = caughtUpMaxAge }), 1, true},
+		"dropped and isn't listed":   {sound("a"), change(returned, func(s *replicaState) { s.stays = false }), 1, true},
+		"dropped, the other is lost": {change(silent, func(s *replicaState) { s.id = "a" }), change(silent, func(s *replicaState) { s.dropped = true }), 1, true},
+	} {
+		got := nextDropped([]replicaState{test.b, test.other}, test.acks)
+		want := [confirm.MaxDropped]topology.TargetID{}
+		if test.dropped {
+			want[0] = "b"
+		}
+		qt.Check(t, got, qt.Equals, want, qt.Commentf(name))
+	}
+}
+
+// A target that was dropped decides no promotion, whatever becomes of it.
+func TestDroppedTargetDecidesNoPromotion(t *testing.T) {
+	lost := replica("b", pos(1, 9), 0)
+	lost.LostLog = true
+	for name, dropped := range map[string]Member{
+		"silent": {ID: "b", Reach: Unresponsive, Unregistered: true}, "refuses": {ID: "b", Reach: Dead}, "lost its log": lost,
+		"its log is not proved": {ID: "b", Reach: Answered, Status: replica("b", pos(1, 5), 2).Status},
+	} {
+		v := unknownFloor(dropped)
+		_, waits := NextStep(v).(Wait)
+		qt.Check(t, waits, qt.IsTrue, qt.Commentf(name))
+		v.Sealing.Dropped = []topology.TargetID{"b"}
+		want := Step(Promote{Target: "a"})
+		if name == "lost its log" { // it has more, and may be promoted
+			want = Promote{Target: "b"}
+		}
+		qt.Check(t, NextStep(v), qt.DeepEquals, want, qt.Commentf(name))
+	}
+	v := unknownFloor(Member{ID: "b", Reach: Unresponsive})
+	v.Sealing.Dropped = []topology.TargetID{"a"}
+	_, waits := NextStep(v).(Wait)
+	qt.Check(t, waits, qt.IsTrue, qt.Commentf("the others count"))
+}
+
+// A receipt is proved by replicas that the store lists and that weren't dropped, not by the leader.
+func TestReceiptIsProvedByReplicasThatCount(t *testing.T) {
+	g := newTestGroup("p", "a", "b")
+	members := []duty.Member{{ID: "p", Addr: "p", Leads: true}, {ID: "a", Addr: "a"}, {ID: "b", Addr: "b"}, {ID: "c", Addr: "c", Covered: true}}
+	acks := 1
+	r := NewReceipts(ReceiptOptions{
+		Dialer: g, Parse: parseTestStatus, Members: func(topology.GroupID) []duty.Member { return members }, AckReplicas: func(topology.GroupID) int { return acks },
+	})
+	epoch := uint64(0)
+	received := func(p topology.Position, dropped ...topology.TargetID) bool {
+		epoch++
+		e := &confirm.Electorate{Epoch: epoch}
+		copy(e.Dropped[:], dropped)
+		ctx, cancel := context.WithTimeout(context.Background(), 60*time.Millisecond)
+		defer cancel()
+		return r.Received(ctx, "g", e, p)
+	}
+	g.with(func(targets map[topology.TargetID]*testTarget) {
+		targets["p"].received, targets["a"].received = pos(1, 9), pos(1, 8)
+	})
+	qt.Check(t, received(pos(1, 8)), qt.IsTrue)
+	qt.Check(t, received(pos(1, 9)), qt.IsFalse, qt.Commentf("only the leader has it"))
+	qt.Check(t, received(pos(1, 8), "a"), qt.IsFalse, qt.Commentf("the replica that has it is dropped"))
+	qt.Check(t, received(pos(1, 7), "a"), qt.IsTrue)
+	acks = 2
+	qt.Check(t, received(pos(1, 8)), qt.IsFalse, qt.Commentf("two have to have it"))
+	qt.Check(t, received(pos(1, 7)), qt.IsTrue)
+	acks = 1
+	members[0].Leads = false // the record is old
+	qt.Check(t, received(pos(1, 9)), qt.IsFalse, qt.Commentf("the leader says that it leads"))
+	members = members[:1]
+	qt.Check(t, received(pos(1, 7)), qt.IsFalse, qt.Commentf("the store lists no replica"))
+}
--- a/internal/promotion/group_sim_lost_voters_test.go
+++ b/internal/promotion/group_sim_lost_voters_test.go
@@ -51,6 +51,33 @@
 	}
 }
 
+// Guards against this failure: a replica that was waited for no more, since nothing had been heard of it
+// for long, acknowledged alone what callers then heard of.
+func TestDroppedReplicaThatOnlyTheLeaderReachesLosesNoCommitThatCallersHeardOf(t *testing.T) {
+	for name, more := range map[string][]fault{
+		"one holder":         nil,
+		"the holder changes": {{kind: holderChange, at: 26 * time.Second, lasts: time.Second}},
+		"it returns":         {{kind: holderChange, at: 34 * time.Second, lasts: time.Second}},
+	} {
+		lasts := 40 * time.Second
+		if name == "it returns" {
+			lasts = 19500 * time.Millisecond
+		}
+		plan := append([]fault{
+			{kind: cutFromAll, target: 1, at: 5 * time.Second, lasts: lasts},
+			{kind: starvation, target: 1, at: 25 * time.Second, lasts: 20 * time.Second}, // t2
+			{kind: votersEnd, at: 26 * time.Second},
+			{kind: primaryCrash, at: 26 * time.Second, lasts: 16 * time.Second},
+		}, more...)
+		sortPlan(plan)
+		c, recovered := runWithVoters(t, plan)
+		wasDropped := strings.Contains(strings.Join(c.trace, "\n"), "dropped targets: [t1]")
+		if c.lost != "" || !recovered || !wasDropped {
+			t.Errorf("%s: %s; a leader in the end: %v; dropped: %v\n%s", name, c.lost, recovered, wasDropped, strings.Join(c.trace, "\n"))
+		}
+	}
+}
+
 // Guards against this failure: a leaving replica whose entry had expired and that refused hosts was
 // taken for ended, though the leader reached it and acknowledged commits by it alone.
 func TestLeavingReplicaThatOnlyTheLeaderReachesLosesNoCommitThatCallersHeardOf(t *testing.T) {
@@ -150,6 +177,28 @@
 	}
 }
 
+// Guards against this failure: a promotion waited for good for a replica that was gone, though another
+// one had received everything for long, once the leader and the voters had ended.
+func TestReplicaThatIsGoneDoesNotBlockPromotionByLogs(t *testing.T) {
+	forGood := 200 * time.Second
+	for name, more := range map[string][]fault{
+		"one holder":         nil,
+		"the holder changes": {{kind: holderChange, at: 32 * time.Second, lasts: time.Second}},
+		"it changes before":  {{kind: holderChange, at: 10 * time.Second, lasts: time.Second}},
+	} {
+		plan := append([]fault{
+			{kind: targetCrash, target: 1, at: 5 * time.Second, lasts: forGood}, // t1
+			{kind: votersEnd, at: 32 * time.Second},
+			{kind: primaryCrash, at: 32 * time.Second, lasts: forGood},
+		}, more...)
+		sortPlan(plan)
+		c, recovered := runWithVoters(t, plan)
+		if c.lost != "" || !recovered || c.promotions == 0 {
+			t.Errorf("%s: %s; %d promotions; a leader in the end: %v\n%s", name, c.lost, c.promotions, recovered, strings.Join(c.trace, "\n"))
+		}
+	}
+}
+
 // Voters end at any moment before the leader, beside cuts, restarts, departures and changes of the
 // holder, while a replica is out of sight and another one receives nothing.
 func TestLostVotersLoseNoCommitThatCallersHeardOf(t *testing.T) {
--- a/internal/promotion/group_sim_test.go
+++ b/internal/promotion/group_sim_test.go
@@ -133,11 +133,24 @@
 			c.acknowledged = slices.Clone(r.log)
 		}
 	}
-	if len(c.acknowledged) > len(c.heard) && (c.voters == nil || c.voters.record(c.term, logEnd(c.acknowledged))) {
-		c.heard = slices.Clone(c.acknowledged)
+	if passed := c.passable(); len(passed) > len(c.heard) && (c.voters == nil || c.voters.record(c.term, logEnd(passed))) {
+		c.heard = slices.Clone(passed)
 	}
 }
 
+// passable returns the acknowledged commits that hosts may pass on once voters have recorded them: all,
+// or those whose receipt is proved.
+func (c *cluster) passable() []commitEntry {
+	if c.voters == nil || len(c.voters.droppedTargets()) == 0 {
+		return c.acknowledged
+	}
+	received, n := c.received(c.voters.droppedTargets()), len(c.acknowledged)
+	for n > 0 && !received.AtLeast(logEnd(c.acknowledged[:n])) {
+		n--
+	}
+	return c.acknowledged[:n]
+}
+
 // stop ends a target's process.
 func (c *cluster) stop(t *clusterTarget, silent bool) {
 	if !t.running {
--- a/internal/promotion/group_sim_voters_test.go
+++ b/internal/promotion/group_sim_voters_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"nettlewalk.example/nettlewalk/internal/confirm"
@@ -19,6 +20,14 @@
 	orderedBy  *clusterHost // first holder that may have sent a request since the seal, nil if none
 	ordered    topology.TargetID
 	several    bool // another target may have been requested after that
+	// dropped stands in the claim, and outlasts the voters. While there are any, commits are recorded
+	// once another replica that the claim lists has received them.
+	dropped [confirm.MaxDropped]topology.TargetID
+}
+
+func (v *clusterVoters) droppedTargets() []topology.TargetID {
+	e := confirm.Electorate{Dropped: v.dropped}
+	return e.DroppedTargets()
 }
 
 // record records the position of a commit in a leader's term, unless that may be over.
@@ -31,7 +40,20 @@
 }
 
 // end ends all voters, and with them what they have recorded and heard of requests.
-func (v *clusterVoters) end() { *v = clusterVoters{ended: time.Now(), sealed: true, term: v.term} }
+func (v *clusterVoters) end() {
+	*v = clusterVoters{ended: time.Now(), sealed: true, term: v.term, dropped: v.dropped}
+}
+
+// received returns the newest position that a replica is proved to have received which the claim
+// lists, which the holder reaches and which isn't dropped.
+func (c *cluster) received(dropped []topology.TargetID) (newest topology.Position) {
+	for _, m := range countingReplicas(c.claim.members, dropped) {
+		if t := c.find(m.ID); t != c.leader && t.running && !t.cutFromHolder && c.host != nil {
+			newest = topology.Later(newest, t.position())
+		}
+	}
+	return newest
+}
 
 // hostCommits implements Commits for a holder of the duty.
 type hostCommits struct {
@@ -53,11 +75,34 @@
 		return confirm.Sealing{}
 	}
 	v := h.voters
+	dropped := v.droppedTargets()
 	v.sealed, v.sealedTerm = true, max(v.sealedTerm, term)
 	if !v.ended.IsZero() {
-		return confirm.Sealing{Closed: true, ClosedAt: v.ended}
+		return confirm.Sealing{Closed: true, ClosedAt: v.ended, Dropped: dropped}
+	}
+	return confirm.Sealing{Closed: true, Known: true, Floor: v.newest, Dropped: dropped}
+}
+
+func (h *hostCommits) Dropped(topology.GroupID) []topology.TargetID {
+	_, unlock := h.held()
+	defer unlock()
+	return h.voters.droppedTargets()
+}
+
+// drop writes the targets to be dropped, if others have received what was passed on. Targets
+// that count again need no proof.
+func (h *hostCommits) drop(leader confirm.Proof) {
+	v, c := h.voters, h.host.cluster
+	if v.dropped == leader.Dropped {
+		return
+	}
+	next := confirm.Electorate{Dropped: leader.Dropped}
+	adds := slices.ContainsFunc(next.DroppedTargets(), func(id topology.TargetID) bool { return !slices.Contains(v.droppedTargets(), id) })
+	if adds && !c.received(next.DroppedTargets()).AtLeast(topology.Later(v.newest, leader.Position)) {
+		return
 	}
-	return confirm.Sealing{Closed: true, Known: true, Floor: v.newest}
+	v.dropped = leader.Dropped
+	c.tracef("dropped targets: %v", v.droppedTargets())
 }
 
 func (h *hostCommits) Order(_ context.Context, _ topology.GroupID, target topology.TargetID) bool {
@@ -84,6 +129,9 @@
 	if !v.ended.IsZero() { // new ones begin with a position that the leader had since
 		mayOpen = leader.Settled && leader.SentAt.After(v.ended)
 	}
+	if held && leader.Term > 0 && (mayOpen || !v.sealed) {
+		h.drop(leader)
+	}
 	if !held || leader.Term == 0 || !v.sealed || !mayOpen {
 		return held && leader.Term > 0 && v.sealed && (inherited || !v.ended.IsZero())
 	}
--- a/internal/promotion/members.go
+++ b/internal/promotion/members.go
@@ -179,9 +179,7 @@
 func (w *Watcher) membersAreStored(ctx context.Context) bool {
 	var counting []topology.TargetID
 	for id, pr := range w.probers {
-		isBounded := !pr.endedSince.IsZero() && !pr.logUpperBound.IsZero()
-		left := pr.unregisteredFor > 0 && w.handedOver(duty.Member{ID: id, Addr: pr.target.Addr, Leaving: pr.target.Leaving})
-		if !isBounded && !left && !w.isCovered(id) {
+		if w.mayHoldCommits(id, pr) {
 			counting = append(counting, id)
 		}
 	}
@@ -193,6 +191,14 @@
 	return false
 }
 
+// mayHoldCommits reports whether a target may hold commits that no other one has, as far as
+// is known without a probe of it.
+func (w *Watcher) mayHoldCommits(id topology.TargetID, pr *prober) bool {
+	isBounded := !pr.endedSince.IsZero() && !pr.logUpperBound.IsZero()
+	left := pr.unregisteredFor > 0 && w.handedOver(duty.Member{ID: id, Addr: pr.target.Addr, Leaving: pr.target.Leaving})
+	return !isBounded && !left && !w.isCovered(id)
+}
+
 // withUnregistered adds to the recorded members the targets that left the register before
 // they were recorded.
 func (w *Watcher) withUnregistered(recorded []duty.Member) []duty.Member {
--- a/internal/promotion/next.go
+++ b/internal/promotion/next.go
@@ -193,17 +193,28 @@
 }
 
 // otherReplicas returns the replicas other than the candidate that may hold commits.
-// A Reassigned target is left out, since another registered target has its address.
+// A Reassigned target is left out, since another registered target has its address, and so is one
+// that was dropped: others have received every commit that was passed on since.
 func (v *View) otherReplicas(candidate topology.TargetID) []Member {
 	var list []Member
 	for _, m := range v.Members {
-		if m.ID != candidate && m.ID != v.Leader && m.Reach != Reassigned {
+		if m.ID != candidate && m.ID != v.Leader && m.Reach != Reassigned && !slices.Contains(v.Sealing.Dropped, m.ID) {
 			list = append(list, m)
 		}
 	}
 	return list
 }
 
+// deciding returns the replicas whose logs decide whether the candidate has every commit that was
+// passed on: the candidate's own, unless it was dropped, and those of the others.
+func (v *View) deciding(candidate Member) []Member {
+	list := v.otherReplicas(candidate.ID)
+	if !slices.Contains(v.Sealing.Dropped, candidate.ID) {
+		list = append(list, candidate)
+	}
+	return list
+}
+
 // replicasToPause returns a Pause step for the replicas that answer and still
 // receive commits.
 func replicasToPause(v View, others []Member) Pause {
@@ -249,13 +260,13 @@
 // position that the leader had after that. Silence proves nothing, whoever hears it: a replica
 // that no host reaches may receive from the leader.
 func (v *View) uncertain(candidate Member) (list []topology.TargetID) {
-	for _, m := range append(v.otherReplicas(candidate.ID), candidate) {
+	for _, m := range v.deciding(candidate) {
 		if m.mayHoldMore(candidate) {
 			list = append(list, m.ID)
 		}
 	}
 	for _, m := range v.Members {
-		if m.LostLog && (m.LostLogEnd.IsZero() || !candidate.Status.Received.AtLeast(m.LostLogEnd)) {
+		if m.LostLog && !slices.Contains(v.Sealing.Dropped, m.ID) && (m.LostLogEnd.IsZero() || !candidate.Status.Received.AtLeast(m.LostLogEnd)) {
 			list = append(list, m.ID)
 		}
 	}
@@ -270,7 +281,7 @@
 	if !v.Confirmed {
 		return list
 	}
-	for _, m := range append(v.otherReplicas(candidate.ID), candidate) {
+	for _, m := range v.deciding(candidate) {
 		if m.Reach == Answered && !m.LogProved && !m.LostLog && !slices.Contains(list, m.ID) { // uncertain bounds a lost log
 			list = append(list, m.ID)
 		}
--- a/internal/promotion/probe.go
+++ b/internal/promotion/probe.go
@@ -32,7 +32,7 @@
 			if pr != nil {
 				pr.closeConn()
 			}
-			pr = &prober{target: m.Target, dialer: w.opts.Dialer, parse: w.opts.Parse, recorded: recorded[m.Target.ID], endCheck: endCheck{ask: w.opts.AskHosts}}
+			pr = &prober{target: m.Target, aliveAt: now, dialer: w.opts.Dialer, parse: w.opts.Parse, recorded: recorded[m.Target.ID], endCheck: endCheck{ask: w.opts.AskHosts}}
 			w.probers[m.Target.ID] = pr
 			w.opts.Log.Info("target may hold commits", append([]any{"group", w.opts.Group, "target", m.Target.ID, "addr", m.Target.Addr, "incarnation", m.Incarnation, "unregistered_ms", unregistered[m.Target.ID].Milliseconds()}, w.knowledgeLog()...)...)
 		}
@@ -153,6 +153,9 @@
 			status, reach := pr.command(ctx, statement.Status, 0)
 			if reach == Answered {
 				pr.statusAsked, pr.statusAnswered = asked, steady.Now()
+				if status.Received.AtLeast(w.leaderPosition) {
+					pr.caughtUpAt = asked
+				}
 				pr.notePause(status.PausedTerm, now)
 			}
 			m := w.member(id, pr, now)
--- a/internal/promotion/prober.go
+++ b/internal/promotion/prober.go
@@ -56,6 +56,8 @@
 	reassigned         bool                       // another target of the group is registered at this address
 	replaced           bool                       // a target of another group is registered at this address
 
+	aliveAt        time.Time // when it responded last, or when it was first known to this host
+	caughtUpAt     time.Time // when it was last asked and had received what the leader had before
 	logCheck       logCheck
 	statusAsked    time.Time // when the latest status was asked for
 	statusAnswered time.Time // when it was answered
@@ -230,7 +232,7 @@
 // noteAlive records that the target responded.
 func (p *prober) noteAlive() {
 	p.clearEnd()
-	p.missedProbes = 0
+	p.missedProbes, p.aliveAt = 0, steady.Now()
 }
 
 func (p *prober) closeConn() {
--- a/internal/promotion/voiding_guards_test.go
+++ b/internal/promotion/voiding_guards_test.go
@@ -34,6 +34,8 @@
 	proofs []confirm.Proof
 }
 
+func (r *proofRecorder) Dropped(topology.GroupID) []topology.TargetID { return nil }
+
 func (r *proofRecorder) Maintain(_ context.Context, _ topology.GroupID, p confirm.Proof) bool {
 	r.proofs = append(r.proofs, p)
 	return false
--- a/internal/promotion/voiding_test.go
+++ b/internal/promotion/voiding_test.go
@@ -36,6 +36,8 @@
 	return !v.refusing
 }
 
+func (v *forgetfulVoters) Dropped(topology.GroupID) []topology.TargetID { return nil }
+
 func (v *forgetfulVoters) Maintain(_ context.Context, _ topology.GroupID, leader confirm.Proof) (needsSettled bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/internal/promotion/watcher.go
+++ b/internal/promotion/watcher.go
@@ -95,6 +95,8 @@
 	// promoted, and replaces voters that have ended. It reports whether that waits for a proof
 	// with Settled.
 	Maintain(ctx context.Context, id topology.GroupID, leader confirm.Proof) (needsSettled bool)
+	// Dropped returns the targets that the newest known electorate dropped.
+	Dropped(topology.GroupID) []topology.TargetID
 }
 
 // Options configures a Watcher.
--- a/test/line/lostvoters_test.go
+++ b/test/line/lostvoters_test.go
@@ -73,3 +73,24 @@
 	w.checkAckedWrites(t, b)
 	checkNoRepeatedWrites(t, b)
 }
+
+// Guards against this failure: after one replica was gone for good, and later the primary together with
+// all hosts, a promotion waited for the replica for good, though the other one had everything.
+func TestLineReplicaThatIsGoneIsNotWaitedForOnceDropped(t *testing.T) {
+	b := newSettledBed(t, Options{SpreadTargets: true})
+	b.Crash(1)
+	b.Unregister(b.Members[1])
+	w := &writer{}
+	b.Eventually("commits need the other replica's receipt", func() bool {
+		w.write(t, b, 0, "w", 1)
+		return b.metric(`nettlewalk_receipts_total{outcome="proved"}`) > 3
+	})
+	w.write(t, b, 1, "dropped", 20)
+	b.killAll(t)
+	b.Crash(0)
+	b.startAll()
+	b.Eventually("the other replica is promoted", func() bool { return len(b.Promotions()) > 0 })
+	qt.Check(t, b.Promotions()[0], qt.Equals, string(b.Members[2].ID))
+	b.Eventually("group has a leader", func() bool { return b.Dial(0, "db2").Exec("x READ nothing") == "COMPLETE" })
+	w.checkAckedWrites(t, b)
+}
