--- a/cmd/nettlewalk/fleethost.go
+++ b/cmd/nettlewalk/fleethost.go
@@ -159,6 +159,7 @@
 		Self: self, Local: h.voters, Peers: h.peers, Electorate: h.duty.Electorate, Holder: h.duty.Holder, Receipts: h.receipts, Needed: h.catalog.AwaitsReplicas, Log: log,
 	})
 	options := confirm.HolderOptions{Self: self, Local: h.voters, Peers: h.peers, Duty: h.duty, Processes: h.gossip.Processes, Receipts: h.receipts, Log: log}
+	options.Restored = func() bool { return h.store.Era() > 0 }
 	if !h.settings.PrimariesFenced { // requests are recorded before they are sent
 		options.NotOrdered = h.duty.RecordsNoOrder
 	}
--- a/internal/confirm/holder.go
+++ b/internal/confirm/holder.go
@@ -53,6 +53,9 @@
 	// NotOrdered reports whether the claim on a group's duty shows that no earlier holder sent
 	// a request for a promotion that may still be carried out. nil: claims don't show it.
 	NotOrdered func(topology.GroupID) bool
+	// Restored reports whether the store came back from an older copy, whose electorate may drop
+	// targets that count again. nil: it never does.
+	Restored func() bool
 	// Receipts proves that other replicas have what a target to be dropped may have received.
 	Receipts Receipts
 	Log      logr.Logger
@@ -152,7 +155,11 @@
 		return Sealing{Closed: true}
 	}
 	h.seal(ctx, id, t, e, term)
-	return t.outcome()
+	s := t.outcome()
+	if h.opts.Restored != nil && h.opts.Restored() {
+		s.Dropped = nil
+	}
+	return s
 }
 
 func (h *Holder) seal(ctx context.Context, id topology.GroupID, t *tenure, e Electorate, term uint64) {
--- a/internal/confirm/receipts_test.go
+++ b/internal/confirm/receipts_test.go
@@ -80,6 +80,8 @@
 		qt.Check(t, e.DroppedTargets(), qt.DeepEquals, []topology.TargetID{"b"})
 		qt.Check(t, f.hosts[0].holder.Dropped(simGroup), qt.DeepEquals, []topology.TargetID{"b"})
 		qt.Check(t, f.hosts[0].holder.Seal(context.Background(), simGroup, 1).Dropped, qt.DeepEquals, []topology.TargetID{"b"})
+		f.hosts[0].holder.opts.Restored = func() bool { return true }
+		qt.Check(t, f.hosts[0].holder.Seal(context.Background(), simGroup, 1).Dropped, qt.HasLen, 0, qt.Commentf("an older electorate may have been restored"))
 		for _, asked := range r.asked {
 			qt.Check(t, asked.DroppedTargets(), qt.DeepEquals, []topology.TargetID{"b"}, qt.Commentf("the new set has to have it"))
 		}
--- a/internal/promotion/next.go
+++ b/internal/promotion/next.go
@@ -18,16 +18,8 @@
 	if id, ok := v.otherLeader(); ok {
 		return Wait{Reason: string(id) + " reports that it leads a newer term"}
 	}
-	if v.Ordered != "" && v.MayOverride {
-		if v.Confirmed && v.MaySeal && !v.Sealing.Closed {
-			return Seal{Term: v.logTerm()}
-		}
-		if v.orderedLacksCommits() {
-			if v.LeaderServes {
-				return Promote{Target: v.Leader}
-			}
-			v.Ordered = ""
-		}
+	if step, decided := v.overrideOrdered(); decided {
+		return step
 	}
 	candidate, ok := chooseCandidate(v)
 	if !ok {
@@ -42,6 +34,24 @@
 	return v.nextByLogs(candidate)
 }
 
+// overrideOrdered decides what becomes of a request that may still be carried out, if its target lacks
+// commits. A request for the leader, if it serves, changes nothing, and makes the platform refuse the
+// earlier one. Otherwise another target is to be chosen.
+func (v *View) overrideOrdered() (step Step, decided bool) {
+	switch {
+	case v.Ordered == "" || !v.MayOverride:
+		return nil, false
+	case v.Confirmed && v.MaySeal && !v.Sealing.Closed:
+		return Seal{Term: v.logTerm()}, true // the voters tell what it may lack
+	case !v.orderedLacksCommits():
+		return nil, false
+	case v.LeaderServes:
+		return Promote{Target: v.Leader}, true
+	}
+	v.Ordered = ""
+	return nil, false
+}
+
 // orderedLacksCommits reports whether the target whose promotion was requested lacks commits that
 // callers may have heard of. It had them when it was requested, so it has started again without its
 // log since, or had one that doesn't count.
