--- a/internal/promotion/dropped_test.go
+++ b/internal/promotion/dropped_test.go
@@ -104,3 +104,16 @@
 	members = members[:1]
 	qt.Check(t, received(pos(1, 7)), qt.IsFalse, qt.Commentf("the store lists no replica"))
 }
+
+// Guards against this failure: a silent replica that still counted delayed each proof by its timeout.
+func TestSilentReplicaDelaysNoReceipt(t *testing.T) {
+	g := newTestGroup("p", "a", "b")
+	g.with(func(targets map[topology.TargetID]*testTarget) { targets["b"].down = true })
+	r := NewReceipts(ReceiptOptions{
+		Dialer: g, Parse: parseTestStatus, AckReplicas: func(topology.GroupID) int { return 1 },
+		Members: func(topology.GroupID) []duty.Member { return []duty.Member{{ID: "b", Addr: "b"}, {ID: "a", Addr: "a"}} },
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), probeDialTimeout/2)
+	defer cancel()
+	qt.Check(t, r.Received(ctx, "g", &confirm.Electorate{Epoch: 1}, pos(1, 7)), qt.IsTrue)
+}
--- a/internal/promotion/receipts.go
+++ b/internal/promotion/receipts.go
@@ -2,16 +2,17 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 
 	"nettlewalk.example/nettlewalk/internal/confirm"
 	"nettlewalk.example/nettlewalk/internal/duty"
 	"nettlewalk.example/nettlewalk/internal/statement"
+	"nettlewalk.example/nettlewalk/internal/steady"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
@@ -19,6 +20,8 @@
 	// receiptInterval is the time between status queries of a replica while a commit waits for its
 	// receipt: each takes a work slot.
 	receiptInterval = 10 * time.Millisecond
+	// receiptRetryInterval is that time after a query without an answer.
+	receiptRetryInterval = 100 * time.Millisecond
 	// receiptIdle is how long connections for these queries are kept without a question.
 	receiptIdle = 10 * time.Second
 )
@@ -50,13 +53,20 @@
 
 // groupReceipts is what is known of a group's replicas.
 type groupReceipts struct {
-	turn  chan struct{} // held while replicas are queried, and to use conns
-	conns map[topology.TargetID]statement.Conn
-	idle  *time.Timer // closes conns
-
 	mu       sync.Mutex
 	epoch    uint64
-	received map[topology.TargetID]topology.Position // newest told in the epoch
+	replicas map[topology.TargetID]*replicaReceipt
+	told     chan struct{} // closed when a replica has told a position
+	idle     *time.Timer   // closes connections
+}
+
+// replicaReceipt is what a replica has told in the epoch. The connection belongs to the query that
+// runs.
+type replicaReceipt struct {
+	received topology.Position
+	queried  bool      // a query runs
+	nextAt   time.Time // earliest start of the next one
+	conn     statement.Conn
 }
 
 func (r *Receipts) group(id topology.GroupID) *groupReceipts {
@@ -64,7 +74,7 @@
 	defer r.mu.Unlock()
 	g := r.groups[id]
 	if g == nil {
-		g = &groupReceipts{turn: make(chan struct{}, 1), conns: map[topology.TargetID]statement.Conn{}}
+		g = &groupReceipts{replicas: map[topology.TargetID]*replicaReceipt{}, told: make(chan struct{})}
 		g.idle = time.AfterFunc(receiptIdle, g.closeConns)
 		r.groups[id] = g
 	}
@@ -83,32 +93,27 @@
 	return proved
 }
 
-// await queries the replicas until they have received the position or ctx is done.
+// await queries the replicas until enough have received the position or ctx is done. One that
+// doesn't respond delays nothing.
 func (r *Receipts) await(ctx context.Context, id topology.GroupID, e *confirm.Electorate, position topology.Position) bool {
 	g := r.group(id)
 	g.idle.Reset(receiptIdle)
 	replicas := countingReplicas(r.opts.Members(id), e.DroppedTargets())
 	needed := max(1, r.opts.AckReplicas(id))
-	for !g.has(e.Epoch, replicas, position, needed) {
-		select {
-		case g.turn <- struct{}{}:
-		case <-ctx.Done():
-			return false
-		}
-		if !g.has(e.Epoch, replicas, position, needed) {
-			r.query(ctx, id, g, e.Epoch, replicas)
-		}
-		<-g.turn
-		if g.has(e.Epoch, replicas, position, needed) {
+	ticker := time.NewTicker(receiptInterval)
+	defer ticker.Stop()
+	for {
+		proved, told := g.check(e.Epoch, replicas, position, needed, func(m duty.Member) { go r.query(id, g, m) })
+		if proved {
 			return true
 		}
 		select {
-		case <-time.After(receiptInterval):
+		case <-told:
+		case <-ticker.C:
 		case <-ctx.Done():
 			return false
 		}
 	}
-	return true
 }
 
 // countingReplicas returns the members whose logs decide a promotion, without the leader.
@@ -122,85 +127,103 @@
 	return list
 }
 
-// has reports whether as many replicas as needed are known to have received the position.
-func (g *groupReceipts) has(epoch uint64, replicas []duty.Member, position topology.Position, needed int) bool {
+// check reports whether as many replicas as needed are known to have received the position. Otherwise
+// it has those queried that are due, and returns a channel that is closed when one has told more.
+func (g *groupReceipts) check(epoch uint64, replicas []duty.Member, position topology.Position, needed int, query func(duty.Member)) (proved bool, told <-chan struct{}) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.epoch != epoch {
-		return false
+		g.epoch = epoch
+		for _, state := range g.replicas {
+			state.received = topology.Position{}
+		}
 	}
-	n := 0
+	n, now := 0, steady.Now()
 	for _, m := range replicas {
-		if received, known := g.received[m.ID]; known && received.AtLeast(position) {
+		if state := g.replicas[m.ID]; state != nil && state.received.AtLeast(position) {
 			n++
 		}
 	}
-	return n >= needed
-}
-
-// query asks the replicas for their status, concurrently. The caller holds g.turn.
-func (r *Receipts) query(ctx context.Context, id topology.GroupID, g *groupReceipts, epoch uint64, replicas []duty.Member) {
-	var mu sync.Mutex
-	var wg sync.WaitGroup
-	told := map[topology.TargetID]topology.Position{}
-	conns := map[topology.TargetID]statement.Conn{}
+	if n >= needed {
+		return true, nil
+	}
 	for _, m := range replicas {
-		conn := g.conns[m.ID]
-		wg.Go(func() {
-			status, conn, ok := r.status(ctx, topology.Target{ID: m.ID, Group: id, Addr: m.Addr, Domain: m.Domain}, conn)
-			mu.Lock()
-			defer mu.Unlock()
-			if conn != nil {
-				conns[m.ID] = conn
-			}
-			if ok && !status.Primary {
-				told[m.ID] = status.Received
-			}
-		})
+		state := g.replicas[m.ID]
+		if state == nil {
+			state = &replicaReceipt{}
+			g.replicas[m.ID] = state
+		}
+		if !state.queried && !now.Before(state.nextAt) {
+			state.queried, state.nextAt = true, now.Add(receiptInterval)
+			query(m)
+		}
 	}
-	wg.Wait()
-	g.conns = conns
+	return false, g.told
+}
+
+// query asks a replica for its status, in a goroutine of its own.
+func (r *Receipts) query(id topology.GroupID, g *groupReceipts, m duty.Member) {
+	g.mu.Lock()
+	conn := g.replicas[m.ID].conn
+	g.mu.Unlock()
+	status, conn, err := r.status(topology.Target{ID: m.ID, Group: id, Addr: m.Addr, Domain: m.Domain}, conn)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.epoch != epoch {
-		g.epoch, g.received = epoch, map[topology.TargetID]topology.Position{}
+	state := g.replicas[m.ID]
+	state.queried, state.conn = false, conn
+	switch {
+	case err != nil: // counted as a receipt that isn't proved, if no other replica proves it
+		state.nextAt = steady.Now().Add(receiptRetryInterval)
+		return
+	case !status.Primary:
+		state.received = status.Received
 	}
-	maps.Copy(g.received, told)
+	close(g.told)
+	g.told = make(chan struct{})
 }
 
-// status asks a target for its status by the connection, or a new one. It returns the connection to
-// use next, nil if there is none.
-func (r *Receipts) status(ctx context.Context, target topology.Target, conn statement.Conn) (statement.TargetStatus, statement.Conn, bool) {
-	deadline := time.Now().Add(probeTimeout)
-	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
-		deadline = d
-	}
+// status asks a target for its status by the connection, or a new one if it is nil or has ended. It
+// returns the connection to use next, nil if there is none.
+func (r *Receipts) status(target topology.Target, conn statement.Conn) (statement.TargetStatus, statement.Conn, error) {
 	if conn == nil || !conn.Alive() {
-		var err error
-		ctx, cancel := context.WithDeadline(ctx, deadline)
+		if conn != nil {
+			conn.Close()
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), probeDialTimeout)
 		defer cancel()
+		var err error
 		if conn, err = r.opts.Dialer.Dial(ctx, target, ""); err != nil {
-			return statement.TargetStatus{}, nil, false // no receipt is proved, which the caller reports
+			return statement.TargetStatus{}, nil, err
 		}
 	}
-	answers, err := conn.Exchange(deadline, statement.Statement{ID: statement.ProxyRequestID, Kind: statement.Status})
+	answers, err := conn.Exchange(time.Now().Add(probeTimeout), statement.Statement{ID: statement.ProxyRequestID, Kind: statement.Status})
 	if err != nil {
 		conn.Close()
-		return statement.TargetStatus{}, nil, false
+		return statement.TargetStatus{}, nil, err
 	}
 	if !answers[0].OK() || len(answers[0].Rows) == 0 {
-		return statement.TargetStatus{}, conn, false
+		return statement.TargetStatus{}, conn, errNoStatus
 	}
 	status, err := r.opts.Parse(answers[0].Rows[0])
-	return status, conn, err == nil
+	return status, conn, err
 }
 
-// closeConns closes the connections of a group that has asked nothing for receiptIdle.
+// errNoStatus means that a replica is busy.
+var errNoStatus = errors.New("the replica has not told its status")
+
+// closeConns closes the connections of a group that has asked nothing for receiptIdle. One that a
+// query uses stays open until the group has asked again.
 func (g *groupReceipts) closeConns() {
-	g.turn <- struct{}{}
-	defer func() { <-g.turn }()
-	for id, conn := range g.conns {
-		conn.Close()
-		delete(g.conns, id)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id, state := range g.replicas {
+		if state.queried {
+			g.idle.Reset(receiptIdle)
+			continue
+		}
+		if state.conn != nil {
+			state.conn.Close()
+		}
+		delete(g.replicas, id)
 	}
 }
