--- a/internal/promotion/members.go
+++ b/internal/promotion/members.go
@@ -7,6 +7,7 @@
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
 	"nettlewalk.example/nettlewalk/internal/duty"
+	"nettlewalk.example/nettlewalk/internal/steady"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
@@ -62,6 +63,19 @@
 	return m.Leaving && w.occupantAt(t) == groupMember
 }
 
+// retiredAfter is how long after a target that announced its leave was last heard of it counts as ended.
+// Platforms end such a process some seconds after the announcement.
+const retiredAfter = 60 * time.Second
+
+// hasRetired reports whether a target that announced its leave has been silent and unregistered for
+// retiredAfter. Others are proved to have what was passed on before, since it was dropped; nothing
+// proves that it has ended.
+func (w *Watcher) hasRetired(m duty.Member) bool {
+	pr := w.probers[m.ID]
+	return m.Leaving && pr != nil && pr.unregisteredFor > 0 && steady.Now().Sub(pr.aliveAt) >= retiredAfter &&
+		w.confirmsCommits() && slices.Contains(w.opts.Commits.Dropped(w.opts.Group), m.ID)
+}
+
 // recordedLeader returns the target that led when the members were recorded, or "".
 func (w *Watcher) recordedLeader() topology.TargetID {
 	for _, m := range w.opts.Duty.Members(w.opts.Group) {
@@ -149,7 +163,7 @@
 	recorded := w.opts.Duty.Members(w.opts.Group)
 	known := w.withUnregistered(recorded)
 	for i, m := range known {
-		known[i].Covered = m.Covered || w.handedOver(m)
+		known[i].Covered = m.Covered || w.handedOver(m) || w.hasRetired(m)
 	}
 	next := nextMembers(known, registered, v)
 	for _, m := range next {
