--- a/internal/confirm/receipts_test.go
+++ b/internal/confirm/receipts_test.go
@@ -88,6 +88,43 @@
 	})
 }
 
+// onceReceived proves the first receipt that it is asked for.
+type onceReceived struct{ asked int }
+
+func (r *onceReceived) Received(context.Context, topology.GroupID, *Electorate, topology.Position) bool {
+	r.asked++
+	return r.asked == 1
+}
+
+// Guards against this failure: a commit is passed on between the proof that others have what a target to
+// be dropped may have received and the seal of the voters.
+func TestTargetIsDroppedOnlyIfOthersHaveWhatSealedVotersRecorded(t *testing.T) {
+	playReceipts(t, func(f *fleet, r *replica) {
+		once := &onceReceived{}
+		f.hosts[0].holder.opts.Receipts = once
+		e := f.maintainDropping("b")
+		qt.Check(t, e.DroppedTargets(), qt.HasLen, 0)
+		qt.Check(t, once.asked, qt.Equals, 2)
+		qt.Check(t, f.hosts[0].confirms(1), qt.IsTrue, qt.Commentf("commits go on"))
+	})
+}
+
+// Guards against this failure: commits are held up each time that a target can't be dropped, and voters
+// that have ended aren't replaced.
+func TestTargetThatCannotBeDroppedHoldsNothingUp(t *testing.T) {
+	playReceipts(t, func(f *fleet, r *replica) {
+		before := f.hosts[0].voters.register(simGroup).State().Ballot
+		r.receive(at(1, 0))
+		qt.Assert(t, f.hosts[0].confirms(1), qt.IsTrue)
+		f.maintainDropping("b")
+		qt.Check(t, f.hosts[0].voters.register(simGroup).State().Ballot, qt.Equals, before)
+		f.hosts[2].start() // a voter has ended
+		e := f.maintainDropping("b")
+		qt.Check(t, e.DroppedTargets(), qt.HasLen, 0)
+		qt.Check(t, e.Epoch, qt.Equals, uint64(2), qt.Commentf("it is replaced all the same"))
+	})
+}
+
 // Guards against this failure: a commit that only a dropped target has received is passed on, or keeps
 // other targets from being promoted.
 func TestCommitNeedsReceiptWhileTargetsAreDropped(t *testing.T) {
