--- a/internal/confirm/receipts_test.go
+++ b/internal/confirm/receipts_test.go
@@ -137,8 +137,10 @@
 		qt.Check(t, h.confirms(1), qt.IsFalse)
 		qt.Check(t, h.voters.register(simGroup).State().Newest.AtLeast(at(1, f.newest)), qt.IsFalse, qt.Commentf("voters recorded what nobody may have received"))
 		qt.Check(t, f.hosts[1].confirms(1), qt.IsFalse, qt.Commentf("the holder doesn't answer other hosts here"))
-		time.Sleep(time.Second)
-		qt.Check(t, h.confirmer.Ready(simGroup), qt.IsFalse)
+		for range 3 {
+			qt.Check(t, h.confirmer.Ready(simGroup), qt.IsFalse, qt.Commentf("writes would be sent in vain"))
+			time.Sleep(time.Second)
+		}
 		r.receive(at(1, f.newest))
 		time.Sleep(time.Second)
 		qt.Check(t, h.confirmer.Ready(simGroup), qt.IsTrue, qt.Commentf("it has been received since"))
--- a/internal/promotion/dropped_test.go
+++ b/internal/promotion/dropped_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"nettlewalk.example/nettlewalk/internal/confirm"
 	"nettlewalk.example/nettlewalk/internal/duty"
+	"nettlewalk.example/nettlewalk/internal/statement"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
@@ -102,10 +104,64 @@
 	acks = 1
 	members[0].Leads = false // the record is old
 	qt.Check(t, received(pos(1, 9)), qt.IsFalse, qt.Commentf("the leader says that it leads"))
+	members[1].Covered = true
+	qt.Check(t, received(pos(1, 8)), qt.IsFalse, qt.Commentf("the replica that has it counts no more"))
 	members = members[:1]
 	qt.Check(t, received(pos(1, 7)), qt.IsFalse, qt.Commentf("the store lists no replica"))
 }
 
+// countingDialer counts dials and exchanges.
+type countingDialer struct {
+	*testGroup
+	refuses          bool
+	dials, exchanges atomic.Int64
+}
+
+func (d *countingDialer) Dial(ctx context.Context, t topology.Target, c topology.CustomerID) (statement.Conn, error) {
+	d.dials.Add(1)
+	if d.refuses {
+		return nil, &statement.DialError{Outcome: statement.DialRefused, Cause: context.Canceled}
+	}
+	conn, err := d.testGroup.Dial(ctx, t, c)
+	return &countingConn{conn, d}, err
+}
+
+type countingConn struct {
+	statement.Conn
+	dialer *countingDialer
+}
+
+func (c *countingConn) Exchange(deadline time.Time, batch ...statement.Statement) ([]statement.Answer, error) {
+	c.dialer.exchanges.Add(1)
+	return c.Conn.Exchange(deadline, batch...)
+}
+
+// A commit that isn't received takes a replica's work slots, or dials it, at intervals only. What was told
+// in an epoch proves nothing in the next one: the replica may have started again since.
+func TestReceiptsAreAskedForAtIntervals(t *testing.T) {
+	const wait = 150 * time.Millisecond
+	ask := func(d *countingDialer, r *Receipts, epoch uint64, p topology.Position) bool {
+		ctx, cancel := context.WithTimeout(context.Background(), wait)
+		defer cancel()
+		return r.Received(ctx, "g", &confirm.Electorate{Epoch: epoch}, p)
+	}
+	for _, refuses := range []bool{false, true} {
+		d := &countingDialer{testGroup: newTestGroup("p", "a"), refuses: refuses}
+		r := NewReceipts(ReceiptOptions{
+			Dialer: d, Parse: parseTestStatus, AckReplicas: func(topology.GroupID) int { return 1 },
+			Members: func(topology.GroupID) []duty.Member { return []duty.Member{{ID: "a", Addr: "a"}} },
+		})
+		qt.Check(t, ask(d, r, 1, pos(1, 8)), qt.IsFalse)
+		qt.Check(t, d.exchanges.Load() <= int64(wait/receiptInterval)+1, qt.IsTrue, qt.Commentf("%d", d.exchanges.Load()))
+		qt.Check(t, d.dials.Load() <= int64(wait/receiptRetryInterval)+1, qt.IsTrue, qt.Commentf("%d", d.dials.Load()))
+		if !refuses {
+			qt.Check(t, ask(d, r, 1, pos(1, 7)), qt.IsTrue)
+			d.with(func(targets map[topology.TargetID]*testTarget) { targets["a"].received = pos(1, 0) })
+			qt.Check(t, ask(d, r, 2, pos(1, 7)), qt.IsFalse, qt.Commentf("another epoch"))
+		}
+	}
+}
+
 // Guards against this failure: a silent replica that still counted delayed each proof by its timeout.
 func TestSilentReplicaDelaysNoReceipt(t *testing.T) {
 	g := newTestGroup("p", "a", "b")
--- a/internal/promotion/logcheck_test.go
+++ b/internal/promotion/logcheck_test.go
@@ -1,10 +1,12 @@
 package promotion
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
 
 	"nettlewalk.example/nettlewalk/internal/catalog"
 	"nettlewalk.example/nettlewalk/internal/steady"
@@ -93,3 +95,24 @@
 	qt.Check(t, w.hasProvedLog(pr, pos(1, 8)), qt.IsTrue)
 	qt.Check(t, w.hasProvedLog(pr, pos(1, 9)), qt.IsFalse)
 }
+
+// An entry of another incarnation, or none, proves nothing of the one whose log counts.
+func TestHeartbeatOfAnotherIncarnationProvesNothing(t *testing.T) {
+	beat, ok := catalog.Heartbeat{Incarnation: 1}, true
+	w := &Watcher{opts: Options{
+		Log: logr.Discard(), ReadHeartbeat: func(context.Context, topology.TargetID) (catalog.Heartbeat, bool, error) { return beat, ok, nil },
+	}}
+	read := func() (proved bool) {
+		pr := &prober{recorded: 1, logCheck: logCheck{toldAt: steady.Now().Add(-time.Second)}}
+		for range 2 {
+			beat.Sequence++
+			w.readHeartbeats(t.Context(), []*prober{pr})
+		}
+		return pr.logCheck.proved
+	}
+	qt.Check(t, read(), qt.IsTrue)
+	beat.Incarnation = 2
+	qt.Check(t, read(), qt.IsFalse)
+	beat.Incarnation, ok = 1, false
+	qt.Check(t, read(), qt.IsFalse)
+}
--- a/internal/promotion/next_test.go
+++ b/internal/promotion/next_test.go
@@ -284,6 +284,14 @@
 	empty := replica("b", pos(1, 0), 0)
 	v := View{AckReplicas: 1, Leader: "p", Replace: true, Ordered: "b", MayOverride: true, Confirmed: true, MaySeal: true, RegisterRead: true, Members: []Member{replica("a", pos(1, 7), 2), empty}}
 	qt.Check(t, NextStep(v), qt.DeepEquals, Step(Seal{Term: 1}), qt.Commentf("what callers heard of isn't known yet"))
+	v.LeaderServes, v.LeaderPosition = true, pos(1, 7)
+	qt.Check(t, NextStep(v), qt.DeepEquals, Step(Seal{Term: 1}), qt.Commentf("nor does it catch up first"))
+	v.Sealing, v.Covering = confirm.Sealing{Closed: true}, pos(1, 7)
+	qt.Check(t, NextStep(v), qt.DeepEquals, Step(Promote{Target: "p"}), qt.Commentf("the leader tells what it lacks"))
+	v.Sealing, v.Covering = confirm.Sealing{Closed: true, Floor: pos(1, 7)}, topology.Position{}
+	v.Members[0].Status.Received = pos(1, 0)
+	qt.Check(t, NextStep(v), qt.DeepEquals, Step(Promote{Target: "p"}), qt.Commentf("some voters tell what it lacks"))
+	v.LeaderServes, v.Members[0].Status.Received = false, pos(1, 7)
 	v.Sealing = confirm.Sealing{Closed: true, Known: true, Floor: pos(1, 7)}
 	qt.Check(t, NextStep(v), qt.DeepEquals, Step(Promote{Target: "a"}))
 	v.LeaderServes = true
--- a/internal/promotion/retired_test.go
+++ b/internal/promotion/retired_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
 
 	"nettlewalk.example/nettlewalk/internal/duty"
 	"nettlewalk.example/nettlewalk/internal/steady"
@@ -39,6 +40,21 @@
 	}
 }
 
+// A target that has retired is recorded as covered, so that it counts no more.
+func TestRetiredTargetIsRecordedAsCovered(t *testing.T) {
+	g, d := newTestGroup("p", "a"), &recordedDuty{}
+	_ = d.RecordMembers(t.Context(), "g", []duty.Member{{ID: "p", Addr: "p"}, {ID: "a", Addr: "a"}, {ID: "b", Addr: "b", Leaving: true}})
+	w := NewWatcher(Options{Group: "g", Duty: d, Catalog: g.store, Log: logr.Discard(), Commits: &droppingCommits{dropped: []topology.TargetID{"b"}}})
+	w.syncProbers()
+	w.probers["b"].unregisteredFor, w.probers["b"].aliveAt = time.Minute, steady.Now().Add(-retiredAfter)
+	qt.Assert(t, w.mayHoldCommits("b", w.probers["b"]), qt.IsTrue)
+	view := w.unprobedView()
+	w.recordMembers(t.Context(), &view)
+	for deadline := time.Now().Add(5 * time.Second); w.mayHoldCommits("b", w.probers["b"]); time.Sleep(5 * time.Millisecond) {
+		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue)
+	}
+}
+
 // droppingCommits tells of dropped targets.
 type droppingCommits struct {
 	countingCommits
