--- a/internal/confirm/receipts_test.go
+++ b/internal/confirm/receipts_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"nettlewalk.example/nettlewalk/internal/steady/steadytest"
 	"nettlewalk.example/nettlewalk/internal/topology"
 )
 
@@ -152,6 +153,21 @@
 	})
 }
 
+// The first electorate drops no target: hosts of an earlier version may have passed commits on without
+// voters.
+func TestFirstElectorateDropsNoTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		steadytest.FollowBubble(t)
+		f := newFleet(3)
+		f.hosts[0].holder.opts.Receipts = &replica{received: at(1, 9)}
+		e := f.maintainDropping("b")
+		qt.Check(t, e.Epoch, qt.Equals, uint64(1))
+		qt.Check(t, e.DroppedTargets(), qt.HasLen, 0)
+		e = f.maintainDropping("b")
+		qt.Check(t, e.DroppedTargets(), qt.HasLen, 1)
+	})
+}
+
 // A host answers for the epoch that it knows only: other targets count in others.
 func TestReceiptIsProvedInOneEpoch(t *testing.T) {
 	r := &replica{received: at(1, 5)}
