--- a/internal/promotion/retired_test.go
+++ b/internal/promotion/retired_test.go
@@ -48,11 +48,13 @@
 	w.syncProbers()
 	w.probers["b"].unregisteredFor, w.probers["b"].aliveAt = time.Minute, steady.Now().Add(-retiredAfter)
 	qt.Assert(t, w.mayHoldCommits("b", w.probers["b"]), qt.IsTrue)
+	qt.Assert(t, w.droppedTargets()[0], qt.Equals, topology.TargetID("b"))
 	view := w.unprobedView()
 	w.recordMembers(t.Context(), &view)
 	for deadline := time.Now().Add(5 * time.Second); w.mayHoldCommits("b", w.probers["b"]); time.Sleep(5 * time.Millisecond) {
 		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue)
 	}
+	qt.Check(t, w.droppedTargets()[0], qt.Equals, topology.TargetID(""), qt.Commentf("receipts are needed no more"))
 }
 
 // droppingCommits tells of dropped targets.
